--- /dev/null
+++ b/config.h
@@ -0,0 +1,94 @@
+// The operators' text: services, what each depends on, and limits.
+//
+// Use:
+//   Result<Config> config = Config::Parse(text);
+//   if (!config) Report(config.error());        // kInvalidConfig; names the place in the text
+//   const Service* service = config->FindService("verstas-1");
+//
+// Contract: a Config is immutable and valid: every dependency exists, there are no cycles, every
+// number is in its range. Parse never throws. Errors name the place, the value and what is allowed,
+// for example "services.kassa-3.depends_on[1]: unknown service \"posty\"".
+#ifndef PERIDOTGAUGE_CONFIG_H_
+#define PERIDOTGAUGE_CONFIG_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "error.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+// Limits of the text; exceeding one is kTooLarge or kInvalidConfig.
+constexpr size_t kMaxConfigBytes = 1 << 20;
+constexpr size_t kMaxServices = 10'000;
+constexpr uint32_t kMaxShards = 4'096;
+
+// What a search prefers when some shards are late.
+enum class Preference : uint8_t { kLatency, kCoverage };
+
+// Limits shared by the targets of a group of services, and one index (one snapshot per query).
+struct Fleet {
+  std::string name;
+  uint32_t slots = 4;         // concurrent requests per target
+  uint32_t connections = 40;  // connections per target
+  Duration connect_cost = Millis(1);
+  uint32_t hedge_percent = 5;  // extra sub-requests allowed per 100 needed
+  bool operator==(const Fleet&) const = default;
+};
+
+struct Service {
+  std::string name;
+  std::string fleet;
+  uint32_t shards = 1;  // used when no live target says how its snapshot is divided
+  std::vector<std::string> depends_on;
+  bool idempotent = true;  // false: `order` requests are allowed and run at most once
+  Duration deadline = Millis(200);
+  Duration soft_deadline = Millis(200);  // at most `deadline`; used with Preference::kLatency
+  Preference prefer = Preference::kCoverage;
+  bool operator==(const Service&) const = default;
+};
+
+class Config {
+ public:
+  // An empty configuration with revision 0: the state before the first accepted text.
+  Config() = default;
+
+  static Result<Config> Parse(std::string_view text);
+
+  uint64_t Revision() const { return this->revision; }
+  // The text as the operator wrote it.
+  const std::string& Text() const { return this->text; }
+  // XXH3 digest of the text's canonical form (keys sorted, no white space).
+  uint64_t Digest() const { return this->digest; }
+
+  // Return nullptr if there is none of that name.
+  const Fleet* FindFleet(std::string_view name) const;
+  const Service* FindService(std::string_view name) const;
+  const std::map<std::string, Fleet, std::less<>>& Fleets() const { return this->fleets; }
+  const std::map<std::string, Service, std::less<>>& Services() const { return this->services; }
+
+  // The service and all it depends on, directly or indirectly; the service itself comes first,
+  // the others in the order of their names. Empty if the service is unknown.
+  std::vector<const Service*> Closure(std::string_view service) const;
+
+  bool operator==(const Config& other) const { return this->digest == other.digest; }
+
+ private:
+  uint64_t revision = 0;
+  uint64_t digest = 0;
+  std::string text;
+  std::map<std::string, Fleet, std::less<>> fleets;
+  std::map<std::string, Service, std::less<>> services;
+};
+
+// One line for each difference between two texts, in the order of the names, for example
+// "services.kassa-3.deadline_ms: 200 -> 250". Empty if they mean the same.
+std::vector<std::string> DiffConfigs(const Config& before, const Config& after);
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_CONFIG_H_
--- /dev/null
+++ b/peer.h
@@ -0,0 +1,115 @@
+// Framed TCP between processes: a multiplexed client and a server.
+//
+// Use:
+//   auto client = std::make_shared<PeerClient>(io, "127.0.0.1:7101");
+//   uint64_t call = client->Call(body, deadline, [](Result<wire::BodyUnion> reply) { ... });
+//   client->Cancel(call);                        // the callback is not called afterwards
+//
+//   PeerServer server(io, "127.0.0.1:7101", [](wire::BodyUnion body, PeerRequest request) {
+//     request.Reply(answer);                     // at once or later, at most once
+//   });
+//
+// Contract: everything runs on the thread of the io_context. A callback is called exactly once
+// unless the call was cancelled, and never from inside Call(). A failed call has kUnavailable if
+// the request cannot have left this process, kConnectionLost if it may have, kDeadlineExceeded if
+// no reply came in time. A client connects on the first call, keeps the connection, and connects
+// again after a failure; calls made while it connects wait for the connection, and fail with
+// kUnavailable if it fails. Frames above kMaxFrameBytes or that fail verification close the
+// connection. Both sides bound the bytes that wait to be written: a client refuses calls with
+// kOverloaded, a server closes a connection that does not read its replies.
+#ifndef PERIDOTGAUGE_PEER_H_
+#define PERIDOTGAUGE_PEER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "error.h"
+#include "peer_generated.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+constexpr size_t kMaxFrameBytes = 4 << 20;
+constexpr size_t kMaxUnwrittenBytes = 32 << 20;
+constexpr Duration kPeerConnectTimeout = Millis(500);
+
+// Encodes one frame, including its length prefix.
+std::string EncodeFrame(uint64_t call_id, bool reply, const wire::BodyUnion& body);
+// Decodes a frame without its length prefix; kBadRequest if it fails verification.
+Result<std::unique_ptr<wire::FrameT>> DecodeFrame(const std::string& bytes);
+
+// Wraps a message in the union, for example ToBody(wire::CancelT{}).
+template <typename T>
+wire::BodyUnion ToBody(T message) {
+  wire::BodyUnion body;
+  body.Set(std::move(message));
+  return body;
+}
+
+class PeerClient : public std::enable_shared_from_this<PeerClient> {
+ public:
+  using Callback = std::function<void(Result<wire::BodyUnion>)>;
+
+  PeerClient(boost::asio::io_context& io, Address address);
+  ~PeerClient();
+  PeerClient(const PeerClient&) = delete;
+  PeerClient& operator=(const PeerClient&) = delete;
+
+  // Sends a request. Returns the call's id, for Cancel().
+  uint64_t Call(const wire::BodyUnion& body, Time deadline, Callback callback);
+  // Forgets the call; `notify` also sends a Cancel message to the peer.
+  void Cancel(uint64_t call_id, bool notify = true);
+  // Sends a one-way message; it is dropped if the peer cannot be reached.
+  void Send(const wire::BodyUnion& body);
+  // Fails all calls and closes the connection. The client can be used again afterwards.
+  void Close();
+
+  const Address& PeerAddress() const;
+  bool Connected() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+// One received request. Copies answer the same request; only the first answer is sent.
+class PeerRequest {
+ public:
+  // Sends the reply; does nothing for a one-way message or a closed connection.
+  void Reply(const wire::BodyUnion& body) const;
+  // Called once when the peer cancels the request or its connection closes before the reply.
+  void OnCancel(std::function<void()> callback) const;
+  // False once the connection has closed or the request was cancelled.
+  bool Active() const;
+
+ private:
+  friend class PeerServer;
+  struct State;
+  std::shared_ptr<State> state;
+};
+
+class PeerServer {
+ public:
+  using Handler = std::function<void(wire::BodyUnion, PeerRequest)>;
+
+  // Throws boost::system::system_error if the address cannot be bound.
+  PeerServer(boost::asio::io_context& io, const Address& address, Handler handler);
+  ~PeerServer();
+  PeerServer(const PeerServer&) = delete;
+  PeerServer& operator=(const PeerServer&) = delete;
+
+  // Stops accepting and closes all connections.
+  void Close();
+  // The bound port; useful if the address had port 0.
+  uint16_t Port() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_PEER_H_
--- /dev/null
+++ b/testing/error_test.cc
@@ -0,0 +1,37 @@
+// Tests of the error table: guards against rows out of order and against a "not run" claim for an
+// error that can follow an execution.
+#include "../error.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+
+namespace peridotgauge {
+namespace {
+
+TEST_CASE("error table") {
+  SECTION("row i describes code i and names are unique") {
+    std::set<std::string_view> names;
+    for (int i = 0; i < kErrorCodeCount; ++i) {
+      const auto code = static_cast<ErrorCode>(i);
+      CHECK(InfoOf(code).code == code);
+      CHECK(names.insert(InfoOf(code).name).second);
+      CHECK(ErrorCodeOf(InfoOf(code).name) == code);
+    }
+  }
+  SECTION("errors that can follow an execution never claim not run") {
+    for (ErrorCode code :
+         {ErrorCode::kInDoubt, ErrorCode::kConnectionLost, ErrorCode::kTargetFailed,
+          ErrorCode::kDeadlineExceeded, ErrorCode::kCancelled, ErrorCode::kInProgress,
+          ErrorCode::kUnknownOutcome, ErrorCode::kExpired}) {
+      CHECK_FALSE(InfoOf(code).not_run);
+    }
+  }
+  SECTION("text") {
+    CHECK((Error{ErrorCode::kShed, ""}).ToString() == "shed: the target refused the request");
+    CHECK((Error{ErrorCode::kShed, "queue full"}).ToString() == "shed: queue full");
+  }
+}
+
+}  // namespace
+}  // namespace peridotgauge
--- /dev/null
+++ b/testing/main.cc
@@ -0,0 +1,3 @@
+// Entry point of the unit tests.
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
