Add the interfaces of the control plane

The commands need an attempt number: without it a delayed release could free an id that the same router has been granted again. StateMachine moves to its own header so that core headers do not include Asio. Headers were syntax-checked only.

--- /dev/null
+++ b/control_client.h
@@ -0,0 +1,116 @@
+// The router's side of the control plane: lease, state and directory copy, commands and reads.
+//
+// Use:
+//   ControlClient control(io, {.self = record, .controllers = settings.controllers});
+//   control.OnChange([&](const ControlChange& change) { ... });
+//   control.Start();                                   // begins to sync; a router only
+//   if (!control.Synchronized(now)) Refuse(ErrorCode::kNotSynchronized);
+//   control.Register(target_record);                   // registration, renewal or expired lease
+//   control.Command(ToCommand(claim), deadline, [](Result<wire::CommandReplyT> reply) { ... });
+//   control.Read(wire::ReadKind::Status, 0, deadline, [](Result<std::string> json) { ... });
+//
+// Contract: everything runs on the thread of the io_context. Callbacks are called exactly once and
+// never from inside the call that registered them. Command and Read work without Start(). A lease
+// is renewed only after the reply's state has been applied. A command's error is kUnavailable only
+// if no controller can have received it; kUnknownOutcome if it may have been committed. Commands
+// other than ChangeMembers are idempotent and are sent again until the deadline when an answer is
+// lost.
+#ifndef PERIDOTGAUGE_CONTROL_CLIENT_H_
+#define PERIDOTGAUGE_CONTROL_CLIENT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config.h"
+#include "directory_copy.h"
+#include "error.h"
+#include "lease.h"
+#include "peer_generated.h"
+#include "records.h"
+#include "settings.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+// A reply later than this makes the client switch to another controller. It is the longest hold of
+// a poll (400 ms) and ample time for a quorum round; the rest of the lease is left for the switch.
+constexpr Duration kSyncReplyTimeout = Millis(700);
+// One try of a command or read; the deadline of the call may allow several.
+constexpr Duration kCommandTryTimeout = Millis(700);
+// Pause after every controller has been tried, or when no leader is known.
+constexpr Duration kLeaderSearchPause = Millis(50);
+
+struct ControlClientOptions {
+  RouterRecord self;
+  std::vector<ControllerAddress> controllers;
+};
+
+// What a sync reply changed.
+struct ControlChange {
+  bool config = false;
+  bool routers = false;
+  bool quarantine = false;
+  bool directory = false;
+  bool lease = false;  // the lease was renewed after it had been invalid
+};
+
+// Wraps a command, for example ToCommand(wire::ClaimT{}).
+template <typename T>
+wire::CommandBodyUnion ToCommand(T command) {
+  wire::CommandBodyUnion body;
+  body.Set(std::move(command));
+  return body;
+}
+
+class ControlClient {
+ public:
+  using CommandCallback = std::function<void(Result<wire::CommandReplyT>)>;
+  using ReadCallback = std::function<void(Result<std::string>)>;
+  using ChangeCallback = std::function<void(const ControlChange&)>;
+
+  ControlClient(boost::asio::io_context& io, ControlClientOptions options);
+  ~ControlClient();
+  ControlClient(const ControlClient&) = delete;
+  ControlClient& operator=(const ControlClient&) = delete;
+
+  // Begins to sync. The router joins the view with its first sync.
+  void Start();
+  // Stops syncing and drops the lease; call it before a clean Leave. Commands still work.
+  void StopSync();
+  // Fails all calls with kCancelled and closes the connections.
+  void Stop();
+  void OnChange(ChangeCallback callback);
+
+  // --- Published state ---
+  bool Synchronized(Time now) const;
+  const Lease& CurrentLease() const;
+  // The current configuration; never null, revision 0 before the first.
+  std::shared_ptr<const Config> CurrentConfig() const;
+  // The router list by id, and the log index of its last change.
+  const std::map<std::string, RouterRecord>& Routers() const;
+  uint64_t ViewIndex() const;
+  bool Quarantined(uint64_t fingerprint, int64_t now_ms) const;
+  const DirectoryCopy& Directory() const;
+  // Id of the leader; empty if unknown.
+  std::string Leader() const;
+
+  // Passes on a registration, a renewal, or a lease that has expired (state kGone).
+  void Register(TargetRecord record);
+
+  // A Claim needs an `attempt` number that this process has never used before.
+  void Command(wire::CommandBodyUnion body, Time deadline, CommandCallback callback);
+  void Read(wire::ReadKind kind, uint64_t revision, Time deadline, ReadCallback callback);
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_CONTROL_CLIENT_H_
--- /dev/null
+++ b/control_report.h
@@ -0,0 +1,52 @@
+// JSON of the operator API about the control plane: configuration, history, in force, status,
+// targets.
+//
+// Contract: every function returns one JSON object. Digests are 16 hexadecimal digits, because JSON
+// readers lose the low bits of 64-bit numbers. An unknown revision is kNotFound.
+#ifndef PERIDOTGAUGE_CONTROL_REPORT_H_
+#define PERIDOTGAUGE_CONTROL_REPORT_H_
+
+#include <cstdint>
+#include <string>
+
+#include "control_state.h"
+#include "directory.h"
+#include "error.h"
+#include "session.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+// Consensus figures for the status report.
+struct LogStatus {
+  std::string id;
+  std::string role;
+  std::string leader;
+  uint64_t term = 0;
+  uint64_t commit_index = 0;
+  uint64_t applied_index = 0;
+  uint64_t log_entries = 0;
+  uint64_t log_bytes = 0;
+  std::string storage_error;
+};
+
+std::string DigestText(uint64_t digest);
+
+// {"revision","digest","author","accepted_at_ms","text"}. Revision 0 means the current one;
+// before the first, the answer is {"revision":0}.
+Result<std::string> ConfigJson(const ControlState& state, uint64_t revision);
+// {"revision","digest","accepted"} for a revision, or {"revisions":[...]}, newest first.
+std::string HistoryJson(const ControlState& state);
+// {"revision","accepted","in_force","superseded_by","waiting":[router ids]}.
+Result<std::string> InForceJson(const ControlState& state, SessionTable& sessions,
+                                uint64_t revision);
+// {"controller":{...},"config":{...},"routers":[...],"quarantine":[...],"ledger":{...},
+// "directory":{...}}.
+std::string StatusJson(const LogStatus& log, const ControlState& state,
+                       const SessionTable& sessions, const Directory& directory, Time now);
+// {"epoch","version","collecting","targets":[...]}.
+std::string TargetsJson(const Directory& directory);
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_CONTROL_REPORT_H_
--- /dev/null
+++ b/lease.h
@@ -0,0 +1,40 @@
+// The configuration lease of a router.
+//
+// Use:
+//   lease.Renew(sent);                     // on a successful reply to the request sent then
+//   if (!lease.Valid(now)) Refuse(ErrorCode::kNotSynchronized);
+//
+// Contract: the lease runs from the moment the request was *sent*. The leader's session runs from
+// the moment of arrival and is longer by kSessionMargin, so it never ends before the lease.
+#ifndef PERIDOTGAUGE_LEASE_H_
+#define PERIDOTGAUGE_LEASE_H_
+
+#include <optional>
+
+#include "types.h"
+
+namespace peridotgauge {
+
+constexpr Duration kLeaseLength = Seconds(2);
+// Covers differences between the clock rates of two hosts.
+constexpr Duration kSessionMargin = Millis(500);
+constexpr Duration kSessionLength = kLeaseLength + kSessionMargin;
+
+class Lease {
+ public:
+  // Extends the lease after a successful reply to a request sent at `sent`. An earlier `sent` than
+  // that of the current lease changes nothing.
+  void Renew(Time sent);
+  // Ends the lease.
+  void Drop();
+  bool Valid(Time now) const;
+  // End of the lease, or nothing if there is none.
+  std::optional<Time> End() const { return this->end; }
+
+ private:
+  std::optional<Time> end;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_LEASE_H_
--- /dev/null
+++ b/ledger.h
@@ -0,0 +1,144 @@
+// At-most-once records of non-idempotent requests.
+//
+// Use:
+//   Result<ClaimAnswer> answer = ledger.Claim(now_ms, request);
+//   if (answer && answer->state == ClaimState::kGranted) Dispatch();  // at most once per attempt
+//   ledger.Complete(now_ms, completion);
+//
+// Contract: a request id that is not kReleased is granted to one holder only, and is granted again
+// only after that holder has completed the same attempt with kNotRun. A claim of the same attempt
+// (a resent command) repeats the grant; a router must therefore dispatch an attempt at most once
+// and must not reuse an attempt number. A record lives until the request's issue time plus the
+// window; from then on the id is refused with kExpired, so a request whose record is gone can never
+// pass as new. `now_ms` (Unix time) must never decrease.
+#ifndef PERIDOTGAUGE_LEDGER_H_
+#define PERIDOTGAUGE_LEDGER_H_
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "error.h"
+
+namespace peridotgauge {
+
+// Limits of the ledger. A claim beyond a limit is refused with kLedgerFull.
+struct LedgerLimits {
+  int64_t window_ms = 24LL * 3600 * 1000;
+  size_t max_records = 200'000;
+  // Total size of the recorded bodies. The ledger is held in memory and is part of each snapshot.
+  size_t max_body_bytes = 64 << 20;
+  // How long a released id refuses a delayed copy of the released attempt. Far above the time that
+  // a command can spend in socket buffers and in a stalled process.
+  int64_t released_ms = 10LL * 60 * 1000;
+  // Requests issued further in the future are refused: their records would outlive the window.
+  int64_t max_clock_skew_ms = 5LL * 60 * 1000;
+  bool operator==(const LedgerLimits&) const = default;
+};
+
+constexpr size_t kMaxRequestIdBytes = 128;
+
+// Same values as wire::Outcome and wire::ClaimState.
+enum class Outcome : uint8_t { kDone, kNotRun, kInDoubt, kFailed };
+enum class ClaimState : uint8_t { kGranted, kRunning, kRecorded, kInDoubt };
+
+// Who claims: one attempt of one incarnation of a router.
+struct ClaimHolder {
+  std::string router;
+  uint64_t incarnation = 0;
+  uint64_t attempt = 0;  // unique within the incarnation and growing, above 0
+  auto operator<=>(const ClaimHolder&) const = default;
+};
+
+struct ClaimRequest {
+  std::string request_id;
+  std::string service;
+  uint64_t body_digest = 0;
+  int64_t issued_at_ms = 0;  // Unix time, set by the caller and the same on each resend
+  ClaimHolder holder;
+};
+
+struct Completion {
+  std::string request_id;
+  ClaimHolder holder;
+  Outcome outcome = Outcome::kDone;
+  uint16_t status = 0;  // HTTP status of the recorded answer
+  std::string body;
+};
+
+// The answer to a claim. Outcome, status and body are set in state kRecorded.
+struct ClaimAnswer {
+  ClaimState state = ClaimState::kGranted;
+  Outcome outcome = Outcome::kDone;
+  uint16_t status = 0;
+  std::string body;
+  bool operator==(const ClaimAnswer&) const = default;
+};
+
+enum class RecordState : uint8_t { kRunning, kReleased, kRecorded, kInDoubt };
+
+struct LedgerRecord {
+  std::string service;
+  uint64_t body_digest = 0;
+  int64_t expires_ms = 0;  // the record is kept up to and including this time
+  RecordState state = RecordState::kRunning;
+  ClaimHolder holder;
+  Outcome outcome = Outcome::kDone;  // this and the next two: state kRecorded only
+  uint16_t status = 0;
+  std::string body;
+  bool operator==(const LedgerRecord&) const = default;
+};
+
+class Ledger {
+ public:
+  explicit Ledger(LedgerLimits limits = {}) : limits(limits) {}
+
+  // Errors: kBadRequest, kExpired, kConflict (another body or service under this id), kLedgerFull,
+  // kCancelled (this attempt was released before).
+  Result<ClaimAnswer> Claim(int64_t now_ms, const ClaimRequest& request);
+
+  // Records the outcome of a claim. kNotRun releases the id; it is accepted for an unknown id too,
+  // and then bars a delayed claim of that attempt. The same completion again succeeds. Errors:
+  // kNotFound, kConflict (another holder or another outcome), kInDoubt (a release came after the
+  // holder had left the view).
+  Result<void> Complete(int64_t now_ms, const Completion& completion);
+
+  // Puts the running claims of this router in doubt, except those of incarnation `except`.
+  void RouterLeft(const std::string& router, uint64_t except = 0);
+
+  // Number of records and bytes of recorded bodies.
+  size_t Size() const { return this->records.size(); }
+  size_t BodyBytes() const { return this->body_bytes; }
+  // Number of claims that are neither completed nor in doubt.
+  size_t Running() const;
+
+  // For snapshots.
+  const std::map<std::string, LedgerRecord>& Records() const { return this->records; }
+  void Insert(const std::string& request_id, LedgerRecord record);
+
+  bool operator==(const Ledger&) const = default;
+
+ private:
+  void Evict(int64_t now_ms);
+  Result<ClaimAnswer> ClaimNew(int64_t now_ms, const ClaimRequest& request);
+  Result<ClaimAnswer> ClaimKnown(LedgerRecord& record, const ClaimRequest& request);
+  void Release(int64_t now_ms, const std::string& request_id, LedgerRecord& record);
+  void BarDelayedClaim(int64_t now_ms, const Completion& completion);
+  void SetExpiry(const std::string& request_id, LedgerRecord& record, int64_t expires_ms);
+
+  LedgerLimits limits;
+  std::map<std::string, LedgerRecord> records;
+  // (expires_ms, request id) of each record, for eviction in order of time.
+  std::set<std::pair<int64_t, std::string>> by_expiry;
+  // Request ids of the kRunning records of each router.
+  std::map<std::string, std::set<std::string>> running;
+  size_t body_bytes = 0;  // sum of the body sizes of all records
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_LEDGER_H_
--- a/replica.h
+++ b/replica.h
@@ -20,21 +20,11 @@
 #include "error.h"
 #include "peer_generated.h"
 #include "settings.h"
+#include "state_machine.h"
 #include "types.h"
 
 namespace peridotgauge {
 
-// What the replicated log drives. Apply must be deterministic: it may use nothing but the command
-// and earlier state.
-class StateMachine {
- public:
-  virtual ~StateMachine() = default;
-  // Returns the result of the command for its proposer.
-  virtual std::string Apply(uint64_t index, const std::string& command) = 0;
-  virtual std::string Snapshot() const = 0;
-  virtual Result<void> Restore(uint64_t index, const std::string& snapshot) = 0;
-};
-
 // The result of a committed command.
 struct Applied {
   uint64_t index = 0;
--- /dev/null
+++ b/replicated_log.h
@@ -0,0 +1,42 @@
+// The part of Replica that the controller uses, as an interface, so that the controller can be
+// tested over a log in memory.
+//
+// Use:
+//   std::unique_ptr<ReplicatedLog> log = LogOf(*replica);
+//   Controller controller(io, options, *log, state);
+//
+// Contract: as in replica.h.
+#ifndef PERIDOTGAUGE_REPLICATED_LOG_H_
+#define PERIDOTGAUGE_REPLICATED_LOG_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "error.h"
+#include "replica.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+class ReplicatedLog {
+ public:
+  virtual ~ReplicatedLog() = default;
+  virtual void Propose(std::string command, Time deadline,
+                       std::function<void(Result<Applied>)> callback) = 0;
+  virtual void ConfirmRead(Time deadline, std::function<void(Result<uint64_t>)> callback) = 0;
+  virtual void ChangeMember(const ControllerAddress& member, uint64_t incarnation, bool remove,
+                            Time deadline, std::function<void(Result<Applied>)> callback) = 0;
+  virtual bool Leading() const = 0;
+  virtual uint64_t Term() const = 0;
+  virtual std::string Leader() const = 0;
+  virtual ReplicaStatus Status() const = 0;
+};
+
+// The log of a replica, which must outlive it.
+std::unique_ptr<ReplicatedLog> LogOf(Replica& replica);
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_REPLICATED_LOG_H_
