--- a/control_report.h
+++ b/control_report.h
@@ -35,10 +35,12 @@
 // {"revision","digest","author","accepted_at_ms","text"}. Revision 0 means the current one;
 // before the first, the answer is {"revision":0}.
 Result<std::string> ConfigJson(const ControlState& state, uint64_t revision);
-// {"revision","digest","accepted"} for a revision, or {"revisions":[...]}, newest first.
+// {"revision","revisions":[{"revision","digest","author","accepted_at_ms"}]}, newest first; the
+// revisions whose details are still kept.
 std::string HistoryJson(const ControlState& state);
-// {"revision","accepted","in_force","superseded_by","waiting":[router ids]}.
-Result<std::string> InForceJson(const ControlState& state, SessionTable& sessions,
+// {"revision","digest","accepted","in_force","current","routers","waiting":[router ids]}. Revision
+// 0 means the current one. `in_force` says that no router answers from an older revision.
+Result<std::string> InForceJson(Time now, const ControlState& state, SessionTable& sessions,
                                 uint64_t revision);
 // {"controller":{...},"config":{...},"routers":[...],"quarantine":[...],"ledger":{...},
 // "directory":{...}}.
--- /dev/null
+++ b/directory.cc
@@ -0,0 +1,204 @@
+// Merging, deltas and expiry of the target directory.
+#include "directory.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotgauge {
+namespace {
+
+void Append(std::string& bytes, uint64_t number) {
+  for (int shift = 0; shift < 64; shift += 8) {
+    bytes.push_back(static_cast<char>((number >> shift) & 0xff));
+  }
+}
+
+void Append(std::string& bytes, const std::string& text) {
+  Append(bytes, static_cast<uint64_t>(text.size()));
+  bytes += text;
+}
+
+std::pair<uint64_t, uint64_t> Order(const TargetRecord& record) {
+  return {record.incarnation, record.sequence};
+}
+
+// A target keeps these for the whole of an incarnation.
+bool SameProcess(const TargetRecord& a, const TargetRecord& b) {
+  return a.address == b.address && a.service == b.service && a.data_centre == b.data_centre;
+}
+
+}  // namespace
+
+uint64_t DigestOf(const TargetRecord& record) {
+  std::string bytes;
+  Append(bytes, record.target);
+  Append(bytes, record.address);
+  Append(bytes, record.service);
+  Append(bytes, record.data_centre);
+  Append(bytes, record.incarnation);
+  Append(bytes, record.sequence);
+  Append(bytes, static_cast<uint64_t>(record.state));
+  Append(bytes, static_cast<uint64_t>(record.slots));
+  Append(bytes, static_cast<uint64_t>(record.connections));
+  Append(bytes, static_cast<uint64_t>(record.holds.size()));
+  for (const Holding& held : record.holds) {
+    Append(bytes, held.snapshot);
+    Append(bytes, static_cast<uint64_t>(held.shard));
+    Append(bytes, static_cast<uint64_t>(held.shards));
+  }
+  Append(bytes, record.registrar);
+  return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+void Directory::Begin(Time now, uint64_t new_epoch) {
+  this->epoch = new_epoch;
+  // Version 0 is left for copies that need everything.
+  this->version = 1;
+  this->digest = 0;
+  this->collecting = true;
+  this->collect_until = now + kCollectTime;
+  this->full_before = 0;
+  this->entries.clear();
+  this->by_version.clear();
+}
+
+bool Directory::Merge(Time now, const std::string& registrar,
+                      const std::vector<TargetRecord>& records, bool full) {
+  bool changed = false;
+  std::set<std::string> named;
+  for (TargetRecord record : records) {
+    record.registrar = registrar;
+    if (full) named.insert(record.target);
+    if (this->MergeOne(now, record)) changed = true;
+  }
+  if (!full) return changed;
+  for (auto& [name, entry] : this->entries) {
+    if (entry.gone || entry.orphaned || entry.record.registrar != registrar) continue;
+    if (named.count(name) == 0) entry.orphaned = now;
+  }
+  return changed;
+}
+
+bool Directory::MergeOne(Time now, const TargetRecord& record) {
+  const auto found = this->entries.find(record.target);
+  if (found == this->entries.end()) {
+    if (this->entries.size() >= kMaxTargets) {
+      ++this->counters.refused;
+      return false;
+    }
+    this->Store(now, this->entries[record.target], record);
+    return true;
+  }
+  Entry& entry = found->second;
+  switch (Judge(entry, record)) {
+    case Verdict::kAccept:
+      this->Store(now, entry, record);
+      return true;
+    case Verdict::kSame:
+      entry.orphaned.reset();
+      return false;
+    case Verdict::kStale:
+      ++this->counters.stale;
+      return false;
+    case Verdict::kConflict:
+      ++this->counters.conflicts;
+      return false;
+  }
+  return false;
+}
+
+Directory::Verdict Directory::Judge(const Entry& entry, const TargetRecord& record) {
+  const TargetRecord& known = entry.record;
+  if (record.incarnation == known.incarnation && !SameProcess(record, known)) {
+    return Verdict::kConflict;
+  }
+  if (Order(record) < Order(known)) return Verdict::kStale;
+  if (Order(record) > Order(known)) return Verdict::kAccept;
+  if (record == known) return Verdict::kSame;
+  const bool gone = record.state == TargetState::kGone;
+  // The registrar reports that the lease of its last registration has expired.
+  if (gone && !entry.gone && record.registrar == known.registrar) return Verdict::kAccept;
+  if (!gone && entry.dropped) return Verdict::kAccept;
+  return Verdict::kStale;
+}
+
+void Directory::Store(Time now, Entry& entry, TargetRecord record) {
+  if (entry.version > 0 && !entry.gone) this->digest -= DigestOf(entry.record);
+  this->by_version.erase(entry.version);
+  entry.record = std::move(record);
+  entry.version = ++this->version;
+  this->by_version.emplace(entry.version, entry.record.target);
+  entry.dropped = false;
+  entry.orphaned.reset();
+  if (entry.record.state == TargetState::kGone) {
+    entry.gone = now;
+  } else {
+    entry.gone.reset();
+    this->digest += DigestOf(entry.record);
+  }
+}
+
+void Directory::Drop(Time now, Entry& entry) {
+  TargetRecord record = entry.record;
+  record.state = TargetState::kGone;
+  this->Store(now, entry, std::move(record));
+  entry.dropped = true;
+}
+
+bool Directory::Tick(Time now, const std::map<std::string, RouterRecord>& view) {
+  const uint64_t before = this->version;
+  for (auto& [name, entry] : this->entries) {
+    if (entry.gone) continue;
+    if (!entry.orphaned && view.count(entry.record.registrar) == 0) entry.orphaned = now;
+    if (entry.orphaned && now - *entry.orphaned >= kCollectTime) this->Drop(now, entry);
+  }
+  this->Prune(now);
+  if (this->collecting && now >= this->collect_until) {
+    this->collecting = false;
+    this->full_before = ++this->version;
+  }
+  return this->version != before;
+}
+
+void Directory::Prune(Time now) {
+  for (auto it = this->entries.begin(); it != this->entries.end();) {
+    const Entry& entry = it->second;
+    if (!entry.gone || now - *entry.gone < kTombstoneTime) {
+      ++it;
+      continue;
+    }
+    // A copy that has not seen this removal can no longer learn of it from a delta.
+    this->full_before = std::max(this->full_before, entry.version);
+    this->by_version.erase(entry.version);
+    it = this->entries.erase(it);
+  }
+}
+
+DirectoryDelta Directory::DeltaSince(uint64_t copy_epoch, uint64_t copy_version) const {
+  DirectoryDelta delta{.epoch = this->epoch,
+                       .version = this->version,
+                       .digest = this->digest,
+                       .collecting = this->collecting};
+  const uint64_t base = copy_epoch == this->epoch ? copy_version : 0;
+  delta.full = !this->collecting && (base == 0 || base < this->full_before);
+  if (delta.full) {
+    delta.targets = this->Targets();
+    return delta;
+  }
+  for (auto it = this->by_version.upper_bound(base); it != this->by_version.end(); ++it) {
+    delta.targets.push_back(this->entries.at(it->second).record);
+  }
+  return delta;
+}
+
+std::vector<TargetRecord> Directory::Targets() const {
+  std::vector<TargetRecord> targets;
+  for (const auto& [name, entry] : this->entries) {
+    if (!entry.gone) targets.push_back(entry.record);
+  }
+  return targets;
+}
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/directory_copy.cc
@@ -0,0 +1,77 @@
+// Applying deltas to a router's copy of the directory.
+#include "directory_copy.h"
+
+namespace peridotgauge {
+
+bool DirectoryCopy::Apply(const DirectoryDelta& delta) {
+  if (delta.epoch < this->epoch) return false;
+  if (delta.full) {
+    if (delta.epoch == this->epoch && delta.version < this->version) return false;
+    return this->Replace(delta);
+  }
+  if (delta.collecting) return this->Update(delta);
+  if (delta.epoch != this->epoch || this->provisional || this->version == 0) {
+    // A change without its base; ask for everything.
+    this->version = 0;
+    return false;
+  }
+  if (delta.version < this->version) return false;
+  const bool changed = this->Update(delta);
+  this->CheckDigest(delta.digest);
+  return changed;
+}
+
+bool DirectoryCopy::Replace(const DirectoryDelta& delta) {
+  std::map<std::string, TargetRecord> before;
+  before.swap(this->targets);
+  this->digest = 0;
+  for (const TargetRecord& record : delta.targets) this->Set(record);
+  this->epoch = delta.epoch;
+  this->version = delta.version;
+  this->provisional = false;
+  this->CheckDigest(delta.digest);
+  return before != this->targets;
+}
+
+bool DirectoryCopy::Update(const DirectoryDelta& delta) {
+  if (delta.epoch == this->epoch && delta.version < this->version) return false;
+  bool changed = false;
+  for (const TargetRecord& record : delta.targets) {
+    const TargetRecord* known = this->Find(record.target);
+    // The previous leader may have known a newer record than a new one that still collects.
+    if (delta.collecting && known != nullptr && known->Supersedes(record)) continue;
+    if (this->Set(record)) changed = true;
+  }
+  this->epoch = delta.epoch;
+  this->version = delta.version;
+  this->provisional = delta.collecting;
+  return changed;
+}
+
+bool DirectoryCopy::Set(const TargetRecord& record) {
+  const auto found = this->targets.find(record.target);
+  if (found != this->targets.end()) {
+    if (found->second == record) return false;
+    this->digest -= DigestOf(found->second);
+    this->targets.erase(found);
+  } else if (record.state == TargetState::kGone) {
+    return false;
+  }
+  if (record.state == TargetState::kGone) return true;
+  this->digest += DigestOf(record);
+  this->targets.emplace(record.target, record);
+  return true;
+}
+
+void DirectoryCopy::CheckDigest(uint64_t expected) {
+  if (this->digest == expected) return;
+  ++this->mismatches;
+  this->version = 0;
+}
+
+const TargetRecord* DirectoryCopy::Find(const std::string& target) const {
+  const auto found = this->targets.find(target);
+  return found == this->targets.end() ? nullptr : &found->second;
+}
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/lease.cc
@@ -0,0 +1,17 @@
+// Lease arithmetic.
+#include "lease.h"
+
+#include <algorithm>
+
+namespace peridotgauge {
+
+void Lease::Renew(Time sent) {
+  const Time candidate = sent + kLeaseLength;
+  this->end = this->end ? std::max(*this->end, candidate) : candidate;
+}
+
+void Lease::Drop() { this->end.reset(); }
+
+bool Lease::Valid(Time now) const { return this->end && now < *this->end; }
+
+}  // namespace peridotgauge
--- a/ledger.h
+++ b/ledger.h
@@ -125,9 +125,16 @@
  private:
   void Evict(int64_t now_ms);
   Result<ClaimAnswer> ClaimNew(int64_t now_ms, const ClaimRequest& request);
-  Result<ClaimAnswer> ClaimKnown(LedgerRecord& record, const ClaimRequest& request);
-  void Release(int64_t now_ms, const std::string& request_id, LedgerRecord& record);
+  Result<ClaimAnswer> ClaimKnown(int64_t now_ms, const std::string& request_id,
+                                 LedgerRecord& record, const ClaimRequest& request);
+  Result<void> CompleteOther(int64_t now_ms, const LedgerRecord& record,
+                             const Completion& completion);
+  Result<void> Release(int64_t now_ms, const std::string& request_id, LedgerRecord& record);
+  Result<void> Finish(const std::string& request_id, LedgerRecord& record,
+                      const Completion& completion);
   void BarDelayedClaim(int64_t now_ms, const Completion& completion);
+  void Erase(const std::string& request_id);
+  void SetState(const std::string& request_id, LedgerRecord& record, RecordState state);
   void SetExpiry(const std::string& request_id, LedgerRecord& record, int64_t expires_ms);
 
   LedgerLimits limits;
--- /dev/null
+++ b/session.cc
@@ -0,0 +1,84 @@
+// Session bookkeeping of the leader.
+#include "session.h"
+
+#include <algorithm>
+
+namespace peridotgauge {
+namespace {
+
+bool Ended(const Session& session, Time now) {
+  return now >= session.last_arrival + kSessionLength;
+}
+
+}  // namespace
+
+void SessionTable::Begin(Time now) {
+  this->sessions.clear();
+  this->last_tick = now;
+  this->in_force = 0;
+}
+
+void SessionTable::Renew(Time now, const RouterId& router, uint64_t acknowledged) {
+  const auto [it, inserted] = this->sessions.try_emplace(router.id);
+  Session& session = it->second;
+  if (!inserted && router.incarnation < session.incarnation) return;
+  if (router.incarnation > session.incarnation) session = {.incarnation = router.incarnation};
+  session.last_arrival = now;
+  session.acknowledged = std::max(session.acknowledged, acknowledged);
+}
+
+void SessionTable::Tick(Time now, const std::map<std::string, RouterRecord>& view) {
+  const Duration gap = this->last_tick ? now - *this->last_tick : Duration::zero();
+  this->last_tick = now;
+  if (gap > kMaxTickGap) {
+    for (auto& [id, session] : this->sessions) session.last_arrival += gap;
+  }
+  std::erase_if(this->sessions, [&](const auto& item) { return view.count(item.first) == 0; });
+  for (const auto& [id, router] : view) {
+    Session& session = this->sessions[id];
+    if (session.incarnation >= router.incarnation) continue;
+    session = {.incarnation = router.incarnation, .last_arrival = now};
+  }
+}
+
+std::vector<RouterId> SessionTable::Expired(Time now) const {
+  std::vector<RouterId> expired;
+  for (const auto& [id, session] : this->sessions) {
+    if (!session.leaving && Ended(session, now)) expired.push_back({id, session.incarnation});
+  }
+  return expired;
+}
+
+void SessionTable::SetLeaving(const RouterId& router, bool leaving) {
+  const auto found = this->sessions.find(router.id);
+  if (found == this->sessions.end() || found->second.incarnation != router.incarnation) return;
+  found->second.leaving = leaving;
+}
+
+bool SessionTable::Leaving(const RouterId& router) const {
+  const auto found = this->sessions.find(router.id);
+  return found != this->sessions.end() && found->second.incarnation == router.incarnation &&
+         found->second.leaving;
+}
+
+bool SessionTable::InForce(Time now, uint64_t version,
+                           const std::map<std::string, RouterRecord>& view) {
+  if (version <= this->in_force) return true;
+  if (!this->Waiting(now, version, view).empty()) return false;
+  this->in_force = version;
+  return true;
+}
+
+std::vector<std::string> SessionTable::Waiting(
+    Time now, uint64_t version, const std::map<std::string, RouterRecord>& view) const {
+  std::vector<std::string> waiting;
+  for (const auto& [id, router] : view) {
+    const auto found = this->sessions.find(id);
+    const bool released = found != this->sessions.end() &&
+                          (found->second.acknowledged >= version || Ended(found->second, now));
+    if (!released) waiting.push_back(id);
+  }
+  return waiting;
+}
+
+}  // namespace peridotgauge
--- a/session.h
+++ b/session.h
@@ -6,7 +6,7 @@
 //   sessions.Renew(now, id, incarnation, acknowledged);  // on the arrival of each sync request
 //   sessions.Tick(now, state.Routers());
 //   for (const RouterId& router : sessions.Expired(now)) ProposeLeave(router);
-//   bool in_force = sessions.InForce(index);
+//   bool in_force = sessions.InForce(now, index, state.Routers());
 //
 // Contract: a session ends kSessionLength after the last arrival, and so never before the lease of
 // the router, which runs from the earlier moment of sending. A new leader gives every member of the
@@ -67,11 +67,13 @@
   void SetLeaving(const RouterId& router, bool leaving);
   bool Leaving(const RouterId& router) const;
 
-  // True once every session has acknowledged `version`. Stays true within one leadership, because
-  // a router that comes later receives that version with its first lease.
-  bool InForce(uint64_t version);
-  // Routers that have not acknowledged `version`.
-  std::vector<std::string> Waiting(uint64_t version) const;
+  // True once every member of the view has acknowledged `version` or its session has ended. Stays
+  // true within one leadership, because a router that comes later receives that version with its
+  // first lease.
+  bool InForce(Time now, uint64_t version, const std::map<std::string, RouterRecord>& view);
+  // Members that hold InForce(version) up.
+  std::vector<std::string> Waiting(Time now, uint64_t version,
+                                   const std::map<std::string, RouterRecord>& view) const;
 
   const std::map<std::string, Session>& Sessions() const { return this->sessions; }
 
