--- a/control_client.h
+++ b/control_client.h
@@ -102,7 +102,7 @@
   // Passes on a registration, a renewal, or a lease that has expired (state kGone).
   void Register(TargetRecord record);
 
-  // A Claim needs an `attempt` number that this process has never used before.
+  // A Claim needs a `claim_id` above all that this process has used before.
   void Command(wire::CommandBodyUnion body, Time deadline, CommandCallback callback);
   void Read(wire::ReadKind kind, uint64_t revision, Time deadline, ReadCallback callback);
 
--- a/control_report.h
+++ b/control_report.h
@@ -30,8 +30,6 @@
   std::string storage_error;
 };
 
-std::string DigestText(uint64_t digest);
-
 // {"revision","digest","author","accepted_at_ms","text"}. Revision 0 means the current one;
 // before the first, the answer is {"revision":0}.
 Result<std::string> ConfigJson(const ControlState& state, uint64_t revision);
--- a/control_state.h
+++ b/control_state.h
@@ -37,6 +37,9 @@
 constexpr size_t kMaxRevisionDetails = 1'000;
 constexpr size_t kMaxDetailBytes = 16 << 20;
 
+// A digest as operators see it: 16 hexadecimal digits.
+std::string DigestText(uint64_t digest);
+
 // One accepted revision. The first has number 1.
 struct AcceptedRevision {
   uint64_t digest = 0;
@@ -110,6 +113,7 @@
   wire::CommandReplyT ApplyQuarantine(const Context& at, const wire::QuarantineT& command);
   void AcceptRevision(const Context& at, const wire::ApplyConfigT& command);
   void ChangeView(const Context& at);
+  bool DetailsMatchRevisions() const;
 
   LedgerLimits limits;
   int64_t log_time = 0;
--- a/ledger.cc
+++ b/ledger.cc
@@ -16,7 +16,7 @@
   return !request_id.empty() && request_id.size() <= kMaxRequestIdBytes;
 }
 
-ClaimAnswer AnswerOf(const LedgerRecord& record) {
+ClaimResult AnswerOf(const LedgerRecord& record) {
   return {.state = ClaimState::kRecorded,
           .outcome = record.outcome,
           .status = record.status,
@@ -30,23 +30,24 @@
 
 }  // namespace
 
-Result<ClaimAnswer> Ledger::Claim(int64_t now_ms, const ClaimRequest& request) {
+Result<ClaimResult> Ledger::Claim(int64_t now_ms, const ClaimRequest& request) {
   if (!ValidId(request.request_id))
     return Fail(ErrorCode::kBadRequest, "request_id: 1 to 128 bytes");
-  if (request.holder.attempt == 0) return Fail(ErrorCode::kBadRequest, "attempt: must be above 0");
+  if (request.holder.claim_id == 0)
+    return Fail(ErrorCode::kBadRequest, "claim_id: must be above 0");
   this->Evict(now_ms);
   const auto found = this->records.find(request.request_id);
   if (found != this->records.end() && found->second.state != RecordState::kReleased) {
     return this->ClaimKnown(now_ms, found->first, found->second, request);
   }
   if (found != this->records.end() && SameIncarnation(found->second.holder, request.holder) &&
-      request.holder.attempt <= found->second.holder.attempt) {
-    return Fail(ErrorCode::kCancelled, "this attempt was released");
+      request.holder.claim_id <= found->second.holder.claim_id) {
+    return Fail(ErrorCode::kCancelled, "this claim was released");
   }
   return this->ClaimNew(now_ms, request);
 }
 
-Result<ClaimAnswer> Ledger::ClaimNew(int64_t now_ms, const ClaimRequest& request) {
+Result<ClaimResult> Ledger::ClaimNew(int64_t now_ms, const ClaimRequest& request) {
   if (request.issued_at_ms > now_ms + this->limits.max_clock_skew_ms) {
     return Fail(ErrorCode::kBadRequest, "issued_at_ms is in the future");
   }
@@ -65,10 +66,10 @@
                                     .expires_ms = expires_ms,
                                     .state = RecordState::kRunning,
                                     .holder = request.holder});
-  return ClaimAnswer{.state = ClaimState::kGranted};
+  return ClaimResult{.state = ClaimState::kGranted};
 }
 
-Result<ClaimAnswer> Ledger::ClaimKnown(int64_t now_ms, const std::string& request_id,
+Result<ClaimResult> Ledger::ClaimKnown(int64_t now_ms, const std::string& request_id,
                                        LedgerRecord& record, const ClaimRequest& request) {
   if (record.body_digest != request.body_digest || record.service != request.service) {
     return Fail(ErrorCode::kConflict, "the request id was used for another request");
@@ -79,14 +80,14 @@
   this->SetExpiry(request_id, record,
                   std::max(record.expires_ms, issued_at_ms + this->limits.window_ms));
   if (record.state == RecordState::kRecorded) return AnswerOf(record);
-  if (record.state == RecordState::kInDoubt) return ClaimAnswer{.state = ClaimState::kInDoubt};
-  if (record.holder == request.holder) return ClaimAnswer{.state = ClaimState::kGranted};
-  return ClaimAnswer{.state = ClaimState::kRunning};
+  if (record.state == RecordState::kInDoubt) return ClaimResult{.state = ClaimState::kInDoubt};
+  if (record.holder == request.holder) return ClaimResult{.state = ClaimState::kGranted};
+  return ClaimResult{.state = ClaimState::kRunning};
 }
 
 Result<void> Ledger::Complete(int64_t now_ms, const Completion& completion) {
   if (!ValidId(completion.request_id)) return Fail(ErrorCode::kBadRequest, "request_id");
-  if (completion.holder.attempt == 0) return Fail(ErrorCode::kBadRequest, "attempt");
+  if (completion.holder.claim_id == 0) return Fail(ErrorCode::kBadRequest, "claim_id");
   this->Evict(now_ms);
   const auto found = this->records.find(completion.request_id);
   if (found == this->records.end()) {
@@ -102,13 +103,13 @@
 
 Result<void> Ledger::CompleteOther(int64_t now_ms, const LedgerRecord& record,
                                    const Completion& completion) {
-  // Releasing an attempt that holds nothing is the aim of a release, so it succeeds.
+  // Releasing a claim that holds nothing is the aim of a release, so it succeeds.
   if (completion.outcome != Outcome::kNotRun) {
-    return Fail(ErrorCode::kConflict, "the request is held by another attempt");
+    return Fail(ErrorCode::kConflict, "the request is held by another claim");
   }
   if (record.state == RecordState::kReleased &&
       (!SameIncarnation(record.holder, completion.holder) ||
-       record.holder.attempt < completion.holder.attempt)) {
+       record.holder.claim_id < completion.holder.claim_id)) {
     this->BarDelayedClaim(now_ms, completion);
   }
   return {};
--- a/ledger.h
+++ b/ledger.h
@@ -1,14 +1,14 @@
 // At-most-once records of non-idempotent requests.
 //
 // Use:
-//   Result<ClaimAnswer> answer = ledger.Claim(now_ms, request);
-//   if (answer && answer->state == ClaimState::kGranted) Dispatch();  // at most once per attempt
+//   Result<ClaimResult> answer = ledger.Claim(now_ms, request);
+//   if (answer && answer->state == ClaimState::kGranted) Dispatch();  // at most once per claim id
 //   ledger.Complete(now_ms, completion);
 //
 // Contract: a request id that is not kReleased is granted to one holder only, and is granted again
-// only after that holder has completed the same attempt with kNotRun. A claim of the same attempt
-// (a resent command) repeats the grant; a router must therefore dispatch an attempt at most once
-// and must not reuse an attempt number. A record lives until the request's issue time plus the
+// only after that holder has completed the same claim id with kNotRun. A claim with the same claim
+// id (a resent command) repeats the grant; a router must therefore dispatch a claim at most once
+// and must not reuse a claim id. A record lives until the request's issue time plus the
 // window; from then on the id is refused with kExpired, so a request whose record is gone can never
 // pass as new. `now_ms` (Unix time) must never decrease.
 #ifndef PERIDOTGAUGE_LEDGER_H_
@@ -32,7 +32,7 @@
   size_t max_records = 200'000;
   // Total size of the recorded bodies. The ledger is held in memory and is part of each snapshot.
   size_t max_body_bytes = 64 << 20;
-  // How long a released id refuses a delayed copy of the released attempt. Far above the time that
+  // How long a released id refuses a delayed copy of the released claim. Far above the time that
   // a command can spend in socket buffers and in a stalled process.
   int64_t released_ms = 10LL * 60 * 1000;
   // Requests issued further in the future are refused: their records would outlive the window.
@@ -46,11 +46,11 @@
 enum class Outcome : uint8_t { kDone, kNotRun, kInDoubt, kFailed };
 enum class ClaimState : uint8_t { kGranted, kRunning, kRecorded, kInDoubt };
 
-// Who claims: one attempt of one incarnation of a router.
+// Who claims: one order of one incarnation of a router.
 struct ClaimHolder {
   std::string router;
   uint64_t incarnation = 0;
-  uint64_t attempt = 0;  // unique within the incarnation and growing, above 0
+  uint64_t claim_id = 0;  // unique within the incarnation and growing, above 0
   auto operator<=>(const ClaimHolder&) const = default;
 };
 
@@ -71,12 +71,12 @@
 };
 
 // The answer to a claim. Outcome, status and body are set in state kRecorded.
-struct ClaimAnswer {
+struct ClaimResult {
   ClaimState state = ClaimState::kGranted;
   Outcome outcome = Outcome::kDone;
   uint16_t status = 0;
   std::string body;
-  bool operator==(const ClaimAnswer&) const = default;
+  bool operator==(const ClaimResult&) const = default;
 };
 
 enum class RecordState : uint8_t { kRunning, kReleased, kRecorded, kInDoubt };
@@ -98,11 +98,11 @@
   explicit Ledger(LedgerLimits limits = {}) : limits(limits) {}
 
   // Errors: kBadRequest, kExpired, kConflict (another body or service under this id), kLedgerFull,
-  // kCancelled (this attempt was released before).
-  Result<ClaimAnswer> Claim(int64_t now_ms, const ClaimRequest& request);
+  // kCancelled (this claim was released before).
+  Result<ClaimResult> Claim(int64_t now_ms, const ClaimRequest& request);
 
   // Records the outcome of a claim. kNotRun releases the id; it is accepted for an unknown id too,
-  // and then bars a delayed claim of that attempt. The same completion again succeeds. Errors:
+  // and then bars a delayed claim with that claim id. The same completion again succeeds. Errors:
   // kNotFound, kConflict (another holder or another outcome), kInDoubt (a release came after the
   // holder had left the view).
   Result<void> Complete(int64_t now_ms, const Completion& completion);
@@ -124,8 +124,8 @@
 
  private:
   void Evict(int64_t now_ms);
-  Result<ClaimAnswer> ClaimNew(int64_t now_ms, const ClaimRequest& request);
-  Result<ClaimAnswer> ClaimKnown(int64_t now_ms, const std::string& request_id,
+  Result<ClaimResult> ClaimNew(int64_t now_ms, const ClaimRequest& request);
+  Result<ClaimResult> ClaimKnown(int64_t now_ms, const std::string& request_id,
                                  LedgerRecord& record, const ClaimRequest& request);
   Result<void> CompleteOther(int64_t now_ms, const LedgerRecord& record,
                              const Completion& completion);
