--- a/directory.cc
+++ b/directory.cc
@@ -62,6 +62,7 @@
   this->full_before = 0;
   this->entries.clear();
   this->by_version.clear();
+  this->complete.clear();
 }
 
 bool Directory::Merge(Time now, const std::string& registrar,
@@ -74,6 +75,7 @@
     if (this->MergeOne(now, record)) changed = true;
   }
   if (!full) return changed;
+  this->complete.insert(registrar);
   for (auto& [name, entry] : this->entries) {
     if (entry.gone || entry.orphaned || entry.record.registrar != registrar) continue;
     if (named.count(name) == 0) entry.orphaned = now;
@@ -154,6 +156,7 @@
     if (!entry.orphaned && view.count(entry.record.registrar) == 0) entry.orphaned = now;
     if (entry.orphaned && now - *entry.orphaned >= kCollectTime) this->Drop(now, entry);
   }
+  std::erase_if(this->complete, [&](const std::string& id) { return view.count(id) == 0; });
   this->Prune(now);
   if (this->collecting && now >= this->collect_until) {
     this->collecting = false;
--- a/directory.h
+++ b/directory.h
@@ -68,6 +68,9 @@
   bool Merge(Time now, const std::string& registrar, const std::vector<TargetRecord>& records,
              bool full);
 
+  // True if the registrar has named all that it holds in this epoch; otherwise it must do so.
+  bool HasFull(const std::string& registrar) const { return this->complete.count(registrar) > 0; }
+
   // Drops targets whose registrar has been away from the view for kCollectTime, prunes tombstones
   // and ends the collecting phase. Returns true if something changed.
   bool Tick(Time now, const std::map<std::string, RouterRecord>& view);
@@ -108,6 +111,7 @@
   uint64_t full_before = 0;  // copies below this version get everything
   std::map<std::string, Entry> entries;
   std::map<uint64_t, std::string> by_version;  // exactly one element for each entry
+  std::set<std::string> complete;              // registrars that have sent a full list
   DirectoryCounters counters;
 };
 
--- a/directory_copy.cc
+++ b/directory_copy.cc
@@ -26,6 +26,9 @@
   before.swap(this->targets);
   this->digest = 0;
   for (const TargetRecord& record : delta.targets) this->Set(record);
+  for (const auto& [name, record] : before) {
+    if (this->targets.count(name) == 0) this->Remember(record);
+  }
   this->epoch = delta.epoch;
   this->version = delta.version;
   this->provisional = false;
@@ -37,9 +40,7 @@
   if (delta.epoch == this->epoch && delta.version < this->version) return false;
   bool changed = false;
   for (const TargetRecord& record : delta.targets) {
-    const TargetRecord* known = this->Find(record.target);
-    // The previous leader may have known a newer record than a new one that still collects.
-    if (delta.collecting && known != nullptr && known->Supersedes(record)) continue;
+    if (delta.collecting && this->Outdated(record)) continue;
     if (this->Set(record)) changed = true;
   }
   this->epoch = delta.epoch;
@@ -48,21 +49,36 @@
   return changed;
 }
 
+bool DirectoryCopy::Outdated(const TargetRecord& record) const {
+  const TargetRecord* known = this->Find(record.target);
+  if (known != nullptr) return known->Supersedes(record);
+  const auto gone = this->removed.find(record.target);
+  return gone != this->removed.end() && gone->second.Supersedes(record);
+}
+
 bool DirectoryCopy::Set(const TargetRecord& record) {
+  const bool gone = record.state == TargetState::kGone;
+  if (gone) this->Remember(record);
   const auto found = this->targets.find(record.target);
+  if (found == this->targets.end() && gone) return false;
   if (found != this->targets.end()) {
     if (found->second == record) return false;
     this->digest -= DigestOf(found->second);
     this->targets.erase(found);
-  } else if (record.state == TargetState::kGone) {
-    return false;
   }
-  if (record.state == TargetState::kGone) return true;
+  if (gone) return true;
+  this->removed.erase(record.target);
   this->digest += DigestOf(record);
   this->targets.emplace(record.target, record);
   return true;
 }
 
+void DirectoryCopy::Remember(const TargetRecord& removed_record) {
+  // Names that never come back must not add up over a long time.
+  if (this->removed.size() >= kMaxTargets) this->removed.clear();
+  this->removed.insert_or_assign(removed_record.target, removed_record);
+}
+
 void DirectoryCopy::CheckDigest(uint64_t expected) {
   if (this->digest == expected) return;
   ++this->mismatches;
--- a/directory_copy.h
+++ b/directory_copy.h
@@ -43,6 +43,8 @@
   bool Replace(const DirectoryDelta& delta);
   bool Update(const DirectoryDelta& delta);
   bool Set(const TargetRecord& record);
+  bool Outdated(const TargetRecord& record) const;
+  void Remember(const TargetRecord& removed_record);
   void CheckDigest(uint64_t expected);
 
   uint64_t epoch = 0;
@@ -51,6 +53,9 @@
   bool provisional = false;
   uint64_t mismatches = 0;
   std::map<std::string, TargetRecord> targets;
+  // Last record of each target that was removed. While a new leader collects, a router that has
+  // missed the removal may still report an older record.
+  std::map<std::string, TargetRecord> removed;
 };
 
 }  // namespace peridotgauge
--- /dev/null
+++ b/testing/control_state_test.cc
@@ -0,0 +1,224 @@
+// Tests of the replicated state: revisions, router list, quarantine, snapshots.
+#include "../control_state.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <vector>
+
+#include "../config.h"
+
+namespace peridotgauge {
+namespace {
+
+// Applies commands at growing log indexes.
+struct Machine {
+  ControlState state;
+  uint64_t index = 0;
+
+  template <typename T>
+  wire::CommandReplyT Run(int64_t now_ms, T command) {
+    wire::CommandBodyUnion body;
+    body.Set(std::move(command));
+    const std::string bytes = ControlState::Encode(now_ms, std::move(body));
+    return *ControlState::DecodeReply(this->state.Apply(++this->index, bytes));
+  }
+  wire::CommandReplyT Text(uint64_t revision, const std::string& text) {
+    wire::ApplyConfigT command;
+    command.revision = revision;
+    command.text = text;
+    command.digest = std::hash<std::string>()(text);
+    command.author = "petra";
+    return this->Run(0, std::move(command));
+  }
+  wire::CommandReplyT Join(const std::string& id, uint64_t incarnation) {
+    wire::JoinT command;
+    command.router = ToWire(RouterRecord{.id = id, .incarnation = incarnation});
+    return this->Run(0, std::move(command));
+  }
+  wire::CommandReplyT Leave(const std::string& id, uint64_t incarnation, bool clean) {
+    wire::LeaveT command;
+    command.id = id;
+    command.incarnation = incarnation;
+    command.clean = clean;
+    return this->Run(0, std::move(command));
+  }
+  wire::CommandReplyT Claim(const std::string& id, const std::string& router,
+                            uint64_t incarnation) {
+    wire::ClaimT command;
+    command.request_id = id;
+    command.router = router;
+    command.router_incarnation = incarnation;
+    command.claim_id = this->index + 1;
+    return this->Run(0, std::move(command));
+  }
+  wire::CommandReplyT Block(int64_t now_ms, uint64_t fingerprint, int64_t duration_ms) {
+    wire::QuarantineT command;
+    command.fingerprint = fingerprint;
+    command.duration_ms = duration_ms;
+    return this->Run(now_ms, std::move(command));
+  }
+  void RestoreFromSnapshot() {
+    ControlState restored;
+    REQUIRE(restored.Restore(this->index, this->state.Snapshot()));
+    REQUIRE(restored == this->state);
+    this->state = std::move(restored);
+  }
+};
+
+bool Refused(const wire::CommandReplyT& reply, ErrorCode code) {
+  return reply.error == static_cast<int8_t>(code);
+}
+
+TEST_CASE("of two texts under one number exactly one is accepted", "[control_state]") {
+  Machine machine;
+  const auto first = machine.Text(1, "one");
+  REQUIRE(first.error < 0);
+  const auto second = machine.Text(1, "other");
+  CHECK(Refused(second, ErrorCode::kConflict));
+  CHECK(second.revision == 1);
+  CHECK(second.digest == first.digest);
+  CHECK_THAT(second.detail, Catch::Contains(DigestText(first.digest)));
+  CHECK(machine.state.ConfigText() == "one");
+
+  SECTION("a number that skips one is refused and names the current one") {
+    const auto skipped = machine.Text(3, "three");
+    CHECK(Refused(skipped, ErrorCode::kConflict));
+    CHECK(skipped.revision == 1);
+    CHECK_THAT(skipped.detail, Catch::Contains("needs revision 2"));
+  }
+  SECTION("the same text resent gets the original outcome and is never reinstated") {
+    const auto again = machine.Text(1, "one");
+    CHECK(again.repeated);
+    CHECK(again.index == first.index);
+    for (uint64_t revision = 2; revision <= 301; ++revision) {
+      REQUIRE(machine.Text(revision, "text " + std::to_string(revision)).error < 0);
+    }
+    const uint64_t version = machine.state.Version();
+    for (int round = 0; round < 2; ++round) {
+      const auto late = machine.Text(1, "one");
+      CHECK(late.error < 0);
+      CHECK(late.repeated);
+      CHECK(late.index == first.index);
+      CHECK(late.revision == 1);
+      CHECK(Refused(machine.Text(1, "other"), ErrorCode::kConflict));
+      CHECK(machine.state.ConfigText() == "text 301");
+      CHECK(machine.state.Version() == version);
+      machine.RestoreFromSnapshot();
+    }
+  }
+}
+
+TEST_CASE("digests of all revisions outlive the kept texts", "[control_state]") {
+  Machine machine;
+  const std::string large(kMaxConfigBytes - 10, 'x');
+  for (uint64_t revision = 1; revision <= 20; ++revision) {
+    REQUIRE(machine.Text(revision, std::to_string(revision) + large).error < 0);
+  }
+  CHECK(machine.state.FindDetail(1) == nullptr);
+  CHECK(machine.state.FindDetail(20)->author == "petra");
+  CHECK(machine.state.FindDetail(21) == nullptr);
+  CHECK(machine.Text(1, "1" + large).repeated);
+  CHECK(Refused(machine.Text(21, std::string(kMaxConfigBytes + 1, 'x')), ErrorCode::kTooLarge));
+  machine.RestoreFromSnapshot();
+  CHECK(machine.Text(1, "1" + large).repeated);
+}
+
+TEST_CASE("the router list is a sequence of views", "[control_state]") {
+  Machine machine;
+  REQUIRE(machine.Join("r1", 5).error < 0);
+  const uint64_t view = machine.state.ViewIndex();
+  REQUIRE(machine.Join("r1", 5).error < 0);
+  CHECK(machine.state.ViewIndex() == view);
+  CHECK(Refused(machine.Join("r1", 4), ErrorCode::kConflict));
+
+  SECTION("a draining router stays in the view and keeps claiming") {
+    REQUIRE(machine.Leave("r1", 5, false).error < 0);
+    CHECK(machine.state.Routers().at("r1").draining);
+    CHECK(machine.state.ViewIndex() > view);
+    CHECK(machine.Claim("a", "r1", 5).error < 0);
+  }
+  SECTION("claims of a router that left or restarted are in doubt") {
+    REQUIRE(machine.Claim("a", "r1", 5).claim == wire::ClaimState::Granted);
+    REQUIRE(machine.Join("r2", 1).error < 0);
+    const bool restart = GENERATE(false, true);
+    if (restart) {
+      REQUIRE(machine.Join("r1", 6).error < 0);
+    } else {
+      REQUIRE(machine.Leave("r1", 5, true).error < 0);
+    }
+    CHECK(machine.Claim("a", "r2", 1).claim == wire::ClaimState::InDoubt);
+    // Guards against a grant to a router whose departure nobody would notice any more.
+    CHECK(Refused(machine.Claim("b", "r1", 5), ErrorCode::kNotSynchronized));
+  }
+  SECTION("a late departure does not remove the next incarnation") {
+    REQUIRE(machine.Join("r1", 6).error < 0);
+    REQUIRE(machine.Leave("r1", 5, true).error < 0);
+    CHECK(machine.state.IsMember("r1", 6));
+  }
+  SECTION("ledger commands are no news for routers") {
+    const uint64_t version = machine.state.Version();
+    REQUIRE(machine.Claim("a", "r1", 5).error < 0);
+    CHECK(machine.state.Version() == version);
+  }
+}
+
+TEST_CASE("quarantine is bounded and uses the time of the log", "[control_state]") {
+  Machine machine;
+  REQUIRE(machine.Block(1'000, 7, 500).error < 0);
+  REQUIRE(machine.Block(1'000, 7, 100).error < 0);
+  CHECK(machine.state.Quarantined().at(7) == 1'500);
+  // A leader with a slower clock does not move the time back.
+  REQUIRE(machine.Block(0, 8, 1'000).error < 0);
+  CHECK(machine.state.Quarantined().at(8) == 2'000);
+  for (uint64_t i = 10; machine.state.Quarantined().size() < kMaxQuarantined; ++i) {
+    REQUIRE(machine.Block(1'000, i, 1'000).error < 0);
+  }
+  CHECK(Refused(machine.Block(1'000, 5, 100), ErrorCode::kOverloaded));
+  CHECK(machine.Block(1'500, 5, 100).error < 0);
+  CHECK(Refused(machine.Block(0, 5, 0), ErrorCode::kBadRequest));
+}
+
+TEST_CASE("malformed input is refused", "[control_state]") {
+  Machine machine;
+  machine.Text(1, "one");
+  const ControlState before = machine.state;
+  const auto reply = ControlState::DecodeReply(machine.state.Apply(9, "garbage"));
+  CHECK(Refused(*reply, ErrorCode::kBadRequest));
+  CHECK(machine.state == before);
+  const std::string snapshot = machine.state.Snapshot();
+  CHECK(machine.state.Restore(9, "garbage").error().code == ErrorCode::kCorrupt);
+  CHECK(machine.state.Restore(9, snapshot.substr(0, snapshot.size() / 2)).error().code ==
+        ErrorCode::kCorrupt);
+  // A snapshot that claims to be newer than the log.
+  CHECK(machine.state.Restore(0, snapshot).error().code == ErrorCode::kCorrupt);
+  CHECK(machine.state == before);
+  CHECK_FALSE(ControlState::DecodeReply("garbage"));
+}
+
+// Naive twin of the configuration history: all texts in a list.
+TEST_CASE("racing and resending operators agree with a naive list", "[control_state]") {
+  CHECK(rc::check([] {
+    Machine machine;
+    std::vector<std::string> accepted;
+    const auto steps =
+        *rc::gen::container<std::vector<uint32_t>>(120, rc::gen::inRange<uint32_t>(0, 1U << 30));
+    for (const uint32_t step : steps) {
+      if (step % 10 == 0) machine.RestoreFromSnapshot();
+      const uint64_t revision = 1 + step / 10 % (accepted.size() + 2);
+      const std::string text = std::to_string(revision) + (step / 10'000 % 2 == 0 ? "a" : "b");
+      const bool next = revision == accepted.size() + 1;
+      const bool same = revision <= accepted.size() && accepted[revision - 1] == text;
+      const auto reply = machine.Text(revision, text);
+      RC_ASSERT((reply.error < 0) == (next || same));
+      RC_ASSERT(reply.repeated == same);
+      if (next) accepted.push_back(text);
+      RC_ASSERT(machine.state.ConfigText() == (accepted.empty() ? "" : accepted.back()));
+      RC_ASSERT(machine.state.Revision() == accepted.size());
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace peridotgauge
