--- a/control_report.h
+++ b/control_report.h
@@ -1,8 +1,9 @@
 // JSON of the operator API about the control plane: configuration, history, in force, status,
 // targets.
 //
-// Contract: every function returns one JSON object. Digests are 16 hexadecimal digits, because JSON
-// readers lose the low bits of 64-bit numbers. An unknown revision is kNotFound.
+// Contract: every function returns one JSON object. Digests are 16 hexadecimal digits, because many
+// JSON readers lose the low bits of 64-bit numbers. ConfigJson fails with kNotFound for a revision
+// that was never accepted or whose text is no longer kept.
 #ifndef PERIDOTGAUGE_CONTROL_REPORT_H_
 #define PERIDOTGAUGE_CONTROL_REPORT_H_
 
