Add the state machine of one order

An order claims its id in the ledger, dispatches once, records the outcome and answers. The claim and its completion carry a claim_id so that a repeated or delayed release cannot free a later claim of the same router. Not tested yet.

--- /dev/null
+++ b/order.cc
@@ -0,0 +1,310 @@
+// Life cycle of one order. Every public function handles one event, then AfterEvent() applies the
+// rules that depend only on time.
+#include "order.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotgauge {
+namespace {
+
+// True if a command that failed with this code may have been committed all the same.
+bool CommandLost(ErrorCode code) {
+  switch (code) {
+    case ErrorCode::kUnknownOutcome:
+    case ErrorCode::kConnectionLost:
+    case ErrorCode::kDeadlineExceeded:
+    case ErrorCode::kCancelled:
+    case ErrorCode::kWrongReply:
+    case ErrorCode::kStorageFailed:
+    case ErrorCode::kCorrupt:
+    case ErrorCode::kInternal:
+      return true;
+    default:
+      return false;
+  }
+}
+
+// True if a command that failed with this code did not reach the log.
+bool CommandNotSent(ErrorCode code) {
+  switch (code) {
+    case ErrorCode::kUnavailable:
+    case ErrorCode::kNotLeader:
+    case ErrorCode::kOverloaded:
+    case ErrorCode::kNotSynchronized:
+    case ErrorCode::kDraining:
+      return true;
+    default:
+      return false;
+  }
+}
+
+OrderOutcome Refusal(Error error, bool not_run) {
+  OrderOutcome outcome;
+  outcome.not_run = not_run && error.NotRun();
+  outcome.error = std::move(error);
+  return outcome;
+}
+
+OrderState FinalState(wire::Outcome outcome) {
+  switch (outcome) {
+    case wire::Outcome::Done:
+      return OrderState::kDone;
+    case wire::Outcome::Failed:
+      return OrderState::kFailed;
+    case wire::Outcome::NotRun:
+      return OrderState::kNotRun;
+    default:
+      return OrderState::kInDoubt;
+  }
+}
+
+uint16_t StatusOf(const OrderOutcome& answer) {
+  constexpr uint16_t kOk = 200;
+  if (!answer.error) return kOk;
+  return static_cast<uint16_t>(InfoOf(answer.error->code).http_status);
+}
+
+}  // namespace
+
+Order::Order(OrderParams params, ReplicaChooser& chooser)
+    : params(std::move(params)), chooser(chooser) {}
+
+OrderEffects Order::Start(Time now, OrderLease lease) {
+  OrderEffects effects;
+  if (this->state != OrderState::kReceived) return effects;
+  this->lease = lease;
+  if (!lease.valid) {
+    this->End(OrderState::kRefused, Refusal({ErrorCode::kNotSynchronized, ""}, true), effects);
+    return effects;
+  }
+  if (now >= this->params.deadline) {
+    this->End(OrderState::kRefused,
+              Refusal({ErrorCode::kOverloaded, "the deadline passed before the claim"}, true),
+              effects);
+    return effects;
+  }
+  this->state = OrderState::kClaiming;
+  effects.claim = ClaimCommand{.request_id = this->params.request_id,
+                               .service = this->params.service,
+                               .body_digest = this->params.body_digest,
+                               .issued_at_ms = this->params.issued_at_ms,
+                               .claim_id = this->params.claim_id};
+  this->AfterEvent(now, effects);
+  return effects;
+}
+
+OrderEffects Order::OnClaimAnswer(Time now, ClaimAnswer answer, OrderLease lease,
+                                  Candidates candidates) {
+  OrderEffects effects;
+  if (this->state != OrderState::kClaiming) return effects;
+  if (answer.error) {
+    const ErrorCode code = answer.error->code;
+    if (CommandLost(code)) {
+      this->ReleaseUnknownClaim(effects);
+    } else if (CommandNotSent(code)) {
+      this->End(OrderState::kRefused,
+                Refusal({ErrorCode::kUnavailable, "the request could not be claimed"}, true),
+                effects);
+    } else {
+      this->End(OrderState::kRefused, Refusal(std::move(*answer.error), true), effects);
+    }
+  } else if (answer.state == wire::ClaimState::Granted) {
+    this->state = OrderState::kClaimed;
+    this->OnGranted(now, lease, candidates, effects);
+  } else if (answer.state == wire::ClaimState::Recorded) {
+    this->OnRecorded(std::move(answer), effects);
+  } else if (answer.state == wire::ClaimState::Running) {
+    this->End(OrderState::kRefused, Refusal({ErrorCode::kInProgress, ""}, false), effects);
+  } else {
+    this->End(OrderState::kInDoubt, Refusal({ErrorCode::kInDoubt, ""}, false), effects);
+  }
+  this->AfterEvent(now, effects);
+  return effects;
+}
+
+void Order::OnGranted(Time now, OrderLease lease, Candidates candidates, OrderEffects& effects) {
+  if (!lease.valid || lease.generation != this->lease.generation) {
+    this->RecordNotRun({ErrorCode::kNotSynchronized, "the lease lapsed before the dispatch"},
+                       effects);
+    return;
+  }
+  if (now >= this->params.deadline) {
+    this->RecordNotRun({ErrorCode::kOverloaded, "the deadline passed before the dispatch"},
+                       effects);
+    return;
+  }
+  const TargetRecord* target = this->chooser.Choose(now, candidates, {});
+  if (target == nullptr) {
+    this->RecordNotRun({ErrorCode::kNoTarget, ""}, effects);
+    return;
+  }
+  this->state = OrderState::kDispatched;
+  effects.dispatch = OrderDispatch{.target = target};
+}
+
+void Order::OnRecorded(ClaimAnswer answer, OrderEffects& effects) {
+  OrderOutcome outcome;
+  outcome.replayed = true;
+  if (answer.outcome == wire::Outcome::Done) {
+    outcome.body = std::move(answer.body);
+  } else if (answer.outcome == wire::Outcome::Failed) {
+    outcome.error = Error{ErrorCode::kTargetFailed, std::move(answer.body)};
+  } else {
+    // A released claim is granted again and never recorded, so only "in doubt" is left.
+    outcome.error = Error{ErrorCode::kInDoubt, ""};
+  }
+  this->End(
+      answer.outcome == wire::Outcome::NotRun ? OrderState::kInDoubt : FinalState(answer.outcome),
+      std::move(outcome), effects);
+}
+
+OrderEffects Order::OnDispatchReply(Time now, DispatchReply reply) {
+  OrderEffects effects;
+  if (this->state != OrderState::kDispatched) return effects;
+  if (reply.error && reply.error->NotRun()) {
+    this->RecordNotRun(std::move(*reply.error), effects);
+  } else if (reply.error && reply.error->code == ErrorCode::kTargetFailed) {
+    OrderOutcome answer = Refusal(std::move(*reply.error), false);
+    this->Record(wire::Outcome::Failed, std::move(answer), effects);
+  } else if (reply.error) {
+    this->RecordInDoubt(reply.error->ToString(), effects);
+  } else if (reply.request_id != this->params.request_id || reply.attempt != kOrderAttempt) {
+    this->RecordInDoubt("the reply is for another request", effects);
+  } else {
+    OrderOutcome answer;
+    answer.body = std::move(reply.body);
+    this->Record(wire::Outcome::Done, std::move(answer), effects);
+  }
+  this->AfterEvent(now, effects);
+  return effects;
+}
+
+OrderEffects Order::OnRecordAnswer(Time now, const std::optional<Error>& error) {
+  OrderEffects effects;
+  const bool releasing = this->state == OrderState::kReleasing;
+  if (!releasing && this->state != OrderState::kRecording) return effects;
+  if (this->record_again) return effects;  // an answer to an attempt that was given up
+  const bool not_run = this->record.outcome == wire::Outcome::NotRun;
+  const bool absent = error && error->code == ErrorCode::kNotFound;
+  if (!error || (absent && not_run && !releasing)) {
+    this->OnRecordConfirmed(effects);
+  } else if (CommandLost(error->code) || CommandNotSent(error->code) || (absent && releasing)) {
+    if (this->record_attempts < kMaxRecordAttempts) {
+      this->record_again = now + kRecordPause;
+    } else {
+      this->End(releasing ? OrderState::kRefused : OrderState::kInDoubt, this->UnconfirmedAnswer(),
+                effects);
+    }
+  } else if (releasing) {
+    this->End(OrderState::kRefused, this->UnconfirmedAnswer(), effects);
+  } else {
+    this->End(OrderState::kInDoubt,
+              Refusal({ErrorCode::kInDoubt, "the ledger has another outcome"}, false), effects);
+  }
+  this->AfterEvent(now, effects);
+  return effects;
+}
+
+OrderEffects Order::OnTimer(Time now) {
+  OrderEffects effects;
+  if (this->Finished() || this->state == OrderState::kReceived) return effects;
+  if (this->record_again && now >= *this->record_again) this->SendRecord(effects);
+  this->AfterEvent(now, effects);
+  return effects;
+}
+
+void Order::ReleaseUnknownClaim(OrderEffects& effects) {
+  this->state = OrderState::kReleasing;
+  this->pending = Refusal(
+      {ErrorCode::kUnavailable, "the claim's answer was lost; the claim is released"}, true);
+  this->record = CompleteCommand{.request_id = this->params.request_id,
+                                 .claim_id = this->params.claim_id,
+                                 .outcome = wire::Outcome::NotRun,
+                                 .status = StatusOf(this->pending)};
+  this->SendRecord(effects);
+}
+
+void Order::Record(wire::Outcome outcome, OrderOutcome answer, OrderEffects& effects) {
+  this->state = OrderState::kRecording;
+  this->record = CompleteCommand{.request_id = this->params.request_id,
+                                 .claim_id = this->params.claim_id,
+                                 .outcome = outcome,
+                                 .status = StatusOf(answer),
+                                 .body = answer.error ? answer.error->detail : answer.body};
+  this->pending = std::move(answer);
+  this->SendRecord(effects);
+}
+
+void Order::RecordNotRun(Error error, OrderEffects& effects) {
+  this->Record(wire::Outcome::NotRun, Refusal(std::move(error), true), effects);
+}
+
+void Order::RecordInDoubt(std::string detail, OrderEffects& effects) {
+  this->Record(wire::Outcome::InDoubt, Refusal({ErrorCode::kInDoubt, std::move(detail)}, false),
+               effects);
+}
+
+void Order::SendRecord(OrderEffects& effects) {
+  this->record_again.reset();
+  ++this->record_attempts;
+  effects.complete = this->record;
+}
+
+void Order::OnRecordConfirmed(OrderEffects& effects) {
+  const OrderState final_state = FinalState(this->record.outcome);
+  this->End(final_state, std::move(this->pending), effects);
+}
+
+void Order::Answer(OrderOutcome answer, OrderEffects& effects) {
+  if (this->answered) return;
+  this->answered = true;
+  effects.answer = std::move(answer);
+}
+
+void Order::End(OrderState final_state, OrderOutcome answer, OrderEffects& effects) {
+  this->state = final_state;
+  this->record_again.reset();
+  this->Answer(std::move(answer), effects);
+}
+
+OrderOutcome Order::UnconfirmedAnswer() const {
+  if (this->state == OrderState::kClaiming || this->state == OrderState::kReleasing) {
+    return Refusal({ErrorCode::kUnavailable, "the claim's answer was lost"}, false);
+  }
+  if (this->state == OrderState::kRecording && this->record.outcome == wire::Outcome::NotRun) {
+    return Refusal({ErrorCode::kUnknownOutcome, "the release of the claim is not confirmed"},
+                   false);
+  }
+  return Refusal({ErrorCode::kInDoubt, ""}, false);
+}
+
+void Order::AfterEvent(Time now, OrderEffects& effects) {
+  if (this->Finished()) return;
+  if (now >= this->params.deadline) {
+    this->Answer(this->UnconfirmedAnswer(), effects);
+    if (this->state == OrderState::kClaiming) this->ReleaseUnknownClaim(effects);
+  }
+  if (this->state == OrderState::kDispatched && now >= this->params.deadline + kLateReplyWait) {
+    this->RecordInDoubt("no reply before the deadline", effects);
+  }
+  if (now >= this->params.deadline + kOrderGiveUp) {
+    this->End(OrderState::kInDoubt, this->UnconfirmedAnswer(), effects);
+    return;
+  }
+  const std::optional<Time> next = this->NextTimer();
+  if (next != this->timer) effects.timer = next;
+  this->timer = next;
+}
+
+std::optional<Time> Order::NextTimer() const {
+  Time next = this->params.deadline + kOrderGiveUp;
+  if (!this->answered) next = std::min(next, this->params.deadline);
+  if (this->state == OrderState::kDispatched) {
+    next = std::min(next, this->params.deadline + kLateReplyWait);
+  }
+  if (this->record_again) next = std::min(next, *this->record_again);
+  return next;
+}
+
+}  // namespace peridotgauge
