--- a/quarantine.h
+++ b/quarantine.h
@@ -7,9 +7,10 @@
 //   CommitQuarantine(fingerprint);
 //
 // Contract: a fingerprint depends on service, kind and body, never on the request id, so a resend
-// has the same one. A crash is a connection to a target that died without a reply. When a second
-// target has crashed, the caller of OnCrash() must commit a quarantine, and answers kQuarantined
-// only when that is committed. Everything remembered here is bounded.
+// has the same one. A crash is a connection to a target that died without a reply; connections to
+// one incarnation of a target count once. When a second target has crashed, the caller of OnCrash()
+// must commit a quarantine, and answers kQuarantined only when that is committed. Everything
+// remembered here is bounded.
 #ifndef PERIDOTGAUGE_QUARANTINE_H_
 #define PERIDOTGAUGE_QUARANTINE_H_
 
@@ -82,18 +83,24 @@
   // the targets that the request crashes.
   void OnSuccess(Time now, uint64_t fingerprint, bool complete);
   // Returns true if a quarantine must be committed, also on later crashes until it is.
-  bool OnCrash(Time now, uint64_t fingerprint, std::string_view target);
+  bool OnCrash(Time now, uint64_t fingerprint, const TargetRecord& target);
 
   size_t SuspectCount() const { return this->suspects.size(); }
 
  private:
-  // Invariant: `targets` has 1 to kCrashesToQuarantine distinct names.
+  // One start of a target.
+  struct Crash {
+    std::string target;
+    uint64_t incarnation = 0;
+    bool operator==(const Crash&) const = default;
+  };
+  // Invariant: `crashes` has 1 to kCrashesToQuarantine distinct elements.
   struct Suspect {
     Time last_crash;
-    std::vector<std::string> targets;
+    std::vector<Crash> crashes;
   };
   bool Crashing(const Suspect& suspect) const {
-    return suspect.targets.size() >= kCrashesToQuarantine;
+    return suspect.crashes.size() >= kCrashesToQuarantine;
   }
   void EvictSuspects(Time now);
 
--- /dev/null
+++ b/search.cc
@@ -0,0 +1,381 @@
+// Scatter and gather of one search. Every public function handles one event, then AfterEvent()
+// continues the canaries, answers if it is time to, and sets the timer.
+#include "search.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotgauge {
+namespace {
+
+// True if a failed attempt shows that its target survived the request.
+bool TargetAnswered(ErrorCode code) {
+  return code == ErrorCode::kTargetFailed || code == ErrorCode::kWrongSnapshot;
+}
+
+}  // namespace
+
+Search::Search(std::shared_ptr<const Plan> plan, SearchParams params, SearchPolicies policies)
+    : plan(std::move(plan)),
+      params(std::move(params)),
+      policies(policies),
+      shards(this->plan->shards.size()),
+      open(static_cast<uint32_t>(this->plan->shards.size())),
+      released(this->params.trusted || !this->params.canaries),
+      suspect(this->params.suspect) {
+  this->counts.needed = this->open;
+  // Room for the hedges and retries of an ordinary search.
+  this->attempts.reserve(this->shards.size() + this->shards.size() / 4 + kCanaries);
+}
+
+SearchEffects Search::Start(Time now) {
+  SearchEffects effects;
+  this->soft_deadline = now + this->plan->soft_deadline;
+  for (uint32_t i = 0; i < this->shards.size(); ++i) {
+    if (this->plan->shards[i].candidates.empty()) this->Lose(i, ErrorCode::kNoTarget);
+  }
+  if (this->released && now < this->AnswerTime()) this->Release(now, effects);
+  this->AfterEvent(now, effects);
+  return effects;
+}
+
+SearchEffects Search::OnReply(Time now, AttemptReply reply) {
+  SearchEffects effects;
+  if (reply.sent_attempt == 0 || reply.sent_attempt > this->attempts.size()) {
+    ++this->counts.unknown_replies;
+    return effects;
+  }
+  Attempt& settled = this->attempts[reply.sent_attempt - 1];
+  if (!settled.running) {
+    ++this->counts.late_replies;
+    return effects;
+  }
+  settled.running = false;
+  --this->running;
+  const Attempt attempt = settled;  // sending more may move the original
+  --this->shards[attempt.shard].running;
+
+  std::optional<ErrorCode> failure;
+  if (reply.error) {
+    failure = reply.error->code;
+  } else if (reply.crashed) {
+    failure = ErrorCode::kConnectionLost;
+  } else {
+    failure = this->Check(reply, attempt.shard);
+  }
+  if (failure) {
+    this->OnFailure(now, attempt, *failure, reply.crashed, effects);
+  } else {
+    this->Merge(attempt.shard, std::move(reply.body), effects);
+    if (!this->released) this->Release(now, effects);
+  }
+  this->AfterEvent(now, effects);
+  return effects;
+}
+
+SearchEffects Search::OnTimer(Time now) {
+  SearchEffects effects;
+  if (this->finished) return effects;
+  this->timer.reset();
+  if (now < this->AnswerTime()) {
+    for (uint32_t i = 0; i < this->shards.size(); ++i) {
+      const Shard& shard = this->shards[i];
+      if (shard.state != ShardState::kRunning || now < shard.wake) continue;
+      if (shard.running == 0) {
+        this->RetryCharged(now, i, effects);
+      } else {
+        this->Hedge(now, i, effects);
+      }
+    }
+  }
+  this->AfterEvent(now, effects);
+  return effects;
+}
+
+SearchEffects Search::Abort() {
+  SearchEffects effects;
+  for (uint32_t i = 0; i < this->shards.size(); ++i) this->CancelRunning(i, effects);
+  this->finished = true;
+  return effects;
+}
+
+Time Search::AnswerTime() const {
+  if (this->plan->prefer == Preference::kCoverage) return this->params.deadline;
+  return std::min(this->params.deadline, this->soft_deadline);
+}
+
+// The first canary is taken from the front and the second from the back of the plan, so that they
+// sample two services if the closure has more than one.
+void Search::SendCanaries(Time now, SearchEffects& effects) {
+  const auto size = static_cast<uint32_t>(this->shards.size());
+  for (uint32_t i = 0; i < size && this->PlaceLeft(); ++i) {
+    const uint32_t index = this->canaries_out == 0 ? i : size - 1 - i;
+    this->SendCanary(now, index, effects);
+  }
+  // A change of direction in the loop above can skip shards.
+  for (uint32_t i = 0; i < size && this->PlaceLeft(); ++i) this->SendCanary(now, i, effects);
+}
+
+bool Search::SendCanary(Time now, uint32_t index, SearchEffects& effects) {
+  if (this->shards[index].state != ShardState::kUnsent) return false;
+  const TargetRecord* target = this->ChooseFor(now, index);
+  if (target == nullptr) return false;
+  this->policies.budget.CountNeeded(now, this->plan->FleetOf(index).name, 1);
+  this->SendTo(now, index, *target, effects);
+  return true;
+}
+
+void Search::Release(Time now, SearchEffects& effects) {
+  this->released = true;
+  effects.sends.reserve(effects.sends.size() + this->open);
+  const std::string* fleet = nullptr;
+  uint32_t needed = 0;
+  const auto count = [&] {
+    if (needed > 0) this->policies.budget.CountNeeded(now, *fleet, needed);
+    needed = 0;
+  };
+  for (uint32_t i = 0; i < this->shards.size(); ++i) {
+    if (this->shards[i].state != ShardState::kUnsent) continue;
+    const TargetRecord* target = this->ChooseFor(now, i);
+    if (target == nullptr) {
+      this->Lose(i, ErrorCode::kNoTarget);
+      continue;
+    }
+    const std::string* next = &this->plan->FleetOf(i).name;
+    if (next != fleet) count();
+    fleet = next;
+    ++needed;
+    this->SendTo(now, i, *target, effects);
+  }
+  count();
+}
+
+const TargetRecord* Search::ChooseFor(Time now, uint32_t index) {
+  this->tried.clear();
+  if (this->released) {
+    for (uint32_t id = this->shards[index].last_attempt; id != 0;) {
+      const Attempt& attempt = this->attempts[id - 1];
+      this->tried.push_back(attempt.target);
+      id = attempt.previous;
+    }
+  } else {
+    // Canaries go to distinct targets, so that two crashes are evidence of two.
+    for (const Attempt& attempt : this->attempts) this->tried.push_back(attempt.target);
+  }
+  return this->policies.chooser.Choose(now, this->plan->shards[index].candidates, this->tried);
+}
+
+void Search::SendTo(Time now, uint32_t index, const TargetRecord& target, SearchEffects& effects) {
+  Shard& shard = this->shards[index];
+  this->attempts.push_back({.shard = index, .previous = shard.last_attempt, .target = &target});
+  const auto id = static_cast<uint32_t>(this->attempts.size());
+  shard.state = ShardState::kRunning;
+  shard.last_attempt = id;
+  ++shard.running;
+  ++this->running;
+  ++this->counts.sent;
+  if (!this->released) ++this->canaries_out;
+
+  shard.wake = Time::max();
+  const bool hedge_again = this->plan->prefer == Preference::kCoverage || shard.hedges == 0;
+  if (this->params.hedging && !this->suspect && hedge_again) {
+    const std::optional<Duration> delay =
+        this->policies.budget.HedgeDelay(now, this->plan->FleetOf(index).name);
+    if (delay) shard.wake = now + *delay;
+  }
+  effects.sends.push_back({.attempt = id, .shard = index, .target = &target});
+}
+
+std::optional<ErrorCode> Search::Check(const AttemptReply& reply, uint32_t index) const {
+  if (reply.request_id != this->params.request_id || reply.attempt != reply.sent_attempt) {
+    return ErrorCode::kWrongReply;
+  }
+  if (reply.snapshot != this->plan->FleetOf(index).snapshot) return ErrorCode::kWrongSnapshot;
+  // An empty body is not JSON; the owner checks the others.
+  if (reply.body.empty()) return ErrorCode::kTargetFailed;
+  return std::nullopt;
+}
+
+void Search::Merge(uint32_t index, std::string body, SearchEffects& effects) {
+  Shard& shard = this->shards[index];
+  shard.state = ShardState::kCovered;
+  shard.body = std::move(body);
+  --this->open;
+  this->CancelRunning(index, effects);
+}
+
+void Search::OnFailure(Time now, const Attempt& attempt, ErrorCode code, bool crashed,
+                       SearchEffects& effects) {
+  Shard& shard = this->shards[attempt.shard];
+  shard.cause = code;
+  if (code == ErrorCode::kWrongReply) ++this->counts.wrong_replies;
+  if (code == ErrorCode::kWrongSnapshot) ++this->counts.wrong_snapshots;
+  if (crashed) this->NoteCrash(attempt.target);
+  const bool not_run = InfoOf(code).not_run && !crashed;
+  if (not_run && !this->released) --this->canaries_out;
+  if (TargetAnswered(code) && !crashed && !this->released) this->Release(now, effects);
+
+  if (not_run && this->RetryUncharged(now, attempt.shard, effects)) return;
+  if (shard.running == 0) this->RetryCharged(now, attempt.shard, effects);
+}
+
+void Search::NoteCrash(const TargetRecord* target) {
+  const auto known = std::find(this->crashed.begin(), this->crashed.end(), target);
+  if (known == this->crashed.end()) this->crashed.push_back(target);
+  if (!this->released || this->crashed.size() > 1) this->suspect = true;
+}
+
+bool Search::RetryUncharged(Time now, uint32_t index, SearchEffects& effects) {
+  Shard& shard = this->shards[index];
+  if (this->suspect || !this->PlaceLeft()) return false;
+  if (shard.uncharged_retries >= kMaxUnchargedRetries) return false;
+  const TargetRecord* target = this->ChooseFor(now, index);
+  if (target == nullptr) return false;
+  ++shard.uncharged_retries;
+  ++this->counts.retries;
+  this->SendTo(now, index, *target, effects);
+  return true;
+}
+
+void Search::RetryCharged(Time now, uint32_t index, SearchEffects& effects) {
+  Shard& shard = this->shards[index];
+  const TargetRecord* target = nullptr;
+  if (!this->suspect && this->PlaceLeft()) target = this->ChooseFor(now, index);
+  if (target == nullptr) {
+    this->Lose(index, shard.cause);
+    return;
+  }
+  if (this->SpendRetry(now, index)) {
+    ++this->counts.retries;
+    this->SendTo(now, index, *target, effects);
+  } else if (this->plan->prefer == Preference::kCoverage) {
+    shard.wake = now + kBudgetPause;
+  } else {
+    this->Lose(index, shard.cause);
+  }
+}
+
+bool Search::SpendRetry(Time now, uint32_t index) {
+  Shard& shard = this->shards[index];
+  const std::string& fleet = this->plan->FleetOf(index).name;
+  if (this->policies.budget.Spend(now, fleet, ExtraKind::kRetry)) return true;
+  if (this->plan->prefer != Preference::kCoverage) return false;
+  if (shard.last_chances >= kMaxLastChances) return false;
+  if (!this->policies.budget.Spend(now, fleet, ExtraKind::kLastChance)) return false;
+  ++shard.last_chances;
+  return true;
+}
+
+void Search::Hedge(Time now, uint32_t index, SearchEffects& effects) {
+  Shard& shard = this->shards[index];
+  if (this->suspect) {
+    shard.wake = Time::max();
+    return;
+  }
+  // A canary without a place left keeps its wake time, and is hedged after the release.
+  if (!this->PlaceLeft()) return;
+  shard.wake = Time::max();
+  const TargetRecord* target = this->ChooseFor(now, index);
+  if (target == nullptr) return;
+  const std::string& fleet = this->plan->FleetOf(index).name;
+  if (this->policies.budget.Spend(now, fleet, ExtraKind::kHedge)) {
+    ++shard.hedges;
+    ++this->counts.hedges;
+    this->SendTo(now, index, *target, effects);
+    return;
+  }
+  const std::optional<Duration> delay = this->policies.budget.HedgeDelay(now, fleet);
+  if (delay) shard.wake = now + std::max(*delay, kBudgetPause);
+}
+
+void Search::Lose(uint32_t index, ErrorCode cause) {
+  Shard& shard = this->shards[index];
+  shard.state = ShardState::kMissing;
+  shard.cause = cause;
+  --this->open;
+}
+
+void Search::CancelRunning(uint32_t index, SearchEffects& effects) {
+  Shard& shard = this->shards[index];
+  for (uint32_t id = shard.last_attempt; id != 0 && shard.running > 0;) {
+    Attempt& attempt = this->attempts[id - 1];
+    if (attempt.running) {
+      attempt.running = false;
+      --shard.running;
+      --this->running;
+      effects.cancels.push_back(id);
+    }
+    id = attempt.previous;
+  }
+}
+
+void Search::AfterEvent(Time now, SearchEffects& effects) {
+  if (this->finished) return;
+  if (!this->released && now < this->AnswerTime()) {
+    this->SendCanaries(now, effects);
+    this->EndCanariesIfStuck(now, effects);
+  }
+  if (this->open == 0 || now >= this->AnswerTime()) {
+    this->Finish(effects);
+    return;
+  }
+  const Time next = this->NextTimer();
+  if (next == this->timer) return;
+  this->timer = next;
+  effects.timer = next;
+}
+
+// Without a running canary no event would continue the search.
+void Search::EndCanariesIfStuck(Time now, SearchEffects& effects) {
+  const bool waiting = std::any_of(this->shards.begin(), this->shards.end(),
+                                   [](const Shard& s) { return s.state == ShardState::kRunning; });
+  if (waiting) return;
+  if (this->canaries_out == 0) {
+    this->Release(now, effects);
+    return;
+  }
+  for (uint32_t i = 0; i < this->shards.size(); ++i) {
+    if (this->shards[i].state == ShardState::kUnsent) this->Lose(i, ErrorCode::kCancelled);
+  }
+}
+
+void Search::Finish(SearchEffects& effects) {
+  this->finished = true;
+  SearchOutcome& outcome = effects.outcome.emplace();
+  const auto covered =
+      std::count_if(this->shards.begin(), this->shards.end(),
+                    [](const Shard& shard) { return shard.state == ShardState::kCovered; });
+  outcome.covered.reserve(covered);
+  outcome.missing.reserve(this->shards.size() - covered);
+  for (uint32_t i = 0; i < this->shards.size(); ++i) {
+    Shard& shard = this->shards[i];
+    if (shard.state == ShardState::kCovered) {
+      outcome.covered.push_back({.shard = i, .body = std::move(shard.body)});
+      continue;
+    }
+    if (shard.running > 0) shard.cause = ErrorCode::kDeadlineExceeded;
+    outcome.missing.push_back({.shard = i, .cause = shard.cause});
+    this->CancelRunning(i, effects);
+  }
+  // The attempts that this event wanted to send and that are cancelled already are not sent.
+  std::erase_if(effects.sends,
+                [&](const AttemptSend& send) { return !this->attempts[send.attempt - 1].running; });
+  outcome.plan = this->plan;
+  outcome.counts = this->counts;
+  outcome.crashes = static_cast<uint32_t>(this->crashed.size());
+  outcome.canaries_crashed =
+      !this->released && this->canaries_out > 0 && this->crashed.size() >= this->canaries_out;
+}
+
+Time Search::NextTimer() const {
+  Time next = this->AnswerTime();
+  for (const Shard& shard : this->shards) {
+    if (shard.state != ShardState::kRunning) continue;
+    // A canary that waits for a place must not wake the search again and again.
+    if (shard.running > 0 && !this->PlaceLeft()) continue;
+    next = std::min(next, shard.wake);
+  }
+  return next;
+}
+
+}  // namespace peridotgauge
--- a/search.h
+++ b/search.h
@@ -13,13 +13,14 @@
 //
 // Rules:
 // - Attempts for one shard use distinct targets.
-// - Canaries: an untrusted request goes to two shards first (one if it is already suspect), and to
-//   the rest when a target has answered, with a result or an error. Until then no attempt is
-//   hedged, and one that may have reached its target is not replaced, so at most two targets are
-//   reached by a request that crashes them. If both fail that way, the search ends.
+// - Canaries: an untrusted request goes to kCanaries shards first (one if it is already suspect),
+//   on distinct targets, and to the rest when a target has answered, with a result or an error.
+//   Until then at most that many attempts, hedges and retries included, run or may have reached a
+//   target. If all of them fail, the search ends. So a request that crashes every target reaches at
+//   most kCanaries targets.
 // - Crashes: a crash before any target answered, or of a second target, makes the request suspect.
 //   A suspect request gets no hedges and no retries. One crash of a request that other targets have
-//   answered is more likely a lost target, and may be retried once from the budget.
+//   answered is more likely a lost target, and its shard may be retried from the budget.
 // - A failure that proves that nothing was executed is retried without charge, at most
 //   kMaxUnchargedRetries times for a shard: a refused sub-request costs a target almost nothing.
 // - Other failures are retried from the fleet's budget. With Preference::kCoverage a shard with no
@@ -113,8 +114,8 @@
   SearchCounts counts;
   // Distinct targets that crashed.
   uint32_t crashes = 0;
-  // The canaries crashed their targets, so the other shards were not asked. The caller gets
-  // kQuarantined as soon as the quarantine is committed.
+  // No target answered and every canary crashed its target, so the other shards were not asked. If
+  // Quarantine::Check() says kCrashing, the caller gets kQuarantined once that is committed.
   bool canaries_crashed = false;
 
   bool Complete() const { return this->missing.empty(); }
@@ -172,27 +173,34 @@
   };
 
   Time AnswerTime() const;
-  bool MaySpend() const { return this->released && !this->suspect; }
+  uint32_t CanaryLimit() const { return this->params.suspect ? 1 : kCanaries; }
+  // True if another attempt may reach a target without exceeding the limit on canaries.
+  bool PlaceLeft() const { return this->released || this->canaries_out < this->CanaryLimit(); }
+
   void SendCanaries(Time now, SearchEffects& effects);
+  bool SendCanary(Time now, uint32_t index, SearchEffects& effects);
+  // Sends to all shards that were not sent yet.
   void Release(Time now, SearchEffects& effects);
-  bool SendFirst(Time now, uint32_t index, SearchEffects& effects);
   const TargetRecord* ChooseFor(Time now, uint32_t index);
-  void SendTo(Time now, uint32_t index, const TargetRecord* target, SearchEffects& effects);
-  Attempt* FindRunning(uint32_t attempt);
-  std::optional<ErrorCode> Check(const AttemptReply& reply, uint32_t shard);
-  void Merge(uint32_t index, AttemptReply& reply, SearchEffects& effects);
+  void SendTo(Time now, uint32_t index, const TargetRecord& target, SearchEffects& effects);
+
+  // Returns why a successful reply cannot be merged, or nothing.
+  std::optional<ErrorCode> Check(const AttemptReply& reply, uint32_t index) const;
+  void Merge(uint32_t index, std::string body, SearchEffects& effects);
   void OnFailure(Time now, const Attempt& attempt, ErrorCode code, bool crashed,
                  SearchEffects& effects);
-  void NoteCrash(const TargetRecord& target);
+  void NoteCrash(const TargetRecord* target);
   bool RetryUncharged(Time now, uint32_t index, SearchEffects& effects);
   void RetryCharged(Time now, uint32_t index, SearchEffects& effects);
-  bool SpendRetry(Time now, Shard& shard, std::string_view fleet);
+  bool SpendRetry(Time now, uint32_t index);
   void Hedge(Time now, uint32_t index, SearchEffects& effects);
   void Lose(uint32_t index, ErrorCode cause);
   void CancelRunning(uint32_t index, SearchEffects& effects);
+
   void AfterEvent(Time now, SearchEffects& effects);
+  void EndCanariesIfStuck(Time now, SearchEffects& effects);
   void Finish(SearchEffects& effects);
-  void SetTimer(SearchEffects& effects);
+  Time NextTimer() const;
 
   std::shared_ptr<const Plan> plan;
   SearchParams params;
@@ -202,9 +210,8 @@
   std::vector<Attempt> attempts;             // attempt n is at n - 1
   std::vector<const TargetRecord*> tried;    // scratch of ChooseFor()
   std::vector<const TargetRecord*> crashed;  // distinct targets
-  std::vector<uint32_t> order;               // shards in the order in which they are sent first
-  size_t next_in_order = 0;
-  uint32_t canaries_out = 0;  // canaries that run, or may have reached a target and gave no answer
+  uint32_t running = 0;                      // attempts
+  uint32_t canaries_out = 0;  // unreleased attempts that run, or that failed and may have executed
   uint32_t open = 0;          // shards that are neither covered nor missing
   bool released = false;      // a target has answered, or no canaries are needed
   bool suspect = false;
