--- a/search.cc
+++ b/search.cc
@@ -52,8 +52,8 @@
   }
   settled.running = false;
   --this->running;
-  const Attempt attempt = settled;  // sending more may move the original
-  --this->shards[attempt.shard].running;
+  const uint32_t index = settled.shard;
+  --this->shards[index].running;
 
   std::optional<ErrorCode> failure;
   if (reply.error) {
@@ -61,13 +61,13 @@
   } else if (reply.crashed) {
     failure = ErrorCode::kConnectionLost;
   } else {
-    failure = this->Check(reply, attempt.shard);
+    failure = this->Check(reply, index);
   }
   if (failure) {
-    this->OnFailure(now, attempt, *failure, reply.crashed, effects);
+    this->OnFailure(now, reply.sent_attempt, *failure, reply.crashed, effects);
   } else {
-    this->Merge(attempt.shard, std::move(reply.body), effects);
-    if (!this->released) this->Release(now, effects);
+    this->Merge(index, std::move(reply.body), effects);
+    if (!this->released && now < this->AnswerTime()) this->Release(now, effects);
   }
   this->AfterEvent(now, effects);
   return effects;
@@ -108,59 +108,48 @@
 // sample two services if the closure has more than one.
 void Search::SendCanaries(Time now, SearchEffects& effects) {
   const auto size = static_cast<uint32_t>(this->shards.size());
-  for (uint32_t i = 0; i < size && this->PlaceLeft(); ++i) {
-    const uint32_t index = this->canaries_out == 0 ? i : size - 1 - i;
-    this->SendCanary(now, index, effects);
-  }
-  // A change of direction in the loop above can skip shards.
-  for (uint32_t i = 0; i < size && this->PlaceLeft(); ++i) this->SendCanary(now, i, effects);
-}
-
-bool Search::SendCanary(Time now, uint32_t index, SearchEffects& effects) {
-  if (this->shards[index].state != ShardState::kUnsent) return false;
-  const TargetRecord* target = this->ChooseFor(now, index);
-  if (target == nullptr) return false;
-  this->policies.budget.CountNeeded(now, this->plan->FleetOf(index).name, 1);
-  this->SendTo(now, index, *target, effects);
-  return true;
+  for (uint32_t i = 0; i < size && this->canaries_out == 0; ++i) this->SendFirst(now, i, effects);
+  for (uint32_t i = size; i > 0 && this->PlaceLeft(); --i) this->SendFirst(now, i - 1, effects);
 }
 
 void Search::Release(Time now, SearchEffects& effects) {
   this->released = true;
   effects.sends.reserve(effects.sends.size() + this->open);
-  const std::string* fleet = nullptr;
-  uint32_t needed = 0;
-  const auto count = [&] {
-    if (needed > 0) this->policies.budget.CountNeeded(now, *fleet, needed);
-    needed = 0;
-  };
   for (uint32_t i = 0; i < this->shards.size(); ++i) {
-    if (this->shards[i].state != ShardState::kUnsent) continue;
-    const TargetRecord* target = this->ChooseFor(now, i);
-    if (target == nullptr) {
-      this->Lose(i, ErrorCode::kNoTarget);
-      continue;
+    Shard& shard = this->shards[i];
+    if (shard.state == ShardState::kUnsent && !this->SendFirst(now, i, effects)) {
+      this->Lose(i, shard.last_attempt == 0 ? ErrorCode::kNoTarget : shard.cause);
     }
-    const std::string* next = &this->plan->FleetOf(i).name;
-    if (next != fleet) count();
-    fleet = next;
-    ++needed;
-    this->SendTo(now, i, *target, effects);
   }
-  count();
+}
+
+bool Search::SendFirst(Time now, uint32_t index, SearchEffects& effects) {
+  Shard& shard = this->shards[index];
+  if (shard.state != ShardState::kUnsent) return false;
+  const TargetRecord* target = this->ChooseFor(now, index);
+  if (target == nullptr) return false;
+  if (shard.last_attempt == 0) {
+    this->policies.budget.CountNeeded(now, this->plan->FleetOf(index).name, 1);
+  } else {
+    ++shard.uncharged_retries;
+    ++this->counts.retries;
+  }
+  this->SendTo(now, index, *target, effects);
+  return true;
 }
 
 const TargetRecord* Search::ChooseFor(Time now, uint32_t index) {
   this->tried.clear();
-  if (this->released) {
-    for (uint32_t id = this->shards[index].last_attempt; id != 0;) {
-      const Attempt& attempt = this->attempts[id - 1];
-      this->tried.push_back(attempt.target);
-      id = attempt.previous;
-    }
-  } else {
+  for (uint32_t id = this->shards[index].last_attempt; id != 0;) {
+    const Attempt& attempt = this->attempts[id - 1];
+    this->tried.push_back(attempt.target);
+    id = attempt.previous;
+  }
+  if (!this->released) {
     // Canaries go to distinct targets, so that two crashes are evidence of two.
-    for (const Attempt& attempt : this->attempts) this->tried.push_back(attempt.target);
+    for (const Attempt& attempt : this->attempts) {
+      if (!attempt.not_run) this->tried.push_back(attempt.target);
+    }
   }
   return this->policies.chooser.Choose(now, this->plan->shards[index].candidates, this->tried);
 }
@@ -204,19 +193,22 @@
   this->CancelRunning(index, effects);
 }
 
-void Search::OnFailure(Time now, const Attempt& attempt, ErrorCode code, bool crashed,
+void Search::OnFailure(Time now, uint32_t attempt, ErrorCode code, bool crashed,
                        SearchEffects& effects) {
-  Shard& shard = this->shards[attempt.shard];
+  const uint32_t index = this->attempts[attempt - 1].shard;
+  Shard& shard = this->shards[index];
   shard.cause = code;
   if (code == ErrorCode::kWrongReply) ++this->counts.wrong_replies;
   if (code == ErrorCode::kWrongSnapshot) ++this->counts.wrong_snapshots;
-  if (crashed) this->NoteCrash(attempt.target);
+  if (crashed) this->NoteCrash(this->attempts[attempt - 1].target);
   const bool not_run = InfoOf(code).not_run && !crashed;
+  this->attempts[attempt - 1].not_run = not_run;
   if (not_run && !this->released) --this->canaries_out;
-  if (TargetAnswered(code) && !crashed && !this->released) this->Release(now, effects);
+  if (now >= this->AnswerTime()) return;
 
-  if (not_run && this->RetryUncharged(now, attempt.shard, effects)) return;
-  if (shard.running == 0) this->RetryCharged(now, attempt.shard, effects);
+  if (TargetAnswered(code) && !crashed && !this->released) this->Release(now, effects);
+  if (not_run && this->RetryUncharged(now, index, effects)) return;
+  if (shard.running == 0) this->RetryCharged(now, index, effects);
 }
 
 void Search::NoteCrash(const TargetRecord* target) {
@@ -227,28 +219,38 @@
 
 bool Search::RetryUncharged(Time now, uint32_t index, SearchEffects& effects) {
   Shard& shard = this->shards[index];
-  if (this->suspect || !this->PlaceLeft()) return false;
-  if (shard.uncharged_retries >= kMaxUnchargedRetries) return false;
-  const TargetRecord* target = this->ChooseFor(now, index);
-  if (target == nullptr) return false;
-  ++shard.uncharged_retries;
-  ++this->counts.retries;
-  this->SendTo(now, index, *target, effects);
+  if (this->suspect || shard.uncharged_retries >= kMaxUnchargedRetries) return false;
+  const TargetRecord* target = this->PlaceLeft() ? this->ChooseFor(now, index) : nullptr;
+  if (target != nullptr) {
+    ++shard.uncharged_retries;
+    ++this->counts.retries;
+    this->SendTo(now, index, *target, effects);
+    return true;
+  }
+  if (this->released || shard.running > 0) return false;
+  // A replica may be usable after the release that is taken by another canary now.
+  shard.state = ShardState::kUnsent;
   return true;
 }
 
 void Search::RetryCharged(Time now, uint32_t index, SearchEffects& effects) {
   Shard& shard = this->shards[index];
-  const TargetRecord* target = nullptr;
-  if (!this->suspect && this->PlaceLeft()) target = this->ChooseFor(now, index);
-  if (target == nullptr) {
+  if (this->suspect) {
+    this->Lose(index, shard.cause);
+    return;
+  }
+  const TargetRecord* target = this->PlaceLeft() ? this->ChooseFor(now, index) : nullptr;
+  if (target == nullptr && this->released) {
     this->Lose(index, shard.cause);
     return;
   }
-  if (this->SpendRetry(now, index)) {
+  if (target != nullptr && this->SpendRetry(now, index)) {
     ++this->counts.retries;
     this->SendTo(now, index, *target, effects);
-  } else if (this->plan->prefer == Preference::kCoverage) {
+    return;
+  }
+  // Asked again later: the budget may have grown, or the canaries may have been answered.
+  if (!this->released || this->plan->prefer == Preference::kCoverage) {
     shard.wake = now + kBudgetPause;
   } else {
     this->Lose(index, shard.cause);
@@ -313,7 +315,7 @@
   if (this->finished) return;
   if (!this->released && now < this->AnswerTime()) {
     this->SendCanaries(now, effects);
-    this->EndCanariesIfStuck(now, effects);
+    this->EndCanariesIfStuck(now);
   }
   if (this->open == 0 || now >= this->AnswerTime()) {
     this->Finish(effects);
@@ -325,17 +327,19 @@
   effects.timer = next;
 }
 
-// Without a running canary no event would continue the search.
-void Search::EndCanariesIfStuck(Time now, SearchEffects& effects) {
-  const bool waiting = std::any_of(this->shards.begin(), this->shards.end(),
-                                   [](const Shard& s) { return s.state == ShardState::kRunning; });
-  if (waiting) return;
-  if (this->canaries_out == 0) {
-    this->Release(now, effects);
-    return;
+// Ends the search if no event could continue it: nothing runs and no shard can be sent or retried.
+void Search::EndCanariesIfStuck(Time now) {
+  if (this->running > 0) return;
+  for (uint32_t i = 0; i < this->shards.size() && this->PlaceLeft(); ++i) {
+    const bool waiting = this->shards[i].state == ShardState::kRunning;
+    if (waiting && this->ChooseFor(now, i) != nullptr) return;
   }
+  const ErrorCode unsent = this->canaries_out == 0 ? ErrorCode::kNoTarget : ErrorCode::kCancelled;
   for (uint32_t i = 0; i < this->shards.size(); ++i) {
-    if (this->shards[i].state == ShardState::kUnsent) this->Lose(i, ErrorCode::kCancelled);
+    const Shard& shard = this->shards[i];
+    if (shard.state == ShardState::kUnsent || shard.state == ShardState::kRunning) {
+      this->Lose(i, shard.last_attempt == 0 ? unsent : shard.cause);
+    }
   }
 }
 
@@ -357,9 +361,6 @@
     outcome.missing.push_back({.shard = i, .cause = shard.cause});
     this->CancelRunning(i, effects);
   }
-  // The attempts that this event wanted to send and that are cancelled already are not sent.
-  std::erase_if(effects.sends,
-                [&](const AttemptSend& send) { return !this->attempts[send.attempt - 1].running; });
   outcome.plan = this->plan;
   outcome.counts = this->counts;
   outcome.crashes = static_cast<uint32_t>(this->crashed.size());
@@ -371,8 +372,8 @@
   Time next = this->AnswerTime();
   for (const Shard& shard : this->shards) {
     if (shard.state != ShardState::kRunning) continue;
-    // A canary that waits for a place must not wake the search again and again.
-    if (shard.running > 0 && !this->PlaceLeft()) continue;
+    // A shard that waits for a canary's place continues at the release.
+    if (!this->PlaceLeft()) continue;
     next = std::min(next, shard.wake);
   }
   return next;
--- a/search.h
+++ b/search.h
@@ -151,6 +151,7 @@
   const SearchCounts& Counts() const { return this->counts; }
 
  private:
+  // A shard in kRunning without a running attempt waits for the budget or for the canaries.
   enum class ShardState : uint8_t { kUnsent, kRunning, kCovered, kMissing };
 
   struct Attempt {
@@ -158,6 +159,7 @@
     uint32_t previous = 0;  // earlier attempt for the shard, 0 if none
     const TargetRecord* target = nullptr;
     bool running = true;
+    bool not_run = false;  // failed, and the target provably did not execute it
   };
 
   struct Shard {
@@ -178,17 +180,16 @@
   bool PlaceLeft() const { return this->released || this->canaries_out < this->CanaryLimit(); }
 
   void SendCanaries(Time now, SearchEffects& effects);
-  bool SendCanary(Time now, uint32_t index, SearchEffects& effects);
   // Sends to all shards that were not sent yet.
   void Release(Time now, SearchEffects& effects);
+  bool SendFirst(Time now, uint32_t index, SearchEffects& effects);
   const TargetRecord* ChooseFor(Time now, uint32_t index);
   void SendTo(Time now, uint32_t index, const TargetRecord& target, SearchEffects& effects);
 
   // Returns why a successful reply cannot be merged, or nothing.
   std::optional<ErrorCode> Check(const AttemptReply& reply, uint32_t index) const;
   void Merge(uint32_t index, std::string body, SearchEffects& effects);
-  void OnFailure(Time now, const Attempt& attempt, ErrorCode code, bool crashed,
-                 SearchEffects& effects);
+  void OnFailure(Time now, uint32_t attempt, ErrorCode code, bool crashed, SearchEffects& effects);
   void NoteCrash(const TargetRecord* target);
   bool RetryUncharged(Time now, uint32_t index, SearchEffects& effects);
   void RetryCharged(Time now, uint32_t index, SearchEffects& effects);
@@ -198,7 +199,7 @@
   void CancelRunning(uint32_t index, SearchEffects& effects);
 
   void AfterEvent(Time now, SearchEffects& effects);
-  void EndCanariesIfStuck(Time now, SearchEffects& effects);
+  void EndCanariesIfStuck(Time now);
   void Finish(SearchEffects& effects);
   Time NextTimer() const;
 
