--- /dev/null
+++ b/config.cc
@@ -0,0 +1,294 @@
+// Parsing, validation, digest and comparison of the operators' text.
+#include "config.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <set>
+
+#include "strict_json.h"
+
+namespace peridotgauge {
+namespace {
+
+namespace json = boost::json;
+
+using FleetMap = std::map<std::string, Fleet, std::less<>>;
+using ServiceMap = std::map<std::string, Service, std::less<>>;
+
+constexpr Range kSlotsRange = {1, 1'024};
+constexpr Range kConnectionsRange = {1, 65'535};
+constexpr Range kConnectMillisRange = {0, 10'000};
+constexpr Range kPercentRange = {0, 100};
+constexpr Range kDeadlineMillisRange = {1, 600'000};
+constexpr size_t kMaxShownCycle = 10;
+
+std::string Quoted(std::string_view text) { return "\"" + std::string(text) + "\""; }
+
+int64_t WholeMillis(Duration duration) { return duration / Millis(1); }
+
+Fleet ReadFleet(JsonReader& reader, const json::value& value, const std::string& name) {
+  Fleet fleet{.name = name};
+  JsonObject object(reader, value, "fleets." + name);
+  object.Read("slots", fleet.slots, kSlotsRange);
+  object.Read("connections", fleet.connections, kConnectionsRange);
+  object.ReadMillis("connect_ms", fleet.connect_cost, kConnectMillisRange);
+  object.Read("hedge_percent", fleet.hedge_percent, kPercentRange);
+  object.RefuseOtherKeys();
+  // Each request in flight holds one connection, so fewer connections leave slots unusable.
+  if (fleet.connections < fleet.slots) {
+    reader.Refuse(object.PlaceOf("connections"), std::to_string(fleet.connections) +
+                                                     "; allowed is at least the number of slots, " +
+                                                     std::to_string(fleet.slots));
+  }
+  return fleet;
+}
+
+std::vector<std::string> ReadDependencies(JsonReader& reader, JsonObject& object) {
+  std::vector<std::string> out;
+  const json::value* value = object.Find("depends_on");
+  if (value == nullptr) return out;
+  const std::string place = object.PlaceOf("depends_on");
+  if (!value->is_array()) {
+    reader.Refuse(place, ShowJson(*value) + "; allowed is a list of service names");
+    return out;
+  }
+  std::set<std::string> seen;
+  for (const json::value& item : value->get_array()) {
+    const std::string item_place = place + "[" + std::to_string(out.size()) + "]";
+    if (!item.is_string()) {
+      reader.Refuse(item_place, ShowJson(item) + "; allowed is the name of a service");
+      return out;
+    }
+    out.emplace_back(item.get_string());
+    if (!seen.insert(out.back()).second) {
+      reader.Refuse(item_place, Quoted(out.back()) + " is listed twice; allowed is once");
+    }
+  }
+  return out;
+}
+
+Service ReadService(JsonReader& reader, const json::value& value, const std::string& name) {
+  Service service{.name = name};
+  JsonObject object(reader, value, "services." + name);
+  object.Require("fleet");
+  object.Read("fleet", service.fleet);
+  object.Read("shards", service.shards, {1, kMaxShards});
+  service.depends_on = ReadDependencies(reader, object);
+  object.Read("idempotent", service.idempotent);
+  object.ReadMillis("deadline_ms", service.deadline, kDeadlineMillisRange);
+  service.soft_deadline = service.deadline;
+  const Range soft_range = {kDeadlineMillisRange.min,
+                            static_cast<uint64_t>(WholeMillis(service.deadline))};
+  object.ReadMillis("soft_deadline_ms", service.soft_deadline, soft_range);
+  size_t preference = static_cast<size_t>(service.prefer);
+  object.ReadChoice("prefer", preference, {"latency", "coverage"});
+  service.prefer = static_cast<Preference>(preference);
+  object.RefuseOtherKeys();
+  return service;
+}
+
+// Reads the members of an object of named entries, such as "fleets".
+template <typename T, typename ReadEntry>
+std::map<std::string, T, std::less<>> ReadEntries(JsonReader& reader, JsonObject& root,
+                                                  std::string_view key, ReadEntry read_entry) {
+  std::map<std::string, T, std::less<>> out;
+  const json::value* value = root.Require(key);
+  if (value == nullptr) return out;
+  const JsonObject entries(reader, *value, std::string(key));
+  if (entries.Members().size() > kMaxServices) {
+    reader.Refuse(std::string(key), std::to_string(entries.Members().size()) +
+                                        " entries; allowed are at most " +
+                                        std::to_string(kMaxServices));
+    return out;
+  }
+  for (const json::key_value_pair& member : entries.Members()) {
+    const std::string name(member.key());
+    if (!IsName(name)) {
+      reader.Refuse(std::string(key), "name " + ShowJson(json::value(name)) + "; allowed are " +
+                                          std::string(kNameSyntax));
+      return out;
+    }
+    out.emplace(name, read_entry(reader, member.value(), name));
+    if (reader.Failed()) return out;
+  }
+  return out;
+}
+
+void CheckReferences(JsonReader& reader, const FleetMap& fleets, const ServiceMap& services) {
+  for (const auto& [name, service] : services) {
+    const std::string place = "services." + name;
+    if (fleets.find(service.fleet) == fleets.end()) {
+      reader.Refuse(place + ".fleet",
+                    "unknown fleet " + Quoted(service.fleet) + "; allowed is a key of \"fleets\"");
+    }
+    for (size_t i = 0; i < service.depends_on.size(); ++i) {
+      if (services.find(service.depends_on[i]) != services.end()) continue;
+      reader.Refuse(place + ".depends_on[" + std::to_string(i) + "]",
+                    "unknown service " + Quoted(service.depends_on[i]) +
+                        "; allowed is a key of \"services\"");
+    }
+  }
+}
+
+// Returns the services that are on a cycle or depend on one. All references must be known.
+std::set<std::string> ServicesWithoutOrder(const ServiceMap& services) {
+  std::map<std::string, size_t> open_dependencies;
+  std::map<std::string, std::vector<std::string>> dependents;
+  std::vector<std::string> ready;
+  for (const auto& [name, service] : services) {
+    open_dependencies[name] = service.depends_on.size();
+    for (const std::string& other : service.depends_on) dependents[other].push_back(name);
+    if (service.depends_on.empty()) ready.push_back(name);
+  }
+  while (!ready.empty()) {
+    const std::string name = ready.back();
+    ready.pop_back();
+    open_dependencies.erase(name);
+    for (const std::string& dependent : dependents[name]) {
+      if (--open_dependencies[dependent] == 0) ready.push_back(dependent);
+    }
+  }
+  std::set<std::string> out;
+  for (const auto& [name, count] : open_dependencies) out.insert(name);
+  return out;
+}
+
+void CheckCycles(JsonReader& reader, const ServiceMap& services) {
+  const std::set<std::string> open = ServicesWithoutOrder(services);
+  if (open.empty()) return;
+  // Every open service has an open dependency, so this walk ends on a cycle.
+  std::vector<std::string> walk = {*open.begin()};
+  std::set<std::string> visited;
+  while (visited.insert(walk.back()).second) {
+    const std::vector<std::string>& next = services.find(walk.back())->second.depends_on;
+    walk.push_back(*std::find_if(next.begin(), next.end(),
+                                 [&](const std::string& name) { return open.count(name) > 0; }));
+  }
+  walk.erase(walk.begin(), std::find(walk.begin(), walk.end(), walk.back()));
+  std::string shown = walk.front();
+  for (size_t i = 1; i < walk.size(); ++i) {
+    if (i > kMaxShownCycle) {
+      shown += " -> ...";
+      break;
+    }
+    shown += " -> " + walk[i];
+  }
+  reader.Refuse("services." + walk.front() + ".depends_on",
+                "the dependencies form a cycle: " + shown + "; allowed are none");
+}
+
+json::object ToJson(const Fleet& fleet) {
+  return {{"slots", fleet.slots},
+          {"connections", fleet.connections},
+          {"connect_ms", WholeMillis(fleet.connect_cost)},
+          {"hedge_percent", fleet.hedge_percent}};
+}
+
+json::object ToJson(const Service& service) {
+  json::array depends_on(service.depends_on.begin(), service.depends_on.end());
+  return {{"fleet", service.fleet},
+          {"shards", service.shards},
+          {"depends_on", std::move(depends_on)},
+          {"idempotent", service.idempotent},
+          {"deadline_ms", WholeMillis(service.deadline)},
+          {"soft_deadline_ms", WholeMillis(service.soft_deadline)},
+          {"prefer", service.prefer == Preference::kLatency ? "latency" : "coverage"}};
+}
+
+void DiffMembers(const std::string& place, const json::object& before, const json::object& after,
+                 std::vector<std::string>& out) {
+  for (const json::key_value_pair& member : before) {
+    const json::value& now = after.at(member.key());
+    if (member.value() == now) continue;
+    out.push_back(place + "." + std::string(member.key()) + ": " + json::serialize(member.value()) +
+                  " -> " + json::serialize(now));
+  }
+}
+
+template <typename T>
+void DiffEntries(std::string_view key, const std::map<std::string, T, std::less<>>& before,
+                 const std::map<std::string, T, std::less<>>& after,
+                 std::vector<std::string>& out) {
+  std::set<std::string> names;
+  for (const auto& [name, entry] : before) names.insert(name);
+  for (const auto& [name, entry] : after) names.insert(name);
+  for (const std::string& name : names) {
+    const std::string place = std::string(key) + "." + name;
+    const auto old_entry = before.find(name);
+    const auto new_entry = after.find(name);
+    if (old_entry == before.end()) {
+      out.push_back(place + ": added " + json::serialize(ToJson(new_entry->second)));
+    } else if (new_entry == after.end()) {
+      out.push_back(place + ": removed");
+    } else {
+      DiffMembers(place, ToJson(old_entry->second), ToJson(new_entry->second), out);
+    }
+  }
+}
+
+}  // namespace
+
+Result<Config> Config::Parse(std::string_view text) {
+  if (text.size() > kMaxConfigBytes) {
+    return Fail(ErrorCode::kTooLarge, "the text has " + std::to_string(text.size()) +
+                                          " bytes; allowed are at most " +
+                                          std::to_string(kMaxConfigBytes));
+  }
+  const Result<json::value> parsed = ParseStrictJson(text, ErrorCode::kInvalidConfig);
+  if (!parsed) return tl::unexpected(parsed.error());
+  JsonReader reader(ErrorCode::kInvalidConfig);
+  JsonObject root(reader, *parsed, "");
+  Config config;
+  root.Require("revision");
+  root.Read("revision", config.revision, {1, INT64_MAX});
+  config.fleets = ReadEntries<Fleet>(reader, root, "fleets", ReadFleet);
+  config.services = ReadEntries<Service>(reader, root, "services", ReadService);
+  root.RefuseOtherKeys();
+  if (!reader.Failed()) CheckReferences(reader, config.fleets, config.services);
+  if (!reader.Failed()) CheckCycles(reader, config.services);
+  if (reader.Failed()) return tl::unexpected(reader.Problem());
+  const std::string canonical = CanonicalJson(*parsed);
+  config.digest = XXH3_64bits(canonical.data(), canonical.size());
+  config.text = std::string(text);
+  return config;
+}
+
+const Fleet* Config::FindFleet(std::string_view name) const {
+  const auto found = this->fleets.find(name);
+  return found == this->fleets.end() ? nullptr : &found->second;
+}
+
+const Service* Config::FindService(std::string_view name) const {
+  const auto found = this->services.find(name);
+  return found == this->services.end() ? nullptr : &found->second;
+}
+
+std::vector<const Service*> Config::Closure(std::string_view service) const {
+  const Service* first = this->FindService(service);
+  if (first == nullptr) return {};
+  std::vector<const Service*> out = {first};
+  std::set<std::string_view> seen = {first->name};
+  for (size_t i = 0; i < out.size(); ++i) {
+    for (const std::string& name : out[i]->depends_on) {
+      if (seen.insert(name).second) out.push_back(this->FindService(name));
+    }
+  }
+  std::sort(out.begin() + 1, out.end(),
+            [](const Service* a, const Service* b) { return a->name < b->name; });
+  return out;
+}
+
+std::vector<std::string> DiffConfigs(const Config& before, const Config& after) {
+  std::vector<std::string> out;
+  if (before.Revision() != after.Revision()) {
+    out.push_back("revision: " + std::to_string(before.Revision()) + " -> " +
+                  std::to_string(after.Revision()));
+  }
+  DiffEntries("fleets", before.Fleets(), after.Fleets(), out);
+  DiffEntries("services", before.Services(), after.Services(), out);
+  return out;
+}
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/settings.cc
@@ -0,0 +1,204 @@
+// Parsing and validation of the daemon's settings.
+#include "settings.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <set>
+
+#include "address.h"
+#include "strict_json.h"
+
+namespace peridotgauge {
+namespace {
+
+namespace json = boost::json;
+
+std::string Quoted(std::string_view text) { return "\"" + std::string(text) + "\""; }
+
+void ReadRoles(JsonReader& reader, JsonObject& root, Settings& settings) {
+  constexpr std::string_view kAllowed = "; allowed is a list of \"router\" and \"controller\"";
+  const json::value* value = root.Require("roles");
+  if (value == nullptr) return;
+  if (!value->is_array() || value->get_array().empty()) {
+    reader.Refuse("roles", ShowJson(*value) + std::string(kAllowed));
+    return;
+  }
+  for (const json::value& role : value->get_array()) {
+    const bool router = role == "router";
+    bool& flag = router ? settings.router : settings.controller;
+    if (!router && role != "controller") {
+      reader.Refuse("roles", ShowJson(role) + std::string(kAllowed));
+    } else if (flag) {
+      reader.Refuse("roles", ShowJson(role) + " is listed twice; allowed is once");
+    }
+    flag = true;
+  }
+}
+
+// Reads a required address and checks its syntax.
+void ReadAddress(JsonReader& reader, JsonObject& object, std::string_view key, Address& out) {
+  object.Require(key);
+  if (!object.Read(key, out)) return;
+  if (const Result<Endpoint> endpoint = ParseAddress(out); !endpoint) {
+    reader.Refuse(object.PlaceOf(key), endpoint.error().detail);
+  }
+}
+
+void ReadControllers(JsonReader& reader, JsonObject& root, Settings& settings) {
+  const json::value* value = root.Require("controllers");
+  if (value == nullptr) return;
+  if (!value->is_array()) {
+    reader.Refuse("controllers", ShowJson(*value) + "; allowed is a list of controllers");
+    return;
+  }
+  for (const json::value& item : value->get_array()) {
+    JsonObject object(reader, item,
+                      "controllers[" + std::to_string(settings.controllers.size()) + "]");
+    ControllerAddress controller;
+    object.Require("id");
+    object.ReadName("id", controller.id);
+    ReadAddress(reader, object, "peer_address", controller.peer_address);
+    object.RefuseOtherKeys();
+    settings.controllers.push_back(std::move(controller));
+  }
+  const size_t count = settings.controllers.size();
+  if (count % 2 == 0 || count > 7) {
+    reader.Refuse("controllers", std::to_string(count) + " controllers; allowed are 1, 3, 5 or 7");
+  }
+}
+
+void ReadSwitches(JsonObject& root, Settings& settings) {
+  struct Switch {
+    std::string_view key;
+    bool Settings::*member;
+  };
+  constexpr Switch kSwitches[] = {{"hedging", &Settings::hedging},
+                                  {"canaries", &Settings::canaries},
+                                  {"ejection", &Settings::ejection},
+                                  {"admission", &Settings::admission},
+                                  {"adaptive_limit", &Settings::adaptive_limit}};
+  for (const Switch& entry : kSwitches) root.Read(entry.key, settings.*entry.member);
+}
+
+// The other functions have checked the syntax.
+Endpoint EndpointOf(const Address& address) { return ParseAddress(address).value_or(Endpoint{}); }
+
+// The controllers must differ from each other.
+void CheckControllersDiffer(JsonReader& reader, const Settings& settings) {
+  for (size_t i = 0; i < settings.controllers.size(); ++i) {
+    const ControllerAddress& one = settings.controllers[i];
+    const std::string place = "controllers[" + std::to_string(i) + "].";
+    for (size_t j = 0; j < i; ++j) {
+      const ControllerAddress& other = settings.controllers[j];
+      const std::string other_place = "controllers[" + std::to_string(j) + "]";
+      if (one.id == other.id) {
+        reader.Refuse(place + "id", Quoted(one.id) + " is also the id of " + other_place +
+                                        "; allowed is a unique id");
+      }
+      if (EndpointOf(one.peer_address) == EndpointOf(other.peer_address)) {
+        reader.Refuse(place + "peer_address", Quoted(one.peer_address) +
+                                                  " is also the address of " + other_place +
+                                                  "; allowed is a unique address");
+      }
+    }
+  }
+}
+
+// The addresses of this process must differ from each other and from those of the controllers,
+// except that a controller's own entry has its own peer address.
+void CheckOwnAddresses(JsonReader& reader, const Settings& settings) {
+  const Endpoint http = EndpointOf(settings.http_address);
+  const Endpoint peer = EndpointOf(settings.peer_address);
+  if (http == peer) {
+    reader.Refuse("peer_address", Quoted(settings.peer_address) +
+                                      " is also the http_address; allowed is another port");
+  }
+  for (size_t i = 0; i < settings.controllers.size(); ++i) {
+    const ControllerAddress& entry = settings.controllers[i];
+    const Endpoint endpoint = EndpointOf(entry.peer_address);
+    const std::string place = "controllers[" + std::to_string(i) + "]";
+    if (http == endpoint) {
+      reader.Refuse("http_address", Quoted(settings.http_address) +
+                                        " is also the peer_address of " + place +
+                                        "; allowed is another port");
+    }
+    if (entry.id != settings.id && peer == endpoint) {
+      reader.Refuse("peer_address", Quoted(settings.peer_address) + " is also the address of " +
+                                        place + "; allowed is another port");
+    }
+  }
+}
+
+void CheckOwnEntry(JsonReader& reader, const Settings& settings) {
+  const auto own = std::find_if(settings.controllers.begin(), settings.controllers.end(),
+                                [&](const auto& entry) { return entry.id == settings.id; });
+  if (own == settings.controllers.end()) {
+    if (settings.controller) {
+      reader.Refuse("controllers", "no entry with the id " + Quoted(settings.id) +
+                                       "; a controller must be in its own list");
+    }
+    return;
+  }
+  if (!settings.controller) {
+    reader.Refuse("id", Quoted(settings.id) +
+                            " is the id of a controller, but the roles do not contain "
+                            "\"controller\"; allowed is an id that is not in the list");
+  } else if (EndpointOf(own->peer_address) != EndpointOf(settings.peer_address)) {
+    reader.Refuse("peer_address", Quoted(settings.peer_address) +
+                                      "; allowed is the address of this controller in the list, " +
+                                      Quoted(own->peer_address));
+  }
+}
+
+void CheckDataFolderKey(JsonReader& reader, const Settings& settings) {
+  if (settings.controller && settings.data_folder.empty()) {
+    reader.Refuse("data_folder", "missing; the role \"controller\" requires a folder");
+  } else if (!settings.controller && !settings.data_folder.empty()) {
+    reader.Refuse("data_folder",
+                  Quoted(settings.data_folder) + "; allowed only with the role \"controller\"");
+  }
+}
+
+Settings ReadSettings(JsonReader& reader, const json::value& value) {
+  Settings settings;
+  JsonObject root(reader, value, "");
+  root.Require("id");
+  root.ReadName("id", settings.id);
+  root.Require("data_centre");
+  root.ReadName("data_centre", settings.data_centre);
+  ReadRoles(reader, root, settings);
+  ReadAddress(reader, root, "http_address", settings.http_address);
+  ReadAddress(reader, root, "peer_address", settings.peer_address);
+  ReadControllers(reader, root, settings);
+  root.Read("data_folder", settings.data_folder);
+  root.Read("span_file", settings.span_file);
+  size_t routing = static_cast<size_t>(settings.routing);
+  root.ReadChoice("routing", routing, {"owner", "direct"});
+  settings.routing = static_cast<Routing>(routing);
+  root.Read("replica_choice", settings.replica_choice);
+  ReadSwitches(root, settings);
+  root.RefuseOtherKeys();
+  return settings;
+}
+
+}  // namespace
+
+Result<Settings> Settings::Parse(std::string_view text, std::string_view source) {
+  const auto fail = [&](const Error& error) {
+    return Fail(ErrorCode::kInvalidSettings, std::string(source) + ": " + error.detail);
+  };
+  const Result<json::value> parsed = ParseStrictJson(text, ErrorCode::kInvalidSettings);
+  if (!parsed) return fail(parsed.error());
+  JsonReader reader(ErrorCode::kInvalidSettings);
+  Settings settings = ReadSettings(reader, *parsed);
+  if (!reader.Failed()) {
+    CheckControllersDiffer(reader, settings);
+    CheckOwnEntry(reader, settings);
+    CheckOwnAddresses(reader, settings);
+    CheckDataFolderKey(reader, settings);
+  }
+  if (reader.Failed()) return fail(reader.Problem());
+  return settings;
+}
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/strict_json.h
@@ -0,0 +1,103 @@
+// Strict reading of JSON that people write: the configuration text and the settings.
+//
+// Use:
+//   Result<boost::json::value> json = ParseStrictJson(text, ErrorCode::kInvalidConfig);
+//   JsonReader reader(ErrorCode::kInvalidConfig);
+//   JsonObject fleet(reader, *json, "fleets.verstas");
+//   fleet.Read("slots", slots, {.min = 1, .max = 1024});
+//   fleet.RefuseOtherKeys();
+//   if (reader.Failed()) return Fail(reader.Problem());
+//
+// Contract: a reader keeps the first problem and ignores later ones, so callers check once at the
+// end. A member that is absent leaves its variable unchanged unless it is required. Problems name
+// the place, the value and what is allowed.
+#ifndef PERIDOTGAUGE_STRICT_JSON_H_
+#define PERIDOTGAUGE_STRICT_JSON_H_
+
+#include <boost/json.hpp>
+#include <cstdint>
+#include <initializer_list>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "error.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+// Parses a text. Syntax errors are reported with line and column, repeated keys with their place.
+Result<boost::json::value> ParseStrictJson(std::string_view text, ErrorCode code);
+
+// The text with sorted keys and without white space; equal for texts with equal meaning.
+std::string CanonicalJson(const boost::json::value& value);
+
+// A value as it is shown in messages: on one line, shortened to about 60 bytes.
+std::string ShowJson(const boost::json::value& value);
+
+// Names of services, fleets and processes: 1 to 64 letters, digits, '-', '_' or '.'.
+bool IsName(std::string_view name);
+constexpr std::string_view kNameSyntax = "1 to 64 letters, digits, '-', '_' or '.'";
+
+// Keeps the first problem of one text.
+class JsonReader {
+ public:
+  explicit JsonReader(ErrorCode code) : code(code) {}
+
+  // Records a problem at a place.
+  void Refuse(const std::string& place, const std::string& problem);
+  bool Failed() const { return this->failed; }
+  Error Problem() const { return {this->code, this->problem}; }
+
+ private:
+  ErrorCode code;
+  bool failed = false;
+  std::string problem;
+};
+
+// Inclusive bounds of a number.
+struct Range {
+  uint64_t min = 0;
+  uint64_t max = UINT32_MAX;
+};
+
+// One object of the text. The value must outlive it.
+class JsonObject {
+ public:
+  // Refuses a value that is not an object and then behaves like an empty one. `place` is empty for
+  // the whole text.
+  JsonObject(JsonReader& reader, const boost::json::value& value, std::string place);
+
+  // Returns the member, or nullptr; the key counts as known.
+  const boost::json::value* Find(std::string_view key);
+  // As Find(), and refuses an object without the key.
+  const boost::json::value* Require(std::string_view key);
+
+  // Each reads one member into `out` and returns true if it was present and valid.
+  bool Read(std::string_view key, uint64_t& out, Range range);
+  bool Read(std::string_view key, uint32_t& out, Range range);
+  bool ReadMillis(std::string_view key, Duration& out, Range range);
+  bool Read(std::string_view key, bool& out);
+  bool Read(std::string_view key, std::string& out);
+  // Reads a name with the syntax of IsName().
+  bool ReadName(std::string_view key, std::string& out);
+  // Sets `out` to the index of the member's text in `choices`.
+  bool ReadChoice(std::string_view key, size_t& out,
+                  std::initializer_list<std::string_view> choices);
+
+  // Refuses keys that nothing has asked for.
+  void RefuseOtherKeys();
+  // The place of a member, for example "services.kassa-3.fleet".
+  std::string PlaceOf(std::string_view key) const;
+  const boost::json::object& Members() const { return *this->members; }
+
+ private:
+  JsonReader& reader;
+  std::string place;
+  const boost::json::object* members;
+  std::set<std::string, std::less<>> known;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_STRICT_JSON_H_
