--- /dev/null
+++ b/http_message.h
@@ -0,0 +1,69 @@
+// Value types for HTTP requests and responses, free of any socket library.
+//
+// Use:
+//   if (request.path == "/v1/status" && request.method == "GET") ...
+//   std::string_view trace = request.Header("traceparent");   // empty if absent
+//   responder.Send(JsonResponse(200, FormatStatus(status)));
+//
+// Contract: header names compare without regard to case. The value of an absent header is empty.
+#ifndef PERIDOTGAUGE_HTTP_MESSAGE_H_
+#define PERIDOTGAUGE_HTTP_MESSAGE_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "error.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+struct HttpHeader {
+  std::string name;
+  std::string value;
+  bool operator==(const HttpHeader&) const = default;
+};
+
+// Returns the value of the first header of that name, or an empty text.
+std::string_view FindHeader(const std::vector<HttpHeader>& headers, std::string_view name);
+
+struct HttpRequest {
+  std::string method;  // upper case, for example "GET"
+  std::string path;    // without the query, for example "/v1/config"
+  std::string query;   // after the '?', not decoded; may be empty
+  std::vector<HttpHeader> headers;
+  std::string body;
+  bool operator==(const HttpRequest&) const = default;
+
+  std::string_view Header(std::string_view name) const { return FindHeader(this->headers, name); }
+  // Returns the value of a query parameter ("revision=7" gives "7"); nothing if it is absent.
+  // Percent escapes are not decoded.
+  std::optional<std::string_view> Parameter(std::string_view name) const;
+};
+
+struct HttpResponse {
+  int status = 200;
+  std::vector<HttpHeader> headers;
+  std::string body;
+  bool operator==(const HttpResponse&) const = default;
+
+  std::string_view Header(std::string_view name) const { return FindHeader(this->headers, name); }
+};
+
+HttpResponse JsonResponse(int status, std::string body);
+HttpResponse TextResponse(int status, std::string body);
+
+// The host and port of an address.
+struct Endpoint {
+  std::string host;  // an IP address without brackets
+  uint16_t port = 0;
+  bool operator==(const Endpoint&) const = default;
+};
+
+// Splits "127.0.0.1:7001" or "[::1]:7001". kBadRequest if the text has another form.
+Result<Endpoint> SplitAddress(std::string_view address);
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_HTTP_MESSAGE_H_
--- /dev/null
+++ b/operator_api.h
@@ -0,0 +1,80 @@
+// The JSON of operators: requests to value types, answers to JSON, and the reverse for the
+// command-line tool. No sockets.
+//
+// Use:
+//   Result<std::optional<uint64_t>> revision = ParseRevision(http_request);
+//   responder.Send(JsonResponse(200, FormatApplyAnswer(answer)));
+//
+// Contract: parsing errors are kBadRequest and name the field. Digests are 16 hexadecimal digits in
+// JSON, because a JSON number cannot hold 64 bits everywhere.
+#ifndef PERIDOTGAUGE_OPERATOR_API_H_
+#define PERIDOTGAUGE_OPERATOR_API_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "error.h"
+#include "http_message.h"
+
+namespace peridotgauge {
+
+std::string FormatDigest(uint64_t digest);
+Result<uint64_t> ParseDigest(std::string_view text);
+
+// Reads the parameter "revision"; nothing if it is absent.
+Result<std::optional<uint64_t>> ParseRevision(const HttpRequest& request);
+
+// The outcome of an accepted text. `repeated`: the text had been accepted before, and this is the
+// original outcome.
+struct ApplyAnswer {
+  uint64_t revision = 0;
+  uint64_t digest = 0;
+  bool repeated = false;
+  bool operator==(const ApplyAnswer&) const = default;
+};
+
+std::string FormatApplyAnswer(const ApplyAnswer& answer);
+Result<ApplyAnswer> ParseApplyAnswer(std::string_view text);
+
+// The text that was accepted under the number, or that is in effect now.
+struct ConflictAnswer {
+  std::string message;
+  uint64_t revision = 0;  // of the winner
+  uint64_t digest = 0;    // of the winner; 0 if it is unknown
+  bool operator==(const ConflictAnswer&) const = default;
+};
+
+// The error body of kConflict with one more member, "winner":{"revision":7,"digest":"..."}.
+std::string FormatConflict(const ConflictAnswer& answer);
+Result<ConflictAnswer> ParseConflict(std::string_view text);
+
+struct HistoryEntry {
+  uint64_t revision = 0;
+  uint64_t digest = 0;
+  std::string author;
+  int64_t accepted_at_ms = 0;  // Unix time
+  bool operator==(const HistoryEntry&) const = default;
+};
+
+std::string FormatHistory(const std::vector<HistoryEntry>& history);
+Result<std::vector<HistoryEntry>> ParseHistory(std::string_view text);
+
+// Whether a revision is in force: every router with a live session has acknowledged it, or a newer
+// one.
+struct InForceAnswer {
+  uint64_t revision = 0;
+  bool accepted = false;             // committed
+  bool in_force = false;             // implies `accepted`
+  std::vector<std::string> waiting;  // ids of the routers that have not acknowledged
+  bool operator==(const InForceAnswer&) const = default;
+};
+
+std::string FormatInForce(const InForceAnswer& answer);
+Result<InForceAnswer> ParseInForce(std::string_view text);
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_OPERATOR_API_H_
--- /dev/null
+++ b/target_client.h
@@ -0,0 +1,56 @@
+// The wire format between an owner and a target, and a client that speaks it.
+//
+// Use:
+//   TargetClient client(io, record.address, {.connections = 40, .warm = 4});
+//   uint64_t call = client.Send(request, [](wire::SubReplyT reply) { ... }, [] { ... });
+//   client.Cancel(call);
+//
+// Contract: as for HttpClient: `done` is called exactly once unless the call was cancelled, and
+// never from inside Send(). A reply whose echoed headers differ from the request is kWrongReply
+// (kWrongSnapshot if only the snapshot differs), so it is never merged. kShed is reported only for
+// a 503 with "x-not-run: true" that belongs to the request. The body of a successful reply is valid
+// JSON text.
+#ifndef PERIDOTGAUGE_TARGET_CLIENT_H_
+#define PERIDOTGAUGE_TARGET_CLIENT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <string>
+
+#include "http_client.h"
+#include "peer_generated.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+// Builds the HTTP request of a sub-request; `budget_us` of the sub-request is the time left.
+HttpRequest FormatSubRequest(const wire::SubRequestT& request);
+// Turns the target's response to `request` into a reply.
+wire::SubReplyT ParseSubReply(const wire::SubRequestT& request, HttpResponse response);
+// Turns a failed exchange into a reply.
+wire::SubReplyT FailedSubReply(const wire::SubRequestT& request, const HttpFailure& failure);
+
+class TargetClient {
+ public:
+  using Callback = std::function<void(wire::SubReplyT)>;
+
+  TargetClient(boost::asio::io_context& io, Address address, HttpClientOptions options);
+
+  // The deadline is `budget_us` from now. `released` is called once when the sub-request no longer
+  // occupies a slot of the target as far as this side can tell; see HttpCall::released.
+  uint64_t Send(const wire::SubRequestT& request, Callback done,
+                std::function<void()> released = {});
+  // Withdraws the sub-request by closing its connection.
+  void Cancel(uint64_t id) { this->client.Cancel(id); }
+  void SetOptions(HttpClientOptions options) { this->client.SetOptions(options); }
+
+  const Address& TargetAddress() const { return this->client.PeerAddress(); }
+  HttpClientStatus Status() const { return this->client.Status(); }
+
+ private:
+  HttpClient client;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_TARGET_CLIENT_H_
