Use the ledger's own types in orders

The ledger identifies a claim by router, incarnation and attempt, and a release also succeeds for an attempt that holds nothing. A lost claim is therefore answered at once with not_run false.

--- a/order.cc
+++ b/order.cc
@@ -46,13 +46,13 @@
   return outcome;
 }
 
-OrderState FinalState(wire::Outcome outcome) {
+OrderState FinalState(Outcome outcome) {
   switch (outcome) {
-    case wire::Outcome::Done:
+    case Outcome::kDone:
       return OrderState::kDone;
-    case wire::Outcome::Failed:
+    case Outcome::kFailed:
       return OrderState::kFailed;
-    case wire::Outcome::NotRun:
+    case Outcome::kNotRun:
       return OrderState::kNotRun;
     default:
       return OrderState::kInDoubt;
@@ -85,36 +85,27 @@
     return effects;
   }
   this->state = OrderState::kClaiming;
-  effects.claim = ClaimCommand{.request_id = this->params.request_id,
+  effects.claim = ClaimRequest{.request_id = this->params.request_id,
                                .service = this->params.service,
                                .body_digest = this->params.body_digest,
                                .issued_at_ms = this->params.issued_at_ms,
-                               .claim_id = this->params.claim_id};
+                               .holder = this->params.holder};
   this->AfterEvent(now, effects);
   return effects;
 }
 
-OrderEffects Order::OnClaimAnswer(Time now, ClaimAnswer answer, OrderLease lease,
+OrderEffects Order::OnClaimAnswer(Time now, Result<ClaimAnswer> answer, OrderLease lease,
                                   Candidates candidates) {
   OrderEffects effects;
   if (this->state != OrderState::kClaiming) return effects;
-  if (answer.error) {
-    const ErrorCode code = answer.error->code;
-    if (CommandLost(code)) {
-      this->ReleaseUnknownClaim(effects);
-    } else if (CommandNotSent(code)) {
-      this->End(OrderState::kRefused,
-                Refusal({ErrorCode::kUnavailable, "the request could not be claimed"}, true),
-                effects);
-    } else {
-      this->End(OrderState::kRefused, Refusal(std::move(*answer.error), true), effects);
-    }
-  } else if (answer.state == wire::ClaimState::Granted) {
+  if (!answer) {
+    this->OnClaimError(std::move(answer.error()), effects);
+  } else if (answer->state == ClaimState::kGranted) {
     this->state = OrderState::kClaimed;
     this->OnGranted(now, lease, candidates, effects);
-  } else if (answer.state == wire::ClaimState::Recorded) {
-    this->OnRecorded(std::move(answer), effects);
-  } else if (answer.state == wire::ClaimState::Running) {
+  } else if (answer->state == ClaimState::kRecorded) {
+    this->OnReplay(std::move(*answer), effects);
+  } else if (answer->state == ClaimState::kRunning) {
     this->End(OrderState::kRefused, Refusal({ErrorCode::kInProgress, ""}, false), effects);
   } else {
     this->End(OrderState::kInDoubt, Refusal({ErrorCode::kInDoubt, ""}, false), effects);
@@ -123,6 +114,18 @@
   return effects;
 }
 
+void Order::OnClaimError(Error error, OrderEffects& effects) {
+  if (CommandLost(error.code)) {
+    this->ReleaseUnknownClaim(effects);
+  } else if (CommandNotSent(error.code)) {
+    this->End(OrderState::kRefused,
+              Refusal({ErrorCode::kUnavailable, "the request could not be claimed"}, true),
+              effects);
+  } else {
+    this->End(OrderState::kRefused, Refusal(std::move(error), true), effects);
+  }
+}
+
 void Order::OnGranted(Time now, OrderLease lease, Candidates candidates, OrderEffects& effects) {
   if (!lease.valid || lease.generation != this->lease.generation) {
     this->RecordNotRun({ErrorCode::kNotSynchronized, "the lease lapsed before the dispatch"},
@@ -143,20 +146,21 @@
   effects.dispatch = OrderDispatch{.target = target};
 }
 
-void Order::OnRecorded(ClaimAnswer answer, OrderEffects& effects) {
+void Order::OnReplay(ClaimAnswer answer, OrderEffects& effects) {
   OrderOutcome outcome;
   outcome.replayed = true;
-  if (answer.outcome == wire::Outcome::Done) {
+  OrderState final_state = OrderState::kInDoubt;
+  if (answer.outcome == Outcome::kDone) {
+    final_state = OrderState::kDone;
     outcome.body = std::move(answer.body);
-  } else if (answer.outcome == wire::Outcome::Failed) {
+  } else if (answer.outcome == Outcome::kFailed) {
+    final_state = OrderState::kFailed;
     outcome.error = Error{ErrorCode::kTargetFailed, std::move(answer.body)};
   } else {
-    // A released claim is granted again and never recorded, so only "in doubt" is left.
+    // A released claim is granted again and never replayed, so only "in doubt" is left.
     outcome.error = Error{ErrorCode::kInDoubt, ""};
   }
-  this->End(
-      answer.outcome == wire::Outcome::NotRun ? OrderState::kInDoubt : FinalState(answer.outcome),
-      std::move(outcome), effects);
+  this->End(final_state, std::move(outcome), effects);
 }
 
 OrderEffects Order::OnDispatchReply(Time now, DispatchReply reply) {
@@ -166,7 +170,7 @@
     this->RecordNotRun(std::move(*reply.error), effects);
   } else if (reply.error && reply.error->code == ErrorCode::kTargetFailed) {
     OrderOutcome answer = Refusal(std::move(*reply.error), false);
-    this->Record(wire::Outcome::Failed, std::move(answer), effects);
+    this->Record(Outcome::kFailed, std::move(answer), effects);
   } else if (reply.error) {
     this->RecordInDoubt(reply.error->ToString(), effects);
   } else if (reply.request_id != this->params.request_id || reply.attempt != kOrderAttempt) {
@@ -174,30 +178,29 @@
   } else {
     OrderOutcome answer;
     answer.body = std::move(reply.body);
-    this->Record(wire::Outcome::Done, std::move(answer), effects);
+    this->Record(Outcome::kDone, std::move(answer), effects);
   }
   this->AfterEvent(now, effects);
   return effects;
 }
 
-OrderEffects Order::OnRecordAnswer(Time now, const std::optional<Error>& error) {
+OrderEffects Order::OnRecordAnswer(Time now, const Result<void>& answer) {
   OrderEffects effects;
   const bool releasing = this->state == OrderState::kReleasing;
   if (!releasing && this->state != OrderState::kRecording) return effects;
-  if (this->record_again) return effects;  // an answer to an attempt that was given up
-  const bool not_run = this->record.outcome == wire::Outcome::NotRun;
-  const bool absent = error && error->code == ErrorCode::kNotFound;
-  if (!error || (absent && not_run && !releasing)) {
-    this->OnRecordConfirmed(effects);
-  } else if (CommandLost(error->code) || CommandNotSent(error->code) || (absent && releasing)) {
+  if (this->record_again) return effects;  // no completion is out
+  if (answer) {
+    const OrderState final_state =
+        releasing ? OrderState::kRefused : FinalState(this->record.outcome);
+    this->End(final_state, std::move(this->pending), effects);
+  } else if (CommandLost(answer.error().code) || CommandNotSent(answer.error().code)) {
     if (this->record_attempts < kMaxRecordAttempts) {
       this->record_again = now + kRecordPause;
     } else {
-      this->End(releasing ? OrderState::kRefused : OrderState::kInDoubt, this->UnconfirmedAnswer(),
-                effects);
+      this->GiveUp(effects);
     }
   } else if (releasing) {
-    this->End(OrderState::kRefused, this->UnconfirmedAnswer(), effects);
+    this->GiveUp(effects);
   } else {
     this->End(OrderState::kInDoubt,
               Refusal({ErrorCode::kInDoubt, "the ledger has another outcome"}, false), effects);
@@ -215,33 +218,31 @@
 }
 
 void Order::ReleaseUnknownClaim(OrderEffects& effects) {
+  this->Answer(this->UnconfirmedAnswer(), effects);
   this->state = OrderState::kReleasing;
-  this->pending = Refusal(
-      {ErrorCode::kUnavailable, "the claim's answer was lost; the claim is released"}, true);
-  this->record = CompleteCommand{.request_id = this->params.request_id,
-                                 .claim_id = this->params.claim_id,
-                                 .outcome = wire::Outcome::NotRun,
-                                 .status = StatusOf(this->pending)};
+  this->record = Completion{.request_id = this->params.request_id,
+                            .holder = this->params.holder,
+                            .outcome = Outcome::kNotRun};
   this->SendRecord(effects);
 }
 
-void Order::Record(wire::Outcome outcome, OrderOutcome answer, OrderEffects& effects) {
+void Order::Record(Outcome outcome, OrderOutcome answer, OrderEffects& effects) {
   this->state = OrderState::kRecording;
-  this->record = CompleteCommand{.request_id = this->params.request_id,
-                                 .claim_id = this->params.claim_id,
-                                 .outcome = outcome,
-                                 .status = StatusOf(answer),
-                                 .body = answer.error ? answer.error->detail : answer.body};
+  this->record = Completion{.request_id = this->params.request_id,
+                            .holder = this->params.holder,
+                            .outcome = outcome,
+                            .status = StatusOf(answer),
+                            .body = answer.error ? answer.error->detail : answer.body};
   this->pending = std::move(answer);
   this->SendRecord(effects);
 }
 
 void Order::RecordNotRun(Error error, OrderEffects& effects) {
-  this->Record(wire::Outcome::NotRun, Refusal(std::move(error), true), effects);
+  this->Record(Outcome::kNotRun, Refusal(std::move(error), true), effects);
 }
 
 void Order::RecordInDoubt(std::string detail, OrderEffects& effects) {
-  this->Record(wire::Outcome::InDoubt, Refusal({ErrorCode::kInDoubt, std::move(detail)}, false),
+  this->Record(Outcome::kInDoubt, Refusal({ErrorCode::kInDoubt, std::move(detail)}, false),
                effects);
 }
 
@@ -251,11 +252,6 @@
   effects.complete = this->record;
 }
 
-void Order::OnRecordConfirmed(OrderEffects& effects) {
-  const OrderState final_state = FinalState(this->record.outcome);
-  this->End(final_state, std::move(this->pending), effects);
-}
-
 void Order::Answer(OrderOutcome answer, OrderEffects& effects) {
   if (this->answered) return;
   this->answered = true;
@@ -268,15 +264,21 @@
   this->Answer(std::move(answer), effects);
 }
 
+void Order::GiveUp(OrderEffects& effects) {
+  const OrderOutcome answer = this->UnconfirmedAnswer();
+  const bool claimed = this->state != OrderState::kReleasing;
+  this->End(claimed ? OrderState::kInDoubt : OrderState::kRefused, answer, effects);
+}
+
 OrderOutcome Order::UnconfirmedAnswer() const {
   if (this->state == OrderState::kClaiming || this->state == OrderState::kReleasing) {
     return Refusal({ErrorCode::kUnavailable, "the claim's answer was lost"}, false);
   }
-  if (this->state == OrderState::kRecording && this->record.outcome == wire::Outcome::NotRun) {
+  if (this->state == OrderState::kRecording && this->record.outcome == Outcome::kNotRun) {
     return Refusal({ErrorCode::kUnknownOutcome, "the release of the claim is not confirmed"},
                    false);
   }
-  return Refusal({ErrorCode::kInDoubt, ""}, false);
+  return Refusal({ErrorCode::kInDoubt, "the outcome is not confirmed"}, false);
 }
 
 void Order::AfterEvent(Time now, OrderEffects& effects) {
@@ -289,7 +291,7 @@
     this->RecordInDoubt("no reply before the deadline", effects);
   }
   if (now >= this->params.deadline + kOrderGiveUp) {
-    this->End(OrderState::kInDoubt, this->UnconfirmedAnswer(), effects);
+    this->GiveUp(effects);
     return;
   }
   const std::optional<Time> next = this->NextTimer();
--- a/order.h
+++ b/order.h
@@ -6,7 +6,7 @@
 //   Apply(order.Start(now, lease));
 //   Apply(order.OnClaimAnswer(now, answer, lease, planner.TargetsOf(service)->Serving()));
 //   Apply(order.OnDispatchReply(now, std::move(reply)));
-//   Apply(order.OnRecordAnswer(now, error));
+//   Apply(order.OnRecordAnswer(now, result));
 //   Apply(order.OnTimer(now));                    // until Finished()
 //
 // Contract: emits exactly one answer and at most one dispatch. The dispatch is emitted only for a
@@ -14,27 +14,21 @@
 // Events that do not fit the state change nothing. After the answer the order can go on to record
 // its outcome; a router that stops earlier leaves an open claim, which ends in doubt.
 //
-// Ledger: a claim is identified by (router, router incarnation, claim_id). The ledger must apply a
-// CompleteCommand only to the claim with the same three values. A repeated or delayed release could
-// otherwise free a later claim of the same router while that one is being executed. Completions can
-// therefore be repeated until their answer is known. Answers to a completion: none (recorded, now
-// or before), kNotFound (no record of this request), other errors as in the table below.
+// Ledger: see ledger.h. A repeated completion is harmless, so it is sent until its answer is known.
+// The release of an attempt succeeds whether or not that attempt held the claim. So a release
+// proves "not run" only if the claim is known to have been granted to this order.
 //
-// "Not run" is answered only if the request was refused before a claim could be committed, or if
-// the claim was granted, its dispatch provably not executed, and the release is committed.
+// "Not run" is answered only if the claim is known not to be committed, or if it was granted, its
+// dispatch provably not executed, and the release is committed. It speaks of this request only: an
+// order refused before the ledger was asked may have run when it was sent before.
 //
-//   state at the deadline, or when the ledger's answer stays unknown    answer
-//   claim sent, or release of a claim whose answer was lost             kUnavailable, not_run false
-//   dispatched                                                          kInDoubt
-//   recording that it was not run                                       kUnknownOutcome
-//   recording any other outcome                                         kInDoubt
-//
-//   answer to a completion                                              effect
-//   recorded                                                            the outcome is answered
-//   kNotFound, release of a granted claim                               as recorded: it was
-//   released kNotFound, release of a claim whose answer was lost                 repeated: the
-//   claim may come kUnavailable, kNotLeader, or lost                                   repeated
-//   another error: the ledger has another outcome                       kInDoubt
+//   event                                              answer
+//   the claim's answer is lost, or late                kUnavailable, not_run false; then released
+//   no reply to the dispatch before the deadline       kInDoubt; a reply soon after is recorded
+//   the answer to a completion is lost or late:
+//     that it was not run                              kUnknownOutcome
+//     any other outcome                                kInDoubt
+//   a completion is refused                            kInDoubt
 #ifndef PERIDOTGAUGE_ORDER_H_
 #define PERIDOTGAUGE_ORDER_H_
 
@@ -43,7 +37,7 @@
 #include <string>
 
 #include "error.h"
-#include "peer_generated.h"
+#include "ledger.h"
 #include "search_policy.h"
 #include "types.h"
 
@@ -62,7 +56,7 @@
 enum class OrderState : uint8_t {
   kReceived,    // nothing was sent
   kClaiming,    // the claim was sent
-  kReleasing,   // the claim's answer was lost; it is being released
+  kReleasing,   // the claim's answer was lost and the caller was told; it is being released
   kClaimed,     // the claim is granted; nothing was dispatched
   kDispatched,  // the dispatch was sent
   kRecording,   // the outcome is known; its record is not yet confirmed
@@ -85,40 +79,15 @@
   std::string service;
   int64_t issued_at_ms = 0;  // Unix time
   uint64_t body_digest = 0;
-  uint64_t claim_id = 0;  // unique among the orders of this router incarnation
+  ClaimHolder holder;  // this router; an attempt number that it has never used before
   Time deadline;
 };
 
-// The router adds its id and incarnation to both commands.
-struct ClaimCommand {
-  std::string request_id;
-  std::string service;
-  uint64_t body_digest = 0;
-  int64_t issued_at_ms = 0;
-  uint64_t claim_id = 0;
-};
-
-struct CompleteCommand {
-  std::string request_id;
-  uint64_t claim_id = 0;
-  wire::Outcome outcome = wire::Outcome::InDoubt;
-  uint16_t status = 0;
-  std::string body;
-};
-
 struct OrderDispatch {
   const TargetRecord* target = nullptr;  // one of the candidates of OnClaimAnswer()
   uint32_t attempt = kOrderAttempt;
 };
 
-// The ledger's answer to the claim. `state` counts only without an error.
-struct ClaimAnswer {
-  std::optional<Error> error;
-  wire::ClaimState state = wire::ClaimState::InDoubt;
-  wire::Outcome outcome = wire::Outcome::InDoubt;  // in state Recorded
-  std::string body;                                // in state Recorded
-};
-
 // What became of the dispatch. A success echoes request id and attempt.
 struct DispatchReply {
   std::optional<Error> error;
@@ -137,9 +106,9 @@
 
 // What the router must do. A new timer replaces the earlier one.
 struct OrderEffects {
-  std::optional<ClaimCommand> claim;
+  std::optional<ClaimRequest> claim;
   std::optional<OrderDispatch> dispatch;
-  std::optional<CompleteCommand> complete;
+  std::optional<Completion> complete;
   std::optional<OrderOutcome> answer;
   std::optional<Time> timer;
 };
@@ -151,9 +120,10 @@
 
   OrderEffects Start(Time now, OrderLease lease);
   // `candidates` are the serving targets of the service at present.
-  OrderEffects OnClaimAnswer(Time now, ClaimAnswer answer, OrderLease lease, Candidates candidates);
+  OrderEffects OnClaimAnswer(Time now, Result<ClaimAnswer> answer, OrderLease lease,
+                             Candidates candidates);
   OrderEffects OnDispatchReply(Time now, DispatchReply reply);
-  OrderEffects OnRecordAnswer(Time now, const std::optional<Error>& error);
+  OrderEffects OnRecordAnswer(Time now, const Result<void>& answer);
   OrderEffects OnTimer(Time now);
 
   OrderState State() const { return this->state; }
@@ -163,15 +133,17 @@
 
  private:
   void OnGranted(Time now, OrderLease lease, Candidates candidates, OrderEffects& effects);
-  void OnRecorded(ClaimAnswer answer, OrderEffects& effects);
+  void OnClaimError(Error error, OrderEffects& effects);
+  void OnReplay(ClaimAnswer answer, OrderEffects& effects);
   void ReleaseUnknownClaim(OrderEffects& effects);
-  void Record(wire::Outcome outcome, OrderOutcome answer, OrderEffects& effects);
+  void Record(Outcome outcome, OrderOutcome answer, OrderEffects& effects);
   void RecordNotRun(Error error, OrderEffects& effects);
   void RecordInDoubt(std::string detail, OrderEffects& effects);
   void SendRecord(OrderEffects& effects);
-  void OnRecordConfirmed(OrderEffects& effects);
   void Answer(OrderOutcome answer, OrderEffects& effects);
   void End(OrderState final_state, OrderOutcome answer, OrderEffects& effects);
+  void GiveUp(OrderEffects& effects);
+  // The answer if nothing more becomes known.
   OrderOutcome UnconfirmedAnswer() const;
   void AfterEvent(Time now, OrderEffects& effects);
   std::optional<Time> NextTimer() const;
@@ -182,7 +154,7 @@
   OrderLease lease;  // at the start
   bool answered = false;
   // In kRecording and kReleasing: what is recorded, and the answer when that is confirmed.
-  CompleteCommand record;
+  Completion record;
   OrderOutcome pending;
   uint32_t record_attempts = 0;
   std::optional<Time> record_again;  // set while a completion waits to be repeated
