--- /dev/null
+++ b/http_client.cc
@@ -0,0 +1,621 @@
+// The connection pool: calls wait in order, idle connections are reused newest first.
+#include "http_client.h"
+
+#include <glog/logging.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace peridotgauge {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Tcp = asio::ip::tcp;
+
+// Pause before a kept connection is opened again after a failure.
+constexpr Duration kReopenTime = Millis(200);
+constexpr size_t kDiscardBytes = 4'096;
+
+http::request<http::string_body> ToMessage(HttpRequest request, const Address& address) {
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  const std::string target =
+      request.query.empty() ? request.path : request.path + "?" + request.query;
+  message.target(target);
+  message.set(http::field::host, address);
+  for (const HttpHeader& header : request.headers) message.insert(header.name, header.value);
+  message.body() = std::move(request.body);
+  message.prepare_payload();
+  return message;
+}
+
+HttpResponse ToResponse(http::response<http::string_body> message) {
+  HttpResponse response;
+  response.status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  response.body = std::move(message.body());
+  return response;
+}
+
+bool ClosedByPeer(const error_code& error) {
+  return error == http::error::end_of_stream || error == http::error::partial_message ||
+         error == asio::error::eof || error == asio::error::connection_reset ||
+         error == asio::error::broken_pipe;
+}
+
+bool BadLimits(const HttpClientOptions& options) {
+  return options.connections == 0 || options.warm > options.connections;
+}
+
+HttpClientOptions Repair(HttpClientOptions options) {
+  if (!BadLimits(options)) return options;
+  options.connections = std::max<size_t>(options.connections, 1);
+  options.warm = std::min(options.warm, options.connections);
+  return options;
+}
+
+// True if a header could end its line early and so change the request.
+bool HasControlCharacter(const HttpRequest& request) {
+  return std::any_of(request.headers.begin(), request.headers.end(), [](const HttpHeader& header) {
+    return std::any_of(header.value.begin(), header.value.end(),
+                       [](char c) { return static_cast<unsigned char>(c) < ' ' || c == '\x7f'; });
+  });
+}
+
+HttpFailure NotSent(std::string detail) {
+  return {.error = {ErrorCode::kUnavailable, std::move(detail)}, .sent = false, .crashed = false};
+}
+
+}  // namespace
+
+// The pool. Owns the connections and the calls.
+class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl> {
+ public:
+  // One call from Send() to `done`.
+  struct Exchange {
+    Exchange(asio::io_context& io, uint64_t id, HttpCall call)
+        : id(id), call(std::move(call)), timer(io) {}
+
+    uint64_t id;
+    HttpCall call;
+    asio::steady_timer timer;
+    std::shared_ptr<Connection> connection;  // null while the call waits
+  };
+  using ExchangePtr = std::shared_ptr<Exchange>;
+
+  Impl(asio::io_context& io, Address address, HttpClientOptions options)
+      : io(io), address(std::move(address)), options(Repair(options)), reopen(io) {}
+
+  uint64_t Send(HttpCall call);
+  void Cancel(uint64_t id);
+  void SetOptions(HttpClientOptions options);
+  void Shutdown();
+  void KeepWarm();
+  HttpClientStatus Status() const;
+
+  // Called by connections.
+  void OnConnected(const std::shared_ptr<Connection>& connection);
+  void OnReady(const std::shared_ptr<Connection>& connection);
+  void OnConnectFailed(const std::shared_ptr<Connection>& connection, const std::string& why);
+  void OnIdleClosed(const std::shared_ptr<Connection>& connection);
+  void OnClosed(const std::shared_ptr<Connection>& connection, bool by_peer);
+  // Puts a call of which nothing was sent back to the front of the queue.
+  void Requeue(const ExchangePtr& exchange);
+  // Ends a call; `released` stays with the caller of this function.
+  void Finish(const ExchangePtr& exchange, HttpResult result);
+  bool Surplus() const { return this->connections.size() > this->options.connections; }
+  void CountReplaced() { ++this->replaced; }
+  // Calls `callback` unless it is empty or the client was destroyed.
+  void Notify(const std::function<void()>& callback) const {
+    if (callback && !this->closed) callback();
+  }
+
+  asio::io_context& io;
+  const Address address;
+
+ private:
+  void Pump();
+  void Assign(const std::shared_ptr<Connection>& connection, bool fresh);
+  void Open();
+  void OnDeadline(const ExchangePtr& exchange);
+  void FailCall(ExchangePtr exchange, const std::string& why);
+  void FailWaiting(const std::string& why);
+  void ScheduleWarm();
+  void Release(const ExchangePtr& exchange);
+
+  HttpClientOptions options;
+  asio::steady_timer reopen;
+  bool reopen_pending = false;
+  bool closed = false;
+  uint64_t last_id = 0;
+  std::unordered_map<uint64_t, ExchangePtr> exchanges;
+  std::deque<ExchangePtr> waiting;
+  std::vector<std::shared_ptr<Connection>> connections;  // all, the idle ones included
+  std::vector<std::shared_ptr<Connection>> idle;
+  size_t connecting = 0;
+  uint64_t opened = 0;
+  uint64_t replaced = 0;
+};
+
+class HttpClient::Connection : public std::enable_shared_from_this<HttpClient::Connection> {
+ public:
+  using ExchangePtr = Impl::ExchangePtr;
+
+  explicit Connection(std::shared_ptr<Impl> impl)
+      : impl(std::move(impl)), socket(this->impl->io), timer(this->impl->io) {}
+
+  void Connect();
+  // `fresh`: the connection was opened for this exchange and was never idle.
+  void Start(ExchangePtr exchange, bool fresh);
+  // Waits, without reading, until the peer closes or sends something that was not asked for.
+  void Watch();
+  // True if the peer has closed the idle connection or has sent something.
+  bool Stale();
+  // Closes the sending side, waits for the peer to close, then calls `released`.
+  void BeginClose(std::function<void()> released);
+  // Closes at once, without a call to the pool.
+  void Abort();
+
+ private:
+  enum class Phase : uint8_t { kConnecting, kIdle, kBusy, kClosing, kClosed };
+
+  void OnConnected(const error_code& error);
+  void OnWritten(const error_code& error, size_t bytes);
+  void Read();
+  void OnRead(const error_code& error);
+  void Discard();
+  void EndClose(bool by_peer);
+
+  std::shared_ptr<Impl> impl;
+  Tcp::socket socket;
+  asio::steady_timer timer;  // limits connecting and closing
+  Phase phase = Phase::kConnecting;
+  bool watching = false;
+  bool written = false;  // the request was written without an error
+  bool fresh = false;    // the running exchange is the reason for this connection
+  ExchangePtr exchange;  // set exactly in kBusy
+  http::request<http::string_body> request;
+  beast::flat_buffer buffer;
+  std::optional<http::response_parser<http::string_body>> parser;
+  std::array<char, kDiscardBytes> discarded;
+  std::function<void()> released;
+};
+
+// --- Pool ---
+
+uint64_t HttpClient::Impl::Send(HttpCall call) {
+  const uint64_t id = ++this->last_id;
+  auto exchange = std::make_shared<Exchange>(this->io, id, std::move(call));
+  this->exchanges.emplace(id, exchange);
+  exchange->timer.expires_at(exchange->call.deadline);
+  exchange->timer.async_wait([self = this->shared_from_this(), exchange](const error_code& error) {
+    if (!error && !self->closed) self->OnDeadline(exchange);
+  });
+  if (HasControlCharacter(exchange->call.request)) {
+    asio::post(this->io, [self = this->shared_from_this(), exchange] {
+      self->FailCall(exchange, "a request header has a control character");
+    });
+    return id;
+  }
+  this->waiting.push_back(exchange);
+  this->Pump();
+  return id;
+}
+
+void HttpClient::Impl::Pump() {
+  while (!this->waiting.empty() && !this->idle.empty()) {
+    const auto connection = this->idle.back();
+    this->idle.pop_back();
+    if (connection->Stale()) {
+      ++this->replaced;
+      std::erase(this->connections, connection);
+      connection->Abort();
+      continue;
+    }
+    this->Assign(connection, /*fresh=*/false);
+  }
+  while (this->connecting < this->waiting.size() &&
+         this->connections.size() < this->options.connections) {
+    this->Open();
+  }
+}
+
+void HttpClient::Impl::Open() {
+  auto connection = std::make_shared<Connection>(this->shared_from_this());
+  this->connections.push_back(connection);
+  ++this->connecting;
+  connection->Connect();
+}
+
+void HttpClient::Impl::OnConnected(const std::shared_ptr<Connection>& connection) {
+  --this->connecting;
+  ++this->opened;
+  if (this->Surplus()) {
+    connection->BeginClose({});
+  } else if (this->waiting.empty()) {
+    this->OnReady(connection);
+  } else {
+    // A peer that refuses connections may have answered already. The call takes that answer;
+    // replacing the connection would repeat without end.
+    this->Assign(connection, /*fresh=*/true);
+  }
+}
+
+// Gives the connection to the call that has waited longest.
+void HttpClient::Impl::Assign(const std::shared_ptr<Connection>& connection, bool fresh) {
+  const ExchangePtr exchange = this->waiting.front();
+  this->waiting.pop_front();
+  exchange->connection = connection;
+  connection->Start(exchange, fresh);
+}
+
+void HttpClient::Impl::OnReady(const std::shared_ptr<Connection>& connection) {
+  this->idle.push_back(connection);
+  connection->Watch();
+  this->Pump();
+}
+
+void HttpClient::Impl::OnConnectFailed(const std::shared_ptr<Connection>& connection,
+                                       const std::string& why) {
+  --this->connecting;
+  std::erase(this->connections, connection);
+  connection->Abort();
+  const std::string detail = "cannot connect to " + this->address + ": " + why;
+  if (this->connections.empty()) {
+    this->FailWaiting(detail);
+  } else if (this->waiting.size() > this->connecting) {
+    this->FailCall(this->waiting.front(), detail);
+  }
+  this->ScheduleWarm();
+  if (!this->closed) this->Pump();
+}
+
+// Ends a call of which nothing was sent, unless it has ended already.
+void HttpClient::Impl::FailCall(ExchangePtr exchange, const std::string& why) {
+  if (!this->exchanges.contains(exchange->id)) return;
+  this->Finish(exchange, tl::unexpected<HttpFailure>(NotSent(why)));
+  this->Release(exchange);
+}
+
+// Fails the calls that wait now; calls that their callbacks add are not touched.
+void HttpClient::Impl::FailWaiting(const std::string& why) {
+  const std::deque<ExchangePtr> failed = std::exchange(this->waiting, {});
+  for (const ExchangePtr& exchange : failed) {
+    this->FailCall(exchange, why);
+  }
+}
+
+void HttpClient::Impl::OnIdleClosed(const std::shared_ptr<Connection>& connection) {
+  std::erase(this->idle, connection);
+  std::erase(this->connections, connection);
+  connection->Abort();
+  this->ScheduleWarm();
+  this->Pump();
+}
+
+void HttpClient::Impl::OnClosed(const std::shared_ptr<Connection>& connection, bool by_peer) {
+  std::erase(this->idle, connection);
+  std::erase(this->connections, connection);
+  if (this->closed) return;
+  this->Pump();
+  // A peer that closes connections could do so at once again.
+  if (by_peer) {
+    this->ScheduleWarm();
+  } else {
+    this->KeepWarm();
+  }
+}
+
+void HttpClient::Impl::Requeue(const ExchangePtr& exchange) {
+  exchange->connection = nullptr;
+  this->waiting.push_front(exchange);
+}
+
+void HttpClient::Impl::Finish(const ExchangePtr& exchange, HttpResult result) {
+  exchange->timer.cancel();
+  exchange->connection = nullptr;
+  this->exchanges.erase(exchange->id);
+  std::erase(this->waiting, exchange);
+  if (const auto done = std::exchange(exchange->call.done, {})) done(std::move(result));
+}
+
+void HttpClient::Impl::Release(const ExchangePtr& exchange) {
+  this->Notify(std::exchange(exchange->call.released, {}));
+}
+
+void HttpClient::Impl::OnDeadline(const ExchangePtr& exchange) {
+  if (!this->exchanges.contains(exchange->id)) return;
+  const auto connection = exchange->connection;
+  if (connection == nullptr) {
+    this->FailCall(exchange, "no connection to " + this->address + " in time");
+    return;
+  }
+  connection->BeginClose(std::exchange(exchange->call.released, {}));
+  this->Finish(exchange, tl::unexpected<HttpFailure>(
+                             {{ErrorCode::kDeadlineExceeded, "no reply from " + this->address},
+                              /*sent=*/true,
+                              /*crashed=*/false}));
+}
+
+void HttpClient::Impl::Cancel(uint64_t id) {
+  const auto found = this->exchanges.find(id);
+  if (found == this->exchanges.end()) return;
+  const ExchangePtr exchange = found->second;
+  this->exchanges.erase(found);
+  exchange->timer.cancel();
+  exchange->call.done = {};
+  auto released = std::exchange(exchange->call.released, {});
+  if (const auto connection = std::exchange(exchange->connection, nullptr)) {
+    connection->BeginClose(std::move(released));
+    return;
+  }
+  std::erase(this->waiting, exchange);
+  asio::post(this->io, [self = this->shared_from_this(), released = std::move(released)] {
+    self->Notify(released);
+  });
+}
+
+void HttpClient::Impl::SetOptions(HttpClientOptions options) {
+  this->options = Repair(options);
+  size_t surplus =
+      this->connections.size() - std::min(this->connections.size(), this->options.connections);
+  while (surplus > 0 && !this->idle.empty()) {
+    const auto connection = this->idle.back();
+    this->idle.pop_back();
+    connection->BeginClose({});
+    --surplus;
+  }
+  this->Pump();
+  this->KeepWarm();
+}
+
+void HttpClient::Impl::KeepWarm() {
+  if (this->reopen_pending || this->closed) return;
+  while (this->connections.size() < this->options.warm) this->Open();
+}
+
+void HttpClient::Impl::ScheduleWarm() {
+  if (this->reopen_pending || this->closed) return;
+  this->reopen_pending = true;
+  this->reopen.expires_after(kReopenTime);
+  this->reopen.async_wait([self = this->shared_from_this()](const error_code& error) {
+    if (error) return;
+    self->reopen_pending = false;
+    self->KeepWarm();
+  });
+}
+
+void HttpClient::Impl::Shutdown() {
+  this->closed = true;
+  this->reopen.cancel();
+  for (const auto& [id, exchange] : this->exchanges) exchange->timer.cancel();
+  this->exchanges.clear();
+  this->waiting.clear();
+  this->idle.clear();
+  for (const auto& connection : std::exchange(this->connections, {})) connection->Abort();
+}
+
+HttpClientStatus HttpClient::Impl::Status() const {
+  return {.connections = this->connections.size(),
+          .idle = this->idle.size(),
+          .waiting = this->waiting.size(),
+          .opened = this->opened,
+          .replaced = this->replaced};
+}
+
+// --- Connection ---
+
+void HttpClient::Connection::Connect() {
+  const Result<Endpoint> endpoint = SplitAddress(this->impl->address);
+  if (!endpoint) {
+    asio::post(this->impl->io, [self = this->shared_from_this(), why = endpoint.error().detail] {
+      if (self->phase == Phase::kConnecting) self->impl->OnConnectFailed(self, why);
+    });
+    return;
+  }
+  this->timer.expires_after(kConnectTimeout);
+  this->timer.async_wait([self = this->shared_from_this()](const error_code& error) {
+    if (error || self->phase != Phase::kConnecting) return;
+    self->impl->OnConnectFailed(self, "timed out");
+  });
+  const Tcp::endpoint where(asio::ip::make_address(endpoint->host), endpoint->port);
+  this->socket.async_connect(where, [self = this->shared_from_this()](const error_code& error) {
+    if (self->phase == Phase::kConnecting) self->OnConnected(error);
+  });
+}
+
+void HttpClient::Connection::OnConnected(const error_code& error) {
+  this->timer.cancel();
+  if (error) {
+    this->impl->OnConnectFailed(this->shared_from_this(), error.message());
+    return;
+  }
+  error_code ignored;
+  this->socket.set_option(Tcp::no_delay(true), ignored);
+  this->phase = Phase::kIdle;
+  this->impl->OnConnected(this->shared_from_this());
+}
+
+void HttpClient::Connection::Watch() {
+  if (this->watching) return;
+  this->watching = true;
+  this->socket.async_wait(Tcp::socket::wait_read,
+                          [self = this->shared_from_this()](const error_code&) {
+                            self->watching = false;
+                            if (self->phase != Phase::kIdle) return;
+                            if (self->Stale()) {
+                              self->impl->OnIdleClosed(self);
+                            } else {
+                              self->Watch();
+                            }
+                          });
+}
+
+bool HttpClient::Connection::Stale() {
+  char byte = 0;
+  const ssize_t got =
+      ::recv(this->socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void HttpClient::Connection::Start(ExchangePtr exchange, bool fresh) {
+  this->phase = Phase::kBusy;
+  this->exchange = std::move(exchange);
+  this->written = false;
+  this->fresh = fresh;
+  this->request = ToMessage(this->exchange->call.request, this->impl->address);
+  http::async_write(this->socket, this->request,
+                    [self = this->shared_from_this()](const error_code& error, size_t bytes) {
+                      if (self->phase == Phase::kBusy) self->OnWritten(error, bytes);
+                    });
+}
+
+void HttpClient::Connection::OnWritten(const error_code& error, size_t bytes) {
+  if (!error || bytes > 0) {
+    // After a partial write the peer may still have answered, for example with a refusal.
+    this->written = !error;
+    this->Read();
+    return;
+  }
+  const auto self = this->shared_from_this();
+  const ExchangePtr failed = std::exchange(this->exchange, nullptr);
+  this->phase = Phase::kClosed;
+  this->Abort();
+  if (!this->fresh) {
+    this->impl->CountReplaced();
+    this->impl->Requeue(failed);
+    this->impl->OnClosed(self, /*by_peer=*/true);
+    return;
+  }
+  this->impl->OnClosed(self, /*by_peer=*/true);
+  const auto released = std::exchange(failed->call.released, {});
+  this->impl->Finish(failed, tl::unexpected<HttpFailure>(NotSent(error.message())));
+  this->impl->Notify(released);
+}
+
+void HttpClient::Connection::Read() {
+  this->parser.emplace();
+  this->parser->body_limit(kMaxResponseBytes);
+  http::async_read(this->socket, this->buffer, *this->parser,
+                   [self = this->shared_from_this()](const error_code& error, size_t) {
+                     if (self->phase == Phase::kBusy) self->OnRead(error);
+                   });
+}
+
+void HttpClient::Connection::OnRead(const error_code& error) {
+  const auto self = this->shared_from_this();
+  const auto pool = this->impl;
+  const ExchangePtr ended = std::exchange(this->exchange, nullptr);
+  auto released = std::exchange(ended->call.released, {});
+  if (error) {
+    this->phase = Phase::kIdle;
+    const bool crashed = ClosedByPeer(error);
+    HttpFailure failure{.error = {ErrorCode::kConnectionLost,
+                                  "exchange with " + pool->address + ": " + error.message()},
+                        .sent = true,
+                        .crashed = crashed};
+    if (crashed) {
+      this->EndClose(/*by_peer=*/true);
+      pool->Finish(ended, tl::unexpected<HttpFailure>(std::move(failure)));
+      pool->Notify(released);
+      return;
+    }
+    this->BeginClose(std::move(released));
+    pool->Finish(ended, tl::unexpected<HttpFailure>(std::move(failure)));
+    return;
+  }
+  const bool interim = this->parser->get().result_int() < 200;
+  const bool reusable = this->written && this->parser->get().keep_alive() && !interim &&
+                        this->buffer.size() == 0 && !pool->Surplus();
+  HttpResponse response = ToResponse(this->parser->release());
+  this->phase = Phase::kIdle;
+  if (reusable) {
+    pool->OnReady(self);
+  } else {
+    this->BeginClose({});
+  }
+  pool->Finish(ended, std::move(response));
+  pool->Notify(released);
+}
+
+void HttpClient::Connection::BeginClose(std::function<void()> released) {
+  this->phase = Phase::kClosing;
+  this->exchange = nullptr;
+  this->released = std::move(released);
+  error_code error;
+  this->socket.cancel(error);
+  this->socket.shutdown(Tcp::socket::shutdown_send, error);
+  this->timer.expires_after(kCloseTimeout);
+  this->timer.async_wait([self = this->shared_from_this()](const error_code& cancelled) {
+    if (!cancelled && self->phase == Phase::kClosing) self->EndClose(/*by_peer=*/false);
+  });
+  this->Discard();
+}
+
+void HttpClient::Connection::Discard() {
+  this->socket.async_read_some(asio::buffer(this->discarded),
+                               [self = this->shared_from_this()](const error_code& error, size_t) {
+                                 if (self->phase != Phase::kClosing) return;
+                                 if (error) {
+                                   self->EndClose(/*by_peer=*/false);
+                                 } else {
+                                   self->Discard();
+                                 }
+                               });
+}
+
+void HttpClient::Connection::EndClose(bool by_peer) {
+  const auto self = this->shared_from_this();
+  const auto notify = std::exchange(this->released, {});
+  this->Abort();
+  this->impl->OnClosed(self, by_peer);
+  this->impl->Notify(notify);
+}
+
+void HttpClient::Connection::Abort() {
+  this->phase = Phase::kClosed;
+  this->exchange = nullptr;
+  this->released = {};
+  this->timer.cancel();
+  error_code ignored;
+  this->socket.close(ignored);
+}
+
+// --- HttpClient ---
+
+HttpClient::HttpClient(asio::io_context& io, Address address, HttpClientOptions options)
+    : impl(std::make_shared<Impl>(io, std::move(address), options)) {
+  this->impl->KeepWarm();
+}
+
+HttpClient::~HttpClient() { this->impl->Shutdown(); }
+
+uint64_t HttpClient::Send(HttpCall call) { return this->impl->Send(std::move(call)); }
+
+void HttpClient::Cancel(uint64_t id) { this->impl->Cancel(id); }
+
+void HttpClient::SetOptions(HttpClientOptions options) { this->impl->SetOptions(options); }
+
+const Address& HttpClient::PeerAddress() const { return this->impl->address; }
+
+HttpClientStatus HttpClient::Status() const { return this->impl->Status(); }
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/http_server.cc
@@ -0,0 +1,553 @@
+// The HTTP server: one Connection per socket, each with at most one outstanding read.
+#include "http_server.h"
+
+#include <glog/logging.h>
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <exception>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <utility>
+
+#include "caller_api.h"
+
+namespace peridotgauge {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Tcp = asio::ip::tcp;
+
+// Bytes read at a time while a request runs; more is read once its answer is written.
+constexpr size_t kReadBytes = 4'096;
+// How long a refused caller may go on sending before its connection is reset. A close with unread
+// bytes resets the connection, and the caller could lose the error answer.
+constexpr Duration kLingerTime = Seconds(1);
+// How long Stop() waits for the first request of a connection that was just accepted.
+constexpr Duration kFirstRequestTime = Seconds(1);
+// Pause after a failed accept, for example when the process has no file descriptor left.
+constexpr Duration kAcceptRetryTime = Millis(100);
+// Connections above the limit that get an error answer at one time; further ones are closed.
+constexpr size_t kMaxRefusals = 64;
+
+// The answer to a request that was not read successfully.
+Error ReadError(const error_code& error, const HttpServerLimits& limits) {
+  if (error == http::error::body_limit) {
+    return {ErrorCode::kTooLarge,
+            "the body is longer than " + std::to_string(limits.body_bytes) + " bytes"};
+  }
+  if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+    return {ErrorCode::kTooLarge,
+            "the request head is longer than " + std::to_string(limits.head_bytes) + " bytes"};
+  }
+  return {ErrorCode::kBadRequest, "malformed HTTP request: " + error.message()};
+}
+
+HttpRequest ToRequest(http::request<http::string_body> message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  const std::string_view target(message.target().data(), message.target().size());
+  const size_t mark = target.find('?');
+  request.path = target.substr(0, mark);
+  if (mark != std::string_view::npos) request.query = target.substr(mark + 1);
+  for (const auto& field : message) {
+    request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+}  // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
+ public:
+  Impl(asio::io_context& io, Handler handler, HttpServerLimits limits)
+      : io(io), acceptor(io), retry(io), handler(std::move(handler)), limits(limits) {}
+
+  Result<void> Bind(const Address& address);
+  void Accept();
+  void Drain() { this->draining = true; }
+  void Stop(std::function<void()> callback);
+  void Close();
+  void Remove(const std::shared_ptr<Connection>& connection);
+
+  bool Closing() const { return this->draining || this->stopping; }
+  // Connections that count against the limit.
+  size_t Open() const { return this->connections.size() - this->refusals; }
+
+  asio::io_context& io;
+  Tcp::acceptor acceptor;
+  asio::steady_timer retry;
+  Handler handler;
+  const HttpServerLimits limits;
+  HttpServerStatus status;
+  std::unordered_set<std::shared_ptr<Connection>> connections;
+  size_t refusals = 0;  // connections of the set that are being refused
+  bool draining = false;
+  bool stopping = false;
+  bool closed = false;
+
+ private:
+  void OnAccept(Tcp::socket socket);
+  void NotifyStopped();
+
+  std::function<void()> stopped;
+};
+
+// What the copies of a responder share.
+struct HttpResponder::State {
+  ~State();
+  void Disconnect();
+
+  std::weak_ptr<HttpServer::Connection> connection;
+  bool answered = false;
+  bool disconnected = false;
+  std::function<void()> on_disconnect;
+};
+
+class HttpServer::Connection : public std::enable_shared_from_this<HttpServer::Connection> {
+ public:
+  Connection(std::shared_ptr<Impl> impl, Tcp::socket socket)
+      : impl(std::move(impl)), socket(std::move(socket)), timer(this->impl->io) {}
+
+  // Waits for the first or next request.
+  void Await();
+  // Answers with an error and closes.
+  void Refuse(const Error& error);
+  void RefuseConnection();
+  // Answers the running request.
+  void Answer(HttpResponse response);
+  void BeginStop();
+  void Close();
+
+  bool refused = false;  // never counted against the limit
+
+ private:
+  enum class Phase : uint8_t { kIdle, kReceiving, kRunning, kWriting, kLingering, kClosed };
+  using Parser = http::request_parser<http::string_body>;
+
+  void Watch();
+  void OnWatch(const error_code& error, size_t bytes);
+  void Receive();
+  void OnHead(const error_code& error);
+  void ReceiveBody();
+  void OnRequest(const error_code& error);
+  void Run();
+  void Write(HttpResponse response, bool keep_alive);
+  void OnWritten(const error_code& error, bool keep_alive);
+  void Linger();
+  void Discard();
+  void Arm(Duration duration);
+  void OnTimer();
+
+  std::shared_ptr<Impl> impl;
+  Tcp::socket socket;
+  asio::steady_timer timer;
+  Phase phase = Phase::kIdle;
+  beast::flat_buffer buffer;
+  bool watching = false;  // a Watch() read is outstanding; then `buffer` is empty
+  std::optional<Parser> parser;
+  std::weak_ptr<HttpResponder::State> responder;  // of the running request
+  http::response<http::string_body> response;
+  std::array<char, kReadBytes> discarded;
+  uint64_t requests = 0;
+  bool keep_alive = false;
+  bool head_only = false;    // the running request is a HEAD
+  bool peer_closed = false;  // the caller has closed its sending side
+};
+
+// --- Impl ---
+
+Result<void> HttpServer::Impl::Bind(const Address& address) {
+  const Result<Endpoint> endpoint = SplitAddress(address);
+  if (!endpoint) return tl::unexpected<Error>(endpoint.error());
+  const Tcp::endpoint where(asio::ip::make_address(endpoint->host), endpoint->port);
+  error_code error;
+  this->acceptor.open(where.protocol(), error);
+  if (!error) this->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  if (!error) this->acceptor.bind(where, error);
+  if (!error) this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (!error) this->acceptor.non_blocking(true, error);
+  if (error)
+    return Fail(ErrorCode::kUnavailable, "cannot bind " + address + ": " + error.message());
+  return {};
+}
+
+void HttpServer::Impl::Accept() {
+  this->acceptor.async_accept(
+      [self = this->shared_from_this()](const error_code& error, Tcp::socket socket) {
+        if (self->closed || self->stopping) return;
+        if (!error) {
+          self->OnAccept(std::move(socket));
+          self->Accept();
+          return;
+        }
+        LOG(WARNING) << "http: accept failed: " << error.message();
+        self->retry.expires_after(kAcceptRetryTime);
+        self->retry.async_wait([self](const error_code& cancelled) {
+          if (!cancelled && !self->closed && !self->stopping) self->Accept();
+        });
+      });
+}
+
+void HttpServer::Impl::OnAccept(Tcp::socket socket) {
+  const bool refuse = this->Open() >= this->limits.connections;
+  if (refuse) {
+    ++this->status.refused_connections;
+    if (this->refusals >= kMaxRefusals) return;
+  }
+  error_code ignored;
+  socket.set_option(Tcp::no_delay(true), ignored);
+  auto connection = std::make_shared<Connection>(this->shared_from_this(), std::move(socket));
+  this->connections.insert(connection);
+  if (!refuse) {
+    connection->Await();
+    return;
+  }
+  connection->refused = true;
+  ++this->refusals;
+  connection->RefuseConnection();
+}
+
+void HttpServer::Impl::Stop(std::function<void()> callback) {
+  this->stopped = std::move(callback);
+  if (!this->stopping && !this->closed) {
+    // Callers whose connections wait to be accepted may have sent a request.
+    error_code error;
+    while (!error) {
+      Tcp::socket socket(this->io);
+      this->acceptor.accept(socket, error);
+      if (!error) this->OnAccept(std::move(socket));
+    }
+    this->stopping = true;
+    this->acceptor.close(error);
+    this->retry.cancel();
+  }
+  const auto copy = this->connections;
+  for (const auto& connection : copy) connection->BeginStop();
+  this->NotifyStopped();
+}
+
+void HttpServer::Impl::NotifyStopped() {
+  if (!this->connections.empty() || !this->stopped) return;
+  asio::post(this->io, std::exchange(this->stopped, {}));
+}
+
+void HttpServer::Impl::Close() {
+  this->closed = true;
+  error_code ignored;
+  this->acceptor.close(ignored);
+  this->retry.cancel();
+  const auto copy = this->connections;
+  for (const auto& connection : copy) connection->Close();
+}
+
+void HttpServer::Impl::Remove(const std::shared_ptr<Connection>& connection) {
+  if (this->connections.erase(connection) == 0) return;
+  if (connection->refused) --this->refusals;
+  if (this->stopping) this->NotifyStopped();
+}
+
+// --- Connection ---
+
+void HttpServer::Connection::Await() {
+  if (this->peer_closed) {
+    this->Close();
+    return;
+  }
+  this->phase = Phase::kIdle;
+  this->Arm(this->impl->limits.idle_time);
+  if (this->buffer.size() > 0) {
+    this->Receive();
+  } else {
+    this->Watch();
+  }
+}
+
+// Reads the first bytes of the next request. While a request runs, the same read notices that the
+// caller has disconnected.
+void HttpServer::Connection::Watch() {
+  if (this->watching || this->buffer.size() > 0) return;
+  this->watching = true;
+  this->socket.async_read_some(
+      this->buffer.prepare(kReadBytes),
+      [self = this->shared_from_this()](const error_code& error, size_t bytes) {
+        self->OnWatch(error, bytes);
+      });
+}
+
+void HttpServer::Connection::OnWatch(const error_code& error, size_t bytes) {
+  this->watching = false;
+  if (this->phase == Phase::kClosed || this->phase == Phase::kLingering) return;
+  this->buffer.commit(bytes);
+  if (!error) {
+    if (this->phase == Phase::kIdle) this->Receive();
+    return;
+  }
+  this->peer_closed = true;
+  if (this->phase == Phase::kIdle || error != asio::error::eof) {
+    this->Close();
+    return;
+  }
+  if (const auto state = this->responder.lock()) state->Disconnect();
+}
+
+void HttpServer::Connection::Receive() {
+  this->phase = Phase::kReceiving;
+  this->Arm(this->impl->limits.request_time);
+  this->parser.emplace();
+  this->parser->header_limit(static_cast<uint32_t>(this->impl->limits.head_bytes));
+  this->parser->body_limit(this->impl->limits.body_bytes);
+  http::async_read_header(
+      this->socket, this->buffer, *this->parser,
+      [self = this->shared_from_this()](const error_code& error, size_t) { self->OnHead(error); });
+}
+
+void HttpServer::Connection::OnHead(const error_code& error) {
+  if (this->phase != Phase::kReceiving) return;
+  if (error) {
+    this->OnRequest(error);
+    return;
+  }
+  const auto expect = this->parser->get()[http::field::expect];
+  if (!beast::iequals(expect, "100-continue")) {
+    this->ReceiveBody();
+    return;
+  }
+  static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  asio::async_write(this->socket, asio::buffer(kContinue),
+                    [self = this->shared_from_this()](const error_code& failed, size_t) {
+                      if (self->phase != Phase::kReceiving) return;
+                      if (failed) {
+                        self->Close();
+                      } else {
+                        self->ReceiveBody();
+                      }
+                    });
+}
+
+void HttpServer::Connection::ReceiveBody() {
+  http::async_read(this->socket, this->buffer, *this->parser,
+                   [self = this->shared_from_this()](const error_code& error, size_t) {
+                     if (self->phase == Phase::kReceiving) self->OnRequest(error);
+                   });
+}
+
+void HttpServer::Connection::OnRequest(const error_code& error) {
+  if (!error) {
+    this->Run();
+  } else if (error == http::error::end_of_stream || error == asio::error::connection_reset ||
+             error == asio::error::broken_pipe) {
+    this->Close();
+  } else {
+    this->Refuse(ReadError(error, this->impl->limits));
+  }
+}
+
+void HttpServer::Connection::Run() {
+  this->phase = Phase::kRunning;
+  this->timer.cancel();
+  ++this->requests;
+  ++this->impl->status.requests;
+  ++this->impl->status.running;
+  this->keep_alive = this->parser->get().keep_alive();
+  this->head_only = this->parser->get().method() == http::verb::head;
+  HttpRequest request = ToRequest(this->parser->release());
+  HttpResponder responder;
+  responder.state = std::make_shared<HttpResponder::State>();
+  responder.state->connection = this->weak_from_this();
+  this->responder = responder.state;
+  this->Watch();
+  try {
+    this->impl->handler(std::move(request), std::move(responder));
+  } catch (const std::exception& failure) {
+    LOG(ERROR) << "http: handler failed: " << failure.what();
+  }
+}
+
+void HttpServer::Connection::Answer(HttpResponse response) {
+  if (this->phase != Phase::kRunning) return;
+  --this->impl->status.running;
+  this->Write(std::move(response), this->keep_alive && !this->impl->Closing());
+}
+
+void HttpServer::Connection::Refuse(const Error& error) {
+  if (!this->refused) ++this->impl->status.refused_requests;
+  this->head_only = false;
+  this->Write(ErrorResponse(error, ""), false);
+}
+
+void HttpServer::Connection::RefuseConnection() {
+  this->Refuse({ErrorCode::kOverloaded,
+                "more than " + std::to_string(this->impl->limits.connections) + " connections"});
+}
+
+void HttpServer::Connection::Write(HttpResponse response, bool keep_alive) {
+  this->phase = Phase::kWriting;
+  this->Arm(this->impl->limits.write_time);
+  this->response = {};
+  this->response.version(11);
+  this->response.result(static_cast<unsigned>(response.status));
+  for (const HttpHeader& header : response.headers) {
+    this->response.insert(header.name, header.value);
+  }
+  this->response.keep_alive(keep_alive);
+  this->response.content_length(response.body.size());
+  if (!this->head_only) this->response.body() = std::move(response.body);
+  http::async_write(this->socket, this->response,
+                    [self = this->shared_from_this(), keep_alive](const error_code& error, size_t) {
+                      if (self->phase == Phase::kWriting) self->OnWritten(error, keep_alive);
+                    });
+}
+
+void HttpServer::Connection::OnWritten(const error_code& error, bool keep_alive) {
+  if (error) {
+    this->Close();
+  } else if (keep_alive) {
+    this->Await();
+    if (this->impl->stopping) this->BeginStop();
+  } else {
+    this->Linger();
+  }
+}
+
+// Closes the sending side and drops what the caller still sends, so that the caller can read the
+// answer before the connection goes away.
+void HttpServer::Connection::Linger() {
+  this->phase = Phase::kLingering;
+  error_code error;
+  this->socket.shutdown(Tcp::socket::shutdown_send, error);
+  if (error || this->peer_closed) {
+    this->Close();
+    return;
+  }
+  this->Arm(kLingerTime);
+  this->Discard();
+}
+
+void HttpServer::Connection::Discard() {
+  this->socket.async_read_some(asio::buffer(this->discarded),
+                               [self = this->shared_from_this()](const error_code& error, size_t) {
+                                 if (self->phase != Phase::kLingering) return;
+                                 if (error) {
+                                   self->Close();
+                                 } else {
+                                   self->Discard();
+                                 }
+                               });
+}
+
+void HttpServer::Connection::BeginStop() {
+  if (this->phase != Phase::kIdle) return;
+  error_code error;
+  if (this->buffer.size() > 0 || this->socket.available(error) > 0) return;
+  if (this->requests == 0 && !error) {
+    this->Arm(std::min(kFirstRequestTime, this->impl->limits.idle_time));
+  } else {
+    this->Close();
+  }
+}
+
+void HttpServer::Connection::Close() {
+  if (this->phase == Phase::kClosed) return;
+  if (this->phase == Phase::kRunning) --this->impl->status.running;
+  this->phase = Phase::kClosed;
+  this->timer.cancel();
+  error_code ignored;
+  this->socket.close(ignored);
+  const auto self = this->shared_from_this();
+  this->impl->Remove(self);
+  if (const auto state = this->responder.lock()) state->Disconnect();
+}
+
+void HttpServer::Connection::Arm(Duration duration) {
+  this->timer.expires_after(duration);
+  this->timer.async_wait([self = this->shared_from_this()](const error_code& cancelled) {
+    // A timer that was armed again has a later expiry than now.
+    if (!cancelled && self->timer.expiry() <= std::chrono::steady_clock::now()) self->OnTimer();
+  });
+}
+
+void HttpServer::Connection::OnTimer() {
+  if (this->phase != Phase::kReceiving) {
+    if (this->phase != Phase::kRunning) this->Close();
+    return;
+  }
+  error_code ignored;
+  this->socket.cancel(ignored);
+  this->Refuse({ErrorCode::kBadRequest,
+                "the request was not complete after " +
+                    std::to_string(ToMillis(this->impl->limits.request_time)) + " ms"});
+}
+
+// --- HttpResponder ---
+
+HttpResponder::State::~State() {
+  if (this->answered) return;
+  if (const auto open = this->connection.lock()) {
+    open->Answer(ErrorResponse({ErrorCode::kInternal, "the request was dropped"}, "", false));
+  }
+}
+
+void HttpResponder::State::Disconnect() {
+  if (this->disconnected || this->answered) return;
+  this->disconnected = true;
+  if (const auto callback = std::exchange(this->on_disconnect, {})) callback();
+}
+
+void HttpResponder::Send(HttpResponse response) const {
+  if (!this->state || std::exchange(this->state->answered, true)) return;
+  this->state->on_disconnect = {};
+  if (const auto open = this->state->connection.lock()) open->Answer(std::move(response));
+}
+
+void HttpResponder::OnDisconnect(std::function<void()> callback) const {
+  if (!this->state || this->state->answered || this->state->disconnected) return;
+  this->state->on_disconnect = std::move(callback);
+}
+
+bool HttpResponder::Connected() const { return this->state && !this->state->disconnected; }
+
+// --- HttpServer ---
+
+HttpServer::HttpServer(std::shared_ptr<Impl> impl) : impl(std::move(impl)) {}
+
+HttpServer::~HttpServer() { this->impl->Close(); }
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Listen(asio::io_context& io, const Address& address,
+                                                       Handler handler, HttpServerLimits limits) {
+  auto impl = std::make_shared<Impl>(io, std::move(handler), limits);
+  const Result<void> bound = impl->Bind(address);
+  if (!bound) return tl::unexpected<Error>(bound.error());
+  impl->Accept();
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
+}
+
+void HttpServer::Drain() { this->impl->Drain(); }
+
+void HttpServer::Stop(std::function<void()> callback) { this->impl->Stop(std::move(callback)); }
+
+void HttpServer::Close() { this->impl->Close(); }
+
+uint16_t HttpServer::Port() const {
+  error_code error;
+  const Tcp::endpoint bound = this->impl->acceptor.local_endpoint(error);
+  return error ? 0 : bound.port();
+}
+
+HttpServerStatus HttpServer::Status() const {
+  HttpServerStatus status = this->impl->status;
+  status.connections = this->impl->connections.size();
+  return status;
+}
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/json_text.cc
@@ -0,0 +1,307 @@
+// JSON checks with Boost.JSON, and a scanner that cuts valid text into its members or elements.
+#include "json_text.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <boost/json/basic_parser_impl.hpp>
+#include <cmath>
+#include <utility>
+
+namespace peridotgauge {
+namespace {
+
+namespace json = boost::json;
+
+// Deeper texts are refused, because a recursive reader of the text could run out of stack.
+constexpr size_t kMaxDepth = 64;
+// Looking for duplicate members takes quadratic time in their number.
+constexpr size_t kMaxMembers = 1'000;
+
+// Accepts any document and stores nothing.
+struct NullHandler {
+  // Boost.JSON fixes the names of these members.
+  // NOLINTBEGIN(readability-identifier-naming)
+  static constexpr size_t max_object_size = -1;
+  static constexpr size_t max_array_size = -1;
+  static constexpr size_t max_key_size = -1;
+  static constexpr size_t max_string_size = -1;
+  using error_code = boost::system::error_code;
+  bool on_document_begin(error_code&) { return true; }
+  bool on_document_end(error_code&) { return true; }
+  bool on_object_begin(error_code&) { return true; }
+  bool on_object_end(size_t, error_code&) { return true; }
+  bool on_array_begin(error_code&) { return true; }
+  bool on_array_end(size_t, error_code&) { return true; }
+  bool on_key_part(json::string_view, size_t, error_code&) { return true; }
+  bool on_key(json::string_view, size_t, error_code&) { return true; }
+  bool on_string_part(json::string_view, size_t, error_code&) { return true; }
+  bool on_string(json::string_view, size_t, error_code&) { return true; }
+  bool on_number_part(json::string_view, error_code&) { return true; }
+  bool on_int64(int64_t, json::string_view, error_code&) { return true; }
+  bool on_uint64(uint64_t, json::string_view, error_code&) { return true; }
+  bool on_double(double, json::string_view, error_code&) { return true; }
+  bool on_bool(bool, error_code&) { return true; }
+  bool on_null(error_code&) { return true; }
+  bool on_comment_part(json::string_view, error_code&) { return true; }
+  bool on_comment(json::string_view, error_code&) { return true; }
+  // NOLINTEND(readability-identifier-naming)
+};
+
+json::parse_options Options() {
+  json::parse_options options;
+  options.max_depth = kMaxDepth;
+  return options;
+}
+
+// Returns the error of the text, or none if it is one valid JSON value.
+boost::system::error_code CheckJson(std::string_view text) {
+  json::basic_parser<NullHandler> parser(Options());
+  boost::system::error_code error;
+  const size_t used = parser.write_some(false, text.data(), text.size(), error);
+  if (!error && used < text.size()) error = json::error::extra_data;
+  return error;
+}
+
+std::string_view Trim(std::string_view text) {
+  constexpr std::string_view kSpace = " \t\r\n";
+  const size_t first = text.find_first_not_of(kSpace);
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(kSpace) - first + 1);
+}
+
+// Cuts a valid JSON object or array at the separators of its outermost level.
+// Invariant: the text was accepted by CheckJson(), so brackets and quotes are balanced.
+std::vector<std::string_view> Cut(std::string_view text, char separator) {
+  std::vector<std::string_view> parts;
+  const std::string_view inner = text.substr(1, text.size() - 2);
+  if (Trim(inner).empty()) return parts;
+  size_t begin = 0;
+  int depth = 0;
+  bool quoted = false;
+  for (size_t i = 0; i < inner.size(); ++i) {
+    const char c = inner[i];
+    if (quoted) {
+      if (c == '\\') ++i;
+      if (c == '"') quoted = false;
+    } else if (c == '"') {
+      quoted = true;
+    } else if (c == '{' || c == '[') {
+      ++depth;
+    } else if (c == '}' || c == ']') {
+      --depth;
+    } else if (c == separator && depth == 0) {
+      parts.push_back(Trim(inner.substr(begin, i - begin)));
+      begin = i + 1;
+    }
+  }
+  parts.push_back(Trim(inner.substr(begin)));
+  return parts;
+}
+
+// The length of the JSON string at the start of the text, with its quotes.
+size_t QuotedLength(std::string_view text) {
+  size_t i = 1;
+  while (text[i] != '"') i += text[i] == '\\' ? 2 : 1;
+  return i + 1;
+}
+
+std::optional<json::value> ParseValue(std::string_view text) {
+  boost::system::error_code error;
+  json::value value =
+      json::parse(json::string_view(text.data(), text.size()), error, {}, Options());
+  if (error) return std::nullopt;
+  return value;
+}
+
+}  // namespace
+
+bool IsJson(std::string_view text) { return !CheckJson(text); }
+
+std::string QuoteJson(std::string_view text) {
+  std::string quoted = json::serialize(json::string_view(text.data(), text.size()));
+  if (IsJson(quoted)) return quoted;
+  // Every byte of a text with a wrong sequence that is not ASCII is replaced.
+  std::string ascii;
+  for (const char c : text) {
+    if (static_cast<unsigned char>(c) < 0x80) {
+      ascii += c;
+    } else {
+      ascii += "\xEF\xBF\xBD";
+    }
+  }
+  return json::serialize(json::string_view(ascii));
+}
+
+Result<JsonObject> JsonObject::Parse(std::string_view text, std::string_view what) {
+  JsonObject object;
+  object.what = what;
+  if (const auto error = CheckJson(text)) {
+    return Fail(ErrorCode::kBadRequest, object.what + ": invalid JSON: " + error.message());
+  }
+  text = Trim(text);
+  if (text.front() != '{') {
+    return Fail(ErrorCode::kBadRequest, object.what + ": expected a JSON object");
+  }
+  const std::vector<std::string_view> parts = Cut(text, ',');
+  if (parts.size() > kMaxMembers) {
+    return Fail(ErrorCode::kBadRequest, object.what + ": too many fields");
+  }
+  for (const std::string_view part : parts) {
+    const size_t length = QuotedLength(part);
+    const std::optional<json::value> name = ParseValue(part.substr(0, length));
+    if (!name) return Fail(ErrorCode::kBadRequest, object.what + ": invalid field name");
+    const std::string_view rest = Trim(part.substr(length));
+    JsonMember member{std::string(name->get_string()), std::string(Trim(rest.substr(1)))};
+    if (object.Has(member.name)) return object.Bad(member.name, "given twice");
+    object.members.push_back(std::move(member));
+  }
+  return object;
+}
+
+const JsonMember* JsonObject::Find(std::string_view name) const {
+  for (const JsonMember& member : this->members) {
+    if (member.name == name) return &member;
+  }
+  return nullptr;
+}
+
+tl::unexpected<Error> JsonObject::Bad(std::string_view name, std::string_view what) const {
+  std::string detail = this->what + ": " + std::string(name) + ": " + std::string(what);
+  return Fail(ErrorCode::kBadRequest, std::move(detail));
+}
+
+std::optional<json::value> JsonObject::Value(std::string_view name) const {
+  const JsonMember* member = this->Find(name);
+  if (member == nullptr) return std::nullopt;
+  return ParseValue(member->raw);
+}
+
+Result<std::string> JsonObject::Raw(std::string_view name) const {
+  const JsonMember* member = this->Find(name);
+  if (member == nullptr) return this->Bad(name, "is missing");
+  return member->raw;
+}
+
+Result<std::string> JsonObject::String(std::string_view name, size_t min_length,
+                                       size_t max_length) const {
+  if (!this->Has(name)) return this->Bad(name, "is missing");
+  const std::optional<json::value> value = this->Value(name);
+  if (!value || !value->is_string()) return this->Bad(name, "expected a string");
+  std::string text(value->get_string());
+  if (text.size() < min_length || text.size() > max_length) {
+    return this->Bad(name, "expected " + std::to_string(min_length) + " to " +
+                               std::to_string(max_length) + " characters");
+  }
+  return text;
+}
+
+Result<uint64_t> JsonObject::Unsigned(std::string_view name, uint64_t min, uint64_t max) const {
+  if (!this->Has(name)) return this->Bad(name, "is missing");
+  const std::optional<json::value> value = this->Value(name);
+  boost::system::error_code error;
+  const bool integer = value && (value->is_int64() || value->is_uint64());
+  const uint64_t number = integer ? value->to_number<uint64_t>(error) : 0;
+  if (!integer || error || number < min || number > max) {
+    return this->Bad(
+        name, "expected a whole number from " + std::to_string(min) + " to " + std::to_string(max));
+  }
+  return number;
+}
+
+Result<double> JsonObject::Number(std::string_view name, double min, double max) const {
+  if (!this->Has(name)) return this->Bad(name, "is missing");
+  const std::optional<json::value> value = this->Value(name);
+  const double number = value && value->is_number() ? value->to_number<double>() : NAN;
+  if (!(number >= min && number <= max)) {
+    return this->Bad(
+        name, "expected a number from " + std::to_string(min) + " to " + std::to_string(max));
+  }
+  return number;
+}
+
+Result<bool> JsonObject::Bool(std::string_view name) const {
+  if (!this->Has(name)) return this->Bad(name, "is missing");
+  const std::optional<json::value> value = this->Value(name);
+  if (!value || !value->is_bool()) return this->Bad(name, "expected true or false");
+  return value->get_bool();
+}
+
+Result<std::vector<std::string>> JsonObject::Array(std::string_view name, size_t max_length) const {
+  const JsonMember* member = this->Find(name);
+  if (member == nullptr) return this->Bad(name, "is missing");
+  if (member->raw.front() != '[') return this->Bad(name, "expected an array");
+  std::vector<std::string> elements;
+  for (const std::string_view part : Cut(member->raw, ',')) elements.emplace_back(part);
+  if (elements.size() > max_length) {
+    return this->Bad(name, "expected at most " + std::to_string(max_length) + " elements");
+  }
+  return elements;
+}
+
+Result<std::vector<std::string>> JsonObject::Strings(std::string_view name, size_t max_count,
+                                                     size_t max_length) const {
+  const Result<std::vector<std::string>> elements = this->Array(name, max_count);
+  if (!elements) return elements;
+  std::vector<std::string> texts;
+  for (const std::string& raw : *elements) {
+    const std::optional<json::value> value = ParseValue(raw);
+    if (!value || !value->is_string() || value->get_string().size() > max_length) {
+      return this->Bad(name,
+                       "expected strings of at most " + std::to_string(max_length) + " characters");
+    }
+    texts.emplace_back(value->get_string());
+  }
+  return texts;
+}
+
+Result<void> JsonObject::RefuseUnknown(std::initializer_list<std::string_view> known) const {
+  for (const JsonMember& member : this->members) {
+    if (std::find(known.begin(), known.end(), member.name) == known.end()) {
+      return this->Bad(member.name, "unknown field");
+    }
+  }
+  return {};
+}
+
+JsonReader::JsonReader(std::string_view text, std::string_view what)
+    : object(JsonObject::Parse(text, what)) {}
+
+std::string JsonReader::Raw(std::string_view name) {
+  return this->object ? this->Take(this->object->Raw(name)) : std::string();
+}
+
+std::string JsonReader::String(std::string_view name, size_t min_length, size_t max_length) {
+  return this->object ? this->Take(this->object->String(name, min_length, max_length))
+                      : std::string();
+}
+
+uint64_t JsonReader::Unsigned(std::string_view name, uint64_t min, uint64_t max) {
+  return this->object ? this->Take(this->object->Unsigned(name, min, max)) : uint64_t();
+}
+
+double JsonReader::Number(std::string_view name, double min, double max) {
+  return this->object ? this->Take(this->object->Number(name, min, max)) : double();
+}
+
+bool JsonReader::Bool(std::string_view name) {
+  return this->object ? this->Take(this->object->Bool(name)) : bool();
+}
+
+std::vector<std::string> JsonReader::Array(std::string_view name, size_t max_length) {
+  return this->object ? this->Take(this->object->Array(name, max_length))
+                      : std::vector<std::string>();
+}
+
+std::vector<std::string> JsonReader::Strings(std::string_view name, size_t max_count,
+                                             size_t max_length) {
+  return this->object ? this->Take(this->object->Strings(name, max_count, max_length))
+                      : std::vector<std::string>();
+}
+
+void JsonReader::RefuseUnknown(std::initializer_list<std::string_view> known) {
+  if (!this->object) return;
+  const Result<void> checked = this->object->RefuseUnknown(known);
+  if (!checked) this->object = tl::unexpected<Error>(checked.error());
+}
+
+}  // namespace peridotgauge
--- a/json_text.h
+++ b/json_text.h
@@ -1,9 +1,11 @@
 // Helpers for JSON text that must be passed on unchanged.
 //
 // Use:
-//   Result<JsonObject> object = JsonObject::Parse(text, "search request");
-//   Result<std::string> service = object->String("service", 1, kMaxNameLength);
-//   object->RefuseUnknown({"service", "query"});
+//   JsonReader reader(text, "search request");
+//   reader.RefuseUnknown({"service", "query"});
+//   request.service = reader.String("service", 1, kMaxNameLength);
+//   request.query = reader.Raw("query");
+//   return reader.Finish(request);               // the request, or the first error
 //
 // Contract: texts are checked with Boost.JSON. Values of callers and targets are kept as they were
 // written, because a parsed number can lose digits (a price, an order number) when it is written
@@ -17,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "error.h"
@@ -43,6 +46,7 @@
   // messages, for example "search request".
   static Result<JsonObject> Parse(std::string_view text, std::string_view what);
 
+  const std::vector<JsonMember>& Members() const { return this->members; }
   bool Has(std::string_view name) const { return this->Find(name) != nullptr; }
   // Each is kBadRequest if the member is absent, has another type or is out of range.
   Result<std::string> Raw(std::string_view name) const;
@@ -52,6 +56,9 @@
   Result<bool> Bool(std::string_view name) const;
   // The elements of an array as text.
   Result<std::vector<std::string>> Array(std::string_view name, size_t max_length) const;
+  // The elements of an array of strings.
+  Result<std::vector<std::string>> Strings(std::string_view name, size_t max_count,
+                                           size_t max_length) const;
   // kBadRequest if there is a member that is not in the list.
   Result<void> RefuseUnknown(std::initializer_list<std::string_view> known) const;
 
@@ -65,6 +72,49 @@
   std::vector<JsonMember> members;
 };
 
+// Reads the members of an object one after another and keeps the first error, so that a parser
+// checks once, at its end. After an error every function returns an empty value.
+class JsonReader {
+ public:
+  JsonReader(std::string_view text, std::string_view what);
+
+  bool Has(std::string_view name) const { return this->object && this->object->Has(name); }
+  std::string Raw(std::string_view name);
+  std::string String(std::string_view name, size_t min_length, size_t max_length);
+  uint64_t Unsigned(std::string_view name, uint64_t min, uint64_t max);
+  double Number(std::string_view name, double min, double max);
+  bool Bool(std::string_view name);
+  std::vector<std::string> Array(std::string_view name, size_t max_length);
+  std::vector<std::string> Strings(std::string_view name, size_t max_count, size_t max_length);
+  void RefuseUnknown(std::initializer_list<std::string_view> known);
+  // Reads each element of an array of objects; `read` takes the element's text.
+  template <typename T, typename Read>
+  std::vector<T> Each(std::string_view name, size_t max_length, Read read) {
+    std::vector<T> values;
+    for (const std::string& raw : this->Array(name, max_length)) {
+      values.push_back(this->Take(read(raw)));
+    }
+    return values;
+  }
+  // Returns the value, or keeps the error and returns an empty value.
+  template <typename T>
+  T Take(Result<T> result) {
+    if (result) return std::move(*result);
+    if (this->object) this->object = tl::unexpected<Error>(std::move(result.error()));
+    return T();
+  }
+
+  // The value if there was no error.
+  template <typename T>
+  Result<T> Finish(T value) const {
+    if (!this->object) return tl::unexpected<Error>(this->object.error());
+    return value;
+  }
+
+ private:
+  Result<JsonObject> object;
+};
+
 }  // namespace peridotgauge
 
 #endif  // PERIDOTGAUGE_JSON_TEXT_H_
