--- /dev/null
+++ b/http_beast.cc
@@ -0,0 +1,77 @@
+// Copies of methods, targets, headers and bodies.
+#include "http_beast.h"
+
+#include <algorithm>
+#include <boost/beast/http.hpp>
+#include <string>
+#include <utility>
+
+namespace peridotgauge {
+namespace {
+
+namespace http = boost::beast::http;
+constexpr unsigned kHttp11 = 11;
+
+template <typename Fields>
+std::vector<HttpHeader> ToHeaders(const Fields& fields) {
+  std::vector<HttpHeader> headers;
+  for (const auto& field : fields) {
+    headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  return headers;
+}
+
+bool IsControl(char c) { return (static_cast<unsigned char>(c) < ' ' && c != '\t') || c == '\x7f'; }
+
+}  // namespace
+
+HttpRequest ToRequest(BeastRequest message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  const std::string target(message.target());
+  const size_t mark = target.find('?');
+  request.path = target.substr(0, mark);
+  if (mark != std::string::npos) request.query = target.substr(mark + 1);
+  request.headers = ToHeaders(message);
+  request.body = std::move(message.body());
+  return request;
+}
+
+HttpResponse ToResponse(BeastResponse message) {
+  HttpResponse response;
+  response.status = static_cast<int>(message.result_int());
+  response.headers = ToHeaders(message);
+  response.body = std::move(message.body());
+  return response;
+}
+
+BeastRequest ToMessage(HttpRequest request, const Address& address) {
+  BeastRequest message;
+  message.version(kHttp11);
+  message.method_string(request.method);
+  message.target(request.query.empty() ? request.path : request.path + "?" + request.query);
+  message.set(http::field::host, address);
+  for (const HttpHeader& header : request.headers) message.insert(header.name, header.value);
+  message.body() = std::move(request.body);
+  message.prepare_payload();
+  return message;
+}
+
+BeastResponse ToMessage(HttpResponse response, bool keep_alive, bool head_only) {
+  BeastResponse message;
+  message.version(kHttp11);
+  message.result(static_cast<unsigned>(response.status));
+  for (const HttpHeader& header : response.headers) message.insert(header.name, header.value);
+  message.keep_alive(keep_alive);
+  message.content_length(response.body.size());
+  if (!head_only) message.body() = std::move(response.body);
+  return message;
+}
+
+bool HasControlCharacter(const std::vector<HttpHeader>& headers) {
+  return std::any_of(headers.begin(), headers.end(), [](const HttpHeader& header) {
+    return std::any_of(header.value.begin(), header.value.end(), IsControl);
+  });
+}
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/http_beast.h
@@ -0,0 +1,31 @@
+// Conversion between the HTTP value types and Beast messages, for the server and the client.
+//
+// Use:
+//   HttpRequest request = ToRequest(parser.release());
+//   http::async_write(socket, message = ToMessage(request, address), ...);
+#ifndef PERIDOTGAUGE_HTTP_BEAST_H_
+#define PERIDOTGAUGE_HTTP_BEAST_H_
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "http_message.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+using BeastRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using BeastResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+HttpRequest ToRequest(BeastRequest message);
+HttpResponse ToResponse(BeastResponse message);
+// `address` becomes the Host header.
+BeastRequest ToMessage(HttpRequest request, const Address& address);
+// With `head_only` the body is left out, as the answer to a HEAD request requires.
+BeastResponse ToMessage(HttpResponse response, bool keep_alive, bool head_only);
+// True if a header has a control character: it could end its line early and add another header.
+bool HasControlCharacter(const std::vector<HttpHeader>& headers);
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_HTTP_BEAST_H_
--- a/http_client.cc
+++ b/http_client.cc
@@ -1,7 +1,6 @@
 // The connection pool: calls wait in order, idle connections are reused newest first.
 #include "http_client.h"
 
-#include <glog/logging.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -18,6 +17,8 @@
 #include <utility>
 #include <vector>
 
+#include "http_beast.h"
+
 namespace peridotgauge {
 namespace {
 
@@ -31,55 +32,18 @@
 constexpr Duration kReopenTime = Millis(200);
 constexpr size_t kDiscardBytes = 4'096;
 
-http::request<http::string_body> ToMessage(HttpRequest request, const Address& address) {
-  http::request<http::string_body> message;
-  message.version(11);
-  message.method_string(request.method);
-  const std::string target =
-      request.query.empty() ? request.path : request.path + "?" + request.query;
-  message.target(target);
-  message.set(http::field::host, address);
-  for (const HttpHeader& header : request.headers) message.insert(header.name, header.value);
-  message.body() = std::move(request.body);
-  message.prepare_payload();
-  return message;
-}
-
-HttpResponse ToResponse(http::response<http::string_body> message) {
-  HttpResponse response;
-  response.status = static_cast<int>(message.result_int());
-  for (const auto& field : message) {
-    response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-  }
-  response.body = std::move(message.body());
-  return response;
-}
-
 bool ClosedByPeer(const error_code& error) {
   return error == http::error::end_of_stream || error == http::error::partial_message ||
          error == asio::error::eof || error == asio::error::connection_reset ||
          error == asio::error::broken_pipe;
 }
 
-bool BadLimits(const HttpClientOptions& options) {
-  return options.connections == 0 || options.warm > options.connections;
-}
-
 HttpClientOptions Repair(HttpClientOptions options) {
-  if (!BadLimits(options)) return options;
   options.connections = std::max<size_t>(options.connections, 1);
   options.warm = std::min(options.warm, options.connections);
   return options;
 }
 
-// True if a header could end its line early and so change the request.
-bool HasControlCharacter(const HttpRequest& request) {
-  return std::any_of(request.headers.begin(), request.headers.end(), [](const HttpHeader& header) {
-    return std::any_of(header.value.begin(), header.value.end(),
-                       [](char c) { return static_cast<unsigned char>(c) < ' ' || c == '\x7f'; });
-  });
-}
-
 HttpFailure NotSent(std::string detail) {
   return {.error = {ErrorCode::kUnavailable, std::move(detail)}, .sent = false, .crashed = false};
 }
@@ -192,7 +156,7 @@
   bool written = false;  // the request was written without an error
   bool fresh = false;    // the running exchange is the reason for this connection
   ExchangePtr exchange;  // set exactly in kBusy
-  http::request<http::string_body> request;
+  BeastRequest request;
   beast::flat_buffer buffer;
   std::optional<http::response_parser<http::string_body>> parser;
   std::array<char, kDiscardBytes> discarded;
@@ -209,7 +173,7 @@
   exchange->timer.async_wait([self = this->shared_from_this(), exchange](const error_code& error) {
     if (!error && !self->closed) self->OnDeadline(exchange);
   });
-  if (HasControlCharacter(exchange->call.request)) {
+  if (HasControlCharacter(exchange->call.request.headers)) {
     asio::post(this->io, [self = this->shared_from_this(), exchange] {
       self->FailCall(exchange, "a request header has a control character");
     });
--- a/http_server.cc
+++ b/http_server.cc
@@ -17,6 +17,7 @@
 #include <utility>
 
 #include "caller_api.h"
+#include "http_beast.h"
 
 namespace peridotgauge {
 namespace {
@@ -52,20 +53,6 @@
   return {ErrorCode::kBadRequest, "malformed HTTP request: " + error.message()};
 }
 
-HttpRequest ToRequest(http::request<http::string_body> message) {
-  HttpRequest request;
-  request.method = std::string(message.method_string());
-  const std::string_view target(message.target().data(), message.target().size());
-  const size_t mark = target.find('?');
-  request.path = target.substr(0, mark);
-  if (mark != std::string_view::npos) request.query = target.substr(mark + 1);
-  for (const auto& field : message) {
-    request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-  }
-  request.body = std::move(message.body());
-  return request;
-}
-
 }  // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
@@ -157,7 +144,7 @@
   bool watching = false;  // a Watch() read is outstanding; then `buffer` is empty
   std::optional<Parser> parser;
   std::weak_ptr<HttpResponder::State> responder;  // of the running request
-  http::response<http::string_body> response;
+  BeastResponse response;
   std::array<char, kReadBytes> discarded;
   uint64_t requests = 0;
   bool keep_alive = false;
@@ -394,15 +381,7 @@
 void HttpServer::Connection::Write(HttpResponse response, bool keep_alive) {
   this->phase = Phase::kWriting;
   this->Arm(this->impl->limits.write_time);
-  this->response = {};
-  this->response.version(11);
-  this->response.result(static_cast<unsigned>(response.status));
-  for (const HttpHeader& header : response.headers) {
-    this->response.insert(header.name, header.value);
-  }
-  this->response.keep_alive(keep_alive);
-  this->response.content_length(response.body.size());
-  if (!this->head_only) this->response.body() = std::move(response.body);
+  this->response = ToMessage(std::move(response), keep_alive, this->head_only);
   http::async_write(this->socket, this->response,
                     [self = this->shared_from_this(), keep_alive](const error_code& error, size_t) {
                       if (self->phase == Phase::kWriting) self->OnWritten(error, keep_alive);
--- /dev/null
+++ b/testing/http_server_test.cc
@@ -0,0 +1,263 @@
+// Tests of the HTTP server: guards against input that ends the process or reaches the handler past
+// a limit, against lost answers at shutdown, and against disconnects that go unnoticed.
+#include "../http_server.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "raw_socket.h"
+
+namespace peridotgauge {
+namespace {
+
+constexpr std::string_view kGet = "GET /v1/status?revision=3 HTTP/1.1\r\nHost: a\r\n\r\n";
+
+std::string Post(std::string_view body) {
+  return "POST /v1/search HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + std::string(body);
+}
+
+// A server that keeps its responders until the test answers.
+struct Fixture {
+  explicit Fixture(HttpServerLimits limits = {}) {
+    auto listening = HttpServer::Listen(
+        this->io, "127.0.0.1:0",
+        [this](HttpRequest request, HttpResponder responder) {
+          this->requests.push_back(std::move(request));
+          if (this->automatic) {
+            responder.Send(TextResponse(200, "ok" + std::to_string(this->requests.size())));
+          } else {
+            this->responders.push_back(std::move(responder));
+          }
+        },
+        limits);
+    REQUIRE(listening);
+    this->server = std::move(*listening);
+  }
+  RawSocket Connect() { return RawSocket::Connect(this->server->Port()); }
+  bool Until(const std::function<bool()>& condition) { return RunUntil(this->io, condition); }
+
+  boost::asio::io_context io;
+  std::unique_ptr<HttpServer> server;
+  std::vector<HttpRequest> requests;
+  std::vector<HttpResponder> responders;
+  bool automatic = true;
+};
+
+TEST_CASE("http_server answers requests", "[http_server]") {
+  Fixture fixture;
+  RawSocket caller = fixture.Connect();
+  SECTION("on one kept connection, with path and query apart") {
+    caller.Send(kGet);
+    REQUIRE(fixture.Until([&] { return caller.Received("ok1"); }));
+    CHECK(fixture.requests[0].method == "GET");
+    CHECK(fixture.requests[0].path == "/v1/status");
+    CHECK(fixture.requests[0].Parameter("revision") == "3");
+    caller.Send(Post("{}"));
+    REQUIRE(fixture.Until([&] { return caller.Received("ok2"); }));
+    CHECK(fixture.requests[1].body == "{}");
+    CHECK_FALSE(caller.Closed());
+  }
+  SECTION("sent at once, in their order") {
+    caller.Send(std::string(kGet) + Post("{}") + std::string(kGet));
+    REQUIRE(fixture.Until([&] { return caller.Received("ok3"); }));
+    CHECK(caller.Text().find("ok1") < caller.Text().find("ok2"));
+  }
+  SECTION("asynchronously, and only with the first of two answers") {
+    fixture.automatic = false;
+    caller.Send(kGet);
+    REQUIRE(fixture.Until([&] { return fixture.responders.size() == 1; }));
+    const HttpResponder copy = fixture.responders[0];
+    fixture.responders[0].Send(TextResponse(200, "first"));
+    copy.Send(TextResponse(200, "second"));
+    REQUIRE(fixture.Until([&] { return caller.Received("first"); }));
+    fixture.automatic = true;
+    caller.Send(kGet);
+    REQUIRE(fixture.Until([&] { return caller.Received("ok2"); }));
+    CHECK_FALSE(caller.Received("second"));
+  }
+  SECTION("with an error when the handler drops the responder") {
+    fixture.automatic = false;
+    caller.Send(kGet);
+    REQUIRE(fixture.Until([&] { return fixture.responders.size() == 1; }));
+    fixture.responders.clear();
+    REQUIRE(fixture.Until([&] { return caller.Received("\"internal\""); }));
+    CHECK(caller.Received("500 Internal Server Error"));
+  }
+  SECTION("of HEAD without a body, so that the next answer is not misread") {
+    caller.Send("HEAD / HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(fixture.Until([&] { return caller.Received("Content-Length: 3"); }));
+    CHECK_FALSE(caller.Received("ok1"));
+  }
+  SECTION("that wait for 100 Continue before the body") {
+    caller.Send("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    REQUIRE(fixture.Until([&] { return caller.Received("100 Continue"); }));
+    caller.Send("{}");
+    REQUIRE(fixture.Until([&] { return caller.Received("ok1"); }));
+  }
+}
+
+TEST_CASE("http_server refuses what exceeds a limit", "[http_server]") {
+  HttpServerLimits limits;
+  limits.request_time = Millis(100);
+  limits.connections = 2;
+  Fixture fixture(limits);
+  RawSocket caller = fixture.Connect();
+  std::string status;
+  std::string error;
+  SECTION("a long body") {
+    caller.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1048577\r\n\r\n{");
+    status = "413 ";
+    error = "too_large";
+  }
+  SECTION("a long body without a length") {
+    caller.Send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::string chunk = "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+    for (int i = 0; i < 17; ++i) {
+      std::string_view rest = chunk;
+      REQUIRE(fixture.Until([&] { return (rest = caller.Send(rest)).empty() || caller.Closed(); }));
+    }
+    status = "413 ";
+    error = "too_large";
+  }
+  SECTION("a long head") {
+    caller.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(9'000, 'x') + "\r\n\r\n");
+    status = "413 ";
+    error = "too_large";
+  }
+  SECTION("an endless head") {
+    caller.Send("GET / HTTP/1.1\r\nX-Long: " + std::string(100'000, 'x'));
+    status = "413 ";
+    error = "too_large";
+  }
+  SECTION("no HTTP") {
+    caller.Send("hello\r\n\r\n");
+    status = "400 ";
+    error = "bad_request";
+  }
+  SECTION("an unfinished request whose caller stops sending") {
+    caller.Send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n{");
+    caller.CloseSending();
+    status = "400 ";
+    error = "bad_request";
+  }
+  SECTION("a slow sender") {
+    caller.Send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n{");
+    status = "400 ";
+    error = "bad_request";
+  }
+  SECTION("one connection too many") {
+    const RawSocket first = fixture.Connect();
+    caller.Send(kGet);
+    REQUIRE(fixture.Until([&] { return caller.Received("ok1"); }));
+    RawSocket refused = fixture.Connect();
+    REQUIRE(fixture.Until([&] { return refused.Received("\"overloaded\""); }));
+    refused.Close();
+    // A place that becomes free is given to the next caller.
+    caller.Close();
+    REQUIRE(fixture.Until([&] { return fixture.server->Status().connections == 1; }));
+    fixture.requests.clear();
+    caller = fixture.Connect();
+    caller.Send("hello\r\n\r\n");
+    status = "400 ";
+    error = "bad_request";
+  }
+  REQUIRE(fixture.Until([&] { return caller.Received("\"not_run\":true"); }));
+  CHECK(caller.Received("HTTP/1.1 " + status));
+  CHECK(caller.Received("\"error\":\"" + error + "\""));
+  CHECK(fixture.requests.empty());
+  REQUIRE(fixture.Until([&] { return caller.Closed(); }));
+}
+
+TEST_CASE("http_server survives any bytes", "[http_server]") {
+  HttpServerLimits limits;
+  limits.request_time = Millis(200);
+  Fixture fixture(limits);
+  CHECK(rc::check("and answers the next caller", [&] {
+    const auto prefix = *rc::gen::element<std::string>(
+        "", "GET / HTTP/1.1\r\n", "POST /v1/search HTTP/1.1\r\nContent-Length: ",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const auto garbage = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+    RawSocket bad = fixture.Connect();
+    bad.Send(prefix + garbage);
+    if (*rc::gen::arbitrary<bool>()) bad.Reset();
+    RawSocket good = fixture.Connect();
+    good.Send(kGet);
+    RC_ASSERT(fixture.Until([&] { return good.Received("200 OK"); }));
+  }));
+}
+
+TEST_CASE("http_server notices a disconnect while a request runs", "[http_server]") {
+  Fixture fixture;
+  fixture.automatic = false;
+  RawSocket caller = fixture.Connect();
+  caller.Send(kGet);
+  REQUIRE(fixture.Until([&] { return fixture.responders.size() == 1; }));
+  int disconnects = 0;
+  fixture.responders[0].OnDisconnect([&] { ++disconnects; });
+  CHECK(fixture.responders[0].Connected());
+  SECTION("by a close") { caller.Close(); }
+  SECTION("by a reset") { caller.Reset(); }
+  SECTION("but answers a caller that only stopped sending") {
+    caller.CloseSending();
+    REQUIRE(fixture.Until([&] { return disconnects == 1; }));
+    fixture.responders[0].Send(TextResponse(200, "late"));
+    REQUIRE(fixture.Until([&] { return caller.Received("late") && caller.Closed(); }));
+  }
+  REQUIRE(fixture.Until([&] { return disconnects == 1; }));
+  CHECK_FALSE(fixture.responders[0].Connected());
+  fixture.responders[0].Send(TextResponse(200, "late"));
+  REQUIRE(fixture.Until([&] { return fixture.server->Status().connections == 0; }));
+  CHECK(fixture.server->Status().running == 0);
+}
+
+TEST_CASE("http_server stops without cutting off a request", "[http_server]") {
+  Fixture fixture;
+  RawSocket idle = fixture.Connect();
+  idle.Send(kGet);
+  REQUIRE(fixture.Until([&] { return idle.Received("ok1"); }));
+  fixture.automatic = false;
+  RawSocket running = fixture.Connect();
+  running.Send(kGet);
+  RawSocket half = fixture.Connect();
+  half.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{");
+  REQUIRE(fixture.Until([&] { return fixture.responders.size() == 1; }));
+  // Connected and sent, but not accepted yet when the stop begins.
+  RawSocket unaccepted = fixture.Connect();
+  unaccepted.Send(kGet);
+
+  bool stopped = false;
+  fixture.server->Stop([&] { stopped = true; });
+  REQUIRE(fixture.Until([&] { return idle.Closed(); }));
+  REQUIRE(fixture.Until([&] { return fixture.responders.size() == 2; }));
+  half.Send("}");
+  REQUIRE(fixture.Until([&] { return fixture.responders.size() == 3; }));
+  CHECK_FALSE(stopped);
+  CHECK_THROWS(fixture.Connect());
+  for (const HttpResponder& responder : fixture.responders) {
+    responder.Send(TextResponse(200, "done"));
+  }
+  for (RawSocket* caller : {&running, &half, &unaccepted}) {
+    REQUIRE(fixture.Until([&] { return caller->Closed(); }));
+    CHECK(caller->Received("done"));
+    CHECK(caller->Received("Connection: close"));
+    caller->Close();
+  }
+  idle.Close();
+  REQUIRE(fixture.Until([&] { return stopped; }));
+}
+
+TEST_CASE("http_server reports an address that is taken", "[http_server]") {
+  Fixture fixture;
+  const auto second = HttpServer::Listen(
+      fixture.io, "127.0.0.1:" + std::to_string(fixture.server->Port()), [](auto, auto) {});
+  REQUIRE_FALSE(second);
+  CHECK(second.error().code == ErrorCode::kUnavailable);
+}
+
+}  // namespace
+}  // namespace peridotgauge
