--- a/order.cc
+++ b/order.cc
@@ -94,7 +94,7 @@
   return effects;
 }
 
-OrderEffects Order::OnClaimAnswer(Time now, Result<ClaimAnswer> answer, OrderLease lease,
+OrderEffects Order::OnClaimAnswer(Time now, Result<ClaimResult> answer, OrderLease lease,
                                   Candidates candidates) {
   OrderEffects effects;
   if (this->state != OrderState::kClaiming) return effects;
@@ -146,7 +146,7 @@
   effects.dispatch = OrderDispatch{.target = target};
 }
 
-void Order::OnReplay(ClaimAnswer answer, OrderEffects& effects) {
+void Order::OnReplay(ClaimResult answer, OrderEffects& effects) {
   OrderOutcome outcome;
   outcome.replayed = true;
   OrderState final_state = OrderState::kInDoubt;
--- a/order.h
+++ b/order.h
@@ -120,7 +120,7 @@
 
   OrderEffects Start(Time now, OrderLease lease);
   // `candidates` are the serving targets of the service at present.
-  OrderEffects OnClaimAnswer(Time now, Result<ClaimAnswer> answer, OrderLease lease,
+  OrderEffects OnClaimAnswer(Time now, Result<ClaimResult> answer, OrderLease lease,
                              Candidates candidates);
   OrderEffects OnDispatchReply(Time now, DispatchReply reply);
   OrderEffects OnRecordAnswer(Time now, const Result<void>& answer);
@@ -134,7 +134,7 @@
  private:
   void OnGranted(Time now, OrderLease lease, Candidates candidates, OrderEffects& effects);
   void OnClaimError(Error error, OrderEffects& effects);
-  void OnReplay(ClaimAnswer answer, OrderEffects& effects);
+  void OnReplay(ClaimResult answer, OrderEffects& effects);
   void ReleaseUnknownClaim(OrderEffects& effects);
   void Record(Outcome outcome, OrderOutcome answer, OrderEffects& effects);
   void RecordNotRun(Error error, OrderEffects& effects);
