--- /dev/null
+++ b/daemon.cc
@@ -0,0 +1,268 @@
+// One daemon process.
+#include "daemon.h"
+
+#include <glog/logging.h>
+#include <unistd.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <optional>
+#include <random>
+#include <utility>
+
+#include "caller_api.h"
+#include "control_client.h"
+#include "control_state.h"
+#include "controller.h"
+#include "http_server.h"
+#include "metrics.h"
+#include "operator_http.h"
+#include "peer.h"
+#include "peer_pool.h"
+#include "replica.h"
+#include "replicated_log.h"
+#include "router.h"
+#include "tracer.h"
+
+namespace peridotgauge {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kFlushInterval = Millis(200);
+constexpr Duration kTransferTime = Seconds(3);
+// Requests that run at the end of a shutdown may take as long as the longest deadline; a process
+// that is asked a second time to stop does so at once.
+constexpr Duration kCloseTime = Seconds(30);
+
+uint64_t RandomSeed() {
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 32U) | device();
+}
+
+}  // namespace
+
+class Daemon::Impl : public std::enable_shared_from_this<Daemon::Impl> {
+ public:
+  Impl(asio::io_context& io, Settings settings)
+      : io(io),
+        settings(std::move(settings)),
+        tracer(this->settings.id, this->settings.span_file, RandomSeed()),
+        peers(io),
+        self{.id = this->settings.id,
+             // Wall-clock time grows with every start, which is all that an incarnation must do.
+             .incarnation = static_cast<uint64_t>(UnixNanos()),
+             .data_centre = this->settings.data_centre,
+             .http_address = this->settings.http_address,
+             .peer_address = this->settings.peer_address},
+        control(io, {.self = this->self, .controllers = this->settings.controllers}),
+        operators(this->control),
+        flush_timer(io),
+        close_timer(io) {}
+
+  Result<void> Open() {
+    if (this->settings.controller) {
+      if (Result<void> opened = this->OpenController(); !opened) return opened;
+    }
+    if (Result<void> listening = this->Listen(); !listening) return listening;
+    if (this->settings.router) {
+      this->router = std::make_unique<Router>(this->io, this->settings, this->self, this->control,
+                                              this->peers, this->metrics, this->tracer);
+      this->router->Start();
+    }
+    this->FlushSpans();
+    LOG(INFO) << "daemon: " << this->settings.id << " serves " << this->settings.http_address
+              << " and " << this->settings.peer_address << ", process " << getpid();
+    return {};
+  }
+
+  void Shutdown() {
+    if (this->stopping) {
+      LOG(WARNING) << "daemon: stopping at once";
+      return this->io.stop();
+    }
+    this->stopping = true;
+    if (!this->router) return this->CloseHttp();
+    this->router->Drain([self = this->shared_from_this()] { self->CloseHttp(); });
+    this->http->Drain();
+  }
+
+ private:
+  Result<void> OpenController() {
+    ReplicaOptions options{.id = this->settings.id,
+                           .controllers = this->settings.controllers,
+                           .data_folder = this->settings.data_folder};
+    auto opened = Replica::Open(this->io, std::move(options), this->state);
+    if (!opened) return tl::unexpected(opened.error());
+    this->replica = std::move(*opened);
+    this->log = LogOf(*this->replica);
+    this->controller = std::make_unique<Controller>(
+        this->io,
+        ControllerOptions{.id = this->settings.id, .controllers = this->settings.controllers},
+        *this->log, this->state);
+    this->replica->OnLeadership([this](bool) { this->controller->CheckLeadership(); });
+    return {};
+  }
+
+  Result<void> Listen() {
+    try {
+      this->peer_server = std::make_unique<PeerServer>(
+          this->io, this->settings.peer_address,
+          [weak = this->weak_from_this()](wire::BodyUnion body, const PeerRequest& request) {
+            if (auto self = weak.lock()) self->OnPeerRequest(std::move(body), request);
+          });
+    } catch (const boost::system::system_error& error) {
+      return Fail(ErrorCode::kInvalidSettings, "peer_address " + this->settings.peer_address +
+                                                   " cannot be used: " + error.what());
+    }
+    auto server = HttpServer::Listen(
+        this->io, this->settings.http_address,
+        [weak = this->weak_from_this()](HttpRequest request, HttpResponder responder) {
+          if (auto self = weak.lock()) self->OnHttp(std::move(request), std::move(responder));
+        });
+    if (!server) return tl::unexpected(server.error());
+    this->http = std::move(*server);
+    return {};
+  }
+
+  void OnPeerRequest(wire::BodyUnion body, const PeerRequest& request) {
+    switch (body.type) {
+      case wire::Body::RaftEnvelope:
+        if (this->replica) this->replica->Receive(*body.AsRaftEnvelope());
+        return;
+      case wire::Body::SubRequest:
+      case wire::Body::Release:
+        if (this->router) this->router->HandlePeer(std::move(body), request);
+        return;
+      default:
+        if (this->controller) this->controller->Handle(std::move(body), request);
+    }
+  }
+
+  void OnHttp(HttpRequest request, HttpResponder responder) {
+    if (this->router && this->router->Handles(request)) {
+      return this->router->Handle(std::move(request), std::move(responder));
+    }
+    if (this->operators.Handles(request)) {
+      return this->operators.Handle(request, std::move(responder));
+    }
+    if (request.method == "GET" && request.path == "/metrics") {
+      return responder.Send(TextResponse(200, this->MetricsText()));
+    }
+    if (request.method == "GET" && request.path == "/healthz") {
+      return responder.Send(JsonResponse(200, this->HealthJson()));
+    }
+    responder.Send(ErrorResponse(
+        {ErrorCode::kNotFound, "no such path: " + request.method + " " + request.path}, ""));
+  }
+
+  std::string MetricsText() {
+    const HttpServerStatus status = this->http->Status();
+    this->metrics.GaugeOf("peridotgauge_http_connections").Set(static_cast<double>(status.connections));
+    this->metrics.GaugeOf("peridotgauge_http_running").Set(static_cast<double>(status.running));
+    this->metrics.GaugeOf("peridotgauge_http_refused_requests")
+        .Set(static_cast<double>(status.refused_requests));
+    this->metrics.GaugeOf("peridotgauge_spans_dropped").Set(static_cast<double>(this->tracer.Dropped()));
+    this->metrics.GaugeOf("peridotgauge_config_revision")
+        .Set(static_cast<double>(this->control.CurrentConfig()->Revision()));
+    return this->metrics.Text();
+  }
+
+  std::string HealthJson() const {
+    boost::json::object json{{"id", this->settings.id},
+                             {"data_centre", this->settings.data_centre},
+                             {"stopping", this->stopping}};
+    if (this->router) {
+      json["router"] = {{"synchronized", this->router->Synchronized(SteadyNow())},
+                        {"revision", this->control.CurrentConfig()->Revision()}};
+    }
+    if (this->replica) {
+      const ReplicaStatus status = this->replica->Status();
+      json["controller"] = {{"role", status.role},
+                            {"leader", status.leader},
+                            {"term", status.term},
+                            {"commit_index", status.commit_index},
+                            {"log_entries", status.log_entries},
+                            {"log_bytes", status.log_bytes},
+                            {"storage_error", status.storage_error}};
+    }
+    return boost::json::serialize(json);
+  }
+
+  void FlushSpans() {
+    if (Result<void> flushed = this->tracer.Flush(); !flushed) {
+      LOG_EVERY_N(WARNING, 100) << "daemon: " << flushed.error().ToString();
+    }
+    this->flush_timer.expires_after(kFlushInterval);
+    this->flush_timer.async_wait([weak = this->weak_from_this()](boost::system::error_code error) {
+      auto self = weak.lock();
+      if (!error && self) self->FlushSpans();
+    });
+  }
+
+  // --- Shutdown, after the router has drained ---
+
+  void CloseHttp() {
+    this->close_timer.expires_after(kCloseTime);
+    this->close_timer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+      if (error) return;
+      LOG(WARNING) << "daemon: some connections did not finish; closing them";
+      self->TransferLeadership();
+    });
+    this->http->Stop([self = this->shared_from_this()] {
+      self->close_timer.cancel();
+      self->TransferLeadership();
+    });
+  }
+
+  void TransferLeadership() {
+    if (std::exchange(this->transferring, true)) return;
+    if (!this->replica) return this->Finish();
+    this->replica->TransferLeadership(SteadyNow() + kTransferTime,
+                                      [self = this->shared_from_this()] { self->Finish(); });
+  }
+
+  void Finish() {
+    if (this->controller) this->controller->Stop();
+    this->control.Stop();
+    while (this->tracer.Flush()) {
+      if (!this->tracer.HasBuffered()) break;
+    }
+    LOG(INFO) << "daemon: stopped";
+    this->io.stop();
+  }
+
+  asio::io_context& io;
+  Settings settings;
+  Metrics metrics;
+  Tracer tracer;
+  PeerPool peers;
+  RouterRecord self;
+  ControlClient control;
+  OperatorHttp operators;
+  // Controller role; all set or none. `state` outlives the replica that drives it.
+  ControlState state;
+  std::unique_ptr<Replica> replica;
+  std::unique_ptr<ReplicatedLog> log;
+  std::unique_ptr<Controller> controller;
+  std::unique_ptr<Router> router;
+  std::unique_ptr<PeerServer> peer_server;
+  std::unique_ptr<HttpServer> http;
+  asio::steady_timer flush_timer;
+  asio::steady_timer close_timer;
+  bool stopping = false;
+  bool transferring = false;
+};
+
+Daemon::Daemon(std::shared_ptr<Impl> impl) : impl(std::move(impl)) {}
+Daemon::~Daemon() = default;
+
+Result<std::unique_ptr<Daemon>> Daemon::Start(asio::io_context& io, Settings settings) {
+  auto impl = std::make_shared<Impl>(io, std::move(settings));
+  if (Result<void> opened = impl->Open(); !opened) return tl::unexpected(opened.error());
+  return std::unique_ptr<Daemon>(new Daemon(std::move(impl)));
+}
+
+void Daemon::Shutdown() { this->impl->Shutdown(); }
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/daemon.h
@@ -0,0 +1,39 @@
+// One daemon process: its listeners, its roles, and its orderly shutdown.
+//
+// Use:
+//   auto daemon = Daemon::Start(io, settings);
+//   if (!daemon) Report(daemon.error());       // an address is taken, or the data folder is bad
+//   io.run();                                  // returns after Shutdown() has finished
+//
+// Contract: runs on the thread of the io_context. The settings have been checked.
+#ifndef PERIDOTGAUGE_DAEMON_H_
+#define PERIDOTGAUGE_DAEMON_H_
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+#include "error.h"
+#include "settings.h"
+
+namespace peridotgauge {
+
+class Daemon {
+ public:
+  static Result<std::unique_ptr<Daemon>> Start(boost::asio::io_context& io, Settings settings);
+  ~Daemon();
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  // Drains the router, hands over leadership, closes the listeners and stops the io_context. A
+  // second call stops at once.
+  void Shutdown();
+
+ private:
+  class Impl;
+  explicit Daemon(std::shared_ptr<Impl> impl);
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_DAEMON_H_
--- /dev/null
+++ b/owner.h
@@ -0,0 +1,73 @@
+// The owner's part of a router: executes sub-requests on the targets that this router owns.
+//
+// Use:
+//   Owner owner({io, settings, control, peers, tracer, metrics}, identity);
+//   uint64_t job = owner.Run(now, std::move(request), deadline, [](wire::SubReplyT reply) { ... });
+//   owner.Cancel(now, job);
+//   owner.OnControlChange(now, change);
+//
+// Contract: runs on the thread of the io_context. The callback is called exactly once unless the
+// job was cancelled, and never from inside Run(). A sub-request is sent only while this router
+// owns the target, no earlier owner can still dispatch to it, and the configuration lease is valid;
+// otherwise the reply is kNoTarget, which proves that nothing was sent. Requests in flight at a
+// target never exceed its slots; connections never exceed its connection limit.
+#ifndef PERIDOTGAUGE_OWNER_H_
+#define PERIDOTGAUGE_OWNER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "control_client.h"
+#include "metrics.h"
+#include "ownership.h"
+#include "peer_generated.h"
+#include "peer_pool.h"
+#include "settings.h"
+#include "tracer.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+// What an owner uses; all of it outlives the owner.
+struct OwnerContext {
+  boost::asio::io_context& io;
+  const Settings& settings;
+  ControlClient& control;
+  PeerPool& peers;
+  Tracer& tracer;
+  Metrics& metrics;
+};
+
+class Owner {
+ public:
+  using Callback = std::function<void(wire::SubReplyT)>;
+
+  Owner(OwnerContext context, RouterIdentity self);
+  ~Owner();
+  Owner(const Owner&) = delete;
+  Owner& operator=(const Owner&) = delete;
+
+  uint64_t Run(Time now, wire::SubRequestT request, Time deadline, Callback done);
+  // Withdraws a job; its connection to the target is closed if it was sent.
+  void Cancel(Time now, uint64_t job);
+
+  // Follows changes of the router list, the directory, the configuration and the lease.
+  void OnControlChange(Time now, const ControlChange& change);
+  void OnRelease(Time now, const wire::ReleaseT& release);
+
+  // The router that owns the target at present, or nullptr.
+  const RouterRecord* OwnerOf(std::string_view target) const;
+  // True if there are no jobs.
+  bool Idle() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_OWNER_H_
--- /dev/null
+++ b/peer_pool.h
@@ -0,0 +1,48 @@
+// The connections of one process to others, one for each address.
+//
+// Contract: runs on the thread of the io_context. The number of connections is bounded by the
+// number of routers; Keep() closes those that are no longer needed.
+#ifndef PERIDOTGAUGE_PEER_POOL_H_
+#define PERIDOTGAUGE_PEER_POOL_H_
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "peer.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+class PeerPool {
+ public:
+  explicit PeerPool(boost::asio::io_context& io) : io(io) {}
+
+  // Returns the client for the address, which connects on its first use.
+  PeerClient& ClientFor(const Address& address) {
+    std::unique_ptr<PeerClient>& client = this->clients[address];
+    if (!client) client = std::make_unique<PeerClient>(this->io, address);
+    return *client;
+  }
+
+  // Closes the connections to all other addresses; their calls fail.
+  void Keep(const std::set<Address>& addresses) {
+    for (auto client = this->clients.begin(); client != this->clients.end();) {
+      if (addresses.contains(client->first)) {
+        ++client;
+        continue;
+      }
+      client->second->Close();
+      client = this->clients.erase(client);
+    }
+  }
+
+ private:
+  boost::asio::io_context& io;
+  std::map<Address, std::unique_ptr<PeerClient>> clients;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_PEER_POOL_H_
--- /dev/null
+++ b/peridotgauged.cc
@@ -0,0 +1,84 @@
+// The daemon's main function: reads the settings, starts the roles, stops on SIGTERM or SIGINT.
+//
+// Exit status: 0 after an orderly shutdown, 1 if the daemon could not start or failed, 2 if the
+// settings are refused.
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+#include "daemon.h"
+#include "replica_choice.h"
+#include "settings.h"
+
+DEFINE_string(settings, "", "JSON file with the settings of this process");
+DEFINE_bool(check_settings, false, "check the settings, print the result and exit");
+
+namespace peridotgauge {
+namespace {
+
+Result<Settings> ReadSettings(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return Fail(ErrorCode::kInvalidSettings, path + ": the file cannot be read (see --settings)");
+  }
+  const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  Result<Settings> settings = Settings::Parse(text, path);
+  if (!settings) return settings;
+  if (auto choice = ReplicaChoice::Make(settings->replica_choice, {}); !choice) {
+    return Fail(ErrorCode::kInvalidSettings,
+                path + ": replica_choice: " + choice.error().detail);
+  }
+  if (!settings->controller) return settings;
+  if (Result<void> usable = CheckDataFolder(settings->data_folder); !usable) {
+    return Fail(ErrorCode::kInvalidSettings, path + ": data_folder: " + usable.error().detail);
+  }
+  return settings;
+}
+
+// Runs until the daemon has shut down. Returns the exit status.
+int Run(Settings settings) {
+  boost::asio::io_context io(1);
+  Result<std::unique_ptr<Daemon>> daemon = Daemon::Start(io, std::move(settings));
+  if (!daemon) {
+    LOG(ERROR) << "daemon: cannot start: " << daemon.error().ToString();
+    return 1;
+  }
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  std::function<void(boost::system::error_code, int)> on_signal =
+      [&](boost::system::error_code error, int) {
+        if (error) return;
+        (*daemon)->Shutdown();
+        signals.async_wait(on_signal);
+      };
+  signals.async_wait(on_signal);
+  io.run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace peridotgauge
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "--settings=FILE [--check_settings]\n"
+      "The peridotgauge daemon. Exit status: 0 stopped in order, 1 failed, 2 bad settings.");
+  FLAGS_logtostderr = true;
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  google::InitGoogleLogging(argv[0]);
+  auto settings = peridotgauge::ReadSettings(FLAGS_settings);
+  if (!settings) {
+    std::cerr << settings.error().ToString() << "\n";
+    return 2;
+  }
+  if (FLAGS_check_settings) {
+    std::cout << FLAGS_settings << ": settings are valid\n";
+    return 0;
+  }
+  return peridotgauge::Run(std::move(*settings));
+}
--- /dev/null
+++ b/router.cc
@@ -0,0 +1,342 @@
+// The router role.
+#include "router.h"
+
+#include <glog/logging.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <random>
+#include <set>
+#include <utility>
+
+#include "admission.h"
+#include "caller_api.h"
+#include "hedge.h"
+#include "order_runner.h"
+#include "owner.h"
+#include "plan.h"
+#include "quarantine.h"
+#include "registration.h"
+#include "replica_choice.h"
+#include "request_context.h"
+#include "search_runner.h"
+#include "sub_request_sender.h"
+
+namespace peridotgauge {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kHousekeepingInterval = Millis(50);
+// The leader's answer to a Leave; afterwards the session expires by itself.
+constexpr Duration kLeaveTime = Seconds(3);
+
+uint64_t RandomSeed() {
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 32U) | device();
+}
+
+// The settings were checked when they were read, so an unknown strategy cannot come here.
+std::unique_ptr<ReplicaChoice> MakeReplicaChoice(const Settings& settings) {
+  auto choice = ReplicaChoice::Make(settings.replica_choice,
+                                    {.seed = RandomSeed(), .ejection = settings.ejection});
+  LOG_IF(FATAL, !choice) << "router: " << choice.error().ToString();
+  return std::move(*choice);
+}
+
+std::string RandomRequestId(std::mt19937_64& random) {
+  return ToHex(TraceId{random(), random()});
+}
+
+}  // namespace
+
+class Router::Impl : public std::enable_shared_from_this<Router::Impl> {
+ public:
+  Impl(asio::io_context& io, const Settings& settings, const RouterRecord& self,
+       ControlClient& control, PeerPool& peers, Metrics& metrics, Tracer& tracer)
+      : io(io),
+        self(self),
+        control(control),
+        peers(peers),
+        metrics(metrics),
+        replicas(MakeReplicaChoice(settings)),
+        admission(settings.admission),
+        owner({io, settings, control, peers, tracer, metrics}, {self.id, self.incarnation}),
+        sender(self.id, this->owner, peers, *this->replicas, this->hedges),
+        registrations(self.id),
+        context{io,
+                settings,
+                control,
+                this->planner,
+                *this->replicas,
+                this->hedges,
+                this->admission,
+                this->quarantine,
+                this->sender,
+                tracer,
+                metrics},
+        orders{self.id, self.incarnation},
+        timer(io),
+        random(RandomSeed()) {}
+
+  void Start() {
+    this->control.OnChange([weak = this->weak_from_this()](const ControlChange& change) {
+      if (auto router = weak.lock()) router->OnControlChange(change);
+    });
+    this->control.Start();
+    this->Housekeeping();
+  }
+
+  static const auto& Routes() {
+    struct Route {
+      std::string_view method;
+      std::string_view path;
+      void (Impl::*handle)(HttpRequest, HttpResponder);
+    };
+    static const Route kRoutes[] = {{"GET", "/v1/routers", &Impl::ListRouters},
+                                    {"POST", "/v1/search", &Impl::Search},
+                                    {"POST", "/v1/order", &Impl::Order},
+                                    {"POST", "/v1/targets", &Impl::Register}};
+    return kRoutes;
+  }
+
+  bool Handles(const HttpRequest& request) const {
+    for (const auto& route : Routes()) {
+      if (route.path == request.path && route.method == request.method) return true;
+    }
+    return false;
+  }
+
+  void Handle(HttpRequest request, HttpResponder responder) {
+    for (const auto& route : Routes()) {
+      if (route.path != request.path || route.method != request.method) continue;
+      return (this->*route.handle)(std::move(request), std::move(responder));
+    }
+    responder.Send(ErrorResponse({ErrorCode::kNotFound, "no such path"}, ""));
+  }
+
+  void HandlePeer(wire::BodyUnion body, const PeerRequest& request) {
+    const Time now = SteadyNow();
+    if (const wire::ReleaseT* release = body.AsRelease()) return this->owner.OnRelease(now, *release);
+    wire::SubRequestT* sub = body.AsSubRequest();
+    if (sub == nullptr) return;
+    const Time deadline = now + Duration(sub->budget_us);
+    const uint64_t job = this->owner.Run(now, std::move(*sub), deadline,
+                                         [request](wire::SubReplyT reply) {
+                                           request.Reply(ToBody(std::move(reply)));
+                                         });
+    request.OnCancel([weak = this->weak_from_this(), job] {
+      if (auto router = weak.lock()) router->owner.Cancel(SteadyNow(), job);
+    });
+  }
+
+  void Drain(std::function<void()> done) {
+    LOG(INFO) << "router: leaving the address list";
+    this->on_drained = std::move(done);
+    wire::LeaveT leave;
+    leave.id = this->self.id;
+    leave.incarnation = this->self.incarnation;
+    this->control.Command(ToCommand(std::move(leave)), SteadyNow() + kLeaveTime,
+                          [](const Result<wire::CommandReplyT>&) {});
+    this->refuse_at = SteadyNow() + kDrainTime;
+  }
+
+  bool Synchronized(Time now) const { return this->control.Synchronized(now); }
+
+ private:
+  // --- Callers ---
+
+  bool Refusing(Time now) const { return this->refuse_at && now >= *this->refuse_at; }
+
+  // Answers with the reason if this router takes no requests now.
+  bool RefuseUnlessServing(Time now, const HttpResponder& responder, std::string_view id) const {
+    if (this->Refusing(now)) {
+      responder.Send(ErrorResponse({ErrorCode::kDraining, ""}, id));
+      return true;
+    }
+    if (this->control.Synchronized(now)) return false;
+    responder.Send(ErrorResponse({ErrorCode::kNotSynchronized, ""}, id));
+    return true;
+  }
+
+  void ListRouters(HttpRequest, HttpResponder responder) {
+    if (this->RefuseUnlessServing(SteadyNow(), responder, "")) return;
+    RouterList list{.ttl = kRouterListTtl};
+    for (const auto& [id, router] : this->control.Routers()) {
+      if (!router.draining) list.routers.push_back({router.http_address, router.data_centre});
+    }
+    responder.Send(JsonResponse(200, FormatRouterList(list)));
+  }
+
+  void Search(HttpRequest http, HttpResponder responder) {
+    Result<SearchRequest> request = ParseSearchRequest(http.body);
+    if (!request) return responder.Send(ErrorResponse(request.error(), ""));
+    if (request->request_id.empty()) request->request_id = RandomRequestId(this->random);
+    const Time now = SteadyNow();
+    if (this->RefuseUnlessServing(now, responder, request->request_id)) return;
+    const std::string id = request->request_id;
+    ++this->running_searches;
+    // Also counts a search that is refused at once or aborted: the last copy of `running` decides.
+    std::shared_ptr<void> running(nullptr, [weak = this->weak_from_this()](void*) {
+      if (auto router = weak.lock()) --router->running_searches;
+    });
+    auto run = SearchRun::Start(this->context, std::move(*request),
+                                ParseTraceparent(http.Header("traceparent")), now,
+                                [responder, id, running](Result<SearchAnswer> answer) {
+                                  if (!answer) {
+                                    return responder.Send(ErrorResponse(answer.error(), id));
+                                  }
+                                  responder.Send(JsonResponse(200, FormatSearchAnswer(*answer)));
+                                });
+    if (!run) return;
+    responder.OnDisconnect([weak = std::weak_ptr<SearchRun>(run)] {
+      if (auto search = weak.lock()) search->Abort();
+    });
+  }
+
+  void Order(HttpRequest http, HttpResponder responder) {
+    Result<OrderRequest> request = ParseOrderRequest(http.body);
+    if (!request) return responder.Send(ErrorResponse(request.error(), ""));
+    const Time now = SteadyNow();
+    const std::string id = request->request_id;
+    if (this->RefuseUnlessServing(now, responder, id)) return;
+    StartOrder(this->context, this->orders, std::move(*request),
+               ParseTraceparent(http.Header("traceparent")), now, [responder, id](OrderReply reply) {
+                 if (!reply.answer) {
+                   return responder.Send(ErrorResponse(reply.answer.error(), id, reply.not_run));
+                 }
+                 responder.Send(JsonResponse(200, FormatOrderAnswer(*reply.answer)));
+               });
+  }
+
+  // --- Targets ---
+
+  void Register(HttpRequest http, HttpResponder responder) {
+    Result<RegistrationRequest> request = ParseRegistrationRequest(http.body);
+    if (!request) return responder.Send(ErrorResponse(request.error(), ""));
+    const Time now = SteadyNow();
+    if (this->RefuseUnlessServing(now, responder, "")) return;
+    const auto change = this->registrations.Register(now, request->record);
+    if (!change) return responder.Send(ErrorResponse(change.error(), ""));
+    if (*change != RegistrationChange::kStale) this->control.Register(request->record);
+    RegistrationAnswer answer{.lease = kRegistrationLease};
+    for (const auto& [id, router] : this->control.Routers()) {
+      if (!router.draining) answer.routers.push_back(router.http_address);
+    }
+    responder.Send(JsonResponse(200, FormatRegistrationAnswer(answer)));
+  }
+
+  // --- Control plane ---
+
+  void OnControlChange(const ControlChange& change) {
+    const Time now = SteadyNow();
+    if (change.lease) ++this->orders.lease_generation;
+    if (change.config) this->OnConfig();
+    if (change.directory) this->OnDirectory();
+    if (change.routers) this->OnRouters();
+    this->owner.OnControlChange(now, change);
+  }
+
+  void OnConfig() {
+    const auto config = this->control.CurrentConfig();
+    this->planner.SetConfig(config);
+    this->hedges.SetConfig(*config);
+    LOG(INFO) << "router: configuration " << config->Revision() << " is in force here";
+  }
+
+  // Takes the differences between the directory and the records known here.
+  void OnDirectory() {
+    const auto& targets = this->control.Directory().Targets();
+    for (const auto& [name, record] : targets) {
+      auto known = this->known.find(name);
+      if (known != this->known.end() && known->second == record) continue;
+      this->known[name] = record;
+      this->planner.Upsert(record);
+      this->registrations.Observe(record);
+    }
+    std::erase_if(this->known, [&](const auto& entry) {
+      if (targets.contains(entry.first)) return false;
+      this->planner.Remove(entry.first);
+      this->replicas->Remove(entry.first);
+      return true;
+    });
+  }
+
+  void OnRouters() {
+    std::set<Address> addresses;
+    for (const auto& [id, router] : this->control.Routers()) addresses.insert(router.peer_address);
+    this->peers.Keep(addresses);
+  }
+
+  // --- Timer ---
+
+  void Housekeeping() {
+    const Time now = SteadyNow();
+    for (TargetRecord& gone : this->registrations.Expire(now)) this->control.Register(std::move(gone));
+    this->quarantine.SetCommitted(this->control.QuarantineList());
+    this->ContinueDrain(now);
+    this->timer.expires_after(kHousekeepingInterval);
+    this->timer.async_wait([weak = this->weak_from_this()](boost::system::error_code error) {
+      auto router = weak.lock();
+      if (!error && router) router->Housekeeping();
+    });
+  }
+
+  // Goes on with the shutdown once everything that ran has ended.
+  void ContinueDrain(Time now) {
+    if (!this->Refusing(now) || this->leaving) return;
+    if (this->running_searches > 0 || this->orders.running > 0 || !this->owner.Idle()) return;
+    this->leaving = true;
+    this->control.StopSync();
+    wire::LeaveT leave;
+    leave.id = this->self.id;
+    leave.incarnation = this->self.incarnation;
+    leave.clean = true;
+    this->control.Command(ToCommand(std::move(leave)), now + kLeaveTime,
+                          [weak = this->weak_from_this()](const Result<wire::CommandReplyT>&) {
+                            auto router = weak.lock();
+                            if (!router || !router->on_drained) return;
+                            LOG(INFO) << "router: drained";
+                            std::exchange(router->on_drained, nullptr)();
+                          });
+  }
+
+  asio::io_context& io;
+  RouterRecord self;
+  ControlClient& control;
+  PeerPool& peers;
+  Metrics& metrics;
+  Planner planner;
+  std::unique_ptr<ReplicaChoice> replicas;
+  HedgeBudget hedges;
+  Admission admission;
+  Quarantine quarantine;
+  Owner owner;
+  SubRequestSender sender;
+  Registrations registrations;
+  RequestContext context;
+  OrderIdentity orders;
+  asio::steady_timer timer;
+  std::mt19937_64 random;
+  std::map<std::string, TargetRecord> known;  // the directory as the planner knows it
+  uint32_t running_searches = 0;
+  std::optional<Time> refuse_at;  // set by Drain()
+  bool leaving = false;
+  std::function<void()> on_drained;
+};
+
+Router::Router(asio::io_context& io, const Settings& settings, const RouterRecord& self,
+               ControlClient& control, PeerPool& peers, Metrics& metrics, Tracer& tracer)
+    : impl(std::make_shared<Impl>(io, settings, self, control, peers, metrics, tracer)) {}
+Router::~Router() = default;
+void Router::Start() { this->impl->Start(); }
+bool Router::Handles(const HttpRequest& request) const { return this->impl->Handles(request); }
+void Router::Handle(HttpRequest request, HttpResponder responder) {
+  this->impl->Handle(std::move(request), std::move(responder));
+}
+void Router::HandlePeer(wire::BodyUnion body, const PeerRequest& request) {
+  this->impl->HandlePeer(std::move(body), request);
+}
+void Router::Drain(std::function<void()> done) { this->impl->Drain(std::move(done)); }
+bool Router::Synchronized(Time now) const { return this->impl->Synchronized(now); }
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/router.h
@@ -0,0 +1,65 @@
+// The router role: answers callers and targets, and owns targets for other routers.
+//
+// Use:
+//   Router router(io, settings, control, peers, metrics, tracer);
+//   router.Start();
+//   if (router.Handles(http_request)) router.Handle(std::move(http_request), responder);
+//   router.HandlePeer(std::move(body), peer_request);        // SubRequest, Release
+//   router.Drain([] { ... });                                // graceful shutdown
+//
+// Contract: runs on the thread of the io_context. `control` is started and stopped by the router.
+// Every HTTP request gets one answer. While the configuration lease is not valid, everything is
+// refused with kNotSynchronized.
+#ifndef PERIDOTGAUGE_ROUTER_H_
+#define PERIDOTGAUGE_ROUTER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+#include "control_client.h"
+#include "http_message.h"
+#include "http_server.h"
+#include "metrics.h"
+#include "peer.h"
+#include "peer_pool.h"
+#include "settings.h"
+#include "tracer.h"
+
+namespace peridotgauge {
+
+// How long callers may use an address list.
+constexpr Duration kRouterListTtl = Seconds(2);
+// A draining router accepts requests for this time, so that callers with an old list are served.
+constexpr Duration kDrainTime = kRouterListTtl + Millis(500);
+
+class Router {
+ public:
+  // All arguments outlive the router.
+  Router(boost::asio::io_context& io, const Settings& settings, const RouterRecord& self,
+         ControlClient& control, PeerPool& peers, Metrics& metrics, Tracer& tracer);
+  ~Router();
+  Router(const Router&) = delete;
+  Router& operator=(const Router&) = delete;
+
+  void Start();
+
+  bool Handles(const HttpRequest& request) const;
+  void Handle(HttpRequest request, HttpResponder responder);
+  // Takes a SubRequest or a Release; others get no reply.
+  void HandlePeer(wire::BodyUnion body, const PeerRequest& request);
+
+  // Leaves the address list, serves for kDrainTime, refuses new requests, waits for the running
+  // ones, leaves the router list and calls back.
+  void Drain(std::function<void()> done);
+
+  bool Synchronized(Time now) const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_ROUTER_H_
--- /dev/null
+++ b/sub_request_sender.h
@@ -0,0 +1,70 @@
+// Sends sub-requests to the owners of their targets and tells the policies how they ended.
+//
+// Use:
+//   uint64_t id = sender.Send(now, {target, fleet, deadline}, std::move(request),
+//                             [](wire::SubReplyT reply) { ... });
+//   sender.Cancel(now, id);
+//
+// Contract: runs on the thread of the io_context. The callback is called exactly once unless the
+// sub-request was cancelled, and never from inside Send(). The error of a reply has `not_run` in
+// the error table only if nothing reached the target.
+#ifndef PERIDOTGAUGE_SUB_REQUEST_SENDER_H_
+#define PERIDOTGAUGE_SUB_REQUEST_SENDER_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+#include "hedge.h"
+#include "owner.h"
+#include "peer_pool.h"
+#include "replica_choice.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+// Where a sub-request goes.
+struct SubRequestRoute {
+  const TargetRecord* target = nullptr;
+  std::string fleet;
+  Time deadline;
+};
+
+class SubRequestSender {
+ public:
+  using Callback = std::function<void(wire::SubReplyT)>;
+
+  // All arguments outlive the sender. `self` is the id of this router.
+  SubRequestSender(std::string self, Owner& owner, PeerPool& peers, ReplicaChoice& replicas,
+                   HedgeBudget& hedges)
+      : self(std::move(self)), owner(owner), peers(peers), replicas(replicas), hedges(hedges) {}
+
+  uint64_t Send(Time now, const SubRequestRoute& route, wire::SubRequestT request, Callback done);
+  void Cancel(Time now, uint64_t id);
+
+ private:
+  struct Pending {
+    Time sent;
+    std::string fleet;
+    uint64_t replica_send = 0;  // of ReplicaChoice
+    Callback done;
+    Address peer;            // of the owner; empty if the owner is this router
+    uint64_t call_id = 0;    // of the peer client, or of the owner's job
+  };
+
+  void SendToPeer(uint64_t id, const Address& peer, wire::SubRequestT request, Time deadline);
+  void OnReply(uint64_t id, wire::SubReplyT reply);
+
+  std::string self;
+  Owner& owner;
+  PeerPool& peers;
+  ReplicaChoice& replicas;
+  HedgeBudget& hedges;
+  std::unordered_map<uint64_t, Pending> pending;
+  uint64_t last_id = 0;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_SUB_REQUEST_SENDER_H_
--- /dev/null
+++ b/testing/cluster.sh
@@ -0,0 +1,169 @@
+# Functions for tests with real processes; sourced by testing/*_test.sh.
+#
+# A test calls `cluster_init "$1"` with the build folder, then starts processes by name. All
+# processes are on loopback and are ended, by their ids, when the test exits. `check` counts passed
+# and failed checks; `finish` prints the result and sets the exit status.
+set -uo pipefail
+
+declare -A PIDS=()
+PASSED=0
+FAILED=0
+CONTROLLERS=3
+ROUTERS=3
+DATA_CENTRES=(tre-a tre-b tre-c)
+
+cluster_init() { # cluster_init BUILD
+  BUILD=$(cd "$1" && pwd)
+  CLI=$BUILD/peridotgauge
+  DIR=$(mktemp -d)
+  mkdir -p "$DIR/logs" "$DIR/spans" "$DIR/data"
+  trap cluster_cleanup EXIT
+}
+
+cluster_cleanup() {
+  local name
+  for name in "${!PIDS[@]}"; do
+    kill -CONT "${PIDS[$name]}" 2>/dev/null
+    kill -KILL "${PIDS[$name]}" 2>/dev/null
+  done
+  wait 2>/dev/null
+  if [ "$FAILED" -gt 0 ]; then
+    echo "--- last log lines of the processes"
+    tail -n 15 "$DIR"/logs/*.log
+  fi
+  rm -rf "$DIR"
+}
+
+http_of() { # http_of router-1 -> address
+  local name=$1 number=${1##*-}
+  case $name in
+    router-*) echo "127.0.0.1:$((17000 + number))" ;;
+    controller-*) echo "127.0.0.1:$((17100 + number))" ;;
+  esac
+}
+
+peer_of() {
+  local name=$1 number=${1##*-}
+  case $name in
+    router-*) echo "127.0.0.1:$((17300 + number))" ;;
+    controller-*) echo "127.0.0.1:$((17200 + number))" ;;
+  esac
+}
+
+# Writes the settings of one process; further arguments are jq assignments, such as '.hedging=false'.
+settings_of() { # settings_of NAME [JQ...]
+  local name=$1 number=${1##*-} role=${1%-*} i controllers='[]' expression='.'
+  shift
+  for i in $(seq 1 "$CONTROLLERS"); do
+    controllers=$(jq -c --arg id "controller-$i" --arg peer "$(peer_of "controller-$i")" \
+      '. + [{id: $id, peer_address: $peer}]' <<<"$controllers")
+  done
+  for i in "$@"; do expression="$expression | $i"; done
+  jq -n --arg id "$name" --arg role "$role" --arg dc "${DATA_CENTRES[$(((number - 1) % 3))]}" \
+    --arg http "$(http_of "$name")" --arg peer "$(peer_of "$name")" --arg dir "$DIR" \
+    --argjson controllers "$controllers" \
+    "{id: \$id, roles: [\$role], data_centre: \$dc, http_address: \$http, peer_address: \$peer,
+      controllers: \$controllers, span_file: (\$dir + \"/spans/\" + \$id + \".jsonl\")}
+     + (if \$role == \"controller\" then {data_folder: (\$dir + \"/data/\" + \$id)} else {} end)
+     | $expression" >"$DIR/$name.json"
+}
+
+start() { # start NAME [JQ...]: starts a router or a controller
+  local name=$1
+  settings_of "$@"
+  "$BUILD/peridotgauged" --settings="$DIR/$name.json" >>"$DIR/logs/$name.log" 2>&1 &
+  PIDS[$name]=$!
+}
+
+start_program() { # start_program NAME COMMAND...
+  local name=$1
+  shift
+  "$@" >>"$DIR/logs/$name.log" 2>&1 &
+  PIDS[$name]=$!
+}
+
+signal() { # signal NAME SIGNAL
+  kill "-$2" "${PIDS[$1]}"
+}
+
+kill_hard() { # kill_hard NAME: ends the process without a shutdown
+  kill -KILL "${PIDS[$1]}" 2>/dev/null
+  wait "${PIDS[$1]}" 2>/dev/null
+  unset "PIDS[$1]"
+}
+
+stop() { # stop NAME: graceful; sets EXIT_STATUS
+  kill -TERM "${PIDS[$1]}" 2>/dev/null
+  wait "${PIDS[$1]}" 2>/dev/null
+  EXIT_STATUS=$?
+  unset "PIDS[$1]"
+}
+
+start_all() {
+  local i
+  for i in $(seq 1 "$CONTROLLERS"); do start "controller-$i"; done
+  for i in $(seq 1 "$ROUTERS"); do start "router-$i"; done
+}
+
+addresses() { # addresses [NAME...]: the HTTP addresses, comma-separated; all routers by default
+  local names=("$@") list=() name i
+  if [ $# -eq 0 ]; then for i in $(seq 1 "$ROUTERS"); do names+=("router-$i"); done; fi
+  for name in "${names[@]}"; do list+=("$(http_of "$name")"); done
+  local IFS=,
+  echo "${list[*]}"
+}
+
+cli() { PERIDOTGAUGE_ADDRESSES=${ADDRESSES:-$(addresses)} "$CLI" "$@"; }
+
+leader() { # the id of the leading controller; empty if none answers
+  local i
+  for i in $(seq 1 "$CONTROLLERS"); do
+    curl -s -m 1 "http://$(http_of "controller-$i")/healthz" 2>/dev/null |
+      jq -r 'select(.controller.role == "leader") | .id' 2>/dev/null
+  done | head -n 1
+}
+
+# Repeats a command until it succeeds, for at most the given number of seconds. The limit only ends
+# a hopeless wait; a correct system needs a small part of it.
+wait_until() { # wait_until SECONDS COMMAND...
+  local limit=$((SECONDS + $1))
+  shift
+  while [ "$SECONDS" -lt "$limit" ]; do
+    if "$@" >/dev/null 2>&1; then return 0; fi
+    sleep 0.1
+  done
+  return 1
+}
+
+check() { # check "what must hold" COMMAND...
+  local text=$1
+  shift
+  if "$@" >/dev/null 2>&1; then
+    PASSED=$((PASSED + 1))
+    echo "ok: $text"
+  else
+    FAILED=$((FAILED + 1))
+    echo "FAILED: $text ($*)"
+  fi
+}
+
+finish() {
+  echo "$PASSED passed, $FAILED failed"
+  [ "$FAILED" -eq 0 ]
+  exit
+}
+
+# Writes a configuration text with this revision; further arguments are jq assignments.
+write_config() { # write_config FILE REVISION [JQ...]
+  local file=$1 revision=$2 expression='.' i
+  shift 2
+  for i in "$@"; do expression="$expression | $i"; done
+  jq --argjson revision "$revision" ".revision = \$revision | $expression" \
+    "$(dirname "${BASH_SOURCE[0]}")/../examples/local/config.json" >"$file"
+}
+
+has_leader() { [ -n "$(leader)" ]; }
+router_ready() { curl -sf -m 1 "http://$(http_of "$1")/v1/routers"; }
+search_complete() { # search_complete [ADDRESSES]
+  ADDRESSES=${1:-$(addresses)} cli search spoons '{"font":"antiikva"}' --json | jq -e .complete
+}
