--- /dev/null
+++ b/admission.h
@@ -0,0 +1,62 @@
+// Admission of searches: bounded in number, and only if the deadline can be met.
+//
+// Use:
+//   if (Result<void> admitted = admission.Admit(now, "verstas-1", deadline); !admitted) Refuse();
+//   ...
+//   admission.OnFinished(now, "verstas-1", latency, outcome.Complete());
+//
+// Contract: InProgress() <= kMaxSearches. Every successful Admit() is followed by one OnFinished().
+// A refusal is kOverloaded: nothing was sent. A request is refused because of its deadline only if
+// recent complete answers of the service took longer. Partial answers are not counted, because a
+// missing shard makes them last until their deadline. One request in kAdmissionProbeInterval is
+// admitted in any case, so that a service that became faster is noticed.
+#ifndef PERIDOTGAUGE_ADMISSION_H_
+#define PERIDOTGAUGE_ADMISSION_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "error.h"
+#include "quantile_window.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+constexpr uint32_t kMaxSearches = 4'096;
+// Nine of ten recent complete answers took longer than this quantile.
+constexpr double kAdmissionQuantile = 0.1;
+constexpr Duration kAdmissionWindow = Seconds(5);
+constexpr uint64_t kAdmissionMinSamples = 20;
+constexpr Duration kAdmissionProbeInterval = Millis(500);
+// Services with an estimate. Further ones are admitted without one.
+constexpr size_t kMaxEstimates = 2'000;
+
+class Admission {
+ public:
+  // `estimate` false switches the deadline check off; the bound always holds.
+  explicit Admission(bool estimate) : estimate(estimate) {}
+
+  Result<void> Admit(Time now, std::string_view service, Time deadline);
+  void OnFinished(Time now, std::string_view service, Duration latency, bool complete);
+
+  uint32_t InProgress() const { return this->in_progress; }
+  // The least time in which an answer is expected, if known.
+  std::optional<Duration> Estimate(Time now, std::string_view service);
+
+ private:
+  struct ServiceState {
+    QuantileWindow latency{kAdmissionWindow, kAdmissionMinSamples};
+    std::optional<Time> last_admitted;
+  };
+
+  bool estimate;
+  uint32_t in_progress = 0;
+  std::map<std::string, ServiceState, std::less<>> services;  // at most kMaxEstimates
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_ADMISSION_H_
--- /dev/null
+++ b/hedge.h
@@ -0,0 +1,93 @@
+// When a hedge is due, and the budget that hedges and retries of a fleet share.
+//
+// Use:
+//   HedgeBudget budget;
+//   budget.SetConfig(config);                              // on every accepted revision
+//   budget.OnReply(now, "verstas", {.latency = latency});  // for every attempt
+//   std::optional<Duration> delay = budget.HedgeDelay(now, "verstas");
+//   if (budget.Spend(now, "verstas", ExtraKind::kHedge)) SendHedge();
+//
+// Contract: for each fleet, hedges and retries granted from the budget never exceed hedge_percent
+// of the needed sub-requests counted so far plus kBudgetBurst. Nothing is granted while the fleet
+// is overloaded. A last-chance retry is granted on an empty budget and leaves a debt of at most
+// kMaxDebt, so that an outage does not switch hedges off for long.
+#ifndef PERIDOTGAUGE_HEDGE_H_
+#define PERIDOTGAUGE_HEDGE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "config.h"
+#include "quantile_window.h"
+#include "search_policy.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+constexpr double kHedgeQuantile = 0.95;
+// The quantile covers one to two of these periods.
+constexpr Duration kHedgeWindow = Seconds(10);
+constexpr uint64_t kHedgeMinSamples = 50;
+// Hedging below this delay would race with scheduling noise of the hosts.
+constexpr Duration kShortestHedgeDelay = Millis(1);
+// The quantile is computed again after this time.
+constexpr Duration kDelayRefresh = Millis(20);
+// Sub-requests.
+constexpr double kBudgetBurst = 10;
+constexpr double kMaxDebt = 50;
+// A fleet is overloaded when this share of its recent attempts was refused or waited in a queue
+// for longer than it was served.
+constexpr double kOverloadShare = 0.2;
+constexpr double kOverloadMinAttempts = 10;
+// Time constant with which attempts are forgotten.
+constexpr Duration kOverloadMemory = Seconds(1);
+
+// One attempt that has ended.
+struct AttemptReport {
+  // Until the reply, or until it was cancelled. Nothing if it failed or was refused.
+  std::optional<Duration> latency;
+  Duration queue_time{};
+  Duration service_time{};
+  bool refused = false;  // overload: shed by the target, or the owner's queue was full
+};
+
+class HedgeBudget : public ExtraBudget {
+ public:
+  // Takes fleets and their percentages. Known fleets keep their budget and samples.
+  void SetConfig(const Config& config);
+  void OnReply(Time now, std::string_view fleet, const AttemptReport& report);
+
+  std::optional<Duration> HedgeDelay(Time now, std::string_view fleet) override;
+  void CountNeeded(Time now, std::string_view fleet, uint32_t count) override;
+  bool Spend(Time now, std::string_view fleet, ExtraKind kind) override;
+
+  bool Overloaded(Time now, std::string_view fleet) const;
+  // Sub-requests that could be granted now; negative while there is a debt.
+  double Tokens(std::string_view fleet) const;
+
+ private:
+  struct FleetState {
+    double share = 0;              // hedge_percent / 100
+    double tokens = kBudgetBurst;  // -kMaxDebt to kBudgetBurst
+    QuantileWindow latency{kHedgeWindow, kHedgeMinSamples};
+    std::optional<Duration> delay;
+    std::optional<Time> delay_computed;
+    // Attempts with exponential forgetting.
+    double attempts = 0;
+    double overloads = 0;
+    Time counted{};
+  };
+
+  FleetState* Find(std::string_view fleet);
+  const FleetState* Find(std::string_view fleet) const;
+  static bool Overloaded(Time now, const FleetState& state);
+
+  std::map<std::string, FleetState, std::less<>> fleets;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_HEDGE_H_
--- /dev/null
+++ b/metrics.h
@@ -0,0 +1,95 @@
+// Counters, gauges and latency histograms of one process, and their text form.
+//
+// Use:
+//   Counter& searches = metrics.CounterOf("peridotgauge_searches_total", {{"service", name}});
+//   searches.Add();
+//   metrics.LatencyOf("peridotgauge_search_seconds", {}).Add(latency);
+//   std::string body = metrics.Text();         // for GET /metrics
+//
+// Contract: the returned references stay valid as long as the Metrics object. Series are identified
+// by name and labels, whose order is that of the first use. After kMaxSeries series, further label
+// sets share one series per name without labels, so memory is bounded. One name has one kind; using
+// it with another kind returns a series that is not shown. Not thread-safe.
+#ifndef PERIDOTGAUGE_METRICS_H_
+#define PERIDOTGAUGE_METRICS_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "quantile_window.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+constexpr size_t kMaxSeries = 2'000;
+
+// A count that only grows.
+class Counter {
+ public:
+  void Add(uint64_t n = 1) { this->value += n; }
+  uint64_t Value() const { return this->value; }
+
+ private:
+  uint64_t value = 0;
+};
+
+// A value that can fall.
+class Gauge {
+ public:
+  void Set(double v) { this->value = v; }
+  double Value() const { return this->value; }
+
+ private:
+  double value = 0;
+};
+
+struct Label {
+  std::string name;
+  std::string value;
+  auto operator<=>(const Label&) const = default;
+};
+using Labels = std::vector<Label>;
+
+class Metrics {
+ public:
+  Counter& CounterOf(std::string_view name, const Labels& labels = {});
+  Gauge& GaugeOf(std::string_view name, const Labels& labels = {});
+  LatencyHistogram& LatencyOf(std::string_view name, const Labels& labels = {});
+  // One line of help for a name.
+  void Describe(std::string_view name, std::string_view help);
+
+  // All series in the text exposition format. Latencies are summaries in seconds with the
+  // quantiles 0.5, 0.9, 0.99 and 0.999.
+  std::string Text() const;
+
+ private:
+  enum class Kind : uint8_t { kCounter, kGauge, kLatency };
+  // Exactly one member, that of the family's kind, is set.
+  struct Series {
+    std::unique_ptr<Counter> counter;
+    std::unique_ptr<Gauge> gauge;
+    std::unique_ptr<LatencyHistogram> latency;
+  };
+  struct Family {
+    Kind kind = Kind::kCounter;
+    std::string help;
+    std::map<std::string, Series> series;  // by the text of the labels
+  };
+
+  Series& SeriesOf(Kind kind, std::string_view name, const Labels& labels);
+  static void AppendLatency(const std::string& name, const std::string& labels,
+                            const LatencyHistogram& latency, std::string& out);
+
+  std::map<std::string, Family, std::less<>> families;
+  std::map<std::string, std::string, std::less<>> help;
+  std::map<std::string, Family, std::less<>> mismatched;  // uses of a name with another kind
+  size_t series_count = 0;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_METRICS_H_
--- /dev/null
+++ b/quantile_window.h
@@ -0,0 +1,81 @@
+// Online quantiles of recent durations.
+//
+// Use:
+//   QuantileWindow window(Seconds(15), 100);
+//   window.Add(now, latency);
+//   std::optional<Duration> p95 = window.Quantile(now, 0.95);
+//
+// Contract: a quantile is the upper edge of the histogram bin that holds it, so it is at most
+// kQuantileError above the exact value (between kShortestLatency and kLongestLatency). Samples are
+// held in two generations. When the younger one is full and old enough it replaces the older one,
+// so the quantile covers between one and two generations.
+#ifndef PERIDOTGAUGE_QUANTILE_WINDOW_H_
+#define PERIDOTGAUGE_QUANTILE_WINDOW_H_
+
+#include <boost/histogram.hpp>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "types.h"
+
+namespace peridotgauge {
+
+constexpr Duration kShortestLatency = Duration(10);
+constexpr Duration kLongestLatency = Seconds(100);
+constexpr int kLatencyBins = 320;
+// Relative width of one bin: 10^7 to the power of 1 / 320.
+constexpr double kQuantileError = 0.052;
+
+// A histogram of durations with bins of equal relative width.
+class LatencyHistogram {
+ public:
+  LatencyHistogram();
+
+  void Add(Duration sample);
+  void Add(const LatencyHistogram& other);
+  void Clear();
+
+  uint64_t Count() const { return this->count; }
+  Duration Sum() const { return this->sum; }
+  // The value that a share of `quantile` (0 to 1) of the samples does not exceed; 0 without
+  // samples.
+  Duration Quantile(double quantile) const;
+
+ private:
+  using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+  using Counts =
+      boost::histogram::histogram<std::tuple<Axis>, boost::histogram::dense_storage<uint32_t>>;
+
+  Counts counts;
+  uint64_t count = 0;
+  Duration sum{0};
+};
+
+// Quantiles over one or two generations of samples.
+class QuantileWindow {
+ public:
+  // A generation ends when it is older than `length` and has at least `min_samples`. Without
+  // samples for twice `length`, everything is forgotten.
+  QuantileWindow(Duration length, uint64_t min_samples)
+      : length(length), min_samples(min_samples) {}
+
+  void Add(Time now, Duration sample);
+  // Nothing if there are fewer than `min_samples` samples.
+  std::optional<Duration> Quantile(Time now, double quantile);
+  uint64_t Count() const { return this->young.Count() + this->old.Count(); }
+
+ private:
+  void Rotate(Time now);
+
+  Duration length;
+  uint64_t min_samples;
+  std::optional<Time> young_since;  // set by the first sample
+  Time last_sample{};
+  LatencyHistogram young;
+  LatencyHistogram old;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_QUANTILE_WINDOW_H_
--- /dev/null
+++ b/replica_choice.h
@@ -0,0 +1,163 @@
+// Choice between the replicas of a shard, from this router's own observations.
+//
+// Use:
+//   auto choice = ReplicaChoice::Make("", {.seed = seed});
+//   const TargetRecord* target = (*choice)->Choose(now, candidates, tried);
+//   uint64_t send = (*choice)->OnSend(now, target->target);
+//   (*choice)->OnReply(now, send, {.kind = ReplyKind::kAnswered, .load = 0.4F});
+//
+// Contract: every OnSend() is followed by exactly one OnReply(). Ejection never makes more than
+// half of a shard's candidates unusable, rounded down; ejected targets are chosen only if nothing
+// else is left, and as probes. Nothing that a target reports about itself can eject it or keep it
+// in use: reported load changes a score by at most a factor of two, and its weight falls with its
+// age.
+//
+// Score of a target (lower is better): (in flight + 1) x latency x (1 + load) / warm-up weight.
+// - In flight: sent by this router, or the number that the owner last reported if that is larger.
+// - Latency: a mean that rises at once and falls slowly. An attempt that runs longer than the mean
+//   counts already before its reply. An attempt that was cancelled counts with the time that it
+//   ran plus the mean, its expected latency if the rest is exponential. Without this, a slow target
+//   whose hedges always win would never look slow.
+// - A target with a bad score gets a probe when its latency has not been measured for a while. The
+//   interval grows while it stays bad.
+//
+// Strategies: "random" (baseline), "two_choices" (the better of two random candidates) and
+// "probing" (the default: two choices, probes and avoidance of targets that just refused a
+// request).
+#ifndef PERIDOTGAUGE_REPLICA_CHOICE_H_
+#define PERIDOTGAUGE_REPLICA_CHOICE_H_
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "error.h"
+#include "search_policy.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+constexpr std::string_view kDefaultReplicaChoice = "probing";
+
+// Consecutive failures after which a target is ejected.
+constexpr uint32_t kFailuresToEject = 5;
+constexpr Duration kShortestEjection = Seconds(1);
+constexpr Duration kLongestEjection = Seconds(30);
+constexpr Duration kShortestProbeInterval = Seconds(1);
+constexpr Duration kLongestProbeInterval = Seconds(16);
+// A target is probed if its score is this many times the best one.
+constexpr double kBadScoreRatio = 2.0;
+// A new target gets its full weight after this time.
+constexpr Duration kReplicaWarmUp = Seconds(5);
+constexpr double kColdWeight = 0.2;
+// Time constant of the weight of reported values.
+constexpr Duration kReportAge = Millis(500);
+// A target that refused a request is avoided for this time.
+constexpr Duration kRefusedPause = Millis(20);
+
+struct ReplicaChoiceOptions {
+  uint64_t seed = 0;
+  bool ejection = true;
+};
+
+// How one attempt ended.
+enum class ReplyKind : uint8_t {
+  kAnswered,
+  kRefused,    // proved not to have run: shed, queue full, owner not ready
+  kFailed,     // connection lost, target error, wrong reply
+  kTimedOut,   // no answer before the deadline
+  kCancelled,  // withdrawn, for example because another attempt answered first
+};
+
+struct ReplyReport {
+  ReplyKind kind = ReplyKind::kAnswered;
+  // Reported by the target and by its owner; negative if the reply has none.
+  float load = -1;
+  int32_t owner_in_flight = -1;
+};
+
+class ReplicaChoice : public ReplicaChooser {
+ public:
+  // An empty name is the default strategy. kInvalidSettings names the allowed ones.
+  static Result<std::unique_ptr<ReplicaChoice>> Make(std::string_view name,
+                                                     ReplicaChoiceOptions options);
+  static std::vector<std::string_view> Names();
+
+  const TargetRecord* Choose(Time now, Candidates candidates, Candidates excluded) override;
+
+  // Returns the number of the send, for OnReply().
+  uint64_t OnSend(Time now, const TargetRecord& target);
+  void OnReply(Time now, uint64_t send, const ReplyReport& report);
+  // Forgets a target that is gone.
+  void Remove(const std::string& target);
+
+  // For the status page and tests.
+  bool Ejected(Time now, std::string_view target) const;
+  uint32_t InFlight(std::string_view target) const;
+  Duration Latency(Time now, std::string_view target) const;
+
+ private:
+  struct Strategy {
+    std::string_view name;
+    const TargetRecord* (ReplicaChoice::*choose)(Time now,
+                                                 const std::vector<const TargetRecord*>& usable);
+    bool probes = false;
+    bool avoids_refusals = false;
+  };
+  struct Send {
+    std::string target;
+    uint64_t incarnation = 0;
+    Time sent;
+  };
+  struct State {
+    uint64_t incarnation = 0;
+    Time first_seen{};
+    uint32_t in_flight = 0;
+    std::deque<std::pair<uint64_t, Time>> outstanding;  // sends in order; settled ones are removed
+    double latency_us = 0;                              // 0: unknown
+    Time measured{};                                    // last change of `latency_us`
+    float load = 0;
+    uint32_t owner_in_flight = 0;
+    Time reported{};
+    Time avoid_until{};
+    uint32_t failures = 0;  // consecutive
+    Time ejected_until{};
+    Duration ejection = Duration(0);  // length of the last one; 0 if none since the last success
+    bool half_open = false;           // an ejection has ended, and no reply has come since
+    Time next_probe{};
+    Duration probe_interval = kShortestProbeInterval;
+  };
+
+  ReplicaChoice(const Strategy& strategy, ReplicaChoiceOptions options)
+      : strategy(strategy), options(options), random(options.seed) {}
+
+  static const std::vector<Strategy>& Strategies();
+  const TargetRecord* ChooseRandom(Time now, const std::vector<const TargetRecord*>& usable);
+  const TargetRecord* ChooseOfTwo(Time now, const std::vector<const TargetRecord*>& usable);
+  const TargetRecord* ChooseProbe(Time now, const std::vector<const TargetRecord*>& usable);
+  std::vector<const TargetRecord*> WithoutEjected(Time now, Candidates candidates);
+
+  State& StateOf(Time now, const TargetRecord& target);
+  double Score(Time now, const State& state, double default_latency) const;
+  double LatencyOf(Time now, const State& state) const;
+  double DefaultLatency(Time now, const std::vector<const TargetRecord*>& usable);
+  static void AddLatency(Time now, State& state, double sample_us);
+  void NoteFailure(Time now, State& state) const;
+  static void NoteSuccess(State& state);
+
+  const Strategy& strategy;
+  ReplicaChoiceOptions options;
+  std::mt19937_64 random;
+  uint64_t sends = 0;
+  std::unordered_map<uint64_t, Send> open_sends;
+  std::unordered_map<std::string, State> states;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_REPLICA_CHOICE_H_
--- /dev/null
+++ b/target_queue.h
@@ -0,0 +1,148 @@
+// The owner's queue for one target: slots, order by deadline, adaptive limit, connections.
+//
+// Use:
+//   TargetQueue queue(now, {.slots = 5, .connections = 40, .cold = true});
+//   if (Result<void> pushed = queue.Push(now, id, deadline); !pushed) Refuse(pushed.error());
+//   QueueWork work = queue.Poll(now);          // after every event, and at NextTimer()
+//   queue.OnDone(now, id, {.kind = ExchangeKind::kAnswered, .service_time = time});
+//
+// Contract: InFlight() <= Limit() at each dispatch, Limit() <= slots. Entries leave in the order of
+// their deadlines (equal ones in the order of arrival). Every pushed id leaves exactly once: it is
+// dispatched, dropped with an error that proves it did not run, or cancelled while it waits. After
+// a dispatch, OnDone() must follow exactly once.
+#ifndef PERIDOTGAUGE_TARGET_QUEUE_H_
+#define PERIDOTGAUGE_TARGET_QUEUE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "error.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+constexpr uint32_t kQueuedPerSlot = 64;
+// A cold target begins with one request at a time and reaches all slots after this time.
+constexpr Duration kWarmUpTime = Seconds(3);
+// Share of the limit that remains after a shed request.
+constexpr double kLimitDecrease = 0.7;
+// A second shed request within this time belongs to the same overload and decreases nothing.
+constexpr Duration kDecreaseInterval = Millis(100);
+// The fastest service time is taken from the last one to two periods of this length.
+constexpr Duration kServiceTimePeriod = Seconds(5);
+
+struct QueueOptions {
+  uint32_t slots = 1;
+  uint32_t connections = 1;
+  bool cold = false;           // the target has just started
+  bool adaptive_limit = true;  // false: the limit is always the number of slots
+};
+
+// How an exchange with the target ended.
+enum class ExchangeKind : uint8_t {
+  kAnswered,   // a reply, whatever its content
+  kShed,       // the target refused it without executing it
+  kFailed,     // the connection failed, or no answer came in time
+  kCancelled,  // withdrawn
+};
+
+struct Exchange {
+  ExchangeKind kind = ExchangeKind::kAnswered;
+  Duration service_time{};
+};
+
+struct QueueDrop {
+  uint64_t id = 0;
+  Error error;
+};
+
+struct QueueWork {
+  std::vector<uint64_t> dispatch;
+  std::vector<QueueDrop> drops;
+};
+
+enum class CancelResult : uint8_t {
+  kRemoved,  // it was waiting and has left the queue
+  kRunning,  // it was dispatched; close its connection, then call OnDone()
+  kUnknown,
+};
+
+class TargetQueue {
+ public:
+  TargetQueue(Time now, QueueOptions options);
+
+  // Adds an entry. kOverloaded if the queue is full or the deadline cannot be met, kNoTarget if the
+  // target is draining. `id` must not be known.
+  Result<void> Push(Time now, uint64_t id, Time deadline);
+  // Takes what can be dispatched now, and drops entries that can no longer meet their deadline.
+  QueueWork Poll(Time now);
+  void OnDone(Time now, uint64_t id, const Exchange& exchange);
+  CancelResult Cancel(uint64_t id);
+
+  // The target's registered values, already limited by the configuration.
+  void SetLimits(uint32_t slots, uint32_t connections);
+  // Stops dispatching for good. The next Poll() drops what waits.
+  void Drain() { this->draining = true; }
+  // Stops dispatching while the owner may not dispatch (fence or lease); entries keep waiting.
+  void Pause(bool paused) { this->paused = paused; }
+  // The target has started again: warms up anew. Running exchanges keep their slots until OnDone().
+  void Restart(Time now);
+
+  // When Poll() may have new work without another event.
+  std::optional<Time> NextTimer(Time now) const;
+
+  uint32_t InFlight() const { return static_cast<uint32_t>(this->running.size()); }
+  size_t Queued() const { return this->waiting.size(); }
+  uint32_t Limit(Time now) const;
+  bool Draining() const { return this->draining; }
+  // Load as replies report it: queued or running requests.
+  uint32_t Load() const { return this->InFlight() + static_cast<uint32_t>(this->Queued()); }
+
+  // --- Connections: open ones, including those being opened ---
+  // True if another connection may be opened.
+  bool MayConnect() const { return this->open_connections < this->options.connections; }
+  void OnConnecting() { ++this->open_connections; }
+  void OnDisconnected();
+  uint32_t OpenConnections() const { return this->open_connections; }
+  // Idle connections worth keeping warm: one for each slot, within the connection limit.
+  uint32_t WarmConnections() const;
+
+ private:
+  struct Waiting {
+    Time deadline;
+    uint64_t arrival = 0;
+    uint64_t id = 0;
+    auto operator<=>(const Waiting&) const = default;
+  };
+
+  size_t Capacity() const { return size_t{this->options.slots} * kQueuedPerSlot; }
+  bool CanMeet(Time now, Time deadline) const;
+  // The fastest recent service time; 0 if unknown.
+  Duration FastestServiceTime(Time now) const;
+  void AddServiceTime(Time now, Duration sample);
+  void Decrease(Time now);
+
+  QueueOptions options;
+  bool draining = false;
+  bool paused = false;
+  std::optional<Time> warm_since;  // start of the warm-up; nothing if the target is warm
+  double adaptive = 0;             // 1 to slots
+  std::optional<Time> decreased;
+  uint64_t arrivals = 0;
+  std::set<Waiting> waiting;
+  std::unordered_map<uint64_t, Waiting> waiting_by_id;  // the same entries
+  std::set<uint64_t> running;
+  uint32_t open_connections = 0;
+  // Fastest service times of the present and the previous period.
+  Time period_start{};
+  std::optional<Duration> fastest;
+  std::optional<Duration> previous_fastest;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_TARGET_QUEUE_H_
