--- a/admission.h
+++ b/admission.h
@@ -32,7 +32,7 @@
 constexpr uint64_t kAdmissionMinSamples = 20;
 constexpr Duration kAdmissionProbeInterval = Millis(500);
 // Services with an estimate. Further ones are admitted without one.
-constexpr size_t kMaxEstimates = 2'000;
+constexpr size_t kMaxEstimates = 1'000;
 
 class Admission {
  public:
--- a/metrics.h
+++ b/metrics.h
@@ -76,7 +76,6 @@
   };
   struct Family {
     Kind kind = Kind::kCounter;
-    std::string help;
     std::map<std::string, Series> series;  // by the text of the labels
   };
 
--- a/quantile_window.h
+++ b/quantile_window.h
@@ -45,7 +45,7 @@
  private:
   using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
   using Counts =
-      boost::histogram::histogram<std::tuple<Axis>, boost::histogram::dense_storage<uint32_t>>;
+      boost::histogram::histogram<std::tuple<Axis>, boost::histogram::dense_storage<uint64_t>>;
 
   Counts counts;
   uint64_t count = 0;
--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -2,6 +2,8 @@
 // against messages that do not name file, key, value and what is allowed.
 #include "../settings.h"
 
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
@@ -110,8 +112,8 @@
 
 // Guards against a controller that starts on a folder in which it cannot keep its log.
 TEST_CASE("data folder", "[settings]") {
-  const std::filesystem::path root =
-      std::filesystem::temp_directory_path() / "peridotgauge_settings_test";
+  const std::filesystem::path root = std::filesystem::temp_directory_path() /
+                                     ("peridotgauge_settings_test." + std::to_string(getpid()));
   std::filesystem::remove_all(root);
   CHECK(CheckDataFolder((root / "new" / "folder").string()));
   CHECK(std::filesystem::is_empty(root / "new" / "folder"));
