Define the limit of a target's holdings once

Cause: caller_api.h and registration.h both defined it, with different values, and could not be included together. Change: records.h defines it. Result: both headers compile together.

--- a/caller_api.h
+++ b/caller_api.h
@@ -28,7 +28,6 @@
 constexpr size_t kMaxRequestIdLength = 128;
 constexpr size_t kMaxNameLength = 200;
 constexpr Duration kMaxDeadline = Seconds(600);
-constexpr size_t kMaxHoldings = 4'096;
 
 // --- Errors ---
 
--- /dev/null
+++ b/operator_http.cc
@@ -0,0 +1,83 @@
+// The operators' HTTP interface: one table from paths to reads of the control state, and the
+// command that applies a configuration text.
+#include "operator_http.h"
+
+#include <glog/logging.h>
+
+#include <optional>
+#include <utility>
+
+#include "caller_api.h"
+#include "config.h"
+#include "operator_api.h"
+
+namespace peridotgauge {
+
+struct OperatorHttp::Route {
+  std::string_view method;
+  std::string_view path;
+  std::optional<wire::ReadKind> read;  // empty: apply a configuration text
+};
+
+const OperatorHttp::Route* OperatorHttp::FindRoute(const HttpRequest& request) {
+  static const Route kRoutes[] = {
+      {"POST", "/v1/config", std::nullopt},
+      {"GET", "/v1/config", wire::ReadKind::Config},
+      {"GET", "/v1/config/history", wire::ReadKind::History},
+      {"GET", "/v1/config/in_force", wire::ReadKind::InForce},
+      {"GET", "/v1/status", wire::ReadKind::Status},
+      {"GET", "/v1/targets", wire::ReadKind::Targets},
+  };
+  for (const Route& route : kRoutes) {
+    if (route.path == request.path && route.method == request.method) return &route;
+  }
+  return nullptr;
+}
+
+bool OperatorHttp::Handles(const HttpRequest& request) const {
+  return FindRoute(request) != nullptr;
+}
+
+void OperatorHttp::Handle(const HttpRequest& request, HttpResponder responder) {
+  const Route* route = FindRoute(request);
+  if (route == nullptr) {
+    return responder.Send(ErrorResponse({ErrorCode::kNotFound, "no such path"}, ""));
+  }
+  if (!route->read) return this->Apply(request, std::move(responder));
+  this->Read(*route, request, std::move(responder));
+}
+
+void OperatorHttp::Apply(const HttpRequest& request, HttpResponder responder) {
+  const Result<Config> config = Config::Parse(request.body);
+  if (!config) return responder.Send(ErrorResponse(config.error(), ""));
+  wire::ApplyConfigT command;
+  command.text = request.body;
+  command.author = std::string(request.Header("x-author"));
+  command.revision = config->Revision();
+  command.digest = config->Digest();
+  this->control.Command(
+      ToCommand(std::move(command)), SteadyNow() + kOperatorDeadline,
+      [responder, digest = config->Digest()](const Result<wire::CommandReplyT>& reply) {
+        if (!reply) return responder.Send(ErrorResponse(reply.error(), ""));
+        if (reply->error < 0) {
+          const ApplyAnswer answer{reply->revision, digest, reply->repeated};
+          return responder.Send(JsonResponse(200, FormatApplyAnswer(answer)));
+        }
+        const Error error{static_cast<ErrorCode>(reply->error), reply->detail};
+        if (error.code != ErrorCode::kConflict) return responder.Send(ErrorResponse(error, ""));
+        const ConflictAnswer conflict{reply->detail, reply->revision, reply->digest};
+        responder.Send(JsonResponse(InfoOf(error.code).http_status, FormatConflict(conflict)));
+      });
+}
+
+void OperatorHttp::Read(const Route& route, const HttpRequest& request, HttpResponder responder) {
+  const Result<std::optional<uint64_t>> revision = ParseRevision(request);
+  if (!revision) return responder.Send(ErrorResponse(revision.error(), ""));
+  this->control.Read(*route.read, revision->value_or(0), SteadyNow() + kOperatorDeadline,
+                     [responder](Result<std::string> json) {
+                       if (!json) return responder.Send(ErrorResponse(json.error(), ""));
+                       responder.Send(JsonResponse(200, std::move(*json)));
+                     });
+}
+
+}  // namespace peridotgauge
--- a/order_runner.cc
+++ b/order_runner.cc
@@ -111,12 +111,12 @@
     const std::string fleet = service == nullptr ? "" : service->fleet;
     this->context.sender.Send(now, {dispatch.target, fleet, this->deadline}, std::move(sub),
                               [self = this->shared_from_this(), hop,
-                               target = dispatch.target->target](wire::SubReplyT reply) {
-                                self->OnDispatchReply(*hop, target, std::move(reply));
+                               target = dispatch.target](wire::SubReplyT reply) {
+                                self->OnDispatchReply(*hop, *target, std::move(reply));
                               });
   }
 
-  void OnDispatchReply(ActiveSpan& hop, const std::string& target, wire::SubReplyT reply) {
+  void OnDispatchReply(ActiveSpan& hop, const TargetRecord& target, wire::SubReplyT reply) {
     const Time now = SteadyNow();
     DispatchReply result{.request_id = std::move(reply.request_id),
                          .attempt = reply.attempt,
--- a/records.h
+++ b/records.h
@@ -16,6 +16,9 @@
 
 namespace peridotgauge {
 
+// Holdings of one target.
+constexpr size_t kMaxHoldings = 4'096;
+
 enum class TargetState : uint8_t { kStarting, kServing, kDraining, kGone };
 
 // A target as its last registration described it.
--- a/registration.h
+++ b/registration.h
@@ -28,7 +28,6 @@
 
 constexpr Duration kRegistrationLease = Seconds(3);
 constexpr size_t kMaxRegistrations = 10'000;
-constexpr size_t kMaxHoldings = 1'024;
 
 enum class RegistrationChange : uint8_t {
   kChanged,  // new target, incarnation, address, state, holdings or limits
--- /dev/null
+++ b/sub_request_sender.cc
@@ -0,0 +1,111 @@
+// Sends sub-requests to the owners of their targets.
+#include "sub_request_sender.h"
+
+#include <utility>
+
+namespace peridotgauge {
+namespace {
+
+wire::SubReplyT FailedReply(const wire::SubRequestT& request, const Error& error) {
+  wire::SubReplyT reply;
+  reply.error = static_cast<int8_t>(error.code);
+  reply.detail = error.detail;
+  reply.request_id = request.request_id;
+  reply.attempt = request.attempt;
+  reply.snapshot = request.snapshot;
+  return reply;
+}
+
+ReplyKind KindOf(const wire::SubReplyT& reply) {
+  if (reply.error < 0) return ReplyKind::kAnswered;
+  const auto code = static_cast<ErrorCode>(reply.error);
+  if (InfoOf(code).not_run) return ReplyKind::kRefused;
+  return code == ErrorCode::kDeadlineExceeded ? ReplyKind::kTimedOut : ReplyKind::kFailed;
+}
+
+// Only refusals for lack of capacity are overload. Others, such as a target that has moved to
+// another owner, say nothing about the load of the fleet.
+bool IsOverload(const wire::SubReplyT& reply) {
+  if (reply.error < 0) return false;
+  const auto code = static_cast<ErrorCode>(reply.error);
+  return code == ErrorCode::kShed || code == ErrorCode::kOverloaded;
+}
+
+}  // namespace
+
+uint64_t SubRequestSender::Send(Time now, const SubRequestRoute& route, wire::SubRequestT request,
+                                Callback done) {
+  const uint64_t id = ++this->last_id;
+  Pending entry{.sent = now,
+                .fleet = route.fleet,
+                .replica_send = this->replicas.OnSend(now, *route.target),
+                .done = std::move(done)};
+  const RouterRecord* owner = this->owner.OwnerOf(route.target->target);
+  const bool remote = owner != nullptr && owner->id != this->self;
+  if (remote) entry.peer = owner->peer_address;
+  request.budget_us = (route.deadline - now).count();
+  this->pending.emplace(id, std::move(entry));
+  if (remote) {
+    this->SendToPeer(id, this->pending.at(id).peer, std::move(request), route.deadline);
+    return id;
+  }
+  const uint64_t job =
+      this->owner.Run(now, std::move(request), route.deadline,
+                      [this, id](wire::SubReplyT reply) { this->OnReply(id, std::move(reply)); });
+  this->pending.at(id).call_id = job;
+  return id;
+}
+
+void SubRequestSender::SendToPeer(uint64_t id, const Address& peer, wire::SubRequestT request,
+                                  Time deadline) {
+  wire::BodyUnion body = ToBody(std::move(request));
+  // The reply of a failed call is built from the ids of the request.
+  wire::SubRequestT ids;
+  ids.request_id = body.AsSubRequest()->request_id;
+  ids.attempt = body.AsSubRequest()->attempt;
+  ids.snapshot = body.AsSubRequest()->snapshot;
+  const uint64_t call = this->peers.ClientFor(peer).Call(
+      body, deadline, [this, id, ids = std::move(ids)](Result<wire::BodyUnion> reply) {
+        if (!reply) return this->OnReply(id, FailedReply(ids, reply.error()));
+        wire::SubReplyT* answer = reply->AsSubReply();
+        if (answer == nullptr) {
+          return this->OnReply(id, FailedReply(ids, {ErrorCode::kWrongReply, "not a sub-reply"}));
+        }
+        this->OnReply(id, std::move(*answer));
+      });
+  this->pending.at(id).call_id = call;
+}
+
+void SubRequestSender::Cancel(Time now, uint64_t id) {
+  auto found = this->pending.extract(id);
+  if (found.empty()) return;
+  const Pending& entry = found.mapped();
+  if (entry.peer.empty()) {
+    this->owner.Cancel(now, entry.call_id);
+  } else {
+    this->peers.ClientFor(entry.peer).Cancel(entry.call_id);
+  }
+  this->replicas.OnReply(now, entry.replica_send, {.kind = ReplyKind::kCancelled});
+  this->hedges.OnReply(now, entry.fleet, {.latency = now - entry.sent});
+}
+
+void SubRequestSender::OnReply(uint64_t id, wire::SubReplyT reply) {
+  auto found = this->pending.extract(id);
+  if (found.empty()) return;
+  const Time now = SteadyNow();
+  Pending& entry = found.mapped();
+  const ReplyKind kind = KindOf(reply);
+  this->replicas.OnReply(
+      now, entry.replica_send,
+      {.kind = kind,
+       .load = reply.error < 0 ? reply.load : -1.0F,
+       .owner_in_flight = reply.error < 0 ? static_cast<int32_t>(reply.owner_in_flight) : -1});
+  AttemptReport report{.queue_time = Duration(reply.queue_us),
+                       .service_time = Duration(reply.service_us),
+                       .refused = IsOverload(reply)};
+  if (kind == ReplyKind::kAnswered || kind == ReplyKind::kTimedOut) report.latency = now - entry.sent;
+  this->hedges.OnReply(now, entry.fleet, report);
+  entry.done(std::move(reply));
+}
+
+}  // namespace peridotgauge
