Rename the classes of strict_json

Cause: strict_json.h and json_text.h both defined JsonReader and JsonObject in one namespace, which the linker may merge silently. Change: the ones of strict_json are StrictJsonReader and StrictJsonObject. Result: the core library builds.

--- a/config.cc
+++ b/config.cc
@@ -28,9 +28,9 @@
 
 int64_t WholeMillis(Duration duration) { return duration / Millis(1); }
 
-Fleet ReadFleet(JsonReader& reader, const json::value& value, const std::string& name) {
+Fleet ReadFleet(StrictJsonReader& reader, const json::value& value, const std::string& name) {
   Fleet fleet{.name = name};
-  JsonObject object(reader, value, "fleets." + name);
+  StrictJsonObject object(reader, value, "fleets." + name);
   object.Read("slots", fleet.slots, kSlotsRange);
   object.Read("connections", fleet.connections, kConnectionsRange);
   object.ReadMillis("connect_ms", fleet.connect_cost, kConnectMillisRange);
@@ -45,7 +45,7 @@
   return fleet;
 }
 
-std::vector<std::string> ReadDependencies(JsonReader& reader, JsonObject& object) {
+std::vector<std::string> ReadDependencies(StrictJsonReader& reader, StrictJsonObject& object) {
   std::vector<std::string> out;
   const json::value* value = object.Find("depends_on");
   if (value == nullptr) return out;
@@ -69,9 +69,9 @@
   return out;
 }
 
-Service ReadService(JsonReader& reader, const json::value& value, const std::string& name) {
+Service ReadService(StrictJsonReader& reader, const json::value& value, const std::string& name) {
   Service service{.name = name};
-  JsonObject object(reader, value, "services." + name);
+  StrictJsonObject object(reader, value, "services." + name);
   object.Require("fleet");
   object.Read("fleet", service.fleet);
   object.Read("shards", service.shards, {1, kMaxShards});
@@ -91,12 +91,12 @@
 
 // Reads the members of an object of named entries, such as "fleets".
 template <typename T, typename ReadEntry>
-std::map<std::string, T, std::less<>> ReadEntries(JsonReader& reader, JsonObject& root,
+std::map<std::string, T, std::less<>> ReadEntries(StrictJsonReader& reader, StrictJsonObject& root,
                                                   std::string_view key, ReadEntry read_entry) {
   std::map<std::string, T, std::less<>> out;
   const json::value* value = root.Require(key);
   if (value == nullptr) return out;
-  const JsonObject entries(reader, *value, std::string(key));
+  const StrictJsonObject entries(reader, *value, std::string(key));
   if (entries.Members().size() > kMaxServices) {
     reader.Refuse(std::string(key), std::to_string(entries.Members().size()) +
                                         " entries; allowed are at most " +
@@ -116,7 +116,7 @@
   return out;
 }
 
-void CheckReferences(JsonReader& reader, const FleetMap& fleets, const ServiceMap& services) {
+void CheckReferences(StrictJsonReader& reader, const FleetMap& fleets, const ServiceMap& services) {
   for (const auto& [name, service] : services) {
     const std::string place = "services." + name;
     if (fleets.find(service.fleet) == fleets.end()) {
@@ -155,7 +155,7 @@
   return out;
 }
 
-void CheckCycles(JsonReader& reader, const ServiceMap& services) {
+void CheckCycles(StrictJsonReader& reader, const ServiceMap& services) {
   const std::set<std::string> open = ServicesWithoutOrder(services);
   if (open.empty()) return;
   // Every open service has an open dependency, so this walk ends on a cycle.
@@ -238,8 +238,8 @@
   }
   const Result<json::value> parsed = ParseStrictJson(text, ErrorCode::kInvalidConfig);
   if (!parsed) return tl::unexpected(parsed.error());
-  JsonReader reader(ErrorCode::kInvalidConfig);
-  JsonObject root(reader, *parsed, "");
+  StrictJsonReader reader(ErrorCode::kInvalidConfig);
+  StrictJsonObject root(reader, *parsed, "");
   Config config;
   root.Require("revision");
   root.Read("revision", config.revision, {1, INT64_MAX});
--- a/settings.cc
+++ b/settings.cc
@@ -15,7 +15,7 @@
 
 std::string Quoted(std::string_view text) { return "\"" + std::string(text) + "\""; }
 
-void ReadRoles(JsonReader& reader, JsonObject& root, Settings& settings) {
+void ReadRoles(StrictJsonReader& reader, StrictJsonObject& root, Settings& settings) {
   constexpr std::string_view kAllowed = "; allowed is a list of \"router\" and \"controller\"";
   const json::value* value = root.Require("roles");
   if (value == nullptr) return;
@@ -36,7 +36,8 @@
 }
 
 // Reads a required address and checks its syntax.
-void ReadAddress(JsonReader& reader, JsonObject& object, std::string_view key, Address& out) {
+void ReadAddress(StrictJsonReader& reader, StrictJsonObject& object, std::string_view key,
+                 Address& out) {
   object.Require(key);
   if (!object.Read(key, out)) return;
   if (const Result<Endpoint> endpoint = ParseAddress(out); !endpoint) {
@@ -44,7 +45,7 @@
   }
 }
 
-void ReadControllers(JsonReader& reader, JsonObject& root, Settings& settings) {
+void ReadControllers(StrictJsonReader& reader, StrictJsonObject& root, Settings& settings) {
   const json::value* value = root.Require("controllers");
   if (value == nullptr) return;
   if (!value->is_array()) {
@@ -52,8 +53,8 @@
     return;
   }
   for (const json::value& item : value->get_array()) {
-    JsonObject object(reader, item,
-                      "controllers[" + std::to_string(settings.controllers.size()) + "]");
+    StrictJsonObject object(reader, item,
+                            "controllers[" + std::to_string(settings.controllers.size()) + "]");
     ControllerAddress controller;
     object.Require("id");
     object.ReadName("id", controller.id);
@@ -67,7 +68,7 @@
   }
 }
 
-void ReadSwitches(JsonObject& root, Settings& settings) {
+void ReadSwitches(StrictJsonObject& root, Settings& settings) {
   struct Switch {
     std::string_view key;
     bool Settings::*member;
@@ -84,7 +85,7 @@
 Endpoint EndpointOf(const Address& address) { return ParseAddress(address).value_or(Endpoint{}); }
 
 // The controllers must differ from each other.
-void CheckControllersDiffer(JsonReader& reader, const Settings& settings) {
+void CheckControllersDiffer(StrictJsonReader& reader, const Settings& settings) {
   for (size_t i = 0; i < settings.controllers.size(); ++i) {
     const ControllerAddress& one = settings.controllers[i];
     const std::string place = "controllers[" + std::to_string(i) + "].";
@@ -106,7 +107,7 @@
 
 // The addresses of this process must differ from each other and from those of the controllers,
 // except that a controller's own entry has its own peer address.
-void CheckOwnAddresses(JsonReader& reader, const Settings& settings) {
+void CheckOwnAddresses(StrictJsonReader& reader, const Settings& settings) {
   const Endpoint http = EndpointOf(settings.http_address);
   const Endpoint peer = EndpointOf(settings.peer_address);
   if (http == peer) {
@@ -129,7 +130,7 @@
   }
 }
 
-void CheckOwnEntry(JsonReader& reader, const Settings& settings) {
+void CheckOwnEntry(StrictJsonReader& reader, const Settings& settings) {
   const auto own = std::find_if(settings.controllers.begin(), settings.controllers.end(),
                                 [&](const auto& entry) { return entry.id == settings.id; });
   if (own == settings.controllers.end()) {
@@ -150,7 +151,7 @@
   }
 }
 
-void CheckDataFolderKey(JsonReader& reader, const Settings& settings) {
+void CheckDataFolderKey(StrictJsonReader& reader, const Settings& settings) {
   if (settings.controller && settings.data_folder.empty()) {
     reader.Refuse("data_folder", "missing; the role \"controller\" requires a folder");
   } else if (!settings.controller && !settings.data_folder.empty()) {
@@ -159,9 +160,9 @@
   }
 }
 
-Settings ReadSettings(JsonReader& reader, const json::value& value) {
+Settings ReadSettings(StrictJsonReader& reader, const json::value& value) {
   Settings settings;
-  JsonObject root(reader, value, "");
+  StrictJsonObject root(reader, value, "");
   root.Require("id");
   root.ReadName("id", settings.id);
   root.Require("data_centre");
@@ -189,7 +190,7 @@
   };
   const Result<json::value> parsed = ParseStrictJson(text, ErrorCode::kInvalidSettings);
   if (!parsed) return fail(parsed.error());
-  JsonReader reader(ErrorCode::kInvalidSettings);
+  StrictJsonReader reader(ErrorCode::kInvalidSettings);
   Settings settings = ReadSettings(reader, *parsed);
   if (!reader.Failed()) {
     CheckControllersDiffer(reader, settings);
--- a/strict_json.cc
+++ b/strict_json.cc
@@ -173,13 +173,14 @@
          std::all_of(name.begin(), name.end(), allowed);
 }
 
-void JsonReader::Refuse(const std::string& place, const std::string& problem) {
+void StrictJsonReader::Refuse(const std::string& place, const std::string& problem) {
   if (this->failed) return;
   this->failed = true;
   this->problem = place.empty() ? problem : place + ": " + problem;
 }
 
-JsonObject::JsonObject(JsonReader& reader, const json::value& value, std::string place)
+StrictJsonObject::StrictJsonObject(StrictJsonReader& reader, const json::value& value,
+                                   std::string place)
     : reader(reader), place(std::move(place)), members(value.if_object()) {
   static const json::object empty;
   if (this->members != nullptr) return;
@@ -187,18 +188,18 @@
   this->members = &empty;
 }
 
-const json::value* JsonObject::Find(std::string_view key) {
+const json::value* StrictJsonObject::Find(std::string_view key) {
   this->known.emplace(key);
   return this->members->if_contains({key.data(), key.size()});
 }
 
-const json::value* JsonObject::Require(std::string_view key) {
+const json::value* StrictJsonObject::Require(std::string_view key) {
   const json::value* value = this->Find(key);
   if (value == nullptr) this->reader.Refuse(this->PlaceOf(key), "missing; the key is required");
   return value;
 }
 
-bool JsonObject::Read(std::string_view key, uint64_t& out, Range range) {
+bool StrictJsonObject::Read(std::string_view key, uint64_t& out, Range range) {
   const json::value* value = this->Find(key);
   if (value == nullptr) return false;
   json::error_code error;
@@ -213,7 +214,7 @@
   return true;
 }
 
-bool JsonObject::Read(std::string_view key, uint32_t& out, Range range) {
+bool StrictJsonObject::Read(std::string_view key, uint32_t& out, Range range) {
   uint64_t number = 0;
   range.max = std::min<uint64_t>(range.max, UINT32_MAX);
   if (!this->Read(key, number, range)) return false;
@@ -221,14 +222,14 @@
   return true;
 }
 
-bool JsonObject::ReadMillis(std::string_view key, Duration& out, Range range) {
+bool StrictJsonObject::ReadMillis(std::string_view key, Duration& out, Range range) {
   uint64_t number = 0;
   if (!this->Read(key, number, range)) return false;
   out = Millis(static_cast<int64_t>(number));
   return true;
 }
 
-bool JsonObject::Read(std::string_view key, bool& out) {
+bool StrictJsonObject::Read(std::string_view key, bool& out) {
   const json::value* value = this->Find(key);
   if (value == nullptr) return false;
   if (!value->is_bool()) {
@@ -239,7 +240,7 @@
   return true;
 }
 
-bool JsonObject::Read(std::string_view key, std::string& out) {
+bool StrictJsonObject::Read(std::string_view key, std::string& out) {
   const json::value* value = this->Find(key);
   if (value == nullptr) return false;
   if (!value->is_string()) {
@@ -250,7 +251,7 @@
   return true;
 }
 
-bool JsonObject::ReadName(std::string_view key, std::string& out) {
+bool StrictJsonObject::ReadName(std::string_view key, std::string& out) {
   std::string name;
   if (!this->Read(key, name)) return false;
   if (!IsName(name)) {
@@ -262,8 +263,8 @@
   return true;
 }
 
-bool JsonObject::ReadChoice(std::string_view key, size_t& out,
-                            std::initializer_list<std::string_view> choices) {
+bool StrictJsonObject::ReadChoice(std::string_view key, size_t& out,
+                                  std::initializer_list<std::string_view> choices) {
   const json::value* value = this->Find(key);
   if (value == nullptr) return false;
   std::string allowed;
@@ -280,7 +281,7 @@
   return false;
 }
 
-void JsonObject::RefuseOtherKeys() {
+void StrictJsonObject::RefuseOtherKeys() {
   for (const json::key_value_pair& member : *this->members) {
     const std::string_view key(member.key().data(), member.key().size());
     if (this->known.find(key) != this->known.end()) continue;
@@ -291,6 +292,6 @@
   }
 }
 
-std::string JsonObject::PlaceOf(std::string_view key) const { return Join(this->place, key); }
+std::string StrictJsonObject::PlaceOf(std::string_view key) const { return Join(this->place, key); }
 
 }  // namespace peridotgauge
--- a/strict_json.h
+++ b/strict_json.h
@@ -2,8 +2,8 @@
 //
 // Use:
 //   Result<boost::json::value> json = ParseStrictJson(text, ErrorCode::kInvalidConfig);
-//   JsonReader reader(ErrorCode::kInvalidConfig);
-//   JsonObject fleet(reader, *json, "fleets.verstas");
+//   StrictJsonReader reader(ErrorCode::kInvalidConfig);
+//   StrictJsonObject fleet(reader, *json, "fleets.verstas");
 //   fleet.Read("slots", slots, {.min = 1, .max = 1024});
 //   fleet.RefuseOtherKeys();
 //   if (reader.Failed()) return Fail(reader.Problem());
@@ -40,9 +40,9 @@
 constexpr std::string_view kNameSyntax = "1 to 64 letters, digits, '-', '_' or '.'";
 
 // Keeps the first problem of one text.
-class JsonReader {
+class StrictJsonReader {
  public:
-  explicit JsonReader(ErrorCode code) : code(code) {}
+  explicit StrictJsonReader(ErrorCode code) : code(code) {}
 
   // Records a problem at a place.
   void Refuse(const std::string& place, const std::string& problem);
@@ -62,11 +62,11 @@
 };
 
 // One object of the text. The value must outlive it.
-class JsonObject {
+class StrictJsonObject {
  public:
   // Refuses a value that is not an object and then behaves like an empty one. `place` is empty for
   // the whole text.
-  JsonObject(JsonReader& reader, const boost::json::value& value, std::string place);
+  StrictJsonObject(StrictJsonReader& reader, const boost::json::value& value, std::string place);
 
   // Returns the member, or nullptr; the key counts as known.
   const boost::json::value* Find(std::string_view key);
@@ -92,7 +92,7 @@
   const boost::json::object& Members() const { return *this->members; }
 
  private:
-  JsonReader& reader;
+  StrictJsonReader& reader;
   std::string place;
   const boost::json::object* members;
   std::set<std::string, std::less<>> known;
