Add the command-line tool; use one address module

Cause: operators need apply, status, search and trace; http_message.h held a third address parser. Result: compiles; not yet run against a daemon.

--- a/caller_api.cc
+++ b/caller_api.cc
@@ -7,6 +7,7 @@
 #include <limits>
 #include <utility>
 
+#include "address.h"
 #include "json_text.h"
 
 namespace peridotgauge {
@@ -97,8 +98,8 @@
   return text;
 }
 
-Result<Address> ParseAddress(std::string_view name, std::string address) {
-  const Result<Endpoint> endpoint = SplitAddress(address);
+Result<Address> CheckAddress(std::string_view name, std::string address) {
+  const Result<Endpoint> endpoint = ParseAddress(address);
   if (!endpoint) {
     return Fail(ErrorCode::kBadRequest, std::string(name) + ": " + endpoint.error().detail);
   }
@@ -113,7 +114,7 @@
 Result<RouterEntry> ParseRouterEntry(std::string_view text) {
   JsonReader reader(text, "routers[]");
   RouterEntry entry;
-  entry.address = reader.Take(ParseAddress("address", reader.String("address", 1, kMaxText)));
+  entry.address = reader.Take(CheckAddress("address", reader.String("address", 1, kMaxText)));
   entry.data_centre = reader.String("data_centre", 0, kMaxText);
   return reader.Finish(entry);
 }
@@ -396,7 +397,7 @@
   TargetRecord& record = request.record;
   record.target = ReadName(reader, "target", kMaxNameLength);
   record.address = reader.Take(
-      ParseAddress("registration: address", reader.String("address", 1, kMaxNameLength)));
+      CheckAddress("registration: address", reader.String("address", 1, kMaxNameLength)));
   record.service = ReadName(reader, "service", kMaxNameLength);
   record.data_centre = ReadName(reader, "data_centre", kMaxNameLength);
   record.incarnation = reader.Unsigned("incarnation", 0, kMaxNumber);
--- /dev/null
+++ b/cli_format.h
@@ -0,0 +1,20 @@
+// Human-readable output of the command-line tool. Pure functions from JSON answers to text.
+//
+// Contract: an answer of an unexpected form is returned as it is, so nothing is hidden.
+#ifndef PERIDOTGAUGE_CLI_FORMAT_H_
+#define PERIDOTGAUGE_CLI_FORMAT_H_
+
+#include <string>
+
+#include "caller_api.h"
+
+namespace peridotgauge {
+
+std::string FormatHistoryTable(const std::string& json);
+std::string FormatStatusReport(const std::string& json);
+std::string FormatTargetTable(const std::string& json);
+std::string FormatSearchReport(const SearchAnswer& answer);
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_CLI_FORMAT_H_
--- a/daemon.cc
+++ b/daemon.cc
@@ -158,11 +158,13 @@
 
   std::string MetricsText() {
     const HttpServerStatus status = this->http->Status();
-    this->metrics.GaugeOf("peridotgauge_http_connections").Set(static_cast<double>(status.connections));
+    this->metrics.GaugeOf("peridotgauge_http_connections")
+        .Set(static_cast<double>(status.connections));
     this->metrics.GaugeOf("peridotgauge_http_running").Set(static_cast<double>(status.running));
     this->metrics.GaugeOf("peridotgauge_http_refused_requests")
         .Set(static_cast<double>(status.refused_requests));
-    this->metrics.GaugeOf("peridotgauge_spans_dropped").Set(static_cast<double>(this->tracer.Dropped()));
+    this->metrics.GaugeOf("peridotgauge_spans_dropped")
+        .Set(static_cast<double>(this->tracer.Dropped()));
     this->metrics.GaugeOf("peridotgauge_config_revision")
         .Set(static_cast<double>(this->control.CurrentConfig()->Revision()));
     return this->metrics.Text();
@@ -204,11 +206,12 @@
 
   void CloseHttp() {
     this->close_timer.expires_after(kCloseTime);
-    this->close_timer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
-      if (error) return;
-      LOG(WARNING) << "daemon: some connections did not finish; closing them";
-      self->TransferLeadership();
-    });
+    this->close_timer.async_wait(
+        [self = this->shared_from_this()](boost::system::error_code error) {
+          if (error) return;
+          LOG(WARNING) << "daemon: some connections did not finish; closing them";
+          self->TransferLeadership();
+        });
     this->http->Stop([self = this->shared_from_this()] {
       self->close_timer.cancel();
       self->TransferLeadership();
--- a/http_client.cc
+++ b/http_client.cc
@@ -17,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "address.h"
 #include "http_beast.h"
 
 namespace peridotgauge {
@@ -388,7 +389,7 @@
 // --- Connection ---
 
 void HttpClient::Connection::Connect() {
-  const Result<Endpoint> endpoint = SplitAddress(this->impl->address);
+  const Result<Endpoint> endpoint = ParseAddress(this->impl->address);
   if (!endpoint) {
     asio::post(this->impl->io, [self = this->shared_from_this(), why = endpoint.error().detail] {
       if (self->phase == Phase::kConnecting) self->impl->OnConnectFailed(self, why);
--- a/http_message.h
+++ b/http_message.h
@@ -54,16 +54,6 @@
 HttpResponse JsonResponse(int status, std::string body);
 HttpResponse TextResponse(int status, std::string body);
 
-// The host and port of an address.
-struct Endpoint {
-  std::string host;  // an IP address without brackets
-  uint16_t port = 0;
-  bool operator==(const Endpoint&) const = default;
-};
-
-// Splits "127.0.0.1:7001" or "[::1]:7001". kBadRequest if the text has another form.
-Result<Endpoint> SplitAddress(std::string_view address);
-
 }  // namespace peridotgauge
 
 #endif  // PERIDOTGAUGE_HTTP_MESSAGE_H_
--- a/http_server.cc
+++ b/http_server.cc
@@ -16,6 +16,7 @@
 #include <unordered_set>
 #include <utility>
 
+#include "address.h"
 #include "caller_api.h"
 #include "http_beast.h"
 
@@ -155,7 +156,7 @@
 // --- Impl ---
 
 Result<void> HttpServer::Impl::Bind(const Address& address) {
-  const Result<Endpoint> endpoint = SplitAddress(address);
+  const Result<Endpoint> endpoint = ParseListenAddress(address);
   if (!endpoint) return tl::unexpected<Error>(endpoint.error());
   const Tcp::endpoint where(asio::ip::make_address(endpoint->host), endpoint->port);
   error_code error;
--- a/order_runner.cc
+++ b/order_runner.cc
@@ -109,11 +109,11 @@
     const auto config = this->context.control.CurrentConfig();
     const Service* service = config->FindService(this->request.service);
     const std::string fleet = service == nullptr ? "" : service->fleet;
-    this->context.sender.Send(now, {dispatch.target, fleet, this->deadline}, std::move(sub),
-                              [self = this->shared_from_this(), hop,
-                               target = dispatch.target](wire::SubReplyT reply) {
-                                self->OnDispatchReply(*hop, *target, std::move(reply));
-                              });
+    this->context.sender.Send(
+        now, {dispatch.target, fleet, this->deadline}, std::move(sub),
+        [self = this->shared_from_this(), hop, target = dispatch.target](wire::SubReplyT reply) {
+          self->OnDispatchReply(*hop, *target, std::move(reply));
+        });
   }
 
   void OnDispatchReply(ActiveSpan& hop, const TargetRecord& target, wire::SubReplyT reply) {
@@ -202,7 +202,7 @@
   Order order;
   boost::asio::steady_timer timer;
   ActiveSpan span;
-  std::function<void(OrderReply)> callback;  // empty once called
+  std::function<void(OrderReply)> callback;       // empty once called
   std::shared_ptr<const ServiceTargets> targets;  // keeps the dispatched record alive
 };
 
@@ -213,7 +213,9 @@
                 std::function<void(OrderReply)> callback) {
   const auto config = context.control.CurrentConfig();
   const Service* service = config->FindService(request.service);
-  const auto refuse = [&](const Error& error) { callback({tl::unexpected(error), error.NotRun()}); };
+  const auto refuse = [&](const Error& error) {
+    callback({tl::unexpected(error), error.NotRun()});
+  };
   if (!context.control.Synchronized(now)) return refuse({ErrorCode::kNotSynchronized, ""});
   if (service == nullptr) {
     return refuse({ErrorCode::kNotFound, "unknown service \"" + request.service + "\""});
@@ -228,7 +230,8 @@
   const uint64_t fingerprint = Fingerprint(request.service, RequestKind::kOrder, request.body);
   const Standing standing = context.quarantine.Check(now, UnixMillis(), fingerprint);
   if (standing == Standing::kQuarantined || standing == Standing::kCrashing) {
-    return refuse({ErrorCode::kQuarantined, "the request crashed targets; it is blocked for a time"});
+    return refuse(
+        {ErrorCode::kQuarantined, "the request crashed targets; it is blocked for a time"});
   }
   const OrderParams params{
       .request_id = request.request_id,
--- a/owner.cc
+++ b/owner.cc
@@ -72,8 +72,8 @@
       return kNoJob;
     }
     const std::string target = request.target;
-    ActiveSpan span = this->context.tracer.Begin(ParseTraceparent(request.traceparent), "owner",
-                                                 UnixNanos());
+    ActiveSpan span =
+        this->context.tracer.Begin(ParseTraceparent(request.traceparent), "owner", UnixNanos());
     span.Note("target", target);
     this->jobs.emplace(id, Job{.request = std::move(request),
                                .deadline = deadline,
@@ -145,9 +145,8 @@
 
   void RefuseLater(const wire::SubRequestT& request, const Error& error, Callback done) {
     this->refused.Add();
-    asio::post(this->context.io, [reply = Refusal(request, error), done = std::move(done)]() mutable {
-      done(std::move(reply));
-    });
+    asio::post(this->context.io, [reply = Refusal(request, error),
+                                  done = std::move(done)]() mutable { done(std::move(reply)); });
   }
 
   // --- Following the control plane ---
@@ -179,7 +178,8 @@
 
   // Brings lanes in line with ownership, fences and the directory.
   void Refresh(Time now) {
-    for (const std::string& target : this->ownership.OwnedTargets()) this->RefreshOwned(now, target);
+    for (const std::string& target : this->ownership.OwnedTargets())
+      this->RefreshOwned(now, target);
     std::vector<std::string> names;
     for (const auto& [name, lane] : this->lanes) names.push_back(name);
     for (const std::string& name : names) {
@@ -210,7 +210,8 @@
   }
 
   Lane& OpenLane(Time now, const TargetRecord& record) {
-    const bool cold = record.state == TargetState::kStarting || this->restarted.contains(record.target);
+    const bool cold =
+        record.state == TargetState::kStarting || this->restarted.contains(record.target);
     this->restarted.erase(record.target);
     const QueueOptions options{.slots = std::max(1U, record.slots),
                                .connections = std::max(1U, record.connections),
--- a/peridotgauged.cc
+++ b/peridotgauged.cc
@@ -31,8 +31,7 @@
   Result<Settings> settings = Settings::Parse(text, path);
   if (!settings) return settings;
   if (auto choice = ReplicaChoice::Make(settings->replica_choice, {}); !choice) {
-    return Fail(ErrorCode::kInvalidSettings,
-                path + ": replica_choice: " + choice.error().detail);
+    return Fail(ErrorCode::kInvalidSettings, path + ": replica_choice: " + choice.error().detail);
   }
   if (!settings->controller) return settings;
   if (Result<void> usable = CheckDataFolder(settings->data_folder); !usable) {
--- a/router.cc
+++ b/router.cc
@@ -43,9 +43,7 @@
   return std::move(*choice);
 }
 
-std::string RandomRequestId(std::mt19937_64& random) {
-  return ToHex(TraceId{random(), random()});
-}
+std::string RandomRequestId(std::mt19937_64& random) { return ToHex(TraceId{random(), random()}); }
 
 }  // namespace
 
@@ -63,16 +61,8 @@
         owner({io, settings, control, peers, tracer, metrics}, {self.id, self.incarnation}),
         sender(self.id, this->owner, peers, *this->replicas, this->hedges),
         registrations(self.id),
-        context{io,
-                settings,
-                control,
-                this->planner,
-                *this->replicas,
-                this->hedges,
-                this->admission,
-                this->quarantine,
-                this->sender,
-                tracer,
+        context{io,           settings,        control,          this->planner, *this->replicas,
+                this->hedges, this->admission, this->quarantine, this->sender,  tracer,
                 metrics},
         orders{self.id, self.incarnation},
         timer(io),
@@ -116,14 +106,14 @@
 
   void HandlePeer(wire::BodyUnion body, const PeerRequest& request) {
     const Time now = SteadyNow();
-    if (const wire::ReleaseT* release = body.AsRelease()) return this->owner.OnRelease(now, *release);
+    if (const wire::ReleaseT* release = body.AsRelease())
+      return this->owner.OnRelease(now, *release);
     wire::SubRequestT* sub = body.AsSubRequest();
     if (sub == nullptr) return;
     const Time deadline = now + Duration(sub->budget_us);
-    const uint64_t job = this->owner.Run(now, std::move(*sub), deadline,
-                                         [request](wire::SubReplyT reply) {
-                                           request.Reply(ToBody(std::move(reply)));
-                                         });
+    const uint64_t job = this->owner.Run(
+        now, std::move(*sub), deadline,
+        [request](wire::SubReplyT reply) { request.Reply(ToBody(std::move(reply))); });
     request.OnCancel([weak = this->weak_from_this(), job] {
       if (auto router = weak.lock()) router->owner.Cancel(SteadyNow(), job);
     });
@@ -200,7 +190,8 @@
     const std::string id = request->request_id;
     if (this->RefuseUnlessServing(now, responder, id)) return;
     StartOrder(this->context, this->orders, std::move(*request),
-               ParseTraceparent(http.Header("traceparent")), now, [responder, id](OrderReply reply) {
+               ParseTraceparent(http.Header("traceparent")), now,
+               [responder, id](OrderReply reply) {
                  if (!reply.answer) {
                    return responder.Send(ErrorResponse(reply.answer.error(), id, reply.not_run));
                  }
@@ -271,7 +262,8 @@
 
   void Housekeeping() {
     const Time now = SteadyNow();
-    for (TargetRecord& gone : this->registrations.Expire(now)) this->control.Register(std::move(gone));
+    for (TargetRecord& gone : this->registrations.Expire(now))
+      this->control.Register(std::move(gone));
     this->quarantine.SetCommitted(this->control.QuarantineList());
     this->ContinueDrain(now);
     this->timer.expires_after(kHousekeepingInterval);
--- a/search_runner.cc
+++ b/search_runner.cc
@@ -62,9 +62,9 @@
   void SendAttempt(Time now, const AttemptSend& send) {
     const PlannedService& service = this->plan->ServiceOf(send.shard);
     const PlannedFleet& fleet = this->plan->FleetOf(send.shard);
-    Attempt attempt{.target = send.target,
-                    .span = this->context.tracer.Begin(this->span.Context(), "attempt",
-                                                       UnixNanos())};
+    Attempt attempt{
+        .target = send.target,
+        .span = this->context.tracer.Begin(this->span.Context(), "attempt", UnixNanos())};
     attempt.span.Note("target", send.target->target);
     wire::SubRequestT sub;
     sub.request_id = this->request.request_id;
@@ -265,7 +265,8 @@
   const uint64_t fingerprint = Fingerprint(request.service, RequestKind::kSearch, request.query);
   const Standing standing = context.quarantine.Check(now, UnixMillis(), fingerprint);
   if (standing == Standing::kQuarantined || standing == Standing::kCrashing) {
-    return refuse({ErrorCode::kQuarantined, "the request crashed targets; it is blocked for a time"});
+    return refuse(
+        {ErrorCode::kQuarantined, "the request crashed targets; it is blocked for a time"});
   }
   const Time deadline = now + std::min(request.deadline.value_or((*plan)->deadline), kMaxDeadline);
   if (Result<void> admitted = context.admission.Admit(now, request.service, deadline); !admitted) {
--- a/sub_request_sender.h
+++ b/sub_request_sender.h
@@ -49,8 +49,8 @@
     std::string fleet;
     uint64_t replica_send = 0;  // of ReplicaChoice
     Callback done;
-    Address peer;            // of the owner; empty if the owner is this router
-    uint64_t call_id = 0;    // of the peer client, or of the owner's job
+    Address peer;          // of the owner; empty if the owner is this router
+    uint64_t call_id = 0;  // of the peer client, or of the owner's job
   };
 
   void SendToPeer(uint64_t id, const Address& peer, wire::SubRequestT request, Time deadline);
