--- a/raft.h
+++ b/raft.h
@@ -88,7 +88,6 @@
   bool reset = false;  // with `snapshot`: all stored entries are dropped
   std::optional<HardState> hard_state;
   std::vector<LogEntry> entries;  // replace stored entries with the same or a higher index
-  uint64_t first_needed = 0;      // entries below this index may be removed from disk
 };
 
 struct ReadResult {
@@ -110,9 +109,8 @@
   Raft(RaftOptions options, RaftStored stored, Time now);
 
   void Step(Time now, const RaftMessage& message);
+  // To be called at least every heartbeat / 4.
   void Tick(Time now);
-  // When Tick() is due next.
-  Time NextTick() const;
 
   // Appends a command and returns its index. kNotLeader, kTooLarge or kOverloaded: not appended.
   Result<uint64_t> Propose(Time now, std::string command);
@@ -157,7 +155,8 @@
     uint64_t match_at_heartbeat = 0;       // match at the last heartbeat reply
     std::optional<RaftSnapshot> snapshot;  // being sent
     uint64_t snapshot_offset = 0;
-    uint64_t round = 0;  // highest confirmed round
+    uint64_t offset_at_heartbeat = 0;  // snapshot_offset at the last heartbeat reply
+    uint64_t round = 0;                // highest confirmed round
     Time last_heard;
   };
   struct HeldMessage {
@@ -197,19 +196,25 @@
   void SendAfterSync(RaftMessage message);
   bool HasUnwritten() const;
   Address AddressOf(const std::string& id) const;
-  void AppendLocal(LogEntry entry);
   void TruncateLocal(uint64_t index);
-  void CommitTo(uint64_t index);
-  void Admit();
+  void CommitTo(Time now, uint64_t index);
+  void MaybeAdmitSelf(Time now);
   void FailReads();
+  void SetContact(Time now, const RaftMessage& message);
+  void MarkHardState() { this->hard_changed = true; }
+  // True if a majority of every list that is in force passes: the newest committed one and those
+  // in entries that are not known to be committed.
   bool Quorum(const MemberTest& test) const;
+  bool IsSelf(const RaftMember& member) const;
+  std::vector<RaftMember> OtherMembers() const;
 
   // raft_election.cc: first start, pre-vote, votes.
   void SendProbes(Time now);
   void HandleProbe(Time now, const RaftMessage& message);
   void HandleProbeReply(Time now, const RaftMessage& message);
-  void TryFound();
-  void Adopt(const RaftMembers& members);
+  bool IsFresh() const;
+  void TryFound(Time now);
+  void Adopt(Time now, const RaftMembers& members);
   void Campaign(Time now, bool pre_vote, bool transfer);
   void HandlePreVote(Time now, const RaftMessage& message);
   void HandleVote(Time now, const RaftMessage& message);
@@ -223,11 +228,13 @@
   void HandleAppend(Time now, const RaftMessage& message);
   void HandleHeartbeat(Time now, const RaftMessage& message);
   void HandleSnapshot(Time now, const RaftMessage& message);
-  void InstallSnapshot(const RaftMessage& message);
+  void InstallSnapshot(Time now, const RaftMessage& message);
+  void ReplyMatch(const RaftMessage& message, uint64_t index);
 
   // raft_leader.cc: replication, reads, membership, transfer.
   void BecomeLeader(Time now);
   void LeaderTick(Time now);
+  void LeaveLeadership();
   void SyncProgress(Time now);
   Progress* ProgressOf(const RaftMessage& message);
   Progress* FindOrAddLearner(Time now, const RaftMessage& message);
@@ -236,12 +243,14 @@
   void SendSnapshotChunk(const std::string& id, Progress& progress);
   void SendHeartbeats();
   void SendHeartbeat(const std::string& id, const Progress& progress);
+  void StartSnapshot(const std::string& id, Progress& progress);
   void HandleAppendReply(Time now, const RaftMessage& message);
   void HandleHeartbeatReply(Time now, const RaftMessage& message);
   void HandleSnapshotReply(Time now, const RaftMessage& message);
-  void Advance(const std::string& id, Progress& progress, uint64_t match);
-  void MaybeCommit();
-  void AfterCommit();
+  void Advance(Time now, const std::string& id, Progress& progress, uint64_t match);
+  uint64_t MatchOf(const RaftMember& member) const;
+  void MaybeCommit(Time now);
+  void AfterMembershipCommit(Time now);
   void MaybeAdmitLearner(Time now, const std::string& id, const Progress& progress);
   void StartRound();
   void ConfirmReads();
@@ -265,7 +274,6 @@
 
   // Candidate: ids of members that granted; `pre_voting` tells which round it is.
   bool pre_voting = false;
-  bool self_vote_stored = false;
   std::map<std::string, uint64_t> grants;  // id -> incarnation
 
   // Leader.
@@ -275,6 +283,7 @@
   Time leader_since;
   uint64_t term_start = 0;  // index of this term's first entry
   uint64_t uncommitted_bytes = 0;
+  bool replicate_due = false;  // entries were appended since the last TakeReady()
   uint64_t round = 0;
   bool round_open = false;
   uint64_t next_read_id = 1;
--- /dev/null
+++ b/raft_log.cc
@@ -0,0 +1,109 @@
+// The in-memory part of the replicated log.
+#include "raft_log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotgauge {
+namespace {
+
+// Fixed cost of an entry in memory, added to its data for limits.
+constexpr uint64_t kEntryOverheadBytes = 64;
+
+uint64_t BytesOf(const LogEntry& entry) {
+  return kEntryOverheadBytes + entry.data.size() + kEntryOverheadBytes * entry.members.size();
+}
+
+}  // namespace
+
+RaftLog::RaftLog(RaftSnapshot snapshot, const std::vector<LogEntry>& entries) {
+  this->Reset(std::move(snapshot));
+  for (const LogEntry& entry : entries) {
+    if (entry.index > this->LastIndex()) this->Append(entry);
+  }
+}
+
+std::optional<uint64_t> RaftLog::TermAt(uint64_t index) const {
+  if (index == this->base_index) return this->base_term;
+  if (index == this->snapshot.index) return this->snapshot.term;
+  if (index < this->base_index || index > this->LastIndex()) return std::nullopt;
+  return this->At(index).term;
+}
+
+const LogEntry& RaftLog::At(uint64_t index) const {
+  return this->entries[index - this->base_index - 1];
+}
+
+std::vector<LogEntry> RaftLog::Range(uint64_t from, uint64_t to, uint64_t max_bytes) const {
+  std::vector<LogEntry> out;
+  uint64_t sum = 0;
+  for (uint64_t i = from; i <= std::min(to, this->LastIndex()); ++i) {
+    sum += BytesOf(this->At(i));
+    if (!out.empty() && sum > max_bytes) break;
+    out.push_back(this->At(i));
+  }
+  return out;
+}
+
+void RaftLog::Append(LogEntry entry) {
+  this->bytes += BytesOf(entry);
+  if (entry.kind == EntryKind::kMembership) {
+    this->memberships.push_back({entry.index, entry.members});
+  }
+  this->entries.push_back(std::move(entry));
+}
+
+void RaftLog::TruncateFrom(uint64_t index) {
+  while (!this->entries.empty() && this->LastIndex() >= index) {
+    this->bytes -= BytesOf(this->entries.back());
+    this->entries.pop_back();
+  }
+  while (this->memberships.size() > 1 && this->memberships.back().index >= index) {
+    this->memberships.pop_back();
+  }
+}
+
+void RaftLog::Compact(RaftSnapshot newer, uint64_t keep) {
+  const uint64_t drop_to = newer.index > keep ? newer.index - keep : 0;
+  while (!this->entries.empty() && this->base_index < drop_to) {
+    this->base_index = this->entries.front().index;
+    this->base_term = this->entries.front().term;
+    this->bytes -= BytesOf(this->entries.front());
+    this->entries.pop_front();
+  }
+  this->snapshot = std::move(newer);
+  while (this->memberships.size() > 1 && this->memberships[1].index <= this->snapshot.index) {
+    this->memberships.erase(this->memberships.begin());
+  }
+}
+
+void RaftLog::Reset(RaftSnapshot newer) {
+  this->entries.clear();
+  this->bytes = 0;
+  this->base_index = newer.index;
+  this->base_term = newer.term;
+  this->memberships = {{newer.index, newer.members}};
+  this->snapshot = std::move(newer);
+}
+
+const MembershipAt& RaftLog::MembershipAsOf(uint64_t index) const {
+  for (auto it = this->memberships.rbegin(); it != this->memberships.rend(); ++it) {
+    if (it->index <= index) return *it;
+  }
+  return this->memberships.front();
+}
+
+std::vector<const RaftMembers*> RaftLog::MembersInForce(uint64_t commit) const {
+  std::vector<const RaftMembers*> out = {&this->MembershipAsOf(commit).members};
+  for (const MembershipAt& at : this->memberships) {
+    if (at.index > commit) out.push_back(&at.members);
+  }
+  return out;
+}
+
+void RaftLog::SetFirstMembers(const RaftMembers& members) {
+  this->snapshot.members = members;
+  if (this->memberships.front().index == 0) this->memberships.front().members = members;
+}
+
+}  // namespace peridotgauge
--- a/raft_log.h
+++ b/raft_log.h
@@ -52,6 +52,11 @@
   // The newest membership in the log, and the newest at or below `index`.
   const MembershipAt& Latest() const { return this->memberships.back(); }
   const MembershipAt& MembershipAsOf(uint64_t index) const;
+  // The lists in force while entries above `commit` are undecided: MembershipAsOf(commit) and all
+  // newer ones.
+  std::vector<const RaftMembers*> MembersInForce(uint64_t commit) const;
+  // Sets the members of index 0. Only while the snapshot has index 0.
+  void SetFirstMembers(const RaftMembers& members);
 
  private:
   uint64_t base_index = 0;
--- /dev/null
+++ b/wal.cc
@@ -0,0 +1,400 @@
+// The write-ahead log. A record is a header and an encoded WalRecord:
+//   4 bytes payload length, 4 bytes header check, 8 bytes payload check (little endian).
+// The header check covers length, payload check and the segment's number, so that a damaged length
+// is not mistaken for a record that runs past the end of the file.
+#include "wal.h"
+
+#define XXH_INLINE_ALL
+#include <dirent.h>
+#include <fcntl.h>
+#include <glog/logging.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cinttypes>
+#include <cstdio>
+#include <cstring>
+#include <utility>
+#include <vector>
+
+namespace peridotgauge {
+namespace {
+
+constexpr size_t kHeaderBytes = 16;
+constexpr size_t kLengthBytes = 4;
+constexpr size_t kHeaderCheckBytes = 4;
+constexpr mode_t kFileMode = 0640;
+constexpr mode_t kFolderMode = 0750;
+constexpr std::string_view kSegmentPrefix = "segment-";
+constexpr std::string_view kSegmentSuffix = ".wal";
+constexpr std::string_view kSnapshotPrefix = "snapshot-";
+constexpr std::string_view kSnapshotSuffix = ".snap";
+constexpr std::string_view kTemporarySuffix = ".tmp";
+
+std::string ErrnoText(int error_number) {
+  std::array<char, 128> buffer{};
+  return strerror_r(error_number, buffer.data(), buffer.size());
+}
+
+uint32_t HeaderCheck(uint32_t length, uint64_t payload_check, uint64_t seed) {
+  std::array<char, kLengthBytes + sizeof payload_check> bytes{};
+  std::memcpy(bytes.data(), &length, sizeof length);
+  std::memcpy(bytes.data() + kLengthBytes, &payload_check, sizeof payload_check);
+  return static_cast<uint32_t>(XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed));
+}
+
+// Returns header and payload. `seed` ties the record to its file.
+std::string Frame(std::string_view payload, uint64_t seed) {
+  const auto length = static_cast<uint32_t>(payload.size());
+  const uint64_t payload_check = XXH3_64bits(payload.data(), payload.size());
+  const uint32_t header_check = HeaderCheck(length, payload_check, seed);
+  std::string out(kHeaderBytes, '\0');
+  std::memcpy(out.data(), &length, sizeof length);
+  std::memcpy(out.data() + kLengthBytes, &header_check, sizeof header_check);
+  std::memcpy(out.data() + kLengthBytes + kHeaderCheckBytes, &payload_check, sizeof payload_check);
+  out += payload;
+  return out;
+}
+
+// Returns the payload of the record at `offset`, or nothing if there is no intact one.
+std::optional<std::string_view> RecordAt(std::string_view bytes, size_t offset, uint64_t seed) {
+  if (bytes.size() - offset < kHeaderBytes) return std::nullopt;
+  uint32_t length = 0;
+  uint32_t header_check = 0;
+  uint64_t payload_check = 0;
+  const char* header = bytes.data() + offset;
+  std::memcpy(&length, header, sizeof length);
+  std::memcpy(&header_check, header + kLengthBytes, sizeof header_check);
+  std::memcpy(&payload_check, header + kLengthBytes + kHeaderCheckBytes, sizeof payload_check);
+  if (header_check != HeaderCheck(length, payload_check, seed)) return std::nullopt;
+  if (bytes.size() - offset - kHeaderBytes < length) return std::nullopt;
+  const std::string_view payload = bytes.substr(offset + kHeaderBytes, length);
+  if (XXH3_64bits(payload.data(), payload.size()) != payload_check) return std::nullopt;
+  return payload;
+}
+
+// True if an intact record begins anywhere after `offset`.
+bool RecordFollows(std::string_view bytes, size_t offset, uint64_t seed) {
+  for (size_t i = offset + 1; i + kHeaderBytes <= bytes.size(); ++i) {
+    if (RecordAt(bytes, i, seed)) return true;
+  }
+  return false;
+}
+
+Result<std::string> ReadFile(const std::string& path) {
+  const int fd = open(path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (fd < 0) return Fail(ErrorCode::kStorageFailed, path + ": " + ErrnoText(errno));
+  std::string out;
+  std::array<char, 1 << 16> buffer{};
+  ssize_t count = 0;
+  while ((count = read(fd, buffer.data(), buffer.size())) > 0) out.append(buffer.data(), count);
+  const int error_number = errno;
+  close(fd);
+  if (count < 0) return Fail(ErrorCode::kStorageFailed, path + ": " + ErrnoText(error_number));
+  return out;
+}
+
+// The number in a file name like "segment-00000000000000000012.wal", or nothing.
+std::optional<uint64_t> NumberIn(std::string_view name, std::string_view prefix,
+                                 std::string_view suffix) {
+  if (!name.starts_with(prefix) || !name.ends_with(suffix)) return std::nullopt;
+  const std::string digits(name.substr(prefix.size(), name.size() - prefix.size() - suffix.size()));
+  if (digits.empty() || digits.find_first_not_of("0123456789") != std::string::npos) {
+    return std::nullopt;
+  }
+  return std::strtoull(digits.c_str(), nullptr, 10);
+}
+
+std::string NumberedName(std::string_view prefix, uint64_t number, std::string_view suffix) {
+  std::array<char, 32> digits{};
+  std::snprintf(digits.data(), digits.size(), "%020" PRIu64, number);
+  return std::string(prefix) + digits.data() + std::string(suffix);
+}
+
+Result<std::vector<std::string>> ListFolder(const std::string& folder) {
+  DIR* dir = opendir(folder.c_str());
+  if (dir == nullptr) return Fail(ErrorCode::kStorageFailed, folder + ": " + ErrnoText(errno));
+  std::vector<std::string> names;
+  while (const dirent* entry = readdir(dir)) names.emplace_back(entry->d_name);
+  closedir(dir);
+  return names;
+}
+
+// Replays one record onto what was read so far.
+bool Replay(WalRecord record, RaftStored& stored) {
+  if (record.hard_state) stored.hard_state = std::move(*record.hard_state);
+  if (record.reset_index) stored.entries.clear();
+  for (LogEntry& entry : record.entries) {
+    while (!stored.entries.empty() && stored.entries.back().index >= entry.index) {
+      stored.entries.pop_back();
+    }
+    const bool gap = !stored.entries.empty() && stored.entries.back().index + 1 != entry.index;
+    // Entries that a snapshot covers may be missing before the first one that is kept.
+    if (gap && entry.index > stored.snapshot.index + 1) return false;
+    if (gap) stored.entries.clear();
+    stored.entries.push_back(std::move(entry));
+  }
+  return true;
+}
+
+// Drops entries that do not continue the snapshot. They remain if the replica stopped between
+// storing a received snapshot and resetting the log.
+void TrimToSnapshot(RaftStored& stored) {
+  const RaftSnapshot& snapshot = stored.snapshot;
+  const auto at = std::find_if(stored.entries.begin(), stored.entries.end(),
+                               [&](const LogEntry& e) { return e.index == snapshot.index; });
+  const bool conflict = at != stored.entries.end() && at->term != snapshot.term;
+  if (conflict) stored.entries.clear();
+  std::erase_if(stored.entries, [&](const LogEntry& e) { return e.index <= snapshot.index; });
+}
+
+}  // namespace
+
+int WalFile::Write(int fd, std::string_view bytes) {
+  while (!bytes.empty()) {
+    const ssize_t count = write(fd, bytes.data(), bytes.size());
+    if (count < 0 && errno == EINTR) continue;
+    if (count < 0) return errno;
+    bytes.remove_prefix(static_cast<size_t>(count));
+  }
+  return 0;
+}
+
+int WalFile::Sync(int fd) { return fsync(fd) == 0 ? 0 : errno; }
+
+Wal::Wal(std::string folder, WalOptions options)
+    : folder(std::move(folder)), options(std::move(options)) {}
+
+Wal::~Wal() {
+  for (int fd : {this->segment_fd, this->lock_fd, this->folder_fd}) {
+    if (fd >= 0) close(fd);
+  }
+}
+
+Result<std::unique_ptr<Wal>> Wal::Open(const std::string& folder, WalOptions options,
+                                       RaftStored& stored) {
+  std::unique_ptr<Wal> wal(new Wal(folder, std::move(options)));
+  if (mkdir(folder.c_str(), kFolderMode) != 0 && errno != EEXIST) {
+    return wal->Failed("create " + folder, errno);
+  }
+  wal->folder_fd = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (wal->folder_fd < 0) return wal->Failed("open " + folder, errno);
+  const std::string lock = folder + "/lock";
+  wal->lock_fd = open(lock.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
+  if (wal->lock_fd < 0) return wal->Failed("open " + lock, errno);
+  if (flock(wal->lock_fd, LOCK_EX | LOCK_NB) != 0) {
+    return Fail(ErrorCode::kConflict, folder + ": in use by another process");
+  }
+  if (Result<void> loaded = wal->Load(stored); !loaded) {
+    return tl::unexpected<Error>(loaded.error());
+  }
+  return wal;
+}
+
+Result<void> Wal::Load(RaftStored& stored) {
+  const Result<std::vector<std::string>> names = ListFolder(this->folder);
+  if (!names) return tl::unexpected<Error>(names.error());
+  std::vector<uint64_t> numbers;
+  for (const std::string& name : *names) {
+    if (name.ends_with(kTemporarySuffix)) unlink((this->folder + "/" + name).c_str());
+    if (const auto index = NumberIn(name, kSnapshotPrefix, kSnapshotSuffix)) {
+      this->snapshot_index = std::max(this->snapshot_index, *index);
+      this->has_snapshot = true;
+    }
+    if (const auto number = NumberIn(name, kSegmentPrefix, kSegmentSuffix)) {
+      numbers.push_back(*number);
+    }
+  }
+  std::sort(numbers.begin(), numbers.end());
+  if (this->has_snapshot) {
+    if (Result<void> loaded = this->LoadSnapshot(stored); !loaded) return loaded;
+  }
+  const bool whole = numbers.empty() || numbers.back() - numbers.front() + 1 == numbers.size();
+  const bool from_start = !numbers.empty() && numbers.front() == 1;
+  if (!whole || (this->has_snapshot ? numbers.empty() : !numbers.empty() && !from_start)) {
+    return Fail(ErrorCode::kCorrupt, this->folder + ": a log segment is missing");
+  }
+  for (const uint64_t number : numbers) {
+    Result<void> loaded = this->LoadSegment(number, number == numbers.back(), stored);
+    if (!loaded) return loaded;
+  }
+  TrimToSnapshot(stored);
+  if (!stored.entries.empty() && stored.entries.front().index != stored.snapshot.index + 1) {
+    return Fail(ErrorCode::kCorrupt, this->folder + ": log entries after the snapshot are missing");
+  }
+  if (this->has_snapshot && stored.hard_state.incarnation == 0) {
+    return Fail(ErrorCode::kCorrupt, this->folder + ": the hard state is missing");
+  }
+  this->hard_state = stored.hard_state;
+  return {};
+}
+
+Result<void> Wal::LoadSnapshot(RaftStored& stored) {
+  const std::string path = this->SnapshotPath(this->snapshot_index);
+  const Result<std::string> bytes = ReadFile(path);
+  if (!bytes) return tl::unexpected<Error>(bytes.error());
+  const auto payload = RecordAt(*bytes, 0, this->snapshot_index);
+  if (!payload || payload->size() + kHeaderBytes != bytes->size()) {
+    return Fail(ErrorCode::kCorrupt, path + ": bad checksum");
+  }
+  Result<RaftSnapshot> snapshot = DecodeSnapshot(*payload);
+  if (!snapshot) return tl::unexpected<Error>(snapshot.error());
+  stored.snapshot = std::move(*snapshot);
+  this->snapshot_bytes = bytes->size();
+  return {};
+}
+
+Result<void> Wal::LoadSegment(uint64_t number, bool last, RaftStored& stored) {
+  const std::string path = this->SegmentPath(number);
+  const Result<std::string> bytes = ReadFile(path);
+  if (!bytes) return tl::unexpected<Error>(bytes.error());
+  Segment segment{.number = number};
+  while (segment.bytes < bytes->size()) {
+    const auto payload = RecordAt(*bytes, segment.bytes, number);
+    if (!payload) {
+      if (last && !RecordFollows(*bytes, segment.bytes, number)) break;
+      return Fail(ErrorCode::kCorrupt,
+                  path + ": bad record at byte " + std::to_string(segment.bytes));
+    }
+    Result<WalRecord> record = DecodeRecord(*payload);
+    if (!record) return tl::unexpected<Error>(record.error());
+    for (const LogEntry& entry : record->entries) {
+      segment.max_index = std::max(segment.max_index, entry.index);
+    }
+    if (!Replay(std::move(*record), stored)) {
+      return Fail(ErrorCode::kCorrupt, path + ": log entries are missing");
+    }
+    segment.bytes += kHeaderBytes + payload->size();
+  }
+  this->segments.push_back(segment);
+  if (!last) return {};
+  this->segment_fd = open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+  if (this->segment_fd < 0) return this->Failed("open " + path, errno);
+  if (segment.bytes == bytes->size()) return {};
+  LOG(WARNING) << "wal: " << path << ": cutting off an incomplete record at byte " << segment.bytes;
+  if (ftruncate(this->segment_fd, static_cast<off_t>(segment.bytes)) != 0) {
+    return this->Failed("truncate " + path, errno);
+  }
+  const int error_number = this->options.file->Sync(this->segment_fd);
+  if (error_number != 0) return this->Failed("sync " + path, error_number);
+  return {};
+}
+
+Result<void> Wal::Write(const RaftWrite& write) {
+  if (this->failed) return Fail(ErrorCode::kStorageFailed, "an earlier write failed");
+  if (write.hard_state) this->hard_state = *write.hard_state;
+  if (write.snapshot) {
+    if (Result<void> saved = this->SaveSnapshot(*write.snapshot); !saved) return saved;
+  }
+  const bool full =
+      !this->segments.empty() && this->segments.back().bytes >= this->options.segment_bytes;
+  if (this->segments.empty() || full || write.snapshot) {
+    if (Result<void> begun = this->BeginSegment(); !begun) return begun;
+  }
+  WalRecord record{.segment = this->segments.back().number,
+                   .hard_state = write.hard_state,
+                   .reset_index = {},
+                   .entries = write.entries};
+  if (this->segments.back().bytes == 0) record.hard_state = this->hard_state;
+  if (write.reset) record.reset_index = write.snapshot->index;
+  if (Result<void> appended = this->AppendRecord(record); !appended) return appended;
+  return write.snapshot ? this->RemoveObsolete() : Result<void>{};
+}
+
+uint64_t Wal::Bytes() const {
+  uint64_t sum = this->snapshot_bytes;
+  for (const Segment& segment : this->segments) sum += segment.bytes;
+  return sum;
+}
+
+Result<void> Wal::BeginSegment() {
+  const uint64_t number = this->segments.empty() ? 1 : this->segments.back().number + 1;
+  const std::string path = this->SegmentPath(number);
+  if (this->segment_fd >= 0) close(this->segment_fd);
+  this->segment_fd =
+      open(path.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_EXCL | O_CLOEXEC, kFileMode);
+  if (this->segment_fd < 0) return this->Failed("create " + path, errno);
+  this->segments.push_back({.number = number});
+  return this->SyncFolder();
+}
+
+Result<void> Wal::AppendRecord(const WalRecord& record) {
+  Segment& segment = this->segments.back();
+  const std::string bytes = Frame(EncodeRecord(record), segment.number);
+  int error_number = this->options.file->Write(this->segment_fd, bytes);
+  if (error_number != 0) return this->Failed("write to the log", error_number);
+  error_number = this->options.file->Sync(this->segment_fd);
+  if (error_number != 0) return this->Failed("sync the log", error_number);
+  segment.bytes += bytes.size();
+  for (const LogEntry& entry : record.entries) {
+    segment.max_index = std::max(segment.max_index, entry.index);
+  }
+  return {};
+}
+
+// Writes a complete file under another name and renames it, so that a crash leaves either the old
+// or the new snapshot.
+Result<void> Wal::SaveSnapshot(const RaftSnapshot& snapshot) {
+  const std::string path = this->SnapshotPath(snapshot.index);
+  const std::string temporary = path + std::string(kTemporarySuffix);
+  const int fd =
+      open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, kFileMode);
+  if (fd < 0) return this->Failed("create " + temporary, errno);
+  const std::string bytes = Frame(EncodeSnapshot(snapshot), snapshot.index);
+  int error_number = this->options.file->Write(fd, bytes);
+  if (error_number == 0) error_number = this->options.file->Sync(fd);
+  close(fd);
+  if (error_number != 0) return this->Failed("write " + temporary, error_number);
+  if (rename(temporary.c_str(), path.c_str()) != 0) return this->Failed("rename " + path, errno);
+  if (Result<void> synced = this->SyncFolder(); !synced) return synced;
+  this->has_snapshot = true;
+  this->snapshot_index = snapshot.index;
+  this->snapshot_bytes = bytes.size();
+  return {};
+}
+
+// Removes older snapshots, and from the oldest on the segments whose entries are not needed.
+Result<void> Wal::RemoveObsolete() {
+  const Result<std::vector<std::string>> names = ListFolder(this->folder);
+  if (!names) return this->Failed("list " + this->folder, errno);
+  for (const std::string& name : *names) {
+    const auto index = NumberIn(name, kSnapshotPrefix, kSnapshotSuffix);
+    if (index && *index != this->snapshot_index) unlink((this->folder + "/" + name).c_str());
+  }
+  // After a restart only entries above the snapshot are used, so the entries that are kept in
+  // memory for followers that lag need no segment.
+  while (this->segments.size() > 1 && this->segments.front().max_index <= this->snapshot_index) {
+    const std::string path = this->SegmentPath(this->segments.front().number);
+    // A segment that stays while its successor goes would look like a missing segment.
+    if (unlink(path.c_str()) != 0) return this->Failed("remove " + path, errno);
+    this->segments.pop_front();
+  }
+  return this->SyncFolder();
+}
+
+Result<void> Wal::SyncFolder() {
+  const int error_number = this->options.file->Sync(this->folder_fd);
+  if (error_number != 0) return this->Failed("sync " + this->folder, error_number);
+  return {};
+}
+
+tl::unexpected<Error> Wal::Failed(const std::string& what, int error_number) {
+  this->failed = true;
+  LOG(ERROR) << "wal: " << what << ": " << ErrnoText(error_number);
+  return Fail(ErrorCode::kStorageFailed, what + ": " + ErrnoText(error_number));
+}
+
+std::string Wal::SegmentPath(uint64_t number) const {
+  return this->folder + "/" + NumberedName(kSegmentPrefix, number, kSegmentSuffix);
+}
+
+std::string Wal::SnapshotPath(uint64_t index) const {
+  return this->folder + "/" + NumberedName(kSnapshotPrefix, index, kSnapshotSuffix);
+}
+
+}  // namespace peridotgauge
--- a/wal.h
+++ b/wal.h
@@ -71,7 +71,7 @@
   Result<void> BeginSegment();
   Result<void> AppendRecord(const WalRecord& record);
   Result<void> SaveSnapshot(const RaftSnapshot& snapshot);
-  Result<void> RemoveObsolete(uint64_t first_needed);
+  Result<void> RemoveObsolete();
   Result<void> SyncFolder();
   tl::unexpected<Error> Failed(const std::string& what, int error_number);
   std::string SegmentPath(uint64_t number) const;
