--- a/raft.h
+++ b/raft.h
@@ -134,6 +134,7 @@
 
   RaftRole Role() const { return this->role; }
   bool Leading() const { return this->role == RaftRole::kLeader; }
+  bool Transferring() const { return !this->transfer_target.empty(); }
   uint64_t Term() const { return this->hard.term; }
   uint64_t Incarnation() const { return this->hard.incarnation; }
   bool Admitted() const { return this->hard.admitted; }
--- /dev/null
+++ b/raft_transport.h
@@ -0,0 +1,33 @@
+// Sends raft messages to the other controllers, each over one peer connection.
+//
+// Contract: messages are one-way and may be lost; the raft core sends again. Runs on the thread of
+// the io_context.
+#ifndef PERIDOTGAUGE_RAFT_TRANSPORT_H_
+#define PERIDOTGAUGE_RAFT_TRANSPORT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+
+#include "peer.h"
+#include "raft_message.h"
+
+namespace peridotgauge {
+
+class RaftTransport {
+ public:
+  explicit RaftTransport(boost::asio::io_context& io) : io(io) {}
+
+  // Does nothing if the message has no address.
+  void Send(const RaftMessage& message);
+  // Closes all connections.
+  void Close();
+
+ private:
+  boost::asio::io_context& io;
+  std::map<Address, std::shared_ptr<PeerClient>> clients;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_RAFT_TRANSPORT_H_
--- /dev/null
+++ b/replica.cc
@@ -0,0 +1,442 @@
+// Drives the raft core: applies what it commits, stores what it writes, sends what it says.
+#include "replica.h"
+
+#include <glog/logging.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "raft.h"
+#include "raft_transport.h"
+#include "storage_thread.h"
+#include "wal.h"
+
+namespace peridotgauge {
+namespace {
+
+constexpr int kTicksPerHeartbeat = 5;
+// A quarter of the entries between two snapshots is kept for followers that lag.
+constexpr uint64_t kKeptFraction = 4;
+
+uint64_t RandomNumber() {
+  std::random_device device;
+  const auto high = static_cast<uint64_t>(device());
+  return (high << 32U) | device();
+}
+
+RaftMembers InitialMembers(const std::vector<ControllerAddress>& controllers) {
+  RaftMembers members;
+  for (const ControllerAddress& controller : controllers) {
+    members.push_back({controller.id, 0, controller.peer_address});
+  }
+  return members;
+}
+
+RaftOptions CoreOptions(const ReplicaOptions& options) {
+  RaftOptions out{.id = options.id, .address = {}, .initial = InitialMembers(options.controllers)};
+  if (const RaftMember* self = FindMember(out.initial, options.id)) out.address = self->address;
+  out.heartbeat = options.heartbeat;
+  out.election_timeout = options.election_timeout;
+  out.kept_entries = options.snapshot_interval / kKeptFraction;
+  out.random_seed = options.random_seed != 0 ? options.random_seed : RandomNumber();
+  return out;
+}
+
+// Gives a fresh folder its incarnation, stored before the first message.
+Result<void> EnsureIncarnation(Wal& wal, RaftStored& stored) {
+  if (stored.hard_state.incarnation != 0) return {};
+  while (stored.hard_state.incarnation == 0) stored.hard_state.incarnation = RandomNumber();
+  RaftWrite write;
+  write.hard_state = stored.hard_state;
+  return wal.Write(write);
+}
+
+const char* RoleName(RaftRole role) {
+  switch (role) {
+    case RaftRole::kLearner:
+      return "learner";
+    case RaftRole::kFollower:
+      return "follower";
+    case RaftRole::kCandidate:
+      return "candidate";
+    case RaftRole::kLeader:
+      return "leader";
+    case RaftRole::kFailed:
+      break;
+  }
+  return "failed";
+}
+
+}  // namespace
+
+class Replica::Impl : public std::enable_shared_from_this<Replica::Impl> {
+ public:
+  using AppliedCallback = std::function<void(Result<Applied>)>;
+  using ReadCallback = std::function<void(Result<uint64_t>)>;
+
+  Impl(boost::asio::io_context& io, const ReplicaOptions& options, StateMachine& machine,
+       RaftStored stored)
+      : io(io),
+        snapshot_interval(options.snapshot_interval),
+        tick(options.heartbeat / kTicksPerHeartbeat),
+        machine(machine),
+        applied(stored.snapshot.index),
+        raft(CoreOptions(options), std::move(stored), SteadyNow()),
+        transport(io),
+        timer(io),
+        id(options.id) {}
+
+  void Start(std::unique_ptr<Wal> wal);
+  void Close();
+  void AwaitEntry(const Result<uint64_t>& index, Time deadline, AppliedCallback callback);
+  void Propose(std::string command, Time deadline, AppliedCallback callback);
+  void ConfirmRead(Time deadline, ReadCallback callback);
+  void ChangeMember(const RaftMember& member, bool remove, Time deadline, AppliedCallback callback);
+  void Receive(const wire::RaftEnvelopeT& envelope);
+  void TransferLeadership(Time deadline, std::function<void()> callback);
+  ReplicaStatus Status() const;
+
+  const Raft& Core() const { return this->raft; }
+  void OnLeadership(std::function<void(bool)> callback) {
+    this->on_leadership = std::move(callback);
+  }
+
+ private:
+  struct PendingEntry {
+    uint64_t term = 0;
+    Time deadline;
+    AppliedCallback callback;
+  };
+  struct PendingRead {
+    Time deadline;
+    ReadCallback callback;
+  };
+  struct PendingTransfer {
+    Time deadline;
+    std::function<void()> callback;
+  };
+
+  // Runs `function` from the event loop, unless the replica is closed by then.
+  template <typename Function>
+  void Post(Function function);
+  void ScheduleDrain();
+  void Drain();
+  void Apply(const LogEntry& entry);
+  // Returns false, and stops the replica, if the state machine refuses the snapshot.
+  bool Restore(const RaftSnapshot& snapshot);
+  void FinishRead(const ReadResult& read);
+  void MaybeCompact();
+  void OnStored(const Result<uint64_t>& done);
+  void NoticeLeadership();
+  void FailEntries();
+  void OnTick();
+  void ExpireRequests(Time now);
+  void ContinueTransfer(Time now);
+
+  boost::asio::io_context& io;
+  uint64_t snapshot_interval;
+  Duration tick;
+  StateMachine& machine;
+  uint64_t applied;
+  Raft raft;
+  RaftTransport transport;
+  boost::asio::steady_timer timer;
+  std::string id;
+  std::unique_ptr<StorageThread> storage;
+  std::string storage_error;
+  bool closed = false;
+  bool drain_scheduled = false;
+  uint64_t led_term = 0;  // term of the leadership last reported; 0: none
+  std::function<void(bool)> on_leadership;
+  std::map<uint64_t, PendingEntry> entries;  // by log index
+  std::map<uint64_t, PendingRead> reads;     // by the core's read id
+  std::vector<PendingTransfer> transfers;
+};
+
+template <typename Function>
+void Replica::Impl::Post(Function function) {
+  boost::asio::post(this->io,
+                    [self = this->weak_from_this(), function = std::move(function)]() mutable {
+                      const auto locked = self.lock();
+                      if (locked != nullptr && !locked->closed) function();
+                    });
+}
+
+void Replica::Impl::Start(std::unique_ptr<Wal> wal) {
+  this->storage = std::make_unique<StorageThread>(
+      this->io, std::move(wal), [this](const Result<uint64_t>& done) { this->OnStored(done); });
+  this->OnTick();
+}
+
+void Replica::Impl::Close() {
+  this->closed = true;
+  this->timer.cancel();
+  this->storage.reset();
+  this->transport.Close();
+}
+
+void Replica::Impl::OnTick() {
+  const Time now = SteadyNow();
+  this->raft.Tick(now);
+  this->ContinueTransfer(now);
+  this->ExpireRequests(now);
+  this->ScheduleDrain();
+  this->timer.expires_after(this->tick);
+  this->timer.async_wait([self = this->weak_from_this()](const boost::system::error_code& error) {
+    const auto locked = self.lock();
+    if (!error && locked != nullptr && !locked->closed) locked->OnTick();
+  });
+}
+
+// All requests of one turn of the event loop share one hand-over.
+void Replica::Impl::ScheduleDrain() {
+  if (std::exchange(this->drain_scheduled, true)) return;
+  this->Post([this] {
+    this->drain_scheduled = false;
+    this->Drain();
+  });
+}
+
+void Replica::Impl::Drain() {
+  RaftReady ready = this->raft.TakeReady();
+  for (const RaftMessage& message : ready.messages) this->transport.Send(message);
+  if (ready.write) this->storage->Submit(std::move(*ready.write));
+  if (ready.restore && !this->Restore(*ready.restore)) return;
+  for (const LogEntry& entry : ready.committed) this->Apply(entry);
+  // The index of a confirmed read is committed, so it was applied just now or before.
+  for (const ReadResult& read : ready.reads) this->FinishRead(read);
+  this->NoticeLeadership();
+  this->MaybeCompact();
+}
+
+void Replica::Impl::Apply(const LogEntry& entry) {
+  std::string result;
+  if (entry.kind == EntryKind::kCommand) result = this->machine.Apply(entry.index, entry.data);
+  this->applied = entry.index;
+  const auto found = this->entries.find(entry.index);
+  if (found == this->entries.end()) return;
+  PendingEntry pending = std::move(found->second);
+  this->entries.erase(found);
+  Result<Applied> answer = Applied{entry.index, std::move(result)};
+  // Another entry at this index means that the proposed one is not in the log.
+  if (pending.term != entry.term) answer = Fail(ErrorCode::kNotLeader);
+  this->Post(
+      [callback = std::move(pending.callback), answer = std::move(answer)] { callback(answer); });
+}
+
+bool Replica::Impl::Restore(const RaftSnapshot& snapshot) {
+  const Result<void> restored = this->machine.Restore(snapshot.index, *snapshot.data);
+  if (!restored) {
+    LOG(ERROR) << "replica: cannot restore snapshot " << snapshot.index << ": "
+               << restored.error().ToString();
+    this->storage_error = restored.error().ToString();
+    this->raft.StorageFailed();
+    this->ScheduleDrain();
+    return false;
+  }
+  this->applied = snapshot.index;
+  return true;
+}
+
+void Replica::Impl::FinishRead(const ReadResult& read) {
+  const auto found = this->reads.find(read.id);
+  if (found == this->reads.end()) return;
+  ReadCallback callback = std::move(found->second.callback);
+  this->reads.erase(found);
+  Result<uint64_t> answer = read.index;
+  if (!read.confirmed) answer = Fail(ErrorCode::kNotLeader);
+  this->Post([callback = std::move(callback), answer] { callback(answer); });
+}
+
+void Replica::Impl::MaybeCompact() {
+  if (this->raft.Role() == RaftRole::kFailed) return;
+  if (this->applied < this->raft.Log().Snapshot().index + this->snapshot_interval) return;
+  this->raft.Compact(this->applied, this->machine.Snapshot());
+  this->ScheduleDrain();
+}
+
+void Replica::Impl::OnStored(const Result<uint64_t>& done) {
+  if (done) {
+    this->raft.Persisted(SteadyNow(), *done);
+  } else {
+    this->storage_error = done.error().ToString();
+    this->raft.StorageFailed();
+  }
+  this->ScheduleDrain();
+}
+
+void Replica::Impl::NoticeLeadership() {
+  const uint64_t term = this->raft.Leading() ? this->raft.Term() : 0;
+  if (term == this->led_term) return;
+  const bool led = std::exchange(this->led_term, term) != 0;
+  if (led) this->FailEntries();
+  if (!this->on_leadership) return;
+  if (led) this->Post([this] { this->on_leadership(false); });
+  if (term != 0) this->Post([this] { this->on_leadership(true); });
+  if (led && term == 0) this->ContinueTransfer(SteadyNow());
+}
+
+// The entries of a former leader may or may not be committed by its successor.
+void Replica::Impl::FailEntries() {
+  for (auto& [index, pending] : std::exchange(this->entries, {})) {
+    // Entries appended in the leadership that has just begun stay pending.
+    if (pending.term == this->led_term) {
+      this->entries.emplace(index, std::move(pending));
+      continue;
+    }
+    this->Post([callback = std::move(pending.callback)] {
+      callback(Fail(ErrorCode::kUnknownOutcome, "leadership was lost"));
+    });
+  }
+}
+
+void Replica::Impl::ExpireRequests(Time now) {
+  std::erase_if(this->entries, [&](auto& item) {
+    if (now < item.second.deadline) return false;
+    this->Post([callback = std::move(item.second.callback)] {
+      callback(Fail(ErrorCode::kUnknownOutcome, "not committed before the deadline"));
+    });
+    return true;
+  });
+  std::erase_if(this->reads, [&](auto& item) {
+    if (now < item.second.deadline) return false;
+    this->Post([callback = std::move(item.second.callback)] {
+      callback(Fail(ErrorCode::kUnavailable, "no majority confirmed the read in time"));
+    });
+    return true;
+  });
+}
+
+void Replica::Impl::AwaitEntry(const Result<uint64_t>& index, Time deadline,
+                               AppliedCallback callback) {
+  if (!index) {
+    this->Post([callback = std::move(callback), error = index.error()] {
+      callback(tl::unexpected<Error>(error));
+    });
+    return;
+  }
+  this->entries[*index] = {this->raft.Term(), deadline, std::move(callback)};
+  this->ScheduleDrain();
+}
+
+void Replica::Impl::Propose(std::string command, Time deadline, AppliedCallback callback) {
+  this->AwaitEntry(this->raft.Propose(SteadyNow(), std::move(command)), deadline,
+                   std::move(callback));
+}
+
+void Replica::Impl::ChangeMember(const RaftMember& member, bool remove, Time deadline,
+                                 AppliedCallback callback) {
+  this->AwaitEntry(this->raft.ChangeMember(SteadyNow(), member, remove), deadline,
+                   std::move(callback));
+}
+
+void Replica::Impl::ConfirmRead(Time deadline, ReadCallback callback) {
+  const Result<uint64_t> read = this->raft.RequestRead(SteadyNow());
+  if (!read) {
+    this->Post([callback = std::move(callback), error = read.error()] {
+      callback(tl::unexpected<Error>(error));
+    });
+    return;
+  }
+  this->reads[*read] = {deadline, std::move(callback)};
+  this->ScheduleDrain();
+}
+
+void Replica::Impl::Receive(const wire::RaftEnvelopeT& envelope) {
+  const std::string_view bytes(reinterpret_cast<const char*>(envelope.data.data()),
+                               envelope.data.size());
+  const Result<RaftMessage> message = DecodeMessage(bytes);
+  if (!message) {
+    LOG_EVERY_N(WARNING, 100) << "replica: dropped a malformed message";
+    return;
+  }
+  this->raft.Step(SteadyNow(), *message);
+  this->ScheduleDrain();
+}
+
+void Replica::Impl::TransferLeadership(Time deadline, std::function<void()> callback) {
+  this->transfers.push_back({deadline, std::move(callback)});
+  this->ContinueTransfer(SteadyNow());
+}
+
+// Answers the transfers that are over and tries again those that the core has given up.
+void Replica::Impl::ContinueTransfer(Time now) {
+  std::erase_if(this->transfers, [&](PendingTransfer& transfer) {
+    if (this->raft.Leading() && now < transfer.deadline) return false;
+    this->Post(std::move(transfer.callback));
+    return true;
+  });
+  if (this->transfers.empty() || this->raft.Transferring()) return;
+  if (this->raft.TransferLeadership(now)) this->ScheduleDrain();
+}
+
+ReplicaStatus Replica::Impl::Status() const {
+  return {.id = this->id,
+          .role = RoleName(this->raft.Role()),
+          .leader = this->raft.Leader(),
+          .term = this->raft.Term(),
+          .commit_index = this->raft.CommitIndex(),
+          .applied_index = this->applied,
+          .log_entries = this->raft.Log().Size(),
+          .log_bytes = this->raft.Log().Bytes(),
+          .storage_error = this->storage_error};
+}
+
+Result<std::unique_ptr<Replica>> Replica::Open(boost::asio::io_context& io, ReplicaOptions options,
+                                               StateMachine& machine) {
+  RaftStored stored;
+  Result<std::unique_ptr<Wal>> wal = Wal::Open(options.data_folder, {}, stored);
+  if (!wal) return tl::unexpected<Error>(wal.error());
+  const Result<void> ensured = EnsureIncarnation(**wal, stored);
+  if (!ensured) return tl::unexpected<Error>(ensured.error());
+  if (stored.snapshot.index > 0) {
+    const Result<void> restored = machine.Restore(stored.snapshot.index, *stored.snapshot.data);
+    if (!restored) return tl::unexpected<Error>(restored.error());
+  }
+  auto impl = std::make_shared<Impl>(io, options, machine, std::move(stored));
+  impl->Start(std::move(*wal));
+  return std::unique_ptr<Replica>(new Replica(std::move(impl)));
+}
+
+Replica::Replica(std::shared_ptr<Impl> impl) : impl(std::move(impl)) {}
+
+Replica::~Replica() { this->impl->Close(); }
+
+void Replica::Propose(std::string command, Time deadline,
+                      std::function<void(Result<Applied>)> callback) {
+  this->impl->Propose(std::move(command), deadline, std::move(callback));
+}
+
+void Replica::ConfirmRead(Time deadline, std::function<void(Result<uint64_t>)> callback) {
+  this->impl->ConfirmRead(deadline, std::move(callback));
+}
+
+void Replica::ChangeMember(const ControllerAddress& member, uint64_t incarnation, bool remove,
+                           Time deadline, std::function<void(Result<Applied>)> callback) {
+  this->impl->ChangeMember({member.id, incarnation, member.peer_address}, remove, deadline,
+                           std::move(callback));
+}
+
+void Replica::Receive(const wire::RaftEnvelopeT& envelope) { this->impl->Receive(envelope); }
+
+bool Replica::Leading() const { return this->impl->Core().Leading(); }
+
+uint64_t Replica::Term() const { return this->impl->Core().Term(); }
+
+std::string Replica::Leader() const { return this->impl->Core().Leader(); }
+
+ReplicaStatus Replica::Status() const { return this->impl->Status(); }
+
+void Replica::OnLeadership(std::function<void(bool)> callback) {
+  this->impl->OnLeadership(std::move(callback));
+}
+
+void Replica::TransferLeadership(Time deadline, std::function<void()> callback) {
+  this->impl->TransferLeadership(deadline, std::move(callback));
+}
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/storage_thread.cc
@@ -0,0 +1,82 @@
+// The thread that writes and syncs the write-ahead log.
+#include "storage_thread.h"
+
+#include <boost/asio/post.hpp>
+#include <iterator>
+#include <utility>
+
+namespace peridotgauge {
+namespace {
+
+// Writes are joined up to this many entries, which bounds the time of one sync.
+constexpr size_t kMaxBatchEntries = 1'000;
+
+}  // namespace
+
+StorageThread::StorageThread(boost::asio::io_context& io, std::unique_ptr<Wal> wal,
+                             Callback callback)
+    : io(io),
+      wal(std::move(wal)),
+      callback(std::make_shared<Callback>(std::move(callback))),
+      thread([this] { this->Loop(); }) {}
+
+StorageThread::~StorageThread() {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->stopping = true;
+  }
+  this->wake.notify_one();
+  this->thread.join();
+}
+
+void StorageThread::Submit(RaftWrite write) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->queue.push_back(std::move(write));
+  }
+  this->wake.notify_one();
+}
+
+void StorageThread::Loop() {
+  while (true) {
+    RaftWrite write;
+    {
+      std::unique_lock<std::mutex> lock(this->mutex);
+      this->wake.wait(lock, [this] { return this->stopping || !this->queue.empty(); });
+      if (this->stopping) return;
+      write = this->TakeBatch();
+    }
+    const Result<void> written = this->wal->Write(write);
+    if (!written) {
+      this->Report(tl::unexpected<Error>(written.error()));
+      return;
+    }
+    this->Report(write.sequence);
+  }
+}
+
+// A write with a snapshot is not joined with earlier ones. Entries of later writes replace those of
+// earlier ones in the same way as across records.
+RaftWrite StorageThread::TakeBatch() {
+  RaftWrite batch = std::move(this->queue.front());
+  this->queue.pop_front();
+  while (!this->queue.empty() && !this->queue.front().snapshot &&
+         batch.entries.size() < kMaxBatchEntries) {
+    RaftWrite& next = this->queue.front();
+    batch.sequence = next.sequence;
+    if (next.hard_state) batch.hard_state = std::move(next.hard_state);
+    batch.entries.insert(batch.entries.end(), std::make_move_iterator(next.entries.begin()),
+                         std::make_move_iterator(next.entries.end()));
+    this->queue.pop_front();
+  }
+  return batch;
+}
+
+void StorageThread::Report(Result<uint64_t> done) {
+  boost::asio::post(this->io,
+                    [weak = std::weak_ptr<Callback>(this->callback), done = std::move(done)] {
+                      if (const auto callback = weak.lock()) (*callback)(done);
+                    });
+}
+
+}  // namespace peridotgauge
--- a/testing/raft_test.cc
+++ b/testing/raft_test.cc
@@ -90,6 +90,58 @@
   CHECK_FALSE(fresh());
 }
 
+// Guards against a vote of a replica that may have lost what its old incarnation acknowledged, at
+// the voter and at the candidate.
+TEST_CASE("only admitted and listed incarnations take part in a vote", "[raft]") {
+  const RaftMembers members = {{"a", 1, ""}, {"b", 2, ""}, {"c", 3, ""}};
+  const auto make = [&](bool admitted) {
+    RaftStored stored;
+    stored.hard_state = {.incarnation = 1, .term = 4, .admitted = admitted};
+    stored.snapshot.members = admitted ? members : RaftMembers{};
+    return Raft({.id = "a", .initial = members}, stored, TimeAt(0));
+  };
+  // Hands everything over as if it were stored at once; returns the messages.
+  const auto drain = [](Raft& raft) {
+    RaftReady ready = raft.TakeReady();
+    if (ready.write) raft.Persisted(TimeAt(5'000), ready.write->sequence);
+    std::vector<RaftMessage> out = std::move(ready.messages);
+    for (RaftMessage& message : raft.TakeReady().messages) out.push_back(std::move(message));
+    return out;
+  };
+  const auto request = [](MessageType type) {
+    RaftMessage message{.type = type, .from = "b", .from_incarnation = 2, .to = "a"};
+    message.term = 9;
+    return message;
+  };
+  SECTION("a replica that is not admitted does not answer") {
+    for (MessageType type : {MessageType::kPreVote, MessageType::kVote}) {
+      Raft fresh = make(false);
+      fresh.Step(TimeAt(5'000), request(type));
+      CHECK(drain(fresh).empty());
+      Raft voter = make(true);
+      voter.Step(TimeAt(5'000), request(type));
+      CHECK(drain(voter).back().granted);
+    }
+  }
+  SECTION("a candidate counts listed incarnations only") {
+    for (uint64_t incarnation : {2, 20}) {
+      Raft raft = make(true);
+      raft.Tick(TimeAt(5'000));
+      drain(raft);
+      RaftMessage grant = request(MessageType::kPreVoteReply);
+      grant.from_incarnation = incarnation;
+      grant.granted = true;
+      grant.term = 5;
+      raft.Step(TimeAt(5'001), grant);
+      CHECK(raft.Term() == (incarnation == 2 ? 5 : 4));
+      drain(raft);
+      grant.type = MessageType::kVoteReply;
+      raft.Step(TimeAt(5'002), grant);
+      CHECK(raft.Leading() == (incarnation == 2));
+    }
+  }
+}
+
 // Guards against a leader crash that outlasts the routers' leases of 2 s. Virtual time: the bound
 // depends only on the protocol's timers.
 TEST_CASE("a crashed leader is replaced within about a second", "[raft]") {
--- /dev/null
+++ b/testing/replica_test.cc
@@ -0,0 +1,252 @@
+// Tests of replicas that talk over loopback and store to real folders. What the protocol
+// guarantees is tested in raft_test.cc; these tests guard the wiring of core, storage, transport
+// and callbacks.
+#include "../replica.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <vector>
+
+#include "../peer.h"
+
+namespace peridotgauge {
+namespace {
+
+namespace fs = std::filesystem;
+
+// Applies commands to a list; the result of a command is its position.
+class ListMachine : public StateMachine {
+ public:
+  std::string Apply(uint64_t, const std::string& command) override {
+    this->commands.push_back(command);
+    return std::to_string(this->commands.size());
+  }
+  std::string Snapshot() const override {
+    std::string out;
+    for (const std::string& command : this->commands) out += command + "\n";
+    return out;
+  }
+  Result<void> Restore(uint64_t, const std::string& snapshot) override {
+    this->commands.clear();
+    size_t start = 0;
+    for (size_t end = 0; (end = snapshot.find('\n', start)) != std::string::npos;) {
+      this->commands.push_back(snapshot.substr(start, end - start));
+      start = end + 1;
+    }
+    return {};
+  }
+  std::vector<std::string> commands;
+};
+
+struct Node {
+  std::string folder;
+  std::unique_ptr<PeerServer> server;  // stays open while the replica is stopped
+  std::unique_ptr<ListMachine> machine;
+  std::unique_ptr<Replica> replica;
+  std::vector<bool> leadership;  // as reported by OnLeadership
+};
+
+class Group {
+ public:
+  explicit Group(size_t size) : nodes(size) {
+    std::string pattern = (fs::temp_directory_path() / "replica_test_XXXXXX").string();
+    this->root = mkdtemp(pattern.data());
+    for (size_t i = 0; i < size; ++i) {
+      this->nodes[i].folder = this->root + "/" + std::to_string(i);
+      this->nodes[i].server = std::make_unique<PeerServer>(
+          this->io, "127.0.0.1:0", [this, i](wire::BodyUnion body, const PeerRequest&) {
+            const wire::RaftEnvelopeT* envelope = body.AsRaftEnvelope();
+            if (envelope != nullptr && this->nodes[i].replica) {
+              this->nodes[i].replica->Receive(*envelope);
+            }
+          });
+      this->controllers.push_back({std::string(1, static_cast<char>('a' + i)),
+                                   "127.0.0.1:" + std::to_string(this->nodes[i].server->Port())});
+    }
+    for (size_t i = 0; i < size; ++i) REQUIRE(this->Start(i));
+  }
+  ~Group() {
+    for (Node& node : this->nodes) node.replica.reset();
+    for (Node& node : this->nodes) node.server->Close();
+    this->io.run_for(std::chrono::milliseconds(20));
+    fs::remove_all(this->root);
+  }
+
+  Result<void> Start(size_t i) {
+    Node& node = this->nodes[i];
+    ReplicaOptions options{.id = this->controllers[i].id,
+                           .controllers = this->controllers,
+                           .data_folder = node.folder};
+    options.snapshot_interval = 40;
+    options.random_seed = i + 1;
+    node.machine = std::make_unique<ListMachine>();
+    Result<std::unique_ptr<Replica>> replica = Replica::Open(this->io, options, *node.machine);
+    if (!replica) return tl::unexpected<Error>(replica.error());
+    node.replica = std::move(*replica);
+    node.replica->OnLeadership([&node](bool leads) { node.leadership.push_back(leads); });
+    return {};
+  }
+  void Stop(size_t i) { this->nodes[i].replica.reset(); }
+
+  // Runs the event loop until `done`; false after 20 s.
+  bool RunUntil(const std::function<bool()>& done) {
+    const Time end = SteadyNow() + Seconds(20);
+    while (!done() && SteadyNow() < end) this->io.run_one_for(std::chrono::milliseconds(10));
+    return done();
+  }
+
+  std::optional<size_t> Leader() const {
+    for (size_t i = 0; i < this->nodes.size(); ++i) {
+      if (this->nodes[i].replica && this->nodes[i].replica->Leading()) return i;
+    }
+    return std::nullopt;
+  }
+
+  Result<Applied> Propose(size_t i, const std::string& command, Duration limit = Seconds(10)) {
+    std::optional<Result<Applied>> answer;
+    this->nodes[i].replica->Propose(command, SteadyNow() + limit,
+                                    [&](Result<Applied> result) { answer = std::move(result); });
+    REQUIRE_FALSE(answer);  // never from inside the call
+    REQUIRE(this->RunUntil([&] { return answer.has_value(); }));
+    return *answer;
+  }
+  Result<uint64_t> Read(size_t i, Duration limit = Seconds(10)) {
+    std::optional<Result<uint64_t>> answer;
+    this->nodes[i].replica->ConfirmRead(SteadyNow() + limit,
+                                        [&](Result<uint64_t> result) { answer = result; });
+    REQUIRE_FALSE(answer);
+    REQUIRE(this->RunUntil([&] { return answer.has_value(); }));
+    return *answer;
+  }
+  // Commits through whoever leads.
+  void Commit(const std::string& command) {
+    for (int attempt = 0; attempt < 10; ++attempt) {
+      REQUIRE(this->RunUntil([&] { return this->Leader().has_value(); }));
+      if (this->Propose(*this->Leader(), command)) {
+        this->expected.push_back(command);
+        return;
+      }
+    }
+    FAIL("no leader accepts commands");
+  }
+  bool AllApplied() {
+    return this->RunUntil([&] {
+      return std::all_of(this->nodes.begin(), this->nodes.end(), [&](const Node& node) {
+        return !node.replica || node.machine->commands == this->expected;
+      });
+    });
+  }
+
+  boost::asio::io_context io;
+  std::string root;
+  std::vector<Node> nodes;
+  std::vector<ControllerAddress> controllers;
+  std::vector<std::string> expected;
+};
+
+TEST_CASE("replicas over loopback", "[replica]") {
+  Group group(3);
+  group.Commit("first");
+  CHECK(group.AllApplied());
+  const size_t leader = *group.Leader();
+  const size_t follower = (leader + 1) % 3;
+  const size_t third = (leader + 2) % 3;
+
+  SECTION("commands and reads") {
+    const Result<Applied> applied = group.Propose(leader, "second");
+    REQUIRE(applied);
+    CHECK(applied->result == "2");
+    const Result<uint64_t> read = group.Read(leader);
+    REQUIRE(read);
+    CHECK(*read >= applied->index);
+    CHECK(group.Propose(follower, "x").error().code == ErrorCode::kNotLeader);
+    CHECK(group.Read(follower).error().code == ErrorCode::kNotLeader);
+    CHECK(group.nodes[follower].replica->Leader() == group.controllers[leader].id);
+    CHECK(group.nodes[leader].leadership == std::vector{true});
+    CHECK(group.nodes[leader].replica->Status().role == "leader");
+  }
+  SECTION("many commands at once each get their own result") {
+    std::vector<std::string> results(300);
+    size_t answered = 0;
+    for (size_t i = 0; i < results.size(); ++i) {
+      group.nodes[leader].replica->Propose("c" + std::to_string(i), SteadyNow() + Seconds(10),
+                                           [&, i](Result<Applied> applied) {
+                                             if (applied) results[i] = applied->result;
+                                             ++answered;
+                                           });
+      group.expected.push_back("c" + std::to_string(i));
+    }
+    REQUIRE(group.RunUntil([&] { return answered == results.size(); }));
+    for (size_t i = 0; i < results.size(); ++i) CHECK(results[i] == std::to_string(i + 2));
+    CHECK(group.AllApplied());
+    CHECK(group.nodes[leader].replica->Status().log_entries < 100);
+  }
+  SECTION("a stopped leader is replaced, restarts from its folder and catches up") {
+    for (int i = 0; i < 100; ++i) group.Commit("before " + std::to_string(i));
+    group.Stop(leader);
+    group.Commit("without it");
+    for (int i = 0; i < 100; ++i) group.Commit("after " + std::to_string(i));
+    REQUIRE(group.Start(leader));
+    CHECK(group.AllApplied());
+    for (size_t i = 0; i < 3; ++i) group.Stop(i);
+    for (size_t i = 0; i < 3; ++i) REQUIRE(group.Start(i));
+    group.Commit("after a restart of all");
+    CHECK(group.AllApplied());
+  }
+  SECTION("a replaced folder is admitted, then a second replica is lost") {
+    group.Stop(third);
+    fs::remove_all(group.nodes[third].folder);
+    for (int i = 0; i < 60; ++i) group.Commit("meanwhile " + std::to_string(i));
+    REQUIRE(group.Start(third));
+    CHECK(group.nodes[third].replica->Status().role == "learner");
+    CHECK(group.RunUntil([&] { return group.nodes[third].replica->Status().role == "follower"; }));
+    group.Stop(leader);
+    group.Commit("last");
+    CHECK(group.AllApplied());
+  }
+  SECTION("leadership transfer") {
+    bool done = false;
+    group.nodes[leader].replica->TransferLeadership(SteadyNow() + Seconds(10),
+                                                    [&] { done = true; });
+    REQUIRE_FALSE(done);
+    REQUIRE(group.RunUntil([&] { return done; }));
+    CHECK_FALSE(group.nodes[leader].replica->Leading());
+    group.Commit("after the transfer");
+    CHECK(group.AllApplied());
+    CHECK(group.nodes[leader].leadership == std::vector{true, false});
+  }
+  SECTION("without a majority nothing is confirmed") {
+    group.Stop(follower);
+    group.Stop(third);
+    CHECK(group.Propose(leader, "lost", Seconds(2)).error().code == ErrorCode::kUnknownOutcome);
+    const ErrorCode code = group.Read(leader, Seconds(2)).error().code;
+    CHECK((code == ErrorCode::kNotLeader || code == ErrorCode::kUnavailable));
+  }
+  SECTION("a member is removed") {
+    std::optional<Result<Applied>> answer;
+    group.nodes[leader].replica->ChangeMember(group.controllers[third], 0, true,
+                                              SteadyNow() + Seconds(10),
+                                              [&](Result<Applied> result) { answer = result; });
+    REQUIRE(group.RunUntil([&] { return answer.has_value(); }));
+    CHECK(*answer);
+    group.Stop(third);
+    group.Commit("by two");
+    CHECK(group.AllApplied());
+  }
+  SECTION("a damaged folder is refused") {
+    group.Stop(third);
+    for (const auto& entry : fs::directory_iterator(group.nodes[third].folder)) {
+      if (entry.path().extension() != ".snap") continue;
+      std::ofstream(entry.path(), std::ios::binary | std::ios::app) << "x";
+    }
+    CHECK(group.Start(third).error().code == ErrorCode::kCorrupt);
+    group.Commit("goes on");
+  }
+}
+
+}  // namespace
+}  // namespace peridotgauge
