--- /dev/null
+++ b/testing/quarantine_test.cc
@@ -0,0 +1,98 @@
+// Tests of the quarantine. They guard against a crashing request that gets new targets by being
+// sent again, against blocking requests that crash nothing, and against unbounded memory.
+#include "../quarantine.h"
+
+#include <catch2/catch.hpp>
+
+#include "search_fakes.h"
+
+namespace peridotgauge {
+namespace {
+
+const TargetRecord kFirst = MakeTarget("a/1", "a", {});
+const TargetRecord kSecond = MakeTarget("a/2", "a", {});
+
+TEST_CASE("fingerprints", "[quarantine]") {
+  const uint64_t base = Fingerprint("a", RequestKind::kSearch, "body");
+  CHECK(base == Fingerprint("a", RequestKind::kSearch, "body"));
+  CHECK(base != Fingerprint("b", RequestKind::kSearch, "body"));
+  CHECK(base != Fingerprint("a", RequestKind::kOrder, "body"));
+  CHECK(base != Fingerprint("a", RequestKind::kSearch, "body2"));
+  // The parts must not run together.
+  CHECK(Fingerprint("ab", RequestKind::kSearch, "c") !=
+        Fingerprint("a", RequestKind::kSearch, "bc"));
+}
+
+TEST_CASE("a request that crashes targets", "[quarantine]") {
+  Quarantine quarantine;
+  const Time now = TimeAt(1'000'000);
+  CHECK(quarantine.Check(now, 0, 7) == Standing::kNew);
+  quarantine.OnSuccess(now, 7, true);
+  CHECK(quarantine.Check(now, 0, 7) == Standing::kTrusted);
+
+  SECTION("is suspect after the first crash") {
+    CHECK_FALSE(quarantine.OnCrash(now, 7, kFirst));
+    CHECK(quarantine.Check(now, 0, 7) == Standing::kSuspect);
+    SECTION("and stays so when another connection to the same process dies") {
+      CHECK_FALSE(quarantine.OnCrash(now, 7, kFirst));
+    }
+    SECTION("and after a partial answer, which may have missed what it crashes") {
+      quarantine.OnSuccess(now, 7, false);
+      CHECK(quarantine.Check(now, 0, 7) == Standing::kSuspect);
+    }
+    SECTION("until a complete answer") {
+      quarantine.OnSuccess(now, 7, true);
+      CHECK(quarantine.Check(now, 0, 7) == Standing::kTrusted);
+    }
+    SECTION("or until the crash is old") {
+      CHECK(quarantine.Check(now + kSuspectTime, 0, 7) == Standing::kNew);
+      CHECK_FALSE(quarantine.OnCrash(now + kSuspectTime, 7, kSecond));
+    }
+    SECTION("and needs a quarantine when the same target crashes after a restart") {
+      TargetRecord restarted = kFirst;
+      ++restarted.incarnation;
+      CHECK(quarantine.OnCrash(now, 7, restarted));
+    }
+    SECTION("and needs a quarantine when a second target crashes") {
+      CHECK(quarantine.OnCrash(now, 7, kSecond));
+      CHECK(quarantine.Check(now, 0, 7) == Standing::kCrashing);
+      quarantine.OnSuccess(now, 7, true);
+      CHECK(quarantine.Check(now, 0, 7) == Standing::kCrashing);
+      CHECK(quarantine.OnCrash(now, 7, kSecond));
+      SECTION("and is blocked once it is committed, until it ends") {
+        quarantine.SetCommitted({{7, 5'000}});
+        CHECK(quarantine.Check(now, 4'999, 7) == Standing::kQuarantined);
+        CHECK(quarantine.Check(now, 5'000, 7) == Standing::kNew);
+        CHECK(quarantine.Check(now, 4'999, 8) == Standing::kNew);
+      }
+    }
+  }
+}
+
+TEST_CASE("what the quarantine remembers is bounded", "[quarantine]") {
+  Quarantine quarantine;
+  const Time start = TimeAt(1'000'000);
+  SECTION("the oldest suspects are forgotten first") {
+    for (uint64_t i = 0; i < 2 * kMaxSuspects; ++i) {
+      quarantine.OnCrash(start + Millis(static_cast<int64_t>(i)), i, kFirst);
+    }
+    CHECK(quarantine.SuspectCount() == kMaxSuspects);
+    const Time end = start + Millis(2 * kMaxSuspects);
+    CHECK(quarantine.Check(end, 0, 2 * kMaxSuspects - 1) == Standing::kSuspect);
+    CHECK(quarantine.Check(end, 0, 0) == Standing::kNew);
+  }
+  SECTION("successes keep at least half of the capacity and of the time") {
+    RecentSet set(100, Millis(100));
+    for (uint64_t i = 0; i < 1'000; ++i) {
+      set.Insert(start, i);
+      CHECK(set.Size() <= 100);
+      CHECK(set.Contains(start, i >= 49 ? i - 49 : 0));
+    }
+    CHECK(set.Contains(start + Millis(49), 999));
+    CHECK(set.Contains(start + Millis(50), 999));
+    CHECK_FALSE(set.Contains(start + Millis(100), 999));
+  }
+}
+
+}  // namespace
+}  // namespace peridotgauge
--- /dev/null
+++ b/testing/search_test.cc
@@ -0,0 +1,400 @@
+// Tests of one search. They guard against a reply merged under the wrong shard, snapshot, request
+// or attempt, coverage that differs from what was merged, a search that never answers, targets lost
+// to a request that crashes them, and extra load beyond the budget.
+#include "../search.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+#include "search_fakes.h"
+
+namespace peridotgauge {
+namespace {
+
+constexpr Time kStart = TimeAt(1'000);
+constexpr Time kDeadline = TimeAt(1'200);
+constexpr Time kSoftDeadline = TimeAt(1'080);
+constexpr uint64_t kSnapshot = 12;
+
+std::shared_ptr<const Config> TestConfig(const std::string& prefer) {
+  Result<Config> config = Config::Parse(R"({"revision": 1, "fleets": {"desk": {}, "archive": {}},
+    "services": {"a": {"fleet": "desk", "depends_on": ["x"], "deadline_ms": 200,
+      "soft_deadline_ms": 80, "prefer": ")" +
+                                        prefer + R"("}, "x": {"fleet": "archive"}}})");
+  REQUIRE(config);
+  return std::make_shared<const Config>(std::move(*config));
+}
+
+// A planner whose services a and x have this many shards with this many replicas each. A target
+// holds one shard.
+Planner MakePlanner(uint32_t shards, uint32_t replicas, const std::string& prefer = "coverage",
+                    uint64_t snapshot = kSnapshot) {
+  Planner planner;
+  planner.SetConfig(TestConfig(prefer));
+  for (const std::string service : {"a", "x"}) {
+    for (uint32_t i = 0; i < shards * replicas; ++i) {
+      planner.Upsert(MakeTarget(service + "/" + std::to_string(snapshot) + "/" + std::to_string(i),
+                                service, {{snapshot, i % shards, shards}}));
+    }
+  }
+  return planner;
+}
+
+std::string BodyOf(uint32_t shard, uint32_t attempt) {
+  return "\"body of shard " + std::to_string(shard) + " from attempt " + std::to_string(attempt) +
+         "\"";
+}
+
+AttemptReply Good(const AttemptSend& send) {
+  return {.sent_attempt = send.attempt,
+          .request_id = "q",
+          .attempt = send.attempt,
+          .snapshot = kSnapshot,
+          .body = BodyOf(send.shard, send.attempt)};
+}
+
+AttemptReply Failed(const AttemptSend& send, ErrorCode code, bool crashed = false) {
+  return {.sent_attempt = send.attempt, .error = Error{code, ""}, .crashed = crashed};
+}
+
+// Drives a search and checks what holds for every search.
+class Run {
+ public:
+  Run(std::shared_ptr<const Plan> plan, SearchParams params, FakeChooser& chooser,
+      FakeBudget& budget)
+      : plan(std::move(plan)), search(this->plan, std::move(params), {chooser, budget}) {
+    this->Take(this->search.Start(kStart));
+  }
+
+  void Reply(Time now, AttemptReply reply) {
+    this->running.erase(reply.sent_attempt);
+    this->Take(this->search.OnReply(now, std::move(reply)));
+  }
+  void FireTimer(Time now) { this->Take(this->search.OnTimer(now)); }
+
+  std::shared_ptr<const Plan> plan;
+  std::vector<AttemptSend> sends;
+  std::set<uint32_t> running;  // attempts that were sent and neither replied nor cancelled
+  std::optional<SearchOutcome> outcome;
+  Time timer = Time::max();
+  Search search;
+
+ private:
+  void Take(SearchEffects effects) {
+    const bool any = !effects.sends.empty() || !effects.cancels.empty() || effects.timer;
+    REQUIRE_FALSE((this->outcome && (any || effects.outcome)));
+    for (uint32_t attempt : effects.cancels) REQUIRE(this->running.erase(attempt) == 1);
+    for (const AttemptSend& send : effects.sends) {
+      const Candidates candidates = this->plan->shards[send.shard].candidates;
+      REQUIRE(std::count(candidates.begin(), candidates.end(), send.target) == 1);
+      for (const AttemptSend& other : this->sends) {
+        REQUIRE(other.attempt != send.attempt);
+        REQUIRE((other.shard != send.shard || other.target != send.target));
+      }
+      this->sends.push_back(send);
+      this->running.insert(send.attempt);
+    }
+    if (effects.timer) this->timer = *effects.timer;
+    if (effects.outcome) {
+      REQUIRE(this->running.empty());
+      this->outcome = std::move(effects.outcome);
+      this->CheckOutcome();
+    }
+  }
+
+  // Every shard of the plan is in exactly one list; the counts are those of the effects.
+  void CheckOutcome() {
+    std::set<uint32_t> seen;
+    for (const ShardBody& covered : this->outcome->covered)
+      REQUIRE(seen.insert(covered.shard).second);
+    for (const ShardMissing& lost : this->outcome->missing) REQUIRE(seen.insert(lost.shard).second);
+    REQUIRE(seen.size() == this->plan->shards.size());
+    const SearchCounts& counts = this->outcome->counts;
+    REQUIRE(counts.needed == seen.size());
+    REQUIRE(counts.sent == this->sends.size());
+    REQUIRE(counts.sent <= counts.needed + counts.hedges + counts.retries);
+  }
+};
+
+SearchParams Params(bool trusted = true, bool suspect = false) {
+  return {.request_id = "q", .deadline = kDeadline, .trusted = trusted, .suspect = suspect};
+}
+
+// What the environment does with the replies, in random order.
+struct Delivery {
+  Time at;
+  AttemptReply reply;
+  bool valid = false;  // a naive gather would merge it
+};
+
+Delivery RandomDelivery(const AttemptSend& send, Time now) {
+  Delivery out{now + Millis(*rc::gen::inRange(0, 120)), Good(send), false};
+  switch (*rc::gen::inRange(0, 30)) {
+    case 8:
+      out.reply.request_id = "another request";
+      break;
+    case 1:
+      ++out.reply.attempt;
+      break;
+    case 2:
+      out.reply.snapshot = *rc::gen::element<uint64_t>(0, kSnapshot - 1, kSnapshot + 1);
+      break;
+    case 3:
+      out.reply.body.clear();
+      break;
+    case 4:
+      out.reply =
+          Failed(send, *rc::gen::element(ErrorCode::kShed, ErrorCode::kUnavailable,
+                                         ErrorCode::kConnectionLost, ErrorCode::kTargetFailed));
+      break;
+    case 5:
+      out.reply = Failed(send, ErrorCode::kConnectionLost, true);
+      break;
+    case 6:
+      out.reply.sent_attempt += *rc::gen::inRange(100, 200);  // never sent
+      break;
+    case 7:
+      out.at = Time::max();  // lost
+      break;
+    default:
+      out.valid = true;
+  }
+  return out;
+}
+
+TEST_CASE("any search merges what a naive gather merges", "[search]") {
+  CHECK(rc::check([] {
+    const auto shards = *rc::gen::inRange<uint32_t>(1, 8);
+    const auto replicas = *rc::gen::inRange<uint32_t>(1, 4);
+    const auto prefer = *rc::gen::element<std::string>("latency", "coverage");
+    Planner planner = MakePlanner(shards, replicas, prefer);
+    FakeChooser chooser(*rc::gen::inRange(1, 1000));
+    FakeBudget budget;
+    budget.tokens = *rc::gen::inRange<uint32_t>(0, 10);
+    budget.overloaded = *rc::gen::arbitrary<bool>();
+    const uint32_t tokens = budget.tokens;
+    Run run(*planner.PlanFor("a"),
+            Params(*rc::gen::arbitrary<bool>(), *rc::gen::inRange(0, 5) == 0), chooser, budget);
+
+    std::map<uint32_t, std::string> merged;  // naive gather: first valid reply of each shard
+    std::vector<Delivery> waiting;
+    std::set<uint32_t> settled;
+    uint32_t rejected = 0;
+    size_t scheduled = 0;
+    Time now = kStart;
+    while (true) {
+      for (; scheduled < run.sends.size(); ++scheduled) {
+        waiting.push_back(RandomDelivery(run.sends[scheduled], now));
+        // Some replies come twice.
+        if (*rc::gen::inRange(0, 5) == 0) waiting.push_back(waiting.back());
+      }
+      const auto next =
+          std::min_element(waiting.begin(), waiting.end(),
+                           [](const Delivery& a, const Delivery& b) { return a.at < b.at; });
+      if (next == waiting.end() || next->at == Time::max()) {
+        if (run.outcome) break;
+      }
+      if (!run.outcome && (next == waiting.end() || run.timer <= next->at)) {
+        RC_ASSERT(run.timer != Time::max());
+        now = std::max(now, run.timer);
+        run.FireTimer(now);
+        continue;
+      }
+      const Delivery delivery = *next;
+      waiting.erase(next);
+      now = std::max(now, delivery.at);
+      const bool live = run.running.contains(delivery.reply.sent_attempt);
+      if (live && delivery.valid) {
+        const uint32_t shard = run.sends[delivery.reply.sent_attempt - 1].shard;
+        merged.emplace(shard, delivery.reply.body);
+      }
+      if (!live) ++rejected;
+      run.Reply(now, delivery.reply);
+    }
+    RC_ASSERT(now >= kStart);
+    std::map<uint32_t, std::string> covered;
+    for (const ShardBody& shard : run.outcome->covered) covered.emplace(shard.shard, shard.body);
+    RC_ASSERT(covered == merged);
+    const SearchCounts counts = run.search.Counts();
+    RC_ASSERT(counts.late_replies + counts.unknown_replies == rejected);
+    RC_ASSERT(budget.spent + budget.tokens == tokens);
+    RC_ASSERT(counts.hedges <= budget.spent);
+    RC_ASSERT(budget.last_chances <= run.plan->shards.size() * kMaxLastChances);
+    RC_CLASSIFY(run.outcome->Complete(), "complete");
+    RC_CLASSIFY(counts.hedges > 0, "hedged");
+    RC_CLASSIFY(counts.retries > 0, "retried");
+    RC_CLASSIFY(budget.last_chances > 0, "last chance");
+  }));
+}
+
+TEST_CASE("a request that crashes every target reaches at most two", "[search]") {
+  CHECK(rc::check([] {
+    Planner planner =
+        MakePlanner(*rc::gen::inRange<uint32_t>(1, 30), *rc::gen::inRange<uint32_t>(1, 4));
+    FakeChooser chooser(*rc::gen::inRange(1, 1000));
+    FakeBudget budget;
+    budget.tokens = 100;
+    const bool suspect = *rc::gen::arbitrary<bool>();
+    Run run(*planner.PlanFor("a"), Params(false, suspect), chooser, budget);
+    std::set<const TargetRecord*> reached;
+    size_t crashes = 0;
+    for (size_t i = 0; i < run.sends.size() && !run.outcome; ++i) {
+      const AttemptSend send = run.sends[i];
+      const bool shed = *rc::gen::inRange(0, 3) == 0;
+      if (shed) {
+        run.Reply(kStart, Failed(send, ErrorCode::kShed));
+        continue;
+      }
+      reached.insert(send.target);
+      ++crashes;
+      const auto lost_link = *rc::gen::inRange(0, 4) == 0;
+      run.Reply(kStart, Failed(send, ErrorCode::kConnectionLost, !lost_link));
+      if (lost_link) --crashes;
+    }
+    for (int i = 0; i < 100 && !run.outcome; ++i) run.FireTimer(run.timer);
+    RC_ASSERT(run.outcome.has_value());
+    RC_ASSERT(run.outcome->covered.empty());
+    RC_ASSERT(reached.size() <= (suspect ? 1 : 2));
+    RC_ASSERT(run.outcome->crashes == crashes);
+    RC_ASSERT(run.outcome->canaries_crashed == (crashes > 0 && crashes == reached.size()));
+    if (suspect) RC_ASSERT(run.outcome->counts.hedges + run.outcome->counts.retries == 0);
+  }));
+}
+
+TEST_CASE("one search", "[search]") {
+  FakeChooser chooser;
+  FakeBudget budget;
+  Planner coverage = MakePlanner(34, 2);
+  Planner latency = MakePlanner(34, 2, "latency");
+  const auto start = [&](Planner& planner, SearchParams params) {
+    return Run(*planner.PlanFor("a"), std::move(params), chooser, budget);
+  };
+  const auto answer_all = [](Run& run, size_t from) {
+    const size_t end = run.sends.size();
+    for (size_t i = from; i < end; ++i) run.Reply(kStart, Good(run.sends[i]));
+  };
+
+  SECTION("sends to every shard and answers when all have replied") {
+    Run run = start(coverage, Params());
+    CHECK(run.sends.size() == 68);
+    CHECK(budget.needed == 68);
+    answer_all(run, 0);
+    CHECK(run.outcome->Complete());
+    CHECK(run.outcome->Succeeded());
+    CHECK(run.outcome->covered[67].body == BodyOf(67, 68));
+  }
+  SECTION("keeps its plan while the index moves on and is divided anew") {
+    Run run = start(coverage, Params(false));
+    const Planner moved = MakePlanner(8, 2, "coverage", kSnapshot + 1);
+    coverage = moved;
+    CHECK((*coverage.PlanFor("a"))->fleets[0].snapshot == kSnapshot + 1);
+    run.Reply(kStart, Good(run.sends[0]));
+    CHECK(run.sends.size() == 68);
+    AttemptReply newer = Good(run.sends[1]);
+    newer.snapshot = kSnapshot + 1;
+    run.Reply(kStart, newer);
+    CHECK(run.search.Counts().wrong_snapshots == 1);
+    answer_all(run, 2);
+    CHECK(run.outcome->Complete());
+    CHECK(run.outcome->plan->fleets[0].snapshot == kSnapshot);
+  }
+  SECTION("moves the bodies of replies") {
+    Run run = start(coverage, Params());
+    AttemptReply reply = Good(run.sends[0]);
+    const char* bytes = reply.body.data();
+    run.Reply(kStart, std::move(reply));
+    answer_all(run, 1);
+    CHECK(static_cast<const void*>(run.outcome->covered[0].body.data()) == bytes);
+  }
+  SECTION("of a new request asks two shards first, on two targets of two services") {
+    Run run = start(coverage, Params(false));
+    REQUIRE(run.sends.size() == 2);
+    CHECK(run.plan->ServiceOf(run.sends[0].shard).name == "a");
+    CHECK(run.plan->ServiceOf(run.sends[1].shard).name == "x");
+    SECTION("and the rest when one has answered, even with an error") {
+      run.Reply(kStart, Failed(run.sends[1], ErrorCode::kTargetFailed));
+      CHECK(run.sends.size() >= 68);
+    }
+    SECTION("and after one crash and one answer the rest, without hedges or retries") {
+      budget.tokens = 100;
+      run.Reply(kStart, Failed(run.sends[0], ErrorCode::kConnectionLost, true));
+      run.Reply(kStart, Good(run.sends[1]));
+      CHECK(run.sends.size() == 68);
+      run.Reply(kStart, Failed(run.sends[2], ErrorCode::kShed));
+      run.FireTimer(kStart + Millis(50));
+      CHECK(run.sends.size() == 68);
+    }
+    SECTION("and a canary that never answers does not hold back the answer") {
+      run.FireTimer(kDeadline);
+      CHECK(run.outcome->missing.size() == 68);
+      CHECK(run.outcome->missing[5].cause == ErrorCode::kDeadlineExceeded);
+    }
+  }
+  SECTION("retries one crash of a request that others have answered, but not a second") {
+    budget.tokens = 100;
+    Run run = start(coverage, Params());
+    run.Reply(kStart, Failed(run.sends[0], ErrorCode::kConnectionLost, true));
+    CHECK(run.sends.size() == 69);
+    run.Reply(kStart, Failed(run.sends[1], ErrorCode::kConnectionLost, true));
+    CHECK(run.sends.size() == 69);
+    answer_all(run, 2);
+    CHECK(run.outcome->missing ==
+          std::vector<ShardMissing>{{.shard = 1, .cause = ErrorCode::kConnectionLost}});
+    CHECK_FALSE(run.outcome->Succeeded());
+  }
+  SECTION("for latency answers at the soft deadline with what it has") {
+    Run run = start(latency, Params());
+    for (size_t i = 0; i < 67; ++i) run.Reply(kStart, Good(run.sends[i]));
+    run.FireTimer(kSoftDeadline);
+    CHECK(run.outcome->missing ==
+          std::vector<ShardMissing>{{.shard = 67, .cause = ErrorCode::kDeadlineExceeded}});
+  }
+  SECTION("hedges stragglers from the budget only") {
+    budget.tokens = 1;
+    Run run = start(latency, Params());
+    for (size_t i = 0; i < 66; ++i) run.Reply(kStart, Good(run.sends[i]));
+    run.FireTimer(run.timer);
+    CHECK(run.sends.size() == 69);
+    const AttemptSend hedge = run.sends[68];
+    CHECK(hedge.target != run.sends[hedge.shard].target);
+    SECTION("and the first reply cancels the other attempt, whose own reply is not merged") {
+      run.Reply(kStart + Millis(30), Good(hedge));
+      CHECK(run.running.size() == 1);
+      run.Reply(kStart + Millis(30), Good(run.sends[hedge.shard]));
+      CHECK(run.search.Counts().late_replies == 1);
+    }
+  }
+  SECTION("for coverage gets a last chance when the budget is empty") {
+    Run run = start(coverage, Params());
+    run.Reply(kStart, Failed(run.sends[0], ErrorCode::kConnectionLost));
+    CHECK(run.sends.size() == 69);
+    CHECK(budget.last_chances == 1);
+    SECTION("but not in an overloaded fleet, where it asks again until the deadline") {
+      budget.overloaded = true;
+      run.Reply(kStart, Failed(run.sends[1], ErrorCode::kConnectionLost));
+      CHECK(run.sends.size() == 69);
+      budget.overloaded = false;
+      run.FireTimer(kStart + kBudgetPause);
+      CHECK(run.sends.size() == 70);
+    }
+  }
+  SECTION("for latency loses a shard at once when the budget is empty") {
+    Run run = start(latency, Params());
+    run.Reply(kStart, Failed(run.sends[0], ErrorCode::kConnectionLost));
+    answer_all(run, 1);
+    CHECK(run.outcome->missing.size() == 1);
+    CHECK(budget.last_chances == 0);
+  }
+  SECTION("that is aborted cancels everything and answers nothing") {
+    Run run = start(coverage, Params());
+    CHECK(run.search.Abort().cancels.size() == 68);
+    CHECK_FALSE(run.search.OnReply(kStart, Good(run.sends[0])).outcome);
+    CHECK(run.search.OnTimer(kDeadline).sends.empty());
+  }
+}
+
+}  // namespace
+}  // namespace peridotgauge
