--- a/plan.cc
+++ b/plan.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace peridotgauge {
@@ -59,7 +60,11 @@
   uint32_t shards = 0;
   uint32_t shard = 0;
   uint32_t target = 0;  // index into the records
-  auto operator<=>(const Holder&) const = default;
+  bool operator==(const Holder&) const = default;
+  bool operator<(const Holder& other) const {
+    return std::tie(this->snapshot, this->shards, this->shard, this->target) <
+           std::tie(other.snapshot, other.shards, other.shard, other.target);
+  }
 };
 
 std::vector<Holder> SortedHolders(const std::vector<TargetRecord>& records) {
@@ -167,9 +172,10 @@
 }
 
 std::shared_ptr<const ServiceTargets> Planner::TargetsOf(std::string_view service) {
-  static const auto kNone = std::make_shared<const ServiceTargets>(std::vector<TargetRecord>());
   const auto found = this->entries.find(service);
-  if (found == this->entries.end()) return kNone;
+  if (found == this->entries.end()) {
+    return std::make_shared<const ServiceTargets>(std::vector<TargetRecord>());
+  }
   Entry& entry = found->second;
   if (entry.built == nullptr) {
     std::vector<TargetRecord> records;
--- a/testing/order_test.cc
+++ b/testing/order_test.cc
@@ -14,8 +14,9 @@
 namespace peridotgauge {
 namespace {
 
-const TargetRecord kTarget = MakeTarget("desk/1", "desk", {});
-const std::vector<const TargetRecord*> kTargets = {&kTarget};
+// The only target that the service has.
+const TargetRecord target = MakeTarget("desk/1", "desk", {});
+const std::vector<const TargetRecord*> targets = {&target};
 constexpr OrderLease kLease = {.valid = true, .generation = 3};
 constexpr Time kStart = TimeAt(1'000);
 constexpr Time kDeadline = TimeAt(1'200);
@@ -38,18 +39,19 @@
   std::function<OrderEffects(Order&, Time)> apply;
 };
 
-Event Claim(std::string name, Result<ClaimAnswer> answer, OrderLease lease = kLease,
-            Candidates targets = kTargets) {
-  return {std::move(name),
-          [=](Order& order, Time now) { return order.OnClaimAnswer(now, answer, lease, targets); }};
+Event Claim(std::string name, const Result<ClaimAnswer>& answer, OrderLease lease = kLease,
+            Candidates candidates = targets) {
+  return {std::move(name), [=](Order& order, Time now) {
+            return order.OnClaimAnswer(now, answer, lease, candidates);
+          }};
 }
 
-Event Reply(std::string name, DispatchReply reply) {
+Event Reply(std::string name, const DispatchReply& reply) {
   return {std::move(name),
           [=](Order& order, Time now) { return order.OnDispatchReply(now, reply); }};
 }
 
-Event Recorded(std::string name, Result<void> answer) {
+Event Recorded(std::string name, const Result<void>& answer) {
   return {std::move(name),
           [=](Order& order, Time now) { return order.OnRecordAnswer(now, answer); }};
 }
@@ -209,20 +211,20 @@
     CHECK(started.timer == kDeadline);
     SECTION("and a lost claim is answered at once, without saying that it was not run") {
       const OrderEffects lost =
-          order.OnClaimAnswer(kStart, Fail(ErrorCode::kUnknownOutcome), kLease, kTargets);
+          order.OnClaimAnswer(kStart, Fail(ErrorCode::kUnknownOutcome), kLease, targets);
       CHECK(lost.answer->error->code == ErrorCode::kUnavailable);
       CHECK_FALSE(lost.answer->not_run);
       CHECK(lost.complete->outcome == Outcome::kNotRun);
-      CHECK_FALSE(order.OnClaimAnswer(kStart, ClaimAnswer{}, kLease, kTargets).dispatch);
+      CHECK_FALSE(order.OnClaimAnswer(kStart, ClaimAnswer{}, kLease, targets).dispatch);
     }
     SECTION("and a claim granted at the deadline is not dispatched") {
-      const OrderEffects late = order.OnClaimAnswer(kDeadline, ClaimAnswer{}, kLease, kTargets);
+      const OrderEffects late = order.OnClaimAnswer(kDeadline, ClaimAnswer{}, kLease, targets);
       CHECK_FALSE(late.dispatch);
       CHECK(late.complete->outcome == Outcome::kNotRun);
     }
     SECTION("and is dispatched once it is granted") {
-      CHECK(order.OnClaimAnswer(kStart, ClaimAnswer{}, kLease, kTargets).dispatch->target ==
-            &kTarget);
+      CHECK(order.OnClaimAnswer(kStart, ClaimAnswer{}, kLease, targets).dispatch->target ==
+            &target);
       SECTION("and a reply after the deadline is still recorded, for a resend") {
         CHECK(order.OnTimer(kDeadline).answer->error->code == ErrorCode::kInDoubt);
         const OrderEffects late = order.OnDispatchReply(kDeadline + Millis(50), GoodReply());
@@ -246,7 +248,7 @@
 class NaiveLedger {
  public:
   Result<ClaimAnswer> Claim(const ClaimHolder& holder) {
-    if (this->released.contains(holder)) return Fail(ErrorCode::kCancelled);
+    if (this->released.contains(holder.attempt)) return Fail(ErrorCode::kCancelled);
     if (this->record) return ClaimAnswer{.state = ClaimState::kRecorded, .outcome = *this->record};
     if (this->in_doubt) return ClaimAnswer{.state = ClaimState::kInDoubt};
     if (this->holder && *this->holder != holder) return ClaimAnswer{.state = ClaimState::kRunning};
@@ -257,7 +259,7 @@
     const bool holds = this->holder == holder;
     if (outcome == Outcome::kNotRun) {
       if (holds && (this->record || this->in_doubt)) return Fail(ErrorCode::kInDoubt);
-      this->released.insert(holder);
+      this->released.insert(holder.attempt);
       if (holds) this->holder.reset();
       return {};
     }
@@ -277,7 +279,7 @@
   std::optional<ClaimHolder> holder;
   std::optional<Outcome> record;
   bool in_doubt = false;
-  std::set<ClaimHolder> released;
+  std::set<uint64_t> released;  // attempts, which are unique here
 };
 
 // One order machine of one router, with the messages that wait to be delivered.
@@ -339,7 +341,7 @@
     Result<ClaimAnswer> answer = Fail(ErrorCode::kUnknownOutcome);
     if (arrives) answer = this->ledger.Claim(one.holder);
     if (!answered) answer = Fail(ErrorCode::kUnknownOutcome);
-    this->Take(one, one.order.OnClaimAnswer(this->now, answer, kLease, kTargets));
+    this->Take(one, one.order.OnClaimAnswer(this->now, answer, kLease, targets));
   }
 
   void DeliverDispatch(Running& one) {
--- a/testing/plan_test.cc
+++ b/testing/plan_test.cc
@@ -153,6 +153,7 @@
         planner.Upsert(known[name]);
       }
       std::vector<TargetRecord> targets;
+      targets.reserve(known.size());
       for (const auto& [key, record] : known) targets.push_back(record);
       const auto plan = planner.PlanFor("a");
       RC_ASSERT(plan.has_value());
--- a/testing/quarantine_test.cc
+++ b/testing/quarantine_test.cc
@@ -9,8 +9,8 @@
 namespace peridotgauge {
 namespace {
 
-const TargetRecord kFirst = MakeTarget("a/1", "a", {});
-const TargetRecord kSecond = MakeTarget("a/2", "a", {});
+const TargetRecord first = MakeTarget("a/1", "a", {});
+const TargetRecord second = MakeTarget("a/2", "a", {});
 
 TEST_CASE("fingerprints", "[quarantine]") {
   const uint64_t base = Fingerprint("a", RequestKind::kSearch, "body");
@@ -31,10 +31,10 @@
   CHECK(quarantine.Check(now, 0, 7) == Standing::kTrusted);
 
   SECTION("is suspect after the first crash") {
-    CHECK_FALSE(quarantine.OnCrash(now, 7, kFirst));
+    CHECK_FALSE(quarantine.OnCrash(now, 7, first));
     CHECK(quarantine.Check(now, 0, 7) == Standing::kSuspect);
     SECTION("and stays so when another connection to the same process dies") {
-      CHECK_FALSE(quarantine.OnCrash(now, 7, kFirst));
+      CHECK_FALSE(quarantine.OnCrash(now, 7, first));
     }
     SECTION("and after a partial answer, which may have missed what it crashes") {
       quarantine.OnSuccess(now, 7, false);
@@ -46,19 +46,19 @@
     }
     SECTION("or until the crash is old") {
       CHECK(quarantine.Check(now + kSuspectTime, 0, 7) == Standing::kNew);
-      CHECK_FALSE(quarantine.OnCrash(now + kSuspectTime, 7, kSecond));
+      CHECK_FALSE(quarantine.OnCrash(now + kSuspectTime, 7, second));
     }
     SECTION("and needs a quarantine when the same target crashes after a restart") {
-      TargetRecord restarted = kFirst;
+      TargetRecord restarted = first;
       ++restarted.incarnation;
       CHECK(quarantine.OnCrash(now, 7, restarted));
     }
     SECTION("and needs a quarantine when a second target crashes") {
-      CHECK(quarantine.OnCrash(now, 7, kSecond));
+      CHECK(quarantine.OnCrash(now, 7, second));
       CHECK(quarantine.Check(now, 0, 7) == Standing::kCrashing);
       quarantine.OnSuccess(now, 7, true);
       CHECK(quarantine.Check(now, 0, 7) == Standing::kCrashing);
-      CHECK(quarantine.OnCrash(now, 7, kSecond));
+      CHECK(quarantine.OnCrash(now, 7, second));
       SECTION("and is blocked once it is committed, until it ends") {
         quarantine.SetCommitted({{7, 5'000}});
         CHECK(quarantine.Check(now, 4'999, 7) == Standing::kQuarantined);
@@ -72,9 +72,10 @@
 TEST_CASE("what the quarantine remembers is bounded", "[quarantine]") {
   Quarantine quarantine;
   const Time start = TimeAt(1'000'000);
-  SECTION("the oldest suspects are forgotten first") {
+  SECTION("the oldest suspects are forgotten first, and are not trusted then") {
+    quarantine.OnSuccess(start, 0, true);
     for (uint64_t i = 0; i < 2 * kMaxSuspects; ++i) {
-      quarantine.OnCrash(start + Millis(static_cast<int64_t>(i)), i, kFirst);
+      quarantine.OnCrash(start + Millis(static_cast<int64_t>(i)), i, first);
     }
     CHECK(quarantine.SuspectCount() == kMaxSuspects);
     const Time end = start + Millis(2 * kMaxSuspects);
--- a/testing/search_test.cc
+++ b/testing/search_test.cc
@@ -108,8 +108,7 @@
   // Every shard of the plan is in exactly one list; the counts are those of the effects.
   void CheckOutcome() {
     std::set<uint32_t> seen;
-    for (const ShardBody& covered : this->outcome->covered)
-      REQUIRE(seen.insert(covered.shard).second);
+    for (const ShardBody& body : this->outcome->covered) REQUIRE(seen.insert(body.shard).second);
     for (const ShardMissing& lost : this->outcome->missing) REQUIRE(seen.insert(lost.shard).second);
     REQUIRE(seen.size() == this->plan->shards.size());
     const SearchCounts& counts = this->outcome->counts;
@@ -327,12 +326,27 @@
       run.FireTimer(kStart + Millis(50));
       CHECK(run.sends.size() == 68);
     }
+    SECTION("and nothing more when both crash, and the answer is not delayed") {
+      run.Reply(kStart, Failed(run.sends[0], ErrorCode::kConnectionLost, true));
+      run.Reply(kStart, Failed(run.sends[1], ErrorCode::kConnectionLost, true));
+      CHECK(run.sends.size() == 2);
+      REQUIRE(run.outcome);
+      CHECK(run.outcome->canaries_crashed);
+      CHECK(run.outcome->missing[1].cause == ErrorCode::kCancelled);
+    }
     SECTION("and a canary that never answers does not hold back the answer") {
       run.FireTimer(kDeadline);
       CHECK(run.outcome->missing.size() == 68);
       CHECK(run.outcome->missing[5].cause == ErrorCode::kDeadlineExceeded);
     }
   }
+  SECTION("of a new request sends one canary if one target holds everything") {
+    coverage.SetTargets({MakeTarget("all", "a", {{kSnapshot, 0, 2}, {kSnapshot, 1, 2}})});
+    Run run = start(coverage, Params(false));
+    CHECK(run.sends.size() == 1);
+    run.Reply(kStart, Good(run.sends[0]));
+    CHECK(run.sends.size() == 2);
+  }
   SECTION("retries one crash of a request that others have answered, but not a second") {
     budget.tokens = 100;
     Run run = start(coverage, Params());
@@ -372,6 +386,13 @@
     run.Reply(kStart, Failed(run.sends[0], ErrorCode::kConnectionLost));
     CHECK(run.sends.size() == 69);
     CHECK(budget.last_chances == 1);
+    SECTION("but only one, although a replica is left") {
+      coverage = MakePlanner(2, 3);
+      Run another = start(coverage, Params());
+      another.Reply(kStart, Failed(another.sends[0], ErrorCode::kConnectionLost));
+      another.Reply(kStart, Failed(another.sends[4], ErrorCode::kConnectionLost));
+      CHECK(another.sends.size() == 5);
+    }
     SECTION("but not in an overloaded fleet, where it asks again until the deadline") {
       budget.overloaded = true;
       run.Reply(kStart, Failed(run.sends[1], ErrorCode::kConnectionLost));
