--- a/address.cc
+++ b/address.cc
@@ -1,46 +1,54 @@
-// Parsing of addresses.
+// Parsing of addresses with inet_pton(), which accepts IP numbers only.
 #include "address.h"
 
 #include <arpa/inet.h>
 
+#include <array>
 #include <charconv>
+#include <optional>
 
 namespace peridotgauge {
 namespace {
 
-bool IsIp(const std::string& text) {
-  unsigned char buffer[sizeof(in6_addr)];
-  return inet_pton(AF_INET, text.c_str(), buffer) == 1 ||
-         inet_pton(AF_INET6, text.c_str(), buffer) == 1;
+// Returns the canonical form of an IP number, or nothing.
+std::optional<std::string> CanonicalHost(int family, const std::string& host) {
+  std::array<unsigned char, sizeof(in6_addr)> binary{};
+  if (inet_pton(family, host.c_str(), binary.data()) != 1) return std::nullopt;
+  std::array<char, INET6_ADDRSTRLEN> text{};
+  if (inet_ntop(family, binary.data(), text.data(), text.size()) == nullptr) return std::nullopt;
+  return std::string(text.data());
 }
 
-std::string_view WithoutBrackets(std::string_view text) {
-  if (text.size() >= 2 && text.front() == '[' && text.back() == ']') {
-    return text.substr(1, text.size() - 2);
-  }
-  return text;
+std::optional<uint16_t> ParsePort(std::string_view text, uint16_t lowest) {
+  uint16_t port = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, port);
+  if (error != std::errc() || stop != end || port < lowest) return std::nullopt;
+  return port;
 }
 
-}  // namespace
-
-Result<Endpoint> ParseEndpoint(std::string_view address) {
-  const auto refuse = [&] {
-    return Fail(ErrorCode::kBadRequest, "\"" + std::string(address) +
-                                            "\" is not an address; expected IP:PORT, for example "
-                                            "127.0.0.1:7001 or [::1]:7001");
+Result<Endpoint> Parse(std::string_view address, uint16_t lowest_port) {
+  const auto fail = [&](std::string_view problem) {
+    return Fail(ErrorCode::kBadRequest, "\"" + std::string(address) + "\" " + std::string(problem) +
+                                            "; allowed is an IP number with a port, such as "
+                                            "\"127.0.0.1:7001\" or \"[::1]:7001\"");
   };
   const size_t colon = address.rfind(':');
-  if (colon == std::string_view::npos) return refuse();
-  const std::string_view host = address.substr(0, colon);
-  const std::string_view port = address.substr(colon + 1);
-  Endpoint endpoint{.ip = std::string(WithoutBrackets(host))};
-  const bool bracketed = host.size() != endpoint.ip.size();
-  if (!IsIp(endpoint.ip) || bracketed != (endpoint.ip.find(':') != std::string::npos)) {
-    return refuse();
-  }
-  const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
-  if (error != std::errc() || end != port.data() + port.size() || port.empty()) return refuse();
-  return endpoint;
+  if (colon == std::string_view::npos) return fail("has no port");
+  const std::optional<uint16_t> port = ParsePort(address.substr(colon + 1), lowest_port);
+  if (!port) return fail("has no port from " + std::to_string(lowest_port) + " to 65535");
+  std::string host(address.substr(0, colon));
+  const bool bracketed = host.size() >= 2 && host.front() == '[' && host.back() == ']';
+  if (bracketed) host = host.substr(1, host.size() - 2);
+  const std::optional<std::string> canonical = CanonicalHost(bracketed ? AF_INET6 : AF_INET, host);
+  if (!canonical) return fail("is not an IP number");
+  if (*canonical == "0.0.0.0" || *canonical == "::") return fail("is an unspecified IP number");
+  return Endpoint{.host = *canonical, .port = *port};
 }
 
+}  // namespace
+
+Result<Endpoint> ParseAddress(std::string_view address) { return Parse(address, 1); }
+Result<Endpoint> ParseListenAddress(std::string_view address) { return Parse(address, 0); }
+
 }  // namespace peridotgauge
--- a/address.h
+++ b/address.h
@@ -1,4 +1,10 @@
-// Addresses in the form "127.0.0.1:7001" or "[::1]:7001".
+// Syntax of addresses: an IP number and a port.
+//
+// Use:
+//   Result<Endpoint> endpoint = ParseAddress("127.0.0.1:7001");
+//
+// Contract: host names are refused, because the system has no name service. The host of the result
+// is in its canonical form, so that two endpoints compare equal if they mean the same.
 #ifndef PERIDOTGAUGE_ADDRESS_H_
 #define PERIDOTGAUGE_ADDRESS_H_
 
@@ -7,18 +13,22 @@
 #include <string_view>
 
 #include "error.h"
+#include "types.h"
 
 namespace peridotgauge {
 
 struct Endpoint {
-  std::string ip;
+  std::string host;  // canonical IP number, without brackets
   uint16_t port = 0;
   bool operator==(const Endpoint&) const = default;
 };
 
-// kBadRequest with the text and the expected form if the address is not an IP number and a port.
-// Host names are refused: processes find each other by IP number only.
-Result<Endpoint> ParseEndpoint(std::string_view address);
+// Returns kBadRequest for a host name, a missing or zero port, or an unspecified IP number
+// (0.0.0.0 or ::), which other processes cannot connect to. The detail names the value.
+Result<Endpoint> ParseAddress(std::string_view address);
+
+// The same for an address to listen on, where port 0 stands for any free port.
+Result<Endpoint> ParseListenAddress(std::string_view address);
 
 }  // namespace peridotgauge
 
--- /dev/null
+++ b/http_message.cc
@@ -0,0 +1,44 @@
+// Header lookup and query parameters.
+#include "http_message.h"
+
+#include <boost/beast/core/string.hpp>
+#include <utility>
+
+namespace peridotgauge {
+namespace {
+
+HttpResponse Typed(int status, std::string_view type, std::string body) {
+  return {
+      .status = status, .headers = {{"content-type", std::string(type)}}, .body = std::move(body)};
+}
+
+}  // namespace
+
+std::string_view FindHeader(const std::vector<HttpHeader>& headers, std::string_view name) {
+  for (const HttpHeader& header : headers) {
+    if (boost::beast::iequals(header.name, name)) return header.value;
+  }
+  return {};
+}
+
+std::optional<std::string_view> HttpRequest::Parameter(std::string_view name) const {
+  std::string_view rest = this->query;
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+    const size_t equals = pair.find('=');
+    if (pair.substr(0, equals) != name) continue;
+    return equals == std::string_view::npos ? std::string_view{} : pair.substr(equals + 1);
+  }
+  return std::nullopt;
+}
+
+HttpResponse JsonResponse(int status, std::string body) {
+  return Typed(status, "application/json", std::move(body));
+}
+
+HttpResponse TextResponse(int status, std::string body) {
+  return Typed(status, "text/plain; charset=utf-8", std::move(body));
+}
+
+}  // namespace peridotgauge
--- a/peer.cc
+++ b/peer.cc
@@ -235,7 +235,7 @@
   }
 
   void Connect() {
-    const auto endpoint = ParseEndpoint(this->address);
+    const auto endpoint = ParseAddress(this->address);
     if (!endpoint) return this->ConnectFailed(endpoint.error().detail);
     const uint64_t round = ++this->connect_round;
     this->connecting = std::make_shared<tcp::socket>(this->io);
@@ -244,7 +244,7 @@
       if (!error && round == self->connect_round) self->ConnectFailed("connecting timed out");
     });
     auto socket = this->connecting;
-    socket->async_connect(tcp::endpoint(asio::ip::make_address(endpoint->ip), endpoint->port),
+    socket->async_connect(tcp::endpoint(asio::ip::make_address(endpoint->host), endpoint->port),
                           [self = this->shared_from_this(), socket, round](error_code error) {
                             if (round != self->connect_round) return;
                             if (error) return self->ConnectFailed(error.message());
@@ -444,11 +444,11 @@
  public:
   Impl(asio::io_context& io, const Address& address, Handler handler)
       : handler(std::move(handler)), acceptor(io), pause(io) {
-    const auto endpoint = ParseEndpoint(address);
+    const auto endpoint = ParseListenAddress(address);
     if (!endpoint) {
       throw boost::system::system_error(asio::error::invalid_argument, endpoint.error().detail);
     }
-    const tcp::endpoint bound(asio::ip::make_address(endpoint->ip), endpoint->port);
+    const tcp::endpoint bound(asio::ip::make_address(endpoint->host), endpoint->port);
     this->acceptor.open(bound.protocol());
     this->acceptor.set_option(tcp::acceptor::reuse_address(true));
     this->acceptor.bind(bound);
