--- a/control_client.h
+++ b/control_client.h
@@ -94,7 +94,7 @@
   // The router list by id, and the log index of its last change.
   const std::map<std::string, RouterRecord>& Routers() const;
   uint64_t ViewIndex() const;
-  bool Quarantined(uint64_t fingerprint, int64_t now_ms) const;
+  const std::vector<QuarantineRecord>& QuarantineList() const;
   const DirectoryCopy& Directory() const;
   // Id of the leader; empty if unknown.
   std::string Leader() const;
--- /dev/null
+++ b/controller.cc
@@ -0,0 +1,629 @@
+// Long polls, commands and reads of the controller role.
+#include "controller.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "config.h"
+#include "control_report.h"
+#include "directory.h"
+#include "session.h"
+
+namespace peridotgauge {
+namespace {
+
+namespace asio = boost::asio;
+
+// Sessions and the directory need no finer time than this.
+constexpr Duration kHousekeepingInterval = Millis(100);
+// A configuration text above this is sent without directory news, so that the reply stays below the
+// limit of a frame.
+constexpr size_t kLargeTextBytes = 256 << 10;
+
+wire::BodyUnion SyncError(ErrorCode code, const std::string& detail, const std::string& leader) {
+  wire::SyncReplyT reply;
+  reply.error = static_cast<int8_t>(code);
+  reply.detail = detail;
+  reply.leader = leader;
+  return ToBody(std::move(reply));
+}
+
+wire::BodyUnion CommandError(const Error& error, const std::string& leader) {
+  wire::CommandReplyT reply;
+  reply.error = static_cast<int8_t>(error.code);
+  reply.detail = error.detail;
+  reply.leader = leader;
+  return ToBody(std::move(reply));
+}
+
+wire::BodyUnion ReadAnswer(const Result<std::string>& json, const std::string& leader) {
+  wire::ReadReplyT reply;
+  reply.leader = leader;
+  if (json) {
+    reply.json = *json;
+  } else {
+    reply.error = static_cast<int8_t>(json.error().code);
+    reply.detail = json.error().detail;
+  }
+  return ToBody(std::move(reply));
+}
+
+LogStatus StatusOf(const ReplicaStatus& status) {
+  return {.id = status.id,
+          .role = status.role,
+          .leader = status.leader,
+          .term = status.term,
+          .commit_index = status.commit_index,
+          .applied_index = status.applied_index,
+          .log_entries = status.log_entries,
+          .log_bytes = status.log_bytes,
+          .storage_error = status.storage_error};
+}
+
+// Validates the text and adds what Apply needs of it.
+Result<void> Prepare(wire::ApplyConfigT& command) {
+  const Result<Config> config = Config::Parse(command.text);
+  if (!config) return tl::unexpected(config.error());
+  command.revision = config->Revision();
+  command.digest = config->Digest();
+  return {};
+}
+
+}  // namespace
+
+class Controller::Impl : public std::enable_shared_from_this<Controller::Impl> {
+ public:
+  Impl(asio::io_context& io, ControllerOptions options, ReplicatedLog& log, ControlState& state)
+      : io(io), options(std::move(options)), log(log), state(state), timer(io) {}
+
+  void Start() {
+    this->state.SetObserver([weak = this->weak_from_this()] {
+      if (auto self = weak.lock()) self->WakeLater();
+    });
+    this->OnTimer();
+  }
+
+  void Stop() {
+    if (std::exchange(this->stopped, true)) return;
+    this->timer.cancel();
+    this->state.SetObserver(nullptr);
+    this->FailPolls(ErrorCode::kDraining, "the controller is shutting down");
+    this->relays.clear();
+  }
+
+  void Handle(wire::BodyUnion body, Responder responder) {
+    if (this->stopped) return Refuse(body, {ErrorCode::kDraining, ""}, "", responder);
+    this->CheckLeadership();
+    if (auto* sync = body.AsSyncRequest()) {
+      if (!this->Leading() && sync->relay) return this->Relay(std::move(*sync), responder);
+    }
+    if (!this->Leading()) {
+      return Refuse(body, {ErrorCode::kNotLeader, ""}, this->log.Leader(), responder);
+    }
+    if (auto* sync = body.AsSyncRequest()) return this->OnSync(std::move(*sync), responder);
+    if (auto* command = body.AsCommandRequest()) return this->OnCommand(*command, responder);
+    if (const auto* read = body.AsReadRequest()) this->OnRead(*read, responder);
+  }
+
+  void CheckLeadership() {
+    const bool leading = this->log.Leading();
+    const uint64_t term = leading ? this->log.Term() : 0;
+    if (term == this->led_term) return;
+    this->led_term = term;
+    this->FailPolls(ErrorCode::kNotLeader, "leadership has changed");
+    this->joining.clear();
+    this->departed.clear();
+    if (!leading) return;
+    LOG(INFO) << "controller: leading in term " << term;
+    const Time now = SteadyNow();
+    this->sessions.Begin(now);
+    this->sessions.Tick(now, this->state.Routers());
+    this->directory.Begin(now, term);
+    this->last_push.clear();
+  }
+
+ private:
+  // One held SyncRequest.
+  struct Poll {
+    RouterRecord router;
+    uint64_t state_index = 0;
+    uint64_t directory_epoch = 0;
+    uint64_t directory_version = 0;
+    std::vector<TargetRecord> registrations;
+    bool full_registrations = false;
+    Time hold_until;
+    Responder responder;
+    bool confirmed = false;  // a quorum round that began after the arrival has ended
+    bool released = false;   // the router has sent a newer request; nothing is gained by waiting
+
+    RouterId Id() const { return {this->router.id, this->router.incarnation}; }
+  };
+  using ReadCallback = std::function<void(const Result<uint64_t>&)>;
+
+  bool Leading() const { return this->led_term != 0; }
+
+  static void Refuse(const wire::BodyUnion& body, const Error& error, const std::string& leader,
+                     const Responder& responder) {
+    switch (body.type) {
+      case wire::Body::SyncRequest:
+        return responder.reply(SyncError(error.code, error.detail, leader));
+      case wire::Body::CommandRequest:
+        return responder.reply(CommandError(error, leader));
+      case wire::Body::ReadRequest:
+        return responder.reply(ReadAnswer(tl::unexpected(error), leader));
+      default:
+        return;
+    }
+  }
+
+  // Runs `function` from the event loop if this leadership still lasts.
+  template <typename Function>
+  auto InThisTerm(Function function) {
+    return [weak = this->weak_from_this(), term = this->led_term,
+            function = std::move(function)](auto&&... arguments) {
+      auto self = weak.lock();
+      if (!self || self->stopped) return;
+      self->CheckLeadership();
+      if (self->led_term == term) function(*self, arguments...);
+    };
+  }
+
+  // --- Sync requests ---
+
+  void OnSync(wire::SyncRequestT request, const Responder& responder) {
+    if (!request.router || request.router->id.empty() || request.router->incarnation == 0) {
+      return responder.reply(SyncError(ErrorCode::kBadRequest, "no router id or incarnation", ""));
+    }
+    const Time now = SteadyNow();
+    Poll poll{.router = FromWire(*request.router),
+              .state_index = request.state_index,
+              .directory_epoch = request.directory_epoch,
+              .directory_version = request.directory_version,
+              .full_registrations = request.full_registrations,
+              .hold_until = now + std::min<Duration>(Millis(request.wait_ms), kMaxPollTime),
+              .responder = responder};
+    const auto departure = this->departed.find(poll.router.id);
+    if (departure != this->departed.end() && poll.router.incarnation <= departure->second) {
+      return responder.reply(SyncError(ErrorCode::kDraining, "the router has left", ""));
+    }
+    for (const auto& record : request.registrations) {
+      if (record) poll.registrations.push_back(FromWire(*record));
+    }
+    this->sessions.Renew(now, poll.Id(), poll.state_index);
+    const uint64_t id = ++this->last_poll;
+    this->ReleaseOlder(now, poll.router.id);
+    this->polls.emplace(id, std::move(poll));
+    this->Admit(id);
+  }
+
+  // Older polls of the router are answered without waiting for news, so that a router with frequent
+  // changes still has its lease renewed.
+  void ReleaseOlder(Time now, const std::string& router) {
+    for (const uint64_t id : this->PollsOf(router)) {
+      this->polls.at(id).released = true;
+      this->MaybeReply(now, id);
+    }
+  }
+
+  std::vector<uint64_t> PollsOf(const std::string& router) const {
+    std::vector<uint64_t> ids;
+    for (const auto& [id, poll] : this->polls) {
+      if (poll.router.id == router) ids.push_back(id);
+    }
+    return ids;
+  }
+
+  // Takes the next step of a new poll: the router must be in the view and must stay in it, then a
+  // quorum round follows.
+  void Admit(uint64_t id) {
+    const auto found = this->polls.find(id);
+    if (found == this->polls.end()) return;
+    Poll& poll = found->second;
+    if (this->sessions.Leaving(poll.Id())) return;  // continues in OnLeft()
+    if (!this->state.IsMember(poll.router.id, poll.router.incarnation)) {
+      return this->Join(poll.router);
+    }
+    const Time now = SteadyNow();
+    const bool changed = this->directory.Merge(
+        now, poll.router.id, std::exchange(poll.registrations, {}), poll.full_registrations);
+    poll.full_registrations = false;
+    if (changed) this->WakeLater();
+    this->Confirm(this->InThisTerm(
+        [id](Impl& self, const Result<uint64_t>& confirmed) { self.OnConfirmed(id, confirmed); }));
+  }
+
+  void OnConfirmed(uint64_t id, const Result<uint64_t>& confirmed) {
+    const auto found = this->polls.find(id);
+    if (found == this->polls.end()) return;
+    Poll& poll = found->second;
+    if (!confirmed) {
+      return this->Finish(
+          id, SyncError(confirmed.error().code, confirmed.error().detail, this->log.Leader()));
+    }
+    const bool member = this->state.IsMember(poll.router.id, poll.router.incarnation);
+    if (!member || this->sessions.Leaving(poll.Id())) return this->Admit(id);
+    poll.confirmed = true;
+    this->MaybeReply(SteadyNow(), id);
+  }
+
+  void Join(const RouterRecord& router) {
+    if (!this->joining.insert(router.id).second) return;
+    LOG(INFO) << "controller: router " << router.id << " joins, incarnation " << router.incarnation;
+    wire::JoinT command;
+    command.router = ToWire(router);
+    command.router->draining = false;
+    wire::CommandBodyUnion body;
+    body.Set(std::move(command));
+    this->Propose(std::move(body), [id = router.id](Impl& self, const wire::BodyUnion& answer) {
+      self.OnJoined(id, *answer.AsCommandReply());
+    });
+  }
+
+  void OnJoined(const std::string& router, const wire::CommandReplyT& reply) {
+    this->joining.erase(router);
+    this->sessions.Tick(SteadyNow(), this->state.Routers());
+    for (const uint64_t id : this->PollsOf(router)) {
+      const Poll& poll = this->polls.at(id);
+      if (poll.confirmed) continue;
+      if (reply.error < 0) {
+        this->Admit(id);
+      } else if (!this->state.IsMember(router, poll.router.incarnation)) {
+        this->Finish(id, SyncError(static_cast<ErrorCode>(reply.error), reply.detail, ""));
+      }
+    }
+  }
+
+  bool DirectoryNews(Time now, const Poll& poll) const {
+    if (poll.directory_epoch != this->directory.Epoch()) return true;
+    if (poll.directory_version == this->directory.Version()) return false;
+    const auto pushed = this->last_push.find(poll.router.id);
+    return pushed == this->last_push.end() || now - pushed->second >= kDirectoryInterval;
+  }
+
+  void MaybeReply(Time now, uint64_t id) {
+    const auto found = this->polls.find(id);
+    if (found == this->polls.end() || !found->second.confirmed) return;
+    const Poll& poll = found->second;
+    const bool due = poll.released || now >= poll.hold_until ||
+                     poll.state_index != this->state.Version() || this->DirectoryNews(now, poll) ||
+                     !this->directory.HasFull(poll.router.id);
+    if (!due) return;
+    // The view can have changed while the poll was held.
+    if (!this->state.IsMember(poll.router.id, poll.router.incarnation)) {
+      return this->Finish(id, SyncError(ErrorCode::kNotSynchronized, "not in the view", ""));
+    }
+    this->Finish(id, ToBody(this->BuildReply(now, poll)));
+  }
+
+  wire::SyncReplyT BuildReply(Time now, const Poll& poll) {
+    wire::SyncReplyT reply;
+    reply.leader = this->options.id;
+    reply.state_index = this->state.Version();
+    reply.view_index = this->state.ViewIndex();
+    reply.config_revision = this->state.Revision();
+    if (poll.state_index < this->state.ConfigIndex()) reply.config_text = this->state.ConfigText();
+    if (poll.state_index < this->state.Version()) {
+      reply.state_changed = true;
+      for (const auto& [id, router] : this->state.Routers()) {
+        reply.routers.push_back(ToWire(router));
+      }
+      for (const auto& [fingerprint, until_ms] : this->state.Quarantined()) {
+        reply.quarantine.push_back(ToWire(QuarantineRecord{fingerprint, until_ms}));
+      }
+    }
+    reply.resend_registrations = !this->directory.HasFull(poll.router.id);
+    if (reply.config_text.size() <= kLargeTextBytes) this->AddDirectory(now, poll, reply);
+    return reply;
+  }
+
+  void AddDirectory(Time now, const Poll& poll, wire::SyncReplyT& reply) {
+    const DirectoryDelta delta =
+        this->directory.DeltaSince(poll.directory_epoch, poll.directory_version);
+    reply.directory_epoch = delta.epoch;
+    reply.directory_version = delta.version;
+    reply.directory_digest = delta.digest;
+    reply.directory_full = delta.full;
+    reply.directory_collecting = delta.collecting;
+    for (const TargetRecord& record : delta.targets) reply.targets.push_back(ToWire(record));
+    if (poll.directory_version != delta.version) this->last_push[poll.router.id] = now;
+  }
+
+  void Finish(uint64_t id, const wire::BodyUnion& body) {
+    const auto found = this->polls.find(id);
+    if (found == this->polls.end()) return;
+    const Responder responder = std::move(found->second.responder);
+    this->polls.erase(found);
+    responder.reply(body);
+  }
+
+  void FailPolls(ErrorCode code, const std::string& detail) {
+    const std::map<uint64_t, Poll> failed = std::exchange(this->polls, {});
+    for (const auto& [id, poll] : failed) {
+      poll.responder.reply(SyncError(code, detail, this->log.Leader()));
+    }
+  }
+
+  void Relay(wire::SyncRequestT request, const Responder& responder) {
+    const std::string leader = this->log.Leader();
+    const auto controller =
+        std::find_if(this->options.controllers.begin(), this->options.controllers.end(),
+                     [&](const ControllerAddress& known) { return known.id == leader; });
+    if (controller == this->options.controllers.end() || leader == this->options.id) {
+      return responder.reply(SyncError(ErrorCode::kNotLeader, "", ""));
+    }
+    auto& client = this->relays[leader];
+    if (!client) client = std::make_unique<PeerClient>(this->io, controller->peer_address);
+    request.relay = false;
+    client->Call(ToBody(std::move(request)), SteadyNow() + kMaxPollTime + kQuorumTimeout,
+                 [responder, leader](const Result<wire::BodyUnion>& reply) {
+                   if (reply && reply->AsSyncReply() != nullptr) return responder.reply(*reply);
+                   responder.reply(SyncError(ErrorCode::kUnavailable,
+                                             "the leader " + leader + " did not answer", leader));
+                 });
+  }
+
+  // --- Quorum rounds ---
+
+  // Calls back after a round that begins after this call. One round runs at a time; the requests
+  // that arrive meanwhile share the next one.
+  void Confirm(ReadCallback callback) {
+    this->unconfirmed.push_back(std::move(callback));
+    if (std::exchange(this->round_scheduled, true)) return;
+    // Started from the event loop, so that requests that arrived together share the round.
+    asio::post(this->io, [weak = this->weak_from_this()] {
+      if (auto self = weak.lock()) self->StartRound();
+    });
+  }
+
+  void StartRound() {
+    auto batch = std::make_shared<std::vector<ReadCallback>>();
+    batch->swap(this->unconfirmed);
+    this->log.ConfirmRead(SteadyNow() + kQuorumTimeout,
+                          [weak = this->weak_from_this(), batch](const Result<uint64_t>& result) {
+                            auto self = weak.lock();
+                            if (!self) return;
+                            for (const ReadCallback& callback : *batch) callback(result);
+                            if (!self->unconfirmed.empty()) return self->StartRound();
+                            self->round_scheduled = false;
+                          });
+  }
+
+  // --- Commands and reads ---
+
+  void OnCommand(wire::CommandRequestT& request, const Responder& responder) {
+    if (auto* config = request.body.AsApplyConfig()) {
+      const Result<void> prepared = Prepare(*config);
+      if (!prepared) return responder.reply(CommandError(prepared.error(), ""));
+    }
+    if (const auto* change = request.body.AsChangeMembers()) {
+      return this->ChangeMembers(*change, responder);
+    }
+    if (const auto* leave = request.body.AsLeave()) {
+      if (leave->clean) this->OnCleanLeave({leave->id, leave->incarnation});
+    }
+    this->Propose(
+        std::move(request.body),
+        [responder](Impl&, const wire::BodyUnion& answer) { responder.reply(answer); },
+        [responder, weak = this->weak_from_this()] {
+          responder.reply(CommandError({ErrorCode::kUnknownOutcome, "leadership has changed"}, ""));
+        });
+  }
+
+  // Requests of the router that are still under way must not let it join again.
+  void OnCleanLeave(const RouterId& router) {
+    uint64_t& last = this->departed[router.id];
+    last = std::max(last, router.incarnation);
+    for (const uint64_t id : this->PollsOf(router.id)) {
+      if (this->polls.at(id).router.incarnation > router.incarnation) continue;
+      this->Finish(id, SyncError(ErrorCode::kDraining, "the router has left", ""));
+    }
+  }
+
+  // Proposes a command. `done` gets the CommandReply if this leadership still lasts, and `lost` is
+  // called otherwise.
+  void Propose(wire::CommandBodyUnion body, std::function<void(Impl&, const wire::BodyUnion&)> done,
+               std::function<void()> lost = nullptr) {
+    if (this->pending_commands >= kMaxPendingCommands) {
+      return this->PostAnswer(CommandError({ErrorCode::kOverloaded, "too many commands wait"}, ""),
+                              std::move(done));
+    }
+    ++this->pending_commands;
+    const int64_t now_ms = std::max(UnixMillis(), this->state.LogTime());
+    this->log.Propose(ControlState::Encode(now_ms, std::move(body)), SteadyNow() + kProposalTimeout,
+                      [weak = this->weak_from_this(), term = this->led_term, done = std::move(done),
+                       lost = std::move(lost)](const Result<Applied>& applied) {
+                        auto self = weak.lock();
+                        if (!self) return;
+                        --self->pending_commands;
+                        if (!self->stopped) self->CheckLeadership();
+                        const bool lasts = !self->stopped && self->led_term == term;
+                        // The outcome of an applied command is known whoever leads now.
+                        if (lasts || (applied && lost)) return done(*self, self->AnswerOf(applied));
+                        if (lost && !applied && applied.error().code == ErrorCode::kNotLeader) {
+                          return done(*self, self->AnswerOf(applied));
+                        }
+                        if (lost) lost();
+                      });
+  }
+
+  void PostAnswer(wire::BodyUnion answer, std::function<void(Impl&, const wire::BodyUnion&)> done) {
+    auto shared = std::make_shared<wire::BodyUnion>(std::move(answer));
+    asio::post(this->io, this->InThisTerm([shared, done = std::move(done)](Impl& self) {
+      done(self, *shared);
+    }));
+  }
+
+  wire::BodyUnion AnswerOf(const Result<Applied>& applied) const {
+    if (!applied) return CommandError(applied.error(), this->log.Leader());
+    Result<wire::CommandReplyT> reply = ControlState::DecodeReply(applied->result);
+    if (!reply) return CommandError({ErrorCode::kInternal, reply.error().detail}, "");
+    return ToBody(std::move(*reply));
+  }
+
+  void ChangeMembers(const wire::ChangeMembersT& change, const Responder& responder) {
+    this->log.ChangeMember({.id = change.id, .peer_address = change.address}, change.incarnation,
+                           change.remove, SteadyNow() + kProposalTimeout,
+                           [responder](const Result<Applied>& applied) {
+                             if (!applied)
+                               return responder.reply(CommandError(applied.error(), ""));
+                             wire::CommandReplyT reply;
+                             reply.index = applied->index;
+                             responder.reply(ToBody(std::move(reply)));
+                           });
+  }
+
+  void OnRead(const wire::ReadRequestT& request, const Responder& responder) {
+    this->Confirm([weak = this->weak_from_this(), kind = request.kind, revision = request.revision,
+                   responder](const Result<uint64_t>& confirmed) {
+      auto self = weak.lock();
+      if (!self) return;
+      self->CheckLeadership();
+      if (!confirmed) {
+        return responder.reply(ReadAnswer(tl::unexpected(confirmed.error()), self->log.Leader()));
+      }
+      if (!self->Leading()) {
+        return responder.reply(ReadAnswer(Fail(ErrorCode::kNotLeader), self->log.Leader()));
+      }
+      responder.reply(ReadAnswer(self->Report(kind, revision), self->options.id));
+    });
+  }
+
+  Result<std::string> Report(wire::ReadKind kind, uint64_t revision) {
+    const Time now = SteadyNow();
+    switch (kind) {
+      case wire::ReadKind::Config:
+        return ConfigJson(this->state, revision);
+      case wire::ReadKind::History:
+        return HistoryJson(this->state);
+      case wire::ReadKind::InForce:
+        return InForceJson(now, this->state, this->sessions, revision);
+      case wire::ReadKind::Status:
+        return StatusJson(StatusOf(this->log.Status()), this->state, this->sessions,
+                          this->directory, now);
+      case wire::ReadKind::Targets:
+        return TargetsJson(this->directory);
+    }
+    return Fail(ErrorCode::kBadRequest, "unknown kind of read");
+  }
+
+  // --- Time ---
+
+  // Answers polls that have news, soon and once for several changes.
+  void WakeLater() {
+    if (std::exchange(this->wake_scheduled, true)) return;
+    asio::post(this->io, [weak = this->weak_from_this()] {
+      auto self = weak.lock();
+      if (!self) return;
+      self->wake_scheduled = false;
+      self->AnswerPolls(SteadyNow());
+    });
+  }
+
+  void AnswerPolls(Time now) {
+    std::vector<uint64_t> ids;
+    ids.reserve(this->polls.size());
+    for (const auto& [id, poll] : this->polls) ids.push_back(id);
+    for (const uint64_t id : ids) this->MaybeReply(now, id);
+  }
+
+  void OnTimer() {
+    const Time now = SteadyNow();
+    this->CheckLeadership();
+    if (this->Leading()) {
+      if (now >= this->next_housekeeping) this->Housekeep(now);
+      std::erase_if(this->polls, [](const auto& item) { return !item.second.responder.active(); });
+      this->AnswerPolls(now);
+    }
+    this->timer.expires_after(kControllerTick);
+    this->timer.async_wait([weak = this->weak_from_this()](boost::system::error_code error) {
+      auto self = weak.lock();
+      if (!error && self && !self->stopped) self->OnTimer();
+    });
+  }
+
+  void Housekeep(Time now) {
+    this->next_housekeeping = now + kHousekeepingInterval;
+    this->sessions.Tick(now, this->state.Routers());
+    this->directory.Tick(now, this->state.Routers());
+    for (const RouterId& router : this->sessions.Expired(now)) {
+      LOG(WARNING) << "controller: the session of router " << router.id << " has expired";
+      this->sessions.SetLeaving(router, true);
+      this->Remove(router);
+    }
+  }
+
+  void Remove(const RouterId& router) {
+    wire::LeaveT command;
+    command.id = router.id;
+    command.incarnation = router.incarnation;
+    command.clean = true;
+    wire::CommandBodyUnion body;
+    body.Set(std::move(command));
+    this->Propose(std::move(body), [router](Impl& self, const wire::BodyUnion& answer) {
+      self.OnLeft(router, *answer.AsCommandReply());
+    });
+  }
+
+  void OnLeft(const RouterId& router, const wire::CommandReplyT& reply) {
+    // The removal may still be committed, so the router must not get a lease before it is.
+    if (reply.error == static_cast<int8_t>(ErrorCode::kUnknownOutcome)) return this->Remove(router);
+    this->sessions.SetLeaving(router, false);
+    this->sessions.Tick(SteadyNow(), this->state.Routers());
+    for (const uint64_t id : this->PollsOf(router.id)) this->Admit(id);
+  }
+
+  asio::io_context& io;
+  ControllerOptions options;
+  ReplicatedLog& log;
+  ControlState& state;
+  asio::steady_timer timer;
+  bool stopped = false;
+  uint64_t led_term = 0;  // term in which this controller leads, or 0
+
+  // Soft state of the leader.
+  SessionTable sessions;
+  Directory directory;
+  std::map<uint64_t, Poll> polls;  // by order of arrival
+  uint64_t last_poll = 0;
+  std::set<std::string> joining;             // routers whose join has been proposed
+  std::map<std::string, uint64_t> departed;  // last incarnation that has left cleanly
+  std::map<std::string, Time> last_push;     // last directory news sent to each router
+  Time next_housekeeping;
+  bool wake_scheduled = false;
+
+  std::vector<ReadCallback> unconfirmed;  // requests that wait for the next quorum round
+  bool round_scheduled = false;           // a round runs or is about to start
+  size_t pending_commands = 0;
+  std::map<std::string, std::unique_ptr<PeerClient>> relays;  // by controller id
+};
+
+Controller::Controller(asio::io_context& io, ControllerOptions options, ReplicatedLog& log,
+                       ControlState& state)
+    : impl(std::make_shared<Impl>(io, std::move(options), log, state)) {
+  this->impl->Start();
+}
+
+Controller::~Controller() { this->impl->Stop(); }
+
+void Controller::Handle(wire::BodyUnion body, const PeerRequest& request) {
+  this->Handle(std::move(body),
+               Responder{.reply = [request](const wire::BodyUnion& reply) { request.Reply(reply); },
+                         .active = [request] { return request.Active(); }});
+}
+
+void Controller::Handle(wire::BodyUnion body, Responder responder) {
+  this->impl->Handle(std::move(body), std::move(responder));
+}
+
+void Controller::CheckLeadership() { this->impl->CheckLeadership(); }
+
+void Controller::Stop() { this->impl->Stop(); }
+
+}  // namespace peridotgauge
--- a/directory.cc
+++ b/directory.cc
@@ -29,6 +29,14 @@
   return a.address == b.address && a.service == b.service && a.data_centre == b.data_centre;
 }
 
+// Upper estimate of the encoded size, with offsets, lengths and padding.
+size_t EncodedSize(const TargetRecord& record) {
+  constexpr size_t kFixedBytes = 160;
+  return kFixedBytes + record.target.size() + record.address.size() + record.service.size() +
+         record.data_centre.size() + record.registrar.size() +
+         record.holds.size() * sizeof(wire::Holding);
+}
+
 }  // namespace
 
 uint64_t DigestOf(const TargetRecord& record) {
@@ -56,6 +64,7 @@
   this->epoch = new_epoch;
   // Version 0 is left for copies that need everything.
   this->version = 1;
+  this->bytes = 0;
   this->digest = 0;
   this->collecting = true;
   this->collect_until = now + kCollectTime;
@@ -85,11 +94,11 @@
 
 bool Directory::MergeOne(Time now, const TargetRecord& record) {
   const auto found = this->entries.find(record.target);
+  if (!this->HasRoom(found == this->entries.end() ? nullptr : &found->second, record)) {
+    ++this->counters.refused;
+    return false;
+  }
   if (found == this->entries.end()) {
-    if (this->entries.size() >= kMaxTargets) {
-      ++this->counters.refused;
-      return false;
-    }
     this->Store(now, this->entries[record.target], record);
     return true;
   }
@@ -111,6 +120,13 @@
   return false;
 }
 
+bool Directory::HasRoom(const Entry* known, const TargetRecord& record) const {
+  if (known == nullptr && this->entries.size() >= kMaxTargets) return false;
+  const size_t before = known == nullptr ? 0 : EncodedSize(known->record);
+  const size_t after = EncodedSize(record);
+  return after <= before || this->bytes - before + after <= kMaxDirectoryBytes;
+}
+
 Directory::Verdict Directory::Judge(const Entry& entry, const TargetRecord& record) {
   const TargetRecord& known = entry.record;
   if (record.incarnation == known.incarnation && !SameProcess(record, known)) {
@@ -127,9 +143,13 @@
 }
 
 void Directory::Store(Time now, Entry& entry, TargetRecord record) {
-  if (entry.version > 0 && !entry.gone) this->digest -= DigestOf(entry.record);
+  if (entry.version > 0) {
+    this->bytes -= EncodedSize(entry.record);
+    if (!entry.gone) this->digest -= DigestOf(entry.record);
+  }
   this->by_version.erase(entry.version);
   entry.record = std::move(record);
+  this->bytes += EncodedSize(entry.record);
   entry.version = ++this->version;
   this->by_version.emplace(entry.version, entry.record.target);
   entry.dropped = false;
@@ -175,6 +195,7 @@
     // A copy that has not seen this removal can no longer learn of it from a delta.
     this->full_before = std::max(this->full_before, entry.version);
     this->by_version.erase(entry.version);
+    this->bytes -= EncodedSize(entry.record);
     it = this->entries.erase(it);
   }
 }
--- a/directory.h
+++ b/directory.h
@@ -31,8 +31,9 @@
 constexpr Duration kCollectTime = Seconds(3);
 // Far above the time for which a request can be delayed on its way to the leader.
 constexpr Duration kTombstoneTime = Seconds(60);
-// A full resend of this many records fits into one frame. Further targets are refused.
+// A full resend must fit into one frame, next to the router list. Records beyond are refused.
 constexpr size_t kMaxTargets = 10'000;
+constexpr size_t kMaxDirectoryBytes = 5 << 19;  // 2.5 MiB
 
 // Digest of one record. The digest of a directory is the sum over its records that are not gone.
 uint64_t DigestOf(const TargetRecord& record);
@@ -99,6 +100,7 @@
   enum class Verdict : uint8_t { kAccept, kSame, kStale, kConflict };
   static Verdict Judge(const Entry& entry, const TargetRecord& record);
   bool MergeOne(Time now, const TargetRecord& record);
+  bool HasRoom(const Entry* known, const TargetRecord& record) const;
   void Store(Time now, Entry& entry, TargetRecord record);
   void Drop(Time now, Entry& entry);
   void Prune(Time now);
--- a/testing/directory_test.cc
+++ b/testing/directory_test.cc
@@ -141,6 +141,16 @@
     CHECK(f.directory.Targets().size() == kMaxTargets);
     CHECK(f.directory.Counters().refused == 2);
   }
+  SECTION("and when its records would no longer fit into one frame") {
+    TargetRecord large = RecordOf("x", 1, 1);
+    large.holds.resize(kMaxHoldings);
+    while (f.directory.Counters().refused == 0) {
+      large.target += "x";
+      f.Merge("r1", large);
+    }
+    CHECK(f.directory.Targets().size() * kMaxHoldings * 16 <= kMaxDirectoryBytes);
+    CHECK(f.Merge("r1", RecordOf("a", 1, 5'000, TargetState::kDraining)));
+  }
 }
 
 TEST_CASE("targets outlive their registrar only if they register again", "[directory]") {
