--- /dev/null
+++ b/testing/control_plane_test.cc
@@ -0,0 +1,413 @@
+// Tests of controllers and control clients over real connections, with the replicated log replaced
+// by one in memory that commits at once.
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "../control_client.h"
+#include "../control_state.h"
+#include "../controller.h"
+#include "../peer.h"
+#include "../replicated_log.h"
+
+namespace peridotgauge {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+// What the logs of all controllers share.
+struct Group {
+  size_t leader = 0;
+  uint64_t term = 1;
+  uint64_t index = 0;
+  bool quorum = true;
+  bool lose_answers = false;  // commands are committed, their outcome stays unknown
+  int rounds = 0;
+  int member_changes = 0;
+  std::vector<ControlState*> states;
+};
+
+class FakeLog final : public ReplicatedLog {
+ public:
+  FakeLog(asio::io_context& io, Group& group, size_t self) : io(io), group(group), self(self) {}
+
+  void Propose(std::string command, Time, std::function<void(Result<Applied>)> callback) override {
+    Result<Applied> result = Fail(ErrorCode::kNotLeader);
+    if (this->Leading()) result = Fail(ErrorCode::kUnknownOutcome);
+    if (this->Leading() && this->group.quorum) {
+      const uint64_t index = ++this->group.index;
+      for (size_t i = 0; i < this->group.states.size(); ++i) {
+        const std::string answer = this->group.states[i]->Apply(index, command);
+        if (i == this->self && !this->group.lose_answers) result = Applied{index, answer};
+      }
+    }
+    asio::post(this->io, [callback = std::move(callback), result] { callback(result); });
+  }
+  void ConfirmRead(Time, std::function<void(Result<uint64_t>)> callback) override {
+    ++this->group.rounds;
+    auto timer = std::make_shared<asio::steady_timer>(this->io, Millis(5));
+    timer->async_wait([this, timer, callback = std::move(callback)](boost::system::error_code) {
+      if (!this->Leading()) return callback(Fail(ErrorCode::kNotLeader));
+      if (!this->group.quorum) return callback(Fail(ErrorCode::kUnavailable));
+      callback(this->group.index);
+    });
+  }
+  void ChangeMember(const ControllerAddress&, uint64_t, bool, Time,
+                    std::function<void(Result<Applied>)> callback) override {
+    ++this->group.member_changes;
+    asio::post(this->io,
+               [callback = std::move(callback)] { callback(Fail(ErrorCode::kUnknownOutcome)); });
+  }
+  bool Leading() const override { return this->group.leader == this->self; }
+  uint64_t Term() const override { return this->group.term; }
+  std::string Leader() const override { return "c" + std::to_string(this->group.leader); }
+  ReplicaStatus Status() const override { return {.id = "c" + std::to_string(this->self)}; }
+
+ private:
+  asio::io_context& io;
+  Group& group;
+  size_t self;
+};
+
+struct Node {
+  ControlState state;
+  std::unique_ptr<FakeLog> log;
+  std::unique_ptr<Controller> controller;
+  std::unique_ptr<PeerServer> server;
+};
+
+std::string ConfigOf(int revision, int deadline_ms = 200) {
+  return R"({"revision": )" + std::to_string(revision) +
+         R"(, "fleets": {"f": {}}, "services": {"s": {"fleet": "f", "deadline_ms": )" +
+         std::to_string(deadline_ms) + "}}}";
+}
+
+// Three controllers and any number of routers.
+struct Cluster {
+  asio::io_context io;
+  Group group;
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::vector<ControllerAddress> controllers;
+
+  Cluster() {
+    for (size_t i = 0; i < 3; ++i) {
+      auto node = std::make_unique<Node>();
+      node->log = std::make_unique<FakeLog>(this->io, this->group, i);
+      this->group.states.push_back(&node->state);
+      node->server = std::make_unique<PeerServer>(
+          this->io, "127.0.0.1:0", [raw = node.get()](wire::BodyUnion body, PeerRequest request) {
+            raw->controller->Handle(std::move(body), request);
+          });
+      this->controllers.push_back(
+          {"c" + std::to_string(i), "127.0.0.1:" + std::to_string(node->server->Port())});
+      this->nodes.push_back(std::move(node));
+    }
+    for (size_t i = 0; i < 3; ++i) {
+      Node& node = *this->nodes[i];
+      node.controller = std::make_unique<Controller>(
+          this->io, ControllerOptions{this->controllers[i].id, this->controllers}, *node.log,
+          node.state);
+    }
+  }
+
+  std::unique_ptr<ControlClient> Router(const std::string& id, uint64_t incarnation = 1) {
+    return std::make_unique<ControlClient>(
+        this->io, ControlClientOptions{{.id = id, .incarnation = incarnation}, this->controllers});
+  }
+  std::unique_ptr<ControlClient> Synced(const std::string& id, uint64_t incarnation = 1) {
+    auto client = this->Router(id, incarnation);
+    client->Start();
+    REQUIRE(this->RunUntil([&] { return client->Synchronized(SteadyNow()); }));
+    return client;
+  }
+  void Elect(size_t leader) {
+    this->group.leader = leader;
+    ++this->group.term;
+    for (const auto& node : this->nodes) node->controller->CheckLeadership();
+  }
+  // Runs the event loop until the condition holds; false after 15 seconds.
+  template <typename Condition>
+  bool RunUntil(Condition condition) {
+    const Time limit = SteadyNow() + Seconds(15);
+    while (!condition() && SteadyNow() < limit) this->io.run_one_for(std::chrono::milliseconds(20));
+    return condition();
+  }
+  Result<wire::CommandReplyT> Run(ControlClient& client, wire::CommandBodyUnion body) {
+    std::optional<Result<wire::CommandReplyT>> answer;
+    client.Command(std::move(body), SteadyNow() + Seconds(3),
+                   [&](Result<wire::CommandReplyT> reply) { answer = std::move(reply); });
+    REQUIRE(this->RunUntil([&] { return answer.has_value(); }));
+    return *answer;
+  }
+  Result<wire::CommandReplyT> Apply(ControlClient& client, const std::string& text) {
+    wire::ApplyConfigT command;
+    command.text = text;
+    return this->Run(client, ToCommand(std::move(command)));
+  }
+  Result<wire::CommandReplyT> Claim(ControlClient& client, const std::string& router,
+                                    uint64_t claim_id) {
+    wire::ClaimT command;
+    command.request_id = "order-1";
+    command.issued_at_ms = UnixMillis();
+    command.router = router;
+    command.router_incarnation = 1;
+    command.claim_id = claim_id;
+    return this->Run(client, ToCommand(std::move(command)));
+  }
+  json::object Read(ControlClient& client, wire::ReadKind kind, uint64_t revision = 0) {
+    std::optional<Result<std::string>> answer;
+    client.Read(kind, revision, SteadyNow() + Seconds(3),
+                [&](Result<std::string> reply) { answer = std::move(reply); });
+    REQUIRE(this->RunUntil([&] { return answer.has_value(); }));
+    REQUIRE(*answer);
+    return json::parse(**answer).as_object();
+  }
+  bool InForce(ControlClient& client, uint64_t revision) {
+    return this->Read(client, wire::ReadKind::InForce, revision)["in_force"].as_bool();
+  }
+};
+
+TargetRecord TargetOf(uint64_t sequence, TargetState state = TargetState::kServing) {
+  return {.target = "s/a",
+          .address = "127.0.0.1:9001",
+          .service = "s",
+          .incarnation = 1,
+          .sequence = sequence,
+          .state = state,
+          .slots = 5};
+}
+
+bool Refused(const Result<wire::CommandReplyT>& reply, ErrorCode code) {
+  return reply && reply->error == static_cast<int8_t>(code);
+}
+
+TEST_CASE("a change is accepted once and comes into force everywhere", "[control_plane]") {
+  Cluster cluster;
+  auto r1 = cluster.Synced("r1");
+  auto r2 = cluster.Synced("r2");
+  int changes = 0;
+  r2->OnChange([&](const ControlChange& change) { changes += change.config ? 1 : 0; });
+  CHECK(cluster.RunUntil([&] { return r1->Routers().size() == 2; }));
+  CHECK(r1->CurrentConfig()->Revision() == 0);
+
+  const auto accepted = cluster.Apply(*r1, ConfigOf(1));
+  REQUIRE(accepted);
+  REQUIRE(accepted->error < 0);
+  CHECK(cluster.RunUntil([&] { return cluster.InForce(*r2, 1); }));
+  CHECK(r2->CurrentConfig()->Revision() == 1);
+  CHECK(changes == 1);
+
+  SECTION("the other operator sees the winner, the resend its original outcome") {
+    const auto lost = cluster.Apply(*r2, ConfigOf(1, 300));
+    CHECK(Refused(lost, ErrorCode::kConflict));
+    CHECK(lost->digest == accepted->digest);
+    // The same meaning with other white space is the same text.
+    const auto again = cluster.Apply(*r2, " " + ConfigOf(1));
+    CHECK(again->repeated);
+    CHECK(again->index == accepted->index);
+  }
+  SECTION("an invalid text is refused before it reaches the log") {
+    const uint64_t index = cluster.group.index;
+    CHECK(Refused(cluster.Apply(*r1, "{}"), ErrorCode::kInvalidConfig));
+    CHECK(cluster.group.index == index);
+  }
+  SECTION("a router that is silent holds it up until its session has ended") {
+    r2->StopSync();
+    REQUIRE(cluster.Apply(*r1, ConfigOf(2))->error < 0);
+    CHECK(cluster.RunUntil([&] { return r1->CurrentConfig()->Revision() == 2; }));
+    CHECK_FALSE(cluster.InForce(*r1, 2));
+    CHECK(cluster.RunUntil([&] { return cluster.InForce(*r1, 2); }));
+    CHECK(cluster.RunUntil([&] { return r1->Routers().size() == 1; }));
+  }
+  SECTION("it survives a change of leader") {
+    cluster.Elect(2);
+    CHECK(cluster.RunUntil([&] { return cluster.InForce(*r1, 1); }));
+    CHECK(r1->Leader() == "c2");
+    CHECK(cluster.Apply(*r1, ConfigOf(1))->repeated);
+  }
+  CHECK(cluster.Read(*r1, wire::ReadKind::Config).at("revision").as_int64() >= 1);
+  CHECK(cluster.Read(*r1, wire::ReadKind::History).at("revisions").as_array().size() >= 1);
+  CHECK(cluster.Read(*r1, wire::ReadKind::Status).at("config").is_object());
+}
+
+TEST_CASE("a router follows the leader", "[control_plane]") {
+  Cluster cluster;
+  cluster.group.leader = 1;
+  SECTION("from a controller that names it") {
+    auto r1 = cluster.Synced("r1");
+    CHECK(r1->Leader() == "c1");
+  }
+  SECTION("to the next one, without losing its lease") {
+    auto r1 = cluster.Synced("r1");
+    bool lapsed = false;
+    r1->OnChange([&](const ControlChange& change) { lapsed = lapsed || change.lease; });
+    for (const size_t leader : {0, 2, 1}) {
+      cluster.Elect(leader);
+      REQUIRE(cluster.RunUntil([&] { return r1->Leader() == "c" + std::to_string(leader); }));
+    }
+    CHECK(r1->Synchronized(SteadyNow()));
+    CHECK_FALSE(lapsed);
+  }
+  SECTION("through another controller when it cannot be reached") {
+    const Address reachable = cluster.controllers[1].peer_address;
+    cluster.controllers[1].peer_address = "127.0.0.1:1";
+    auto r1 = cluster.Synced("r1");
+    REQUIRE(cluster.Apply(*cluster.Router("operator"), ConfigOf(1)).has_value() == false);
+    cluster.controllers[1].peer_address = reachable;
+    auto operators = cluster.Router("operator");
+    REQUIRE(cluster.Apply(*operators, ConfigOf(1))->error < 0);
+    CHECK(cluster.RunUntil([&] { return r1->CurrentConfig()->Revision() == 1; }));
+  }
+  SECTION("and has no lease once no quorum confirms it") {
+    auto r1 = cluster.Synced("r1");
+    cluster.group.quorum = false;
+    CHECK(cluster.RunUntil([&] { return !r1->Synchronized(SteadyNow()); }));
+    cluster.group.quorum = true;
+    CHECK(cluster.RunUntil([&] { return r1->Synchronized(SteadyNow()); }));
+  }
+}
+
+TEST_CASE("polls that wait at the same time share quorum rounds", "[control_plane]") {
+  Cluster cluster;
+  constexpr int kRouters = 40;
+  std::vector<std::unique_ptr<ControlClient>> routers;
+  for (int i = 0; i < kRouters; ++i) routers.push_back(cluster.Synced("r" + std::to_string(i)));
+  int answers = 0;
+  cluster.group.rounds = 0;
+  const Controller::Responder responder = {
+      [&](const wire::BodyUnion& body) { answers += body.AsReadReply()->error < 0 ? 1 : 0; },
+      [] { return true; }};
+  for (int i = 0; i < kRouters; ++i) {
+    cluster.nodes[0]->controller->Handle(ToBody(wire::ReadRequestT{}), responder);
+  }
+  REQUIRE(cluster.RunUntil([&] { return answers == kRouters; }));
+  // One that had begun before and one that all requests share.
+  CHECK(cluster.group.rounds <= 2);
+}
+
+TEST_CASE("commands are sent again only where that is safe", "[control_plane]") {
+  Cluster cluster;
+  auto r1 = cluster.Synced("r1");
+  const auto answer_soon = [&] {
+    auto timer = std::make_shared<asio::steady_timer>(cluster.io, Millis(100));
+    timer->async_wait(
+        [&, timer](boost::system::error_code) { cluster.group.lose_answers = false; });
+  };
+  cluster.group.lose_answers = true;
+  SECTION("a text whose answer was lost") {
+    answer_soon();
+    const auto reply = cluster.Apply(*r1, ConfigOf(1));
+    REQUIRE(reply);
+    CHECK(reply->repeated);
+    CHECK(reply->revision == 1);
+  }
+  SECTION("a claim whose answer was lost is granted to the same claim only") {
+    answer_soon();
+    const auto reply = cluster.Claim(*r1, "r1", 1);
+    REQUIRE(reply);
+    CHECK(reply->claim == wire::ClaimState::Granted);
+    CHECK(cluster.Claim(*r1, "r1", 2)->claim == wire::ClaimState::Running);
+  }
+  SECTION("a claim that is never answered has an unknown outcome") {
+    const auto reply = cluster.Claim(*r1, "r1", 1);
+    REQUIRE_FALSE(reply);
+    CHECK(reply.error().code == ErrorCode::kUnknownOutcome);
+  }
+  SECTION("a change of members is not repeated") {
+    const auto reply = cluster.Run(*r1, ToCommand(wire::ChangeMembersT{}));
+    CHECK(Refused(reply, ErrorCode::kUnknownOutcome));
+    CHECK(cluster.group.member_changes == 1);
+  }
+  SECTION("nothing was sent if no controller listens") {
+    for (const auto& node : cluster.nodes) node->server->Close();
+    r1->StopSync();
+    const auto reply = cluster.Claim(*cluster.Router("r9"), "r9", 1);
+    REQUIRE_FALSE(reply);
+    CHECK(reply.error().code == ErrorCode::kUnavailable);
+  }
+}
+
+TEST_CASE("registrations reach all routers", "[control_plane]") {
+  Cluster cluster;
+  auto r1 = cluster.Synced("r1");
+  auto r2 = cluster.Synced("r2");
+  const auto state_at_r2 = [&] {
+    const TargetRecord* record = r2->Directory().Find("s/a");
+    return record == nullptr ? TargetState::kGone : record->state;
+  };
+  r1->Register(TargetOf(1));
+  REQUIRE(cluster.RunUntil([&] { return state_at_r2() == TargetState::kServing; }));
+
+  SECTION("a drain and a removal") {
+    r1->Register(TargetOf(2, TargetState::kDraining));
+    CHECK(cluster.RunUntil([&] { return state_at_r2() == TargetState::kDraining; }));
+    r1->Register(TargetOf(2, TargetState::kGone));
+    CHECK(cluster.RunUntil([&] { return r2->Directory().Find("s/a") == nullptr; }));
+  }
+  SECTION("again after a change of leader") {
+    REQUIRE(cluster.RunUntil([&] { return !r2->Directory().Provisional(); }));
+    cluster.Elect(1);
+    REQUIRE(cluster.RunUntil([&] { return r2->Directory().Epoch() == 2; }));
+    CHECK(state_at_r2() == TargetState::kServing);
+    REQUIRE(cluster.RunUntil([&] { return !r2->Directory().Provisional(); }));
+    CHECK(state_at_r2() == TargetState::kServing);
+  }
+  SECTION("a flapping target does not keep its router from renewing the lease") {
+    uint64_t sequence = 1;
+    const Time end = SteadyNow() + kLeaseLength + Millis(500);
+    while (SteadyNow() < end) {
+      ++sequence;
+      r1->Register(
+          TargetOf(sequence, sequence % 2 == 0 ? TargetState::kStarting : TargetState::kServing));
+      cluster.io.run_for(std::chrono::milliseconds(1));
+    }
+    CHECK(r1->Synchronized(SteadyNow()));
+    CHECK(r2->Synchronized(SteadyNow()));
+  }
+}
+
+TEST_CASE("a router leaves", "[control_plane]") {
+  Cluster cluster;
+  auto r1 = cluster.Synced("r1");
+  auto r2 = cluster.Synced("r2");
+  REQUIRE(cluster.Claim(*r1, "r1", 1)->claim == wire::ClaimState::Granted);
+  wire::LeaveT leave;
+  leave.id = "r1";
+  leave.incarnation = 1;
+  SECTION("draining, it stays in the view") {
+    REQUIRE(cluster.Run(*r1, ToCommand(leave))->error < 0);
+    CHECK(cluster.RunUntil([&] { return r2->Routers().at("r1").draining; }));
+    CHECK(r1->Synchronized(SteadyNow()));
+  }
+  SECTION("cleanly, it is gone at once and does not come back") {
+    r1->StopSync();
+    leave.clean = true;
+    REQUIRE(cluster.Run(*r1, ToCommand(leave))->error < 0);
+    CHECK(cluster.RunUntil([&] { return r2->Routers().size() == 1; }));
+    r1->Start();
+    CHECK_FALSE(cluster.RunUntil([&] { return r1->Synchronized(SteadyNow()); }));
+  }
+  SECTION("silently, it is removed and its open claims are in doubt") {
+    r1->StopSync();
+    CHECK(cluster.RunUntil([&] { return r2->Routers().size() == 1; }));
+    CHECK(cluster.Claim(*r2, "r2", 1)->claim == wire::ClaimState::InDoubt);
+    r1->Start();
+    CHECK(cluster.RunUntil([&] { return r1->Synchronized(SteadyNow()); }));
+  }
+  SECTION("its next incarnation replaces it") {
+    auto next = cluster.Synced("r1", 2);
+    CHECK(cluster.RunUntil([&] { return !r1->Synchronized(SteadyNow()); }));
+    CHECK(cluster.Claim(*r2, "r2", 1)->claim == wire::ClaimState::InDoubt);
+  }
+}
+
+}  // namespace
+}  // namespace peridotgauge
