--- a/order_runner.cc
+++ b/order_runner.cc
@@ -228,7 +228,7 @@
     return refuse({ErrorCode::kOverloaded, "too many orders are running"});
   }
   const uint64_t fingerprint = Fingerprint(request.service, RequestKind::kOrder, request.body);
-  const Standing standing = context.quarantine.Check(now, UnixMillis(), fingerprint);
+  const Standing standing = StandingOf(context, now, fingerprint);
   if (standing == Standing::kQuarantined || standing == Standing::kCrashing) {
     return refuse(
         {ErrorCode::kQuarantined, "the request crashed targets; it is blocked for a time"});
--- a/router.cc
+++ b/router.cc
@@ -264,7 +264,6 @@
     const Time now = SteadyNow();
     for (TargetRecord& gone : this->registrations.Expire(now))
       this->control.Register(std::move(gone));
-    this->quarantine.SetCommitted(this->control.QuarantineList());
     this->ContinueDrain(now);
     this->timer.expires_after(kHousekeepingInterval);
     this->timer.async_wait([weak = this->weak_from_this()](boost::system::error_code error) {
--- a/search_runner.cc
+++ b/search_runner.cc
@@ -263,7 +263,7 @@
   Result<std::shared_ptr<const Plan>> plan = context.planner.PlanFor(request.service);
   if (!plan) return refuse(plan.error());
   const uint64_t fingerprint = Fingerprint(request.service, RequestKind::kSearch, request.query);
-  const Standing standing = context.quarantine.Check(now, UnixMillis(), fingerprint);
+  const Standing standing = StandingOf(context, now, fingerprint);
   if (standing == Standing::kQuarantined || standing == Standing::kCrashing) {
     return refuse(
         {ErrorCode::kQuarantined, "the request crashed targets; it is blocked for a time"});
--- a/testing/order_test.cc
+++ b/testing/order_test.cc
@@ -39,7 +39,7 @@
   std::function<OrderEffects(Order&, Time)> apply;
 };
 
-Event Claim(std::string name, const Result<ClaimAnswer>& answer, OrderLease lease = kLease,
+Event Claim(std::string name, const Result<ClaimResult>& answer, OrderLease lease = kLease,
             Candidates candidates = targets) {
   return {std::move(name), [=](Order& order, Time now) {
             return order.OnClaimAnswer(now, answer, lease, candidates);
@@ -57,16 +57,16 @@
 }
 
 std::vector<Event> AllEvents() {
-  const ClaimAnswer done{.state = ClaimState::kRecorded, .outcome = Outcome::kDone, .body = "1"};
+  const ClaimResult done{.state = ClaimState::kRecorded, .outcome = Outcome::kDone, .body = "1"};
   DispatchReply crossed = GoodReply();
   crossed.request_id = "order-2";
-  return {Claim("granted", ClaimAnswer{}),
-          Claim("granted, lease lapsed", ClaimAnswer{}, {.valid = false, .generation = 3}),
-          Claim("granted, lease lapsed and came back", ClaimAnswer{}, {true, 4}),
-          Claim("granted, no target", ClaimAnswer{}, kLease, {}),
-          Claim("running", ClaimAnswer{.state = ClaimState::kRunning}),
+  return {Claim("granted", ClaimResult{}),
+          Claim("granted, lease lapsed", ClaimResult{}, {.valid = false, .generation = 3}),
+          Claim("granted, lease lapsed and came back", ClaimResult{}, {true, 4}),
+          Claim("granted, no target", ClaimResult{}, kLease, {}),
+          Claim("running", ClaimResult{.state = ClaimState::kRunning}),
           Claim("replay", done),
-          Claim("in doubt", ClaimAnswer{.state = ClaimState::kInDoubt}),
+          Claim("in doubt", ClaimResult{.state = ClaimState::kInDoubt}),
           Claim("conflict", Fail(ErrorCode::kConflict)),
           Claim("ledger full", Fail(ErrorCode::kLedgerFull)),
           Claim("claim not sent", Fail(ErrorCode::kUnavailable)),
@@ -215,15 +215,15 @@
       CHECK(lost.answer->error->code == ErrorCode::kUnavailable);
       CHECK_FALSE(lost.answer->not_run);
       CHECK(lost.complete->outcome == Outcome::kNotRun);
-      CHECK_FALSE(order.OnClaimAnswer(kStart, ClaimAnswer{}, kLease, targets).dispatch);
+      CHECK_FALSE(order.OnClaimAnswer(kStart, ClaimResult{}, kLease, targets).dispatch);
     }
     SECTION("and a claim granted at the deadline is not dispatched") {
-      const OrderEffects late = order.OnClaimAnswer(kDeadline, ClaimAnswer{}, kLease, targets);
+      const OrderEffects late = order.OnClaimAnswer(kDeadline, ClaimResult{}, kLease, targets);
       CHECK_FALSE(late.dispatch);
       CHECK(late.complete->outcome == Outcome::kNotRun);
     }
     SECTION("and is dispatched once it is granted") {
-      CHECK(order.OnClaimAnswer(kStart, ClaimAnswer{}, kLease, targets).dispatch->target ==
+      CHECK(order.OnClaimAnswer(kStart, ClaimResult{}, kLease, targets).dispatch->target ==
             &target);
       SECTION("and a reply after the deadline is still recorded, for a resend") {
         CHECK(order.OnTimer(kDeadline).answer->error->code == ErrorCode::kInDoubt);
@@ -247,13 +247,13 @@
 // Naive ledger: one holder or one final record for the only request id.
 class NaiveLedger {
  public:
-  Result<ClaimAnswer> Claim(const ClaimHolder& holder) {
+  Result<ClaimResult> Claim(const ClaimHolder& holder) {
     if (this->released.contains(holder.attempt)) return Fail(ErrorCode::kCancelled);
-    if (this->record) return ClaimAnswer{.state = ClaimState::kRecorded, .outcome = *this->record};
-    if (this->in_doubt) return ClaimAnswer{.state = ClaimState::kInDoubt};
-    if (this->holder && *this->holder != holder) return ClaimAnswer{.state = ClaimState::kRunning};
+    if (this->record) return ClaimResult{.state = ClaimState::kRecorded, .outcome = *this->record};
+    if (this->in_doubt) return ClaimResult{.state = ClaimState::kInDoubt};
+    if (this->holder && *this->holder != holder) return ClaimResult{.state = ClaimState::kRunning};
     this->holder = holder;
-    return ClaimAnswer{.state = ClaimState::kGranted};
+    return ClaimResult{.state = ClaimState::kGranted};
   }
   Result<void> Complete(const ClaimHolder& holder, Outcome outcome) {
     const bool holds = this->holder == holder;
@@ -338,7 +338,7 @@
     one.claim.reset();
     const bool arrives = *rc::gen::inRange(0, 4) != 0;
     const bool answered = *rc::gen::inRange(0, 4) != 0;
-    Result<ClaimAnswer> answer = Fail(ErrorCode::kUnknownOutcome);
+    Result<ClaimResult> answer = Fail(ErrorCode::kUnknownOutcome);
     if (arrives) answer = this->ledger.Claim(one.holder);
     if (!answered) answer = Fail(ErrorCode::kUnknownOutcome);
     this->Take(one, one.order.OnClaimAnswer(this->now, answer, kLease, targets));
