--- a/testing/raft_rules_test.cc
+++ b/testing/raft_rules_test.cc
@@ -225,7 +225,7 @@
                       .granted = true,
                       .transfer = true,
                       .entries = {{8, 9, EntryKind::kCommand, std::string("\0z", 2), {}},
-                                  {10, 9, EntryKind::Members() hip, "", {{"c", 11, "y"}}}},
+                                  {10, 9, EntryKind::kMembership, "", {{"c", 11, "y"}}}},
                       .members = {{"d", 12, "w"}},
                       .offset = 13,
                       .total = 14,
