--- a/target_queue.h
+++ b/target_queue.h
@@ -1,4 +1,4 @@
-// The owner's queue for one target: slots, order by deadline, adaptive limit, connections.
+// The owner's queue for one target: slots, order by deadline, adaptive limit.
 //
 // Use:
 //   TargetQueue queue(now, {.slots = 5, .connections = 40, .cold = true});
@@ -102,12 +102,6 @@
   // Load as replies report it: queued or running requests.
   uint32_t Load() const { return this->InFlight() + static_cast<uint32_t>(this->Queued()); }
 
-  // --- Connections: open ones, including those being opened ---
-  // True if another connection may be opened.
-  bool MayConnect() const { return this->open_connections < this->options.connections; }
-  void OnConnecting() { ++this->open_connections; }
-  void OnDisconnected();
-  uint32_t OpenConnections() const { return this->open_connections; }
   // Idle connections worth keeping warm: one for each slot, within the connection limit.
   uint32_t WarmConnections() const;
 
@@ -136,7 +130,6 @@
   std::set<Waiting> waiting;
   std::unordered_map<uint64_t, Waiting> waiting_by_id;  // the same entries
   std::set<uint64_t> running;
-  uint32_t open_connections = 0;
   // Fastest service times of the present and the previous period.
   Time period_start{};
   std::optional<Duration> fastest;
