--- a/ownership.h
+++ b/ownership.h
@@ -32,6 +32,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "lease.h"
@@ -50,7 +51,10 @@
 struct RouterIdentity {
   std::string id;
   uint64_t incarnation = 0;
-  auto operator<=>(const RouterIdentity&) const = default;
+  bool operator==(const RouterIdentity&) const = default;
+  bool operator<(const RouterIdentity& other) const {
+    return std::tie(this->id, this->incarnation) < std::tie(other.id, other.incarnation);
+  }
 };
 
 // The router list after the command with the log index `index` changed it.
@@ -118,15 +122,26 @@
     uint64_t fence_view = 0;              // index of the view that set the fence
   };
 
+  // What a router of the present view was in the previous one.
+  enum class Past : uint8_t { kUnknown, kEligible, kDraining };
+
   bool IsSelf(const RouterRecord* router) const;
-  void Recompute(Time now, const RouterView& before, Entry& entry);
-  void ApplyPendingReleases(Time now);
-  bool TryRelease(Time now, const TargetRelease& release);
+  // Compares the present view with the previous one.
+  void ComputePast();
+  std::vector<const RouterRecord*> PossibleOwners(const Entry& entry) const;
+  // True if all elements of `routers` are `one` or `other`.
+  static bool Only(const std::vector<const RouterRecord*>& routers, const RouterRecord* one,
+                   const RouterRecord* other);
+  Handover Lose(const std::string& target, const Entry& entry, bool allowed) const;
+  void EndFences(Time now, const TargetRelease& release);
 
   RouterIdentity self;
   Routing routing;
   RouterView view;
-  Time view_learned{};
+  std::vector<Past> past;            // parallel to `view.routers`
+  std::vector<RouterRecord> before;  // routers of the previous view
+  Time view_learned = Time::min();
+  Time before_learned = Time::min();
   std::map<std::string, Entry, std::less<>> targets;
   std::deque<TargetRelease> pending;  // of views that are not yet known; bounded
   uint64_t released = 0;
--- /dev/null
+++ b/registration.cc
@@ -0,0 +1,135 @@
+// Registration leases of targets at one router.
+#include "registration.h"
+
+#include <algorithm>
+
+#include "address.h"
+#include "strict_json.h"
+
+namespace peridotgauge {
+namespace {
+
+constexpr uint32_t kMaxSlots = 1'024;
+constexpr uint32_t kMaxConnections = 65'535;
+constexpr size_t kMaxTargetNameBytes = 128;
+
+// Target names may contain '/', as in "verstas-1/a".
+bool IsTargetName(std::string_view name) {
+  return !name.empty() && name.size() <= kMaxTargetNameBytes &&
+         std::all_of(name.begin(), name.end(),
+                     [](char c) { return c == '/' || IsName(std::string_view(&c, 1)); });
+}
+
+tl::unexpected<Error> Refuse(std::string_view field, const std::string& value,
+                             std::string_view allowed) {
+  return Fail(ErrorCode::kBadRequest,
+              std::string(field) + ": " + value + "; allowed is " + std::string(allowed));
+}
+
+Result<void> CheckHoldings(const std::vector<Holding>& holds) {
+  if (holds.size() > kMaxHoldings) {
+    return Refuse("holds", std::to_string(holds.size()) + " entries", "at most 1024");
+  }
+  for (const Holding& held : holds) {
+    if (held.shards == 0 || held.shard >= held.shards) {
+      return Refuse("holds", std::to_string(held.shard) + " of " + std::to_string(held.shards),
+                    "a shard below the number of shards");
+    }
+  }
+  return {};
+}
+
+Result<void> Check(const TargetRecord& record) {
+  if (!IsTargetName(record.target)) {
+    return Refuse("target", "\"" + record.target + "\"",
+                  "1 to 128 letters, digits, '-', '_', '.' or '/'");
+  }
+  if (!IsName(record.service)) {
+    return Refuse("service", "\"" + record.service + "\"", kNameSyntax);
+  }
+  if (!IsName(record.data_centre)) {
+    return Refuse("data_centre", "\"" + record.data_centre + "\"", kNameSyntax);
+  }
+  if (const Result<Endpoint> endpoint = ParseAddress(record.address); !endpoint) {
+    return Fail(ErrorCode::kBadRequest, "address: " + endpoint.error().detail);
+  }
+  if (record.slots == 0 || record.slots > kMaxSlots) {
+    return Refuse("slots", std::to_string(record.slots), "1 to 1024");
+  }
+  if (record.connections == 0 || record.connections > kMaxConnections) {
+    return Refuse("connections", std::to_string(record.connections), "1 to 65535");
+  }
+  return CheckHoldings(record.holds);
+}
+
+// True if only the sequence differs.
+bool SameContent(const TargetRecord& one, TargetRecord other) {
+  other.sequence = one.sequence;
+  return one == other;
+}
+
+}  // namespace
+
+Result<RegistrationChange> Registrations::Register(Time now, TargetRecord& record) {
+  record.registrar = this->router;
+  if (Result<void> checked = Check(record); !checked) return tl::unexpected(checked.error());
+  const auto found = this->entries.find(record.target);
+  if (found == this->entries.end()) {
+    if (this->entries.size() >= kMaxRegistrations) {
+      return Fail(ErrorCode::kOverloaded, "this router holds its maximum of registrations");
+    }
+    this->entries[record.target] = {.record = record, .lease_end = now + kRegistrationLease};
+    return RegistrationChange::kChanged;
+  }
+  Entry& entry = found->second;
+  const TargetRecord& known = entry.record;
+  if (known.incarnation == record.incarnation &&
+      (known.address != record.address || known.service != record.service)) {
+    return Fail(ErrorCode::kConflict, "target \"" + record.target + "\" is registered as " +
+                                          known.service + " at " + known.address +
+                                          " under the same incarnation");
+  }
+  if (!record.Supersedes(known)) return RegistrationChange::kStale;
+  const bool same = SameContent(known, record);
+  entry = {.record = record, .lease_end = now + kRegistrationLease};
+  return same ? RegistrationChange::kRenewed : RegistrationChange::kChanged;
+}
+
+std::vector<TargetRecord> Registrations::Expire(Time now) {
+  std::vector<TargetRecord> gone;
+  for (auto entry = this->entries.begin(); entry != this->entries.end();) {
+    if (now < entry->second.lease_end) {
+      ++entry;
+      continue;
+    }
+    // A target that said that it was gone needs no second report.
+    if (entry->second.record.state != TargetState::kGone) {
+      entry->second.record.state = TargetState::kGone;
+      gone.push_back(std::move(entry->second.record));
+    }
+    entry = this->entries.erase(entry);
+  }
+  return gone;
+}
+
+std::optional<Time> Registrations::NextExpiry() const {
+  std::optional<Time> next;
+  for (const auto& [target, entry] : this->entries) {
+    if (!next || entry.lease_end < *next) next = entry.lease_end;
+  }
+  return next;
+}
+
+void Registrations::Observe(const TargetRecord& record) {
+  const auto found = this->entries.find(record.target);
+  if (found == this->entries.end() || record.registrar == this->router) return;
+  if (record.Supersedes(found->second.record)) this->entries.erase(found);
+}
+
+std::vector<TargetRecord> Registrations::All() const {
+  std::vector<TargetRecord> out;
+  for (const auto& [target, entry] : this->entries) out.push_back(entry.record);
+  return out;
+}
+
+}  // namespace peridotgauge
