--- a/target_queue.h
+++ b/target_queue.h
@@ -6,10 +6,10 @@
 //   QueueWork work = queue.Poll(now);          // after every event, and at NextTimer()
 //   queue.OnDone(now, id, {.kind = ExchangeKind::kAnswered, .service_time = time});
 //
-// Contract: InFlight() <= Limit() at each dispatch, Limit() <= slots. Entries leave in the order of
-// their deadlines (equal ones in the order of arrival). Every pushed id leaves exactly once: it is
-// dispatched, dropped with an error that proves it did not run, or cancelled while it waits. After
-// a dispatch, OnDone() must follow exactly once.
+// Contract: a dispatch needs InFlight() < Limit(), and Limit() is at most the slots and
+// connections. Entries leave in the order of their deadlines (equal ones in the order of arrival).
+// Every pushed id leaves exactly once: it is dispatched, dropped with an error that proves it did
+// not run, or cancelled while it waits. After a dispatch, OnDone() must follow exactly once.
 #ifndef PERIDOTGAUGE_TARGET_QUEUE_H_
 #define PERIDOTGAUGE_TARGET_QUEUE_H_
 
@@ -17,6 +17,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -116,7 +117,9 @@
     Time deadline;
     uint64_t arrival = 0;
     uint64_t id = 0;
-    auto operator<=>(const Waiting&) const = default;
+    bool operator<(const Waiting& other) const {
+      return std::tie(this->deadline, this->arrival) < std::tie(other.deadline, other.arrival);
+    }
   };
 
   size_t Capacity() const { return size_t{this->options.slots} * kQueuedPerSlot; }
