--- /dev/null
+++ b/testing/http_client_test.cc
@@ -0,0 +1,317 @@
+// Tests of the connection pool: guards against reuse of a connection whose exchange did not end,
+// against a wrong claim that nothing was sent, and against connections above the limit.
+#include "../http_client.h"
+
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "raw_socket.h"
+
+namespace peridotgauge {
+namespace {
+
+constexpr std::string_view kReply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+
+struct Outcome {
+  std::optional<HttpResult> result;
+  int released = 0;
+};
+
+struct Fixture {
+  explicit Fixture(HttpClientOptions options = {.connections = 1, .warm = 0})
+      : client(std::make_unique<HttpClient>(this->io, this->peer.AddressText(), options)) {}
+
+  // Starts an exchange; the outcome stays at its place.
+  uint64_t Send(Outcome& outcome, Duration budget = Seconds(10), std::string body = "{}") {
+    HttpRequest request{.method = "POST", .path = "/search", .query = {}, .headers = {}};
+    request.body = std::move(body);
+    return this->client->Send({.request = std::move(request),
+                               .deadline = SteadyNow() + budget,
+                               .done =
+                                   [&outcome](HttpResult result) {
+                                     REQUIRE_FALSE(outcome.result);
+                                     CHECK(outcome.released == 0);
+                                     outcome.result = std::move(result);
+                                   },
+                               .released = [&outcome] { ++outcome.released; }});
+  }
+  bool Until(const std::function<bool()>& condition) {
+    return RunUntil(this->io, [&] {
+      this->peer.Accept();
+      return condition();
+    });
+  }
+  // Waits until the peer has `count` connections and the last has a whole request.
+  RawSocket& Requested(size_t count) {
+    REQUIRE(this->Until([&] {
+      return this->peer.sockets.size() == count && this->peer.sockets.back().Received(kHeadEnd);
+    }));
+    return this->peer.sockets.back();
+  }
+  void Reply(RawSocket& socket, const std::string& body) {
+    socket.Text().clear();
+    socket.Send(std::string(kReply) + body);
+  }
+
+  boost::asio::io_context io;
+  RawListener peer;
+  std::unique_ptr<HttpClient> client;
+};
+
+TEST_CASE("http_client reuses a connection after a whole exchange", "[http_client]") {
+  Fixture fixture;
+  Outcome first;
+  Outcome second;
+  fixture.Send(first);
+  fixture.Send(second);
+  RawSocket& socket = fixture.Requested(1);
+  // The limit is one connection, so the second call waits for the first.
+  CHECK(fixture.client->Status().waiting == 1);
+  CHECK(socket.Text().find("POST", 1) == std::string::npos);
+  fixture.Reply(socket, "r1");
+  fixture.Requested(1);
+  fixture.Reply(socket, "r2");
+  REQUIRE(fixture.Until([&] { return second.released == 1; }));
+  CHECK((*first.result)->body == "r1");
+  CHECK((*second.result)->body == "r2");
+  CHECK(first.released == 1);
+  CHECK(fixture.client->Status().opened == 1);
+}
+
+TEST_CASE("http_client never reuses a connection whose exchange did not end", "[http_client]") {
+  Fixture fixture;
+  Outcome first;
+  Outcome second;
+  SECTION("after a cancel") {
+    const uint64_t call = fixture.Send(first);
+    RawSocket& socket = fixture.Requested(1);
+    fixture.client->Cancel(call);
+    fixture.Send(second);
+    REQUIRE(fixture.Until([&] { return socket.Closed(); }));
+    // The peer still counts the connection, so the limit of one allows no other yet.
+    CHECK(first.released == 0);
+    CHECK(fixture.peer.sockets.size() == 1);
+    // The late reply belongs to nobody.
+    fixture.Reply(socket, "r1");
+    socket.Close();
+    CHECK_FALSE(first.result);
+  }
+  SECTION("after a time-out") {
+    fixture.Send(first, Millis(50));
+    RawSocket& socket = fixture.Requested(1);
+    REQUIRE(fixture.Until([&] { return first.result.has_value(); }));
+    const HttpFailure failure = first.result->error();
+    CHECK(failure.error.code == ErrorCode::kDeadlineExceeded);
+    CHECK(failure.sent);
+    CHECK_FALSE(failure.crashed);
+    fixture.Send(second);
+    REQUIRE(fixture.Until([&] { return socket.Closed(); }));
+    fixture.Reply(socket, "r1");
+    socket.Close();
+  }
+  SECTION("after a malformed reply") {
+    fixture.Send(first);
+    RawSocket& socket = fixture.Requested(1);
+    socket.Send("nonsense\r\n\r\n");
+    REQUIRE(fixture.Until([&] { return first.result.has_value(); }));
+    CHECK(first.result->error().error.code == ErrorCode::kConnectionLost);
+    CHECK_FALSE(first.result->error().crashed);
+    fixture.Send(second);
+    REQUIRE(fixture.Until([&] { return socket.Closed(); }));
+    socket.Close();
+  }
+  SECTION("after bytes beyond the reply") {
+    fixture.Send(first);
+    RawSocket& socket = fixture.Requested(1);
+    fixture.Reply(socket, "r1" + std::string(kReply) + "r0");
+    REQUIRE(fixture.Until([&] { return first.result.has_value(); }));
+    CHECK((*first.result)->body == "r1");
+    fixture.Send(second);
+    REQUIRE(fixture.Until([&] { return socket.Closed(); }));
+    socket.Close();
+  }
+  SECTION("after an interim reply") {
+    fixture.Send(first);
+    RawSocket& socket = fixture.Requested(1);
+    socket.Send("HTTP/1.1 102 Processing\r\n\r\n");
+    REQUIRE(fixture.Until([&] { return first.result.has_value(); }));
+    fixture.Send(second);
+    REQUIRE(fixture.Until([&] { return socket.Closed(); }));
+    socket.Close();
+  }
+  RawSocket& other = fixture.Requested(2);
+  fixture.Reply(other, "r2");
+  REQUIRE(fixture.Until([&] { return second.released == 1; }));
+  CHECK((*second.result)->body == "r2");
+  CHECK(first.released == 1);
+}
+
+TEST_CASE("http_client frees the place of a connection that the peer does not close",
+          "[http_client]") {
+  Fixture fixture;
+  Outcome first;
+  Outcome second;
+  fixture.client->Cancel(fixture.Send(first));
+  REQUIRE(fixture.Until([&] { return first.released == 1; }));
+  const uint64_t call = fixture.Send(first);
+  fixture.Requested(1);
+  fixture.client->Cancel(call);
+  fixture.client->Cancel(call);
+  fixture.Send(second);
+  fixture.Reply(fixture.Requested(2), "r2");
+  REQUIRE(fixture.Until([&] { return second.result.has_value(); }));
+  CHECK(first.released == 2);
+  CHECK_FALSE(first.result);
+}
+
+TEST_CASE("http_client tells whether anything was sent", "[http_client]") {
+  Fixture fixture;
+  Outcome outcome;
+  SECTION("no: nobody listens") {
+    const Address free = RawListener().AddressText();
+    fixture.client = std::make_unique<HttpClient>(fixture.io, free,
+                                                  HttpClientOptions{.connections = 4, .warm = 0});
+    Outcome other;
+    fixture.Send(outcome);
+    fixture.Send(other);
+    REQUIRE(fixture.Until([&] { return outcome.released == 1 && other.released == 1; }));
+    CHECK(outcome.result->error().error.code == ErrorCode::kUnavailable);
+    CHECK_FALSE(outcome.result->error().sent);
+    CHECK(other.result->error().error.code == ErrorCode::kUnavailable);
+  }
+  SECTION("no: the deadline passed while the call waited for a connection") {
+    Outcome running;
+    fixture.Send(running);
+    fixture.Requested(1);
+    fixture.Send(outcome, Millis(20));
+    REQUIRE(fixture.Until([&] { return outcome.released == 1; }));
+    CHECK(outcome.result->error().error.code == ErrorCode::kUnavailable);
+    CHECK_FALSE(outcome.result->error().sent);
+    CHECK_FALSE(running.result);
+  }
+  SECTION("no: a header would change the request") {
+    fixture.client->Send({.request = {.method = "GET",
+                                      .path = "/",
+                                      .query = {},
+                                      .headers = {{"x-request-id", "a\r\nx-evil: 1"}},
+                                      .body = {}},
+                          .deadline = SteadyNow() + Seconds(10),
+                          .done = [&](HttpResult result) { outcome.result = std::move(result); },
+                          .released = {}});
+    CHECK_FALSE(outcome.result);
+    REQUIRE(fixture.Until([&] { return outcome.result.has_value(); }));
+    CHECK(outcome.result->error().error.code == ErrorCode::kUnavailable);
+  }
+  SECTION("yes: the peer closed without a reply") {
+    fixture.Send(outcome);
+    RawSocket& socket = fixture.Requested(1);
+    SECTION("orderly") { socket.Close(); }
+    SECTION("by a reset") { socket.Reset(); }
+    SECTION("in the middle of the reply") {
+      fixture.Reply(socket, "r");
+      socket.Close();
+    }
+    REQUIRE(fixture.Until([&] { return outcome.released == 1; }));
+    CHECK(outcome.result->error().error.code == ErrorCode::kConnectionLost);
+    CHECK(outcome.result->error().sent);
+    CHECK(outcome.result->error().crashed);
+  }
+  SECTION("yes: a part of a long request was written") {
+    fixture.Send(outcome, Millis(200), std::string(32 << 20, 'x'));
+    REQUIRE(fixture.Until([&] { return outcome.result.has_value(); }));
+    CHECK(outcome.result->error().error.code == ErrorCode::kDeadlineExceeded);
+    CHECK(outcome.result->error().sent);
+  }
+}
+
+TEST_CASE("http_client replaces a kept connection that the peer has closed", "[http_client]") {
+  Fixture fixture;
+  Outcome first;
+  Outcome second;
+  fixture.Send(first);
+  RawSocket& socket = fixture.Requested(1);
+  SECTION("before the client's loop could notice") {
+    fixture.Reply(socket, "r1");
+    socket.Close();
+    REQUIRE(fixture.Until([&] { return first.result.has_value(); }));
+    fixture.Send(second);
+  }
+  SECTION("while it was idle") {
+    fixture.Reply(socket, "r1");
+    REQUIRE(fixture.Until([&] { return first.result.has_value(); }));
+    socket.Close();
+    REQUIRE(fixture.Until([&] { return fixture.client->Status().connections == 0; }));
+    fixture.Send(second);
+  }
+  SECTION("or on which it sent something unasked") {
+    fixture.Reply(socket, "r1");
+    REQUIRE(fixture.Until([&] { return first.result.has_value(); }));
+    socket.Send(std::string(kReply) + "r0");
+    fixture.Send(second);
+  }
+  fixture.Reply(fixture.Requested(2), "r2");
+  REQUIRE(fixture.Until([&] { return second.result.has_value(); }));
+  CHECK((*second.result)->body == "r2");
+}
+
+TEST_CASE("http_client takes the answer of a peer that refuses the connection", "[http_client]") {
+  // Guards against a pool that opens connections without end to a peer above its limit.
+  Fixture fixture;
+  Outcome outcome;
+  fixture.Send(outcome);
+  REQUIRE(RunUntil(fixture.io, [&] { return fixture.peer.Accept(); }));
+  fixture.peer.sockets.front().Send(
+      "HTTP/1.1 503 No\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+  fixture.peer.sockets.front().CloseSending();
+  REQUIRE(fixture.Until([&] { return outcome.result.has_value(); }));
+  REQUIRE(*outcome.result);
+  CHECK((*outcome.result)->status == 503);
+}
+
+TEST_CASE("http_client keeps connections warm within its limit", "[http_client]") {
+  Fixture fixture({.connections = 3, .warm = 2});
+  REQUIRE(fixture.Until([&] { return fixture.client->Status().idle == 2; }));
+  CHECK(fixture.peer.sockets.size() == 2);
+  SECTION("opens one again when the peer closes it") {
+    fixture.peer.sockets.front().Close();
+    REQUIRE(fixture.Until([&] { return fixture.peer.sockets.size() == 3; }));
+  }
+  SECTION("never opens more than the limit") {
+    std::vector<Outcome> outcomes(10);
+    for (Outcome& outcome : outcomes) fixture.Send(outcome);
+    size_t answered = 0;
+    while (answered < outcomes.size()) {
+      REQUIRE(fixture.Until([&] {
+        for (RawSocket& socket : fixture.peer.sockets) {
+          if (!socket.Received(kHeadEnd)) continue;
+          fixture.Reply(socket, "ok");
+          ++answered;
+          return true;
+        }
+        return false;
+      }));
+      CHECK(fixture.peer.sockets.size() <= 3);
+    }
+  }
+  SECTION("closes the surplus when the limit falls") {
+    fixture.client->SetOptions({.connections = 1, .warm = 1});
+    REQUIRE(fixture.Until([&] { return fixture.peer.sockets.back().Closed(); }));
+    fixture.peer.sockets.back().Close();
+    REQUIRE(fixture.Until([&] { return fixture.client->Status().connections == 1; }));
+  }
+  SECTION("calls nobody after its end") {
+    Outcome outcome;
+    fixture.Send(outcome);
+    fixture.client.reset();
+    boost::asio::post(fixture.io, [&] { outcome.released = -1; });
+    REQUIRE(fixture.Until([&] { return outcome.released == -1; }));
+    CHECK_FALSE(outcome.result);
+  }
+}
+
+}  // namespace
+}  // namespace peridotgauge
--- a/testing/raw_socket.cc
+++ b/testing/raw_socket.cc
@@ -26,23 +26,19 @@
   return true;
 }
 
-RawSocket::RawSocket(Tcp::socket socket) : socket(std::move(socket)) {
-  this->socket.non_blocking(true);
-}
+RawSocket::RawSocket() : owned(std::make_unique<Owned>()) {}
 
 RawSocket RawSocket::Connect(uint16_t port) {
-  auto io = std::make_shared<boost::asio::io_context>();
-  Tcp::socket socket(*io);
-  socket.connect({boost::asio::ip::address_v4::loopback(), port});
-  RawSocket raw(std::move(socket));
-  raw.own_io = std::move(io);
+  RawSocket raw;
+  raw.owned->socket.connect({boost::asio::ip::address_v4::loopback(), port});
+  raw.owned->socket.non_blocking(true);
   return raw;
 }
 
 std::string_view RawSocket::Send(std::string_view text) {
   error_code error;
   while (!text.empty() && !error) {
-    text.remove_prefix(this->socket.write_some(boost::asio::buffer(text), error));
+    text.remove_prefix(this->owned->socket.write_some(boost::asio::buffer(text), error));
   }
   if (error && error != boost::asio::error::would_block) this->closed = true;
   return text;
@@ -52,7 +48,8 @@
   std::array<char, kReadBytes> bytes;
   error_code error;
   while (!error && !this->closed) {
-    this->text.append(bytes.data(), this->socket.read_some(boost::asio::buffer(bytes), error));
+    this->text.append(bytes.data(),
+                      this->owned->socket.read_some(boost::asio::buffer(bytes), error));
   }
   if (error && error != boost::asio::error::would_block) this->closed = true;
 }
@@ -69,18 +66,18 @@
 
 void RawSocket::Close() {
   error_code ignored;
-  this->socket.close(ignored);
+  this->owned->socket.close(ignored);
   this->closed = true;
 }
 
 void RawSocket::CloseSending() {
   error_code ignored;
-  this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  this->owned->socket.shutdown(Tcp::socket::shutdown_send, ignored);
 }
 
 void RawSocket::Reset() {
   error_code ignored;
-  this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  this->owned->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
   this->Close();
 }
 
@@ -97,10 +94,11 @@
   bool any = false;
   error_code error;
   while (true) {
-    Tcp::socket socket(this->io);
-    this->acceptor.accept(socket, error);
+    RawSocket accepted;
+    this->acceptor.accept(accepted.owned->socket, error);
     if (error) return any;
-    this->sockets.emplace_back(std::move(socket));
+    accepted.owned->socket.non_blocking(true);
+    this->sockets.push_back(std::move(accepted));
     any = true;
   }
 }
--- a/testing/raw_socket.h
+++ b/testing/raw_socket.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -25,7 +26,7 @@
 
 class RawSocket {
  public:
-  explicit RawSocket(boost::asio::ip::tcp::socket socket);
+  RawSocket();
   // Connects to a port on the loopback address.
   static RawSocket Connect(uint16_t port);
 
@@ -45,9 +46,14 @@
  private:
   void Poll();
 
-  // The loop is never run; the socket only needs one to exist.
-  std::shared_ptr<boost::asio::io_context> own_io;
-  boost::asio::ip::tcp::socket socket;
+  friend class RawListener;
+  // A socket needs a loop to exist; this one is never run.
+  struct Owned {
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket socket{this->io};
+  };
+
+  std::unique_ptr<Owned> owned;
   std::string text;
   bool closed = false;
 };
