--- /dev/null
+++ b/bench/standin_switches.cc
@@ -0,0 +1,94 @@
+// Parsing of POST /standin.
+#include "standin_switches.h"
+
+#include "json_text.h"
+
+namespace peridotgauge {
+namespace {
+
+constexpr double kMaxFactor = 1e6;
+constexpr uint64_t kMaxMillis = 600'000;
+constexpr size_t kMaxHolds = 10'000;
+constexpr size_t kMaxText = 1'000;
+
+Duration MillisOf(double millis) { return Duration(static_cast<int64_t>(millis * 1'000)); }
+
+void Read(JsonReader& reader, std::string_view name, bool& out) {
+  if (reader.Has(name)) out = reader.Bool(name);
+}
+
+void Read(JsonReader& reader, std::string_view name, double& out) {
+  if (reader.Has(name)) out = reader.Number(name, 0, kMaxFactor);
+}
+
+void Read(JsonReader& reader, std::string_view name, uint64_t& out) {
+  if (reader.Has(name)) out = reader.Unsigned(name, 0, UINT64_MAX);
+}
+
+void ReadMillis(JsonReader& reader, std::string_view name, Duration& out) {
+  if (reader.Has(name)) out = MillisOf(reader.Number(name, 0, kMaxMillis));
+}
+
+Result<Holding> ParseHold(std::string_view text) {
+  JsonReader reader(text, "holds[]");
+  Holding held;
+  held.snapshot = reader.Unsigned("snapshot", 0, UINT64_MAX);
+  held.shard = static_cast<uint32_t>(reader.Unsigned("shard", 0, UINT32_MAX));
+  held.shards = static_cast<uint32_t>(reader.Unsigned("shards", 1, UINT32_MAX));
+  return reader.Finish(held);
+}
+
+Result<uint64_t> ParseSnapshot(const std::string& raw) {
+  return JsonObject::Parse("{\"n\":" + raw + "}", "snapshots[]")
+      .and_then([](const JsonObject& object) { return object.Unsigned("n", 0, UINT64_MAX); });
+}
+
+Result<LatencyModel> ParseLatency(std::string_view text, LatencyModel latency) {
+  JsonReader reader(text, "latency");
+  reader.RefuseUnknown({"median_ms", "sigma", "heavy_percent", "heavy_factor"});
+  ReadMillis(reader, "median_ms", latency.median);
+  Read(reader, "sigma", latency.sigma);
+  Read(reader, "heavy_percent", latency.heavy_percent);
+  Read(reader, "heavy_factor", latency.heavy_factor);
+  return reader.Finish(latency);
+}
+
+}  // namespace
+
+Result<SwitchRequest> ParseSwitches(std::string_view text, const StandinSwitches& switches,
+                                    const LatencyModel& latency) {
+  JsonReader reader(text, "standin");
+  reader.RefuseUnknown({"target", "slow_factor", "shed", "drain", "gone", "register", "crash_text",
+                        "restart_ms", "crash", "load", "cold_start_ms", "cold_factor", "snapshots",
+                        "holds", "close_without_reply", "wrong_echo", "latency"});
+  SwitchRequest request{.switches = switches, .latency = latency};
+  StandinSwitches& next = request.switches;
+  Read(reader, "slow_factor", next.slow_factor);
+  Read(reader, "shed", next.shed);
+  Read(reader, "drain", next.drain);
+  Read(reader, "gone", next.gone);
+  Read(reader, "register", next.registering);
+  if (reader.Has("crash_text")) next.crash_text = reader.String("crash_text", 0, kMaxText);
+  ReadMillis(reader, "restart_ms", next.restart_time);
+  Read(reader, "crash", request.crash);
+  Read(reader, "cold_factor", next.cold_factor);
+  Read(reader, "close_without_reply", next.close_without_reply);
+  Read(reader, "wrong_echo", next.wrong_echo);
+  if (reader.Has("load")) {
+    next.load = std::nullopt;
+    if (reader.Raw("load") != "null") next.load = reader.Number("load", 0, 1);
+  }
+  if (reader.Has("cold_start_ms")) {
+    ReadMillis(reader, "cold_start_ms", request.cold_start.emplace());
+  }
+  if (reader.Has("snapshots")) {
+    request.snapshots = reader.Each<uint64_t>("snapshots", kMaxHolds, ParseSnapshot);
+  }
+  if (reader.Has("holds")) request.holds = reader.Each<Holding>("holds", kMaxHolds, ParseHold);
+  if (reader.Has("latency")) {
+    request.latency = reader.Take(ParseLatency(reader.Raw("latency"), latency));
+  }
+  return reader.Finish(request);
+}
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/bench/standin_target.cc
@@ -0,0 +1,610 @@
+// The listener, the connections and the model of one stand-in target.
+#include "standin_target.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <charconv>
+#include <random>
+#include <unordered_set>
+#include <utility>
+
+#include "address.h"
+#include "bench/standin_switches.h"
+#include "caller_api.h"
+#include "http_beast.h"
+#include "json_text.h"
+
+namespace peridotgauge {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using boost::system::error_code;
+using Tcp = asio::ip::tcp;
+
+constexpr size_t kReadBytes = 4'096;
+// Pause before a port that could not be bound after a restart is tried again.
+constexpr Duration kRebindTime = Millis(100);
+
+template <typename T>
+std::optional<T> NumberOf(std::string_view text) {
+  T value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+// The headers of a sub-request that were read without an error.
+struct SubHeaders {
+  std::string request_id;
+  std::string attempt;
+  std::string service;
+  Holding holding;
+  Duration deadline;
+};
+
+std::optional<SubHeaders> ReadHeaders(const HttpRequest& request) {
+  const auto shard = NumberOf<uint32_t>(request.Header("x-shard"));
+  const auto shards = NumberOf<uint32_t>(request.Header("x-shards"));
+  const auto snapshot = NumberOf<uint64_t>(request.Header("x-snapshot"));
+  const auto deadline = NumberOf<int64_t>(request.Header("x-deadline-ms"));
+  const bool known = request.path == "/search" || request.path == "/order";
+  if (!known || !shard || !shards || !snapshot || !deadline ||
+      !NumberOf<uint32_t>(request.Header("x-attempt")) || request.Header("x-request-id").empty()) {
+    return std::nullopt;
+  }
+  return SubHeaders{.request_id = std::string(request.Header("x-request-id")),
+                    .attempt = std::string(request.Header("x-attempt")),
+                    .service = std::string(request.Header("x-service")),
+                    .holding = {*snapshot, *shard, *shards},
+                    .deadline = Millis(*deadline)};
+}
+
+void Echo(const SubHeaders& headers, HttpResponse& response) {
+  response.headers.push_back({"x-request-id", headers.request_id});
+  response.headers.push_back({"x-attempt", headers.attempt});
+  response.headers.push_back({"x-service", headers.service});
+  response.headers.push_back({"x-shard", std::to_string(headers.holding.shard)});
+  response.headers.push_back({"x-snapshot", std::to_string(headers.holding.snapshot)});
+}
+
+HttpResponse NotRun(std::string_view why) {
+  HttpResponse response = JsonResponse(503, "{\"error\":" + QuoteJson(why) + "}");
+  response.headers.push_back({"x-not-run", "true"});
+  return response;
+}
+
+}  // namespace
+
+class StandinTarget::Impl : public std::enable_shared_from_this<StandinTarget::Impl> {
+ public:
+  Impl(asio::io_context& io, RegistrationClients& clients, StandinOptions options,
+       std::vector<Address> routers, uint64_t seed)
+      : io(io),
+        acceptor(io),
+        restart(io),
+        cold_timer(io),
+        random(seed),
+        options(std::move(options)),
+        registrar(io, clients, std::move(routers), seed, [this] { return this->Describe(); }) {}
+
+  Result<void> Start();
+  Result<void> Listen();
+  void Shutdown();
+  Result<void> Switch(std::string_view text);
+  std::string Report() const;
+
+  // Called by connections.
+  void Remove(const std::shared_ptr<Connection>& connection);
+  // Decides about a sub-request: an answer to send now, or nothing if it was started.
+  std::optional<HttpResponse> Admit(const std::shared_ptr<Connection>& connection,
+                                    const HttpRequest& request);
+  void Release() { --this->running; }
+  // The reply to a sub-request that has finished; nothing if its reply is to be lost.
+  std::optional<HttpResponse> Complete(const SubHeaders& headers, const HttpRequest& request);
+
+  asio::io_context& io;
+  Tcp::acceptor acceptor;
+  asio::steady_timer restart;
+  asio::steady_timer cold_timer;
+  std::mt19937_64 random;
+  StandinOptions options;
+  StandinSwitches switches;
+  StandinCounters counters;
+  std::map<std::string, uint32_t> orders;
+  std::unordered_set<std::shared_ptr<Connection>> connections;
+  uint32_t counted_connections = 0;  // without those of /standin
+  uint32_t running = 0;
+  bool up = false;
+
+ private:
+  void Accept();
+  void OnAccept(Tcp::socket socket);
+  void Crash();
+  void CloseConnections();
+  void Revive();
+  void ColdStart(Duration duration);
+  void Announce();
+  RegistrationRequest Describe();
+  TargetState State() const;
+  double Load() const;
+  double ColdFactor(Time now) const;
+  HttpResponse Shed(const SubHeaders& headers, std::string_view why);
+
+  StandinRegistrar registrar;
+  Time drain_start;
+  Time cold_start;
+  Time cold_end;
+  bool starting = false;
+};
+
+class StandinTarget::Connection : public std::enable_shared_from_this<StandinTarget::Connection> {
+ public:
+  Connection(std::shared_ptr<Impl> impl, Tcp::socket socket)
+      : impl(std::move(impl)),
+        socket(std::move(socket)),
+        timer(this->impl->io),
+        accepted(SteadyNow()) {}
+
+  void Read();
+  // Answers, but not before the cost of a new connection has passed.
+  void Respond(HttpResponse response, bool keep_alive);
+  // Holds a slot for the service time, then replies, or gives up at the deadline.
+  void Run(SubHeaders headers, HttpRequest request, Duration service_time);
+  void Close();
+
+  bool counted = true;  // in the target's number of connections
+
+ private:
+  void OnRequest();
+  void OnAdmin(const HttpRequest& request);
+  void Watch();
+  void OnServed(bool in_time);
+  void Write(HttpResponse response, bool keep_alive);
+
+  std::shared_ptr<Impl> impl;
+  Tcp::socket socket;
+  asio::steady_timer timer;
+  const Time accepted;
+  boost::beast::flat_buffer buffer;
+  std::optional<http::request_parser<http::string_body>> parser;
+  BeastResponse response;
+  SubHeaders headers;
+  HttpRequest request;
+  bool running = false;  // holds a slot
+  bool closed = false;
+};
+
+// --- Listener ---
+
+Result<void> StandinTarget::Impl::Listen() {
+  const Result<Endpoint> endpoint = ParseListenAddress(this->options.record.address);
+  if (!endpoint) return tl::unexpected<Error>(endpoint.error());
+  const Tcp::endpoint where(asio::ip::make_address(endpoint->host), endpoint->port);
+  error_code error;
+  this->acceptor.open(where.protocol(), error);
+  if (!error) this->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  if (!error) this->acceptor.bind(where, error);
+  if (!error) this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    const std::string why = error.message();
+    this->acceptor.close(error);
+    return Fail(ErrorCode::kUnavailable,
+                "cannot bind " + this->options.record.address + ": " + why);
+  }
+  this->options.record.address =
+      endpoint->host + ":" + std::to_string(this->acceptor.local_endpoint().port());
+  this->up = true;
+  this->Accept();
+  return {};
+}
+
+Result<void> StandinTarget::Impl::Start() {
+  this->options.record.incarnation = static_cast<uint64_t>(UnixMillis());
+  const Result<void> listening = this->Listen();
+  if (listening) this->Announce();
+  return listening;
+}
+
+void StandinTarget::Impl::Accept() {
+  this->acceptor.async_accept(
+      [self = this->shared_from_this()](const error_code& error, Tcp::socket socket) {
+        if (!self->up || error == asio::error::operation_aborted) return;
+        if (!error) self->OnAccept(std::move(socket));
+        if (self->up) self->Accept();
+      });
+}
+
+void StandinTarget::Impl::OnAccept(Tcp::socket socket) {
+  error_code ignored;
+  socket.set_option(Tcp::no_delay(true), ignored);
+  const auto connection = std::make_shared<Connection>(this->shared_from_this(), std::move(socket));
+  this->connections.insert(connection);
+  ++this->counted_connections;
+  ++this->counters.connections_opened;
+  this->counters.max_connections =
+      std::max(this->counters.max_connections, this->counted_connections);
+  if (this->counted_connections > this->options.record.connections) {
+    ++this->counters.connection_overruns;
+    connection->Respond(NotRun("too many connections"), /*keep_alive=*/false);
+    return;
+  }
+  connection->Read();
+}
+
+void StandinTarget::Impl::Remove(const std::shared_ptr<Connection>& connection) {
+  if (this->connections.erase(connection) > 0 && connection->counted) --this->counted_connections;
+}
+
+void StandinTarget::Impl::CloseConnections() {
+  this->up = false;
+  error_code ignored;
+  this->acceptor.close(ignored);
+  const auto copy = this->connections;
+  for (const auto& connection : copy) connection->Close();
+}
+
+void StandinTarget::Impl::Shutdown() {
+  this->registrar.Pause();
+  this->restart.cancel();
+  this->cold_timer.cancel();
+  this->CloseConnections();
+}
+
+// Ends the target as the death of its process would: without a word to anyone.
+void StandinTarget::Impl::Crash() {
+  ++this->counters.crashes;
+  this->registrar.Pause();
+  this->CloseConnections();
+  this->restart.expires_after(this->switches.restart_time);
+  this->restart.async_wait([self = this->shared_from_this()](const error_code& error) {
+    if (!error) self->Revive();
+  });
+}
+
+void StandinTarget::Impl::Revive() {
+  ++this->options.record.incarnation;
+  this->options.record.sequence = 0;
+  if (this->Listen()) {
+    this->Announce();
+    return;
+  }
+  this->restart.expires_after(kRebindTime);
+  this->restart.async_wait([self = this->shared_from_this()](const error_code& error) {
+    if (!error) self->Revive();
+  });
+}
+
+// --- Registration ---
+
+TargetState StandinTarget::Impl::State() const {
+  if (this->switches.gone) return TargetState::kGone;
+  if (this->switches.drain) return TargetState::kDraining;
+  return this->starting ? TargetState::kStarting : TargetState::kServing;
+}
+
+double StandinTarget::Impl::Load() const {
+  const double load = static_cast<double>(this->running) / this->options.record.slots;
+  return this->switches.load.value_or(std::min(load, 1.0));
+}
+
+RegistrationRequest StandinTarget::Impl::Describe() {
+  ++this->options.record.sequence;
+  this->options.record.state = this->State();
+  return {.record = this->options.record, .load = this->Load()};
+}
+
+void StandinTarget::Impl::Announce() {
+  if (!this->up) return;
+  if (this->switches.registering) this->registrar.Announce();
+  // The last registration said "gone"; nothing follows it.
+  if (!this->switches.registering || this->switches.gone) this->registrar.Pause();
+}
+
+// --- Sub-requests ---
+
+HttpResponse StandinTarget::Impl::Shed(const SubHeaders& headers, std::string_view why) {
+  ++this->counters.shed;
+  HttpResponse response = NotRun(why);
+  Echo(headers, response);
+  response.headers.push_back({"x-load", std::to_string(this->Load())});
+  return response;
+}
+
+double StandinTarget::Impl::ColdFactor(Time now) const {
+  if (now >= this->cold_end) return 1;
+  const double left = static_cast<double>((this->cold_end - now).count()) /
+                      static_cast<double>((this->cold_end - this->cold_start).count());
+  return 1 + (this->switches.cold_factor - 1) * left;
+}
+
+std::optional<HttpResponse> StandinTarget::Impl::Admit(
+    const std::shared_ptr<Connection>& connection, const HttpRequest& request) {
+  const Time now = SteadyNow();
+  ++this->counters.requests;
+  if (this->switches.drain) {
+    ++this->counters.after_drain;
+    this->counters.last_after_drain = now - this->drain_start;
+  }
+  const std::optional<SubHeaders> headers = ReadHeaders(request);
+  if (!headers) {
+    ++this->counters.malformed;
+    return JsonResponse(400, R"({"error":"malformed sub-request"})");
+  }
+  const TargetRecord& record = this->options.record;
+  const auto& holds = record.holds;
+  if (headers->service != record.service ||
+      std::find(holds.begin(), holds.end(), headers->holding) == holds.end()) {
+    ++this->counters.malformed;
+    return this->Shed(*headers, "shard or snapshot not held");
+  }
+  if (this->switches.shed) return this->Shed(*headers, "shedding");
+  if (this->running >= record.slots) {
+    ++this->counters.slot_overruns;
+    return this->Shed(*headers, "all slots are in use");
+  }
+  ++this->running;
+  this->counters.max_running = std::max(this->counters.max_running, this->running);
+  if (request.path == "/order") {
+    ++this->counters.orders;
+    ++this->orders[headers->request_id];
+  }
+  const double factor = this->switches.slow_factor * this->ColdFactor(now);
+  const Duration drawn = this->options.latency.Draw(this->random);
+  connection->Run(*headers, request, std::chrono::duration_cast<Duration>(drawn * factor));
+  const std::string& crash_text = this->switches.crash_text;
+  if (!crash_text.empty() && request.body.find(crash_text) != std::string::npos) this->Crash();
+  return std::nullopt;
+}
+
+std::optional<HttpResponse> StandinTarget::Impl::Complete(const SubHeaders& headers,
+                                                          const HttpRequest& request) {
+  if (this->switches.close_without_reply > 0) {
+    --this->switches.close_without_reply;
+    ++this->counters.lost_replies;
+    return std::nullopt;
+  }
+  std::string body = R"({"target":)" + QuoteJson(this->options.record.target);
+  if (request.path == "/order") {
+    body += R"(,"order":)" + QuoteJson(headers.request_id) + R"(,"executions":)" +
+            std::to_string(this->orders[headers.request_id]);
+  } else {
+    ++this->counters.searches;
+    body += R"(,"shard":)" + std::to_string(headers.holding.shard) + R"(,"query":)" +
+            (IsJson(request.body) ? request.body : "null");
+  }
+  HttpResponse response = JsonResponse(200, body + "}");
+  SubHeaders echoed = headers;
+  if (this->switches.wrong_echo > 0) {
+    --this->switches.wrong_echo;
+    echoed.request_id += "-other";
+  }
+  Echo(echoed, response);
+  response.headers.push_back({"x-load", std::to_string(this->Load())});
+  return response;
+}
+
+// --- Connection ---
+
+void StandinTarget::Connection::Read() {
+  this->parser.emplace();
+  http::async_read(this->socket, this->buffer, *this->parser,
+                   [self = this->shared_from_this()](const error_code& error, size_t) {
+                     if (self->closed) return;
+                     if (error) {
+                       self->Close();
+                     } else {
+                       self->OnRequest();
+                     }
+                   });
+}
+
+void StandinTarget::Connection::OnRequest() {
+  const HttpRequest received = ToRequest(this->parser->release());
+  if (received.path == "/standin") {
+    this->OnAdmin(received);
+    return;
+  }
+  if (auto response = this->impl->Admit(this->shared_from_this(), received)) {
+    this->Respond(std::move(*response), /*keep_alive=*/true);
+  }
+}
+
+void StandinTarget::Connection::OnAdmin(const HttpRequest& request) {
+  if (std::exchange(this->counted, false)) --this->impl->counted_connections;
+  if (request.method == "POST") {
+    const Result<void> changed = this->impl->Switch(request.body);
+    if (!changed) {
+      this->Write(ErrorResponse(changed.error(), ""), /*keep_alive=*/false);
+      return;
+    }
+  }
+  this->Write(JsonResponse(200, this->impl->Report()), /*keep_alive=*/false);
+}
+
+void StandinTarget::Connection::Run(SubHeaders headers, HttpRequest request,
+                                    Duration service_time) {
+  this->headers = std::move(headers);
+  this->request = std::move(request);
+  this->running = true;
+  this->Watch();
+  const bool in_time = service_time <= this->headers.deadline;
+  this->timer.expires_after(std::min(service_time, this->headers.deadline));
+  this->timer.async_wait([self = this->shared_from_this(), in_time](const error_code& error) {
+    if (!error && !self->closed) self->OnServed(in_time);
+  });
+}
+
+// Notices that the caller closes the connection, which cancels the sub-request.
+void StandinTarget::Connection::Watch() {
+  this->socket.async_wait(Tcp::socket::wait_read,
+                          [self = this->shared_from_this()](const error_code&) {
+                            if (self->closed || !self->running) return;
+                            ++self->impl->counters.cancelled;
+                            self->Close();
+                          });
+}
+
+void StandinTarget::Connection::OnServed(bool in_time) {
+  this->running = false;
+  std::optional<HttpResponse> reply;
+  if (in_time) {
+    reply = this->impl->Complete(this->headers, this->request);
+  } else {
+    ++this->impl->counters.expired;
+    reply = JsonResponse(504, R"({"error":"the deadline has passed"})");
+    Echo(this->headers, *reply);
+  }
+  this->impl->Release();
+  if (reply) {
+    this->Respond(std::move(*reply), /*keep_alive=*/true);
+  } else {
+    this->Close();
+  }
+}
+
+void StandinTarget::Connection::Respond(HttpResponse response, bool keep_alive) {
+  const Time earliest = this->accepted + this->impl->options.connect_cost;
+  if (SteadyNow() >= earliest) {
+    this->Write(std::move(response), keep_alive);
+    return;
+  }
+  this->timer.expires_at(earliest);
+  this->timer.async_wait([self = this->shared_from_this(), response = std::move(response),
+                          keep_alive](const error_code& error) mutable {
+    if (!error && !self->closed) self->Write(std::move(response), keep_alive);
+  });
+}
+
+void StandinTarget::Connection::Write(HttpResponse response, bool keep_alive) {
+  this->response = ToMessage(std::move(response), keep_alive, /*head_only=*/false);
+  http::async_write(this->socket, this->response,
+                    [self = this->shared_from_this(), keep_alive](const error_code& error, size_t) {
+                      if (self->closed) return;
+                      if (error || !keep_alive) {
+                        error_code ignored;
+                        self->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+                        self->Close();
+                      } else {
+                        self->Read();
+                      }
+                    });
+}
+
+void StandinTarget::Connection::Close() {
+  if (std::exchange(this->closed, true)) return;
+  if (std::exchange(this->running, false)) this->impl->Release();
+  this->timer.cancel();
+  error_code ignored;
+  this->socket.close(ignored);
+  const auto self = this->shared_from_this();
+  this->impl->Remove(self);
+}
+
+// --- Switches and report ---
+
+void StandinTarget::Impl::ColdStart(Duration duration) {
+  this->starting = true;
+  this->cold_start = SteadyNow();
+  this->cold_end = this->cold_start + duration;
+  this->cold_timer.expires_after(duration / 2);
+  this->cold_timer.async_wait([self = this->shared_from_this()](const error_code& error) {
+    if (error) return;
+    self->starting = false;
+    self->Announce();
+  });
+}
+
+Result<void> StandinTarget::Impl::Switch(std::string_view text) {
+  const auto request = ParseSwitches(text, this->switches, this->options.latency);
+  if (!request) return tl::unexpected<Error>(request.error());
+  if (request->switches.drain && !this->switches.drain) {
+    this->drain_start = SteadyNow();
+    this->counters.after_drain = 0;
+    this->counters.last_after_drain = Duration(0);
+  }
+  this->switches = request->switches;
+  this->options.latency = request->latency;
+  std::vector<Holding>& holds = this->options.record.holds;
+  if (request->snapshots && !holds.empty()) {
+    const Holding own = holds.front();
+    holds.clear();
+    for (const uint64_t snapshot : *request->snapshots) {
+      holds.push_back({snapshot, own.shard, own.shards});
+    }
+  }
+  if (request->holds) holds = *request->holds;
+  if (request->cold_start) this->ColdStart(*request->cold_start);
+  this->Announce();
+  // Later, so that the answer to this request can still be written.
+  if (request->crash) {
+    this->restart.expires_after(Millis(20));
+    this->restart.async_wait([self = this->shared_from_this()](const error_code& error) {
+      if (!error) self->Crash();
+    });
+  }
+  return {};
+}
+
+std::string StandinTarget::Impl::Report() const {
+  const StandinCounters& c = this->counters;
+  json::object order_counts;
+  for (const auto& [id, count] : this->orders) order_counts[id] = count;
+  const json::object report = {{"target", this->options.record.target},
+                               {"service", this->options.record.service},
+                               {"address", this->options.record.address},
+                               {"incarnation", this->options.record.incarnation},
+                               {"up", this->up},
+                               {"running", this->running},
+                               {"connections", this->counted_connections},
+                               {"load", this->Load()},
+                               {"requests", c.requests},
+                               {"searches", c.searches},
+                               {"orders", c.orders},
+                               {"shed", c.shed},
+                               {"cancelled", c.cancelled},
+                               {"expired", c.expired},
+                               {"malformed", c.malformed},
+                               {"slot_overruns", c.slot_overruns},
+                               {"connection_overruns", c.connection_overruns},
+                               {"connections_opened", c.connections_opened},
+                               {"crashes", c.crashes},
+                               {"lost_replies", c.lost_replies},
+                               {"after_drain", c.after_drain},
+                               {"last_after_drain_ms", ToMillis(c.last_after_drain)},
+                               {"max_running", c.max_running},
+                               {"max_connections", c.max_connections},
+                               {"registrations", this->registrar.Accepted()},
+                               {"failed_registrations", this->registrar.Failed()},
+                               {"order_counts", order_counts}};
+  return json::serialize(report);
+}
+
+// --- StandinTarget ---
+
+StandinTarget::StandinTarget(asio::io_context& io, RegistrationClients& clients,
+                             StandinOptions options, std::vector<Address> routers, uint64_t seed)
+    : impl(std::make_shared<Impl>(io, clients, std::move(options), std::move(routers), seed)) {}
+
+StandinTarget::~StandinTarget() { this->impl->Shutdown(); }
+
+Result<void> StandinTarget::Start() { return this->impl->Start(); }
+
+Result<void> StandinTarget::Switch(std::string_view json) { return this->impl->Switch(json); }
+
+std::string StandinTarget::Report() const { return this->impl->Report(); }
+
+const std::string& StandinTarget::Name() const { return this->impl->options.record.target; }
+
+const Address& StandinTarget::BoundAddress() const { return this->impl->options.record.address; }
+
+const StandinCounters& StandinTarget::Counters() const { return this->impl->counters; }
+
+const std::map<std::string, uint32_t>& StandinTarget::Orders() const { return this->impl->orders; }
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/bench/standin_target_main.cc
@@ -0,0 +1,133 @@
+// Hosts stand-in targets on loopback, for tests and benchmarks.
+//
+//   standin_target --targets=targets.json [--admin=127.0.0.1:9000] [--seed=1]
+//
+// bench/standin_options.h describes the file. The admin port answers GET /standin with the reports
+// of all targets as an array, and takes switches by POST /standin, for all targets or for the one
+// that the member "target" of the body names. Each target also answers /standin on its own port.
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bench/standin_options.h"
+#include "bench/standin_target.h"
+#include "caller_api.h"
+#include "http_server.h"
+#include "json_text.h"
+
+DEFINE_string(targets, "", "file that describes the targets (bench/standin_options.h)");
+DEFINE_string(routers, "",
+              "routers to register with, separated by commas; replaces those of the file");
+DEFINE_string(admin, "", "address for the reports and switches of all targets; empty: none");
+DEFINE_uint64(seed, 1, "seed of the service times");
+
+namespace peridotgauge {
+namespace {
+
+using Targets = std::vector<std::unique_ptr<StandinTarget>>;
+constexpr size_t kMaxText = 200;
+
+std::vector<Address> SplitList(std::string_view list) {
+  std::vector<Address> items;
+  while (!list.empty()) {
+    const std::string_view item = list.substr(0, list.find(','));
+    if (!item.empty()) items.emplace_back(item);
+    list.remove_prefix(std::min(list.size(), item.size() + 1));
+  }
+  return items;
+}
+
+std::string ReportAll(const Targets& targets) {
+  std::string text = "[";
+  for (const auto& target : targets) {
+    if (text.size() > 1) text += ",";
+    text += target->Report();
+  }
+  return text + "]";
+}
+
+Result<void> SwitchSome(const Targets& targets, const std::string& body) {
+  JsonReader reader(body, "standin");
+  const std::string name = reader.Has("target") ? reader.String("target", 1, kMaxText) : "";
+  const Result<std::string> read = reader.Finish(name);
+  if (!read) return tl::unexpected<Error>(read.error());
+  size_t changed = 0;
+  for (const auto& target : targets) {
+    if (!name.empty() && target->Name() != name) continue;
+    if (auto result = target->Switch(body); !result) return result;
+    ++changed;
+  }
+  if (changed == 0) return Fail(ErrorCode::kNotFound, "standin: target: unknown");
+  return {};
+}
+
+void HandleAdmin(const Targets& targets, const HttpRequest& request,
+                 const HttpResponder& responder) {
+  if (request.path != "/standin") {
+    responder.Send(ErrorResponse({ErrorCode::kNotFound, request.path}, ""));
+    return;
+  }
+  if (request.method == "POST") {
+    const Result<void> changed = SwitchSome(targets, request.body);
+    if (!changed) {
+      responder.Send(ErrorResponse(changed.error(), ""));
+      return;
+    }
+  }
+  responder.Send(JsonResponse(200, ReportAll(targets)));
+}
+
+int Report(const Error& error) {
+  std::cerr << error.ToString() << "\n";
+  return InfoOf(error.code).exit_code;
+}
+
+int RunTargets() {
+  std::ifstream file(FLAGS_targets, std::ios::binary);
+  if (!file) return Report({ErrorCode::kBadRequest, "--targets: cannot read " + FLAGS_targets});
+  const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  Result<StandinDeployment> deployment = ParseStandinDeployment(text);
+  if (!deployment) return Report(deployment.error());
+  if (!FLAGS_routers.empty()) deployment->routers = SplitList(FLAGS_routers);
+
+  boost::asio::io_context io;
+  RegistrationClients clients(io);
+  Targets targets;
+  for (size_t i = 0; i < deployment->targets.size(); ++i) {
+    targets.push_back(std::make_unique<StandinTarget>(io, clients, deployment->targets[i],
+                                                      deployment->routers, FLAGS_seed + i));
+    if (const auto started = targets.back()->Start(); !started) return Report(started.error());
+  }
+  std::unique_ptr<HttpServer> admin;
+  if (!FLAGS_admin.empty()) {
+    auto listening = HttpServer::Listen(
+        io, FLAGS_admin, [&targets](const HttpRequest& request, const HttpResponder& responder) {
+          HandleAdmin(targets, request, responder);
+        });
+    if (!listening) return Report(listening.error());
+    admin = std::move(*listening);
+  }
+  boost::asio::signal_set signals(io, SIGINT, SIGTERM);
+  signals.async_wait([&](const boost::system::error_code&, int) { io.stop(); });
+  std::cout << targets.size() << " targets are up\n" << std::flush;
+  io.run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace peridotgauge
+
+int main(int argc, char** argv) {
+  google::InitGoogleLogging(argv[0]);
+  gflags::SetUsageMessage("--targets=FILE [--routers=A,B] [--admin=ADDRESS] [--seed=N]");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return peridotgauge::RunTargets();
+}
