--- a/testing/order_test.cc
+++ b/testing/order_test.cc
@@ -248,7 +248,7 @@
 class NaiveLedger {
  public:
   Result<ClaimResult> Claim(const ClaimHolder& holder) {
-    if (this->released.contains(holder.attempt)) return Fail(ErrorCode::kCancelled);
+    if (this->released.contains(holder.claim_id)) return Fail(ErrorCode::kCancelled);
     if (this->record) return ClaimResult{.state = ClaimState::kRecorded, .outcome = *this->record};
     if (this->in_doubt) return ClaimResult{.state = ClaimState::kInDoubt};
     if (this->holder && *this->holder != holder) return ClaimResult{.state = ClaimState::kRunning};
@@ -259,7 +259,7 @@
     const bool holds = this->holder == holder;
     if (outcome == Outcome::kNotRun) {
       if (holds && (this->record || this->in_doubt)) return Fail(ErrorCode::kInDoubt);
-      this->released.insert(holder.attempt);
+      this->released.insert(holder.claim_id);
       if (holds) this->holder.reset();
       return {};
     }
