--- a/admission.cc
+++ b/admission.cc
@@ -5,41 +5,38 @@
 
 Result<void> Admission::Admit(Time now, std::string_view service, Time deadline) {
   if (this->in_progress >= kMaxSearches) {
-    return Fail(ErrorCode::kOverloaded, "too many searches are in progress");
+    return Fail(ErrorCode::kOverloaded,
+                "this router has " + std::to_string(kMaxSearches) + " searches in progress");
   }
-  if (deadline <= now) return Fail(ErrorCode::kOverloaded, "the deadline has passed");
-  const std::optional<Duration> estimate = this->Estimate(now, service);
-  auto known = this->services.find(service);
-  if (estimate && now + *estimate > deadline) {
-    ServiceState& state = known->second;
-    const bool probe =
-        !state.last_admitted || now - *state.last_admitted >= kAdmissionProbeInterval;
-    if (!probe) {
-      return Fail(ErrorCode::kOverloaded, "the deadline cannot be met: recent answers took " +
-                                              std::to_string(estimate->count()) + " us");
-    }
+  if (now >= deadline) return Fail(ErrorCode::kOverloaded, "the deadline has passed");
+  const std::optional<Duration> expected = this->Estimate(now, service);
+  const auto state = this->services.find(service);
+  if (expected && now + *expected > deadline && state->second.last_admitted &&
+      now - *state->second.last_admitted < kAdmissionProbeInterval) {
+    return Fail(ErrorCode::kOverloaded, "answers take at least " +
+                                            std::to_string(*expected / Millis(1)) +
+                                            " ms at present, more than the time left");
   }
-  if (known != this->services.end()) known->second.last_admitted = now;
+  if (state != this->services.end()) state->second.last_admitted = now;
   ++this->in_progress;
   return {};
 }
 
 void Admission::OnFinished(Time now, std::string_view service, Duration latency, bool complete) {
-  --this->in_progress;
+  if (this->in_progress > 0) --this->in_progress;
   if (!this->estimate || !complete) return;
-  auto known = this->services.find(service);
-  if (known == this->services.end()) {
+  auto found = this->services.find(service);
+  if (found == this->services.end()) {
     if (this->services.size() >= kMaxEstimates) return;
-    known = this->services.emplace(std::string(service), ServiceState{}).first;
+    found = this->services.try_emplace(std::string(service)).first;
   }
-  known->second.latency.Add(now, latency);
+  found->second.latency.Add(now, latency);
 }
 
 std::optional<Duration> Admission::Estimate(Time now, std::string_view service) {
-  if (!this->estimate) return std::nullopt;
-  auto known = this->services.find(service);
-  if (known == this->services.end()) return std::nullopt;
-  return known->second.latency.Quantile(now, kAdmissionQuantile);
+  const auto found = this->services.find(service);
+  if (!this->estimate || found == this->services.end()) return std::nullopt;
+  return found->second.latency.Quantile(now, kAdmissionQuantile);
 }
 
 }  // namespace peridotgauge
