Deliver messages of killed routers late in the order test

Cause: the test's Kill() used the name of a router that it had just erased, found by the address sanitizer. Change: it copies the name, and messages that a killed router had sent can still arrive.

--- a/testing/order_test.cc
+++ b/testing/order_test.cc
@@ -293,6 +293,9 @@
   bool dispatch = false;
 };
 
+// True in one of n cases.
+bool Chance(int n) { return *rc::gen::resize(100, rc::gen::inRange(0, n)) == 0; }
+
 class World {
  public:
   // One random step: a resend, a message delivered, lost or repeated, a timer, or a killed router.
@@ -300,7 +303,7 @@
     const int kind = *rc::gen::inRange(0, 12);
     if (this->running.empty() || kind == 0) return this->Resend();
     Running& one = *this->running[*rc::gen::inRange<size_t>(0, this->running.size())];
-    if (kind == 1) return this->Kill(one.holder.router);
+    if (kind == 1) return this->Kill(std::string(one.holder.router));
     if (kind == 2 && !this->sent.empty()) {
       // A copy of an old completion arrives late.
       const Completion& old = this->sent[*rc::gen::inRange<size_t>(0, this->sent.size())];
@@ -328,16 +331,25 @@
     this->running.push_back(std::move(one));
   }
 
+  // Messages that the router has sent are lost, or arrive after its death.
   void Kill(const std::string& router) {
+    for (const auto& one : this->running) {
+      if (one->holder.router != router) continue;
+      if (one->claim && Chance(2)) (void)this->ledger.Claim(one->holder);
+      if (one->dispatch && Chance(2)) ++this->executions;
+      if (one->complete && Chance(2)) {
+        (void)this->ledger.Complete(one->holder, one->complete->outcome);
+      }
+    }
     std::erase_if(this->running, [&](const auto& one) { return one->holder.router == router; });
-    // The session expires at once or never; commands in flight are lost or arrive by chance.
-    if (*rc::gen::arbitrary<bool>()) this->ledger.RouterLeft(router);
+    // The session may expire only after many resends.
+    if (Chance(2)) this->ledger.RouterLeft(router);
   }
 
   void DeliverClaim(Running& one) {
     one.claim.reset();
-    const bool arrives = *rc::gen::inRange(0, 4) != 0;
-    const bool answered = *rc::gen::inRange(0, 4) != 0;
+    const bool arrives = !Chance(4);
+    const bool answered = !Chance(4);
     Result<ClaimAnswer> answer = Fail(ErrorCode::kUnknownOutcome);
     if (arrives) answer = this->ledger.Claim(one.holder);
     if (!answered) answer = Fail(ErrorCode::kUnknownOutcome);
@@ -362,10 +374,10 @@
     const Completion completion = *std::exchange(one.complete, std::nullopt);
     this->sent.push_back(completion);
     Result<void> answer = Fail(ErrorCode::kUnknownOutcome);
-    if (*rc::gen::inRange(0, 4) != 0) {
+    if (!Chance(4)) {
       answer = this->ledger.Complete(completion.holder, completion.outcome);
     }
-    if (*rc::gen::inRange(0, 4) == 0) answer = Fail(ErrorCode::kUnknownOutcome);
+    if (Chance(4)) answer = Fail(ErrorCode::kUnknownOutcome);
     this->Take(one, one.order.OnRecordAnswer(this->now, answer));
   }
 
