--- a/control_client.h
+++ b/control_client.h
@@ -40,11 +40,6 @@
 // A reply later than this makes the client switch to another controller. It is the longest hold of
 // a poll (400 ms) and ample time for a quorum round; the rest of the lease is left for the switch.
 constexpr Duration kSyncReplyTimeout = Millis(700);
-// One try of a command or read; the deadline of the call may allow several.
-constexpr Duration kCommandTryTimeout = Millis(700);
-// Pause after every controller has been tried, or when no leader is known.
-constexpr Duration kLeaderSearchPause = Millis(50);
-
 struct ControlClientOptions {
   RouterRecord self;
   std::vector<ControllerAddress> controllers;
--- a/controller.cc
+++ b/controller.cc
@@ -146,6 +146,7 @@
     RouterId Id() const { return {this->router.id, this->router.incarnation}; }
   };
   using ReadCallback = std::function<void(const Result<uint64_t>&)>;
+  using CommandCallback = std::function<void(const wire::BodyUnion&)>;
 
   bool Leading() const { return this->led_term != 0; }
 
@@ -193,6 +194,11 @@
     if (departure != this->departed.end() && poll.router.incarnation <= departure->second) {
       return responder.reply(SyncError(ErrorCode::kDraining, "the router has left", ""));
     }
+    const auto known = this->state.Routers().find(poll.router.id);
+    if (known != this->state.Routers().end() &&
+        known->second.incarnation > poll.router.incarnation) {
+      return responder.reply(SyncError(ErrorCode::kConflict, "a newer incarnation joined", ""));
+    }
     for (const auto& record : request.registrations) {
       if (record) poll.registrations.push_back(FromWire(*record));
     }
@@ -258,12 +264,12 @@
     LOG(INFO) << "controller: router " << router.id << " joins, incarnation " << router.incarnation;
     wire::JoinT command;
     command.router = ToWire(router);
-    command.router->draining = false;
     wire::CommandBodyUnion body;
     body.Set(std::move(command));
-    this->Propose(std::move(body), [id = router.id](Impl& self, const wire::BodyUnion& answer) {
-      self.OnJoined(id, *answer.AsCommandReply());
-    });
+    this->Propose(std::move(body),
+                  this->InThisTerm([id = router.id](Impl& self, const wire::BodyUnion& answer) {
+                    self.OnJoined(id, *answer.AsCommandReply());
+                  }));
   }
 
   void OnJoined(const std::string& router, const wire::CommandReplyT& reply) {
@@ -408,12 +414,8 @@
     if (const auto* leave = request.body.AsLeave()) {
       if (leave->clean) this->OnCleanLeave({leave->id, leave->incarnation});
     }
-    this->Propose(
-        std::move(request.body),
-        [responder](Impl&, const wire::BodyUnion& answer) { responder.reply(answer); },
-        [responder, weak = this->weak_from_this()] {
-          responder.reply(CommandError({ErrorCode::kUnknownOutcome, "leadership has changed"}, ""));
-        });
+    this->Propose(std::move(request.body),
+                  [responder](const wire::BodyUnion& answer) { responder.reply(answer); });
   }
 
   // Requests of the router that are still under way must not let it join again.
@@ -426,38 +428,24 @@
     }
   }
 
-  // Proposes a command. `done` gets the CommandReply if this leadership still lasts, and `lost` is
-  // called otherwise.
-  void Propose(wire::CommandBodyUnion body, std::function<void(Impl&, const wire::BodyUnion&)> done,
-               std::function<void()> lost = nullptr) {
+  // Proposes a command and passes on the CommandReply, whoever leads by then.
+  void Propose(wire::CommandBodyUnion body, CommandCallback done) {
     if (this->pending_commands >= kMaxPendingCommands) {
-      return this->PostAnswer(CommandError({ErrorCode::kOverloaded, "too many commands wait"}, ""),
-                              std::move(done));
+      asio::post(this->io, [done = std::move(done)] {
+        done(CommandError({ErrorCode::kOverloaded, "too many commands wait"}, ""));
+      });
+      return;
     }
     ++this->pending_commands;
     const int64_t now_ms = std::max(UnixMillis(), this->state.LogTime());
-    this->log.Propose(ControlState::Encode(now_ms, std::move(body)), SteadyNow() + kProposalTimeout,
-                      [weak = this->weak_from_this(), term = this->led_term, done = std::move(done),
-                       lost = std::move(lost)](const Result<Applied>& applied) {
-                        auto self = weak.lock();
-                        if (!self) return;
-                        --self->pending_commands;
-                        if (!self->stopped) self->CheckLeadership();
-                        const bool lasts = !self->stopped && self->led_term == term;
-                        // The outcome of an applied command is known whoever leads now.
-                        if (lasts || (applied && lost)) return done(*self, self->AnswerOf(applied));
-                        if (lost && !applied && applied.error().code == ErrorCode::kNotLeader) {
-                          return done(*self, self->AnswerOf(applied));
-                        }
-                        if (lost) lost();
-                      });
-  }
-
-  void PostAnswer(wire::BodyUnion answer, std::function<void(Impl&, const wire::BodyUnion&)> done) {
-    auto shared = std::make_shared<wire::BodyUnion>(std::move(answer));
-    asio::post(this->io, this->InThisTerm([shared, done = std::move(done)](Impl& self) {
-      done(self, *shared);
-    }));
+    this->log.Propose(
+        ControlState::Encode(now_ms, std::move(body)), SteadyNow() + kProposalTimeout,
+        [weak = this->weak_from_this(), done = std::move(done)](const Result<Applied>& applied) {
+          auto self = weak.lock();
+          if (!self) return;
+          --self->pending_commands;
+          done(self->AnswerOf(applied));
+        });
   }
 
   wire::BodyUnion AnswerOf(const Result<Applied>& applied) const {
@@ -566,9 +554,10 @@
     command.clean = true;
     wire::CommandBodyUnion body;
     body.Set(std::move(command));
-    this->Propose(std::move(body), [router](Impl& self, const wire::BodyUnion& answer) {
-      self.OnLeft(router, *answer.AsCommandReply());
-    });
+    this->Propose(std::move(body),
+                  this->InThisTerm([router](Impl& self, const wire::BodyUnion& answer) {
+                    self.OnLeft(router, *answer.AsCommandReply());
+                  }));
   }
 
   void OnLeft(const RouterId& router, const wire::CommandReplyT& reply) {
--- a/directory.h
+++ b/directory.h
@@ -107,6 +107,7 @@
 
   uint64_t epoch = 0;
   uint64_t version = 0;
+  size_t bytes = 0;     // encoded size of all entries, an upper estimate
   uint64_t digest = 0;  // sum of DigestOf() over the entries that are not gone
   bool collecting = false;
   Time collect_until;
--- a/order_runner.cc
+++ b/order_runner.cc
@@ -90,9 +90,19 @@
     }
     this->context.tracer.End(std::move(hop), UnixNanos(),
                              answer ? std::nullopt : std::optional(answer.error()));
-    this->targets = this->context.planner.TargetsOf(this->request.service);
     this->Apply(now, this->order.OnClaimAnswer(now, std::move(answer), this->Lease(now),
-                                               this->targets->Serving()));
+                                               this->ChooseShard()));
+  }
+
+  // An order goes to one shard of its service, by the hash of its request id. Returns the targets
+  // that hold the shard; empty if the service is unknown by now.
+  Candidates ChooseShard() {
+    const auto planned = this->context.planner.PlanFor(this->request.service);
+    if (!planned) return {};
+    this->plan = *planned;
+    const std::string& id = this->request.request_id;
+    this->shard = XXH3_64bits(id.data(), id.size()) % this->plan->services.front().shards;
+    return this->plan->shards[this->shard].candidates;
   }
 
   void Dispatch(Time now, const OrderDispatch& dispatch) {
@@ -102,13 +112,14 @@
     sub.operation = wire::Operation::Order;
     sub.target = dispatch.target->target;
     sub.service = this->request.service;
+    sub.shard = this->plan->shards[this->shard].shard;
+    sub.shards = this->plan->services.front().shards;
+    sub.snapshot = this->plan->FleetOf(this->shard).snapshot.value_or(0);
     auto hop = this->BeginControlSpan("attempt");
     hop->Note("target", sub.target);
     sub.traceparent = hop->Traceparent();
     sub.body = this->request.body;
-    const auto config = this->context.control.CurrentConfig();
-    const Service* service = config->FindService(this->request.service);
-    const std::string fleet = service == nullptr ? "" : service->fleet;
+    const std::string& fleet = this->plan->FleetOf(this->shard).name;
     this->context.sender.Send(
         now, {dispatch.target, fleet, this->deadline}, std::move(sub),
         [self = this->shared_from_this(), hop, target = dispatch.target](wire::SubReplyT reply) {
@@ -202,8 +213,9 @@
   Order order;
   boost::asio::steady_timer timer;
   ActiveSpan span;
-  std::function<void(OrderReply)> callback;       // empty once called
-  std::shared_ptr<const ServiceTargets> targets;  // keeps the dispatched record alive
+  std::function<void(OrderReply)> callback;  // empty once called
+  std::shared_ptr<const Plan> plan;          // of the dispatch; keeps the target's record alive
+  uint32_t shard = 0;                        // index into Plan::shards
 };
 
 }  // namespace
@@ -228,7 +240,7 @@
     return refuse({ErrorCode::kOverloaded, "too many orders are running"});
   }
   const uint64_t fingerprint = Fingerprint(request.service, RequestKind::kOrder, request.body);
-  const Standing standing = StandingOf(context, now, fingerprint);
+  const Standing standing = context.quarantine.Check(now, UnixMillis(), fingerprint);
   if (standing == Standing::kQuarantined || standing == Standing::kCrashing) {
     return refuse(
         {ErrorCode::kQuarantined, "the request crashed targets; it is blocked for a time"});
--- a/request_context.h
+++ b/request_context.h
@@ -31,12 +31,6 @@
   Metrics& metrics;
 };
 
-// The standing of a fingerprint: a committed quarantine comes before what this router has seen.
-inline Standing StandingOf(RequestContext& context, Time now, uint64_t fingerprint) {
-  if (context.control.Quarantined(fingerprint, UnixMillis())) return Standing::kQuarantined;
-  return context.quarantine.Check(now, UnixMillis(), fingerprint);
-}
-
 }  // namespace peridotgauge
 
 #endif  // PERIDOTGAUGE_REQUEST_CONTEXT_H_
--- a/router.cc
+++ b/router.cc
@@ -223,6 +223,7 @@
     if (change.lease) ++this->orders.lease_generation;
     if (change.config) this->OnConfig();
     if (change.directory) this->OnDirectory();
+    if (change.quarantine) this->quarantine.SetCommitted(this->control.QuarantineList());
     if (change.routers) this->OnRouters();
     this->owner.OnControlChange(now, change);
   }
--- a/search_runner.cc
+++ b/search_runner.cc
@@ -33,9 +33,6 @@
 
   void Begin(Time now) {
     this->started = now;
-    for (uint32_t shard = 0; shard < this->plan->shards.size(); ++shard) {
-      this->context.hedges.CountNeeded(now, this->plan->FleetOf(shard).name, 1);
-    }
     this->Apply(now, this->search.Start(now));
   }
 
@@ -263,7 +260,7 @@
   Result<std::shared_ptr<const Plan>> plan = context.planner.PlanFor(request.service);
   if (!plan) return refuse(plan.error());
   const uint64_t fingerprint = Fingerprint(request.service, RequestKind::kSearch, request.query);
-  const Standing standing = StandingOf(context, now, fingerprint);
+  const Standing standing = context.quarantine.Check(now, UnixMillis(), fingerprint);
   if (standing == Standing::kQuarantined || standing == Standing::kCrashing) {
     return refuse(
         {ErrorCode::kQuarantined, "the request crashed targets; it is blocked for a time"});
