--- a/hedge.cc
+++ b/hedge.cc
@@ -1,4 +1,4 @@
-// The latency quantile and the shared budget of each fleet.
+// Hedge delays and budgets by fleet.
 #include "hedge.h"
 
 #include <algorithm>
@@ -7,12 +7,8 @@
 namespace peridotgauge {
 namespace {
 
-constexpr double kPercent = 100;
-
-// Share of an earlier count that is left after `elapsed`.
-double Remaining(Duration elapsed) {
-  return std::exp(-static_cast<double>(elapsed.count()) /
-                  static_cast<double>(kOverloadMemory.count()));
+double MemoryWeight(Duration age) {
+  return std::exp(-std::chrono::duration<double>(age) / kOverloadMemory);
 }
 
 }  // namespace
@@ -21,7 +17,7 @@
   std::erase_if(this->fleets,
                 [&](const auto& entry) { return config.FindFleet(entry.first) == nullptr; });
   for (const auto& [name, fleet] : config.Fleets()) {
-    this->fleets[name].share = fleet.hedge_percent / kPercent;
+    this->fleets[name].share = fleet.hedge_percent / 100.0;
   }
 }
 
@@ -29,16 +25,16 @@
   FleetState* state = this->Find(fleet);
   if (state == nullptr) return;
   if (report.latency) state->latency.Add(now, *report.latency);
-  const double remaining = Remaining(now - state->counted);
+  const double weight = MemoryWeight(now - state->counted);
   const bool overload = report.refused || report.queue_time > report.service_time;
-  state->attempts = state->attempts * remaining + 1;
-  state->overloads = state->overloads * remaining + (overload ? 1 : 0);
+  state->attempts = state->attempts * weight + 1;
+  state->overloads = state->overloads * weight + (overload ? 1 : 0);
   state->counted = now;
 }
 
 std::optional<Duration> HedgeBudget::HedgeDelay(Time now, std::string_view fleet) {
   FleetState* state = this->Find(fleet);
-  if (state == nullptr || state->share <= 0) return std::nullopt;
+  if (state == nullptr || state->share == 0) return std::nullopt;
   if (!state->delay_computed || now - *state->delay_computed >= kDelayRefresh) {
     state->delay = state->latency.Quantile(now, kHedgeQuantile);
     state->delay_computed = now;
@@ -47,7 +43,7 @@
   return std::max(*state->delay, kShortestHedgeDelay);
 }
 
-void HedgeBudget::CountNeeded(Time, std::string_view fleet, uint32_t count) {
+void HedgeBudget::CountNeeded(Time /*now*/, std::string_view fleet, uint32_t count) {
   FleetState* state = this->Find(fleet);
   if (state == nullptr) return;
   state->tokens = std::min(kBudgetBurst, state->tokens + state->share * count);
@@ -56,9 +52,10 @@
 bool HedgeBudget::Spend(Time now, std::string_view fleet, ExtraKind kind) {
   FleetState* state = this->Find(fleet);
   if (state == nullptr || Overloaded(now, *state)) return false;
-  const double lowest = kind == ExtraKind::kLastChance ? -kMaxDebt : 0;
-  if (state->tokens - 1 < lowest) return false;
-  state->tokens -= 1;
+  const bool last_chance = kind == ExtraKind::kLastChance;
+  // hedge_percent 0 allows no hedges and retries, not even the initial burst.
+  if (!last_chance && (state->share == 0 || state->tokens < 1)) return false;
+  state->tokens = std::max(-kMaxDebt, state->tokens - 1);
   return true;
 }
 
@@ -68,10 +65,9 @@
 }
 
 bool HedgeBudget::Overloaded(Time now, const FleetState& state) {
-  const double remaining = Remaining(now - state.counted);
-  const double attempts = state.attempts * remaining;
-  return attempts >= kOverloadMinAttempts &&
-         state.overloads * remaining > attempts * kOverloadShare;
+  const double weight = MemoryWeight(now - state.counted);
+  return state.attempts * weight >= kOverloadMinAttempts &&
+         state.overloads >= kOverloadShare * state.attempts;
 }
 
 double HedgeBudget::Tokens(std::string_view fleet) const {
@@ -80,12 +76,12 @@
 }
 
 HedgeBudget::FleetState* HedgeBudget::Find(std::string_view fleet) {
-  auto found = this->fleets.find(fleet);
+  const auto found = this->fleets.find(fleet);
   return found == this->fleets.end() ? nullptr : &found->second;
 }
 
 const HedgeBudget::FleetState* HedgeBudget::Find(std::string_view fleet) const {
-  auto found = this->fleets.find(fleet);
+  const auto found = this->fleets.find(fleet);
   return found == this->fleets.end() ? nullptr : &found->second;
 }
 
--- a/registration.cc
+++ b/registration.cc
@@ -1,73 +1,112 @@
-// The target registrations that this router holds, as leases.
+// Registration leases of targets at one router.
 #include "registration.h"
 
 #include <algorithm>
 
+#include "address.h"
+#include "strict_json.h"
+
 namespace peridotgauge {
 namespace {
 
-Result<void> CheckValues(const TargetRecord& record) {
-  const auto refuse = [&](std::string_view field, std::string_view allowed) {
-    return Fail(ErrorCode::kBadRequest, "registration of \"" + record.target +
-                                            "\": " + std::string(field) + " must be " +
-                                            std::string(allowed));
-  };
-  if (record.target.empty()) return refuse("target", "a name");
-  if (record.service.empty()) return refuse("service", "a name");
-  if (record.slots == 0) return refuse("slots", "at least 1");
-  if (record.connections < record.slots) return refuse("connections", "at least slots");
-  if (record.holds.size() > kMaxHoldings) return refuse("holds", "at most 4096 entries");
-  for (const Holding& held : record.holds) {
-    if (held.shard >= held.shards) return refuse("holds[].shard", "below holds[].shards");
+constexpr uint32_t kMaxSlots = 1'024;
+constexpr uint32_t kMaxConnections = 65'535;
+constexpr size_t kMaxTargetNameBytes = 128;
+
+// Target names may contain '/', as in "verstas-1/a".
+bool IsTargetName(std::string_view name) {
+  return !name.empty() && name.size() <= kMaxTargetNameBytes &&
+         std::all_of(name.begin(), name.end(),
+                     [](char c) { return c == '/' || IsName(std::string_view(&c, 1)); });
+}
+
+tl::unexpected<Error> Refuse(std::string_view field, const std::string& value,
+                             std::string_view allowed) {
+  return Fail(ErrorCode::kBadRequest,
+              std::string(field) + ": " + value + "; allowed is " + std::string(allowed));
+}
+
+Result<void> CheckHoldings(const std::vector<Holding>& holds) {
+  if (holds.size() > kMaxHoldings) {
+    return Refuse("holds", std::to_string(holds.size()) + " entries", "at most 1024");
+  }
+  for (const Holding& held : holds) {
+    if (held.shards == 0 || held.shard >= held.shards) {
+      return Refuse("holds", std::to_string(held.shard) + " of " + std::to_string(held.shards),
+                    "a shard below the number of shards");
+    }
   }
   return {};
 }
 
+Result<void> Check(const TargetRecord& record) {
+  if (!IsTargetName(record.target)) {
+    return Refuse("target", "\"" + record.target + "\"",
+                  "1 to 128 letters, digits, '-', '_', '.' or '/'");
+  }
+  if (!IsName(record.service)) {
+    return Refuse("service", "\"" + record.service + "\"", kNameSyntax);
+  }
+  if (!IsName(record.data_centre)) {
+    return Refuse("data_centre", "\"" + record.data_centre + "\"", kNameSyntax);
+  }
+  if (const Result<Endpoint> endpoint = ParseAddress(record.address); !endpoint) {
+    return Fail(ErrorCode::kBadRequest, "address: " + endpoint.error().detail);
+  }
+  if (record.slots == 0 || record.slots > kMaxSlots) {
+    return Refuse("slots", std::to_string(record.slots), "1 to 1024");
+  }
+  if (record.connections == 0 || record.connections > kMaxConnections) {
+    return Refuse("connections", std::to_string(record.connections), "1 to 65535");
+  }
+  return CheckHoldings(record.holds);
+}
+
 // True if only the sequence differs.
-bool SameContent(const TargetRecord& a, TargetRecord b) {
-  b.sequence = a.sequence;
-  return a == b;
+bool SameContent(const TargetRecord& one, TargetRecord other) {
+  other.sequence = one.sequence;
+  return one == other;
 }
 
 }  // namespace
 
 Result<RegistrationChange> Registrations::Register(Time now, TargetRecord& record) {
-  if (Result<void> valid = CheckValues(record); !valid) return tl::unexpected(valid.error());
   record.registrar = this->router;
-  auto known = this->entries.find(record.target);
-  if (known == this->entries.end()) {
+  if (Result<void> checked = Check(record); !checked) return tl::unexpected(checked.error());
+  const auto found = this->entries.find(record.target);
+  if (found == this->entries.end()) {
     if (this->entries.size() >= kMaxRegistrations) {
-      return Fail(ErrorCode::kOverloaded, "this router holds too many registrations");
+      return Fail(ErrorCode::kOverloaded, "this router holds its maximum of registrations");
     }
-    this->entries.emplace(record.target, Entry{record, now + kRegistrationLease});
+    this->entries[record.target] = {.record = record, .lease_end = now + kRegistrationLease};
     return RegistrationChange::kChanged;
   }
-  Entry& entry = known->second;
-  const bool same_start = record.incarnation == entry.record.incarnation;
-  if (same_start &&
-      (record.address != entry.record.address || record.service != entry.record.service)) {
+  Entry& entry = found->second;
+  const TargetRecord& known = entry.record;
+  if (known.incarnation == record.incarnation &&
+      (known.address != record.address || known.service != record.service)) {
     return Fail(ErrorCode::kConflict, "target \"" + record.target + "\" is registered as " +
-                                          entry.record.service + " at " + entry.record.address +
-                                          " with this incarnation");
+                                          known.service + " at " + known.address +
+                                          " under the same incarnation");
   }
-  if (!record.Supersedes(entry.record)) return RegistrationChange::kStale;
-  const bool changed = !SameContent(entry.record, record);
-  entry = {record, now + kRegistrationLease};
-  return changed ? RegistrationChange::kChanged : RegistrationChange::kRenewed;
+  if (!record.Supersedes(known)) return RegistrationChange::kStale;
+  const bool same = SameContent(known, record);
+  entry = {.record = record, .lease_end = now + kRegistrationLease};
+  return same ? RegistrationChange::kRenewed : RegistrationChange::kChanged;
 }
 
 std::vector<TargetRecord> Registrations::Expire(Time now) {
   std::vector<TargetRecord> gone;
   for (auto entry = this->entries.begin(); entry != this->entries.end();) {
-    if (entry->second.lease_end > now) {
+    if (now < entry->second.lease_end) {
       ++entry;
       continue;
     }
-    TargetRecord record = std::move(entry->second.record);
-    // The same sequence would not supersede the record that the directory has.
-    ++record.sequence;
-    record.state = TargetState::kGone;
-    gone.push_back(std::move(record));
+    // A target that said that it was gone needs no second report.
+    if (entry->second.record.state != TargetState::kGone) {
+      entry->second.record.state = TargetState::kGone;
+      gone.push_back(std::move(entry->second.record));
+    }
     entry = this->entries.erase(entry);
   }
   return gone;
@@ -76,21 +115,21 @@
 std::optional<Time> Registrations::NextExpiry() const {
   std::optional<Time> next;
   for (const auto& [target, entry] : this->entries) {
-    next = std::min(next.value_or(entry.lease_end), entry.lease_end);
+    if (!next || entry.lease_end < *next) next = entry.lease_end;
   }
   return next;
 }
 
 void Registrations::Observe(const TargetRecord& record) {
-  auto known = this->entries.find(record.target);
-  if (known == this->entries.end() || record.registrar == this->router) return;
-  if (record.Supersedes(known->second.record)) this->entries.erase(known);
+  const auto found = this->entries.find(record.target);
+  if (found == this->entries.end() || record.registrar == this->router) return;
+  if (record.Supersedes(found->second.record)) this->entries.erase(found);
 }
 
 std::vector<TargetRecord> Registrations::All() const {
-  std::vector<TargetRecord> all;
-  for (const auto& [target, entry] : this->entries) all.push_back(entry.record);
-  return all;
+  std::vector<TargetRecord> out;
+  for (const auto& [target, entry] : this->entries) out.push_back(entry.record);
+  return out;
 }
 
 }  // namespace peridotgauge
--- a/search_runner.cc
+++ b/search_runner.cc
@@ -33,9 +33,6 @@
 
   void Begin(Time now) {
     this->started = now;
-    for (uint32_t shard = 0; shard < this->plan->shards.size(); ++shard) {
-      this->context.hedges.CountNeeded(now, this->plan->FleetOf(shard).name, 1);
-    }
     this->Apply(now, this->search.Start(now));
   }
 
