--- a/cli_client.cc
+++ b/cli_client.cc
@@ -58,7 +58,7 @@
 }
 
 Result<HttpResponse> CliClient::CallAsCaller(const HttpRequest& request) {
-  const Result<HttpResponse> response = this->Call({.method = "GET", .path = "/v1/routers"});
+  Result<HttpResponse> response = this->Call({.method = "GET", .path = "/v1/routers"});
   if (!response || response->status != 200) return response;
   const Result<RouterList> list = ParseRouterList(response->body);
   if (!list) return tl::unexpected(list.error());
@@ -72,8 +72,9 @@
   while (!list.empty()) {
     const size_t comma = std::min(list.find(','), list.size());
     const std::string_view item = list.substr(0, comma);
-    if (const auto endpoint = ParseAddress(item); !endpoint)
+    if (const auto endpoint = ParseAddress(item); !endpoint) {
       return tl::unexpected(endpoint.error());
+    }
     addresses.emplace_back(item);
     list.remove_prefix(std::min(comma + 1, list.size()));
   }
--- a/daemon.cc
+++ b/daemon.cc
@@ -118,7 +118,7 @@
     auto server = HttpServer::Listen(
         this->io, this->settings.http_address,
         [weak = this->weak_from_this()](HttpRequest request, HttpResponder responder) {
-          if (auto self = weak.lock()) self->OnHttp(std::move(request), std::move(responder));
+          if (auto self = weak.lock()) self->OnHttp(request, responder);
         });
     if (!server) return tl::unexpected(server.error());
     this->http = std::move(*server);
@@ -139,12 +139,12 @@
     }
   }
 
-  void OnHttp(HttpRequest request, HttpResponder responder) {
+  void OnHttp(const HttpRequest& request, const HttpResponder& responder) {
     if (this->router && this->router->Handles(request)) {
-      return this->router->Handle(std::move(request), std::move(responder));
+      return this->router->Handle(request, responder);
     }
     if (this->operators.Handles(request)) {
-      return this->operators.Handle(request, std::move(responder));
+      return this->operators.Handle(request, responder);
     }
     if (request.method == "GET" && request.path == "/metrics") {
       return responder.Send(TextResponse(200, this->MetricsText()));
--- a/ledger.cc
+++ b/ledger.cc
@@ -31,10 +31,12 @@
 }  // namespace
 
 Result<ClaimResult> Ledger::Claim(int64_t now_ms, const ClaimRequest& request) {
-  if (!ValidId(request.request_id))
+  if (!ValidId(request.request_id)) {
     return Fail(ErrorCode::kBadRequest, "request_id: 1 to 128 bytes");
-  if (request.holder.claim_id == 0)
+  }
+  if (request.holder.claim_id == 0) {
     return Fail(ErrorCode::kBadRequest, "claim_id: must be above 0");
+  }
   this->Evict(now_ms);
   const auto found = this->records.find(request.request_id);
   if (found != this->records.end() && found->second.state != RecordState::kReleased) {
--- a/operator_http.cc
+++ b/operator_http.cc
@@ -38,16 +38,16 @@
   return FindRoute(request) != nullptr;
 }
 
-void OperatorHttp::Handle(const HttpRequest& request, HttpResponder responder) {
+void OperatorHttp::Handle(const HttpRequest& request, const HttpResponder& responder) {
   const Route* route = FindRoute(request);
   if (route == nullptr) {
     return responder.Send(ErrorResponse({ErrorCode::kNotFound, "no such path"}, ""));
   }
-  if (!route->read) return this->Apply(request, std::move(responder));
-  this->Read(*route, request, std::move(responder));
+  if (!route->read) return this->Apply(request, responder);
+  this->Read(*route, request, responder);
 }
 
-void OperatorHttp::Apply(const HttpRequest& request, HttpResponder responder) {
+void OperatorHttp::Apply(const HttpRequest& request, const HttpResponder& responder) {
   const Result<Config> config = Config::Parse(request.body);
   if (!config) return responder.Send(ErrorResponse(config.error(), ""));
   wire::ApplyConfigT command;
@@ -70,7 +70,8 @@
       });
 }
 
-void OperatorHttp::Read(const Route& route, const HttpRequest& request, HttpResponder responder) {
+void OperatorHttp::Read(const Route& route, const HttpRequest& request,
+                        const HttpResponder& responder) {
   const Result<std::optional<uint64_t>> revision = ParseRevision(request);
   if (!revision) return responder.Send(ErrorResponse(revision.error(), ""));
   this->control.Read(*route.read, revision->value_or(0), SteadyNow() + kOperatorDeadline,
--- a/operator_http.h
+++ b/operator_http.h
@@ -28,13 +28,13 @@
   explicit OperatorHttp(ControlClient& control) : control(control) {}
 
   bool Handles(const HttpRequest& request) const;
-  void Handle(const HttpRequest& request, HttpResponder responder);
+  void Handle(const HttpRequest& request, const HttpResponder& responder);
 
  private:
   struct Route;
   static const Route* FindRoute(const HttpRequest& request);
-  void Apply(const HttpRequest& request, HttpResponder responder);
-  void Read(const Route& route, const HttpRequest& request, HttpResponder responder);
+  void Apply(const HttpRequest& request, const HttpResponder& responder);
+  void Read(const Route& route, const HttpRequest& request, const HttpResponder& responder);
 
   ControlClient& control;
 };
--- a/router.cc
+++ b/router.cc
@@ -51,11 +51,9 @@
  public:
   Impl(asio::io_context& io, const Settings& settings, const RouterRecord& self,
        ControlClient& control, PeerPool& peers, Metrics& metrics, Tracer& tracer)
-      : io(io),
-        self(self),
+      : self(self),
         control(control),
         peers(peers),
-        metrics(metrics),
         replicas(MakeReplicaChoice(settings)),
         admission(settings.admission),
         owner({io, settings, control, peers, tracer, metrics}, {self.id, self.incarnation}),
@@ -80,7 +78,7 @@
     struct Route {
       std::string_view method;
       std::string_view path;
-      void (Impl::*handle)(HttpRequest, HttpResponder);
+      void (Impl::*handle)(const HttpRequest&, const HttpResponder&);
     };
     static const Route kRoutes[] = {{"GET", "/v1/routers", &Impl::ListRouters},
                                     {"POST", "/v1/search", &Impl::Search},
@@ -96,18 +94,19 @@
     return false;
   }
 
-  void Handle(HttpRequest request, HttpResponder responder) {
+  void Handle(const HttpRequest& request, const HttpResponder& responder) {
     for (const auto& route : Routes()) {
       if (route.path != request.path || route.method != request.method) continue;
-      return (this->*route.handle)(std::move(request), std::move(responder));
+      return (this->*route.handle)(request, responder);
     }
     responder.Send(ErrorResponse({ErrorCode::kNotFound, "no such path"}, ""));
   }
 
   void HandlePeer(wire::BodyUnion body, const PeerRequest& request) {
     const Time now = SteadyNow();
-    if (const wire::ReleaseT* release = body.AsRelease())
+    if (const wire::ReleaseT* release = body.AsRelease()) {
       return this->owner.OnRelease(now, *release);
+    }
     wire::SubRequestT* sub = body.AsSubRequest();
     if (sub == nullptr) return;
     const Time deadline = now + Duration(sub->budget_us);
@@ -148,7 +147,7 @@
     return true;
   }
 
-  void ListRouters(HttpRequest, HttpResponder responder) {
+  void ListRouters(const HttpRequest&, const HttpResponder& responder) {
     if (this->RefuseUnlessServing(SteadyNow(), responder, "")) return;
     RouterList list{.ttl = kRouterListTtl};
     for (const auto& [id, router] : this->control.Routers()) {
@@ -157,7 +156,7 @@
     responder.Send(JsonResponse(200, FormatRouterList(list)));
   }
 
-  void Search(HttpRequest http, HttpResponder responder) {
+  void Search(const HttpRequest& http, const HttpResponder& responder) {
     Result<SearchRequest> request = ParseSearchRequest(http.body);
     if (!request) return responder.Send(ErrorResponse(request.error(), ""));
     if (request->request_id.empty()) request->request_id = RandomRequestId(this->random);
@@ -183,7 +182,7 @@
     });
   }
 
-  void Order(HttpRequest http, HttpResponder responder) {
+  void Order(const HttpRequest& http, const HttpResponder& responder) {
     Result<OrderRequest> request = ParseOrderRequest(http.body);
     if (!request) return responder.Send(ErrorResponse(request.error(), ""));
     const Time now = SteadyNow();
@@ -201,7 +200,7 @@
 
   // --- Targets ---
 
-  void Register(HttpRequest http, HttpResponder responder) {
+  void Register(const HttpRequest& http, const HttpResponder& responder) {
     Result<RegistrationRequest> request = ParseRegistrationRequest(http.body);
     if (!request) return responder.Send(ErrorResponse(request.error(), ""));
     const Time now = SteadyNow();
@@ -263,8 +262,9 @@
 
   void Housekeeping() {
     const Time now = SteadyNow();
-    for (TargetRecord& gone : this->registrations.Expire(now))
+    for (TargetRecord& gone : this->registrations.Expire(now)) {
       this->control.Register(std::move(gone));
+    }
     this->ContinueDrain(now);
     this->timer.expires_after(kHousekeepingInterval);
     this->timer.async_wait([weak = this->weak_from_this()](boost::system::error_code error) {
@@ -292,11 +292,9 @@
                           });
   }
 
-  asio::io_context& io;
   RouterRecord self;
   ControlClient& control;
   PeerPool& peers;
-  Metrics& metrics;
   Planner planner;
   std::unique_ptr<ReplicaChoice> replicas;
   HedgeBudget hedges;
@@ -322,8 +320,8 @@
 Router::~Router() = default;
 void Router::Start() { this->impl->Start(); }
 bool Router::Handles(const HttpRequest& request) const { return this->impl->Handles(request); }
-void Router::Handle(HttpRequest request, HttpResponder responder) {
-  this->impl->Handle(std::move(request), std::move(responder));
+void Router::Handle(const HttpRequest& request, const HttpResponder& responder) {
+  this->impl->Handle(request, responder);
 }
 void Router::HandlePeer(wire::BodyUnion body, const PeerRequest& request) {
   this->impl->HandlePeer(std::move(body), request);
--- a/router.h
+++ b/router.h
@@ -3,7 +3,7 @@
 // Use:
 //   Router router(io, settings, control, peers, metrics, tracer);
 //   router.Start();
-//   if (router.Handles(http_request)) router.Handle(std::move(http_request), responder);
+//   if (router.Handles(http_request)) router.Handle(http_request, responder);
 //   router.HandlePeer(std::move(body), peer_request);        // SubRequest, Release
 //   router.Drain([] { ... });                                // graceful shutdown
 //
@@ -45,7 +45,7 @@
   void Start();
 
   bool Handles(const HttpRequest& request) const;
-  void Handle(HttpRequest request, HttpResponder responder);
+  void Handle(const HttpRequest& request, const HttpResponder& responder);
   // Takes a SubRequest or a Release; others get no reply.
   void HandlePeer(wire::BodyUnion body, const PeerRequest& request);
 
--- a/search_runner.cc
+++ b/search_runner.cc
@@ -240,7 +240,7 @@
   wire::QuarantineT command;
   command.fingerprint = fingerprint;
   command.duration_ms = kQuarantineTime.count() / 1000;
-  control.Command(ToCommand(std::move(command)), SteadyNow() + kQuarantineCommitTime,
+  control.Command(ToCommand(command), SteadyNow() + kQuarantineCommitTime,
                   [done = std::move(done), fingerprint](const Result<wire::CommandReplyT>& reply) {
                     const bool committed = reply && reply->error < 0;
                     LOG(WARNING) << "quarantine: fingerprint " << std::hex << fingerprint
--- a/sub_request_sender.cc
+++ b/sub_request_sender.cc
@@ -103,8 +103,9 @@
   AttemptReport report{.queue_time = Duration(reply.queue_us),
                        .service_time = Duration(reply.service_us),
                        .refused = IsOverload(reply)};
-  if (kind == ReplyKind::kAnswered || kind == ReplyKind::kTimedOut)
+  if (kind == ReplyKind::kAnswered || kind == ReplyKind::kTimedOut) {
     report.latency = now - entry.sent;
+  }
   this->hedges.OnReply(now, entry.fleet, report);
   entry.done(std::move(reply));
 }
