--- /dev/null
+++ b/bench/capacity_raft.cc
@@ -0,0 +1,183 @@
+// Commits, snapshots and restarts of the replicated log.
+#include <algorithm>
+#include <atomic>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "bench/capacity_group.h"
+#include "bench/capacity_model.h"
+#include "bench/capacity_parts.h"
+
+namespace peridotgauge {
+namespace {
+
+constexpr double kMicro = 1e6;
+constexpr double kMilli = 1e3;
+constexpr size_t kOrderAnswerBytes = 100;
+constexpr uint32_t kWindow = 64;  // commands under way in the pipelined run
+
+wire::ClaimT ModelClaim(uint64_t number, int64_t now_ms) {
+  wire::ClaimT claim;
+  claim.request_id = "order-0123456789abcdef-" + std::to_string(number);
+  claim.body_digest = number;
+  claim.service = ModelService(7);
+  claim.issued_at_ms = now_ms;
+  claim.router = ModelRouter(1).id;
+  claim.router_incarnation = 1;
+  claim.claim_id = number;
+  return claim;
+}
+
+wire::CompleteT ModelComplete(uint64_t number) {
+  wire::CompleteT complete;
+  complete.request_id = "order-0123456789abcdef-" + std::to_string(number);
+  complete.router = ModelRouter(1).id;
+  complete.router_incarnation = 1;
+  complete.claim_id = number;
+  complete.status = 200;
+  complete.body = std::string(kOrderAnswerBytes, 'x');
+  return complete;
+}
+
+template <typename T>
+std::string Encoded(int64_t now_ms, T command) {
+  wire::CommandBodyUnion body;
+  body.Set(std::move(command));
+  return ControlState::Encode(now_ms, std::move(body));
+}
+
+// Proposes claims 1 to `total`, `window` at a time, on the node's thread.
+class ClaimLoop {
+ public:
+  ClaimLoop(CapacityNode& node, uint64_t first, uint32_t total, uint32_t window)
+      : node(node), next(first), left(total), waiting(total) {
+    const double cpu = node.thread.Cpu();
+    node.thread.Run([&] {
+      for (uint32_t i = 0; i < window; ++i) this->Propose();
+    });
+    while (!this->done) std::this_thread::sleep_for(Millis(1));
+    this->cpu = node.thread.Cpu() - cpu;
+    std::sort(this->latencies.begin(), this->latencies.end());
+  }
+
+  double cpu = 0;                 // seconds, of the node's event loop
+  std::vector<double> latencies;  // ms, sorted
+  uint32_t failed = 0;
+
+ private:
+  void Propose() {
+    if (this->left == 0) return;
+    --this->left;
+    const Time start = SteadyNow();
+    this->node.replica->Propose(Encoded(UnixMillis(), ModelClaim(this->next++, UnixMillis())),
+                                start + Seconds(20), [this, start](const Result<Applied>& applied) {
+                                  if (!applied) ++this->failed;
+                                  this->latencies.push_back(ToMillis(SteadyNow() - start));
+                                  if (--this->waiting == 0) this->done = true;
+                                  this->Propose();
+                                });
+  }
+
+  CapacityNode& node;
+  uint64_t next;
+  uint32_t left;
+  uint32_t waiting;
+  std::atomic<bool> done{false};
+};
+
+void MeasureCommits(const std::string& folder, CapacityReport& report) {
+  CapacityGroup group(3, folder, 100'000);
+  CapacityNode& leader = group.Leader();
+  uint64_t before = 0;
+  leader.thread.Run([&] { before = leader.replica->Status().log_bytes; });
+  constexpr uint32_t kCommands = 400;
+  const char* const scale = "commands under way";
+  uint64_t first = 1;
+  for (const uint32_t window : {1U, 8U, kWindow}) {
+    const uint32_t total = kCommands * (window == 1 ? 1 : 4);
+    const ClaimLoop loop(leader, first, total, window);
+    first += total;
+    report.Add("commit of a claim, 3 controllers: median, ms", scale, window,
+               loop.latencies[total / 2]);
+    report.Add("commit of a claim, 3 controllers: 99th percentile, ms", scale, window,
+               loop.latencies[total * 99 / 100]);
+    report.Add("commit of a claim, 3 controllers: leader CPU, us", scale, window,
+               loop.cpu * kMicro / total);
+    if (loop.failed > 0) report.Add("FAILED commits", scale, window, loop.failed);
+  }
+  uint64_t after = 0;
+  leader.thread.Run([&] { after = leader.replica->Status().log_bytes; });
+  report.Add("log bytes of a claim", "claims", static_cast<double>(first - 1),
+             static_cast<double>(after - before) / static_cast<double>(first - 1));
+}
+
+void AddSnapshot(const ControlState& state, const std::string& what, const std::string& scale,
+                 double x, CapacityReport& report) {
+  const double start = ThreadCpuSeconds();
+  const std::string snapshot = state.Snapshot();
+  const double taken = ThreadCpuSeconds();
+  report.Add(what + ": size, MB", scale, x, static_cast<double>(snapshot.size()) / kMicro);
+  report.Add(what + ": CPU of taking it, ms", scale, x, (taken - start) * kMilli);
+  ControlState restored;
+  const Result<void> result = restored.Restore(1, snapshot);
+  report.Add(what + ": CPU of restoring it, ms", scale, x, (ThreadCpuSeconds() - taken) * kMilli);
+  if (!result || !(restored == state)) report.Add("FAILED restores", scale, x, 1);
+}
+
+void MeasureLedger(uint32_t records, CapacityReport& report) {
+  const char* const scale = "ledger records";
+  const int64_t heap = LiveHeapBytes();
+  const int64_t now_ms = UnixMillis();
+  ControlState state;
+  uint64_t index = 0;
+  wire::JoinT join;
+  join.router = ToWire(ModelRouter(1));
+  state.Apply(++index, Encoded(now_ms, std::move(join)));
+  const double start = ThreadCpuSeconds();
+  for (uint64_t i = 1; i <= records; ++i) {
+    state.Apply(++index, Encoded(now_ms, ModelClaim(i, now_ms)));
+    state.Apply(++index, Encoded(now_ms, ModelComplete(i)));
+  }
+  report.Add("ledger: CPU of encoding and applying claim and completion, us", scale, records,
+             (ThreadCpuSeconds() - start) * kMicro / records);
+  report.Add("ledger: heap, MB", scale, records,
+             static_cast<double>(LiveHeapBytes() - heap) / kMicro);
+  AddSnapshot(state, "snapshot of the ledger", scale, records, report);
+}
+
+void MeasureHistory(uint32_t revisions, CapacityReport& report) {
+  const int64_t heap = LiveHeapBytes();
+  ControlState state;
+  for (uint32_t i = 1; i <= revisions; ++i) {
+    wire::ApplyConfigT apply;
+    apply.text = ModelConfig(i, kPlannedServices);
+    apply.revision = i;
+    apply.digest = i;
+    state.Apply(i, Encoded(i, std::move(apply)));
+  }
+  const char* const scale = "revisions of 900 services";
+  report.Add("history: heap, MB", scale, revisions,
+             static_cast<double>(LiveHeapBytes() - heap) / kMicro);
+  AddSnapshot(state, "snapshot of the history", scale, revisions, report);
+}
+
+void MeasureRestart(const std::string& folder, uint32_t entries, CapacityReport& report) {
+  CapacityGroup group(1, folder, 1'000'000);
+  const ClaimLoop loop(group.Leader(), 1, entries, kWindow);
+  report.Add("restart: time of reading the log, ms", "log entries", entries,
+             group.Reopen() * kMilli);
+}
+
+}  // namespace
+
+void MeasureRaft(const std::string& folder, CapacityReport& report) {
+  MeasureCommits(folder, report);
+  for (const uint32_t records : {10'000U, 50'000U, 100'000U, 200'000U}) {
+    MeasureLedger(records, report);
+  }
+  for (const uint32_t revisions : {50U, 200U, 1'000U}) MeasureHistory(revisions, report);
+  for (const uint32_t entries : {2'000U, 5'000U, 20'000U}) MeasureRestart(folder, entries, report);
+}
+
+}  // namespace peridotgauge
