Recompute owners only from the routers that a view changes

Cause: LearnView() ranked every router for every target twice, so one view change at 480 routers and 2,700 targets blocked the event loop of each router for about 45 ms of the 67 ms that a search has. Change: the old owner outranks all other routers of the previous view, so only newcomers can replace it; and only routers that have begun to drain can be further possible owners. Adding all targets at the first sync still ranks every router for every target. A new test compares the owners after many views with ChooseOwner().

--- a/ownership.cc
+++ b/ownership.cc
@@ -58,21 +58,66 @@
 }
 
 void Ownership::ComputePast() {
-  std::map<RouterIdentity, bool> draining;
-  for (const RouterRecord& router : this->before) {
-    draining[{router.id, router.incarnation}] = router.draining;
+  std::map<RouterIdentity, size_t> positions;
+  for (size_t i = 0; i < this->before.size(); ++i) {
+    positions[{this->before[i].id, this->before[i].incarnation}] = i;
   }
   this->past.clear();
+  this->newcomers.clear();
+  this->retiring.clear();
+  this->successors.assign(this->before.size(), nullptr);
   for (const RouterRecord& router : this->view.routers) {
-    const auto found = draining.find({router.id, router.incarnation});
-    if (found == draining.end()) {
-      this->past.push_back(Past::kUnknown);
+    const auto found = positions.find({router.id, router.incarnation});
+    const RouterRecord* old = found == positions.end() ? nullptr : &this->before[found->second];
+    const Past past =
+        old == nullptr ? Past::kUnknown : (old->draining ? Past::kDraining : Past::kEligible);
+    this->past.push_back(past);
+    if (router.draining) {
+      if (past != Past::kDraining) this->retiring.push_back(&router);
+    } else if (past == Past::kEligible && old->data_centre == router.data_centre) {
+      this->successors[found->second] = &router;
     } else {
-      this->past.push_back(found->second ? Past::kDraining : Past::kEligible);
+      this->newcomers.push_back(&router);
     }
   }
 }
 
+// The old owner ranks above all others that could own in the previous view, so that only newcomers
+// can outrank it. A view that changes one router then costs a few hashes for each target instead of
+// one for each router and target, which blocked the event loop for 45 ms at 480 routers and 2,700
+// targets.
+const RouterRecord* Ownership::NextOwner(const Entry& entry) const {
+  const RouterRecord* best =
+      entry.owner == nullptr
+          ? nullptr
+          : this->successors[static_cast<size_t>(entry.owner - this->before.data())];
+  if (best == nullptr) return BestOf(entry.hash, entry.data_centre, this->view.routers);
+  if (this->newcomers.empty()) return best;
+  Rank best_rank = RankOf(*best, entry.hash, entry.data_centre);
+  for (const RouterRecord* router : this->newcomers) {
+    const Rank rank = RankOf(*router, entry.hash, entry.data_centre);
+    if (rank < best_rank) continue;
+    best = router;
+    best_rank = rank;
+  }
+  return best;
+}
+
+// If the owner was eligible before too, its rank is the threshold of PossibleOwners(), and only a
+// router that is draining now can rank above it.
+bool Ownership::OnlyOwner(const Entry& entry) const {
+  const RouterRecord* owner = entry.owner;
+  if (owner == nullptr ||
+      this->past[static_cast<size_t>(owner - this->view.routers.data())] != Past::kEligible) {
+    return Only(this->PossibleOwners(entry), owner, nullptr);
+  }
+  if (this->retiring.empty()) return true;
+  const Rank rank = RankOf(*owner, entry.hash, entry.data_centre);
+  return std::all_of(this->retiring.begin(), this->retiring.end(), [&](const RouterRecord* router) {
+    return RankOf(*router, entry.hash, entry.data_centre) < rank;
+  });
+}
+
 // A router that was eligible in both views was so in all views between, because draining and
 // removal are final for an incarnation. The owner of each view between ranks at least as high as
 // the best of these. A router that was draining already can not have become the owner.
@@ -114,9 +159,9 @@
     const bool had = next_owned < owned.size() && owned[next_owned] == target;
     if (had) ++next_owned;
     const bool allowed = had && entry.fence_end <= now;
-    entry.owner = BestOf(entry.hash, entry.data_centre, this->view.routers);
+    entry.owner = this->NextOwner(entry);
     if (had && !this->IsSelf(entry.owner)) lost.push_back(this->Lose(target, entry, allowed));
-    if (Only(this->PossibleOwners(entry), entry.owner, nullptr)) continue;
+    if (this->OnlyOwner(entry)) continue;
     entry.fence_end = FenceEnd(now);
     entry.fence_view = this->view.index;
   }
@@ -148,7 +193,7 @@
   if (!added) {
     // Other routers may still rank by the old data centre.
     entry.fence_end = FenceEnd(now);
-  } else if (Only(this->PossibleOwners(entry), entry.owner, nullptr)) {
+  } else if (this->OnlyOwner(entry)) {
     entry.fence_end = FenceEnd(this->before_learned);
   } else {
     entry.fence_end = FenceEnd(this->view_learned);
--- a/ownership.h
+++ b/ownership.h
@@ -128,6 +128,10 @@
   bool IsSelf(const RouterRecord* router) const;
   // Compares the present view with the previous one.
   void ComputePast();
+  // The owner in the present view; `entry.owner` is still that in the previous one.
+  const RouterRecord* NextOwner(const Entry& entry) const;
+  // True if no router but the present owner is among PossibleOwners().
+  bool OnlyOwner(const Entry& entry) const;
   std::vector<const RouterRecord*> PossibleOwners(const Entry& entry) const;
   // True if all elements of `routers` are `one` or `other`.
   static bool Only(const std::vector<const RouterRecord*>& routers, const RouterRecord* one,
@@ -140,6 +144,11 @@
   RouterView view;
   std::vector<Past> past;            // parallel to `view.routers`
   std::vector<RouterRecord> before;  // routers of the previous view
+  // Parallel to `before`: the same incarnation in `view` if it could own in both views and is in
+  // the same data centre, or nullptr.
+  std::vector<const RouterRecord*> successors;
+  std::vector<const RouterRecord*> newcomers;  // of `view`, not draining, nobody's successor
+  std::vector<const RouterRecord*> retiring;   // of `view`, draining, but not known so before
   Time view_learned = Time::min();
   Time before_learned = Time::min();
   std::map<std::string, Entry, std::less<>> targets;
--- a/testing/ownership_test.cc
+++ b/testing/ownership_test.cc
@@ -138,6 +138,47 @@
   }
 }
 
+// Guards against owners that depend on the views before: LearnView() compares only the routers that
+// changed, ChooseOwner() all.
+TEST_CASE("owners after many views", "[ownership]") {
+  CHECK(rc::check("equal to a choice among all routers", [](uint32_t seed) {
+    std::mt19937 random(seed);
+    const auto pick = [&](uint32_t n) { return static_cast<uint32_t>(random() % n); };
+    std::map<std::string, RouterRecord> routers;
+    Ownership ownership({"r0", 1}, Routing::kOwner);
+    std::map<std::string, std::string> targets;
+    for (uint64_t index = 1; index <= 30; ++index) {
+      // Up to three changes: join, next incarnation, move, drain or leave.
+      for (uint32_t n = pick(3) + 1; n > 0; --n) {
+        const std::string id = "r" + std::to_string(pick(8));
+        RouterRecord& router = routers[id];
+        const std::string data_centre = pick(2) == 0 ? "tre-a" : "tre-b";
+        if (router.id.empty() || pick(3) == 0) {
+          router = Router(id, router.incarnation + 1, data_centre);
+        } else if (pick(3) == 0) {
+          router.data_centre = data_centre;
+        } else if (!router.draining) {
+          router.draining = true;
+        } else {
+          routers.erase(id);
+        }
+      }
+      const std::string added = "t" + std::to_string(pick(40));
+      targets[added] = pick(2) == 0 ? "tre-a" : "tre-b";
+      ownership.UpsertTarget(TimeAt(0), added, targets[added]);
+      std::vector<RouterRecord> list;
+      for (const auto& [id, router] : routers) list.push_back(router);
+      ownership.LearnView(TimeAt(static_cast<int64_t>(index) * 10'000), {index, list});
+      for (const auto& [target, data_centre] : targets) {
+        const RouterRecord* expected = ChooseOwner(target, data_centre, list);
+        const RouterRecord* owner = ownership.OwnerOf(target);
+        RC_ASSERT((owner == nullptr) == (expected == nullptr));
+        if (owner != nullptr) RC_ASSERT(*owner == *expected);
+      }
+    }
+  }));
+}
+
 // A model of leader, routers and network that keeps the contract of ownership.h: leases run from
 // the sending of a sync request, sessions from its arrival, and messages are delayed or lost.
 class World {
