--- a/bench/capacity_leader.cc
+++ b/bench/capacity_leader.cc
@@ -22,6 +22,8 @@
 constexpr uint32_t kChangesPerSecond = 10;
 constexpr uint32_t kRevisions = 10;
 constexpr uint32_t kRestarts = 10;
+// Each question costs the leader a quorum round, so a shorter interval would add to its load.
+constexpr Duration kInForceInterval = Millis(5);
 const char* const kScale = "routers";
 
 void Sleep(Duration time) { std::this_thread::sleep_for(time); }
@@ -317,6 +319,7 @@
         });
       });
       while (!answered) Sleep(Duration(200));
+      if (!in_force) Sleep(kInForceInterval);
     }
     return ToMillis(SteadyNow() - accepted) / kMilli;
   }
