--- a/bench/capacity_leader.cc
+++ b/bench/capacity_leader.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <iostream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -162,6 +163,7 @@
  private:
   void Add(const std::string& quantity, double y) {
     this->report.Add(quantity, kScale, this->options.routers, y);
+    std::cerr << this->options.routers << " routers, " << quantity << ": " << y << std::endl;
   }
 
   Usage Now() {
--- a/bench/capacity_raft.cc
+++ b/bench/capacity_raft.cc
@@ -8,6 +8,7 @@
 #include "bench/capacity_group.h"
 #include "bench/capacity_model.h"
 #include "bench/capacity_parts.h"
+#include "config.h"
 
 namespace peridotgauge {
 namespace {
@@ -153,7 +154,7 @@
     wire::ApplyConfigT apply;
     apply.text = ModelConfig(i, kPlannedServices);
     apply.revision = i;
-    apply.digest = i;
+    apply.digest = Config::Parse(apply.text)->Digest();
     state.Apply(i, Encoded(i, std::move(apply)));
   }
   const char* const scale = "revisions of 900 services";
