--- a/testing/cluster.sh
+++ b/testing/cluster.sh
@@ -6,11 +6,13 @@
 set -uo pipefail
 
 declare -A PIDS=()
+SLOT=${CLUSTER_SLOT:-0}  # 0 to 8; tests that run at the same time need different ports
 PASSED=0
 FAILED=0
 CONTROLLERS=3
 ROUTERS=3
 DATA_CENTRES=(tre-a tre-b tre-c)
+EXAMPLES=$(cd "$(dirname "${BASH_SOURCE[0]}")/../examples/local" && pwd)
 
 cluster_init() { # cluster_init BUILD
   BUILD=$(cd "$1" && pwd)
@@ -37,16 +39,16 @@
 http_of() { # http_of router-1 -> address
   local name=$1 number=${1##*-}
   case $name in
-    router-*) echo "127.0.0.1:$((17000 + number))" ;;
-    controller-*) echo "127.0.0.1:$((17100 + number))" ;;
+    router-*) echo "127.0.0.1:$((17000 + 10 * SLOT + number))" ;;
+    controller-*) echo "127.0.0.1:$((17100 + 10 * SLOT + number))" ;;
   esac
 }
 
 peer_of() {
   local name=$1 number=${1##*-}
   case $name in
-    router-*) echo "127.0.0.1:$((17300 + number))" ;;
-    controller-*) echo "127.0.0.1:$((17200 + number))" ;;
+    router-*) echo "127.0.0.1:$((17300 + 10 * SLOT + number))" ;;
+    controller-*) echo "127.0.0.1:$((17200 + 10 * SLOT + number))" ;;
   esac
 }
 
@@ -82,6 +84,67 @@
   PIDS[$name]=$!
 }
 
+TARGETS_ADMIN=127.0.0.1:$((19900 + SLOT))
+
+# Starts the stand-in targets of the example configuration in one process: two replicas of each
+# shard, in different data centres.
+start_targets() { # start_targets [JQ...]: assignments to the description of the targets
+  local expression='.' i
+  for i in "$@"; do expression="$expression | $i"; done
+  jq --arg routers "$(addresses)" \
+    ".routers = (\$routers | split(\",\")) | .groups[0].first_port = $((19001 + 100 * SLOT))
+     | .groups[1].first_port = $((19021 + 100 * SLOT)) | $expression" \
+    "$EXAMPLES/targets.json" >"$DIR/targets.json"
+  start_program targets "$BUILD/standin_target" --targets="$DIR/targets.json" \
+    --admin="$TARGETS_ADMIN"
+}
+
+standin() { # standin [JSON]: the reports of all targets, after these switches
+  if [ $# -eq 0 ]; then
+    curl -sf -m 5 "http://$TARGETS_ADMIN/standin"
+  else
+    curl -sf -m 5 -d "$1" "http://$TARGETS_ADMIN/standin"
+  fi
+}
+
+# How often each order was executed by all targets together, as a JSON object by request id.
+order_counts() {
+  standin | jq -c '[.[].order_counts | to_entries[]] | group_by(.key)
+    | map({key: .[0].key, value: (map(.value) | add)}) | from_entries'
+}
+
+# Starts controllers, routers and targets, applies revision 1 and waits until a search is complete.
+start_deployment() {
+  start_all
+  start_targets
+  write_config "$DIR/first.json" 1
+  wait_until 15 has_leader
+  wait_until 15 cli status
+  wait_until 15 cli apply "$DIR/first.json"
+  check "the deployment starts" wait_until 15 search_complete
+}
+
+now_ms() { echo $((${EPOCHREALTIME/./} / 1000)); }
+
+# Asks the routers in turn for the address list; prints one address per line.
+ask_for_addresses() {
+  local address list
+  for address in $(addresses | tr ',' ' '); do
+    list=$(curl -sf -m 2 "http://$address/v1/routers" | jq -r '.routers[].address' 2>/dev/null)
+    if [ -n "$list" ]; then
+      echo "$list"
+      return 0
+    fi
+  done
+  return 1
+}
+
+call() { # call ADDRESS PATH [JSON]: prints the body, then the HTTP status (000: none) on its own line
+  local data=()
+  if [ $# -gt 2 ]; then data=(-d "$3"); fi
+  curl -s -m 6 -w '\n%{http_code}\n' "${data[@]}" "http://$1$2"
+}
+
 signal() { # signal NAME SIGNAL
   kill "-$2" "${PIDS[$1]}"
 }
@@ -159,7 +222,7 @@
   shift 2
   for i in "$@"; do expression="$expression | $i"; done
   jq --argjson revision "$revision" ".revision = \$revision | $expression" \
-    "$(dirname "${BASH_SOURCE[0]}")/../examples/local/config.json" >"$file"
+    "$EXAMPLES/config.json" >"$file"
 }
 
 has_leader() { [ -n "$(leader)" ]; }
