Dispatch again to a target that withdraws its drain

Cause: the owner marked the queue of a draining or unregistered target as draining and cleared the mark only when the target started again, so a target that registered as serving under the same incarnation was refused for ever (no_target) although the directory listed it as serving. After: the queue follows each registration.

--- a/owner.cc
+++ b/owner.cc
@@ -240,7 +240,11 @@
     lane.record = record;
     lane.queue.SetLimits(slots, connections);
     lane.client->SetOptions({.connections = connections, .warm = lane.queue.WarmConnections()});
-    if (record.state == TargetState::kDraining) lane.queue.Drain();
+    if (record.state == TargetState::kDraining) {
+      lane.queue.Drain();
+    } else {
+      lane.queue.Resume();
+    }
   }
 
   // Fails everything of the lane and removes it.
--- a/target_queue.h
+++ b/target_queue.h
@@ -86,8 +86,10 @@
 
   // The target's registered values, already limited by the configuration.
   void SetLimits(uint32_t slots, uint32_t connections);
-  // Stops dispatching for good. The next Poll() drops what waits.
+  // Stops dispatching until Resume() or Restart(). The next Poll() drops what waits.
   void Drain() { this->draining = true; }
+  // The target takes requests again without a restart: it withdrew its drain or registered anew.
+  void Resume() { this->draining = false; }
   // Stops dispatching while the owner may not dispatch (fence or lease); entries keep waiting.
   void Pause(bool paused) { this->paused = paused; }
   // The target has started again: warms up anew. Running exchanges keep their slots until OnDone().
--- a/testing/target_queue_test.cc
+++ b/testing/target_queue_test.cc
@@ -53,6 +53,10 @@
     CHECK(work.dispatch.empty());
     CHECK(work.drops.size() == 2);
     CHECK(queue.Push(kStart, 9, kFar).error().NotRun());
+    // A target that serves again without a restart must not stay shut out.
+    queue.Resume();
+    CHECK(queue.Push(kStart, 9, kFar));
+    CHECK(queue.Poll(kStart).dispatch == std::vector<uint64_t>{9});
   }
   SECTION("a pause keeps what waits") {
     queue.Pause(true);
