--- a/bench/standin_options.cc
+++ b/bench/standin_options.cc
@@ -100,7 +100,10 @@
   reader.RefuseUnknown({"routers", "groups"});
   StandinDeployment deployment;
   deployment.routers = reader.Strings("routers", kMaxTargets, 64);
-  for (const Group& group : reader.Each<Group>("groups", kMaxTargets, ParseGroup)) {
+  const Result<std::vector<Group>> groups =
+      reader.Finish(reader.Each<Group>("groups", kMaxTargets, ParseGroup));
+  if (!groups) return tl::unexpected<Error>(groups.error());
+  for (const Group& group : *groups) {
     uint64_t port = group.first_port;
     for (uint64_t s = 1; s <= group.services; ++s) {
       const std::string service =
@@ -114,7 +117,7 @@
   if (deployment.targets.size() > kMaxTargets) {
     return Fail(ErrorCode::kBadRequest, "targets: more than " + std::to_string(kMaxTargets));
   }
-  return reader.Finish(deployment);
+  return deployment;
 }
 
 }  // namespace peridotgauge
--- a/json_text.h
+++ b/json_text.h
@@ -93,6 +93,7 @@
     std::vector<T> values;
     for (const std::string& raw : this->Array(name, max_length)) {
       values.push_back(this->Take(read(raw)));
+      if (!this->object) return {};
     }
     return values;
   }
