--- a/bench/loadgen.cc
+++ b/bench/loadgen.cc
@@ -262,8 +262,8 @@
                                 .deadline = SteadyNow() + this->options.timeout,
                                 .done =
                                     [weak = this->weak_from_this(), job](const HttpResult& result) {
-                                      if (const auto self = weak.lock())
-                                        self->OnResult(job, result);
+                                      const auto self = weak.lock();
+                                      if (self) self->OnResult(job, result);
                                     },
                                 .released = {}});
 }
@@ -276,7 +276,8 @@
       counts.latency.Add(SteadyNow() - job->arrival);
     }
     if (job->order) {
-      if (const auto answer = ParseOrderAnswer(result->body)) this->CountOrder(*job, *answer);
+      const auto answer = ParseOrderAnswer(result->body);
+      if (answer) this->CountOrder(*job, *answer);
     } else if (const auto answer = ParseSearchAnswer(result->body)) {
       this->CountSearch(*job, *answer);
     } else if (job->measured) {
--- a/bench/standin_target.cc
+++ b/bench/standin_target.cc
@@ -27,7 +27,6 @@
 using boost::system::error_code;
 using Tcp = asio::ip::tcp;
 
-constexpr size_t kReadBytes = 4'096;
 // Pause before a port that could not be bound after a restart is tried again.
 constexpr Duration kRebindTime = Millis(100);
 
@@ -206,7 +205,7 @@
 
 Result<void> StandinTarget::Impl::Start() {
   this->options.record.incarnation = static_cast<uint64_t>(UnixMillis());
-  const Result<void> listening = this->Listen();
+  Result<void> listening = this->Listen();
   if (listening) this->Announce();
   return listening;
 }
--- a/caller_api.cc
+++ b/caller_api.cc
@@ -332,7 +332,7 @@
   answer.attempts = reader.Take(ParseAttempts(reader.Raw("attempts")));
   const std::vector<std::string> covered = reader.Array("covered", kMaxEntries);
   const bool complete = reader.Bool("complete");
-  const Result<SearchAnswer> read = reader.Finish(answer);
+  Result<SearchAnswer> read = reader.Finish(answer);
   if (read && (complete != answer.missing.empty() || covered.size() != answer.results.size())) {
     return Fail(ErrorCode::kBadRequest, "search answer: complete: contradicts the shard lists");
   }
@@ -380,7 +380,7 @@
   answer.body = reader.Raw("body");
   answer.replayed = reader.Bool("replayed");
   const std::string outcome = reader.String("outcome", 0, kMaxText);
-  const Result<OrderAnswer> read = reader.Finish(answer);
+  Result<OrderAnswer> read = reader.Finish(answer);
   if (read && outcome != "done") {
     return Fail(ErrorCode::kBadRequest, "order answer: outcome: expected \"done\"");
   }
--- a/http_client.cc
+++ b/http_client.cc
@@ -101,7 +101,7 @@
   void Assign(const std::shared_ptr<Connection>& connection, bool fresh);
   void Open();
   void OnDeadline(const ExchangePtr& exchange);
-  void FailCall(ExchangePtr exchange, const std::string& why);
+  void FailCall(const ExchangePtr& exchange, const std::string& why);
   void FailWaiting(const std::string& why);
   void ScheduleWarm();
   void Release(const ExchangePtr& exchange);
@@ -247,14 +247,15 @@
   if (this->connections.empty()) {
     this->FailWaiting(detail);
   } else if (this->waiting.size() > this->connecting) {
-    this->FailCall(this->waiting.front(), detail);
+    const ExchangePtr first = this->waiting.front();  // FailCall() removes it from the queue
+    this->FailCall(first, detail);
   }
   this->ScheduleWarm();
   if (!this->closed) this->Pump();
 }
 
 // Ends a call of which nothing was sent, unless it has ended already.
-void HttpClient::Impl::FailCall(ExchangePtr exchange, const std::string& why) {
+void HttpClient::Impl::FailCall(const ExchangePtr& exchange, const std::string& why) {
   if (!this->exchanges.contains(exchange->id)) return;
   this->Finish(exchange, tl::unexpected<HttpFailure>(NotSent(why)));
   this->Release(exchange);
--- a/http_server.cc
+++ b/http_server.cc
@@ -165,8 +165,9 @@
   if (!error) this->acceptor.bind(where, error);
   if (!error) this->acceptor.listen(asio::socket_base::max_listen_connections, error);
   if (!error) this->acceptor.non_blocking(true, error);
-  if (error)
+  if (error) {
     return Fail(ErrorCode::kUnavailable, "cannot bind " + address + ": " + error.message());
+  }
   return {};
 }
 
--- a/json_text.cc
+++ b/json_text.cc
@@ -240,7 +240,7 @@
 
 Result<std::vector<std::string>> JsonObject::Strings(std::string_view name, size_t max_count,
                                                      size_t max_length) const {
-  const Result<std::vector<std::string>> elements = this->Array(name, max_count);
+  Result<std::vector<std::string>> elements = this->Array(name, max_count);
   if (!elements) return elements;
   std::vector<std::string> texts;
   for (const std::string& raw : *elements) {
--- a/testing/target_client_test.cc
+++ b/testing/target_client_test.cc
@@ -36,7 +36,7 @@
           .body = R"({"hits":[]})"};
 }
 
-void SetHeader(HttpResponse& response, std::string_view name, std::string value) {
+void SetHeader(HttpResponse& response, std::string_view name, const std::string& value) {
   for (HttpHeader& header : response.headers) {
     if (header.name == name) header.value = value;
   }
