Fence a router's targets after a missed removal; say 'not run' of orders only when the ledger proves it

Cause: (1) a frozen router that was removed from the list joins again with its incarnation and does not know the views in which another router owned its targets, so both could dispatch. (2) an order refused before the ledger was asked said 'not run', although an earlier send of the same id may have been executed by another router. Change: Ownership::FenceOwnTargets() on a lease that begins after a lapse with a changed view; orders say 'not run' only for a full ledger or a committed release.

--- a/order.cc
+++ b/order.cc
@@ -75,12 +75,12 @@
   if (this->state != OrderState::kReceived) return effects;
   this->lease = lease;
   if (!lease.valid) {
-    this->End(OrderState::kRefused, Refusal({ErrorCode::kNotSynchronized, ""}, true), effects);
+    this->End(OrderState::kRefused, Refusal({ErrorCode::kNotSynchronized, ""}, false), effects);
     return effects;
   }
   if (now >= this->params.deadline) {
     this->End(OrderState::kRefused,
-              Refusal({ErrorCode::kOverloaded, "the deadline passed before the claim"}, true),
+              Refusal({ErrorCode::kOverloaded, "the deadline passed before the claim"}, false),
               effects);
     return effects;
   }
@@ -119,10 +119,12 @@
     this->ReleaseUnknownClaim(effects);
   } else if (CommandNotSent(error.code)) {
     this->End(OrderState::kRefused,
-              Refusal({ErrorCode::kUnavailable, "the request could not be claimed"}, true),
+              Refusal({ErrorCode::kUnavailable, "the request could not be claimed"}, false),
               effects);
   } else {
-    this->End(OrderState::kRefused, Refusal(std::move(error), true), effects);
+    // The ledger looks for a known id before it refuses for lack of room.
+    const bool not_run = error.code == ErrorCode::kLedgerFull;
+    this->End(OrderState::kRefused, Refusal(std::move(error), not_run), effects);
   }
 }
 
--- a/order_runner.cc
+++ b/order_runner.cc
@@ -226,7 +226,8 @@
   const auto config = context.control.CurrentConfig();
   const Service* service = config->FindService(request.service);
   const auto refuse = [&](const Error& error) {
-    callback({tl::unexpected(error), error.NotRun()});
+    // An earlier send of the same id may have been executed.
+    callback({tl::unexpected(error), false});
   };
   if (!context.control.Synchronized(now)) return refuse({ErrorCode::kNotSynchronized, ""});
   if (service == nullptr) {
--- a/ownership.cc
+++ b/ownership.cc
@@ -182,6 +182,14 @@
                          Only(this->PossibleOwners(entry), entry.owner, myself)};
 }
 
+void Ownership::FenceOwnTargets(Time now) {
+  for (auto& [target, entry] : this->targets) {
+    if (!this->IsSelf(entry.owner)) continue;
+    entry.fence_end = FenceEnd(now);
+    entry.fence_view = this->view.index;
+  }
+}
+
 void Ownership::UpsertTarget(Time now, const std::string& target, const std::string& data_centre) {
   const auto [found, added] = this->targets.try_emplace(target);
   Entry& entry = found->second;
--- a/ownership.h
+++ b/ownership.h
@@ -12,7 +12,7 @@
 // - a router learns views in the order of their index, and renews its lease only after it has
 //   learned the view of the reply;
 // - an incarnation that is draining never stops draining, and one that was removed from the view
-//   never returns: a router that finds itself removed joins with a higher incarnation;
+//   and returns calls FenceOwnTargets() before it dispatches again;
 // - the leader removes a router only after its session has expired or by a clean leave.
 //
 // Rules. The owner is the router that is not draining with the highest rank for the target: routers
@@ -92,6 +92,11 @@
   // that this router must stop dispatching to at once.
   std::vector<Handover> LearnView(Time now, RouterView view);
 
+  // Fences the targets that this router owns. To be called when a lease begins after a lapse in
+  // which the view has changed: this incarnation may have left the router list and joined it again,
+  // and in the views between, which it has not learned, another router owned its targets.
+  void FenceOwnTargets(Time now);
+
   // Adds a target, or moves it to another data centre.
   void UpsertTarget(Time now, const std::string& target, const std::string& data_centre);
   void RemoveTarget(std::string_view target);
--- a/router.cc
+++ b/router.cc
@@ -137,13 +137,15 @@
   bool Refusing(Time now) const { return this->refuse_at && now >= *this->refuse_at; }
 
   // Answers with the reason if this router takes no requests now.
-  bool RefuseUnlessServing(Time now, const HttpResponder& responder, std::string_view id) const {
+  // `not_run` is false for an order: an earlier send of the same id may have been executed.
+  bool RefuseUnlessServing(Time now, const HttpResponder& responder, std::string_view id,
+                           bool not_run = true) const {
     if (this->Refusing(now)) {
-      responder.Send(ErrorResponse({ErrorCode::kDraining, ""}, id));
+      responder.Send(ErrorResponse({ErrorCode::kDraining, ""}, id, not_run));
       return true;
     }
     if (this->control.Synchronized(now)) return false;
-    responder.Send(ErrorResponse({ErrorCode::kNotSynchronized, ""}, id));
+    responder.Send(ErrorResponse({ErrorCode::kNotSynchronized, ""}, id, not_run));
     return true;
   }
 
@@ -187,7 +189,7 @@
     if (!request) return responder.Send(ErrorResponse(request.error(), ""));
     const Time now = SteadyNow();
     const std::string id = request->request_id;
-    if (this->RefuseUnlessServing(now, responder, id)) return;
+    if (this->RefuseUnlessServing(now, responder, id, false)) return;
     StartOrder(this->context, this->orders, std::move(*request),
                ParseTraceparent(http.Header("traceparent")), now,
                [responder, id](OrderReply reply) {
--- a/testing/ownership_test.cc
+++ b/testing/ownership_test.cc
@@ -140,6 +140,43 @@
 
 // Guards against owners that depend on the views before: LearnView() compares only the routers that
 // changed, ChooseOwner() all.
+// Guards against two owners after a frozen router has left the list and joined it again with the
+// same incarnation: it never learned the views in which another router owned its targets.
+TEST_CASE("a router that missed its own removal", "[ownership]") {
+  const Time start = TimeAt(100'000);
+  const Time lease = start + Seconds(100);
+  const std::vector<RouterRecord> both = {Router("a", 1, "tre-a"), Router("b", 1, "tre-a")};
+  const bool a_owns = ChooseOwner("t", "tre-a", both)->id == "a";
+  const RouterRecord& frozen = both[a_owns ? 0 : 1];
+  const RouterRecord& other = both[a_owns ? 1 : 0];
+  Ownership at_frozen({frozen.id, 1}, Routing::kOwner);
+  Ownership at_other({other.id, 1}, Routing::kOwner);
+  for (Ownership* ownership : {&at_frozen, &at_other}) {
+    ownership->UpsertTarget(start, "t", "tre-a");
+    ownership->LearnView(start, {1, both});
+  }
+  const Time settled = start + kHandoverWait;
+  REQUIRE(at_frozen.MayDispatch(settled, lease, "t"));
+  at_other.LearnView(settled, {2, {other}});
+  REQUIRE(at_other.MayDispatch(settled, lease, "t"));
+
+  const Time thawed = settled + Seconds(10);
+  at_frozen.LearnView(thawed, {3, both});
+  at_frozen.FenceOwnTargets(thawed);
+  CHECK_FALSE(at_frozen.MayDispatch(thawed, lease, "t"));
+  SECTION("it may dispatch when the other one has released the target") {
+    const auto lost = at_other.LearnView(thawed, {3, both});
+    REQUIRE(lost.size() == 1);
+    CHECK(lost[0].may_release);
+    at_frozen.OnRelease(thawed, {3, other.id, {"t"}});
+    CHECK(at_frozen.MayDispatch(thawed, lease, "t"));
+    CHECK_FALSE(at_other.MayDispatch(thawed, lease, "t"));
+  }
+  SECTION("or when the other one's lease on the older view has ended") {
+    CHECK(at_frozen.MayDispatch(thawed + kHandoverWait, lease, "t"));
+  }
+}
+
 TEST_CASE("owners after many views", "[ownership]") {
   CHECK(rc::check("equal to a choice among all routers", [](uint32_t seed) {
     std::mt19937 random(seed);
