Try another replica for an order that the owner refused

Cause: an order whose target was in a hand-over or had started to drain was answered with no_target (not run), although another replica served. A router that leaves or joins therefore cut off orders sent to any router.

--- a/order_runner.cc
+++ b/order_runner.cc
@@ -6,7 +6,10 @@
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <set>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace peridotgauge {
 namespace {
@@ -18,12 +21,14 @@
  public:
   OrderRun(RequestContext& context, OrderIdentity& identity, OrderRequest request,
            OrderParams params, uint64_t fingerprint, ActiveSpan span,
-           std::function<void(OrderReply)> callback)
+           std::function<void(OrderReply)> callback, std::set<std::string> tried = {})
       : context(context),
         identity(identity),
         request(std::move(request)),
         fingerprint(fingerprint),
+        params(params),
         deadline(params.deadline),
+        tried(std::move(tried)),
         order(std::move(params), context.replicas),
         timer(context.io),
         span(std::move(span)),
@@ -95,14 +100,17 @@
   }
 
   // An order goes to one shard of its service, by the hash of its request id. Returns the targets
-  // that hold the shard; empty if the service is unknown by now.
+  // that hold the shard and were not tried; empty if the service is unknown by now.
   Candidates ChooseShard() {
     const auto planned = this->context.planner.PlanFor(this->request.service);
     if (!planned) return {};
     this->plan = *planned;
     const std::string& id = this->request.request_id;
     this->shard = XXH3_64bits(id.data(), id.size()) % this->plan->services.front().shards;
-    return this->plan->shards[this->shard].candidates;
+    for (const TargetRecord* target : this->plan->shards[this->shard].candidates) {
+      if (!this->tried.contains(target->target)) this->untried.push_back(target);
+    }
+    return this->untried;
   }
 
   void Dispatch(Time now, const OrderDispatch& dispatch) {
@@ -111,6 +119,7 @@
     sub.attempt = dispatch.attempt;
     sub.operation = wire::Operation::Order;
     sub.target = dispatch.target->target;
+    this->tried.insert(sub.target);
     sub.service = this->request.service;
     sub.shard = this->plan->shards[this->shard].shard;
     sub.shards = this->plan->services.front().shards;
@@ -180,7 +189,26 @@
     this->Apply(now, this->order.OnRecordAnswer(now, answer));
   }
 
+  // True if the order was refused before it reached its target, its claim is released, and there
+  // is another replica. Owners refuse during a hand-over and while their target drains.
+  bool MayTryAnother(const OrderOutcome& outcome) const {
+    return this->callback && outcome.not_run && outcome.error &&
+           outcome.error->code == ErrorCode::kNoTarget &&
+           this->order.State() == OrderState::kNotRun && this->untried.size() > 1;
+  }
+
+  // Runs the order anew, under a claim of its own, without the replicas that were tried.
+  void TryAnother() {
+    OrderParams params = this->params;
+    params.holder.claim_id = ++this->identity.last_claim;
+    auto run = std::make_shared<OrderRun>(
+        this->context, this->identity, this->request, std::move(params), this->fingerprint,
+        std::move(this->span), std::exchange(this->callback, nullptr), this->tried);
+    run->Begin(SteadyNow());
+  }
+
   void Answer(OrderOutcome outcome) {
+    if (this->MayTryAnother(outcome)) return this->TryAnother();
     const std::string label = outcome.error ? std::string(outcome.error->Name()) : "done";
     this->context.metrics.CounterOf("peridotgauge_orders_total", {{"outcome", label}}).Add();
     this->context.tracer.End(std::move(this->span), UnixNanos(), outcome.error);
@@ -209,13 +237,16 @@
   OrderIdentity& identity;
   OrderRequest request;
   uint64_t fingerprint;
+  OrderParams params;
   Time deadline;
+  std::set<std::string> tried;  // targets, of earlier claims too
   Order order;
   boost::asio::steady_timer timer;
   ActiveSpan span;
   std::function<void(OrderReply)> callback;  // empty once called
   std::shared_ptr<const Plan> plan;          // of the dispatch; keeps the target's record alive
   uint32_t shard = 0;                        // index into Plan::shards
+  std::vector<const TargetRecord*> untried;  // the candidates of this claim; part of `plan`
 };
 
 }  // namespace
