--- a/order_runner.cc
+++ b/order_runner.cc
@@ -155,7 +155,7 @@
     wire::QuarantineT command;
     command.fingerprint = this->fingerprint;
     command.duration_ms = kQuarantineTime.count() / 1000;
-    this->context.control.Command(ToCommand(std::move(command)), SteadyNow() + Seconds(2),
+    this->context.control.Command(ToCommand(command), SteadyNow() + Seconds(2),
                                   [](const Result<wire::CommandReplyT>&) {});
   }
 
--- a/owner.cc
+++ b/owner.cc
@@ -178,8 +178,9 @@
 
   // Brings lanes in line with ownership, fences and the directory.
   void Refresh(Time now) {
-    for (const std::string& target : this->ownership.OwnedTargets())
+    for (const std::string& target : this->ownership.OwnedTargets()) {
       this->RefreshOwned(now, target);
+    }
     std::vector<std::string> names;
     for (const auto& [name, lane] : this->lanes) names.push_back(name);
     for (const std::string& name : names) {
