Answer polls in short turns of the leader's event loop

Cause: the leader answered all due polls in one turn of its event loop, the same that sends raft heartbeats. A full directory of 2,700 targets for each of 480 routers takes long. The likely chain, which was not traced: heartbeats late, leadership moves, the new leader sends everything again. Change: due polls are queued, and a turn that answers them ends after 10 ms. The cost of the answers is unchanged. Only the ownership tests and the capacity program were run after this change.

--- a/bench/capacity_raft.cc
+++ b/bench/capacity_raft.cc
@@ -17,6 +17,7 @@
 constexpr double kMilli = 1e3;
 constexpr size_t kOrderAnswerBytes = 100;
 constexpr uint32_t kWindow = 64;  // commands under way in the pipelined run
+constexpr uint64_t kSnapshotIndex = 1'000'000;  // above that of every command
 
 wire::ClaimT ModelClaim(uint64_t number, int64_t now_ms) {
   wire::ClaimT claim;
@@ -121,7 +122,7 @@
   report.Add(what + ": size, MB", scale, x, static_cast<double>(snapshot.size()) / kMicro);
   report.Add(what + ": CPU of taking it, ms", scale, x, (taken - start) * kMilli);
   ControlState restored;
-  const Result<void> result = restored.Restore(1, snapshot);
+  const Result<void> result = restored.Restore(kSnapshotIndex, snapshot);
   report.Add(what + ": CPU of restoring it, ms", scale, x, (ThreadCpuSeconds() - taken) * kMilli);
   if (!result || !(restored == state)) report.Add("FAILED restores", scale, x, 1);
 }
--- a/controller.cc
+++ b/controller.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -26,6 +27,9 @@
 // A configuration text above this is sent without directory news, so that the reply stays below the
 // limit of a frame.
 constexpr size_t kLargeTextBytes = 256 << 10;
+// Longest time for which answers to polls keep the event loop. A full directory for each of many
+// routers takes longer than the election timeout, and raft heartbeats must go out meanwhile.
+constexpr Duration kAnswerTime = Millis(10);
 
 wire::BodyUnion SyncError(ErrorCode code, const std::string& detail, const std::string& leader) {
   wire::SyncReplyT reply;
@@ -141,6 +145,7 @@
     Time hold_until;
     Responder responder;
     bool confirmed = false;  // a quorum round that began after the arrival has ended
+    bool queued = false;     // in `due_polls`
     bool released = false;   // the router has sent a newer request; nothing is gained by waiting
 
     RouterId Id() const { return {this->router.id, this->router.incarnation}; }
@@ -256,7 +261,7 @@
     const bool member = this->state.IsMember(poll.router.id, poll.router.incarnation);
     if (!member || this->sessions.Leaving(poll.Id())) return this->Admit(id);
     poll.confirmed = true;
-    this->MaybeReply(SteadyNow(), id);
+    if (this->Due(SteadyNow(), poll)) this->Enqueue(id, poll);
   }
 
   void Join(const RouterRecord& router) {
@@ -293,14 +298,16 @@
     return pushed == this->last_push.end() || now - pushed->second >= kDirectoryInterval;
   }
 
+  bool Due(Time now, const Poll& poll) const {
+    return poll.confirmed &&
+           (poll.released || now >= poll.hold_until || poll.state_index != this->state.Version() ||
+            this->DirectoryNews(now, poll) || !this->directory.HasFull(poll.router.id));
+  }
+
   void MaybeReply(Time now, uint64_t id) {
     const auto found = this->polls.find(id);
-    if (found == this->polls.end() || !found->second.confirmed) return;
+    if (found == this->polls.end() || !this->Due(now, found->second)) return;
     const Poll& poll = found->second;
-    const bool due = poll.released || now >= poll.hold_until ||
-                     poll.state_index != this->state.Version() || this->DirectoryNews(now, poll) ||
-                     !this->directory.HasFull(poll.router.id);
-    if (!due) return;
     // The view can have changed while the poll was held.
     if (!this->state.IsMember(poll.router.id, poll.router.incarnation)) {
       return this->Finish(id, SyncError(ErrorCode::kNotSynchronized, "not in the view", ""));
@@ -515,10 +522,40 @@
   }
 
   void AnswerPolls(Time now) {
-    std::vector<uint64_t> ids;
-    ids.reserve(this->polls.size());
-    for (const auto& [id, poll] : this->polls) ids.push_back(id);
-    for (const uint64_t id : ids) this->MaybeReply(now, id);
+    for (auto& [id, poll] : this->polls) {
+      if (this->Due(now, poll)) this->Enqueue(id, poll);
+    }
+  }
+
+  void Enqueue(uint64_t id, Poll& poll) {
+    if (std::exchange(poll.queued, true)) return;
+    this->due_polls.push_back(id);
+    this->AnswerSoon();
+  }
+
+  void AnswerSoon() {
+    if (std::exchange(this->answer_scheduled, true)) return;
+    asio::post(this->io, [weak = this->weak_from_this()] {
+      auto self = weak.lock();
+      if (!self || self->stopped) return;
+      self->answer_scheduled = false;
+      self->AnswerDue();
+    });
+  }
+
+  void AnswerDue() {
+    this->CheckLeadership();
+    Time now = SteadyNow();
+    const Time end = now + kAnswerTime;
+    for (; !this->due_polls.empty() && now < end; now = SteadyNow()) {
+      const uint64_t id = this->due_polls.front();
+      this->due_polls.pop_front();
+      const auto found = this->polls.find(id);
+      if (found == this->polls.end()) continue;
+      found->second.queued = false;
+      this->MaybeReply(now, id);
+    }
+    if (!this->due_polls.empty()) this->AnswerSoon();
   }
 
   void OnTimer() {
@@ -581,6 +618,8 @@
   Directory directory;
   std::map<uint64_t, Poll> polls;  // by order of arrival
   uint64_t last_poll = 0;
+  std::deque<uint64_t> due_polls;  // polls that wait for their answer, each once
+  bool answer_scheduled = false;
   std::set<std::string> joining;             // routers whose join has been proposed
   std::map<std::string, uint64_t> departed;  // last incarnation that has left cleanly
   std::map<std::string, Time> last_push;     // last directory news sent to each router
