--- a/bench/capacity_raft.cc
+++ b/bench/capacity_raft.cc
@@ -16,7 +16,7 @@
 constexpr double kMicro = 1e6;
 constexpr double kMilli = 1e3;
 constexpr size_t kOrderAnswerBytes = 100;
-constexpr uint32_t kWindow = 64;  // commands under way in the pipelined run
+constexpr uint32_t kWindow = 64;                // commands under way in the pipelined run
 constexpr uint64_t kSnapshotIndex = 1'000'000;  // above that of every command
 
 wire::ClaimT ModelClaim(uint64_t number, int64_t now_ms) {
