--- a/bench/capacity_meter.h
+++ b/bench/capacity_meter.h
@@ -7,7 +7,6 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <ostream>
 #include <string>
 #include <thread>
