--- a/bench/standin_target.cc
+++ b/bench/standin_target.cc
@@ -451,6 +451,7 @@
 
 void StandinTarget::Connection::OnServed(bool in_time) {
   this->running = false;
+  this->impl->Release();
   std::optional<HttpResponse> reply;
   if (in_time) {
     reply = this->impl->Complete(this->headers, this->request);
@@ -459,7 +460,6 @@
     reply = JsonResponse(504, R"({"error":"the deadline has passed"})");
     Echo(this->headers, *reply);
   }
-  this->impl->Release();
   if (reply) {
     this->Respond(std::move(*reply), /*keep_alive=*/true);
   } else {
