--- a/control_client.h
+++ b/control_client.h
@@ -40,11 +40,6 @@
 // A reply later than this makes the client switch to another controller. It is the longest hold of
 // a poll (400 ms) and ample time for a quorum round; the rest of the lease is left for the switch.
 constexpr Duration kSyncReplyTimeout = Millis(700);
-// One try of a command or read; the deadline of the call may allow several.
-constexpr Duration kCommandTryTimeout = Millis(700);
-// Pause after every controller has been tried, or when no leader is known.
-constexpr Duration kLeaderSearchPause = Millis(50);
-
 struct ControlClientOptions {
   RouterRecord self;
   std::vector<ControllerAddress> controllers;
@@ -94,7 +89,7 @@
   // The router list by id, and the log index of its last change.
   const std::map<std::string, RouterRecord>& Routers() const;
   uint64_t ViewIndex() const;
-  bool Quarantined(uint64_t fingerprint, int64_t now_ms) const;
+  const std::vector<QuarantineRecord>& QuarantineList() const;
   const DirectoryCopy& Directory() const;
   // Id of the leader; empty if unknown.
   std::string Leader() const;
--- a/owner.cc
+++ b/owner.cc
@@ -178,8 +178,9 @@
 
   // Brings lanes in line with ownership, fences and the directory.
   void Refresh(Time now) {
-    for (const std::string& target : this->ownership.OwnedTargets())
+    for (const std::string& target : this->ownership.OwnedTargets()) {
       this->RefreshOwned(now, target);
+    }
     std::vector<std::string> names;
     for (const auto& [name, lane] : this->lanes) names.push_back(name);
     for (const std::string& name : names) {
@@ -240,7 +241,11 @@
     lane.record = record;
     lane.queue.SetLimits(slots, connections);
     lane.client->SetOptions({.connections = connections, .warm = lane.queue.WarmConnections()});
-    if (record.state == TargetState::kDraining) lane.queue.Drain();
+    if (record.state == TargetState::kDraining) {
+      lane.queue.Drain();
+    } else {
+      lane.queue.Resume();
+    }
   }
 
   // Fails everything of the lane and removes it.
