--- a/ownership.h
+++ b/ownership.h
@@ -12,7 +12,7 @@
 // - a router learns views in the order of their index, and renews its lease only after it has
 //   learned the view of the reply;
 // - an incarnation that is draining never stops draining, and one that was removed from the view
-//   never returns: a router that finds itself removed joins with a higher incarnation;
+//   and returns calls FenceOwnTargets() before it dispatches again;
 // - the leader removes a router only after its session has expired or by a clean leave.
 //
 // Rules. The owner is the router that is not draining with the highest rank for the target: routers
@@ -92,6 +92,11 @@
   // that this router must stop dispatching to at once.
   std::vector<Handover> LearnView(Time now, RouterView view);
 
+  // Fences the targets that this router owns. To be called when a lease begins after a lapse in
+  // which the view has changed: this incarnation may have left the router list and joined it again,
+  // and in the views between, which it has not learned, another router owned its targets.
+  void FenceOwnTargets(Time now);
+
   // Adds a target, or moves it to another data centre.
   void UpsertTarget(Time now, const std::string& target, const std::string& data_centre);
   void RemoveTarget(std::string_view target);
@@ -128,6 +133,10 @@
   bool IsSelf(const RouterRecord* router) const;
   // Compares the present view with the previous one.
   void ComputePast();
+  // The owner in the present view; `entry.owner` is still that in the previous one.
+  const RouterRecord* NextOwner(const Entry& entry) const;
+  // True if no router but the present owner is among PossibleOwners().
+  bool OnlyOwner(const Entry& entry) const;
   std::vector<const RouterRecord*> PossibleOwners(const Entry& entry) const;
   // True if all elements of `routers` are `one` or `other`.
   static bool Only(const std::vector<const RouterRecord*>& routers, const RouterRecord* one,
@@ -140,6 +149,11 @@
   RouterView view;
   std::vector<Past> past;            // parallel to `view.routers`
   std::vector<RouterRecord> before;  // routers of the previous view
+  // Parallel to `before`: the same incarnation in `view` if it could own in both views and is in
+  // the same data centre, or nullptr.
+  std::vector<const RouterRecord*> successors;
+  std::vector<const RouterRecord*> newcomers;  // of `view`, not draining, nobody's successor
+  std::vector<const RouterRecord*> retiring;   // of `view`, draining, but not known so before
   Time view_learned = Time::min();
   Time before_learned = Time::min();
   std::map<std::string, Entry, std::less<>> targets;
