--- /dev/null
+++ b/control_replies.cc
@@ -0,0 +1,82 @@
+// Replies of a controller, built from its state.
+#include "control_replies.h"
+
+#include <utility>
+
+namespace peridotgauge {
+namespace {
+
+template <typename T>
+wire::BodyUnion Wrap(T message) {
+  wire::BodyUnion body;
+  body.Set(std::move(message));
+  return body;
+}
+
+}  // namespace
+
+wire::BodyUnion SyncError(ErrorCode code, const std::string& detail, const std::string& leader) {
+  wire::SyncReplyT reply;
+  reply.error = static_cast<int8_t>(code);
+  reply.detail = detail;
+  reply.leader = leader;
+  return Wrap(std::move(reply));
+}
+
+wire::BodyUnion CommandError(const Error& error, const std::string& leader) {
+  wire::CommandReplyT reply;
+  reply.error = static_cast<int8_t>(error.code);
+  reply.detail = error.detail;
+  reply.leader = leader;
+  return Wrap(std::move(reply));
+}
+
+wire::BodyUnion ReadAnswer(const Result<std::string>& json, const std::string& leader) {
+  wire::ReadReplyT reply;
+  reply.leader = leader;
+  if (json) {
+    reply.json = *json;
+  } else {
+    reply.error = static_cast<int8_t>(json.error().code);
+    reply.detail = json.error().detail;
+  }
+  return Wrap(std::move(reply));
+}
+
+LogStatus StatusOf(const ReplicaStatus& status) {
+  return {.id = status.id,
+          .role = status.role,
+          .leader = status.leader,
+          .term = status.term,
+          .commit_index = status.commit_index,
+          .applied_index = status.applied_index,
+          .log_entries = status.log_entries,
+          .log_bytes = status.log_bytes,
+          .storage_error = status.storage_error};
+}
+
+wire::SyncReplyT StateNews(const ControlState& state, uint64_t known_index) {
+  wire::SyncReplyT reply;
+  reply.state_index = state.Version();
+  reply.view_index = state.ViewIndex();
+  reply.config_revision = state.Revision();
+  if (known_index < state.ConfigIndex()) reply.config_text = state.ConfigText();
+  if (known_index >= state.Version()) return reply;
+  reply.state_changed = true;
+  for (const auto& [id, router] : state.Routers()) reply.routers.push_back(ToWire(router));
+  for (const auto& [fingerprint, until_ms] : state.Quarantined()) {
+    reply.quarantine.push_back(ToWire(QuarantineRecord{fingerprint, until_ms}));
+  }
+  return reply;
+}
+
+void AddDirectoryNews(const DirectoryDelta& delta, wire::SyncReplyT& reply) {
+  reply.directory_epoch = delta.epoch;
+  reply.directory_version = delta.version;
+  reply.directory_digest = delta.digest;
+  reply.directory_full = delta.full;
+  reply.directory_collecting = delta.collecting;
+  for (const TargetRecord& record : delta.targets) reply.targets.push_back(ToWire(record));
+}
+
+}  // namespace peridotgauge
--- a/controller.cc
+++ b/controller.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "config.h"
+#include "control_replies.h"
 #include "control_report.h"
 #include "directory.h"
 #include "quorum_round.h"
@@ -32,46 +33,6 @@
 // routers takes longer than the election timeout, and raft heartbeats must go out meanwhile.
 constexpr Duration kAnswerTime = Millis(10);
 
-wire::BodyUnion SyncError(ErrorCode code, const std::string& detail, const std::string& leader) {
-  wire::SyncReplyT reply;
-  reply.error = static_cast<int8_t>(code);
-  reply.detail = detail;
-  reply.leader = leader;
-  return ToBody(std::move(reply));
-}
-
-wire::BodyUnion CommandError(const Error& error, const std::string& leader) {
-  wire::CommandReplyT reply;
-  reply.error = static_cast<int8_t>(error.code);
-  reply.detail = error.detail;
-  reply.leader = leader;
-  return ToBody(std::move(reply));
-}
-
-wire::BodyUnion ReadAnswer(const Result<std::string>& json, const std::string& leader) {
-  wire::ReadReplyT reply;
-  reply.leader = leader;
-  if (json) {
-    reply.json = *json;
-  } else {
-    reply.error = static_cast<int8_t>(json.error().code);
-    reply.detail = json.error().detail;
-  }
-  return ToBody(std::move(reply));
-}
-
-LogStatus StatusOf(const ReplicaStatus& status) {
-  return {.id = status.id,
-          .role = status.role,
-          .leader = status.leader,
-          .term = status.term,
-          .commit_index = status.commit_index,
-          .applied_index = status.applied_index,
-          .log_entries = status.log_entries,
-          .log_bytes = status.log_bytes,
-          .storage_error = status.storage_error};
-}
-
 // Validates the text and adds what Apply needs of it.
 Result<void> Prepare(wire::ApplyConfigT& command) {
   const Result<Config> config = Config::Parse(command.text);
@@ -321,21 +282,8 @@
   }
 
   wire::SyncReplyT BuildReply(Time now, const Poll& poll) {
-    wire::SyncReplyT reply;
+    wire::SyncReplyT reply = StateNews(this->state, poll.state_index);
     reply.leader = this->options.id;
-    reply.state_index = this->state.Version();
-    reply.view_index = this->state.ViewIndex();
-    reply.config_revision = this->state.Revision();
-    if (poll.state_index < this->state.ConfigIndex()) reply.config_text = this->state.ConfigText();
-    if (poll.state_index < this->state.Version()) {
-      reply.state_changed = true;
-      for (const auto& [id, router] : this->state.Routers()) {
-        reply.routers.push_back(ToWire(router));
-      }
-      for (const auto& [fingerprint, until_ms] : this->state.Quarantined()) {
-        reply.quarantine.push_back(ToWire(QuarantineRecord{fingerprint, until_ms}));
-      }
-    }
     reply.resend_registrations = !this->directory.HasFull(poll.router.id);
     if (reply.config_text.size() <= kLargeTextBytes) this->AddDirectory(now, poll, reply);
     return reply;
@@ -344,12 +292,7 @@
   void AddDirectory(Time now, const Poll& poll, wire::SyncReplyT& reply) {
     const DirectoryDelta delta =
         this->directory.DeltaSince(poll.directory_epoch, poll.directory_version);
-    reply.directory_epoch = delta.epoch;
-    reply.directory_version = delta.version;
-    reply.directory_digest = delta.digest;
-    reply.directory_full = delta.full;
-    reply.directory_collecting = delta.collecting;
-    for (const TargetRecord& record : delta.targets) reply.targets.push_back(ToWire(record));
+    AddDirectoryNews(delta, reply);
     if (poll.directory_version != delta.version) this->last_push[poll.router.id] = now;
   }
 
--- a/order.h
+++ b/order.h
@@ -18,10 +18,10 @@
 // The release of an attempt succeeds whether or not that attempt held the claim. So a release
 // proves "not run" only if the claim is known to have been granted to this order.
 //
-// "Not run" is answered only if the ledger was asked: it had no room for an unknown id, or the claim
-// was granted, its dispatch provably not executed, and the release is committed. An order that is
-// refused before that may have run when it was sent before, so the refusal does not say "not run".
-// Sending the same id again is always safe.
+// "Not run" is answered only if the ledger was asked: it had no room for an unknown id, or the
+// claim was granted, its dispatch provably not executed, and the release is committed. An order
+// that is refused before that may have run when it was sent before, so the refusal does not say
+// "not run". Sending the same id again is always safe.
 //
 //   event                                              answer
 //   the claim's answer is lost, or late                kUnavailable, not_run false; then released
--- a/order_runner.cc
+++ b/order_runner.cc
@@ -11,6 +11,8 @@
 #include <utility>
 #include <vector>
 
+#include "search_runner.h"
+
 namespace peridotgauge {
 namespace {
 
@@ -145,20 +147,12 @@
       result.error = Error{static_cast<ErrorCode>(reply.error), std::move(reply.detail)};
     }
     this->context.tracer.End(std::move(hop), UnixNanos(), result.error);
-    if (reply.crashed && this->context.quarantine.OnCrash(now, this->fingerprint, target)) {
-      this->BlockFingerprint();
+    if (reply.crashed && this->context.quarantine.OnCrash(now, this->fingerprint, target, false)) {
+      CommitQuarantine(this->context.control, this->fingerprint, [](bool) {});
     }
     this->Apply(now, this->order.OnDispatchReply(now, std::move(result)));
   }
 
-  void BlockFingerprint() {
-    wire::QuarantineT command;
-    command.fingerprint = this->fingerprint;
-    command.duration_ms = kQuarantineTime.count() / 1000;
-    this->context.control.Command(ToCommand(command), SteadyNow() + Seconds(2),
-                                  [](const Result<wire::CommandReplyT>&) {});
-  }
-
   void Complete(Time now, Completion completion) {
     wire::CompleteT command;
     command.request_id = std::move(completion.request_id);
--- a/owner.cc
+++ b/owner.cc
@@ -24,16 +24,6 @@
 // The id of a job that was refused at once; cancelling it does nothing.
 constexpr uint64_t kNoJob = 0;
 
-wire::SubReplyT Refusal(const wire::SubRequestT& request, const Error& error) {
-  wire::SubReplyT reply;
-  reply.error = static_cast<int8_t>(error.code);
-  reply.detail = error.detail;
-  reply.request_id = request.request_id;
-  reply.attempt = request.attempt;
-  reply.snapshot = request.snapshot;
-  return reply;
-}
-
 ExchangeKind KindOf(const wire::SubReplyT& reply) {
   if (reply.error < 0) return ExchangeKind::kAnswered;
   switch (static_cast<ErrorCode>(reply.error)) {
@@ -150,7 +140,7 @@
 
   void RefuseLater(const wire::SubRequestT& request, const Error& error, Callback done) {
     this->refused.Add();
-    asio::post(this->context.io, [reply = Refusal(request, error),
+    asio::post(this->context.io, [reply = FailedSubReply(request, error),
                                   done = std::move(done)]() mutable { done(std::move(reply)); });
   }
 
@@ -264,7 +254,7 @@
     for (uint64_t id : ids) {
       const bool sent = this->jobs.at(id).call.has_value();
       const ErrorCode code = sent ? ErrorCode::kConnectionLost : ErrorCode::kNoTarget;
-      wire::SubReplyT reply = Refusal(this->jobs.at(id).request, {code, reason});
+      wire::SubReplyT reply = FailedSubReply(this->jobs.at(id).request, Error{code, reason});
       // A process that ended with requests in flight may have been crashed by one of them.
       reply.crashed = sent;
       this->Answer(id, std::move(reply));
@@ -313,7 +303,7 @@
     auto job = this->jobs.find(drop.id);
     if (job == this->jobs.end()) return;
     this->refused.Add();
-    this->AnswerLater(drop.id, Refusal(job->second.request, drop.error));
+    this->AnswerLater(drop.id, FailedSubReply(job->second.request, drop.error));
   }
 
   void Dispatch(Time now, Lane& lane, uint64_t id) {
--- a/quarantine.cc
+++ b/quarantine.cc
@@ -74,8 +74,9 @@
   this->successes.Insert(now, fingerprint);
 }
 
-bool Quarantine::OnCrash(Time now, uint64_t fingerprint, const TargetRecord& target) {
+bool Quarantine::OnCrash(Time now, uint64_t fingerprint, const TargetRecord& target, bool trusted) {
   this->successes.Erase(fingerprint);
+  if (trusted) return false;
   if (!this->suspects.contains(fingerprint)) this->EvictSuspects(now);
   Suspect& suspect = this->suspects[fingerprint];
   if (now - suspect.last_crash >= kSuspectTime) suspect.crashes.clear();
--- a/quarantine.h
+++ b/quarantine.h
@@ -82,8 +82,11 @@
   // shard answered; only that ends a suspicion, because a partial answer may have missed exactly
   // the targets that the request crashes.
   void OnSuccess(Time now, uint64_t fingerprint, bool complete);
-  // Returns true if a quarantine must be committed, also on later crashes until it is.
-  bool OnCrash(Time now, uint64_t fingerprint, const TargetRecord& target);
+  // Returns true if a quarantine must be committed, also on later crashes until it is. `trusted`:
+  // the request was sent without canaries because its fingerprint had succeeded recently. Its crash
+  // is not counted, because the loss of a rack kills the targets of many harmless requests at once;
+  // the fingerprint loses its standing, so that canaries decide the next time.
+  bool OnCrash(Time now, uint64_t fingerprint, const TargetRecord& target, bool trusted);
 
   size_t SuspectCount() const { return this->suspects.size(); }
 
--- a/search_runner.cc
+++ b/search_runner.cc
@@ -26,6 +26,7 @@
         plan(plan),
         fingerprint(fingerprint),
         deadline(params.deadline),
+        trusted(params.trusted),
         search(std::move(plan), std::move(params), {context.replicas, context.hedges}),
         timer(context.io),
         span(std::move(span)),
@@ -112,7 +113,7 @@
   void OnCrash(Time now, const TargetRecord& target) {
     LOG(WARNING) << "search: " << this->request.request_id << ": " << target.target
                  << " closed its connection without a reply";
-    if (!this->context.quarantine.OnCrash(now, this->fingerprint, target)) return;
+    if (!this->context.quarantine.OnCrash(now, this->fingerprint, target, this->trusted)) return;
     if (this->committing) return;
     this->committing = true;
     CommitQuarantine(this->context.control, this->fingerprint,
@@ -207,6 +208,7 @@
   std::shared_ptr<const Plan> plan;
   uint64_t fingerprint;
   Time deadline;
+  bool trusted;  // sent without canaries
   Time started;
   Search search;
   boost::asio::steady_timer timer;
--- a/sub_request_sender.cc
+++ b/sub_request_sender.cc
@@ -3,19 +3,11 @@
 
 #include <utility>
 
+#include "target_client.h"
+
 namespace peridotgauge {
 namespace {
 
-wire::SubReplyT FailedReply(const wire::SubRequestT& request, const Error& error) {
-  wire::SubReplyT reply;
-  reply.error = static_cast<int8_t>(error.code);
-  reply.detail = error.detail;
-  reply.request_id = request.request_id;
-  reply.attempt = request.attempt;
-  reply.snapshot = request.snapshot;
-  return reply;
-}
-
 ReplyKind KindOf(const wire::SubReplyT& reply) {
   if (reply.error < 0) return ReplyKind::kAnswered;
   const auto code = static_cast<ErrorCode>(reply.error);
@@ -69,10 +61,11 @@
   ids.snapshot = body.AsSubRequest()->snapshot;
   const uint64_t call = this->peers.ClientFor(peer).Call(
       body, deadline, [this, id, ids = std::move(ids)](Result<wire::BodyUnion> reply) {
-        if (!reply) return this->OnReply(id, FailedReply(ids, reply.error()));
+        if (!reply) return this->OnReply(id, FailedSubReply(ids, reply.error()));
         wire::SubReplyT* answer = reply->AsSubReply();
         if (answer == nullptr) {
-          return this->OnReply(id, FailedReply(ids, {ErrorCode::kWrongReply, "not a sub-reply"}));
+          return this->OnReply(id,
+                               FailedSubReply(ids, Error{ErrorCode::kWrongReply, "not a sub-reply"}));
         }
         this->OnReply(id, std::move(*answer));
       });
--- a/target_client.cc
+++ b/target_client.cc
@@ -109,6 +109,10 @@
   return reply;
 }
 
+wire::SubReplyT FailedSubReply(const wire::SubRequestT& request, const Error& error) {
+  return Failed(Start(request), error.code, error.detail);
+}
+
 wire::SubReplyT FailedSubReply(const wire::SubRequestT& request, const HttpFailure& failure) {
   wire::SubReplyT reply = Failed(Start(request), failure.error.code, failure.error.detail);
   reply.crashed = failure.crashed;
--- a/target_client.h
+++ b/target_client.h
@@ -27,6 +27,8 @@
 HttpRequest FormatSubRequest(const wire::SubRequestT& request);
 // Turns the target's response to `request` into a reply.
 wire::SubReplyT ParseSubReply(const wire::SubRequestT& request, HttpResponse response);
+// The reply to a request that failed with this error before its exchange with the target.
+wire::SubReplyT FailedSubReply(const wire::SubRequestT& request, const Error& error);
 // Turns a failed exchange into a reply.
 wire::SubReplyT FailedSubReply(const wire::SubRequestT& request, const HttpFailure& failure);
 
