--- a/bench/capacity_data.cc
+++ b/bench/capacity_data.cc
@@ -48,7 +48,7 @@
   hedges.SetConfig(*config);
   constexpr int kSearches = 2'000;
   const double start = ThreadCpuSeconds();
-  for (int i = 0; i < kSearches; ++i) RunSearch(plan, *replicas, hedges, TimeAt(i * 5));
+  for (int i = 0; i < kSearches; ++i) RunSearch(plan, *replicas, hedges, TimeAt(int64_t{5} * i));
   report.Add("search core: CPU of a search, us", "shards", static_cast<double>(plan->shards.size()),
              (ThreadCpuSeconds() - start) * kMicro / kSearches);
 }
--- a/bench/capacity_router.cc
+++ b/bench/capacity_router.cc
@@ -82,7 +82,8 @@
     views.push_back(std::move(view));
   }
   const double learn = CpuOf(kRepeats, [&](int i) {
-    ownership.LearnView(TimeAt(10'000 * (i + 1)), std::move(views[static_cast<size_t>(i)]));
+    ownership.LearnView(TimeAt(int64_t{10'000} * (i + 1)),
+                        std::move(views[static_cast<size_t>(i)]));
   });
   report.Add("ownership: CPU of a view change, ms, against " + scale, scale, x, learn * kMilli);
 }
--- a/control_state.cc
+++ b/control_state.cc
@@ -156,8 +156,8 @@
 }
 
 const std::string& ControlState::ConfigText() const {
-  static const std::string none;
-  return this->details.empty() ? none : this->details.back().text;
+  static const std::string kNone;
+  return this->details.empty() ? kNone : this->details.back().text;
 }
 
 const AcceptedRevision* ControlState::FindRevision(uint64_t revision) const {
--- a/daemon.cc
+++ b/daemon.cc
@@ -115,11 +115,12 @@
       return Fail(ErrorCode::kInvalidSettings, "peer_address " + this->settings.peer_address +
                                                    " cannot be used: " + error.what());
     }
-    auto server = HttpServer::Listen(
-        this->io, this->settings.http_address,
-        [weak = this->weak_from_this()](HttpRequest request, HttpResponder responder) {
-          if (auto self = weak.lock()) self->OnHttp(request, responder);
-        });
+    auto server =
+        HttpServer::Listen(this->io, this->settings.http_address,
+                           [weak = this->weak_from_this()](const HttpRequest& request,
+                                                           const HttpResponder& responder) {
+                             if (auto self = weak.lock()) self->OnHttp(request, responder);
+                           });
     if (!server) return tl::unexpected(server.error());
     this->http = std::move(*server);
     return {};
--- a/replica_choice.cc
+++ b/replica_choice.cc
@@ -25,14 +25,14 @@
 }  // namespace
 
 const std::vector<ReplicaChoice::Strategy>& ReplicaChoice::Strategies() {
-  static const std::vector<Strategy> strategies = {
+  static const std::vector<Strategy> kStrategies = {
       {.name = "random", .choose = &ReplicaChoice::ChooseRandom},
       {.name = "two_choices", .choose = &ReplicaChoice::ChooseOfTwo},
       {.name = "probing",
        .choose = &ReplicaChoice::ChooseOfTwo,
        .probes = true,
        .avoids_refusals = true}};
-  return strategies;
+  return kStrategies;
 }
 
 std::vector<std::string_view> ReplicaChoice::Names() {
--- a/strict_json.cc
+++ b/strict_json.cc
@@ -182,10 +182,10 @@
 StrictJsonObject::StrictJsonObject(StrictJsonReader& reader, const json::value& value,
                                    std::string place)
     : reader(reader), place(std::move(place)), members(value.if_object()) {
-  static const json::object empty;
+  static const json::object kEmpty;
   if (this->members != nullptr) return;
   reader.Refuse(this->place, ShowJson(value) + "; allowed is an object");
-  this->members = &empty;
+  this->members = &kEmpty;
 }
 
 const json::value* StrictJsonObject::Find(std::string_view key) {
--- a/sub_request_sender.cc
+++ b/sub_request_sender.cc
@@ -64,8 +64,8 @@
         if (!reply) return this->OnReply(id, FailedSubReply(ids, reply.error()));
         wire::SubReplyT* answer = reply->AsSubReply();
         if (answer == nullptr) {
-          return this->OnReply(id,
-                               FailedSubReply(ids, Error{ErrorCode::kWrongReply, "not a sub-reply"}));
+          return this->OnReply(
+              id, FailedSubReply(ids, Error{ErrorCode::kWrongReply, "not a sub-reply"}));
         }
         this->OnReply(id, std::move(*answer));
       });
--- a/testing/order_test.cc
+++ b/testing/order_test.cc
@@ -15,8 +15,8 @@
 namespace {
 
 // The only target that the service has.
-const TargetRecord target = MakeTarget("desk/1", "desk", {});
-const std::vector<const TargetRecord*> targets = {&target};
+const TargetRecord kTarget = MakeTarget("desk/1", "desk", {});
+const std::vector<const TargetRecord*> kTargets = {&kTarget};
 constexpr OrderLease kLease = {.valid = true, .generation = 3};
 constexpr Time kStart = TimeAt(1'000);
 constexpr Time kDeadline = TimeAt(1'200);
@@ -40,7 +40,7 @@
 };
 
 Event Claim(std::string name, const Result<ClaimResult>& answer, OrderLease lease = kLease,
-            Candidates candidates = targets) {
+            Candidates candidates = kTargets) {
   return {std::move(name), [=](Order& order, Time now) {
             return order.OnClaimAnswer(now, answer, lease, candidates);
           }};
@@ -212,20 +212,20 @@
     CHECK(started.timer == kDeadline);
     SECTION("and a lost claim is answered at once, without saying that it was not run") {
       const OrderEffects lost =
-          order.OnClaimAnswer(kStart, Fail(ErrorCode::kUnknownOutcome), kLease, targets);
+          order.OnClaimAnswer(kStart, Fail(ErrorCode::kUnknownOutcome), kLease, kTargets);
       CHECK(lost.answer->error->code == ErrorCode::kUnavailable);
       CHECK_FALSE(lost.answer->not_run);
       CHECK(lost.complete->outcome == Outcome::kNotRun);
-      CHECK_FALSE(order.OnClaimAnswer(kStart, ClaimResult{}, kLease, targets).dispatch);
+      CHECK_FALSE(order.OnClaimAnswer(kStart, ClaimResult{}, kLease, kTargets).dispatch);
     }
     SECTION("and a claim granted at the deadline is not dispatched") {
-      const OrderEffects late = order.OnClaimAnswer(kDeadline, ClaimResult{}, kLease, targets);
+      const OrderEffects late = order.OnClaimAnswer(kDeadline, ClaimResult{}, kLease, kTargets);
       CHECK_FALSE(late.dispatch);
       CHECK(late.complete->outcome == Outcome::kNotRun);
     }
     SECTION("and is dispatched once it is granted") {
-      CHECK(order.OnClaimAnswer(kStart, ClaimResult{}, kLease, targets).dispatch->target ==
-            &target);
+      CHECK(order.OnClaimAnswer(kStart, ClaimResult{}, kLease, kTargets).dispatch->target ==
+            &kTarget);
       SECTION("and a reply after the deadline is still recorded, for a resend") {
         CHECK(order.OnTimer(kDeadline).answer->error->code == ErrorCode::kInDoubt);
         const OrderEffects late = order.OnDispatchReply(kDeadline + Millis(50), GoodReply());
@@ -354,7 +354,7 @@
     Result<ClaimResult> answer = Fail(ErrorCode::kUnknownOutcome);
     if (arrives) answer = this->ledger.Claim(one.holder);
     if (!answered) answer = Fail(ErrorCode::kUnknownOutcome);
-    this->Take(one, one.order.OnClaimAnswer(this->now, answer, kLease, targets));
+    this->Take(one, one.order.OnClaimAnswer(this->now, answer, kLease, kTargets));
   }
 
   void DeliverDispatch(Running& one) {
--- a/testing/ownership_test.cc
+++ b/testing/ownership_test.cc
@@ -204,6 +204,7 @@
       targets[added] = pick(2) == 0 ? "tre-a" : "tre-b";
       ownership.UpsertTarget(TimeAt(0), added, targets[added]);
       std::vector<RouterRecord> list;
+      list.reserve(routers.size());
       for (const auto& [id, router] : routers) list.push_back(router);
       ownership.LearnView(TimeAt(static_cast<int64_t>(index) * 10'000), {index, list});
       for (const auto& [target, data_centre] : targets) {
--- a/testing/quarantine_test.cc
+++ b/testing/quarantine_test.cc
@@ -9,8 +9,8 @@
 namespace peridotgauge {
 namespace {
 
-const TargetRecord first = MakeTarget("a/1", "a", {});
-const TargetRecord second = MakeTarget("a/2", "a", {});
+const TargetRecord kFirst = MakeTarget("a/1", "a", {});
+const TargetRecord kSecond = MakeTarget("a/2", "a", {});
 
 TEST_CASE("fingerprints", "[quarantine]") {
   const uint64_t base = Fingerprint("a", RequestKind::kSearch, "body");
@@ -32,19 +32,19 @@
 
   // Guards against the loss of a rack, which kills targets of many harmless requests at once.
   SECTION("only loses its standing if it was sent as a trusted request") {
-    CHECK_FALSE(quarantine.OnCrash(now, 7, first, true));
-    CHECK_FALSE(quarantine.OnCrash(now, 7, second, true));
+    CHECK_FALSE(quarantine.OnCrash(now, 7, kFirst, true));
+    CHECK_FALSE(quarantine.OnCrash(now, 7, kSecond, true));
     CHECK(quarantine.Check(now, 0, 7) == Standing::kNew);
     SECTION("and is quarantined when it crashes its canaries afterwards") {
-      CHECK_FALSE(quarantine.OnCrash(now, 7, first, false));
-      CHECK(quarantine.OnCrash(now, 7, second, false));
+      CHECK_FALSE(quarantine.OnCrash(now, 7, kFirst, false));
+      CHECK(quarantine.OnCrash(now, 7, kSecond, false));
     }
   }
   SECTION("is suspect after the first crash") {
-    CHECK_FALSE(quarantine.OnCrash(now, 7, first, false));
+    CHECK_FALSE(quarantine.OnCrash(now, 7, kFirst, false));
     CHECK(quarantine.Check(now, 0, 7) == Standing::kSuspect);
     SECTION("and stays so when another connection to the same process dies") {
-      CHECK_FALSE(quarantine.OnCrash(now, 7, first, false));
+      CHECK_FALSE(quarantine.OnCrash(now, 7, kFirst, false));
     }
     SECTION("and after a partial answer, which may have missed what it crashes") {
       quarantine.OnSuccess(now, 7, false);
@@ -56,19 +56,19 @@
     }
     SECTION("or until the crash is old") {
       CHECK(quarantine.Check(now + kSuspectTime, 0, 7) == Standing::kNew);
-      CHECK_FALSE(quarantine.OnCrash(now + kSuspectTime, 7, second, false));
+      CHECK_FALSE(quarantine.OnCrash(now + kSuspectTime, 7, kSecond, false));
     }
     SECTION("and needs a quarantine when the same target crashes after a restart") {
-      TargetRecord restarted = first;
+      TargetRecord restarted = kFirst;
       ++restarted.incarnation;
       CHECK(quarantine.OnCrash(now, 7, restarted, false));
     }
     SECTION("and needs a quarantine when a second target crashes") {
-      CHECK(quarantine.OnCrash(now, 7, second, false));
+      CHECK(quarantine.OnCrash(now, 7, kSecond, false));
       CHECK(quarantine.Check(now, 0, 7) == Standing::kCrashing);
       quarantine.OnSuccess(now, 7, true);
       CHECK(quarantine.Check(now, 0, 7) == Standing::kCrashing);
-      CHECK(quarantine.OnCrash(now, 7, second, false));
+      CHECK(quarantine.OnCrash(now, 7, kSecond, false));
       SECTION("and is blocked once it is committed, until it ends") {
         quarantine.SetCommitted({{7, 5'000}});
         CHECK(quarantine.Check(now, 4'999, 7) == Standing::kQuarantined);
@@ -85,7 +85,7 @@
   SECTION("the oldest suspects are forgotten first, and are not trusted then") {
     quarantine.OnSuccess(start, 0, true);
     for (uint64_t i = 0; i < 2 * kMaxSuspects; ++i) {
-      quarantine.OnCrash(start + Millis(static_cast<int64_t>(i)), i, first, false);
+      quarantine.OnCrash(start + Millis(static_cast<int64_t>(i)), i, kFirst, false);
     }
     CHECK(quarantine.SuspectCount() == kMaxSuspects);
     const Time end = start + Millis(2 * kMaxSuspects);
