--- a/config.cc
+++ b/config.cc
@@ -255,6 +255,15 @@
   return config;
 }
 
+Config Config::OfRoutes(uint64_t revision, std::string_view text, RouteTable routes) {
+  Config config;
+  config.revision = revision;
+  config.digest = XXH3_64bits(text.data(), text.size());
+  config.text = std::string(text);
+  config.routes = std::move(routes);
+  return config;
+}
+
 const Fleet* Config::FindFleet(std::string_view name) const {
   const auto found = this->fleets.find(name);
   return found == this->fleets.end() ? nullptr : &found->second;
--- a/config.h
+++ b/config.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "error.h"
+#include "routes.h"
 #include "types.h"
 
 namespace peridotgauge {
@@ -58,6 +59,8 @@
   Config() = default;
 
   static Result<Config> Parse(std::string_view text);
+  // A configuration that consists of routes, read from a text in another format.
+  static Config OfRoutes(uint64_t revision, std::string_view text, RouteTable routes);
 
   uint64_t Revision() const { return this->revision; }
   // The text as the operator wrote it.
@@ -71,6 +74,9 @@
   const std::map<std::string, Fleet, std::less<>>& Fleets() const { return this->fleets; }
   const std::map<std::string, Service, std::less<>>& Services() const { return this->services; }
 
+  // Empty unless the configuration was made by OfRoutes().
+  const RouteTable& Routes() const { return this->routes; }
+
   // The service and all it depends on, directly or indirectly; the service itself comes first,
   // the others in the order of their names. Empty if the service is unknown.
   std::vector<const Service*> Closure(std::string_view service) const;
@@ -83,8 +89,12 @@
   std::string text;
   std::map<std::string, Fleet, std::less<>> fleets;
   std::map<std::string, Service, std::less<>> services;
+  RouteTable routes;
 };
 
+// Reads and validates the operators' text.
+using ConfigReader = Result<Config> (*)(std::string_view text);
+
 // One line for each difference between two texts, in the order of the names, for example
 // "services.kassa-3.deadline_ms: 200 -> 250". Empty if they mean the same.
 std::vector<std::string> DiffConfigs(const Config& before, const Config& after);
--- a/control_channel.cc
+++ b/control_channel.cc
@@ -11,6 +11,9 @@
 
 namespace asio = boost::asio;
 
+// Seeds and learned controllers; above the number of machines that ever had the role.
+constexpr size_t kMaxControllers = 64;
+
 // The parts that all replies of controllers share.
 struct Answer {
   int error = -1;
@@ -50,8 +53,20 @@
   bool done = false;
 };
 
-ControlChannel::ControlChannel(asio::io_context& io, std::vector<ControllerAddress> controllers)
-    : io(io), controllers(std::move(controllers)), current(this->controllers.front().id) {}
+ControlChannel::ControlChannel(asio::io_context& io, std::vector<ControllerAddress> controllers,
+                               uint16_t peer_port)
+    : io(io),
+      controllers(std::move(controllers)),
+      peer_port(peer_port),
+      current(this->controllers.front().id) {}
+
+void ControlChannel::Learn(const std::vector<std::string>& ids) {
+  if (this->peer_port == 0) return;
+  for (const std::string& id : ids) {
+    if (id.empty() || this->Known(id) || this->controllers.size() >= kMaxControllers) continue;
+    this->controllers.push_back({id, id + ":" + std::to_string(this->peer_port)});
+  }
+}
 
 PeerClient& ControlChannel::ClientOf(const std::string& controller) {
   std::unique_ptr<PeerClient>& client = this->clients[controller];
@@ -76,6 +91,7 @@
 
 bool ControlChannel::NoteNotLeader(Time now, const std::string& from, const std::string& hint) {
   this->failed.erase(from);
+  this->Learn({hint});
   const bool usable = this->Known(hint) && hint != from && !this->RecentlyUnreachable(now, hint);
   if (usable) {
     this->current = hint;
--- a/control_channel.h
+++ b/control_channel.h
@@ -40,7 +40,10 @@
   using Callback = std::function<void(Result<wire::BodyUnion>)>;
 
   // `controllers` must not be empty.
-  ControlChannel(boost::asio::io_context& io, std::vector<ControllerAddress> controllers);
+  // `peer_port`, if not 0, is the port of all controllers; their ids are then IP numbers, and
+  // controllers that others name are used without having been listed.
+  ControlChannel(boost::asio::io_context& io, std::vector<ControllerAddress> controllers,
+                 uint16_t peer_port = 0);
 
   void Exchange(wire::BodyUnion body, Time deadline, Resend resend, Callback callback);
   // Fails all calls with kCancelled and closes the connections.
@@ -54,6 +57,8 @@
   const std::string& Leader() const { return this->leader; }
   // This controller answered as the leader.
   void NoteLeader(const std::string& controller);
+  // Adds controllers that are not known yet; does nothing without a `peer_port`.
+  void Learn(const std::vector<std::string>& ids);
   // `from` answered kNotLeader and named `hint`, which may be empty. Returns true if the hint is a
   // reachable controller, so that it can be tried at once.
   bool NoteNotLeader(Time now, const std::string& from, const std::string& hint);
@@ -77,6 +82,7 @@
 
   boost::asio::io_context& io;
   std::vector<ControllerAddress> controllers;
+  uint16_t peer_port;
   std::map<std::string, std::unique_ptr<PeerClient>> clients;  // by controller id
   std::map<std::string, Time> failed;                          // last failure of each controller
   std::string current;
--- a/control_client.cc
+++ b/control_client.cc
@@ -44,7 +44,9 @@
   Impl(asio::io_context& io, ControlClientOptions options)
       : io(io),
         self(std::move(options.self)),
-        channel(std::make_shared<ControlChannel>(io, std::move(options.controllers))),
+        channel(std::make_shared<ControlChannel>(io, std::move(options.controllers),
+                                                 options.peer_port)),
+        read_config(options.read_config),
         pause(io),
         config(std::make_shared<const Config>()),
         outbox(this->self.id) {}
@@ -80,7 +82,19 @@
     const Resend resend = Idempotent(body) ? Resend::kAllowed : Resend::kNever;
     wire::CommandRequestT request;
     request.body = std::move(body);
-    this->channel->Exchange(ToBody(std::move(request)), deadline, resend,
+    this->Exchange(ToBody(std::move(request)), deadline, resend, std::move(callback));
+  }
+
+  void Heartbeat(const TargetRecord& record, bool remove, Time deadline,
+                 CommandCallback callback) {
+    wire::RegisterRequestT request;
+    request.target = ToWire(record);
+    request.remove = remove;
+    this->Exchange(ToBody(std::move(request)), deadline, Resend::kAllowed, std::move(callback));
+  }
+
+  void Exchange(wire::BodyUnion body, Time deadline, Resend resend, CommandCallback callback) {
+    this->channel->Exchange(std::move(body), deadline, resend,
                             [callback = std::move(callback)](Result<wire::BodyUnion> reply) {
                               if (!reply) return callback(tl::unexpected(std::move(reply.error())));
                               auto* answer = reply->AsCommandReply();
@@ -110,6 +124,7 @@
   asio::io_context& io;
   RouterRecord self;
   std::shared_ptr<ControlChannel> channel;
+  ConfigReader read_config;
   asio::steady_timer pause;
   ChangeCallback on_change;
 
@@ -259,6 +274,7 @@
 
   // Returns false if the reply cannot be applied; the lease is then not renewed.
   bool Apply(const Request& request, const wire::SyncReplyT& reply) {
+    this->channel->Learn(reply.controllers);
     if (reply.state_index < request.state_index) {
       LOG(ERROR) << "control: the controllers have lost accepted state: index " << reply.state_index
                  << " after " << request.state_index;
@@ -287,7 +303,7 @@
     // A reply to an earlier request that came after a newer one.
     if (reply.state_index < this->state_index) return true;
     if (!reply.config_text.empty() && reply.config_revision > this->config->Revision()) {
-      Result<Config> parsed = Config::Parse(reply.config_text);
+      Result<Config> parsed = this->read_config(reply.config_text);
       if (!parsed) {
         LOG(ERROR) << "control: accepted revision " << reply.config_revision
                    << " cannot be read: " << parsed.error().ToString();
@@ -370,12 +386,19 @@
 const DirectoryCopy& ControlClient::Directory() const { return this->impl->directory; }
 std::string ControlClient::Leader() const { return this->impl->channel->Leader(); }
 
+void ControlClient::Learn(const std::vector<std::string>& controllers) {
+  this->impl->channel->Learn(controllers);
+}
 void ControlClient::Register(TargetRecord record) { this->impl->Register(std::move(record)); }
 
 void ControlClient::Command(wire::CommandBodyUnion body, Time deadline, CommandCallback callback) {
   this->impl->Command(std::move(body), deadline, std::move(callback));
 }
 
+void ControlClient::Heartbeat(const TargetRecord& record, bool remove, Time deadline,
+                              CommandCallback callback) {
+  this->impl->Heartbeat(record, remove, deadline, std::move(callback));
+}
 void ControlClient::Read(wire::ReadKind kind, uint64_t revision, Time deadline,
                          ReadCallback callback) {
   this->impl->Read(kind, revision, deadline, std::move(callback));
--- a/control_client.h
+++ b/control_client.h
@@ -43,6 +43,8 @@
 struct ControlClientOptions {
   RouterRecord self;
   std::vector<ControllerAddress> controllers;
+  uint16_t peer_port = 0;                      // see control_channel.h
+  ConfigReader read_config = &Config::Parse;   // of accepted texts
 };
 
 // What a sync reply changed.
@@ -94,11 +96,16 @@
   // Id of the leader; empty if unknown.
   std::string Leader() const;
 
+  // Adds controllers to try, see control_channel.h.
+  void Learn(const std::vector<std::string>& controllers);
+
   // Passes on a registration, a renewal, or a lease that has expired (state kGone).
   void Register(TargetRecord record);
 
   // A Claim needs a `claim_id` above all that this process has used before.
   void Command(wire::CommandBodyUnion body, Time deadline, CommandCallback callback);
+  // Passes a target's heartbeat, or its departure, on to the leader.
+  void Heartbeat(const TargetRecord& record, bool remove, Time deadline, CommandCallback callback);
   void Read(wire::ReadKind kind, uint64_t revision, Time deadline, ReadCallback callback);
 
  private:
--- a/control_snapshot.cc
+++ b/control_snapshot.cc
@@ -103,11 +103,12 @@
   for (const auto& [fingerprint, until_ms] : this->quarantine) {
     packed_quarantine.emplace_back(fingerprint, until_ms);
   }
+  const auto packed_document = this->document ? Pack(builder, *this->document) : 0;
   builder.Finish(fbs::CreateControlState(
       builder, this->log_time, this->version, this->config_index, this->view_index,
       builder.CreateVectorOfStructs(packed_revisions), builder.CreateVector(packed_details),
       builder.CreateVector(packed_records), builder.CreateVector(packed_routers),
-      builder.CreateVectorOfStructs(packed_quarantine)));
+      builder.CreateVectorOfStructs(packed_quarantine), packed_document, this->document_digest));
   return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -130,6 +131,8 @@
     restored.details.push_back(Unpack(detail));
     restored.detail_bytes += restored.details.back().text.size();
   });
+  if (table->document() != nullptr) restored.document = Unpack(*table->document());
+  restored.document_digest = table->document_digest();
   bool valid = restored.version <= index && restored.DetailsMatchRevisions();
   ForEach(table->ledger(), [&](const fbs::LedgerRecord& packed) {
     LedgerRecord record = Unpack(packed);
--- a/control_state.cc
+++ b/control_state.cc
@@ -108,6 +108,11 @@
     return Refuse(ErrorCode::kBadRequest, "the command has no revision or text");
   }
   if (command.text.size() > kMaxConfigBytes) return Refuse(ErrorCode::kTooLarge);
+  // One deployment uses one rule of acceptance from its first revision on.
+  if (command.highest ? !this->revisions.empty() : this->document.has_value()) {
+    return Refuse(ErrorCode::kInvalidConfig, "revisions were accepted under another rule");
+  }
+  if (command.highest) return this->ApplyHighest(at, command);
   const uint64_t current = this->Revision();
   if (command.revision == current + 1) {
     this->AcceptRevision(at, command);
@@ -139,6 +144,25 @@
   return reply;
 }
 
+Reply ControlState::ApplyHighest(const Context& at, const wire::ApplyConfigT& command) {
+  Reply reply;
+  if (this->document && command.revision <= this->document->revision) {
+    reply.repeated = true;
+    reply.index = this->config_index;
+  } else {
+    this->document = RevisionDetail{.revision = command.revision,
+                                    .author = command.author,
+                                    .accepted_at_ms = at.now_ms,
+                                    .text = command.text};
+    this->document_digest = command.digest;
+    this->config_index = at.index;
+    this->version = at.index;
+  }
+  reply.revision = this->document->revision;
+  reply.digest = this->document_digest;
+  return reply;
+}
+
 void ControlState::AcceptRevision(const Context& at, const wire::ApplyConfigT& command) {
   this->revisions.push_back({.digest = command.digest, .index = at.index});
   this->details.push_back({.revision = command.revision,
@@ -157,9 +181,15 @@
 
 const std::string& ControlState::ConfigText() const {
   static const std::string kNone;
+  if (this->document) return this->document->text;
   return this->details.empty() ? kNone : this->details.back().text;
 }
 
+uint64_t ControlState::ConfigDigest() const {
+  if (this->document) return this->document_digest;
+  return this->revisions.empty() ? 0 : this->revisions.back().digest;
+}
+
 const AcceptedRevision* ControlState::FindRevision(uint64_t revision) const {
   if (revision == 0 || revision > this->revisions.size()) return nullptr;
   return &this->revisions[revision - 1];
@@ -273,7 +303,8 @@
   return this->log_time == other.log_time && this->version == other.version &&
          this->config_index == other.config_index && this->view_index == other.view_index &&
          this->revisions == other.revisions && this->details == other.details &&
-         this->detail_bytes == other.detail_bytes && this->ledger == other.ledger &&
+         this->detail_bytes == other.detail_bytes && this->document == other.document &&
+         this->document_digest == other.document_digest && this->ledger == other.ledger &&
          this->routers == other.routers && this->quarantine == other.quarantine;
 }
 
--- a/control_state.h
+++ b/control_state.h
@@ -17,6 +17,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -81,7 +82,11 @@
   int64_t LogTime() const { return this->log_time; }
 
   // Number of the current revision; 0 before the first.
-  uint64_t Revision() const { return this->revisions.size(); }
+  uint64_t Revision() const {
+    return this->document ? this->document->revision : this->revisions.size();
+  }
+  // Digest of the current revision; 0 before the first.
+  uint64_t ConfigDigest() const;
   // Text of the current revision; empty before the first.
   const std::string& ConfigText() const;
   // Return nullptr for an unknown revision, or one whose details are no longer kept.
@@ -106,6 +111,7 @@
   };
   wire::CommandReplyT Dispatch(const Context& at, const wire::CommandBodyUnion& body);
   wire::CommandReplyT ApplyConfig(const Context& at, const wire::ApplyConfigT& command);
+  wire::CommandReplyT ApplyHighest(const Context& at, const wire::ApplyConfigT& command);
   wire::CommandReplyT ApplyClaim(const Context& at, const wire::ClaimT& command);
   wire::CommandReplyT ApplyComplete(const Context& at, const wire::CompleteT& command);
   wire::CommandReplyT ApplyJoin(const Context& at, const wire::JoinT& command);
@@ -125,6 +131,10 @@
   std::deque<RevisionDetail>
       details;              // the newest revisions, in order; never empty once one exists
   size_t detail_bytes = 0;  // sum of the text sizes of `details`
+  // The configuration in effect where the highest revision counts. Not set together with the
+  // revisions above.
+  std::optional<RevisionDetail> document;
+  uint64_t document_digest = 0;
   Ledger ledger;
   std::map<std::string, RouterRecord> routers;
   std::map<uint64_t, int64_t> quarantine;
--- a/controller.cc
+++ b/controller.cc
@@ -32,10 +32,13 @@
 // Longest time for which answers to polls keep the event loop. A full directory for each of many
 // routers takes longer than the election timeout, and raft heartbeats must go out meanwhile.
 constexpr Duration kAnswerTime = Millis(10);
+// Heartbeats of a target are numbered far below this.
+constexpr uint64_t kRemovedSequence = uint64_t{1} << 62U;
 
 // Validates the text and adds what Apply needs of it.
-Result<void> Prepare(wire::ApplyConfigT& command) {
-  const Result<Config> config = Config::Parse(command.text);
+Result<void> Prepare(ConfigReader read, bool highest, wire::ApplyConfigT& command) {
+  const Result<Config> config = read(command.text);
+  command.highest = highest;
   if (!config) return tl::unexpected(config.error());
   command.revision = config->Revision();
   command.digest = config->Digest();
@@ -52,6 +55,7 @@
         log(log),
         state(state),
         timer(io),
+        registrations(this->options.id, this->options.registration_lease),
         rounds(std::make_shared<QuorumRounds>(io, log)) {}
 
   void Start() {
@@ -80,6 +84,7 @@
     }
     if (auto* sync = body.AsSyncRequest()) return this->OnSync(std::move(*sync), responder);
     if (auto* command = body.AsCommandRequest()) return this->OnCommand(*command, responder);
+    if (auto* beat = body.AsRegisterRequest()) return this->OnRegister(*beat, responder);
     if (const auto* read = body.AsReadRequest()) this->OnRead(*read, responder);
   }
 
@@ -89,6 +94,7 @@
     if (term == this->led_term) return;
     this->led_term = term;
     this->FailPolls(ErrorCode::kNotLeader, "leadership has changed");
+    this->FailUnpublished();
     this->joining.clear();
     this->departed.clear();
     if (!leading) return;
@@ -98,6 +104,9 @@
     this->sessions.Tick(now, this->state.Routers());
     this->directory.Begin(now, term);
     this->last_push.clear();
+    this->published.clear();
+    this->registrations.Clear();
+    this->directory.SetOwnRegistrar(this->options.id);
   }
 
  private:
@@ -127,6 +136,7 @@
       case wire::Body::SyncRequest:
         return responder.reply(SyncError(error.code, error.detail, leader));
       case wire::Body::CommandRequest:
+      case wire::Body::RegisterRequest:
         return responder.reply(CommandError(error, leader));
       case wire::Body::ReadRequest:
         return responder.reply(ReadAnswer(tl::unexpected(error), leader));
@@ -174,6 +184,9 @@
       if (record) poll.registrations.push_back(FromWire(*record));
     }
     this->sessions.Renew(now, poll.Id(), poll.state_index);
+    this->published[poll.router.id] =
+        poll.directory_epoch == this->directory.Epoch() ? poll.directory_version : 0;
+    this->AnswerPublished(now);
     const uint64_t id = ++this->last_poll;
     this->ReleaseOlder(now, poll.router.id);
     this->polls.emplace(id, std::move(poll));
@@ -284,6 +297,7 @@
   wire::SyncReplyT BuildReply(Time now, const Poll& poll) {
     wire::SyncReplyT reply = StateNews(this->state, poll.state_index);
     reply.leader = this->options.id;
+    reply.controllers = this->log.Status().members;
     reply.resend_registrations = !this->directory.HasFull(poll.router.id);
     if (reply.config_text.size() <= kLargeTextBytes) this->AddDirectory(now, poll, reply);
     return reply;
@@ -316,11 +330,16 @@
     const auto controller =
         std::find_if(this->options.controllers.begin(), this->options.controllers.end(),
                      [&](const ControllerAddress& known) { return known.id == leader; });
-    if (controller == this->options.controllers.end() || leader == this->options.id) {
+    const bool known = controller != this->options.controllers.end();
+    if ((!known && this->options.peer_port == 0) || leader.empty() || leader == this->options.id) {
       return responder.reply(SyncError(ErrorCode::kNotLeader, "", ""));
     }
     auto& client = this->relays[leader];
-    if (!client) client = std::make_unique<PeerClient>(this->io, controller->peer_address);
+    if (!client) {
+      const Address address = known ? controller->peer_address
+                                    : leader + ":" + std::to_string(this->options.peer_port);
+      client = std::make_unique<PeerClient>(this->io, address);
+    }
     request.relay = false;
     client->Call(ToBody(std::move(request)), SteadyNow() + kMaxPollTime + kQuorumTimeout,
                  [responder, leader](const Result<wire::BodyUnion>& reply) {
@@ -334,7 +353,8 @@
 
   void OnCommand(wire::CommandRequestT& request, const Responder& responder) {
     if (auto* config = request.body.AsApplyConfig()) {
-      const Result<void> prepared = Prepare(*config);
+      const Result<void> prepared =
+          Prepare(this->options.read_config, this->options.highest, *config);
       if (!prepared) return responder.reply(CommandError(prepared.error(), ""));
     }
     if (const auto* change = request.body.AsChangeMembers()) {
@@ -428,10 +448,79 @@
                           this->directory, now);
       case wire::ReadKind::Targets:
         return TargetsJson(this->directory);
+      case wire::ReadKind::Document:
+        if (this->state.Revision() == 0) return Fail(ErrorCode::kNotFound, "no configuration yet");
+        return this->state.ConfigText();
     }
     return Fail(ErrorCode::kBadRequest, "unknown kind of read");
   }
 
+  // --- Targets that register with controllers ---
+
+  // A heartbeat whose sender waits until the routers know that it leaves.
+  struct Unpublished {
+    uint64_t directory_version = 0;
+    Time give_up;
+    Responder responder;
+  };
+
+  void OnRegister(const wire::RegisterRequestT& request, const Responder& responder) {
+    if (!request.target) return responder.reply(CommandError({ErrorCode::kBadRequest, ""}, ""));
+    const Time now = SteadyNow();
+    TargetRecord record = FromWire(*request.target);
+    bool leaving = record.state == TargetState::kDraining;
+    if (request.remove) {
+      const std::optional<TargetRecord> last = this->directory.Find(record.target);
+      // A new leader does not know yet which targets the routers use.
+      if (!last && this->directory.Collecting()) {
+        return responder.reply(
+            CommandError({ErrorCode::kUnavailable, "the directory is being collected"}, ""));
+      }
+      if (!last) return responder.reply(ToBody(wire::CommandReplyT{}));
+      record = *last;
+      record.state = TargetState::kGone;
+      // Above every heartbeat of this incarnation that may still be on its way.
+      record.sequence = std::max(record.sequence, kRemovedSequence);
+      leaving = true;
+    }
+    const Result<RegistrationChange> change = this->registrations.Register(now, record);
+    if (!change) return responder.reply(CommandError(change.error(), ""));
+    if (*change != RegistrationChange::kStale && this->directory.Merge(now, this->options.id, {record}, false)) {
+      this->WakeLater();
+    }
+    if (!leaving || this->Published(now)) return responder.reply(ToBody(wire::CommandReplyT{}));
+    this->unpublished.push_back({this->directory.Version(), now + kPublishTime, responder});
+  }
+
+  // True if every router with a session holds the present directory.
+  bool Published(Time now) const { return this->PublishedUpTo(now) >= this->directory.Version(); }
+
+  uint64_t PublishedUpTo(Time now) const {
+    uint64_t least = this->directory.Version();
+    for (const auto& [id, session] : this->sessions.Sessions()) {
+      if (now - session.last_arrival >= kSessionLength) continue;
+      const auto known = this->published.find(id);
+      least = std::min(least, known == this->published.end() ? 0 : known->second);
+    }
+    return least;
+  }
+
+  void AnswerPublished(Time now) {
+    if (this->unpublished.empty()) return;
+    const uint64_t version = this->PublishedUpTo(now);
+    std::erase_if(this->unpublished, [&](const Unpublished& waiting) {
+      if (waiting.directory_version > version && now < waiting.give_up) return false;
+      waiting.responder.reply(ToBody(wire::CommandReplyT{}));
+      return true;
+    });
+  }
+
+  void FailUnpublished() {
+    for (const Unpublished& waiting : std::exchange(this->unpublished, {})) {
+      waiting.responder.reply(CommandError({ErrorCode::kNotLeader, ""}, this->log.Leader()));
+    }
+  }
+
   // --- Time ---
 
   // Answers polls that have news, soon and once for several changes.
@@ -487,6 +576,7 @@
     this->CheckLeadership();
     if (this->Leading()) {
       if (now >= this->next_housekeeping) this->Housekeep(now);
+      this->AnswerPublished(now);
       std::erase_if(this->polls, [](const auto& item) { return !item.second.responder.active(); });
       this->AnswerPolls(now);
     }
@@ -500,6 +590,10 @@
   void Housekeep(Time now) {
     this->next_housekeeping = now + kHousekeepingInterval;
     this->sessions.Tick(now, this->state.Routers());
+    for (const TargetRecord& gone : this->registrations.Expire(now)) {
+      LOG(WARNING) << "controller: target " << gone.target << " has missed its heartbeats";
+      if (this->directory.Merge(now, this->options.id, {gone}, false)) this->WakeLater();
+    }
     this->directory.Tick(now, this->state.Routers());
     for (const RouterId& router : this->sessions.Expired(now)) {
       LOG(WARNING) << "controller: the session of router " << router.id << " has expired";
@@ -546,6 +640,9 @@
   bool answer_scheduled = false;
   std::set<std::string> joining;             // routers whose join has been proposed
   std::map<std::string, uint64_t> departed;  // last incarnation that has left cleanly
+  Registrations registrations;  // of targets that register with controllers
+  std::map<std::string, uint64_t> published;  // directory version that each router holds
+  std::deque<Unpublished> unpublished;
   std::map<std::string, Time> last_push;     // last directory news sent to each router
   Time next_housekeeping;
   bool wake_scheduled = false;
--- a/controller.h
+++ b/controller.h
@@ -23,9 +23,11 @@
 #include <string>
 #include <vector>
 
+#include "config.h"
 #include "control_state.h"
 #include "peer.h"
 #include "peer_generated.h"
+#include "registration.h"
 #include "replicated_log.h"
 #include "settings.h"
 #include "types.h"
@@ -40,12 +42,19 @@
 constexpr Duration kDirectoryInterval = Millis(50);
 constexpr Duration kControllerTick = Millis(20);
 constexpr Duration kProposalTimeout = Seconds(2);
+// Longest wait for the routers to learn that a target leaves before its heartbeat is acknowledged;
+// well below the second for which targets wait.
+constexpr Duration kPublishTime = Millis(600);
 // Commands waiting for their commit; further ones are refused with kOverloaded.
 constexpr size_t kMaxPendingCommands = 4'096;
 
 struct ControllerOptions {
   std::string id;
   std::vector<ControllerAddress> controllers;  // to reach the leader for relayed requests
+  uint16_t peer_port = 0;                      // see control_channel.h
+  ConfigReader read_config = &Config::Parse;   // of new texts
+  bool highest = false;  // the highest revision counts, whatever was in effect before
+  Duration registration_lease = kRegistrationLease;  // of targets that register with controllers
 };
 
 class Controller {
@@ -63,7 +72,7 @@
   Controller(const Controller&) = delete;
   Controller& operator=(const Controller&) = delete;
 
-  // Takes a SyncRequest, CommandRequest or ReadRequest; others get no reply.
+  // Takes a SyncRequest, CommandRequest, ReadRequest or RegisterRequest; others get no reply.
   void Handle(wire::BodyUnion body, const PeerRequest& request);
   void Handle(wire::BodyUnion body, const Responder& responder);
 
--- a/daemon.cc
+++ b/daemon.cc
@@ -7,18 +7,21 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <optional>
-#include <random>
 #include <utility>
 
+#include "address.h"
 #include "caller_api.h"
 #include "control_client.h"
 #include "control_state.h"
 #include "controller.h"
+#include "event_log.h"
+#include "gateway.h"
 #include "http_server.h"
 #include "metrics.h"
 #include "operator_http.h"
 #include "peer.h"
 #include "peer_pool.h"
+#include "random_seed.h"
 #include "replica.h"
 #include "replicated_log.h"
 #include "router.h"
@@ -34,19 +37,25 @@
 // Requests that run at the end of a shutdown may take as long as the longest deadline; a process
 // that is asked a second time to stop does so at once.
 constexpr Duration kCloseTime = Seconds(30);
-
-uint64_t RandomSeed() {
-  std::random_device device;
-  return (static_cast<uint64_t>(device()) << 32U) | device();
-}
+// Before the end of the grace period: the last requests are accepted, and the process exits.
+constexpr Duration kFinishTime = Millis(1'500);
+constexpr Duration kExitTime = Millis(400);
+// Voting controllers where the list of controllers is not in the settings.
+constexpr size_t kLargestGroup = 5;
+// A target that has missed this many heartbeats is gone. Heartbeats may be late by more than one
+// interval.
+constexpr int kMissedHeartbeats = 4;
+constexpr size_t kCallerHeadBytes = 64 << 10;
 
 }  // namespace
 
 class Daemon::Impl : public std::enable_shared_from_this<Daemon::Impl> {
  public:
-  Impl(asio::io_context& io, Settings settings)
+  Impl(asio::io_context& io, Settings settings, const ExternalInterface* external)
       : io(io),
         settings(std::move(settings)),
+        external(external),
+        log(external != nullptr ? STDOUT_FILENO : -1),
         tracer(this->settings.id, this->settings.span_file, RandomSeed()),
         peers(io),
         self{.id = this->settings.id,
@@ -55,7 +64,10 @@
              .data_centre = this->settings.data_centre,
              .http_address = this->settings.http_address,
              .peer_address = this->settings.peer_address},
-        control(io, {.self = this->self, .controllers = this->settings.controllers}),
+        control(io, {.self = this->self,
+                     .controllers = this->settings.controllers,
+                     .peer_port = this->PeerPort(),
+                     .read_config = this->Reader()}),
         operators(this->control),
         flush_timer(io),
         close_timer(io) {}
@@ -65,23 +77,43 @@
       if (Result<void> opened = this->OpenController(); !opened) return opened;
     }
     if (Result<void> listening = this->Listen(); !listening) return listening;
-    if (this->settings.router) {
+    if (this->settings.router && this->external != nullptr) {
+      this->gateway = std::make_unique<Gateway>(this->io, this->settings, this->self, this->control,
+                                                this->external->Codec(), this->metrics, this->log);
+      this->gateway->Start();
+    } else if (this->settings.router) {
       this->router = std::make_unique<Router>(this->io, this->settings, this->self, this->control,
                                               this->peers, this->metrics, this->tracer);
       this->router->Start();
     }
     this->FlushSpans();
+    this->log.Write(SteadyNow(), UnixMillis(),
+                    Event("start")
+                        .Add("id", this->settings.id)
+                        .Add("incarnation", this->self.incarnation)
+                        .Add("router", this->settings.router)
+                        .Add("controller", this->settings.controller)
+                        .Add("data_centre", this->settings.data_centre));
     LOG(INFO) << "daemon: " << this->settings.id << " serves " << this->settings.http_address
               << " and " << this->settings.peer_address << ", process " << getpid();
     return {};
   }
 
+  // Addresses and roles cannot be changed while running; new seeds are used at once.
+  void Reload(const Settings& changed) {
+    this->log.Write(SteadyNow(), UnixMillis(),
+                    Event("reload").Add("id", this->settings.id).Add("seeds", changed.seeds.size()));
+    this->control.Learn(changed.seeds);
+  }
+
   void Shutdown() {
     if (this->stopping) {
       LOG(WARNING) << "daemon: stopping at once";
       return this->io.stop();
     }
     this->stopping = true;
+    this->log.Write(SteadyNow(), UnixMillis(), Event("stop").Add("id", this->settings.id));
+    if (this->gateway) return this->DrainGateway();
     if (!this->router) return this->CloseHttp();
     this->router->Drain([self = this->shared_from_this()] { self->CloseHttp(); });
     this->http->Drain();
@@ -91,15 +123,22 @@
   Result<void> OpenController() {
     ReplicaOptions options{.id = this->settings.id,
                            .controllers = this->settings.controllers,
+                           .address = this->settings.peer_address,
                            .data_folder = this->settings.data_folder};
+    if (!this->settings.seeds.empty()) options.grow_to = kLargestGroup;
     auto opened = Replica::Open(this->io, std::move(options), this->state);
     if (!opened) return tl::unexpected(opened.error());
     this->replica = std::move(*opened);
-    this->log = LogOf(*this->replica);
+    this->raft_log = LogOf(*this->replica);
     this->controller = std::make_unique<Controller>(
         this->io,
-        ControllerOptions{.id = this->settings.id, .controllers = this->settings.controllers},
-        *this->log, this->state);
+        ControllerOptions{.id = this->settings.id,
+                          .controllers = this->settings.controllers,
+                          .peer_port = this->PeerPort(),
+                          .read_config = this->Reader(),
+                          .highest = this->external != nullptr,
+                          .registration_lease = kMissedHeartbeats * this->settings.heartbeat},
+        *this->raft_log, this->state);
     this->replica->OnLeadership([this](bool) { this->controller->CheckLeadership(); });
     return {};
   }
@@ -115,17 +154,111 @@
       return Fail(ErrorCode::kInvalidSettings, "peer_address " + this->settings.peer_address +
                                                    " cannot be used: " + error.what());
     }
-    auto server =
-        HttpServer::Listen(this->io, this->settings.http_address,
-                           [weak = this->weak_from_this()](const HttpRequest& request,
-                                                           const HttpResponder& responder) {
-                             if (auto self = weak.lock()) self->OnHttp(request, responder);
-                           });
-    if (!server) return tl::unexpected(server.error());
-    this->http = std::move(*server);
+    return this->external == nullptr ? this->ListenNative() : this->ListenExternal();
+  }
+
+  using Handler = void (Impl::*)(HttpRequest, const HttpResponder&);
+
+  HttpServer::Handler Bound(Handler handler) {
+    return [weak = this->weak_from_this(), handler](HttpRequest request,
+                                                    const HttpResponder& responder) {
+      if (auto self = weak.lock()) ((*self).*handler)(std::move(request), responder);
+    };
+  }
+
+  static Result<void> Open(Result<std::unique_ptr<HttpServer>> opened,
+                           std::unique_ptr<HttpServer>& server) {
+    if (!opened) return tl::unexpected(opened.error());
+    server = std::move(*opened);
+    return {};
+  }
+
+  Result<void> ListenNative() {
+    return Open(
+        HttpServer::Listen(this->io, this->settings.http_address, this->Bound(&Impl::OnHttp)),
+        this->http);
+  }
+
+  // One listener for each group of callers. An empty address is not served.
+  Result<void> ListenExternal() {
+    const HttpServer::Handler main =
+        this->settings.router
+            ? this->Bound(&Impl::OnRouteRequest)
+            : this->external->ControllerCalls(
+                  {.control = this->control,
+                   .routers = [this](std::string_view zone) { return this->RouterAddresses(zone); },
+                   .leader_address = [this] { return this->LeaderAddress(); }});
+    struct Listener {
+      const Address& address;
+      HttpServer::Handler handler;
+      std::unique_ptr<HttpServer>& server;
+      HttpServerLimits limits;
+    };
+    const HttpServerLimits callers{.head_bytes = kCallerHeadBytes};
+    const Listener listeners[] = {
+        {this->settings.http_address, main, this->http, callers},
+        {this->settings.directory_address, main, this->directory_http, {}},
+        {this->settings.health_address, this->Bound(&Impl::OnReadiness), this->health_http, {}},
+        {this->settings.metrics_address, this->Bound(&Impl::OnHttp), this->metrics_http, {}}};
+    for (const Listener& listener : listeners) {
+      if (listener.address.empty()) continue;
+      Result<void> opened =
+          Open(HttpServer::Listen(this->io, listener.address, listener.handler, listener.limits),
+               listener.server);
+      if (!opened) return opened;
+    }
     return {};
   }
 
+  void OnRouteRequest(HttpRequest request, const HttpResponder& responder) {
+    if (this->gateway) this->gateway->Handle(std::move(request), responder);
+  }
+
+  void OnReadiness(HttpRequest request, const HttpResponder& responder) {
+    const bool ready = !this->stopping && this->gateway && this->gateway->Ready();
+    responder.Send(this->external->Readiness(request, ready));
+  }
+
+  // All routers that stay, those of the caller's data centre first.
+  Result<std::vector<Address>> RouterAddresses(std::string_view /*data_centre*/) const {
+    std::vector<Address> addresses;
+    for (const auto& [id, router] : this->state.Routers()) {
+      if (!router.draining) addresses.push_back(router.http_address);
+    }
+    if (addresses.empty()) return Fail(ErrorCode::kNotSynchronized, "no router is known");
+    return addresses;
+  }
+
+  // Controllers listen on one port, and their ids are their IP numbers.
+  Address LeaderAddress() const {
+    const std::string leader = this->raft_log->Leader();
+    const size_t colon = this->settings.http_address.rfind(':');
+    return leader.empty() ? Address() : leader + this->settings.http_address.substr(colon);
+  }
+
+  uint16_t PeerPort() const {
+    if (this->settings.seeds.empty()) return 0;
+    return ParseAddress(this->settings.peer_address).value_or(Endpoint{}).port;
+  }
+
+  ConfigReader Reader() const {
+    return this->external == nullptr ? &Config::Parse : this->external->Reader();
+  }
+
+  // Serves callers with an old list of routers for most of the grace period, asks each to close its
+  // connection, and ends before the process is killed.
+  void DrainGateway() {
+    this->gateway->Drain();
+    this->http->Drain();
+    this->close_timer.expires_after(std::max(this->settings.grace - kFinishTime, Duration(0)));
+    this->close_timer.async_wait([self = this->shared_from_this()](boost::system::error_code) {
+      self->close_timer.expires_after(kFinishTime - kExitTime);
+      self->close_timer.async_wait(
+          [self](boost::system::error_code) { self->TransferLeadership(); });
+      self->http->Stop([self] { self->close_timer.cancel(); });
+    });
+  }
+
   void OnPeerRequest(wire::BodyUnion body, const PeerRequest& request) {
     switch (body.type) {
       case wire::Body::RaftEnvelope:
@@ -140,7 +273,7 @@
     }
   }
 
-  void OnHttp(const HttpRequest& request, const HttpResponder& responder) {
+  void OnHttp(HttpRequest request, const HttpResponder& responder) {
     if (this->router && this->router->Handles(request)) {
       return this->router->Handle(request, responder);
     }
@@ -238,6 +371,8 @@
 
   asio::io_context& io;
   Settings settings;
+  const ExternalInterface* external;
+  EventLog log;
   Metrics metrics;
   Tracer tracer;
   PeerPool peers;
@@ -247,11 +382,16 @@
   // Controller role; all set or none. `state` outlives the replica that drives it.
   ControlState state;
   std::unique_ptr<Replica> replica;
-  std::unique_ptr<ReplicatedLog> log;
+  std::unique_ptr<ReplicatedLog> raft_log;
   std::unique_ptr<Controller> controller;
+  // At most one of the two is set.
   std::unique_ptr<Router> router;
+  std::unique_ptr<Gateway> gateway;
   std::unique_ptr<PeerServer> peer_server;
   std::unique_ptr<HttpServer> http;
+  std::unique_ptr<HttpServer> directory_http;
+  std::unique_ptr<HttpServer> health_http;
+  std::unique_ptr<HttpServer> metrics_http;
   asio::steady_timer flush_timer;
   asio::steady_timer close_timer;
   bool stopping = false;
@@ -261,12 +401,15 @@
 Daemon::Daemon(std::shared_ptr<Impl> impl) : impl(std::move(impl)) {}
 Daemon::~Daemon() = default;
 
-Result<std::unique_ptr<Daemon>> Daemon::Start(asio::io_context& io, Settings settings) {
-  auto impl = std::make_shared<Impl>(io, std::move(settings));
+Result<std::unique_ptr<Daemon>> Daemon::Start(asio::io_context& io, Settings settings,
+                                              const ExternalInterface* external) {
+  auto impl = std::make_shared<Impl>(io, std::move(settings), external);
   if (Result<void> opened = impl->Open(); !opened) return tl::unexpected(opened.error());
   return std::unique_ptr<Daemon>(new Daemon(std::move(impl)));
 }
 
+void Daemon::Reload(const Settings& settings) { this->impl->Reload(settings); }
+
 void Daemon::Shutdown() { this->impl->Shutdown(); }
 
 }  // namespace peridotgauge
--- a/daemon.h
+++ b/daemon.h
@@ -13,17 +13,22 @@
 #include <memory>
 
 #include "error.h"
+#include "external_interface.h"
 #include "settings.h"
 
 namespace peridotgauge {
 
 class Daemon {
  public:
-  static Result<std::unique_ptr<Daemon>> Start(boost::asio::io_context& io, Settings settings);
+  // `external` is used with Interface::kRoutes and outlives the daemon; nullptr otherwise.
+  static Result<std::unique_ptr<Daemon>> Start(boost::asio::io_context& io, Settings settings,
+                                               const ExternalInterface* external = nullptr);
   ~Daemon();
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
 
+  // The settings file has changed: takes over what can be changed while running.
+  void Reload(const Settings& settings);
   // Drains the router, hands over leadership, closes the listeners and stops the io_context. A
   // second call stops at once.
   void Shutdown();
--- a/directory.cc
+++ b/directory.cc
@@ -173,10 +173,14 @@
   const uint64_t before = this->version;
   for (auto& [name, entry] : this->entries) {
     if (entry.gone) continue;
-    if (!entry.orphaned && view.count(entry.record.registrar) == 0) entry.orphaned = now;
+    const std::string& registrar = entry.record.registrar;
+    const bool present = registrar == this->own_registrar || view.count(registrar) > 0;
+    if (!entry.orphaned && !present) entry.orphaned = now;
     if (entry.orphaned && now - *entry.orphaned >= kCollectTime) this->Drop(now, entry);
   }
-  std::erase_if(this->complete, [&](const std::string& id) { return view.count(id) == 0; });
+  std::erase_if(this->complete, [&](const std::string& id) {
+    return id != this->own_registrar && view.count(id) == 0;
+  });
   this->Prune(now);
   if (this->collecting && now >= this->collect_until) {
     this->collecting = false;
@@ -200,6 +204,12 @@
   }
 }
 
+std::optional<TargetRecord> Directory::Find(const std::string& target) const {
+  const auto found = this->entries.find(target);
+  if (found == this->entries.end() || found->second.gone) return std::nullopt;
+  return found->second.record;
+}
+
 DirectoryDelta Directory::DeltaSince(uint64_t copy_epoch, uint64_t copy_version) const {
   DirectoryDelta delta{.epoch = this->epoch,
                        .version = this->version,
--- a/directory.h
+++ b/directory.h
@@ -63,6 +63,12 @@
   // Starts a new leadership with an empty directory. `epoch` must be above the previous one.
   void Begin(Time now, uint64_t epoch);
 
+  // A registrar that is always in the view, besides the routers.
+  void SetOwnRegistrar(const std::string& registrar) {
+    this->own_registrar = registrar;
+    this->complete.insert(registrar);
+  }
+
   // Merges the records of one registrar. `full` means that `records` is all that the registrar
   // holds: other targets of it are dropped after kCollectTime unless they register again.
   // Returns true if something changed.
@@ -84,6 +90,8 @@
   uint64_t Digest() const { return this->digest; }
   bool Collecting() const { return this->collecting; }
   const DirectoryCounters& Counters() const { return this->counters; }
+  // The last record of a target that is not gone.
+  std::optional<TargetRecord> Find(const std::string& target) const;
   // The records that are not gone, in the order of their names.
   std::vector<TargetRecord> Targets() const;
 
@@ -105,6 +113,7 @@
   void Drop(Time now, Entry& entry);
   void Prune(Time now);
 
+  std::string own_registrar;
   uint64_t epoch = 0;
   uint64_t version = 0;
   size_t bytes = 0;     // encoded size of all entries, an upper estimate
--- /dev/null
+++ b/gateway.cc
@@ -0,0 +1,238 @@
+// Routes of the configuration, targets of the directory, and the requests that bring both together.
+#include "gateway.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <random>
+#include <utility>
+
+#include "plan.h"
+#include "random_seed.h"
+#include "replica_choice.h"
+#include "route_plan.h"
+#include "route_request.h"
+
+namespace peridotgauge {
+namespace {
+
+namespace asio = boost::asio;
+
+// An answer at the deadline still has to reach the caller.
+constexpr Duration kDeadlineMargin = Millis(10);
+constexpr Duration kShortestDeadline = Millis(1);
+// Share of a target's connections that all routers together may use. The rest is for connections
+// that one side has closed and the other still counts.
+constexpr double kConnectionShare = 0.9;
+// Part of the platform's limit on extra sub-requests that is used. The rest is for requests whose
+// first sub-request this router counts and the target never receives.
+constexpr double kExtraShare = 0.8;
+constexpr Duration kLeaveTime = Seconds(2);
+
+std::unique_ptr<ReplicaChoice> MakeReplicaChoice(const Settings& settings) {
+  auto choice = ReplicaChoice::Make(settings.replica_choice,
+                                    {.seed = RandomSeed(), .ejection = settings.ejection});
+  LOG_IF(FATAL, !choice) << "gateway: " << choice.error().ToString();
+  return std::move(*choice);
+}
+
+}  // namespace
+
+class Gateway::Impl : public std::enable_shared_from_this<Gateway::Impl> {
+ public:
+  Impl(asio::io_context& io, const Settings& settings, RouterRecord self, ControlClient& control,
+       const RouteCodec& codec, Metrics& metrics, EventLog& log)
+      : settings(settings),
+        self(std::move(self)),
+        control(control),
+        plans(planner),
+        pool(io),
+        replicas(MakeReplicaChoice(settings)),
+        random(RandomSeed()),
+        log(log),
+        metrics(metrics),
+        codec(codec),
+        context{io,     codec,         this->pool, *this->replicas, this->budget,
+                this->route_budgets, metrics,    log,             this->random} {}
+
+  void Start() {
+    this->control.OnChange([weak = this->weak_from_this()](const ControlChange& change) {
+      if (auto gateway = weak.lock()) gateway->OnControlChange(change);
+    });
+    this->control.Start();
+  }
+
+  bool Ready() const { return !this->draining && !this->config->Routes().Empty(); }
+
+  void Handle(HttpRequest http, const HttpResponder& responder) {
+    const Time now = SteadyNow();
+    Result<CallerTerms> terms = this->codec.ReadCaller(http);
+    if (!terms) return this->Refuse(now, http, "", terms.error(), responder);
+    if (this->config->Revision() == 0) {
+      return this->Refuse(now, http, terms->request_id,
+                          {ErrorCode::kNotSynchronized, "no configuration is known yet"}, responder);
+    }
+    const Route* route = this->config->Routes().Match(terms->host, http.path);
+    if (route == nullptr) {
+      return this->Refuse(now, http, terms->request_id, {ErrorCode::kNotFound, "no route"},
+                          responder);
+    }
+    const Duration patience = std::min(terms->patience.value_or(route->timeout), route->timeout);
+    const uint64_t revision = this->config->Revision();
+    RouteTask task{.http = std::move(http),
+                   .terms = std::move(*terms),
+                   .route = *route,
+                   .plan = route->Gathers()
+                               ? this->plans.ForShards(revision, *route)
+                               : this->plans.ForService(revision, *route, this->split.Next(*route)),
+                   .directory_version = this->control.Directory().Version(),
+                   .arrived = now,
+                   .deadline = now + std::max(patience - kDeadlineMargin, kShortestDeadline)};
+    const auto run = RouteRequest::Start(
+        this->context, std::move(task),
+        [responder](HttpResponse response) { responder.Send(std::move(response)); });
+    responder.OnDisconnect([weak = std::weak_ptr<RouteRequest>(run)] {
+      if (auto request = weak.lock()) request->Abort();
+    });
+  }
+
+  void Drain() {
+    this->draining = true;
+    wire::LeaveT leave;
+    leave.id = this->self.id;
+    leave.incarnation = this->self.incarnation;
+    this->control.Command(ToCommand(std::move(leave)), SteadyNow() + kLeaveTime,
+                          [](const Result<wire::CommandReplyT>&) {});
+  }
+
+ private:
+  void Refuse(Time now, const HttpRequest& http, const std::string& id, const Error& error,
+              const HttpResponder& responder) {
+    const bool temporary = error.code == ErrorCode::kNotSynchronized;
+    this->metrics
+        .CounterOf("peridotgauge_requests_total",
+                   {{"route", ""}, {"result", std::string(error.Name())}})
+        .Add();
+    this->log.Write(now, UnixMillis(),
+                    Event("request_refused")
+                        .Add("request", id)
+                        .Add("host", http.Header("host"))
+                        .Add("path", http.path)
+                        .Add("error", error.ToString())
+                        .Add("revision", this->config->Revision()));
+    responder.Send(this->codec.Failure(
+        error, true, temporary ? std::optional(RetryPause(this->random)) : std::nullopt));
+  }
+
+  // --- Control plane ---
+
+  void OnControlChange(const ControlChange& change) {
+    const Time now = SteadyNow();
+    if (change.config) this->OnConfig(now);
+    if (change.directory) this->OnDirectory(now);
+    if (change.config || change.routers) this->OnShares();
+    if (change.lease) {
+      this->log.Write(now, UnixMillis(),
+                      Event("controllers_regained").Add("leader", this->control.Leader()));
+    }
+    if (change.config || change.directory) {
+      this->plans.Invalidate();
+      this->pool.Keep(this->known);
+    }
+  }
+
+  void OnConfig(Time now) {
+    this->config = this->control.CurrentConfig();
+    this->log.Write(now, UnixMillis(),
+                    Event("config_in_force")
+                        .Add("revision", this->config->Revision())
+                        .Add("routes", this->config->Routes().Routes().size()));
+  }
+
+  // Divides what all routers share: connections to targets and extra sub-requests.
+  void OnShares() {
+    size_t routers = 0;
+    for (const auto& [id, router] : this->control.Routers()) routers += router.draining ? 0 : 1;
+    routers = std::max<size_t>(routers, 1);
+    std::map<std::string, double, std::less<>> shares;
+    const auto add = [&](const std::string& service) {
+      const ServiceSpec* spec = this->config->Routes().FindService(service);
+      if (spec == nullptr || !shares.emplace(service, this->settings.extra.ratio * kExtraShare).second) {
+        return;
+      }
+      this->pool.SetShare(service, static_cast<size_t>(spec->connections * kConnectionShare) / routers);
+    };
+    for (const Route& route : this->config->Routes().Routes()) {
+      for (const WeightedService& part : route.split) add(part.service);
+      for (const std::string& shard : route.shards) add(shard);
+    }
+    const double slack = this->settings.extra.slack * kExtraShare / static_cast<double>(routers);
+    this->budget.SetOptions({.burst = std::max(slack, 1.0), .max_debt = 0});
+    this->budget.SetShares(shares);
+  }
+
+  void OnDirectory(Time now) {
+    const auto& targets = this->control.Directory().Targets();
+    for (const auto& [name, record] : targets) {
+      const auto known_record = this->known.find(name);
+      if (known_record != this->known.end() && known_record->second == record) continue;
+      this->known[name] = record;
+      this->planner.Upsert(record);
+      this->LogTarget(now, record);
+    }
+    std::erase_if(this->known, [&](const auto& item) {
+      if (targets.contains(item.first)) return false;
+      TargetRecord gone = item.second;
+      gone.state = TargetState::kGone;
+      this->LogTarget(now, gone);
+      this->planner.Remove(item.first);
+      this->replicas->Remove(item.first);
+      return true;
+    });
+  }
+
+  void LogTarget(Time now, const TargetRecord& record) {
+    constexpr const char* kStates[] = {"starting", "serving", "draining", "gone"};
+    this->log.Write(now, UnixMillis(),
+                    Event("target")
+                        .Add("target", record.target)
+                        .Add("service", record.service)
+                        .Add("address", record.address)
+                        .Add("state", kStates[static_cast<size_t>(record.state)])
+                        .Add("sequence", record.sequence)
+                        .Add("directory", this->control.Directory().Version()));
+  }
+
+  const Settings& settings;
+  RouterRecord self;
+  ControlClient& control;
+  Planner planner;
+  RoutePlanner plans;
+  TargetPool pool;
+  std::unique_ptr<ReplicaChoice> replicas;
+  HedgeBudget budget;
+  std::map<std::string, RouteBudget> route_budgets;
+  SplitCounter split;
+  std::mt19937_64 random;
+  EventLog& log;
+  Metrics& metrics;
+  const RouteCodec& codec;
+  RouteContext context;
+  std::shared_ptr<const Config> config = std::make_shared<const Config>();
+  std::map<std::string, TargetRecord> known;  // the directory as the planner knows it
+  bool draining = false;
+};
+
+Gateway::Gateway(asio::io_context& io, const Settings& settings, const RouterRecord& self,
+                 ControlClient& control, const RouteCodec& codec, Metrics& metrics, EventLog& log)
+    : impl(std::make_shared<Impl>(io, settings, self, control, codec, metrics, log)) {}
+Gateway::~Gateway() = default;
+void Gateway::Start() { this->impl->Start(); }
+void Gateway::Handle(HttpRequest request, const HttpResponder& responder) {
+  this->impl->Handle(std::move(request), responder);
+}
+void Gateway::Drain() { this->impl->Drain(); }
+bool Gateway::Ready() const { return this->impl->Ready(); }
+
+}  // namespace peridotgauge
--- a/hedge.cc
+++ b/hedge.cc
@@ -14,10 +14,24 @@
 }  // namespace
 
 void HedgeBudget::SetConfig(const Config& config) {
-  std::erase_if(this->fleets,
-                [&](const auto& entry) { return config.FindFleet(entry.first) == nullptr; });
-  for (const auto& [name, fleet] : config.Fleets()) {
-    this->fleets[name].share = fleet.hedge_percent / 100.0;
+  std::map<std::string, double, std::less<>> shares;
+  for (const auto& [name, fleet] : config.Fleets()) shares[name] = fleet.hedge_percent / 100.0;
+  this->SetShares(shares);
+}
+
+void HedgeBudget::SetShares(const std::map<std::string, double, std::less<>>& shares) {
+  std::erase_if(this->fleets, [&](const auto& entry) { return !shares.contains(entry.first); });
+  for (const auto& [name, share] : shares) {
+    const auto [fleet, added] = this->fleets.try_emplace(name);
+    if (added) fleet->second.tokens = this->options.burst;
+    fleet->second.share = share;
+  }
+}
+
+void HedgeBudget::SetOptions(HedgeBudgetOptions new_options) {
+  this->options = new_options;
+  for (auto& [name, state] : this->fleets) {
+    state.tokens = std::min(state.tokens, this->options.burst);
   }
 }
 
@@ -46,16 +60,16 @@
 void HedgeBudget::CountNeeded(Time /*now*/, std::string_view fleet, uint32_t count) {
   FleetState* state = this->Find(fleet);
   if (state == nullptr) return;
-  state->tokens = std::min(kBudgetBurst, state->tokens + state->share * count);
+  state->tokens = std::min(this->options.burst, state->tokens + state->share * count);
 }
 
 bool HedgeBudget::Spend(Time now, std::string_view fleet, ExtraKind kind) {
   FleetState* state = this->Find(fleet);
   if (state == nullptr || Overloaded(now, *state)) return false;
-  const bool last_chance = kind == ExtraKind::kLastChance;
+  const bool last_chance = kind == ExtraKind::kLastChance && this->options.max_debt > 0;
   // hedge_percent 0 allows no hedges and retries, not even the initial burst.
   if (!last_chance && (state->share == 0 || state->tokens < 1)) return false;
-  state->tokens = std::max(-kMaxDebt, state->tokens - 1);
+  state->tokens = std::max(-this->options.max_debt, state->tokens - 1);
   return true;
 }
 
--- a/hedge.h
+++ b/hedge.h
@@ -54,10 +54,23 @@
   bool refused = false;  // overload: shed by the target, or the owner's queue was full
 };
 
+// Size of the budgets of one router.
+struct HedgeBudgetOptions {
+  double burst = kBudgetBurst;  // sub-requests
+  double max_debt = kMaxDebt;   // 0: last-chance retries need budget like others
+};
+
 class HedgeBudget : public ExtraBudget {
  public:
+  HedgeBudget() = default;
+  explicit HedgeBudget(HedgeBudgetOptions options) : options(options) {}
+
   // Takes fleets and their percentages. Known fleets keep their budget and samples.
   void SetConfig(const Config& config);
+  // Sets the fleets and their shares (hedge_percent / 100) directly.
+  void SetShares(const std::map<std::string, double, std::less<>>& shares);
+  // Changes the size of the budgets, for example when the number of routers has changed.
+  void SetOptions(HedgeBudgetOptions new_options);
   void OnReply(Time now, std::string_view fleet, const AttemptReport& report);
 
   std::optional<Duration> HedgeDelay(Time now, std::string_view fleet) override;
@@ -71,7 +84,7 @@
  private:
   struct FleetState {
     double share = 0;              // hedge_percent / 100
-    double tokens = kBudgetBurst;  // -kMaxDebt to kBudgetBurst
+    double tokens = 0;  // -max_debt to burst
     QuantileWindow latency{kHedgeWindow, kHedgeMinSamples};
     std::optional<Duration> delay;
     std::optional<Time> delay_computed;
@@ -85,6 +98,7 @@
   const FleetState* Find(std::string_view fleet) const;
   static bool Overloaded(Time now, const FleetState& state);
 
+  HedgeBudgetOptions options;
   std::map<std::string, FleetState, std::less<>> fleets;
 };
 
--- a/http_beast.cc
+++ b/http_beast.cc
@@ -50,7 +50,7 @@
   message.version(kHttp11);
   message.method_string(request.method);
   message.target(request.query.empty() ? request.path : request.path + "?" + request.query);
-  message.set(http::field::host, address);
+  if (request.Header("host").empty()) message.set(http::field::host, address);
   for (const HttpHeader& header : request.headers) message.insert(header.name, header.value);
   message.body() = std::move(request.body);
   message.prepare_payload();
--- a/http_client.cc
+++ b/http_client.cc
@@ -383,6 +383,7 @@
   return {.connections = this->connections.size(),
           .idle = this->idle.size(),
           .waiting = this->waiting.size(),
+          .running = this->exchanges.size(),
           .opened = this->opened,
           .replaced = this->replaced};
 }
--- a/http_client.h
+++ b/http_client.h
@@ -67,6 +67,7 @@
   size_t connections = 0;  // connecting, idle, busy or closing
   size_t idle = 0;
   size_t waiting = 0;  // calls without a connection
+  size_t running = 0;  // calls that have not ended
   uint64_t opened = 0;
   uint64_t replaced = 0;  // kept connections that the peer had closed
 };
--- a/peridotgauged.cc
+++ b/peridotgauged.cc
@@ -13,6 +13,7 @@
 #include <iterator>
 
 #include "daemon.h"
+#include "platform/platform.h"
 #include "replica_choice.h"
 #include "settings.h"
 
@@ -40,19 +41,36 @@
   return settings;
 }
 
+// Reads the settings file again. A file that cannot be used changes nothing.
+void Reload(Daemon& daemon) {
+  const Result<Settings> settings = ReadSettings(FLAGS_settings);
+  if (!settings) {
+    LOG(ERROR) << "daemon: the changed settings are ignored: " << settings.error().ToString();
+    return;
+  }
+  daemon.Reload(*settings);
+}
+
 // Runs until the daemon has shut down. Returns the exit status.
-int Run(Settings settings) {
+int Run(const Settings& settings) {
   boost::asio::io_context io(1);
-  Result<std::unique_ptr<Daemon>> daemon = Daemon::Start(io, std::move(settings));
+  const platform::Platform platform;
+  const bool routes = settings.interface == Interface::kRoutes;
+  Result<std::unique_ptr<Daemon>> daemon =
+      Daemon::Start(io, settings, routes ? &platform : nullptr);
   if (!daemon) {
     LOG(ERROR) << "daemon: cannot start: " << daemon.error().ToString();
     return 1;
   }
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
   std::function<void(boost::system::error_code, int)> on_signal =
-      [&](boost::system::error_code error, int) {
+      [&](boost::system::error_code error, int signal) {
         if (error) return;
-        (*daemon)->Shutdown();
+        if (signal == SIGHUP) {
+          Reload(**daemon);
+        } else {
+          (*daemon)->Shutdown();
+        }
         signals.async_wait(on_signal);
       };
   signals.async_wait(on_signal);
@@ -79,5 +97,5 @@
     std::cout << FLAGS_settings << ": settings are valid\n";
     return 0;
   }
-  return peridotgauge::Run(std::move(*settings));
+  return peridotgauge::Run(*settings);
 }
--- a/raft.cc
+++ b/raft.cc
@@ -80,7 +80,7 @@
 
 void Raft::Tick(Time now) {
   if (this->role == RaftRole::kFailed) return;
-  if (!this->hard.admitted && now >= this->next_probe) this->SendProbes(now);
+  if (!this->CanCampaign() && now >= this->next_probe) this->SendProbes(now);
   if (this->Leading()) {
     this->LeaderTick(now);
   } else if (now >= this->election_deadline) {
--- a/raft.h
+++ b/raft.h
@@ -61,6 +61,10 @@
 constexpr uint64_t kSnapshotChunkBytes = 512 << 10;
 constexpr uint32_t kMaxInFlightAppends = 32;
 constexpr size_t kMaxLearners = 8;
+// Shorter than the time in which a second controller may fail after a replacement has started (4 s on
+// the smallest deployments), longer than a few lost heartbeats.
+constexpr Duration kSilentMemberTime = Seconds(3);
+constexpr size_t kSmallestGroup = 3;
 
 struct RaftOptions {
   std::string id;
@@ -68,6 +72,11 @@
   RaftMembers initial;  // incarnations are ignored
   Duration heartbeat = Millis(50);
   Duration election_timeout = Millis(300);
+  // 0: the member list changes only by ChangeMember(). Otherwise the leader admits a learner with an
+  // unknown id in place of a member that has been silent for kSilentMemberTime, or besides the others
+  // while there are fewer members than `grow_to`, and removes silent members while more than
+  // kSmallestGroup are left.
+  size_t grow_to = 0;
   uint64_t kept_entries = 500;  // kept behind a snapshot for followers that lag
   uint64_t random_seed = 1;
 };
@@ -254,6 +263,13 @@
   void MaybeCommit(Time now);
   void AfterMembershipCommit(Time now);
   void MaybeAdmitLearner(Time now, const std::string& id, const Progress& progress);
+  // Admits a learner that is not listed under any incarnation, if `grow_to` allows it.
+  void MaybeGrow(Time now, const RaftMember& learner);
+  void MaybeRemoveSilent(Time now);
+  // A member that has been silent for kSilentMemberTime, or nullptr.
+  const RaftMember* SilentMember(Time now) const;
+  // Appends the list if no other change is under way.
+  Result<uint64_t> AppendMembers(Time now, RaftMembers members);
   void StartRound();
   void ConfirmReads();
   void MaybeFinishTransfer();
--- a/raft_election.cc
+++ b/raft_election.cc
@@ -2,6 +2,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "raft.h"
@@ -17,16 +18,25 @@
 
 void Raft::SendProbes(Time now) {
   this->next_probe = now + 2 * this->options.heartbeat;
-  for (const RaftMember& member : this->options.initial) {
-    if (member.id != this->options.id) {
-      this->Send(this->MakeMessage(MessageType::kProbe, member.id));
-    }
-  }
+  std::set<std::string> known;
+  for (const RaftMember& member : this->options.initial) known.insert(member.id);
+  for (const RaftMember& member : this->Members()) known.insert(member.id);
+  known.erase(this->options.id);
+  for (const std::string& id : known) this->Send(this->MakeMessage(MessageType::kProbe, id));
   this->TryFound(now);
 }
 
 void Raft::HandleProbe(Time now, const RaftMessage& message) {
-  if (this->Leading()) this->FindOrAddLearner(now, message);
+  if (this->Leading()) {
+    this->FindOrAddLearner(now, message);
+  } else if (!this->leader.empty() && this->leader != message.from) {
+    // The sender may know controllers only that do not lead.
+    RaftMessage forwarded = message;
+    forwarded.to = this->leader;
+    forwarded.to_incarnation = 0;
+    forwarded.to_address = this->AddressOf(this->leader);
+    this->Send(std::move(forwarded));
+  }
   RaftMessage reply = this->MakeReply(MessageType::kProbeReply, message);
   reply.granted = this->IsFresh();
   const MembershipAt& first = this->log.MembershipAsOf(0);
@@ -122,9 +132,9 @@
 
 void Raft::HandlePreVote(Time now, const RaftMessage& message) {
   // An admitted replica that the present list does not name does not probe; it is noticed here.
-  if (this->Leading() && FindMember(this->Members(), message.from) != nullptr) {
-    this->FindOrAddLearner(now, message);
-  }
+  const bool may_join =
+      this->options.grow_to > 0 || FindMember(this->Members(), message.from) != nullptr;
+  if (this->Leading() && may_join) this->FindOrAddLearner(now, message);
   RaftMessage reply = this->MakeReply(MessageType::kPreVoteReply, message);
   reply.granted =
       message.term > this->hard.term && this->LogIsCurrent(message) && !this->HeardFromLeader(now);
--- a/raft_leader.cc
+++ b/raft_leader.cc
@@ -60,6 +60,7 @@
   if (now >= this->next_heartbeat) {
     this->next_heartbeat = now + this->options.heartbeat;
     this->SendHeartbeats();
+    this->MaybeRemoveSilent(now);
   }
 }
 
--- a/raft_request.cc
+++ b/raft_request.cc
@@ -44,6 +44,13 @@
     std::sort(members.begin(), members.end(),
               [](const RaftMember& a, const RaftMember& b) { return a.id < b.id; });
   }
+  return this->AppendMembers(now, std::move(members));
+}
+
+Result<uint64_t> Raft::AppendMembers(Time now, RaftMembers members) {
+  if (!this->CommittedInTerm() || this->log.Latest().index > this->commit) {
+    return Fail(ErrorCode::kConflict, "another membership change is in progress");
+  }
   if (members.empty() || members == this->Members()) {
     return Fail(ErrorCode::kBadRequest, "the change leaves no or the same members");
   }
@@ -56,15 +63,59 @@
 // Replaces the listed incarnation of a learner that holds all committed entries.
 void Raft::MaybeAdmitLearner(Time now, const std::string& id, const Progress& learner) {
   const RaftMember* member = FindMember(this->Members(), id);
-  if (member == nullptr || member->incarnation == learner.incarnation) return;
+  if (member != nullptr && member->incarnation == learner.incarnation) return;
   if (!this->CommittedInTerm() || learner.match < this->commit) return;
   if (this->log.Latest().index > this->commit || !this->transfer_target.empty()) return;
+  if (member == nullptr) return this->MaybeGrow(now, {id, learner.incarnation, learner.address});
   LOG(INFO) << "raft: " << this->options.id << " admits the new incarnation of " << id;
   const RaftMember replacement{id, learner.incarnation, learner.address};
   const Result<uint64_t> index = this->ChangeMember(now, replacement, false);
   LOG_IF(WARNING, !index) << "raft: admission failed: " << index.error().ToString();
 }
 
+const RaftMember* Raft::SilentMember(Time now) const {
+  for (const RaftMember& member : this->Members()) {
+    const auto found = this->progress.find(member.id);
+    if (found == this->progress.end() || found->second.incarnation != member.incarnation) continue;
+    if (now - std::max(found->second.last_heard, this->leader_since) >= kSilentMemberTime) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+void Raft::MaybeGrow(Time now, const RaftMember& learner) {
+  if (this->options.grow_to == 0) return;
+  RaftMembers members = this->Members();
+  if (const RaftMember* silent = this->SilentMember(now)) {
+    LOG(INFO) << "raft: " << learner.id << " replaces the silent member " << silent->id;
+    std::erase(members, *silent);
+  } else if (members.size() >= this->options.grow_to) {
+    return;
+  }
+  LOG(INFO) << "raft: " << this->options.id << " admits " << learner.id;
+  members.push_back(learner);
+  std::sort(members.begin(), members.end(),
+            [](const RaftMember& a, const RaftMember& b) { return a.id < b.id; });
+  const Result<uint64_t> index = this->AppendMembers(now, std::move(members));
+  LOG_IF(WARNING, !index) << "raft: admission failed: " << index.error().ToString();
+}
+
+// A member that does not answer counts against the majority but cannot add to it. It is admitted
+// again as a learner when it is back.
+void Raft::MaybeRemoveSilent(Time now) {
+  if (this->options.grow_to == 0 || this->Members().size() <= kSmallestGroup) return;
+  if (!this->CommittedInTerm() || this->log.Latest().index > this->commit) return;
+  if (!this->transfer_target.empty()) return;
+  const RaftMember* silent = this->SilentMember(now);
+  if (silent == nullptr) return;
+  LOG(WARNING) << "raft: " << this->options.id << " removes the silent member " << silent->id;
+  RaftMembers members = this->Members();
+  std::erase(members, *silent);
+  const Result<uint64_t> index = this->AppendMembers(now, std::move(members));
+  LOG_IF(WARNING, !index) << "raft: removal failed: " << index.error().ToString();
+}
+
 Result<uint64_t> Raft::RequestRead(Time) {
   if (!this->Leading()) return Fail(ErrorCode::kNotLeader);
   const uint64_t id = this->next_read_id++;
--- a/registration.cc
+++ b/registration.cc
@@ -78,7 +78,7 @@
     if (this->entries.size() >= kMaxRegistrations) {
       return Fail(ErrorCode::kOverloaded, "this router holds its maximum of registrations");
     }
-    this->entries[record.target] = {.record = record, .lease_end = now + kRegistrationLease};
+    this->entries[record.target] = {.record = record, .lease_end = now + this->lease};
     return RegistrationChange::kChanged;
   }
   Entry& entry = found->second;
@@ -91,7 +91,7 @@
   }
   if (!record.Supersedes(known)) return RegistrationChange::kStale;
   const bool same = SameContent(known, record);
-  entry = {.record = record, .lease_end = now + kRegistrationLease};
+  entry = {.record = record, .lease_end = now + this->lease};
   return same ? RegistrationChange::kRenewed : RegistrationChange::kChanged;
 }
 
--- a/registration.h
+++ b/registration.h
@@ -37,7 +37,8 @@
 
 class Registrations {
  public:
-  explicit Registrations(std::string router) : router(std::move(router)) {}
+  explicit Registrations(std::string router, Duration lease = kRegistrationLease)
+      : router(std::move(router)), lease(lease) {}
 
   // Takes a registration or renewal and sets its registrar. kBadRequest if a value is out of range
   // (the detail names it), kConflict if the incarnation is known with another address or service,
@@ -50,6 +51,8 @@
   // Forgets a registration that the directory supersedes: the target registers elsewhere now.
   void Observe(const TargetRecord& record);
 
+  // Forgets everything, without reports.
+  void Clear() { this->entries.clear(); }
   std::vector<TargetRecord> All() const;
   size_t Size() const { return this->entries.size(); }
 
@@ -60,6 +63,7 @@
   };
 
   std::string router;
+  Duration lease;
   std::map<std::string, Entry, std::less<>> entries;  // by target
 };
 
--- a/replica.cc
+++ b/replica.cc
@@ -12,6 +12,7 @@
 
 #include "raft.h"
 #include "raft_transport.h"
+#include "random_seed.h"
 #include "storage_thread.h"
 #include "wal.h"
 
@@ -22,12 +23,6 @@
 // A quarter of the entries between two snapshots is kept for followers that lag.
 constexpr uint64_t kKeptFraction = 4;
 
-uint64_t RandomNumber() {
-  std::random_device device;
-  const auto high = static_cast<uint64_t>(device());
-  return (high << 32U) | device();
-}
-
 RaftMembers InitialMembers(const std::vector<ControllerAddress>& controllers) {
   RaftMembers members;
   for (const ControllerAddress& controller : controllers) {
@@ -38,18 +33,20 @@
 
 RaftOptions CoreOptions(const ReplicaOptions& options) {
   RaftOptions out{.id = options.id, .address = {}, .initial = InitialMembers(options.controllers)};
+  out.address = options.address;
   if (const RaftMember* self = FindMember(out.initial, options.id)) out.address = self->address;
+  out.grow_to = options.grow_to;
   out.heartbeat = options.heartbeat;
   out.election_timeout = options.election_timeout;
   out.kept_entries = options.snapshot_interval / kKeptFraction;
-  out.random_seed = options.random_seed != 0 ? options.random_seed : RandomNumber();
+  out.random_seed = options.random_seed != 0 ? options.random_seed : RandomSeed();
   return out;
 }
 
 // Gives a fresh folder its incarnation, stored before the first message.
 Result<void> EnsureIncarnation(Wal& wal, RaftStored& stored) {
   if (stored.hard_state.incarnation != 0) return {};
-  while (stored.hard_state.incarnation == 0) stored.hard_state.incarnation = RandomNumber();
+  while (stored.hard_state.incarnation == 0) stored.hard_state.incarnation = RandomSeed();
   RaftWrite write;
   write.hard_state = stored.hard_state;
   return wal.Write(write);
@@ -371,6 +368,8 @@
 }
 
 ReplicaStatus Replica::Impl::Status() const {
+  std::vector<std::string> members;
+  for (const RaftMember& member : this->raft.Members()) members.push_back(member.id);
   return {.id = this->options.id,
           .role = RoleName(this->raft.Role()),
           .leader = this->raft.Leader(),
@@ -379,7 +378,8 @@
           .applied_index = this->applied,
           .log_entries = this->raft.Log().Size(),
           .log_bytes = this->raft.Log().Bytes(),
-          .storage_error = this->storage_error};
+          .storage_error = this->storage_error,
+          .members = std::move(members)};
 }
 
 Result<std::unique_ptr<Replica>> Replica::Open(boost::asio::io_context& io, ReplicaOptions options,
--- /dev/null
+++ b/route_plan.cc
@@ -0,0 +1,42 @@
+// Plans from routes.
+#include "route_plan.h"
+
+#include <algorithm>
+
+namespace peridotgauge {
+
+std::shared_ptr<const Plan> RoutePlanner::ForShards(uint64_t revision, const Route& route) {
+  auto& plan = this->plans[{route.name, ""}];
+  if (!plan) plan = this->Build(revision, route, route.shards);
+  return plan;
+}
+
+std::shared_ptr<const Plan> RoutePlanner::ForService(uint64_t revision, const Route& route,
+                                                     const std::string& service) {
+  auto& plan = this->plans[{route.name, service}];
+  if (!plan) plan = this->Build(revision, route, {service});
+  return plan;
+}
+
+std::shared_ptr<const Plan> RoutePlanner::Build(uint64_t revision, const Route& route,
+                                                const std::vector<std::string>& services) {
+  auto plan = std::make_shared<Plan>();
+  plan->revision = revision;
+  plan->deadline = route.timeout;
+  plan->prefer = Preference::kLatency;
+  plan->soft_deadline = route.timeout;
+  // A partial answer within the objective is worth more than a whole one after it.
+  if (route.Gathers() && route.objective > Duration(0)) {
+    plan->soft_deadline = std::max(route.objective - kAnswerMargin, route.objective / 2);
+  }
+  for (uint32_t i = 0; i < services.size(); ++i) {
+    plan->fleets.push_back({.name = services[i], .snapshot = 0});
+    plan->services.push_back({.name = services[i], .fleet = i, .shards = 1});
+    plan->owners.push_back(this->planner.TargetsOf(services[i]));
+    plan->shards.push_back(
+        {.service = i, .shard = 0, .candidates = plan->owners.back()->Serving()});
+  }
+  return plan;
+}
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/route_request.cc
@@ -0,0 +1,310 @@
+// Runs the search of one request and turns its outcome into an answer.
+#include "route_request.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "gather.h"
+#include "search.h"
+
+namespace peridotgauge {
+namespace {
+
+// Share of attempts of a route that are quicker than its hedge delay.
+constexpr double kRouteHedgeQuantile = 0.92;
+// Before enough latencies are known, an attempt is hedged after this.
+constexpr Duration kFirstHedgeDelay = Millis(60);
+constexpr Duration kShortestRouteHedgeDelay = Millis(4);
+// A refused caller comes back after 50 to 150 ms: the time in which a queue of a few requests is
+// worked off.
+constexpr Duration kShortestRetryPause = Millis(50);
+constexpr Duration kRetryPauseSpread = Millis(100);
+
+ErrorCode CodeOf(TargetVerdict verdict) {
+  switch (verdict) {
+    case TargetVerdict::kNotRun:
+    case TargetVerdict::kReplaced:
+      return ErrorCode::kShed;
+    case TargetVerdict::kFailed:
+      return ErrorCode::kTargetFailed;
+    case TargetVerdict::kForeign:
+    case TargetVerdict::kAnswered:
+      break;
+  }
+  return ErrorCode::kWrongReply;
+}
+
+class Run : public RouteRequest, public std::enable_shared_from_this<Run> {
+ public:
+  Run(RouteContext& context, RouteTask task, Callback done)
+      : context(context),
+        task(std::move(task)),
+        budget(context.route_budgets.try_emplace(this->task.route.name, context.budget)
+                   .first->second),
+        search(this->task.plan, ParamsOf(this->task), {context.replicas, this->budget}),
+        timer(context.io),
+        done(std::move(done)) {}
+
+  void Begin(Time now) { this->Apply(now, this->search.Start(now)); }
+
+  void Abort() override {
+    if (this->ended) return;
+    const Time now = SteadyNow();
+    this->Apply(now, this->search.Abort());
+    this->End(now, "abandoned", 0, this->search.Counts(), 0);
+  }
+
+ private:
+  struct Attempt {
+    const TargetRecord* target = nullptr;  // kept alive by the plan
+    const std::string* service = nullptr;
+    uint64_t call = 0;
+    uint64_t replica_send = 0;
+    Time sent;
+    bool open = false;
+    std::string proof;
+    HttpResponse response;
+  };
+
+  static SearchParams ParamsOf(const RouteTask& task) {
+    const Route& route = task.route;
+    return {.request_id = task.terms.request_id,
+            .deadline = task.deadline,
+            .canaries = false,
+            .hedging = route.idempotent,
+            .min_covered = route.Gathers() ? route.MinShards() : 1,
+            .max_attempts = route.max_attempts,
+            .idempotent = route.idempotent,
+            .suspicion = false,
+            .charge_refusals = true};
+  }
+
+  void Apply(Time now, SearchEffects effects) {
+    for (const uint32_t attempt : effects.cancels) this->CancelAttempt(now, attempt);
+    for (const AttemptSend& send : effects.sends) this->SendAttempt(now, send);
+    if (effects.timer) this->ArmTimer(*effects.timer);
+    if (effects.outcome) this->OnOutcome(now, std::move(*effects.outcome));
+  }
+
+  void SendAttempt(Time now, const AttemptSend& send) {
+    this->attempts.resize(std::max<size_t>(this->attempts.size(), send.attempt));
+    Attempt& attempt = this->attempts[send.attempt - 1];
+    attempt.target = send.target;
+    attempt.service = &this->task.plan->FleetOf(send.shard).name;
+    attempt.sent = now;
+    attempt.open = true;
+    attempt.replica_send = this->context.replicas.OnSend(now, *send.target);
+    attempt.call = this->context.pool.ClientOf(*send.target)
+                       .Send({.request = this->context.codec.ToTarget(
+                                  this->task.http, *send.target, this->task.deadline - now),
+                              .deadline = this->task.deadline,
+                              .done =
+                                  [self = this->shared_from_this(),
+                                   number = send.attempt](HttpResult result) {
+                                    self->OnResult(number, std::move(result));
+                                  },
+                              .released = {}});
+  }
+
+  void CancelAttempt(Time now, uint32_t number) {
+    Attempt& attempt = this->attempts[number - 1];
+    if (!std::exchange(attempt.open, false)) return;
+    this->may_have_run = true;
+    this->context.pool.Cancel(*attempt.target, attempt.call);
+    this->context.replicas.OnReply(now, attempt.replica_send, {.kind = ReplyKind::kCancelled});
+    this->budget.AddLatency(now, now - attempt.sent);
+  }
+
+  void OnResult(uint32_t number, HttpResult result) {
+    const Time now = SteadyNow();
+    Attempt& attempt = this->attempts[number - 1];
+    if (!std::exchange(attempt.open, false)) return;
+    AttemptReply reply{.sent_attempt = number};
+    if (result) {
+      this->TakeResponse(now, attempt, std::move(*result), reply);
+    } else {
+      this->TakeFailure(now, attempt, result.error(), reply);
+    }
+    if (reply.error && !InfoOf(reply.error->code).not_run) this->may_have_run = true;
+    if (!reply.error) {
+      reply.request_id = this->task.terms.request_id;
+      reply.attempt = number;
+      reply.body = "+";  // the response is kept here
+    }
+    this->Apply(now, this->search.OnReply(now, std::move(reply)));
+  }
+
+  void TakeResponse(Time now, Attempt& attempt, HttpResponse response, AttemptReply& reply) {
+    TargetReply read = this->context.codec.FromTarget(response, this->task.terms.request_id);
+    const bool answered = read.verdict == TargetVerdict::kAnswered;
+    const bool refused =
+        read.verdict == TargetVerdict::kNotRun || read.verdict == TargetVerdict::kReplaced;
+    ReplyReport report{.kind = answered  ? ReplyKind::kAnswered
+                               : refused ? ReplyKind::kRefused
+                                         : ReplyKind::kFailed};
+    if (read.load && read.load->slots > 0) {
+      report.load = static_cast<float>(read.load->running + read.load->waiting) /
+                    static_cast<float>(read.load->slots);
+    }
+    this->context.replicas.OnReply(now, attempt.replica_send, report);
+    this->context.budget.OnReply(
+        now, *attempt.service, {.refused = read.verdict == TargetVerdict::kNotRun});
+    if (answered) {
+      this->budget.AddLatency(now, now - attempt.sent);
+    } else {
+      reply.error = Error{CodeOf(read.verdict), "status " + std::to_string(response.status)};
+      this->LogFailure(now, attempt, reply.error->ToString());
+    }
+    if (!refused && read.verdict != TargetVerdict::kForeign) {
+      attempt.proof = std::move(read.proof);
+      attempt.response = std::move(response);
+    }
+  }
+
+  void TakeFailure(Time now, const Attempt& attempt, const HttpFailure& failure,
+                   AttemptReply& reply) {
+    const bool late = failure.error.code == ErrorCode::kDeadlineExceeded;
+    this->context.replicas.OnReply(now, attempt.replica_send,
+                                   {.kind = late ? ReplyKind::kTimedOut : ReplyKind::kFailed});
+    this->context.budget.OnReply(now, *attempt.service, {});
+    reply.error = failure.error;
+    reply.crashed = failure.crashed;
+    this->LogFailure(now, attempt, failure.error.ToString());
+  }
+
+  void LogFailure(Time now, const Attempt& attempt, const std::string& error) {
+    this->context.log.Write(now, UnixMillis(),
+                            Event("attempt_failed")
+                                .Add("request", this->task.terms.request_id)
+                                .Add("target", attempt.target->target)
+                                .Add("service", *attempt.service)
+                                .Add("address", attempt.target->address)
+                                .Add("elapsed_ms", now - attempt.sent)
+                                .Add("error", error));
+  }
+
+  // --- Answers ---
+
+  void OnOutcome(Time now, SearchOutcome outcome) {
+    const Route& route = this->task.route;
+    if (outcome.covered.size() < (route.Gathers() ? route.MinShards() : 1U)) {
+      return this->Fail(now, outcome);
+    }
+    if (!route.Gathers()) {
+      HttpResponse response = std::move(this->attempts[outcome.covered[0].attempt - 1].response);
+      return this->Answer(now, outcome, this->context.codec.Forwarded(std::move(response)),
+                          "answered");
+    }
+    std::vector<std::string> proofs;
+    std::vector<std::string_view> bodies;
+    for (const ShardBody& shard : outcome.covered) {
+      proofs.push_back(this->attempts[shard.attempt - 1].proof);
+      bodies.push_back(this->attempts[shard.attempt - 1].response.body);
+    }
+    const auto missing = static_cast<uint32_t>(outcome.missing.size());
+    this->Answer(now, outcome,
+                 this->context.codec.Gathered(proofs, missing,
+                                              GreatestRecords(bodies, route.top_records)),
+                 missing == 0 ? "answered" : "partial");
+  }
+
+  void Fail(Time now, const SearchOutcome& outcome) {
+    if (!this->task.route.Gathers()) {
+      // A target's own failure is the answer, if there is one.
+      for (auto attempt = this->attempts.rbegin(); attempt != this->attempts.rend(); ++attempt) {
+        if (attempt->proof.empty()) continue;
+        return this->Answer(now, outcome,
+                            this->context.codec.Forwarded(std::move(attempt->response)),
+                            "target_failure");
+      }
+    }
+    const ErrorCode cause = outcome.missing.front().cause;
+    const std::string& service = this->task.plan->FleetOf(outcome.missing.front().shard).name;
+    const bool not_run = !this->may_have_run;
+    this->Answer(now, outcome,
+                 this->context.codec.Failure({cause, service}, not_run,
+                                             RetryPause(this->context.random)),
+                 InfoOf(cause).name);
+  }
+
+  void Answer(Time now, const SearchOutcome& outcome, HttpResponse response,
+              std::string_view result) {
+    this->End(now, result, response.status, outcome.counts,
+              static_cast<uint32_t>(outcome.covered.size()));
+    if (const auto callback = std::exchange(this->done, {})) callback(std::move(response));
+  }
+
+  void End(Time now, std::string_view result, int status, const SearchCounts& counts,
+           uint32_t covered) {
+    this->ended = true;
+    this->timer.cancel();
+    const Labels labels = {{"route", this->task.route.name}, {"result", std::string(result)}};
+    this->context.metrics.CounterOf("peridotgauge_requests_total", labels).Add();
+    this->context.metrics
+        .LatencyOf("peridotgauge_request_seconds", {{"route", this->task.route.name}})
+        .Add(now - this->task.arrived);
+    this->context.log.Write(now, UnixMillis(),
+                            Event("request_end")
+                                .Add("request", this->task.terms.request_id)
+                                .Add("route", this->task.route.name)
+                                .Add("result", result)
+                                .Add("status", status)
+                                .Add("elapsed_ms", now - this->task.arrived)
+                                .Add("allowed_ms", this->task.deadline - this->task.arrived)
+                                .Add("shards", counts.needed)
+                                .Add("covered", covered)
+                                .Add("sent", counts.sent)
+                                .Add("hedges", counts.hedges)
+                                .Add("retries", counts.retries)
+                                .Add("revision", this->task.plan->revision)
+                                .Add("directory", this->task.directory_version));
+  }
+
+  void ArmTimer(Time at) {
+    this->timer.expires_at(at);
+    this->timer.async_wait(
+        [self = this->shared_from_this()](const boost::system::error_code& error) {
+          if (error || self->ended) return;
+          const Time now = SteadyNow();
+          self->Apply(now, self->search.OnTimer(now));
+        });
+  }
+
+  RouteContext& context;
+  RouteTask task;
+  RouteBudget& budget;
+  Search search;
+  boost::asio::steady_timer timer;
+  Callback done;
+  std::vector<Attempt> attempts;  // attempt n is at n - 1
+  bool may_have_run = false;      // a target may have executed the request
+  bool ended = false;
+};
+
+}  // namespace
+
+std::optional<Duration> RouteBudget::HedgeDelay(Time now, std::string_view /*service*/) {
+  if (!this->computed || now - *this->computed >= kDelayRefresh) {
+    this->delay = this->latency.Quantile(now, kRouteHedgeQuantile);
+    this->computed = now;
+  }
+  return this->delay ? std::max(*this->delay, kShortestRouteHedgeDelay) : kFirstHedgeDelay;
+}
+
+std::shared_ptr<RouteRequest> RouteRequest::Start(RouteContext& context, RouteTask task,
+                                                  Callback done) {
+  const Time now = task.arrived;
+  auto run = std::make_shared<Run>(context, std::move(task), std::move(done));
+  run->Begin(now);
+  return run;
+}
+
+Duration RetryPause(std::mt19937_64& random) {
+  return kShortestRetryPause +
+         Duration(std::uniform_int_distribution<int64_t>(0, kRetryPauseSpread.count())(random));
+}
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/route_request.h
@@ -0,0 +1,94 @@
+// One caller's request on a route: sends it to targets and answers.
+//
+// Use:
+//   auto run = RouteRequest::Start(context, task, [responder](HttpResponse r) { ... });
+//   responder.OnDisconnect([weak] { if (auto run = weak.lock()) run->Abort(); });
+//
+// Contract: runs on the thread of the io_context. `done` is called exactly once unless Abort() comes
+// first. The decisions are those of search.h: a request for one target is a search of one shard.
+#ifndef PERIDOTGAUGE_ROUTE_REQUEST_H_
+#define PERIDOTGAUGE_ROUTE_REQUEST_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "event_log.h"
+#include "hedge.h"
+#include "http_message.h"
+#include "metrics.h"
+#include "plan.h"
+#include "quantile_window.h"
+#include "replica_choice.h"
+#include "route_codec.h"
+#include "routes.h"
+#include "target_pool.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+// The hedge delay of one route, and the budgets that all routes share.
+class RouteBudget : public ExtraBudget {
+ public:
+  // `shared` outlives this object and counts by service.
+  explicit RouteBudget(HedgeBudget& shared) : shared(shared) {}
+
+  // Notes the latency of one attempt that was answered or cancelled.
+  void AddLatency(Time now, Duration latency) { this->latency.Add(now, latency); }
+
+  std::optional<Duration> HedgeDelay(Time now, std::string_view service) override;
+  void CountNeeded(Time now, std::string_view service, uint32_t count) override {
+    this->shared.CountNeeded(now, service, count);
+  }
+  bool Spend(Time now, std::string_view service, ExtraKind kind) override {
+    return this->shared.Spend(now, service, kind);
+  }
+
+ private:
+  HedgeBudget& shared;
+  QuantileWindow latency{kHedgeWindow, kHedgeMinSamples};
+  std::optional<Duration> delay;
+  std::optional<Time> computed;
+};
+
+// What the requests of one router share. Everything outlives them.
+struct RouteContext {
+  boost::asio::io_context& io;
+  const RouteCodec& codec;
+  TargetPool& pool;
+  ReplicaChoice& replicas;
+  HedgeBudget& budget;
+  std::map<std::string, RouteBudget>& route_budgets;  // by route name
+  Metrics& metrics;
+  EventLog& log;
+  std::mt19937_64& random;
+};
+
+struct RouteTask {
+  HttpRequest http;
+  CallerTerms terms;
+  Route route;
+  std::shared_ptr<const Plan> plan;
+  uint64_t directory_version = 0;  // for the log
+  Time arrived;
+  Time deadline;
+};
+
+class RouteRequest {
+ public:
+  using Callback = std::function<void(HttpResponse)>;
+  virtual ~RouteRequest() = default;
+  static std::shared_ptr<RouteRequest> Start(RouteContext& context, RouteTask task, Callback done);
+  // The caller is gone: cancels everything and does not call back.
+  virtual void Abort() = 0;
+};
+
+// When a caller whose request was not executed should come back: soon, and not all at once.
+Duration RetryPause(std::mt19937_64& random);
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_ROUTE_REQUEST_H_
--- a/router.cc
+++ b/router.cc
@@ -15,6 +15,7 @@
 #include "owner.h"
 #include "plan.h"
 #include "quarantine.h"
+#include "random_seed.h"
 #include "registration.h"
 #include "replica_choice.h"
 #include "request_context.h"
@@ -30,11 +31,6 @@
 // The leader's answer to a Leave; afterwards the session expires by itself.
 constexpr Duration kLeaveTime = Seconds(3);
 
-uint64_t RandomSeed() {
-  std::random_device device;
-  return (static_cast<uint64_t>(device()) << 32U) | device();
-}
-
 // The settings were checked when they were read, so an unknown strategy cannot come here.
 std::unique_ptr<ReplicaChoice> MakeReplicaChoice(const Settings& settings) {
   auto choice = ReplicaChoice::Make(settings.replica_choice,
--- /dev/null
+++ b/routes.h
@@ -0,0 +1,108 @@
+// Routes: which services answer a caller's HTTP request, and what may be done with it.
+//
+// Use:
+//   const Route* route = table.Match("search.example", "/orders/7");
+//   if (route == nullptr) Refuse(ErrorCode::kNotFound);
+//   if (route->Gathers()) Scatter(route->shards); else Forward(split.Next(*route));
+//
+// Contract: a RouteTable is immutable and valid: every service that a route names exists, no two
+// routes share host and prefix, every timeout is above 0 and the weights of a split add up to more
+// than 0. Of the routes of a host, the one with the longest prefix that begins the path matches.
+#ifndef PERIDOTGAUGE_ROUTES_H_
+#define PERIDOTGAUGE_ROUTES_H_
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "error.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+// A service and its share of a route's requests.
+struct WeightedService {
+  std::string service;
+  double weight = 1;
+  auto operator<=>(const WeightedService&) const = default;
+};
+
+struct Route {
+  std::string name;
+  std::string host;
+  std::string prefix;      // begins and ends with '/'
+  bool idempotent = true;  // false: a request is executed by one target at most
+  Duration timeout{};      // a caller never waits longer
+  Duration objective{};    // an answer within this time has its full value
+  uint32_t priority = 0;   // 0 is the most urgent
+  uint32_t max_attempts = 1;  // targets that may execute one request (of each shard, if it gathers)
+  // Exactly one of the two lists is not empty.
+  std::vector<WeightedService> split;
+  std::vector<std::string> shards;  // each a service that holds one shard
+  // For routes that gather.
+  uint32_t top_records = 0;  // records in the answer
+  double min_coverage = 0;   // share of the shards without which there is no answer, 0 to 1
+
+  bool Gathers() const { return !this->shards.empty(); }
+  // The least number of shards in an answer, at least 1.
+  uint32_t MinShards() const;
+  bool operator==(const Route&) const = default;
+};
+
+// What the operators say about the targets of a service.
+struct ServiceSpec {
+  uint32_t connections = 1;  // that one target accepts from all routers together
+  std::string health_path;
+  auto operator<=>(const ServiceSpec&) const = default;
+};
+
+// Limits on what a caller may send.
+struct CallerLimits {
+  uint64_t head_bytes = 16 << 10;
+  uint64_t body_bytes = 1 << 20;
+  Duration head_time = Seconds(10);
+  Duration idle_time = Seconds(60);
+  auto operator<=>(const CallerLimits&) const = default;
+};
+
+class RouteTable {
+ public:
+  RouteTable() = default;
+  // kInvalidConfig, with the place and the problem, if the contract would not hold.
+  static Result<RouteTable> Make(std::vector<Route> routes,
+                                 std::map<std::string, ServiceSpec, std::less<>> services,
+                                 CallerLimits limits);
+
+  // Returns nullptr if no route matches. A port in `host` is ignored.
+  const Route* Match(std::string_view host, std::string_view path) const;
+  // Returns nullptr for an unknown service.
+  const ServiceSpec* FindService(std::string_view name) const;
+  const std::vector<Route>& Routes() const { return this->routes; }
+  const CallerLimits& Limits() const { return this->limits; }
+  bool Empty() const { return this->routes.empty(); }
+
+ private:
+  std::vector<Route> routes;
+  std::map<std::string, ServiceSpec, std::less<>> services;
+  CallerLimits limits;
+  // Indices into `routes`, longest prefix first.
+  std::map<std::string, std::vector<size_t>, std::less<>> by_host;
+};
+
+// Divides the requests of routes with several services in the proportions of the weights. The
+// service with the largest deficit is next, so that each window of requests is near its share.
+class SplitCounter {
+ public:
+  // `route.split` is not empty.
+  const std::string& Next(const Route& route);
+
+ private:
+  std::map<std::string, std::vector<double>, std::less<>> credits;  // by route name
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_ROUTES_H_
--- a/search.cc
+++ b/search.cc
@@ -66,7 +66,7 @@
   if (failure) {
     this->OnFailure(now, reply.sent_attempt, *failure, reply.crashed, effects);
   } else {
-    this->Merge(index, std::move(reply.body), effects);
+    this->Merge(reply.sent_attempt, std::move(reply.body), effects);
     if (!this->released && now < this->AnswerTime()) this->Release(now, effects);
   }
   this->AfterEvent(now, effects);
@@ -101,6 +101,7 @@
 
 Time Search::AnswerTime() const {
   if (this->plan->prefer == Preference::kCoverage) return this->params.deadline;
+  if (this->covered < this->params.min_covered) return this->params.deadline;
   return std::min(this->params.deadline, this->soft_deadline);
 }
 
@@ -138,7 +139,18 @@
   return true;
 }
 
+bool Search::AttemptsLeft(uint32_t index) const {
+  uint32_t used = 0;
+  for (uint32_t id = this->shards[index].last_attempt; id != 0;) {
+    const Attempt& attempt = this->attempts[id - 1];
+    if (!attempt.not_run) ++used;
+    id = attempt.previous;
+  }
+  return used < this->params.max_attempts;
+}
+
 const TargetRecord* Search::ChooseFor(Time now, uint32_t index) {
+  if (!this->AttemptsLeft(index)) return nullptr;
   this->tried.clear();
   for (uint32_t id = this->shards[index].last_attempt; id != 0;) {
     const Attempt& attempt = this->attempts[id - 1];
@@ -167,7 +179,8 @@
 
   shard.wake = Time::max();
   const bool hedge_again = this->plan->prefer == Preference::kCoverage || shard.hedges == 0;
-  if (this->params.hedging && !this->suspect && hedge_again) {
+  const bool may_hedge = this->params.hedging && this->params.idempotent;
+  if (may_hedge && !this->suspect && hedge_again) {
     const std::optional<Duration> delay =
         this->policies.budget.HedgeDelay(now, this->plan->FleetOf(index).name);
     if (delay) shard.wake = now + *delay;
@@ -185,9 +198,12 @@
   return std::nullopt;
 }
 
-void Search::Merge(uint32_t index, std::string body, SearchEffects& effects) {
+void Search::Merge(uint32_t attempt, std::string body, SearchEffects& effects) {
+  const uint32_t index = this->attempts[attempt - 1].shard;
   Shard& shard = this->shards[index];
   shard.state = ShardState::kCovered;
+  shard.covered_by = attempt;
+  ++this->covered;
   shard.body = std::move(body);
   --this->open;
   this->CancelRunning(index, effects);
@@ -214,6 +230,7 @@
 void Search::NoteCrash(const TargetRecord* target) {
   const auto known = std::find(this->crashed.begin(), this->crashed.end(), target);
   if (known == this->crashed.end()) this->crashed.push_back(target);
+  if (!this->params.suspicion) return;
   if (!this->released || this->crashed.size() > 1) this->suspect = true;
 }
 
@@ -221,7 +238,8 @@
   Shard& shard = this->shards[index];
   if (this->suspect || shard.uncharged_retries >= kMaxUnchargedRetries) return false;
   const TargetRecord* target = this->PlaceLeft() ? this->ChooseFor(now, index) : nullptr;
-  if (target != nullptr) {
+  const bool paid = !this->params.charge_refusals || this->SpendRetry(now, index);
+  if (target != nullptr && paid) {
     ++shard.uncharged_retries;
     ++this->counts.retries;
     this->SendTo(now, index, *target, effects);
@@ -235,7 +253,7 @@
 
 void Search::RetryCharged(Time now, uint32_t index, SearchEffects& effects) {
   Shard& shard = this->shards[index];
-  if (this->suspect) {
+  if (this->suspect || !this->params.idempotent) {
     this->Lose(index, shard.cause);
     return;
   }
@@ -317,7 +335,8 @@
     this->SendCanaries(now, effects);
     this->EndCanariesIfStuck(now);
   }
-  if (this->open == 0 || now >= this->AnswerTime()) {
+  const bool hopeless = this->open + this->covered < this->params.min_covered;
+  if (this->open == 0 || hopeless || now >= this->AnswerTime()) {
     this->Finish(effects);
     return;
   }
@@ -354,7 +373,8 @@
   for (uint32_t i = 0; i < this->shards.size(); ++i) {
     Shard& shard = this->shards[i];
     if (shard.state == ShardState::kCovered) {
-      outcome.covered.push_back({.shard = i, .body = std::move(shard.body)});
+      outcome.covered.push_back(
+          {.shard = i, .attempt = shard.covered_by, .body = std::move(shard.body)});
       continue;
     }
     if (shard.running > 0) shard.cause = ErrorCode::kDeadlineExceeded;
--- a/search.h
+++ b/search.h
@@ -59,6 +59,15 @@
   bool suspect = false;  // the fingerprint crashed a target: no hedges, no retries
   bool canaries = true;  // false switches canaries off for benchmarks
   bool hedging = true;   // false switches hedges off for benchmarks
+  // Least number of covered shards in an answer. With Preference::kLatency the search goes on after
+  // the soft deadline until it has them, and ends at once when it cannot get them any more.
+  uint32_t min_covered = 0;
+  // Attempts for one shard that may have been executed.
+  uint32_t max_attempts = UINT32_MAX;
+  bool idempotent = true;  // false: no second attempt unless the first one provably did not run
+  bool suspicion = true;   // false: crashes do not stop hedges and retries of this request
+  // Retries after a refusal are paid from the budget like others.
+  bool charge_refusals = false;
 };
 
 // An attempt to send. `target` lives as long as the plan.
@@ -81,7 +90,8 @@
 };
 
 struct ShardBody {
-  uint32_t shard = 0;  // index into Plan::shards
+  uint32_t shard = 0;    // index into Plan::shards
+  uint32_t attempt = 0;  // whose reply it is
   std::string body;
   bool operator==(const ShardBody&) const = default;
 };
@@ -170,6 +180,7 @@
     uint32_t hedges = 0;
     uint32_t uncharged_retries = 0;
     uint32_t last_chances = 0;
+    uint32_t covered_by = 0;  // attempt whose reply was merged
     Time wake = Time::max();  // next hedge, or next request to the budget if nothing is running
     std::string body;
   };
@@ -183,12 +194,13 @@
   // Sends to all shards that were not sent yet.
   void Release(Time now, SearchEffects& effects);
   bool SendFirst(Time now, uint32_t index, SearchEffects& effects);
+  bool AttemptsLeft(uint32_t index) const;
   const TargetRecord* ChooseFor(Time now, uint32_t index);
   void SendTo(Time now, uint32_t index, const TargetRecord& target, SearchEffects& effects);
 
   // Returns why a successful reply cannot be merged, or nothing.
   std::optional<ErrorCode> Check(const AttemptReply& reply, uint32_t index) const;
-  void Merge(uint32_t index, std::string body, SearchEffects& effects);
+  void Merge(uint32_t attempt, std::string body, SearchEffects& effects);
   void OnFailure(Time now, uint32_t attempt, ErrorCode code, bool crashed, SearchEffects& effects);
   void NoteCrash(const TargetRecord* target);
   bool RetryUncharged(Time now, uint32_t index, SearchEffects& effects);
@@ -214,6 +226,7 @@
   uint32_t running = 0;                      // attempts
   uint32_t canaries_out = 0;  // unreleased attempts that run, or that failed and may have executed
   uint32_t open = 0;          // shards that are neither covered nor missing
+  uint32_t covered = 0;       // shards
   bool released = false;      // a target has answered, or no canaries are needed
   bool suspect = false;
   bool finished = false;
--- a/settings.cc
+++ b/settings.cc
@@ -45,7 +45,28 @@
   }
 }
 
+// Derives the controllers' addresses from IP numbers of some of them. An entry may have a port,
+// which is that of another listener and is dropped.
+void ReadSeeds(StrictJsonReader& reader, const json::value& value, Settings& settings) {
+  if (!value.is_array() || value.get_array().empty()) {
+    return reader.Refuse("seeds", ShowJson(value) + "; allowed is a list of IP numbers");
+  }
+  const Result<Endpoint> own = ParseAddress(settings.peer_address);
+  if (!own) return;  // refused already
+  for (const json::value& item : value.get_array()) {
+    const std::string text = item.is_string() ? std::string(item.get_string()) : "";
+    const std::string ip = text.substr(0, text.rfind(':'));
+    const Address peer = ip + ":" + std::to_string(own->port);
+    if (!ParseAddress(peer)) {
+      return reader.Refuse("seeds", ShowJson(item) + "; allowed is an IP number");
+    }
+    settings.seeds.push_back(ip);
+    settings.controllers.push_back({ip, peer});
+  }
+}
+
 void ReadControllers(StrictJsonReader& reader, StrictJsonObject& root, Settings& settings) {
+  if (const json::value* seeds = root.Find("seeds")) return ReadSeeds(reader, *seeds, settings);
   const json::value* value = root.Require("controllers");
   if (value == nullptr) return;
   if (!value->is_array()) {
@@ -81,6 +102,33 @@
   for (const Switch& entry : kSwitches) root.Read(entry.key, settings.*entry.member);
 }
 
+// Reads an address that may be absent.
+void ReadOptionalAddress(StrictJsonReader& reader, StrictJsonObject& root, std::string_view key,
+                         Address& out) {
+  if (root.Find(key) != nullptr) ReadAddress(reader, root, key, out);
+}
+
+void ReadInterface(StrictJsonReader& reader, StrictJsonObject& root, Settings& settings) {
+  size_t interface = static_cast<size_t>(settings.interface);
+  root.ReadChoice("interface", interface, {"native", "routes"});
+  settings.interface = static_cast<Interface>(interface);
+  ReadOptionalAddress(reader, root, "health_address", settings.health_address);
+  ReadOptionalAddress(reader, root, "directory_address", settings.directory_address);
+  ReadOptionalAddress(reader, root, "metrics_address", settings.metrics_address);
+  constexpr uint64_t kLongestMillis = 3'600'000;
+  root.ReadMillis("heartbeat_ms", settings.heartbeat, {.min = 10, .max = kLongestMillis});
+  root.ReadMillis("grace_ms", settings.grace, {.min = 100, .max = kLongestMillis});
+  root.ReadMillis("extra_window_ms", settings.extra.window, {.min = 100, .max = kLongestMillis});
+  root.Read("extra_slack", settings.extra.slack, Range{.max = 1'000'000});
+  if (const json::value* ratio = root.Find("extra_ratio")) {
+    boost::system::error_code error;
+    settings.extra.ratio = ratio->to_number<double>(error);
+    if (error || settings.extra.ratio < 0 || settings.extra.ratio > 10) {
+      reader.Refuse("extra_ratio", ShowJson(*ratio) + "; allowed is 0 to 10");
+    }
+  }
+}
+
 // The other functions have checked the syntax.
 Endpoint EndpointOf(const Address& address) { return ParseAddress(address).value_or(Endpoint{}); }
 
@@ -171,6 +219,7 @@
   ReadAddress(reader, root, "http_address", settings.http_address);
   ReadAddress(reader, root, "peer_address", settings.peer_address);
   ReadControllers(reader, root, settings);
+  ReadInterface(reader, root, settings);
   root.Read("data_folder", settings.data_folder);
   root.Read("span_file", settings.span_file);
   size_t routing = static_cast<size_t>(settings.routing);
@@ -194,7 +243,7 @@
   Settings settings = ReadSettings(reader, *parsed);
   if (!reader.Failed()) {
     CheckControllersDiffer(reader, settings);
-    CheckOwnEntry(reader, settings);
+    if (settings.seeds.empty()) CheckOwnEntry(reader, settings);
     CheckOwnAddresses(reader, settings);
     CheckDataFolderKey(reader, settings);
   }
--- a/settings.h
+++ b/settings.h
@@ -29,6 +29,20 @@
 // How sub-requests reach targets: through the target's owner, or directly from each router.
 enum class Routing : uint8_t { kOwner, kDirect };
 
+// Which interface callers, targets and operators use.
+enum class Interface : uint8_t {
+  kNative,  // the project's own, see caller_api.h and operator_api.h
+  kRoutes,  // plain HTTP requests on routes, in the format of platform/
+};
+
+// Limit on sub-requests beyond the needed ones, for each service, summed over all routers.
+struct ExtraLimit {
+  double ratio = 0.2;             // of the needed sub-requests in a window
+  uint32_t slack = 50;            // sub-requests in a window allowed besides
+  Duration window = Seconds(10);  // any span of this length
+  bool operator==(const ExtraLimit&) const = default;
+};
+
 struct Settings {
   std::string id;  // unique among all processes; letters, digits, '-', '_', '.'
   std::string data_centre;
@@ -36,6 +50,17 @@
   bool controller = false;
   Address http_address;                        // callers, targets, operators
   Address peer_address;                        // other processes of the system
+  Interface interface = Interface::kNative;
+  // Addresses below are empty where the process does not serve them.
+  Address health_address;     // readiness checks; otherwise on `http_address`
+  Address directory_address;  // callers that ask for routers; otherwise on `http_address`
+  Address metrics_address;    // otherwise on `http_address`
+  // IP numbers of some controllers, in place of `controllers`. A controller's id is then its IP
+  // number, and all peers listen on one port.
+  std::vector<std::string> seeds;
+  ExtraLimit extra;
+  Duration heartbeat = Seconds(1);  // interval at which targets register
+  Duration grace = Seconds(30);     // from SIGTERM to SIGKILL
   std::vector<ControllerAddress> controllers;  // all controllers, 1, 3, 5 or 7
   std::string data_folder;                     // controllers only
   std::string span_file;                       // OTLP-style JSON lines; empty: no spans are written
--- /dev/null
+++ b/target_pool.cc
@@ -0,0 +1,63 @@
+// Clients by target.
+#include "target_pool.h"
+
+#include <algorithm>
+
+namespace peridotgauge {
+
+HttpClientOptions TargetPool::OptionsOf(const std::string& service, bool warm) const {
+  const auto share = this->shares.find(service);
+  const size_t connections = share == this->shares.end() ? 1 : std::max<size_t>(share->second, 1);
+  return {.connections = connections, .warm = warm ? kWarmConnections : 0};
+}
+
+void TargetPool::SetShare(const std::string& service, size_t connections) {
+  size_t& share = this->shares[service];
+  if (share == connections) return;
+  share = connections;
+  for (auto& [target, entry] : this->entries) {
+    if (entry.service == service) entry.client->SetOptions(this->OptionsOf(service, true));
+  }
+}
+
+HttpClient& TargetPool::ClientOf(const TargetRecord& record) {
+  Entry& entry = this->entries[record.target];
+  const bool same = entry.client && entry.incarnation == record.incarnation &&
+                    entry.address == record.address;
+  if (!same) {
+    entry = {.incarnation = record.incarnation,
+             .address = record.address,
+             .service = record.service,
+             .client = std::make_unique<HttpClient>(this->io, record.address,
+                                                    this->OptionsOf(record.service, true))};
+  }
+  return *entry.client;
+}
+
+void TargetPool::Cancel(const TargetRecord& record, uint64_t call) {
+  const auto found = this->entries.find(record.target);
+  if (found == this->entries.end()) return;
+  const Entry& entry = found->second;
+  // The calls of an earlier incarnation ended with its client.
+  if (entry.incarnation != record.incarnation || entry.address != record.address) return;
+  entry.client->Cancel(call);
+}
+
+void TargetPool::Keep(const std::map<std::string, TargetRecord>& targets) {
+  std::erase_if(this->entries, [&](auto& item) {
+    const auto found = targets.find(item.first);
+    if (found == targets.end()) return item.second.client->Status().running == 0;
+    // A leaving target finishes what it has; its idle connections are closed.
+    if (found->second.state != TargetState::kServing) {
+      item.second.client->SetOptions(this->OptionsOf(found->second.service, false));
+    }
+    return false;
+  });
+  for (const auto& [name, record] : targets) {
+    const bool wanted =
+        record.state == TargetState::kServing && this->shares.contains(record.service);
+    if (wanted) this->ClientOf(record);
+  }
+}
+
+}  // namespace peridotgauge
