Do not cancel sends that were never made when a search ends in the event that wanted them

Ruled out: the connection pool and the plan's lifetime (stack trace: RouteRequest::Start, Apply). Change: the search drops those sends and cancels; a fatal signal prints a stack trace.

--- a/peridotgauged.cc
+++ b/peridotgauged.cc
@@ -88,6 +88,7 @@
   FLAGS_logtostderr = true;
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   google::InitGoogleLogging(argv[0]);
+  google::InstallFailureSignalHandler();
   auto settings = peridotgauge::ReadSettings(FLAGS_settings);
   if (!settings) {
     std::cerr << settings.error().ToString() << "\n";
--- a/search.cc
+++ b/search.cc
@@ -34,7 +34,7 @@
   for (uint32_t i = 0; i < this->shards.size(); ++i) {
     if (this->plan->shards[i].candidates.empty()) this->Lose(i, ErrorCode::kNoTarget);
   }
-  if (this->released && now < this->AnswerTime()) this->Release(now, effects);
+  if (this->released && !this->Hopeless() && now < this->AnswerTime()) this->Release(now, effects);
   this->AfterEvent(now, effects);
   return effects;
 }
@@ -335,8 +335,7 @@
     this->SendCanaries(now, effects);
     this->EndCanariesIfStuck(now);
   }
-  const bool hopeless = this->open + this->covered < this->params.min_covered;
-  if (this->open == 0 || hopeless || now >= this->AnswerTime()) {
+  if (this->open == 0 || this->Hopeless() || now >= this->AnswerTime()) {
     this->Finish(effects);
     return;
   }
@@ -381,6 +380,10 @@
     outcome.missing.push_back({.shard = i, .cause = shard.cause});
     this->CancelRunning(i, effects);
   }
+  // What this event wanted to send is not needed any more, and nobody can cancel it before it is sent.
+  for (const AttemptSend& send : effects.sends) std::erase(effects.cancels, send.attempt);
+  this->counts.sent -= static_cast<uint32_t>(effects.sends.size());
+  effects.sends.clear();
   outcome.plan = this->plan;
   outcome.counts = this->counts;
   outcome.crashes = static_cast<uint32_t>(this->crashed.size());
--- a/search.h
+++ b/search.h
@@ -186,6 +186,8 @@
   };
 
   Time AnswerTime() const;
+  // True if the search cannot get min_covered shards any more.
+  bool Hopeless() const { return this->open + this->covered < this->params.min_covered; }
   uint32_t CanaryLimit() const { return this->params.suspect ? 1 : kCanaries; }
   // True if another attempt may reach a target without exceeding the limit on canaries.
   bool PlaceLeft() const { return this->released || this->canaries_out < this->CanaryLimit(); }
