--- a/controller.cc
+++ b/controller.cc
@@ -485,9 +485,10 @@
     }
     const Result<RegistrationChange> change = this->registrations.Register(now, record);
     if (!change) return responder.reply(CommandError(change.error(), ""));
-    if (*change != RegistrationChange::kStale && this->directory.Merge(now, this->options.id, {record}, false)) {
-      this->WakeLater();
-    }
+    // A renewal tells the routers nothing.
+    const bool news = *change == RegistrationChange::kChanged ||
+                      (*change == RegistrationChange::kRenewed && !this->directory.Find(record.target));
+    if (news && this->directory.Merge(now, this->options.id, {record}, false)) this->WakeLater();
     if (!leaving || this->Published(now)) return responder.reply(ToBody(wire::CommandReplyT{}));
     this->unpublished.push_back({this->directory.Version(), now + kPublishTime, responder});
   }
--- a/daemon.cc
+++ b/daemon.cc
@@ -181,13 +181,12 @@
 
   // One listener for each group of callers. An empty address is not served.
   Result<void> ListenExternal() {
+    const HttpServer::Handler calls = this->external->ControllerCalls(
+        {.control = this->control,
+         .routers = [this](std::string_view zone) { return this->RouterAddresses(zone); },
+         .leader_address = [this] { return this->LeaderAddress(); }});
     const HttpServer::Handler main =
-        this->settings.router
-            ? this->Bound(&Impl::OnRouteRequest)
-            : this->external->ControllerCalls(
-                  {.control = this->control,
-                   .routers = [this](std::string_view zone) { return this->RouterAddresses(zone); },
-                   .leader_address = [this] { return this->LeaderAddress(); }});
+        this->settings.router ? this->Bound(&Impl::OnRouteRequest) : calls;
     struct Listener {
       const Address& address;
       HttpServer::Handler handler;
@@ -197,7 +196,7 @@
     const HttpServerLimits callers{.head_bytes = kCallerHeadBytes};
     const Listener listeners[] = {
         {this->settings.http_address, main, this->http, callers},
-        {this->settings.directory_address, main, this->directory_http, {}},
+        {this->settings.directory_address, calls, this->directory_http, {}},
         {this->settings.health_address, this->Bound(&Impl::OnReadiness), this->health_http, {}},
         {this->settings.metrics_address, this->Bound(&Impl::OnHttp), this->metrics_http, {}}};
     for (const Listener& listener : listeners) {
@@ -219,10 +218,12 @@
     responder.Send(this->external->Readiness(request, ready));
   }
 
-  // All routers that stay, those of the caller's data centre first.
+  // The addresses of all routers that stay. A router answers from its copy of the list, so that
+  // callers find routers while no controller can be reached.
   Result<std::vector<Address>> RouterAddresses(std::string_view /*data_centre*/) const {
+    const auto& routers = this->raft_log ? this->state.Routers() : this->control.Routers();
     std::vector<Address> addresses;
-    for (const auto& [id, router] : this->state.Routers()) {
+    for (const auto& [id, router] : routers) {
       if (!router.draining) addresses.push_back(router.http_address);
     }
     if (addresses.empty()) return Fail(ErrorCode::kNotSynchronized, "no router is known");
@@ -231,6 +232,7 @@
 
   // Controllers listen on one port, and their ids are their IP numbers.
   Address LeaderAddress() const {
+    if (!this->raft_log) return {};
     const std::string leader = this->raft_log->Leader();
     const size_t colon = this->settings.http_address.rfind(':');
     return leader.empty() ? Address() : leader + this->settings.http_address.substr(colon);
--- a/gateway.cc
+++ b/gateway.cc
@@ -31,8 +31,10 @@
 constexpr Duration kLeaveTime = Seconds(2);
 
 std::unique_ptr<ReplicaChoice> MakeReplicaChoice(const Settings& settings) {
-  auto choice = ReplicaChoice::Make(settings.replica_choice,
-                                    {.seed = RandomSeed(), .ejection = settings.ejection});
+  auto choice = ReplicaChoice::Make(settings.replica_choice.empty() ? "least" : settings.replica_choice,
+                                    {.seed = RandomSeed(),
+                                     .ejection = settings.ejection,
+                                     .data_centre = settings.data_centre});
   LOG_IF(FATAL, !choice) << "gateway: " << choice.error().ToString();
   return std::move(*choice);
 }
@@ -168,7 +170,7 @@
       for (const std::string& shard : route.shards) add(shard);
     }
     const double slack = this->settings.extra.slack * kExtraShare / static_cast<double>(routers);
-    this->budget.SetOptions({.burst = std::max(slack, 1.0), .max_debt = 0});
+    this->budget.SetOptions({.burst = std::max(slack, 1.0), .max_debt = 0, .retry_in_overload = true});
     this->budget.SetShares(shares);
   }
 
--- a/hedge.cc
+++ b/hedge.cc
@@ -65,7 +65,9 @@
 
 bool HedgeBudget::Spend(Time now, std::string_view fleet, ExtraKind kind) {
   FleetState* state = this->Find(fleet);
-  if (state == nullptr || Overloaded(now, *state)) return false;
+  if (state == nullptr) return false;
+  const bool exempt = kind == ExtraKind::kRetry && this->options.retry_in_overload;
+  if (!exempt && Overloaded(now, *state)) return false;
   const bool last_chance = kind == ExtraKind::kLastChance && this->options.max_debt > 0;
   // hedge_percent 0 allows no hedges and retries, not even the initial burst.
   if (!last_chance && (state->share == 0 || state->tokens < 1)) return false;
--- a/hedge.h
+++ b/hedge.h
@@ -58,6 +58,9 @@
 struct HedgeBudgetOptions {
   double burst = kBudgetBurst;  // sub-requests
   double max_debt = kMaxDebt;   // 0: last-chance retries need budget like others
+  // Retries are granted in an overloaded fleet too. For deployments in which a few targets refuse
+  // requests although others have room, and refusing costs next to nothing.
+  bool retry_in_overload = false;
 };
 
 class HedgeBudget : public ExtraBudget {
--- a/replica_choice.cc
+++ b/replica_choice.cc
@@ -31,6 +31,10 @@
       {.name = "probing",
        .choose = &ReplicaChoice::ChooseOfTwo,
        .probes = true,
+       .avoids_refusals = true},
+      {.name = "least",
+       .choose = &ReplicaChoice::ChooseLeast,
+       .probes = true,
        .avoids_refusals = true}};
   return kStrategies;
 }
@@ -95,6 +99,23 @@
   return usable[second_score < first_score ? second : first];
 }
 
+const TargetRecord* ReplicaChoice::ChooseLeast(Time now,
+                                               const std::vector<const TargetRecord*>& usable) {
+  const double latency = this->DefaultLatency(now, usable);
+  const TargetRecord* best = nullptr;
+  double best_score = 0;
+  // Begins at a random place, so that equal targets share the load.
+  const size_t first = std::uniform_int_distribution<size_t>(0, usable.size() - 1)(this->random);
+  for (size_t i = 0; i < usable.size(); ++i) {
+    const TargetRecord* target = usable[(first + i) % usable.size()];
+    const double score = this->Score(now, this->StateOf(now, *target), latency);
+    if (best != nullptr && score >= best_score) continue;
+    best = target;
+    best_score = score;
+  }
+  return best;
+}
+
 // Returns a target whose latency has to be measured again, or nullptr.
 const TargetRecord* ReplicaChoice::ChooseProbe(Time now,
                                                const std::vector<const TargetRecord*>& usable) {
@@ -162,12 +183,14 @@
   const auto elapsed_us = static_cast<double>((now - sent.sent).count());
   switch (report.kind) {
     case ReplyKind::kAnswered:
+      NoteOutcome(now, state, false);
       state.failures = 0;
       state.ejection = Duration(0);
       state.ejected_until = Time{};
       AddLatency(now, state, elapsed_us);
       break;
     case ReplyKind::kRefused:
+      NoteOutcome(now, state, true);
       state.avoid_until = now + kRefusedPause;
       break;
     case ReplyKind::kFailed:
@@ -211,6 +234,8 @@
   State& state = found->second;
   if (added || state.incarnation < target.incarnation) {
     state = State{.incarnation = target.incarnation, .first_seen = now};
+    const std::string& here = this->options.data_centre;
+    state.remote = !here.empty() && target.data_centre != here;
   }
   return state;
 }
@@ -223,7 +248,9 @@
       std::max<double>(state.in_flight, weight * static_cast<double>(state.owner_in_flight));
   const double warmth =
       std::min(1.0, std::chrono::duration<double>(now - state.first_seen) / kReplicaWarmUp);
-  return (in_flight + 1) * latency * (1 + weight * state.load) /
+  const double distance = state.remote ? kRemoteFactor : 1;
+  const double failures = 1 + kFailureWeight * FailureShare(now, state);
+  return (in_flight + 1) * latency * (1 + weight * state.load) * distance * failures /
          (kColdWeight + (1 - kColdWeight) * warmth);
 }
 
@@ -259,7 +286,19 @@
   state.measured = now;
 }
 
+double ReplicaChoice::FailureShare(Time now, const State& state) {
+  if (state.failure_share == 0) return 0;
+  return state.failure_share * AgeWeight(now - state.failure_noted, kFailureMemory);
+}
+
+void ReplicaChoice::NoteOutcome(Time now, State& state, bool failed) {
+  const double share = FailureShare(now, state);
+  state.failure_share = share + kFailureSampleWeight * ((failed ? 1.0 : 0.0) - share);
+  state.failure_noted = now;
+}
+
 void ReplicaChoice::NoteFailure(Time now, State& state) {
+  NoteOutcome(now, state, true);
   ++state.failures;
   if (state.failures < kFailuresToEject || now < state.ejected_until) return;
   state.ejection = std::clamp(2 * state.ejection, kShortestEjection, kLongestEjection);
--- a/replica_choice.h
+++ b/replica_choice.h
@@ -21,9 +21,15 @@
 // - A target with a bad score gets a probe when its latency has not been measured for a while. The
 //   interval grows while it stays bad.
 //
-// Strategies: "random" (baseline), "two_choices" (the better of two random candidates) and
-// "probing" (the default: two choices, probes and avoidance of targets that just refused a
-// request).
+// - Failures: a target that refused or failed a share of its recent requests counts as
+//   1 + kFailureWeight x share times as bad. It is then used when the others are busy.
+// - Distance: a target in another data centre counts as kRemoteFactor times as bad, if the own data
+//   centre is known. Load decides first, bytes between data centres second.
+//
+// Strategies: "random" (baseline), "two_choices" (the better of two random candidates), "probing"
+// (the default: two choices, probes and avoidance of targets that just refused a request) and
+// "least" (probing, but the best of all candidates: with three replicas, two of them slow, a random
+// pair holds none of the good one in a third of the cases).
 #ifndef PERIDOTGAUGE_REPLICA_CHOICE_H_
 #define PERIDOTGAUGE_REPLICA_CHOICE_H_
 
@@ -63,9 +69,16 @@
 constexpr double kSampleWeight = 0.2;
 constexpr Duration kLatencyMemory = Seconds(1);
 
+// Weight of the share of failed requests in the score, and how fast the share follows.
+constexpr double kFailureWeight = 8.0;
+constexpr double kFailureSampleWeight = 0.15;
+constexpr Duration kFailureMemory = Seconds(2);
+constexpr double kRemoteFactor = 1.3;
+
 struct ReplicaChoiceOptions {
   uint64_t seed = 0;
   bool ejection = true;
+  std::string data_centre;  // of this router; empty: distance does not count
 };
 
 // How one attempt ended.
@@ -124,6 +137,9 @@
     std::deque<std::pair<uint64_t, Time>> outstanding;  // sends in order; settled ones are removed
     double latency_us = 0;                              // 0: unknown
     Time measured{};                                    // last change of `latency_us`
+    double failure_share = 0;                           // of recent requests
+    Time failure_noted{};
+    bool remote = false;  // in another data centre
     float load = 0;
     uint32_t owner_in_flight = 0;
     Time reported{};
@@ -142,6 +158,7 @@
   static const std::vector<Strategy>& Strategies();
   const TargetRecord* ChooseRandom(Time now, const std::vector<const TargetRecord*>& usable);
   const TargetRecord* ChooseOfTwo(Time now, const std::vector<const TargetRecord*>& usable);
+  const TargetRecord* ChooseLeast(Time now, const std::vector<const TargetRecord*>& usable);
   const TargetRecord* ChooseProbe(Time now, const std::vector<const TargetRecord*>& usable);
   // Removes at most half of the candidates.
   std::vector<const TargetRecord*> WithoutEjected(Time now, Candidates candidates);
@@ -154,6 +171,8 @@
   double DefaultLatency(Time now, const std::vector<const TargetRecord*>& usable);
   static void AddLatency(Time now, State& state, double sample_us);
   static void NoteFailure(Time now, State& state);
+  static void NoteOutcome(Time now, State& state, bool failed);
+  static double FailureShare(Time now, const State& state);
 
   const Strategy& strategy;
   ReplicaChoiceOptions options;
--- a/route_request.cc
+++ b/route_request.cc
@@ -15,6 +15,9 @@
 
 // Share of attempts of a route that are quicker than its hedge delay.
 constexpr double kRouteHedgeQuantile = 0.92;
+// A few slow shards raise the quantile to the latency of their targets, at which a hedge comes too
+// late. The median stays.
+constexpr int kHedgeMedians = 2;
 // Before enough latencies are known, an attempt is hedged after this.
 constexpr Duration kFirstHedgeDelay = Millis(60);
 constexpr Duration kShortestRouteHedgeDelay = Millis(4);
@@ -289,6 +292,8 @@
 std::optional<Duration> RouteBudget::HedgeDelay(Time now, std::string_view /*service*/) {
   if (!this->computed || now - *this->computed >= kDelayRefresh) {
     this->delay = this->latency.Quantile(now, kRouteHedgeQuantile);
+    const std::optional<Duration> median = this->latency.Quantile(now, 0.5);
+    if (this->delay && median) this->delay = std::min(*this->delay, kHedgeMedians * *median);
     this->computed = now;
   }
   return this->delay ? std::max(*this->delay, kShortestRouteHedgeDelay) : kFirstHedgeDelay;
--- a/search.cc
+++ b/search.cc
@@ -81,7 +81,9 @@
     for (uint32_t i = 0; i < this->shards.size(); ++i) {
       const Shard& shard = this->shards[i];
       if (shard.state != ShardState::kRunning || now < shard.wake) continue;
-      if (shard.running == 0) {
+      if (shard.running == 0 && shard.refused) {
+        if (!this->RetryUncharged(now, i, effects)) this->RetryRefused(now, i);
+      } else if (shard.running == 0) {
         this->RetryCharged(now, i, effects);
       } else {
         this->Hedge(now, i, effects);
@@ -163,7 +165,17 @@
       if (!attempt.not_run) this->tried.push_back(attempt.target);
     }
   }
-  return this->policies.chooser.Choose(now, this->plan->shards[index].candidates, this->tried);
+  const Candidates candidates = this->plan->shards[index].candidates;
+  const TargetRecord* target = this->policies.chooser.Choose(now, candidates, this->tried);
+  if (target != nullptr || !this->params.charge_refusals) return target;
+  // A target that refused the request may take it now.
+  this->tried.clear();
+  for (uint32_t id = this->shards[index].last_attempt; id != 0;) {
+    const Attempt& attempt = this->attempts[id - 1];
+    if (!attempt.not_run) this->tried.push_back(attempt.target);
+    id = attempt.previous;
+  }
+  return this->policies.chooser.Choose(now, candidates, this->tried);
 }
 
 void Search::SendTo(Time now, uint32_t index, const TargetRecord& target, SearchEffects& effects) {
@@ -172,6 +184,7 @@
   const auto id = static_cast<uint32_t>(this->attempts.size());
   shard.state = ShardState::kRunning;
   shard.last_attempt = id;
+  shard.refused = false;
   ++shard.running;
   ++this->running;
   ++this->counts.sent;
@@ -224,7 +237,9 @@
 
   if (TargetAnswered(code) && !crashed && !this->released) this->Release(now, effects);
   if (not_run && this->RetryUncharged(now, index, effects)) return;
-  if (shard.running == 0) this->RetryCharged(now, index, effects);
+  if (shard.running > 0) return;
+  if (not_run && this->params.charge_refusals) return this->RetryRefused(now, index);
+  this->RetryCharged(now, index, effects);
 }
 
 void Search::NoteCrash(const TargetRecord* target) {
@@ -251,6 +266,16 @@
   return true;
 }
 
+// Asks again later, also for a request that is not idempotent: it has not run.
+void Search::RetryRefused(Time now, uint32_t index) {
+  Shard& shard = this->shards[index];
+  if (this->ChooseFor(now, index) == nullptr || shard.uncharged_retries >= kMaxUnchargedRetries) {
+    return this->Lose(index, shard.cause);
+  }
+  shard.wake = now + kBudgetPause;
+  shard.refused = true;
+}
+
 void Search::RetryCharged(Time now, uint32_t index, SearchEffects& effects) {
   Shard& shard = this->shards[index];
   if (this->suspect || !this->params.idempotent) {
@@ -268,7 +293,9 @@
     return;
   }
   // Asked again later: the budget may have grown, or the canaries may have been answered.
-  if (!this->released || this->plan->prefer == Preference::kCoverage) {
+  const bool patient =
+      this->plan->prefer == Preference::kCoverage || this->params.charge_refusals;
+  if (!this->released || patient) {
     shard.wake = now + kBudgetPause;
   } else {
     this->Lose(index, shard.cause);
--- a/search.h
+++ b/search.h
@@ -66,7 +66,8 @@
   uint32_t max_attempts = UINT32_MAX;
   bool idempotent = true;  // false: no second attempt unless the first one provably did not run
   bool suspicion = true;   // false: crashes do not stop hedges and retries of this request
-  // Retries after a refusal are paid from the budget like others.
+  // Retries after a refusal are paid from the budget like others, wait for it if it is empty, and may
+  // go to a target that has refused the request before.
   bool charge_refusals = false;
 };
 
@@ -181,6 +182,7 @@
     uint32_t uncharged_retries = 0;
     uint32_t last_chances = 0;
     uint32_t covered_by = 0;  // attempt whose reply was merged
+    bool refused = false;     // nothing is running because a target refused the last attempt
     Time wake = Time::max();  // next hedge, or next request to the budget if nothing is running
     std::string body;
   };
@@ -206,6 +208,7 @@
   void OnFailure(Time now, uint32_t attempt, ErrorCode code, bool crashed, SearchEffects& effects);
   void NoteCrash(const TargetRecord* target);
   bool RetryUncharged(Time now, uint32_t index, SearchEffects& effects);
+  void RetryRefused(Time now, uint32_t index);
   void RetryCharged(Time now, uint32_t index, SearchEffects& effects);
   bool SpendRetry(Time now, uint32_t index);
   void Hedge(Time now, uint32_t index, SearchEffects& effects);
