--- a/control_client.cc
+++ b/control_client.cc
@@ -85,8 +85,7 @@
     this->Exchange(ToBody(std::move(request)), deadline, resend, std::move(callback));
   }
 
-  void Heartbeat(const TargetRecord& record, bool remove, Time deadline,
-                 CommandCallback callback) {
+  void Heartbeat(const TargetRecord& record, bool remove, Time deadline, CommandCallback callback) {
     wire::RegisterRequestT request;
     request.target = ToWire(record);
     request.remove = remove;
--- a/control_client.h
+++ b/control_client.h
@@ -43,8 +43,8 @@
 struct ControlClientOptions {
   RouterRecord self;
   std::vector<ControllerAddress> controllers;
-  uint16_t peer_port = 0;                      // see control_channel.h
-  ConfigReader read_config = &Config::Parse;   // of accepted texts
+  uint16_t peer_port = 0;                     // see control_channel.h
+  ConfigReader read_config = &Config::Parse;  // of accepted texts
 };
 
 // What a sync reply changed.
--- a/controller.cc
+++ b/controller.cc
@@ -336,8 +336,8 @@
     }
     auto& client = this->relays[leader];
     if (!client) {
-      const Address address = known ? controller->peer_address
-                                    : leader + ":" + std::to_string(this->options.peer_port);
+      const Address address =
+          known ? controller->peer_address : leader + ":" + std::to_string(this->options.peer_port);
       client = std::make_unique<PeerClient>(this->io, address);
     }
     request.relay = false;
@@ -486,8 +486,9 @@
     const Result<RegistrationChange> change = this->registrations.Register(now, record);
     if (!change) return responder.reply(CommandError(change.error(), ""));
     // A renewal tells the routers nothing.
-    const bool news = *change == RegistrationChange::kChanged ||
-                      (*change == RegistrationChange::kRenewed && !this->directory.Find(record.target));
+    const bool news =
+        *change == RegistrationChange::kChanged ||
+        (*change == RegistrationChange::kRenewed && !this->directory.Find(record.target));
     if (news && this->directory.Merge(now, this->options.id, {record}, false)) this->WakeLater();
     if (!leaving || this->Published(now)) return responder.reply(ToBody(wire::CommandReplyT{}));
     this->unpublished.push_back({this->directory.Version(), now + kPublishTime, responder});
@@ -639,12 +640,12 @@
   uint64_t last_poll = 0;
   std::deque<uint64_t> due_polls;  // polls that wait for their answer, each once
   bool answer_scheduled = false;
-  std::set<std::string> joining;             // routers whose join has been proposed
-  std::map<std::string, uint64_t> departed;  // last incarnation that has left cleanly
-  Registrations registrations;  // of targets that register with controllers
+  std::set<std::string> joining;              // routers whose join has been proposed
+  std::map<std::string, uint64_t> departed;   // last incarnation that has left cleanly
+  Registrations registrations;                // of targets that register with controllers
   std::map<std::string, uint64_t> published;  // directory version that each router holds
   std::deque<Unpublished> unpublished;
-  std::map<std::string, Time> last_push;     // last directory news sent to each router
+  std::map<std::string, Time> last_push;  // last directory news sent to each router
   Time next_housekeeping;
   bool wake_scheduled = false;
 
--- a/daemon.cc
+++ b/daemon.cc
@@ -45,6 +45,10 @@
 // A target that has missed this many heartbeats is gone. Heartbeats may be late by more than one
 // interval.
 constexpr int kMissedHeartbeats = 4;
+// After the loss of all processes callers wait for an election. The timeout is twice the longest
+// pause of a host whose processor time is rationed (100 ms), the heartbeat a fifth of it.
+constexpr Duration kRouteHeartbeat = Millis(40);
+constexpr Duration kRouteElectionTimeout = Millis(200);
 constexpr size_t kCallerHeadBytes = 64 << 10;
 
 }  // namespace
@@ -101,8 +105,9 @@
 
   // Addresses and roles cannot be changed while running; new seeds are used at once.
   void Reload(const Settings& changed) {
-    this->log.Write(SteadyNow(), UnixMillis(),
-                    Event("reload").Add("id", this->settings.id).Add("seeds", changed.seeds.size()));
+    this->log.Write(
+        SteadyNow(), UnixMillis(),
+        Event("reload").Add("id", this->settings.id).Add("seeds", changed.seeds.size()));
     this->control.Learn(changed.seeds);
   }
 
@@ -125,7 +130,11 @@
                            .controllers = this->settings.controllers,
                            .address = this->settings.peer_address,
                            .data_folder = this->settings.data_folder};
-    if (!this->settings.seeds.empty()) options.grow_to = kLargestGroup;
+    if (!this->settings.seeds.empty()) {
+      options.grow_to = kLargestGroup;
+      options.heartbeat = kRouteHeartbeat;
+      options.election_timeout = kRouteElectionTimeout;
+    }
     auto opened = Replica::Open(this->io, std::move(options), this->state);
     if (!opened) return tl::unexpected(opened.error());
     this->replica = std::move(*opened);
--- a/gateway.cc
+++ b/gateway.cc
@@ -31,10 +31,9 @@
 constexpr Duration kLeaveTime = Seconds(2);
 
 std::unique_ptr<ReplicaChoice> MakeReplicaChoice(const Settings& settings) {
-  auto choice = ReplicaChoice::Make(settings.replica_choice.empty() ? "least" : settings.replica_choice,
-                                    {.seed = RandomSeed(),
-                                     .ejection = settings.ejection,
-                                     .data_centre = settings.data_centre});
+  auto choice = ReplicaChoice::Make(
+      settings.replica_choice.empty() ? "least" : settings.replica_choice,
+      {.seed = RandomSeed(), .ejection = settings.ejection, .data_centre = settings.data_centre});
   LOG_IF(FATAL, !choice) << "gateway: " << choice.error().ToString();
   return std::move(*choice);
 }
@@ -55,8 +54,8 @@
         log(log),
         metrics(metrics),
         codec(codec),
-        context{io,     codec,         this->pool, *this->replicas, this->budget,
-                this->route_budgets, metrics,    log,             this->random} {}
+        context{io,      codec, this->pool,  *this->replicas, this->budget, this->route_budgets,
+                metrics, log,   this->random} {}
 
   void Start() {
     this->control.OnChange([weak = this->weak_from_this()](const ControlChange& change) {
@@ -73,7 +72,8 @@
     if (!terms) return this->Refuse(now, http, "", terms.error(), responder);
     if (this->config->Revision() == 0) {
       return this->Refuse(now, http, terms->request_id,
-                          {ErrorCode::kNotSynchronized, "no configuration is known yet"}, responder);
+                          {ErrorCode::kNotSynchronized, "no configuration is known yet"},
+                          responder);
     }
     const Route* route = this->config->Routes().Match(terms->host, http.path);
     if (route == nullptr) {
@@ -160,17 +160,20 @@
     std::map<std::string, double, std::less<>> shares;
     const auto add = [&](const std::string& service) {
       const ServiceSpec* spec = this->config->Routes().FindService(service);
-      if (spec == nullptr || !shares.emplace(service, this->settings.extra.ratio * kExtraShare).second) {
+      if (spec == nullptr ||
+          !shares.emplace(service, this->settings.extra.ratio * kExtraShare).second) {
         return;
       }
-      this->pool.SetShare(service, static_cast<size_t>(spec->connections * kConnectionShare) / routers);
+      this->pool.SetShare(service,
+                          static_cast<size_t>(spec->connections * kConnectionShare) / routers);
     };
     for (const Route& route : this->config->Routes().Routes()) {
       for (const WeightedService& part : route.split) add(part.service);
       for (const std::string& shard : route.shards) add(shard);
     }
     const double slack = this->settings.extra.slack * kExtraShare / static_cast<double>(routers);
-    this->budget.SetOptions({.burst = std::max(slack, 1.0), .max_debt = 0, .retry_in_overload = true});
+    this->budget.SetOptions(
+        {.burst = std::max(slack, 1.0), .max_debt = 0, .retry_in_overload = true});
     this->budget.SetShares(shares);
   }
 
--- a/hedge.h
+++ b/hedge.h
@@ -86,7 +86,7 @@
 
  private:
   struct FleetState {
-    double share = 0;              // hedge_percent / 100
+    double share = 0;   // hedge_percent / 100
     double tokens = 0;  // -max_debt to burst
     QuantileWindow latency{kHedgeWindow, kHedgeMinSamples};
     std::optional<Duration> delay;
--- a/raft.cc
+++ b/raft.cc
@@ -80,7 +80,8 @@
 
 void Raft::Tick(Time now) {
   if (this->role == RaftRole::kFailed) return;
-  if (!this->CanCampaign() && now >= this->next_probe) this->SendProbes(now);
+  const bool outside = !this->hard.admitted || (this->options.grow_to > 0 && !this->CanCampaign());
+  if (outside && now >= this->next_probe) this->SendProbes(now);
   if (this->Leading()) {
     this->LeaderTick(now);
   } else if (now >= this->election_deadline) {
--- a/raft.h
+++ b/raft.h
@@ -61,8 +61,8 @@
 constexpr uint64_t kSnapshotChunkBytes = 512 << 10;
 constexpr uint32_t kMaxInFlightAppends = 32;
 constexpr size_t kMaxLearners = 8;
-// Shorter than the time in which a second controller may fail after a replacement has started (4 s on
-// the smallest deployments), longer than a few lost heartbeats.
+// Shorter than the time in which a second controller may fail after a replacement has started (4 s
+// on the smallest deployments), longer than a few lost heartbeats.
 constexpr Duration kSilentMemberTime = Seconds(3);
 constexpr size_t kSmallestGroup = 3;
 
@@ -72,9 +72,9 @@
   RaftMembers initial;  // incarnations are ignored
   Duration heartbeat = Millis(50);
   Duration election_timeout = Millis(300);
-  // 0: the member list changes only by ChangeMember(). Otherwise the leader admits a learner with an
-  // unknown id in place of a member that has been silent for kSilentMemberTime, or besides the others
-  // while there are fewer members than `grow_to`, and removes silent members while more than
+  // 0: the member list changes only by ChangeMember(). Otherwise the leader admits a learner with
+  // an unknown id in place of a member that has been silent for kSilentMemberTime, or besides the
+  // others while there are fewer members than `grow_to`, and removes silent members while more than
   // kSmallestGroup are left.
   size_t grow_to = 0;
   uint64_t kept_entries = 500;  // kept behind a snapshot for followers that lag
--- a/replica.h
+++ b/replica.h
@@ -34,7 +34,7 @@
 struct ReplicaOptions {
   std::string id;
   std::vector<ControllerAddress> controllers;  // the initial members
-  Address address;  // of this replica; may be empty if it is one of `controllers`
+  Address address;     // of this replica; may be empty if it is one of `controllers`
   size_t grow_to = 0;  // learners are admitted as new members up to this number
   std::string data_folder;
   Duration heartbeat = Millis(50);
@@ -52,7 +52,7 @@
   uint64_t applied_index = 0;
   uint64_t log_entries = 0;
   uint64_t log_bytes = 0;
-  std::string storage_error;  // empty unless the replica has stopped voting
+  std::string storage_error;         // empty unless the replica has stopped voting
   std::vector<std::string> members;  // ids of the voting members
 };
 
--- a/route_plan.h
+++ b/route_plan.h
@@ -23,8 +23,8 @@
 namespace peridotgauge {
 
 // Time between the moment an answer is ready and the end of the objective that covers what this
-// router does not see: the caller's connection set-up, both ways over the network, and the time that
-// the request waited for the event loop.
+// router does not see: the caller's connection set-up, both ways over the network, and the time
+// that the request waited for the event loop.
 constexpr Duration kAnswerMargin = Millis(25);
 
 class RoutePlanner {
--- a/route_request.cc
+++ b/route_request.cc
@@ -45,8 +45,8 @@
   Run(RouteContext& context, RouteTask task, Callback done)
       : context(context),
         task(std::move(task)),
-        budget(context.route_budgets.try_emplace(this->task.route.name, context.budget)
-                   .first->second),
+        budget(
+            context.route_budgets.try_emplace(this->task.route.name, context.budget).first->second),
         search(this->task.plan, ParamsOf(this->task), {context.replicas, this->budget}),
         timer(context.io),
         done(std::move(done)) {}
@@ -100,16 +100,14 @@
     attempt.sent = now;
     attempt.open = true;
     attempt.replica_send = this->context.replicas.OnSend(now, *send.target);
-    attempt.call = this->context.pool.ClientOf(*send.target)
-                       .Send({.request = this->context.codec.ToTarget(
-                                  this->task.http, *send.target, this->task.deadline - now),
-                              .deadline = this->task.deadline,
-                              .done =
-                                  [self = this->shared_from_this(),
-                                   number = send.attempt](HttpResult result) {
-                                    self->OnResult(number, std::move(result));
-                                  },
-                              .released = {}});
+    attempt.call =
+        this->context.pool.ClientOf(*send.target)
+            .Send({.request = this->context.codec.ToTarget(this->task.http, *send.target,
+                                                           this->task.deadline - now),
+                   .deadline = this->task.deadline,
+                   .done = [self = this->shared_from_this(), number = send.attempt](
+                               HttpResult result) { self->OnResult(number, std::move(result)); },
+                   .released = {}});
   }
 
   void CancelAttempt(Time now, uint32_t number) {
@@ -153,8 +151,8 @@
                     static_cast<float>(read.load->slots);
     }
     this->context.replicas.OnReply(now, attempt.replica_send, report);
-    this->context.budget.OnReply(
-        now, *attempt.service, {.refused = read.verdict == TargetVerdict::kNotRun});
+    this->context.budget.OnReply(now, *attempt.service,
+                                 {.refused = read.verdict == TargetVerdict::kNotRun});
     if (answered) {
       this->budget.AddLatency(now, now - attempt.sent);
     } else {
@@ -208,10 +206,10 @@
       bodies.push_back(this->attempts[shard.attempt - 1].response.body);
     }
     const auto missing = static_cast<uint32_t>(outcome.missing.size());
-    this->Answer(now, outcome,
-                 this->context.codec.Gathered(proofs, missing,
-                                              GreatestRecords(bodies, route.top_records)),
-                 missing == 0 ? "answered" : "partial");
+    this->Answer(
+        now, outcome,
+        this->context.codec.Gathered(proofs, missing, GreatestRecords(bodies, route.top_records)),
+        missing == 0 ? "answered" : "partial");
   }
 
   void Fail(Time now, const SearchOutcome& outcome) {
@@ -227,10 +225,10 @@
     const ErrorCode cause = outcome.missing.front().cause;
     const std::string& service = this->task.plan->FleetOf(outcome.missing.front().shard).name;
     const bool not_run = !this->may_have_run;
-    this->Answer(now, outcome,
-                 this->context.codec.Failure({cause, service}, not_run,
-                                             RetryPause(this->context.random)),
-                 InfoOf(cause).name);
+    this->Answer(
+        now, outcome,
+        this->context.codec.Failure({cause, service}, not_run, RetryPause(this->context.random)),
+        InfoOf(cause).name);
   }
 
   void Answer(Time now, const SearchOutcome& outcome, HttpResponse response,
--- a/route_request.h
+++ b/route_request.h
@@ -4,8 +4,9 @@
 //   auto run = RouteRequest::Start(context, task, [responder](HttpResponse r) { ... });
 //   responder.OnDisconnect([weak] { if (auto run = weak.lock()) run->Abort(); });
 //
-// Contract: runs on the thread of the io_context. `done` is called exactly once unless Abort() comes
-// first. The decisions are those of search.h: a request for one target is a search of one shard.
+// Contract: runs on the thread of the io_context. `done` is called exactly once unless Abort()
+// comes first. The decisions are those of search.h: a request for one target is a search of one
+// shard.
 #ifndef PERIDOTGAUGE_ROUTE_REQUEST_H_
 #define PERIDOTGAUGE_ROUTE_REQUEST_H_
 
--- a/routes.cc
+++ b/routes.cc
@@ -60,8 +60,9 @@
       return tl::unexpected(checked.error());
     }
     if (!places.emplace(route.host, route.prefix).second) {
-      return Fail(ErrorCode::kInvalidConfig, "route \"" + route.name + "\": another route has host " +
-                                                 route.host + " and prefix " + route.prefix);
+      return Fail(ErrorCode::kInvalidConfig, "route \"" + route.name +
+                                                 "\": another route has host " + route.host +
+                                                 " and prefix " + route.prefix);
     }
   }
   table.routes = std::move(routes);
--- a/routes.h
+++ b/routes.h
@@ -33,11 +33,11 @@
 struct Route {
   std::string name;
   std::string host;
-  std::string prefix;      // begins and ends with '/'
-  bool idempotent = true;  // false: a request is executed by one target at most
-  Duration timeout{};      // a caller never waits longer
-  Duration objective{};    // an answer within this time has its full value
-  uint32_t priority = 0;   // 0 is the most urgent
+  std::string prefix;         // begins and ends with '/'
+  bool idempotent = true;     // false: a request is executed by one target at most
+  Duration timeout{};         // a caller never waits longer
+  Duration objective{};       // an answer within this time has its full value
+  uint32_t priority = 0;      // 0 is the most urgent
   uint32_t max_attempts = 1;  // targets that may execute one request (of each shard, if it gathers)
   // Exactly one of the two lists is not empty.
   std::vector<WeightedService> split;
--- a/search.cc
+++ b/search.cc
@@ -293,8 +293,7 @@
     return;
   }
   // Asked again later: the budget may have grown, or the canaries may have been answered.
-  const bool patient =
-      this->plan->prefer == Preference::kCoverage || this->params.charge_refusals;
+  const bool patient = this->plan->prefer == Preference::kCoverage || this->params.charge_refusals;
   if (!this->released || patient) {
     shard.wake = now + kBudgetPause;
   } else {
@@ -407,7 +406,8 @@
     outcome.missing.push_back({.shard = i, .cause = shard.cause});
     this->CancelRunning(i, effects);
   }
-  // What this event wanted to send is not needed any more, and nobody can cancel it before it is sent.
+  // What this event wanted to send is not needed any more, and nobody can cancel it before it is
+  // sent.
   for (const AttemptSend& send : effects.sends) std::erase(effects.cancels, send.attempt);
   this->counts.sent -= static_cast<uint32_t>(effects.sends.size());
   effects.sends.clear();
--- a/search.h
+++ b/search.h
@@ -66,8 +66,8 @@
   uint32_t max_attempts = UINT32_MAX;
   bool idempotent = true;  // false: no second attempt unless the first one provably did not run
   bool suspicion = true;   // false: crashes do not stop hedges and retries of this request
-  // Retries after a refusal are paid from the budget like others, wait for it if it is empty, and may
-  // go to a target that has refused the request before.
+  // Retries after a refusal are paid from the budget like others, wait for it if it is empty, and
+  // may go to a target that has refused the request before.
   bool charge_refusals = false;
 };
 
--- a/settings.h
+++ b/settings.h
@@ -48,8 +48,8 @@
   std::string data_centre;
   bool router = false;  // roles: ["router"], ["controller"] or both
   bool controller = false;
-  Address http_address;                        // callers, targets, operators
-  Address peer_address;                        // other processes of the system
+  Address http_address;  // callers, targets, operators
+  Address peer_address;  // other processes of the system
   Interface interface = Interface::kNative;
   // Addresses below are empty where the process does not serve them.
   Address health_address;     // readiness checks; otherwise on `http_address`
@@ -59,8 +59,8 @@
   // number, and all peers listen on one port.
   std::vector<std::string> seeds;
   ExtraLimit extra;
-  Duration heartbeat = Seconds(1);  // interval at which targets register
-  Duration grace = Seconds(30);     // from SIGTERM to SIGKILL
+  Duration heartbeat = Seconds(1);             // interval at which targets register
+  Duration grace = Seconds(30);                // from SIGTERM to SIGKILL
   std::vector<ControllerAddress> controllers;  // all controllers, 1, 3, 5 or 7
   std::string data_folder;                     // controllers only
   std::string span_file;                       // OTLP-style JSON lines; empty: no spans are written
--- a/target_pool.cc
+++ b/target_pool.cc
@@ -22,8 +22,8 @@
 
 HttpClient& TargetPool::ClientOf(const TargetRecord& record) {
   Entry& entry = this->entries[record.target];
-  const bool same = entry.client && entry.incarnation == record.incarnation &&
-                    entry.address == record.address;
+  const bool same =
+      entry.client && entry.incarnation == record.incarnation && entry.address == record.address;
   if (!same) {
     entry = {.incarnation = record.incarnation,
              .address = record.address,
--- a/target_pool.h
+++ b/target_pool.h
@@ -46,8 +46,8 @@
   HttpClientOptions OptionsOf(const std::string& service, bool warm) const;
 
   boost::asio::io_context& io;
-  std::map<std::string, size_t> shares;    // by service
-  std::map<std::string, Entry> entries;    // by target
+  std::map<std::string, size_t> shares;  // by service
+  std::map<std::string, Entry> entries;  // by target
 };
 
 }  // namespace peridotgauge
--- a/testing/control_state_test.cc
+++ b/testing/control_state_test.cc
@@ -220,5 +220,39 @@
   }));
 }
 
+TEST_CASE("the highest revision counts", "[control_state]") {
+  Machine machine;
+  const auto apply = [&](uint64_t revision, const std::string& text) {
+    wire::ApplyConfigT command;
+    command.revision = revision;
+    command.text = text;
+    command.digest = std::hash<std::string>()(text);
+    command.highest = true;
+    return machine.Run(0, std::move(command));
+  };
+  CHECK(apply(7, "seven").error < 0);
+  CHECK(apply(40, "forty").error < 0);
+  const uint64_t version = machine.state.Version();
+  SECTION("an older or equal one is acknowledged and changes nothing") {
+    for (const uint64_t revision : {1, 7, 39, 40}) {
+      const wire::CommandReplyT reply = apply(revision, "other");
+      CHECK(reply.error < 0);
+      CHECK(reply.repeated);
+    }
+    CHECK(machine.state.ConfigText() == "forty");
+    CHECK(machine.state.Version() == version);
+  }
+  SECTION("it survives a snapshot") {
+    ControlState restored;
+    REQUIRE(restored.Restore(machine.index, machine.state.Snapshot()));
+    CHECK(restored == machine.state);
+    CHECK(restored.Revision() == 40);
+    CHECK(restored.ConfigText() == "forty");
+  }
+  SECTION("the two rules of acceptance do not mix") {
+    CHECK(machine.Text(41, "next").error == static_cast<int8_t>(ErrorCode::kInvalidConfig));
+  }
+}
+
 }  // namespace
 }  // namespace peridotgauge
--- /dev/null
+++ b/testing/gather_test.cc
@@ -0,0 +1,33 @@
+// Tests of the merge of records: guards against an answer that is not the greatest records.
+#include "../gather.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace peridotgauge {
+namespace {
+
+TEST_CASE("the greatest records, like a naive sort", "[gather]") {
+  CHECK(rc::check([] {
+    // Few distinct bytes make equal records likely, high ones must compare as unsigned.
+    const auto bodies = *rc::gen::container<std::vector<std::string>>(
+        rc::gen::container<std::string>(rc::gen::element('\x00', 'a', '\x7f', '\xff')));
+    const auto count = *rc::gen::inRange<uint32_t>(0, 20);
+    std::vector<std::string> all;
+    std::vector<std::string_view> views(bodies.begin(), bodies.end());
+    for (const std::string& body : bodies) {
+      for (size_t at = 0; at + kRecordBytes <= body.size(); at += kRecordBytes) {
+        all.push_back(body.substr(at, kRecordBytes));
+      }
+    }
+    std::sort(all.rbegin(), all.rend());
+    std::string expected;
+    for (size_t i = 0; i < std::min<size_t>(count, all.size()); ++i) expected += all[i];
+    RC_ASSERT(GreatestRecords(views, count) == expected);
+  }));
+}
+
+}  // namespace
+}  // namespace peridotgauge
--- a/testing/hedge_test.cc
+++ b/testing/hedge_test.cc
@@ -50,6 +50,18 @@
     budget.CountNeeded(kStart, "f", 1'000);
     CHECK_FALSE(budget.Spend(kStart, "f", ExtraKind::kHedge));
   }
+  SECTION("without debt a last chance needs budget, and retries are granted in overload if asked") {
+    HedgeBudget strict({.burst = 2, .max_debt = 0, .retry_in_overload = true});
+    strict.SetShares({{"f", 0.1}});
+    for (int i = 0; i < 20; ++i) strict.OnReply(kStart, "f", {.refused = true});
+    CHECK_FALSE(strict.Spend(kStart, "f", ExtraKind::kHedge));
+    CHECK(strict.Spend(kStart, "f", ExtraKind::kRetry));
+    CHECK(strict.Spend(kStart, "f", ExtraKind::kRetry));
+    CHECK_FALSE(strict.Spend(kStart, "f", ExtraKind::kLastChance));
+    strict.CountNeeded(kStart, "f", 10);
+    CHECK(strict.Spend(kStart, "f", ExtraKind::kRetry));
+    CHECK_FALSE(strict.Spend(kStart, "f", ExtraKind::kRetry));
+  }
   SECTION("an overloaded fleet gets nothing, and recovers") {
     for (int i = 0; i < 20; ++i) budget.OnReply(kStart, "f", {.refused = i % 4 == 0});
     CHECK(budget.Overloaded(kStart, "f"));
--- /dev/null
+++ b/testing/platform_test.cc
@@ -0,0 +1,154 @@
+// Tests of the translation to and from the platform: names, formats and status codes.
+#include <catch2/catch.hpp>
+
+#include "../platform/documents.h"
+#include "../platform/route_format.h"
+
+namespace peridotgauge::platform {
+namespace {
+
+constexpr std::string_view kText = R"({"version":7,
+ "routes":[{"name":"r","host":"h","pathPrefix":"/p/","kind":"safe","timeoutMs":600,
+   "targetLatencyMs":100,"priority":1,"gather":["a","b"],"maxAttempts":2,"topK":10,
+   "minVersion":0.89},
+  {"name":"q","host":"h","pathPrefix":"/q/","kind":"unsafe","timeoutMs":2000,
+   "targets":[{"service":"a","weight":3},{"service":"b","weight":1}]}],
+ "services":[{"name":"a","healthPath":"/health","maxConns":26,"protocol":"h1","tls":false},
+  {"name":"b","healthPath":"/health","maxConns":26}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,
+  "idleTimeoutMs":15000},"unknown":1})";
+
+TEST_CASE("a configuration", "[platform]") {
+  const auto config = ReadConfiguration(kText);
+  REQUIRE(config);
+  CHECK(config->Revision() == 7);
+  CHECK(config->Text() == kText);
+  const Route* gather = config->Routes().Match("h", "/p/1");
+  REQUIRE(gather != nullptr);
+  CHECK(gather->shards == std::vector<std::string>{"a", "b"});
+  CHECK(gather->timeout == Millis(600));
+  CHECK(gather->objective == Millis(100));
+  CHECK(gather->max_attempts == 2);
+  CHECK(gather->top_records == 10);
+  CHECK(gather->idempotent);
+  const Route* split = config->Routes().Match("h", "/q/1");
+  REQUIRE(split != nullptr);
+  CHECK_FALSE(split->idempotent);
+  CHECK(split->split == std::vector<WeightedService>{{"a", 3}, {"b", 1}});
+  CHECK(config->Routes().FindService("a")->connections == 26);
+  CHECK(config->Routes().Limits().idle_time == Seconds(15));
+}
+
+TEST_CASE("invalid configurations are refused", "[platform]") {
+  const auto replaced = [](const std::string& from, const std::string& to) {
+    std::string text(kText);
+    text.replace(text.find(from), from.size(), to);
+    return ReadConfiguration(text);
+  };
+  CHECK_FALSE(ReadConfiguration(kText.substr(0, kText.size() / 2)));
+  CHECK_FALSE(ReadConfiguration("[]"));
+  CHECK_FALSE(ReadConfiguration("{}"));
+  CHECK_FALSE(replaced("\"timeoutMs\":600", "\"timeoutMs\":0"));
+  CHECK_FALSE(replaced("\"timeoutMs\":600", "\"timeoutMs\":\"600\""));
+  CHECK_FALSE(replaced("[\"a\",\"b\"]", "[\"a\",\"c\"]"));
+  CHECK_FALSE(replaced("\"/q/\"", "\"/p/\""));
+  CHECK_FALSE(replaced("\"version\":7", "\"version\":7.5"));
+  CHECK_FALSE(replaced("\"weight\":3},{\"service\":\"b\",\"weight\":1}",
+                       "\"weight\":0},{\"service\":\"b\",\"weight\":0}"));
+}
+
+TEST_CASE("a heartbeat", "[platform]") {
+  const std::string beat =
+      R"({"service":"a","address":"10.0.0.9:80","zone":"z","version":"v1","slots":2,)"
+      R"("state":"ready","warmupLeftMs":0,"sequence":4,"born":1780000000000})";
+  const auto record = ReadHeartbeat("i-1", beat);
+  REQUIRE(record);
+  CHECK(record->target == "i-1");
+  CHECK(record->data_centre == "z");
+  CHECK(record->incarnation == 1'780'000'000'000);
+  CHECK(record->sequence == 4);
+  CHECK(record->state == TargetState::kServing);
+  SECTION("of another writer names no target") {
+    for (
+        const std::string text :
+        {"", "{}", "null", R"({"service":1})",
+         R"({"service":"a","address":"10.0.0.9:80","zone":"z","slots":2,"state":"odd","sequence":4})",
+         R"({"service":"a","address":"10.0.0.9:80","zone":"z","slots":2,"state":"ready"})",
+         R"({"service":"a","address":"x","zone":"z","slots":"2","state":"ready","sequence":4})"}) {
+      const auto other = ReadHeartbeat("i-1", text);
+      REQUIRE_FALSE(other);
+      CHECK(other.error().code == ErrorCode::kBadRequest);
+    }
+  }
+}
+
+TEST_CASE("requests between caller and target", "[platform]") {
+  const RouteFormat format;
+  HttpRequest request{.method = "GET",
+                      .path = "/p/1",
+                      .query = "a=b",
+                      .headers = {{"Host", "h"},
+                                  {"Peridotgauge-Request-Id", "r1"},
+                                  {"Peridotgauge-Deadline-Ms", "300"},
+                                  {"Connection", "keep-alive"},
+                                  {"X-Other", "1"}},
+                      .body = "body"};
+  const auto terms = format.ReadCaller(request);
+  REQUIRE(terms);
+  CHECK(*terms == CallerTerms{"r1", "h", Millis(300)});
+  const HttpRequest sent = format.ToTarget(request, {.target = "i-1"}, Millis(250));
+  CHECK(sent.path == "/p/1");
+  CHECK(sent.query == "a=b");
+  CHECK(sent.body == "body");
+  CHECK(sent.Header("host") == "h");
+  CHECK(sent.Header("Peridotgauge-Request-Id") == "r1");
+  CHECK(sent.Header("Peridotgauge-Deadline-Ms") == "250");
+  CHECK(sent.Header("Peridotgauge-Expect-Instance") == "i-1");
+  CHECK(sent.Header("x-other") == "1");
+  CHECK(sent.Header("connection").empty());
+  SECTION("a request without an id or with a malformed deadline is refused") {
+    request.headers[2].value = "soon";
+    CHECK_FALSE(format.ReadCaller(request));
+    CHECK_FALSE(format.ReadCaller({.method = "GET", .path = "/"}));
+  }
+}
+
+TEST_CASE("responses of targets", "[platform]") {
+  const RouteFormat format;
+  const HttpHeader proof{"Peridotgauge-Server-Stamp", "s1"};
+  const auto verdict = [&](int status, std::vector<HttpHeader> headers) {
+    return format.FromTarget({.status = status, .headers = std::move(headers)}, "r1").verdict;
+  };
+  CHECK(verdict(200, {proof}) == TargetVerdict::kAnswered);
+  CHECK(verdict(200, {proof, {"Peridotgauge-Request-Id", "r1"}}) == TargetVerdict::kAnswered);
+  CHECK(verdict(500, {proof}) == TargetVerdict::kFailed);
+  CHECK(verdict(503, {{"Peridotgauge-Not-Executed", "1"}}) == TargetVerdict::kNotRun);
+  CHECK(verdict(421, {}) == TargetVerdict::kReplaced);
+  SECTION("an answer to another request, without a proof or encoded is none") {
+    CHECK(verdict(200, {proof, {"Peridotgauge-Request-Id", "r2"}}) == TargetVerdict::kForeign);
+    CHECK(verdict(200, {}) == TargetVerdict::kForeign);
+    CHECK(verdict(503, {}) == TargetVerdict::kForeign);
+    CHECK(verdict(200, {proof, {"Content-Encoding", "gzip"}}) == TargetVerdict::kForeign);
+  }
+  const TargetReply reply =
+      format.FromTarget({.headers = {proof, {"Peridotgauge-Backend-Load", "3, 1,8,120"}}}, "r1");
+  CHECK(reply.load == TargetLoad{3, 1, 8});
+}
+
+TEST_CASE("an answer promises 'not run' only where it is so", "[platform]") {
+  const RouteFormat format;
+  const auto status = [&](ErrorCode code, bool not_run) {
+    return format.Failure({code, ""}, not_run, Millis(50)).status;
+  };
+  for (int i = 0; i < kErrorCodeCount; ++i) {
+    const int answer = status(static_cast<ErrorCode>(i), false);
+    CHECK((answer != 503 && answer != 429 && answer != 408 && answer != 421));
+  }
+  CHECK(status(ErrorCode::kDeadlineExceeded, true) == 503);
+  CHECK(status(ErrorCode::kDeadlineExceeded, false) == 504);
+  CHECK(status(ErrorCode::kNotFound, true) == 404);
+  CHECK(format.Failure({ErrorCode::kShed, ""}, true, Millis(50)).Header("Retry-After") == "0.050");
+}
+
+}  // namespace
+}  // namespace peridotgauge::platform
--- a/testing/raft_cluster.cc
+++ b/testing/raft_cluster.cc
@@ -35,11 +35,14 @@
 
 }  // namespace
 
-RaftCluster::RaftCluster(size_t size, uint64_t seed, uint64_t snapshot_interval)
-    : snapshot_interval(snapshot_interval), random(seed) {
+RaftCluster::RaftCluster(size_t size, uint64_t seed, uint64_t snapshot_interval,
+                         size_t initial_size, size_t grow_to)
+    : grow_to(grow_to), snapshot_interval(snapshot_interval), random(seed) {
   for (size_t i = 0; i < size; ++i) {
     const std::string id(1, static_cast<char>('a' + i));
-    this->initial.push_back({id, 0, "address-" + id});
+    if (initial_size == 0 || i < initial_size) {
+      this->initial.push_back({id, 0, "address-" + id});
+    }
     this->nodes.push_back({.id = id});
   }
   for (size_t i = 0; i < size; ++i) this->Start(i);
@@ -55,6 +58,7 @@
   node.reads.clear();
   if (node.disk.snapshot.index > 0) this->Restore(node, node.disk.snapshot);
   RaftOptions options{.id = node.id, .address = "address-" + node.id, .initial = this->initial};
+  options.grow_to = this->grow_to;
   options.kept_entries = this->snapshot_interval / 4;
   options.random_seed = this->random();
   node.raft = std::make_unique<Raft>(options, node.disk, this->now);
--- a/testing/raft_cluster.h
+++ b/testing/raft_cluster.h
@@ -46,7 +46,9 @@
 
 class RaftCluster {
  public:
-  RaftCluster(size_t size, uint64_t seed, uint64_t snapshot_interval = 50);
+  // The first `initial_size` replicas (0: all) are the initial members that every replica knows.
+  RaftCluster(size_t size, uint64_t seed, uint64_t snapshot_interval = 50, size_t initial_size = 0,
+              size_t grow_to = 0);
 
   ClusterNode& Node(size_t i) { return this->nodes[i]; }
   size_t Size() const { return this->nodes.size(); }
@@ -94,6 +96,7 @@
 
   std::vector<ClusterNode> nodes;
   RaftMembers initial;
+  size_t grow_to;
   uint64_t snapshot_interval;
   std::mt19937_64 random;
   Time now = TimeAt(0);
--- a/testing/raft_test.cc
+++ b/testing/raft_test.cc
@@ -309,5 +309,49 @@
   CheckClean(*cluster);
 }
 
+// Guards against controllers that stay outside a group whose seeds do not name them, and against a
+// lost controller that keeps counting against the majority after another has taken its place.
+TEST_CASE("a group that may grow", "[raft]") {
+  constexpr size_t kInitial = 3;
+  constexpr size_t kLargest = 5;
+  RaftCluster cluster(4, kSeed, 50, kInitial, kLargest);
+  REQUIRE(cluster.CommitOne());
+  const auto members = [&] { return cluster.Node(*cluster.Leader()).raft->Members().size(); };
+  // An entry that changes the members counts once it is committed.
+  const auto count_is = [&](size_t count) {
+    const bool appended = cluster.RunUntil([&] { return cluster.Leader() && members() == count; });
+    cluster.Run(Millis(200));
+    return appended;
+  };
+  SECTION("admits a replica that no seed list names") {
+    CHECK(count_is(4));
+    CHECK(cluster.Unadmitted() == 0);
+    SECTION("also through a seed that does not lead") {
+      const size_t leader = *cluster.Leader();
+      cluster.Cut(3, leader);
+      cluster.Heal();
+      CHECK(cluster.CommitOne());
+    }
+    SECTION("removes a member that stays silent, and tolerates the next loss") {
+      const size_t lost = (*cluster.Leader() + 1) % 4;
+      cluster.Crash(lost);
+      REQUIRE(count_is(3));
+      const size_t next = (*cluster.Leader() + (lost == (*cluster.Leader() + 1) % 4 ? 2 : 1)) % 4;
+      cluster.Crash(next);
+      const size_t before = cluster.reference.size();
+      REQUIRE(cluster.RunUntil([&] {
+        if (const auto leader = cluster.Leader()) cluster.Propose(*leader);
+        return cluster.reference.size() > before;
+      }));
+      SECTION("and takes both back") {
+        cluster.Start(lost);
+        cluster.Start(next);
+        CHECK(count_is(4));
+      }
+    }
+  }
+  CheckClean(cluster);
+}
+
 }  // namespace
 }  // namespace peridotgauge
