--- a/gateway.cc
+++ b/gateway.cc
@@ -28,6 +28,9 @@
 // Part of the platform's limit on extra sub-requests that is used. The rest is for requests whose
 // first sub-request this router counts and the target never receives.
 constexpr double kExtraShare = 0.8;
+constexpr Duration kDirectReportAge = Millis(60);
+// A restarted router is synchronized after an election, which takes 200 to 400 ms.
+constexpr Duration kSynchronizePause = Millis(400);
 constexpr Duration kLeaveTime = Seconds(2);
 
 std::unique_ptr<ReplicaChoice> MakeReplicaChoice(const Settings& settings) {
@@ -123,8 +126,9 @@
                         .Add("path", http.path)
                         .Add("error", error.ToString())
                         .Add("revision", this->config->Revision()));
-    responder.Send(this->codec.Failure(
-        error, true, temporary ? std::optional(RetryPause(this->random)) : std::nullopt));
+    std::optional<Duration> pause;
+    if (temporary) pause = kSynchronizePause + RetryPause(this->random);
+    responder.Send(this->codec.Failure(error, true, pause));
   }
 
   // --- Control plane ---
--- a/replica_choice.h
+++ b/replica_choice.h
@@ -73,12 +73,15 @@
 constexpr double kFailureWeight = 8.0;
 constexpr double kFailureSampleWeight = 0.15;
 constexpr Duration kFailureMemory = Seconds(2);
-constexpr double kRemoteFactor = 1.3;
+constexpr double kRemoteFactor = 1.6;
 
 struct ReplicaChoiceOptions {
   uint64_t seed = 0;
   bool ejection = true;
   std::string data_centre;  // of this router; empty: distance does not count
+  // Time constant of the weight of reported load. Without owners a report describes a queue that
+  // other routers change within a few service times.
+  Duration report_age = kReportAge;
 };
 
 // How one attempt ended.
