--- a/testing/control_plane_test.cc
+++ b/testing/control_plane_test.cc
@@ -441,5 +441,69 @@
   }
 }
 
+// Guards against a target that is told that its departure is known while a router still uses it.
+TEST_CASE("targets that register with controllers", "[control_plane]") {
+  Cluster cluster;
+  const auto router = cluster.Synced("r1");
+  // Speaks to whichever controller, as the handler of heartbeats does.
+  const auto edge = cluster.Router("edge");
+  const auto beat = [&](const TargetRecord& record, bool remove = false) {
+    std::optional<Result<wire::CommandReplyT>> answer;
+    edge->Heartbeat(record, remove, SteadyNow() + Seconds(3),
+                    [&](Result<wire::CommandReplyT> reply) { answer = std::move(reply); });
+    REQUIRE(cluster.RunUntil([&] { return answer.has_value(); }));
+    return *answer;
+  };
+  const auto state_at_router = [&] {
+    const TargetRecord* record = router->Directory().Find("s/a");
+    return record == nullptr ? TargetState::kGone : record->state;
+  };
+  TargetRecord record = TargetOf(1);
+  record.data_centre = "a";
+  record.connections = 1;
+  const auto accepted = [](const Result<wire::CommandReplyT>& reply) {
+    return reply && reply->error < 0;
+  };
+  REQUIRE(accepted(beat(record)));
+  REQUIRE(cluster.RunUntil([&] { return state_at_router() == TargetState::kServing; }));
+  SECTION("a renewal does not wake the routers") {
+    const uint64_t version = router->Directory().Version();
+    for (uint64_t sequence = 2; sequence < 6; ++sequence) {
+      record.sequence = sequence;
+      REQUIRE(accepted(beat(record)));
+    }
+    cluster.RunUntil([] { return false; }, Millis(600));
+    CHECK(router->Directory().Version() == version);
+  }
+  SECTION("a departure is acknowledged when the routers know it") {
+    const bool removes = GENERATE(false, true);
+    record.sequence = 2;
+    record.state = TargetState::kDraining;
+    REQUIRE(accepted(beat(record, removes)));
+    CHECK(state_at_router() != TargetState::kServing);
+    SECTION("and a late heartbeat does not bring the target back") {
+      record.sequence = removes ? 3 : 1;
+      record.state = TargetState::kServing;
+      REQUIRE(accepted(beat(record)));
+      cluster.RunUntil([] { return false; }, Millis(600));
+      CHECK(state_at_router() != TargetState::kServing);
+    }
+    SECTION("but its next start does") {
+      record.incarnation = 2;
+      record.sequence = 1;
+      record.state = TargetState::kServing;
+      REQUIRE(accepted(beat(record)));
+      CHECK(cluster.RunUntil([&] { return state_at_router() == TargetState::kServing; }));
+    }
+  }
+  SECTION("a departure that a new leader cannot place is not acknowledged") {
+    cluster.Elect(1);
+    const auto reply = beat(record, true);
+    CHECK_FALSE(accepted(reply));
+  }
+  router->Stop();
+  edge->Stop();
+}
+
 }  // namespace
 }  // namespace peridotgauge
--- /dev/null
+++ b/testing/route_request_test.cc
@@ -0,0 +1,264 @@
+// Tests of one request on a route over real connections: guards against a request that runs twice, a
+// refusal that says "not run" of a request that has run, an answer made of the wrong parts, and work
+// that goes on after the caller has left.
+#include "../route_request.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "../http_server.h"
+#include "../platform/route_format.h"
+#include "../route_plan.h"
+
+namespace peridotgauge {
+namespace {
+
+namespace asio = boost::asio;
+using Behaviour = std::function<void(const HttpRequest&, const HttpResponder&)>;
+
+HttpResponse Answer(int status, std::string body, std::string proof) {
+  return {.status = status,
+          .headers = {{"Peridotgauge-Server-Stamp", std::move(proof)}},
+          .body = std::move(body)};
+}
+
+HttpResponse Shed() { return {.status = 503, .headers = {{"Peridotgauge-Not-Executed", "1"}}}; }
+
+// One record.
+std::string Record(char c) { return std::string(16, c); }
+
+// A router's parts with targets that behave as the test says.
+class Bench {
+ public:
+  // Adds a target of the service; returns its index.
+  size_t Add(const std::string& service, Behaviour behaviour) {
+    const size_t index = this->arrivals.size();
+    this->arrivals.push_back(0);
+    auto server = HttpServer::Listen(
+        this->io, "127.0.0.1:0",
+        [this, index, behaviour](const HttpRequest& request, const HttpResponder& responder) {
+          ++this->arrivals[index];
+          behaviour(request, responder);
+        });
+    REQUIRE(server);
+    this->planner.Upsert({.target = "i-" + std::to_string(index),
+                          .address = "127.0.0.1:" + std::to_string((*server)->Port()),
+                          .service = service,
+                          .data_centre = "a",
+                          .incarnation = 1,
+                          .state = TargetState::kServing,
+                          .slots = 1});
+    this->servers.push_back(std::move(*server));
+    return index;
+  }
+
+  std::shared_ptr<RouteRequest> Begin(const Route& route, Duration patience = Seconds(2)) {
+    std::map<std::string, double, std::less<>> shares;
+    for (const std::string& shard : route.shards) shares[shard] = 1.0;
+    for (const WeightedService& part : route.split) shares[part.service] = 1.0;
+    this->budget.SetShares(shares);
+    for (const auto& [service, share] : shares) this->pool.SetShare(service, 4);
+    const Time now = SteadyNow();
+    RouteTask task{.http = {.method = "POST",
+                            .path = "/p/1",
+                            .headers = {{"Host", "h"}, {"Peridotgauge-Request-Id", "r1"}},
+                            .body = "work"},
+                   .terms = {.request_id = "r1", .host = "h"},
+                   .route = route,
+                   .plan = route.Gathers()
+                               ? this->plans.ForShards(1, route)
+                               : this->plans.ForService(1, route, route.split[0].service),
+                   .arrived = now,
+                   .deadline = now + patience};
+    return RouteRequest::Start(this->context, std::move(task), [this](HttpResponse response) {
+      this->response = std::move(response);
+      this->io.stop();
+    });
+  }
+
+  HttpResponse Serve(const Route& route, Duration patience = Seconds(2)) {
+    const auto run = this->Begin(route, patience);
+    this->io.restart();
+    if (!this->response) this->io.run_for(std::chrono::seconds(20));
+    REQUIRE(this->response);
+    return *std::exchange(this->response, std::nullopt);
+  }
+
+  asio::io_context io;
+  std::vector<int> arrivals;
+  std::optional<HttpResponse> response;
+
+ private:
+  std::vector<std::unique_ptr<HttpServer>> servers;
+  Planner planner;
+  RoutePlanner plans{this->planner};
+  TargetPool pool{this->io};
+  platform::RouteFormat codec;
+  std::unique_ptr<ReplicaChoice> replicas = *ReplicaChoice::Make("least", {.seed = 1});
+  HedgeBudget budget{{.burst = 20, .max_debt = 0, .retry_in_overload = true}};
+  std::map<std::string, RouteBudget> route_budgets;
+  Metrics metrics;
+  EventLog log{-1};
+  std::mt19937_64 random{1};
+  RouteContext context{this->io,     this->codec,         this->pool,    *this->replicas,
+                       this->budget, this->route_budgets, this->metrics, this->log,
+                       this->random};
+};
+
+Route Single(bool idempotent) {
+  return {.name = "single",
+          .host = "h",
+          .prefix = "/p/",
+          .idempotent = idempotent,
+          .timeout = Seconds(2),
+          .max_attempts = 2,
+          .split = {{"s", 1}}};
+}
+
+Route Gathering(double min_coverage, Duration objective = Seconds(1)) {
+  return {.name = "gather",
+          .host = "h",
+          .prefix = "/p/",
+          .timeout = Seconds(2),
+          .objective = objective,
+          .max_attempts = 2,
+          .shards = {"a", "b", "c"},
+          .top_records = 2,
+          .min_coverage = min_coverage};
+}
+
+Behaviour Says(HttpResponse response) {
+  return [response](const HttpRequest&, const HttpResponder& responder) {
+    responder.Send(response);
+  };
+}
+
+// Never answers.
+Behaviour Silent(std::vector<HttpResponder>& kept) {
+  return [&kept](const HttpRequest&, const HttpResponder& responder) { kept.push_back(responder); };
+}
+
+TEST_CASE("a request for one target", "[route_request]") {
+  Bench bench;
+  std::vector<HttpResponder> kept;
+  SECTION("gets the target's answer as it is") {
+    bench.Add("s", [](const HttpRequest& request, const HttpResponder& responder) {
+      CHECK(request.body == "work");
+      CHECK(request.Header("Peridotgauge-Expect-Instance") == "i-0");
+      responder.Send(Answer(201, "made", "p1"));
+    });
+    const HttpResponse response = bench.Serve(Single(false));
+    CHECK(response.status == 201);
+    CHECK(response.body == "made");
+    CHECK(response.Header("Peridotgauge-Server-Stamp") == "p1");
+  }
+  SECTION("that may run once") {
+    SECTION("goes to another target after a refusal, and runs once") {
+      bool first = true;
+      const Behaviour refuses_first = [&](const HttpRequest&, const HttpResponder& responder) {
+        responder.Send(std::exchange(first, false) ? Shed() : Answer(200, "", "p"));
+      };
+      bench.Add("s", refuses_first);
+      bench.Add("s", refuses_first);
+      CHECK(bench.Serve(Single(false)).status == 200);
+      CHECK(bench.arrivals[0] + bench.arrivals[1] == 2);
+    }
+    SECTION("is not sent again when the target answers nothing, and the answer promises nothing") {
+      bench.Add("s", Silent(kept));
+      bench.Add("s", Silent(kept));
+      const HttpResponse response = bench.Serve(Single(false), Millis(200));
+      CHECK(response.status == 504);
+      CHECK(bench.arrivals[0] + bench.arrivals[1] == 1);
+    }
+    SECTION("is not sent again after a failure of the target, which is passed on") {
+      bench.Add("s", Says(Answer(500, "broken", "p")));
+      bench.Add("s", Says(Answer(500, "broken", "p")));
+      const HttpResponse response = bench.Serve(Single(false));
+      CHECK(response.status == 500);
+      CHECK(response.body == "broken");
+      CHECK(bench.arrivals[0] + bench.arrivals[1] == 1);
+    }
+    SECTION("is refused as not run only if no target took it") {
+      bench.Add("s", Says(Shed()));
+      const HttpResponse response = bench.Serve(Single(false), Millis(300));
+      CHECK(response.status == 503);
+      CHECK_FALSE(response.Header("Retry-After").empty());
+    }
+  }
+  SECTION("that may be repeated is sent again after a failure") {
+    bool first = true;
+    const Behaviour fails_first = [&](const HttpRequest&, const HttpResponder& responder) {
+      responder.Send(std::exchange(first, false) ? Answer(500, "", "p") : Answer(200, "ok", "p"));
+    };
+    bench.Add("s", fails_first);
+    bench.Add("s", fails_first);
+    CHECK(bench.Serve(Single(true)).body == "ok");
+  }
+  SECTION("without a target is refused at once") {
+    const HttpResponse response = bench.Serve(Single(true));
+    CHECK(response.status == 503);
+  }
+  SECTION("ends at the target when the caller leaves") {
+    bool cancelled = false;
+    bench.Add("s", [&](const HttpRequest&, const HttpResponder& responder) {
+      kept.push_back(responder);
+      responder.OnDisconnect([&] { cancelled = true; });
+    });
+    const auto run = bench.Begin(Single(true));
+    while (bench.arrivals[0] == 0) bench.io.run_one();
+    run->Abort();
+    while (!cancelled) bench.io.run_one();
+    CHECK_FALSE(bench.response);
+  }
+  kept.clear();
+}
+
+TEST_CASE("a request that gathers", "[route_request]") {
+  Bench bench;
+  std::vector<HttpResponder> kept;
+  bench.Add("a", Says(Answer(200, Record('1') + Record('5'), "pa")));
+  bench.Add("b", Says(Answer(200, Record('3'), "pb")));
+  SECTION("gets the greatest records of all shards, and their proofs") {
+    bench.Add("c", Says(Answer(200, Record('4') + "rest", "pc")));
+    const HttpResponse response = bench.Serve(Gathering(1.0));
+    CHECK(response.status == 200);
+    CHECK(response.body == Record('5') + Record('4'));
+    CHECK(response.Header("Peridotgauge-Part-Stamps") == "pa, pb, pc");
+    CHECK(response.Header("Peridotgauge-Missing-Parts") == "0");
+  }
+  SECTION("with a shard whose target fails leaves that shard out") {
+    bench.Add("c", Says(Answer(500, Record('9'), "pc")));
+    const HttpResponse response = bench.Serve(Gathering(0.6));
+    CHECK(response.status == 200);
+    CHECK(response.body == Record('5') + Record('3'));
+    CHECK(response.Header("Peridotgauge-Part-Stamps") == "pa, pb");
+    CHECK(response.Header("Peridotgauge-Missing-Parts") == "1");
+  }
+  SECTION("answers before the objective without a shard that is late") {
+    bench.Add("c", Silent(kept));
+    const HttpResponse response = bench.Serve(Gathering(0.6, Millis(150)));
+    CHECK(response.Header("Peridotgauge-Missing-Parts") == "1");
+  }
+  SECTION("fails at once when too few shards are left") {
+    bench.Add("c", Says(Answer(500, "", "pc")));
+    CHECK(bench.Serve(Gathering(1.0)).status == 502);
+  }
+  SECTION("takes no answer to another request") {
+    bench.Add("c", [](const HttpRequest&, const HttpResponder& responder) {
+      HttpResponse response = Answer(200, Record('9'), "px");
+      response.headers.push_back({"Peridotgauge-Request-Id", "r2"});
+      responder.Send(response);
+    });
+    const HttpResponse response = bench.Serve(Gathering(0.6));
+    CHECK(response.body == Record('5') + Record('3'));
+  }
+  kept.clear();
+}
+
+}  // namespace
+}  // namespace peridotgauge
