--- a/gateway.cc
+++ b/gateway.cc
@@ -20,7 +20,7 @@
 namespace asio = boost::asio;
 
 // An answer at the deadline still has to reach the caller.
-constexpr Duration kDeadlineMargin = Millis(10);
+constexpr Duration kDeadlineMargin = Millis(20);
 constexpr Duration kShortestDeadline = Millis(1);
 // Share of a target's connections that all routers together may use. The rest is for connections
 // that one side has closed and the other still counts.
--- a/http_client.cc
+++ b/http_client.cc
@@ -19,6 +19,7 @@
 
 #include "address.h"
 #include "http_beast.h"
+#include "socket_options.h"
 
 namespace peridotgauge {
 namespace {
@@ -416,7 +417,7 @@
     return;
   }
   error_code ignored;
-  this->socket.set_option(Tcp::no_delay(true), ignored);
+  SetSocketOptions(this->socket);
   this->phase = Phase::kIdle;
   this->impl->OnConnected(this->shared_from_this());
 }
--- a/http_server.cc
+++ b/http_server.cc
@@ -19,6 +19,7 @@
 #include "address.h"
 #include "caller_api.h"
 #include "http_beast.h"
+#include "socket_options.h"
 
 namespace peridotgauge {
 namespace {
@@ -195,7 +196,7 @@
     if (this->refusals >= kMaxRefusals) return;
   }
   error_code ignored;
-  socket.set_option(Tcp::no_delay(true), ignored);
+  SetSocketOptions(socket);
   auto connection = std::make_shared<Connection>(this->shared_from_this(), std::move(socket));
   this->connections.insert(connection);
   if (!refuse) {
--- a/peer.cc
+++ b/peer.cc
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "address.h"
+#include "socket_options.h"
 
 namespace peridotgauge {
 namespace {
@@ -47,7 +48,7 @@
 
   void Start() {
     error_code ignored;
-    this->socket.set_option(tcp::no_delay(true), ignored);
+    SetSocketOptions(this->socket);
     this->ReadNext();
   }
 
--- a/raft.h
+++ b/raft.h
@@ -65,6 +65,8 @@
 // on the smallest deployments), longer than a few lost heartbeats.
 constexpr Duration kSilentMemberTime = Seconds(3);
 constexpr size_t kSmallestGroup = 3;
+// Appends without progress for this many heartbeats were lost. A round trip and a sync take less.
+constexpr int kLostAppendHeartbeats = 2;
 
 struct RaftOptions {
   std::string id;
@@ -162,7 +164,8 @@
     bool probing = true;   // one append at a time until the first match
     bool waiting = false;  // while probing: an append is unanswered
     uint32_t in_flight = 0;
-    uint64_t match_at_heartbeat = 0;       // match at the last heartbeat reply
+    uint64_t match_at_heartbeat = 0;       // match at the last check for lost appends
+    Time checked{};                        // time of that check
     std::optional<RaftSnapshot> snapshot;  // being sent
     uint64_t snapshot_checksum = 0;
     uint64_t snapshot_offset = 0;
@@ -248,6 +251,7 @@
   void LeaveLeadership();
   void SyncProgress(Time now);
   Progress* ProgressOf(const RaftMessage& message);
+  void ResendLost(Time now, const std::string& id, Progress& target);
   Progress* FindOrAddLearner(Time now, const RaftMessage& message);
   void Replicate(const std::string& id, Progress& progress);
   void ReplicateAll();
--- a/raft_leader.cc
+++ b/raft_leader.cc
@@ -234,19 +234,7 @@
   if (target == nullptr || !message.granted) return;
   target->last_heard = now;
   target->round = std::max(target->round, message.round);
-  // No progress for a whole heartbeat although something is outstanding: it was probably lost.
-  if (target->snapshot) {
-    if (target->snapshot_offset == target->offset_at_heartbeat) {
-      this->SendSnapshotChunk(message.from, *target);
-    }
-  } else if (target->match < this->log.LastIndex() && target->match == target->match_at_heartbeat) {
-    target->probing = true;
-    target->waiting = false;
-    target->in_flight = 0;
-    if (target->match > 0) target->next = target->match + 1;
-  }
-  target->match_at_heartbeat = target->match;
-  target->offset_at_heartbeat = target->snapshot_offset;
+  this->ResendLost(now, message.from, *target);
   this->Replicate(message.from, *target);
   // A learner may have caught up while another change kept it from being admitted.
   const auto learner = this->learners.find(message.from);
@@ -256,6 +244,23 @@
   this->ConfirmReads();
 }
 
+// Sends again what is outstanding if there was no progress for a whole check interval. Replies that
+// were held up by the network arrive together and count as one.
+void Raft::ResendLost(Time now, const std::string& id, Progress& target) {
+  if (now - target.checked < kLostAppendHeartbeats * this->options.heartbeat) return;
+  target.checked = now;
+  if (target.snapshot) {
+    if (target.snapshot_offset == target.offset_at_heartbeat) this->SendSnapshotChunk(id, target);
+  } else if (target.match < this->log.LastIndex() && target.match == target.match_at_heartbeat) {
+    target.probing = true;
+    target.waiting = false;
+    target.in_flight = 0;
+    if (target.match > 0) target.next = target.match + 1;
+  }
+  target.match_at_heartbeat = target.match;
+  target.offset_at_heartbeat = target.snapshot_offset;
+}
+
 void Raft::HandleSnapshotReply(Time now, const RaftMessage& message) {
   Progress* target = this->Leading() ? this->ProgressOf(message) : nullptr;
   if (target == nullptr) return;
--- a/testing/raft_test.cc
+++ b/testing/raft_test.cc
@@ -353,5 +353,33 @@
   CheckClean(cluster);
 }
 
+// Load pattern: a silent partition ends, and the heartbeat replies that it held up arrive together
+// while the member is far behind. Guards against one resend of the whole log for each of them.
+TEST_CASE("held up heartbeat replies do not multiply appends", "[raft]") {
+  RaftCluster cluster(3, kSeed, 10'000);
+  REQUIRE(cluster.CommitOne());
+  const size_t leader = *cluster.Leader();
+  const size_t behind = (leader + 1) % 3;
+  cluster.Isolate(behind);
+  for (int i = 0; i < 20; ++i) REQUIRE(cluster.Propose(leader));
+  cluster.Run(Millis(200));
+  Raft& raft = *cluster.Node(leader).raft;
+  raft.TakeReady();
+  RaftMessage reply;
+  reply.type = MessageType::kHeartbeatReply;
+  reply.from = cluster.Node(behind).id;
+  reply.from_incarnation = cluster.Node(behind).disk.hard_state.incarnation;
+  reply.to = cluster.Node(leader).id;
+  reply.term = raft.Term();
+  reply.granted = true;
+  for (int i = 0; i < 100; ++i) raft.Step(cluster.Now(), reply);
+  const RaftReady ready = raft.TakeReady();
+  const auto appends =
+      std::count_if(ready.messages.begin(), ready.messages.end(), [](const RaftMessage& message) {
+        return message.type == MessageType::kAppend && !message.entries.empty();
+      });
+  CHECK(appends <= 2);
+}
+
 }  // namespace
 }  // namespace peridotgauge
