Open connections on demand, and retry what did not reach a target without charge

Change: no warm connections; a request that did not reach a target is retried free of charge, three times at most for a shard.

--- a/daemon.cc
+++ b/daemon.cc
@@ -37,8 +37,8 @@
 // Requests that run at the end of a shutdown may take as long as the longest deadline; a process
 // that is asked a second time to stop does so at once.
 constexpr Duration kCloseTime = Seconds(30);
-// A leaving router accepts requests for this time: callers may keep a list of routers for three times
-// its lifetime of 1 s.
+// A leaving router accepts requests for this time: callers may keep a list of routers for three
+// times its lifetime of 1 s.
 constexpr Duration kOldListTime = Millis(3'500);
 // Before the end of the grace period: the last requests are accepted, and the process exits.
 constexpr Duration kFinishTime = Millis(1'500);
@@ -259,22 +259,22 @@
     return this->external == nullptr ? &Config::Parse : this->external->Reader();
   }
 
-  // Serves callers with an old list of routers, asks each to close its connection, then finishes what
-  // runs and ends before the process is killed.
+  // Serves callers with an old list of routers, asks each to close its connection, then finishes
+  // what runs and ends before the process is killed.
   void DrainGateway() {
     this->gateway->Drain();
     this->http->Drain();
     const Duration accept =
         std::clamp(this->settings.grace - kFinishTime, Duration(0), kOldListTime);
     this->close_timer.expires_after(accept);
-    this->close_timer.async_wait([self = this->shared_from_this(),
-                                  accept](boost::system::error_code) {
-      self->close_timer.expires_after(
-          std::max(self->settings.grace - accept - kExitTime, Duration(0)));
-      self->close_timer.async_wait(
-          [self](boost::system::error_code) { self->TransferLeadership(); });
-      self->http->Stop([self] { self->close_timer.cancel(); });
-    });
+    this->close_timer.async_wait(
+        [self = this->shared_from_this(), accept](boost::system::error_code) {
+          self->close_timer.expires_after(
+              std::max(self->settings.grace - accept - kExitTime, Duration(0)));
+          self->close_timer.async_wait(
+              [self](boost::system::error_code) { self->TransferLeadership(); });
+          self->http->Stop([self] { self->close_timer.cancel(); });
+        });
   }
 
   void OnPeerRequest(wire::BodyUnion body, const PeerRequest& request) {
--- a/search.cc
+++ b/search.cc
@@ -236,6 +236,8 @@
   if (now >= this->AnswerTime()) return;
 
   if (TargetAnswered(code) && !crashed && !this->released) this->Release(now, effects);
+  // A request that did not reach the target costs it nothing.
+  shard.refused_free = code == ErrorCode::kUnavailable;
   if (not_run && this->RetryUncharged(now, index, effects)) return;
   if (shard.running > 0) return;
   if (not_run && this->params.charge_refusals) return this->RetryRefused(now, index);
@@ -253,8 +255,8 @@
   Shard& shard = this->shards[index];
   if (this->suspect || shard.uncharged_retries >= kMaxUnchargedRetries) return false;
   const TargetRecord* target = this->PlaceLeft() ? this->ChooseFor(now, index) : nullptr;
-  const bool paid = !this->params.charge_refusals || this->SpendRetry(now, index);
-  if (target != nullptr && paid) {
+  const bool charged = this->params.charge_refusals && !shard.refused_free;
+  if (target != nullptr && (!charged || this->SpendRetry(now, index))) {
     ++shard.uncharged_retries;
     ++this->counts.retries;
     this->SendTo(now, index, *target, effects);
--- a/search.h
+++ b/search.h
@@ -181,9 +181,10 @@
     uint32_t hedges = 0;
     uint32_t uncharged_retries = 0;
     uint32_t last_chances = 0;
-    uint32_t covered_by = 0;  // attempt whose reply was merged
-    bool refused = false;     // nothing is running because a target refused the last attempt
-    Time wake = Time::max();  // next hedge, or next request to the budget if nothing is running
+    uint32_t covered_by = 0;    // attempt whose reply was merged
+    bool refused = false;       // nothing is running because a target refused the last attempt
+    bool refused_free = false;  // the last refusal came before the request reached the target
+    Time wake = Time::max();    // next hedge, or next request to the budget if nothing is running
     std::string body;
   };
 
--- a/socket_options.h
+++ b/socket_options.h
@@ -8,14 +8,15 @@
 
 namespace peridotgauge {
 
-// A connection whose peer acknowledges nothing for this time is closed. After a silent partition the
-// kernel would otherwise wait for its next retransmission, which comes seconds after the partition has
-// ended. Above the longest stall of a host that is to be survived without a new connection (100 ms) and
-// below the time in which a healed host must be of use again (4 s on the smallest deployments).
+// A connection whose peer acknowledges nothing for this time is closed. After a silent partition
+// the kernel would otherwise wait for its next retransmission, which comes seconds after the
+// partition has ended. Above the longest stall of a host that is to be survived without a new
+// connection (100 ms) and below the time in which a healed host must be of use again (4 s on the
+// smallest deployments).
 constexpr Duration kUnacknowledgedTimeout = Seconds(1);
 
-// Sends small messages at once and applies kUnacknowledgedTimeout. Failures are ignored: the connection
-// works without the options.
+// Sends small messages at once and applies kUnacknowledgedTimeout. Failures are ignored: the
+// connection works without the options.
 void SetSocketOptions(boost::asio::ip::tcp::socket& socket);
 
 }  // namespace peridotgauge
--- a/target_pool.cc
+++ b/target_pool.cc
@@ -5,10 +5,10 @@
 
 namespace peridotgauge {
 
-HttpClientOptions TargetPool::OptionsOf(const std::string& service, bool warm) const {
+HttpClientOptions TargetPool::OptionsOf(const std::string& service) const {
   const auto share = this->shares.find(service);
   const size_t connections = share == this->shares.end() ? 1 : std::max<size_t>(share->second, 1);
-  return {.connections = connections, .warm = warm ? kWarmConnections : 0};
+  return {.connections = connections};
 }
 
 void TargetPool::SetShare(const std::string& service, size_t connections) {
@@ -16,7 +16,7 @@
   if (share == connections) return;
   share = connections;
   for (auto& [target, entry] : this->entries) {
-    if (entry.service == service) entry.client->SetOptions(this->OptionsOf(service, true));
+    if (entry.service == service) entry.client->SetOptions(this->OptionsOf(service));
   }
 }
 
@@ -29,7 +29,7 @@
              .address = record.address,
              .service = record.service,
              .client = std::make_unique<HttpClient>(this->io, record.address,
-                                                    this->OptionsOf(record.service, true))};
+                                                    this->OptionsOf(record.service))};
   }
   return *entry.client;
 }
@@ -44,20 +44,9 @@
 }
 
 void TargetPool::Keep(const std::map<std::string, TargetRecord>& targets) {
-  std::erase_if(this->entries, [&](auto& item) {
-    const auto found = targets.find(item.first);
-    if (found == targets.end()) return item.second.client->Status().running == 0;
-    // A leaving target finishes what it has; its idle connections are closed.
-    if (found->second.state != TargetState::kServing) {
-      item.second.client->SetOptions(this->OptionsOf(found->second.service, false));
-    }
-    return false;
+  std::erase_if(this->entries, [&](const auto& item) {
+    return !targets.contains(item.first) && item.second.client->Status().running == 0;
   });
-  for (const auto& [name, record] : targets) {
-    const bool wanted =
-        record.state == TargetState::kServing && this->shares.contains(record.service);
-    if (wanted) this->ClientOf(record);
-  }
 }
 
 }  // namespace peridotgauge
--- a/target_pool.h
+++ b/target_pool.h
@@ -20,8 +20,9 @@
 
 namespace peridotgauge {
 
-// Connections that are kept open to each target while idle.
-constexpr size_t kWarmConnections = 1;
+// Connections are opened by the first request that needs one and kept until the target closes them.
+// None is opened in advance: with many routers these would fill the limits of the targets, and a
+// target counts the connections of a router that lost power until its own timeout.
 
 class TargetPool {
  public:
@@ -32,8 +33,7 @@
   HttpClient& ClientOf(const TargetRecord& record);
   // Withdraws a call that ClientOf(record).Send() has started.
   void Cancel(const TargetRecord& record, uint64_t call);
-  // Opens warm connections to the targets that serve, and drops those to targets that are not
-  // listed or do not serve. Exchanges on dropped connections fail.
+  // Drops the clients of targets that are not listed, once nothing runs there.
   void Keep(const std::map<std::string, TargetRecord>& targets);
 
  private:
@@ -43,7 +43,7 @@
     std::string service;
     std::unique_ptr<HttpClient> client;
   };
-  HttpClientOptions OptionsOf(const std::string& service, bool warm) const;
+  HttpClientOptions OptionsOf(const std::string& service) const;
 
   boost::asio::io_context& io;
   std::map<std::string, size_t> shares;  // by service
--- a/testing/route_request_test.cc
+++ b/testing/route_request_test.cc
@@ -1,6 +1,6 @@
-// Tests of one request on a route over real connections: guards against a request that runs twice, a
-// refusal that says "not run" of a request that has run, an answer made of the wrong parts, and work
-// that goes on after the caller has left.
+// Tests of one request on a route over real connections: guards against a request that runs twice,
+// a refusal that says "not run" of a request that has run, an answer made of the wrong parts, and
+// work that goes on after the caller has left.
 #include "../route_request.h"
 
 #include <boost/asio/io_context.hpp>
@@ -105,9 +105,9 @@
   Metrics metrics;
   EventLog log{-1};
   std::mt19937_64 random{1};
-  RouteContext context{this->io,     this->codec,         this->pool,    *this->replicas,
-                       this->budget, this->route_budgets, this->metrics, this->log,
-                       this->random};
+  RouteContext context{this->io,        this->codec,  this->pool,
+                       *this->replicas, this->budget, this->route_budgets,
+                       this->metrics,   this->log,    this->random};
 };
 
 Route Single(bool idempotent) {
@@ -133,9 +133,8 @@
 }
 
 Behaviour Says(HttpResponse response) {
-  return [response](const HttpRequest&, const HttpResponder& responder) {
-    responder.Send(response);
-  };
+  return
+      [response](const HttpRequest&, const HttpResponder& responder) { responder.Send(response); };
 }
 
 // Never answers.
--- a/testing/search_test.cc
+++ b/testing/search_test.cc
@@ -496,6 +496,14 @@
     REQUIRE(run.sends.size() == 3);
     CHECK(run.sends[2].target == run.sends[0].target);
   }
+  // Load pattern: after a power loss targets still count the old connections and reset new ones.
+  SECTION("that did not reach a target is sent to another at once, whatever the budget") {
+    SearchParams paid = Params();
+    paid.charge_refusals = true;
+    Run run(*MakePlanner(1, 3, "latency").PlanFor("a"), paid, chooser, budget);
+    run.Reply(kStart, Failed(run.sends[0], ErrorCode::kUnavailable));
+    CHECK(run.sends.size() == 3);
+  }
   SECTION("that is aborted cancels everything and answers nothing") {
     Run run = start(coverage, Params());
     CHECK(run.search.Abort().cancels.size() == 68);
