--- a/gateway.cc
+++ b/gateway.cc
@@ -28,7 +28,6 @@
 // Part of the platform's limit on extra sub-requests that is used. The rest is for requests whose
 // first sub-request this router counts and the target never receives.
 constexpr double kExtraShare = 0.8;
-constexpr Duration kDirectReportAge = Millis(60);
 // A restarted router is synchronized after an election, which takes 200 to 400 ms.
 constexpr Duration kSynchronizePause = Millis(400);
 constexpr Duration kLeaveTime = Seconds(2);
--- a/replica_choice.cc
+++ b/replica_choice.cc
@@ -243,7 +243,7 @@
 double ReplicaChoice::Score(Time now, const State& state, double default_latency) const {
   const double measured = LatencyOf(now, state);
   const double latency = measured > 0 ? measured : default_latency;
-  const double weight = AgeWeight(now - state.reported, this->options.report_age);
+  const double weight = AgeWeight(now - state.reported, kReportAge);
   const double in_flight =
       std::max<double>(state.in_flight, weight * static_cast<double>(state.owner_in_flight));
   const double warmth =
--- a/replica_choice.h
+++ b/replica_choice.h
@@ -40,6 +40,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "error.h"
@@ -79,9 +80,6 @@
   uint64_t seed = 0;
   bool ejection = true;
   std::string data_centre;  // of this router; empty: distance does not count
-  // Time constant of the weight of reported load. Without owners a report describes a queue that
-  // other routers change within a few service times.
-  Duration report_age = kReportAge;
 };
 
 // How one attempt ended.
@@ -156,7 +154,7 @@
   };
 
   ReplicaChoice(const Strategy& strategy, ReplicaChoiceOptions options)
-      : strategy(strategy), options(options), random(options.seed) {}
+      : strategy(strategy), options(std::move(options)), random(this->options.seed) {}
 
   static const std::vector<Strategy>& Strategies();
   const TargetRecord* ChooseRandom(Time now, const std::vector<const TargetRecord*>& usable);
