--- a/controller.cc
+++ b/controller.cc
@@ -16,6 +16,7 @@
 #include "control_replies.h"
 #include "control_report.h"
 #include "directory.h"
+#include "publication.h"
 #include "quorum_round.h"
 #include "session.h"
 
@@ -94,7 +95,7 @@
     if (term == this->led_term) return;
     this->led_term = term;
     this->FailPolls(ErrorCode::kNotLeader, "leadership has changed");
-    this->FailUnpublished();
+    this->publication.FailAll();
     this->joining.clear();
     this->departed.clear();
     if (!leading) return;
@@ -104,7 +105,7 @@
     this->sessions.Tick(now, this->state.Routers());
     this->directory.Begin(now, term);
     this->last_push.clear();
-    this->published.clear();
+    this->publication.Begin();
     this->registrations.Clear();
     this->directory.SetOwnRegistrar(this->options.id);
   }
@@ -184,8 +185,8 @@
       if (record) poll.registrations.push_back(FromWire(*record));
     }
     this->sessions.Renew(now, poll.Id(), poll.state_index);
-    this->published[poll.router.id] =
-        poll.directory_epoch == this->directory.Epoch() ? poll.directory_version : 0;
+    const bool current = poll.directory_epoch == this->directory.Epoch();
+    this->publication.Note(poll.router.id, current ? poll.directory_version : 0);
     this->AnswerPublished(now);
     const uint64_t id = ++this->last_poll;
     this->ReleaseOlder(now, poll.router.id);
@@ -457,13 +458,6 @@
 
   // --- Targets that register with controllers ---
 
-  // A heartbeat whose sender waits until the routers know that it leaves.
-  struct Unpublished {
-    uint64_t directory_version = 0;
-    Time give_up;
-    Responder responder;
-  };
-
   void OnRegister(const wire::RegisterRequestT& request, const Responder& responder) {
     if (!request.target) return responder.reply(CommandError({ErrorCode::kBadRequest, ""}, ""));
     const Time now = SteadyNow();
@@ -490,37 +484,21 @@
         *change == RegistrationChange::kChanged ||
         (*change == RegistrationChange::kRenewed && !this->directory.Find(record.target));
     if (news && this->directory.Merge(now, this->options.id, {record}, false)) this->WakeLater();
-    if (!leaving || this->Published(now)) return responder.reply(ToBody(wire::CommandReplyT{}));
-    this->unpublished.push_back({this->directory.Version(), now + kPublishTime, responder});
+    const auto answer = [this, responder](bool published) {
+      if (published) return responder.reply(ToBody(wire::CommandReplyT{}));
+      responder.reply(CommandError({ErrorCode::kNotLeader, ""}, this->log.Leader()));
+    };
+    if (!leaving || this->PublishedUpTo(now) >= this->directory.Version()) return answer(true);
+    this->publication.Await(this->directory.Version(), now + kPublishTime, answer);
   }
 
-  // True if every router with a session holds the present directory.
-  bool Published(Time now) const { return this->PublishedUpTo(now) >= this->directory.Version(); }
-
+  // The directory version that every router with a session holds.
   uint64_t PublishedUpTo(Time now) const {
-    uint64_t least = this->directory.Version();
-    for (const auto& [id, session] : this->sessions.Sessions()) {
-      if (now - session.last_arrival >= kSessionLength) continue;
-      const auto known = this->published.find(id);
-      least = std::min(least, known == this->published.end() ? 0 : known->second);
-    }
-    return least;
+    return this->publication.UpTo(now, this->directory.Version(), this->sessions.Sessions());
   }
 
   void AnswerPublished(Time now) {
-    if (this->unpublished.empty()) return;
-    const uint64_t version = this->PublishedUpTo(now);
-    std::erase_if(this->unpublished, [&](const Unpublished& waiting) {
-      if (waiting.directory_version > version && now < waiting.give_up) return false;
-      waiting.responder.reply(ToBody(wire::CommandReplyT{}));
-      return true;
-    });
-  }
-
-  void FailUnpublished() {
-    for (const Unpublished& waiting : std::exchange(this->unpublished, {})) {
-      waiting.responder.reply(CommandError({ErrorCode::kNotLeader, ""}, this->log.Leader()));
-    }
+    if (this->publication.Awaited()) this->publication.Answer(now, this->PublishedUpTo(now));
   }
 
   // --- Time ---
@@ -640,11 +618,10 @@
   uint64_t last_poll = 0;
   std::deque<uint64_t> due_polls;  // polls that wait for their answer, each once
   bool answer_scheduled = false;
-  std::set<std::string> joining;              // routers whose join has been proposed
-  std::map<std::string, uint64_t> departed;   // last incarnation that has left cleanly
-  Registrations registrations;                // of targets that register with controllers
-  std::map<std::string, uint64_t> published;  // directory version that each router holds
-  std::deque<Unpublished> unpublished;
+  std::set<std::string> joining;             // routers whose join has been proposed
+  std::map<std::string, uint64_t> departed;  // last incarnation that has left cleanly
+  Registrations registrations;               // of targets that register with controllers
+  Publication publication;
   std::map<std::string, Time> last_push;  // last directory news sent to each router
   Time next_housekeeping;
   bool wake_scheduled = false;
