--- a/daemon.cc
+++ b/daemon.cc
@@ -169,12 +169,12 @@
     return this->external == nullptr ? this->ListenNative() : this->ListenExternal();
   }
 
-  using Handler = void (Impl::*)(HttpRequest, const HttpResponder&);
+  using Handler = void (Impl::*)(const HttpRequest&, const HttpResponder&);
 
   HttpServer::Handler Bound(Handler handler) {
-    return [weak = this->weak_from_this(), handler](HttpRequest request,
+    return [weak = this->weak_from_this(), handler](const HttpRequest& request,
                                                     const HttpResponder& responder) {
-      if (auto self = weak.lock()) ((*self).*handler)(std::move(request), responder);
+      if (auto self = weak.lock()) ((*self).*handler)(request, responder);
     };
   }
 
@@ -221,11 +221,11 @@
     return {};
   }
 
-  void OnRouteRequest(HttpRequest request, const HttpResponder& responder) {
-    if (this->gateway) this->gateway->Handle(std::move(request), responder);
+  void OnRouteRequest(const HttpRequest& request, const HttpResponder& responder) {
+    if (this->gateway) this->gateway->Handle(request, responder);
   }
 
-  void OnReadiness(HttpRequest request, const HttpResponder& responder) {
+  void OnReadiness(const HttpRequest& request, const HttpResponder& responder) {
     const bool ready = !this->stopping && this->gateway && this->gateway->Ready();
     responder.Send(this->external->Readiness(request, ready));
   }
@@ -291,7 +291,7 @@
     }
   }
 
-  void OnHttp(HttpRequest request, const HttpResponder& responder) {
+  void OnHttp(const HttpRequest& request, const HttpResponder& responder) {
     if (this->router && this->router->Handles(request)) {
       return this->router->Handle(request, responder);
     }
--- a/http_client.cc
+++ b/http_client.cc
@@ -416,7 +416,6 @@
     this->impl->OnConnectFailed(this->shared_from_this(), error.message());
     return;
   }
-  error_code ignored;
   SetSocketOptions(this->socket);
   this->phase = Phase::kIdle;
   this->impl->OnConnected(this->shared_from_this());
--- a/http_server.cc
+++ b/http_server.cc
@@ -195,7 +195,6 @@
     ++this->status.refused_connections;
     if (this->refusals >= kMaxRefusals) return;
   }
-  error_code ignored;
   SetSocketOptions(socket);
   auto connection = std::make_shared<Connection>(this->shared_from_this(), std::move(socket));
   this->connections.insert(connection);
--- a/peer.cc
+++ b/peer.cc
@@ -47,7 +47,6 @@
   explicit PeerConnection(tcp::socket socket) : socket(std::move(socket)) {}
 
   void Start() {
-    error_code ignored;
     SetSocketOptions(this->socket);
     this->ReadNext();
   }
--- a/replica_choice.cc
+++ b/replica_choice.cc
@@ -46,7 +46,7 @@
 }
 
 Result<std::unique_ptr<ReplicaChoice>> ReplicaChoice::Make(std::string_view name,
-                                                           ReplicaChoiceOptions options) {
+                                                           const ReplicaChoiceOptions& options) {
   if (name.empty()) name = kDefaultReplicaChoice;
   std::string allowed;
   for (const Strategy& strategy : Strategies()) {
--- a/replica_choice.h
+++ b/replica_choice.h
@@ -40,7 +40,6 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 #include "error.h"
@@ -102,7 +101,7 @@
  public:
   // An empty name is the default strategy. kInvalidSettings names the allowed ones.
   static Result<std::unique_ptr<ReplicaChoice>> Make(std::string_view name,
-                                                     ReplicaChoiceOptions options);
+                                                     const ReplicaChoiceOptions& options);
   static std::vector<std::string_view> Names();
 
   const TargetRecord* Choose(Time now, Candidates candidates, Candidates excluded) override;
@@ -153,8 +152,8 @@
     Duration probe_interval = kShortestProbeInterval;
   };
 
-  ReplicaChoice(const Strategy& strategy, ReplicaChoiceOptions options)
-      : strategy(strategy), options(std::move(options)), random(this->options.seed) {}
+  ReplicaChoice(const Strategy& strategy, const ReplicaChoiceOptions& options)
+      : strategy(strategy), options(options), random(options.seed) {}
 
   static const std::vector<Strategy>& Strategies();
   const TargetRecord* ChooseRandom(Time now, const std::vector<const TargetRecord*>& usable);
--- a/testing/event_log_test.cc
+++ b/testing/event_log_test.cc
@@ -53,13 +53,13 @@
   }
   SECTION("nobody reads: writing returns, and the reader learns later how much was left out") {
     for (int i = 0; i < 100'000; ++i) {
-      log.Write(TimeAt(i * 10), 0, Event("x").Add("text", std::string(100, 'y')));
+      log.Write(TimeAt(int64_t{10} * i), 0, Event("x").Add("text", std::string(100, 'y')));
     }
     CHECK(log.LeftOut() > 0);
     std::string text;
     for (int i = 0; i < 100; ++i) {
       text += pipe.ReadAll();
-      log.Write(TimeAt(2'000'000 + i * 1'000), 0, Event("late"));
+      log.Write(TimeAt(2'000'000 + int64_t{1'000} * i), 0, Event("late"));
     }
     text += pipe.ReadAll();
     CHECK(text.find("\"left_out\":") != std::string::npos);
--- a/testing/route_request_test.cc
+++ b/testing/route_request_test.cc
@@ -36,7 +36,7 @@
 class Bench {
  public:
   // Adds a target of the service; returns its index.
-  size_t Add(const std::string& service, Behaviour behaviour) {
+  size_t Add(const std::string& service, const Behaviour& behaviour) {
     const size_t index = this->arrivals.size();
     this->arrivals.push_back(0);
     auto server = HttpServer::Listen(
@@ -132,7 +132,7 @@
           .min_coverage = min_coverage};
 }
 
-Behaviour Says(HttpResponse response) {
+Behaviour Says(const HttpResponse& response) {
   return
       [response](const HttpRequest&, const HttpResponder& responder) { responder.Send(response); };
 }
--- a/testing/routes_test.cc
+++ b/testing/routes_test.cc
@@ -10,10 +10,10 @@
 namespace peridotgauge {
 namespace {
 
-Route MakeRoute(std::string host, std::string prefix) {
+Route MakeRoute(const std::string& host, const std::string& prefix) {
   return {.name = host + prefix,
-          .host = std::move(host),
-          .prefix = std::move(prefix),
+          .host = host,
+          .prefix = prefix,
           .timeout = Millis(100),
           .split = {{"s", 1}}};
 }
