Share what stood twice, drop what nothing used, and take copies out of the path of a request

Cause, from one more read of the whole change: the gateway had its own copies of the router's following of the directory, of its departure command and of its making of a replica choice; the names of target states stood three times (one indexed by a value from the wire without a check); id and port were joined in four places; what a heartbeat does to the directory was decided inside the controller's I/O; each request copied its whole route; the members' order and the test for an unfinished change stood in several places of raft. Removed: ConfigDigest, the setting extra_window_ms that nothing read (the budget holds in a window of any length), the data centre that the list of routers never looked at. Comments of route_plan.h and target_pool.h say what is there.

--- a/address.cc
+++ b/address.cc
@@ -51,4 +51,8 @@
 Result<Endpoint> ParseAddress(std::string_view address) { return Parse(address, 1); }
 Result<Endpoint> ParseListenAddress(std::string_view address) { return Parse(address, 0); }
 
+Address JoinAddress(std::string_view host, uint16_t port) {
+  return std::string(host) + ":" + std::to_string(port);
+}
+
 }  // namespace peridotgauge
--- a/address.h
+++ b/address.h
@@ -30,6 +30,9 @@
 // The same for an address to listen on, where port 0 stands for any free port.
 Result<Endpoint> ParseListenAddress(std::string_view address);
 
+// The address of a port on a host; `host` is an IP number, an IPv6 number in square brackets.
+Address JoinAddress(std::string_view host, uint16_t port);
+
 }  // namespace peridotgauge
 
 #endif  // PERIDOTGAUGE_ADDRESS_H_
--- a/caller_api.cc
+++ b/caller_api.cc
@@ -22,7 +22,6 @@
 constexpr size_t kMaxQuotedBody = 200;
 
 // Wire names of TargetState, in the order of its values.
-constexpr std::array<std::string_view, 4> kStateNames = {"starting", "serving", "draining", "gone"};
 
 // Builds a JSON object or array.
 class Writer {
@@ -209,12 +208,12 @@
 }
 
 Result<TargetState> ParseState(std::string_view name) {
-  const auto* found = std::find(kStateNames.begin(), kStateNames.end(), name);
-  if (found == kStateNames.end()) {
+  const auto* found = std::find(kTargetStateNames.begin(), kTargetStateNames.end(), name);
+  if (found == kTargetStateNames.end()) {
     return Fail(ErrorCode::kBadRequest,
                 "registration: state: expected starting, serving, draining or gone");
   }
-  return static_cast<TargetState>(found - kStateNames.begin());
+  return static_cast<TargetState>(found - kTargetStateNames.begin());
 }
 
 std::string FormatHolding(const Holding& held) {
@@ -419,7 +418,7 @@
       .String("data_centre", record.data_centre)
       .Number("incarnation", record.incarnation)
       .Number("sequence", record.sequence)
-      .String("state", kStateNames.at(static_cast<size_t>(record.state)))
+      .String("state", NameOf(record.state))
       .Number("slots", record.slots)
       .Number("connections", record.connections)
       .Raw("holds", FormatArray(record.holds, FormatHolding))
--- a/control_channel.cc
+++ b/control_channel.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
+#include "address.h"
+
 namespace peridotgauge {
 namespace {
 
@@ -64,7 +66,7 @@
   if (this->peer_port == 0) return;
   for (const std::string& id : ids) {
     if (id.empty() || this->Known(id) || this->controllers.size() >= kMaxControllers) continue;
-    this->controllers.push_back({id, id + ":" + std::to_string(this->peer_port)});
+    this->controllers.push_back({id, JoinAddress(id, this->peer_port)});
   }
 }
 
--- a/control_client.h
+++ b/control_client.h
@@ -26,6 +26,7 @@
 #include <string>
 #include <vector>
 
+#include "commands.h"
 #include "config.h"
 #include "directory_copy.h"
 #include "error.h"
@@ -56,14 +57,6 @@
   bool lease = false;  // the lease was renewed after it had been invalid
 };
 
-// Wraps a command, for example ToCommand(wire::ClaimT{}).
-template <typename T>
-wire::CommandBodyUnion ToCommand(T command) {
-  wire::CommandBodyUnion body;
-  body.Set(std::move(command));
-  return body;
-}
-
 class ControlClient {
  public:
   using CommandCallback = std::function<void(Result<wire::CommandReplyT>)>;
--- a/control_report.cc
+++ b/control_report.cc
@@ -9,20 +9,6 @@
 
 namespace json = boost::json;
 
-std::string_view NameOf(TargetState state) {
-  switch (state) {
-    case TargetState::kStarting:
-      return "starting";
-    case TargetState::kServing:
-      return "serving";
-    case TargetState::kDraining:
-      return "draining";
-    case TargetState::kGone:
-      return "gone";
-  }
-  return "unknown";
-}
-
 json::object TargetJson(const TargetRecord& record) {
   json::array holds;
   for (const Holding& held : record.holds) {
--- a/control_state.cc
+++ b/control_state.cc
@@ -185,11 +185,6 @@
   return this->details.empty() ? kNone : this->details.back().text;
 }
 
-uint64_t ControlState::ConfigDigest() const {
-  if (this->document) return this->document_digest;
-  return this->revisions.empty() ? 0 : this->revisions.back().digest;
-}
-
 const AcceptedRevision* ControlState::FindRevision(uint64_t revision) const {
   if (revision == 0 || revision > this->revisions.size()) return nullptr;
   return &this->revisions[revision - 1];
--- a/control_state.h
+++ b/control_state.h
@@ -85,8 +85,6 @@
   uint64_t Revision() const {
     return this->document ? this->document->revision : this->revisions.size();
   }
-  // Digest of the current revision; 0 before the first.
-  uint64_t ConfigDigest() const;
   // Text of the current revision; empty before the first.
   const std::string& ConfigText() const;
   // Return nullptr for an unknown revision, or one whose details are no longer kept.
--- a/controller.cc
+++ b/controller.cc
@@ -12,6 +12,8 @@
 #include <set>
 #include <utility>
 
+#include "address.h"
+#include "commands.h"
 #include "config.h"
 #include "control_replies.h"
 #include "control_report.h"
@@ -19,6 +21,7 @@
 #include "publication.h"
 #include "quorum_round.h"
 #include "session.h"
+#include "target_intake.h"
 
 namespace peridotgauge {
 namespace {
@@ -33,8 +36,6 @@
 // Longest time for which answers to polls keep the event loop. A full directory for each of many
 // routers takes longer than the election timeout, and raft heartbeats must go out meanwhile.
 constexpr Duration kAnswerTime = Millis(10);
-// Heartbeats of a target are numbered far below this.
-constexpr uint64_t kRemovedSequence = uint64_t{1} << 62U;
 
 // Validates the text and adds what Apply needs of it.
 Result<void> Prepare(ConfigReader read, bool highest, wire::ApplyConfigT& command) {
@@ -56,7 +57,7 @@
         log(log),
         state(state),
         timer(io),
-        registrations(this->options.id, this->options.registration_lease),
+        intake(this->options.id, this->options.registration_lease, this->directory),
         rounds(std::make_shared<QuorumRounds>(io, log)) {}
 
   void Start() {
@@ -106,8 +107,7 @@
     this->directory.Begin(now, term);
     this->last_push.clear();
     this->publication.Begin();
-    this->registrations.Clear();
-    this->directory.SetOwnRegistrar(this->options.id);
+    this->intake.Begin();
   }
 
  private:
@@ -249,9 +249,7 @@
     LOG(INFO) << "controller: router " << router.id << " joins, incarnation " << router.incarnation;
     wire::JoinT command;
     command.router = ToWire(router);
-    wire::CommandBodyUnion body;
-    body.Set(std::move(command));
-    this->Propose(std::move(body),
+    this->Propose(ToCommand(std::move(command)),
                   this->InThisTerm([id = router.id](Impl& self, const wire::BodyUnion& answer) {
                     self.OnJoined(id, *answer.AsCommandReply());
                   }));
@@ -326,21 +324,23 @@
     }
   }
 
+  // Empty for an unknown controller.
+  Address PeerAddressOf(const std::string& id) const {
+    for (const ControllerAddress& known : this->options.controllers) {
+      if (known.id == id) return known.peer_address;
+    }
+    if (id.empty() || this->options.peer_port == 0) return {};
+    return JoinAddress(id, this->options.peer_port);
+  }
+
   void Relay(wire::SyncRequestT request, const Responder& responder) {
     const std::string leader = this->log.Leader();
-    const auto controller =
-        std::find_if(this->options.controllers.begin(), this->options.controllers.end(),
-                     [&](const ControllerAddress& known) { return known.id == leader; });
-    const bool known = controller != this->options.controllers.end();
-    if ((!known && this->options.peer_port == 0) || leader.empty() || leader == this->options.id) {
+    const Address address = this->PeerAddressOf(leader);
+    if (address.empty() || leader == this->options.id) {
       return responder.reply(SyncError(ErrorCode::kNotLeader, "", ""));
     }
     auto& client = this->relays[leader];
-    if (!client) {
-      const Address address =
-          known ? controller->peer_address : leader + ":" + std::to_string(this->options.peer_port);
-      client = std::make_unique<PeerClient>(this->io, address);
-    }
+    if (!client) client = std::make_unique<PeerClient>(this->io, address);
     request.relay = false;
     client->Call(ToBody(std::move(request)), SteadyNow() + kMaxPollTime + kQuorumTimeout,
                  [responder, leader](const Result<wire::BodyUnion>& reply) {
@@ -461,34 +461,15 @@
   void OnRegister(const wire::RegisterRequestT& request, const Responder& responder) {
     if (!request.target) return responder.reply(CommandError({ErrorCode::kBadRequest, ""}, ""));
     const Time now = SteadyNow();
-    TargetRecord record = FromWire(*request.target);
-    bool leaving = record.state == TargetState::kDraining;
-    if (request.remove) {
-      const std::optional<TargetRecord> last = this->directory.Find(record.target);
-      // A new leader does not know yet which targets the routers use.
-      if (!last && this->directory.Collecting()) {
-        return responder.reply(
-            CommandError({ErrorCode::kUnavailable, "the directory is being collected"}, ""));
-      }
-      if (!last) return responder.reply(ToBody(wire::CommandReplyT{}));
-      record = *last;
-      record.state = TargetState::kGone;
-      // Above every heartbeat of this incarnation that may still be on its way.
-      record.sequence = std::max(record.sequence, kRemovedSequence);
-      leaving = true;
-    }
-    const Result<RegistrationChange> change = this->registrations.Register(now, record);
-    if (!change) return responder.reply(CommandError(change.error(), ""));
-    // A renewal tells the routers nothing.
-    const bool news =
-        *change == RegistrationChange::kChanged ||
-        (*change == RegistrationChange::kRenewed && !this->directory.Find(record.target));
-    if (news && this->directory.Merge(now, this->options.id, {record}, false)) this->WakeLater();
+    const Result<Intake> taken = this->intake.Take(now, FromWire(*request.target), request.remove);
+    if (!taken) return responder.reply(CommandError(taken.error(), ""));
+    if (taken->news) this->WakeLater();
     const auto answer = [this, responder](bool published) {
       if (published) return responder.reply(ToBody(wire::CommandReplyT{}));
       responder.reply(CommandError({ErrorCode::kNotLeader, ""}, this->log.Leader()));
     };
-    if (!leaving || this->PublishedUpTo(now) >= this->directory.Version()) return answer(true);
+    if (!taken->leaving || this->PublishedUpTo(now) >= this->directory.Version())
+      return answer(true);
     this->publication.Await(this->directory.Version(), now + kPublishTime, answer);
   }
 
@@ -570,9 +551,9 @@
   void Housekeep(Time now) {
     this->next_housekeeping = now + kHousekeepingInterval;
     this->sessions.Tick(now, this->state.Routers());
-    for (const TargetRecord& gone : this->registrations.Expire(now)) {
+    for (const TargetRecord& gone : this->intake.Expire(now)) {
       LOG(WARNING) << "controller: target " << gone.target << " has missed its heartbeats";
-      if (this->directory.Merge(now, this->options.id, {gone}, false)) this->WakeLater();
+      this->WakeLater();
     }
     this->directory.Tick(now, this->state.Routers());
     for (const RouterId& router : this->sessions.Expired(now)) {
@@ -583,13 +564,7 @@
   }
 
   void Remove(const RouterId& router) {
-    wire::LeaveT command;
-    command.id = router.id;
-    command.incarnation = router.incarnation;
-    command.clean = true;
-    wire::CommandBodyUnion body;
-    body.Set(std::move(command));
-    this->Propose(std::move(body),
+    this->Propose(LeaveCommand(router.id, router.incarnation, /*clean=*/true),
                   this->InThisTerm([router](Impl& self, const wire::BodyUnion& answer) {
                     self.OnLeft(router, *answer.AsCommandReply());
                   }));
@@ -620,7 +595,7 @@
   bool answer_scheduled = false;
   std::set<std::string> joining;             // routers whose join has been proposed
   std::map<std::string, uint64_t> departed;  // last incarnation that has left cleanly
-  Registrations registrations;               // of targets that register with controllers
+  TargetIntake intake;                       // of targets that register with controllers
   Publication publication;
   std::map<std::string, Time> last_push;  // last directory news sent to each router
   Time next_housekeeping;
--- a/daemon.cc
+++ b/daemon.cc
@@ -195,7 +195,7 @@
   Result<void> ListenExternal() {
     const HttpServer::Handler calls = this->external->ControllerCalls(
         {.control = this->control,
-         .routers = [this](std::string_view zone) { return this->RouterAddresses(zone); },
+         .routers = [this] { return this->RouterAddresses(); },
          .leader_address = [this] { return this->LeaderAddress(); }});
     const HttpServer::Handler main =
         this->settings.router ? this->Bound(&Impl::OnRouteRequest) : calls;
@@ -232,7 +232,7 @@
 
   // The addresses of all routers that stay. A router answers from its copy of the list, so that
   // callers find routers while no controller can be reached.
-  Result<std::vector<Address>> RouterAddresses(std::string_view /*data_centre*/) const {
+  Result<std::vector<Address>> RouterAddresses() const {
     const auto& routers = this->raft_log ? this->state.Routers() : this->control.Routers();
     std::vector<Address> addresses;
     for (const auto& [id, router] : routers) {
@@ -246,8 +246,8 @@
   Address LeaderAddress() const {
     if (!this->raft_log) return {};
     const std::string leader = this->raft_log->Leader();
-    const size_t colon = this->settings.http_address.rfind(':');
-    return leader.empty() ? Address() : leader + this->settings.http_address.substr(colon);
+    if (leader.empty()) return {};
+    return JoinAddress(leader, ParseAddress(this->settings.http_address).value_or(Endpoint{}).port);
   }
 
   uint16_t PeerPort() const {
--- a/directory_copy.h
+++ b/directory_copy.h
@@ -58,6 +58,24 @@
   std::map<std::string, TargetRecord> removed;
 };
 
+// Brings `known`, an earlier state of `targets`, up to date: calls `set` with each new or changed
+// record and `gone` with each record that is no longer there.
+template <typename Set, typename Gone>
+void FollowTargets(const std::map<std::string, TargetRecord>& targets,
+                   std::map<std::string, TargetRecord>& known, Set set, Gone gone) {
+  for (const auto& [name, record] : targets) {
+    const auto found = known.find(name);
+    if (found != known.end() && found->second == record) continue;
+    known[name] = record;
+    set(record);
+  }
+  std::erase_if(known, [&](const auto& item) {
+    if (targets.contains(item.first)) return false;
+    gone(item.second);
+    return true;
+  });
+}
+
 }  // namespace peridotgauge
 
 #endif  // PERIDOTGAUGE_DIRECTORY_COPY_H_
--- a/external_interface.h
+++ b/external_interface.h
@@ -6,7 +6,6 @@
 #define PERIDOTGAUGE_EXTERNAL_INTERFACE_H_
 
 #include <functional>
-#include <string_view>
 #include <vector>
 
 #include "config.h"
@@ -20,8 +19,8 @@
 // `control` to the leader.
 struct ControllerServices {
   ControlClient& control;
-  // The routers that callers in a data centre may use now; an error if this process cannot know.
-  std::function<Result<std::vector<Address>>(std::string_view data_centre)> routers;
+  // The routers that callers may use now; an error if this process cannot know.
+  std::function<Result<std::vector<Address>>()> routers;
   // Where the leader takes heartbeats; empty if unknown.
   std::function<Address()> leader_address;
 };
--- a/gateway.cc
+++ b/gateway.cc
@@ -1,11 +1,9 @@
 // Routes of the configuration, targets of the directory, and the requests that bring both together.
 #include "gateway.h"
 
-#include <glog/logging.h>
-
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <random>
+#include <string_view>
 #include <utility>
 
 #include "plan.h"
@@ -31,14 +29,7 @@
 // A restarted router is synchronized after an election, which takes 200 to 400 ms.
 constexpr Duration kSynchronizePause = Millis(400);
 constexpr Duration kLeaveTime = Seconds(2);
-
-std::unique_ptr<ReplicaChoice> MakeReplicaChoice(const Settings& settings) {
-  auto choice = ReplicaChoice::Make(
-      settings.replica_choice.empty() ? "least" : settings.replica_choice,
-      {.seed = RandomSeed(), .ejection = settings.ejection, .data_centre = settings.data_centre});
-  LOG_IF(FATAL, !choice) << "gateway: " << choice.error().ToString();
-  return std::move(*choice);
-}
+constexpr std::string_view kRouteReplicaChoice = "least";
 
 }  // namespace
 
@@ -51,11 +42,12 @@
         control(control),
         plans(planner),
         pool(io),
-        replicas(MakeReplicaChoice(settings)),
+        replicas(ReplicaChoice::MustMake(
+            settings.replica_choice.empty() ? kRouteReplicaChoice : settings.replica_choice,
+            {.seed = RandomSeed(),
+             .ejection = settings.ejection,
+             .data_centre = settings.data_centre})),
         random(RandomSeed()),
-        log(log),
-        metrics(metrics),
-        codec(codec),
         context{io,      codec, this->pool,  *this->replicas, this->budget, this->route_budgets,
                 metrics, log,   this->random} {}
 
@@ -70,7 +62,7 @@
 
   void Handle(HttpRequest http, const HttpResponder& responder) {
     const Time now = SteadyNow();
-    Result<CallerTerms> terms = this->codec.ReadCaller(http);
+    Result<CallerTerms> terms = this->context.codec.ReadCaller(http);
     if (!terms) return this->Refuse(now, http, "", terms.error(), responder);
     if (this->config->Revision() == 0) {
       return this->Refuse(now, http, terms->request_id,
@@ -86,7 +78,7 @@
     const uint64_t revision = this->config->Revision();
     RouteTask task{.http = std::move(http),
                    .terms = std::move(*terms),
-                   .route = *route,
+                   .route = std::shared_ptr<const Route>(this->config, route),
                    .plan = route->Gathers()
                                ? this->plans.ForShards(revision, *route)
                                : this->plans.ForService(revision, *route, this->split.Next(*route)),
@@ -103,31 +95,28 @@
 
   void Drain() {
     this->draining = true;
-    wire::LeaveT leave;
-    leave.id = this->self.id;
-    leave.incarnation = this->self.incarnation;
-    this->control.Command(ToCommand(std::move(leave)), SteadyNow() + kLeaveTime,
-                          [](const Result<wire::CommandReplyT>&) {});
+    this->control.Command(LeaveCommand(this->self.id, this->self.incarnation, /*clean=*/false),
+                          SteadyNow() + kLeaveTime, [](const Result<wire::CommandReplyT>&) {});
   }
 
  private:
   void Refuse(Time now, const HttpRequest& http, const std::string& id, const Error& error,
               const HttpResponder& responder) {
     const bool temporary = error.code == ErrorCode::kNotSynchronized;
-    this->metrics
+    this->context.metrics
         .CounterOf("peridotgauge_requests_total",
                    {{"route", ""}, {"result", std::string(error.Name())}})
         .Add();
-    this->log.Write(now, UnixMillis(),
-                    Event("request_refused")
-                        .Add("request", id)
-                        .Add("host", http.Header("host"))
-                        .Add("path", http.path)
-                        .Add("error", error.ToString())
-                        .Add("revision", this->config->Revision()));
+    this->context.log.Write(now, UnixMillis(),
+                            Event("request_refused")
+                                .Add("request", id)
+                                .Add("host", http.Header("host"))
+                                .Add("path", http.path)
+                                .Add("error", error.ToString())
+                                .Add("revision", this->config->Revision()));
     std::optional<Duration> pause;
     if (temporary) pause = kSynchronizePause + RetryPause(this->random);
-    responder.Send(this->codec.Failure(error, true, pause));
+    responder.Send(this->context.codec.Failure(error, true, pause));
   }
 
   // --- Control plane ---
@@ -138,8 +127,8 @@
     if (change.directory) this->OnDirectory(now);
     if (change.config || change.routers) this->OnShares();
     if (change.lease) {
-      this->log.Write(now, UnixMillis(),
-                      Event("controllers_regained").Add("leader", this->control.Leader()));
+      this->context.log.Write(now, UnixMillis(),
+                              Event("controllers_regained").Add("leader", this->control.Leader()));
     }
     if (change.config || change.directory) {
       this->plans.Invalidate();
@@ -149,10 +138,10 @@
 
   void OnConfig(Time now) {
     this->config = this->control.CurrentConfig();
-    this->log.Write(now, UnixMillis(),
-                    Event("config_in_force")
-                        .Add("revision", this->config->Revision())
-                        .Add("routes", this->config->Routes().Routes().size()));
+    this->context.log.Write(now, UnixMillis(),
+                            Event("config_in_force")
+                                .Add("revision", this->config->Revision())
+                                .Add("routes", this->config->Routes().Routes().size()));
   }
 
   // Divides what all routers share: connections to targets and extra sub-requests.
@@ -181,35 +170,28 @@
   }
 
   void OnDirectory(Time now) {
-    const auto& targets = this->control.Directory().Targets();
-    for (const auto& [name, record] : targets) {
-      const auto known_record = this->known.find(name);
-      if (known_record != this->known.end() && known_record->second == record) continue;
-      this->known[name] = record;
-      this->planner.Upsert(record);
-      this->LogTarget(now, record);
-    }
-    std::erase_if(this->known, [&](const auto& item) {
-      if (targets.contains(item.first)) return false;
-      TargetRecord gone = item.second;
-      gone.state = TargetState::kGone;
-      this->LogTarget(now, gone);
-      this->planner.Remove(item.first);
-      this->replicas->Remove(item.first);
-      return true;
-    });
+    FollowTargets(
+        this->control.Directory().Targets(), this->known,
+        [&](const TargetRecord& record) {
+          this->planner.Upsert(record);
+          this->LogTarget(now, record, record.state);
+        },
+        [&](const TargetRecord& record) {
+          this->LogTarget(now, record, TargetState::kGone);
+          this->planner.Remove(record.target);
+          this->replicas->Remove(record.target);
+        });
   }
 
-  void LogTarget(Time now, const TargetRecord& record) {
-    constexpr const char* kStates[] = {"starting", "serving", "draining", "gone"};
-    this->log.Write(now, UnixMillis(),
-                    Event("target")
-                        .Add("target", record.target)
-                        .Add("service", record.service)
-                        .Add("address", record.address)
-                        .Add("state", kStates[static_cast<size_t>(record.state)])
-                        .Add("sequence", record.sequence)
-                        .Add("directory", this->control.Directory().Version()));
+  void LogTarget(Time now, const TargetRecord& record, TargetState state) {
+    this->context.log.Write(now, UnixMillis(),
+                            Event("target")
+                                .Add("target", record.target)
+                                .Add("service", record.service)
+                                .Add("address", record.address)
+                                .Add("state", NameOf(state))
+                                .Add("sequence", record.sequence)
+                                .Add("directory", this->control.Directory().Version()));
   }
 
   const Settings& settings;
@@ -223,9 +205,6 @@
   std::map<std::string, RouteBudget> route_budgets;
   SplitCounter split;
   std::mt19937_64 random;
-  EventLog& log;
-  Metrics& metrics;
-  const RouteCodec& codec;
   RouteContext context;
   std::shared_ptr<const Config> config = std::make_shared<const Config>();
   std::map<std::string, TargetRecord> known;  // the directory as the planner knows it
--- a/peridotgauge.cc
+++ b/peridotgauge.cc
@@ -20,6 +20,7 @@
 #include "config.h"
 #include "json_text.h"
 #include "operator_api.h"
+#include "random_seed.h"
 #include "span.h"
 #include "trace_tree.h"
 
@@ -237,8 +238,7 @@
 }
 
 std::string RandomRequestId() {
-  std::random_device device;
-  std::mt19937_64 random((static_cast<uint64_t>(device()) << 32U) | device());
+  std::mt19937_64 random(RandomSeed());
   return ToHex(TraceId{random(), random()});
 }
 
--- a/raft.h
+++ b/raft.h
@@ -272,7 +272,9 @@
   void MaybeRemoveSilent(Time now);
   // A member that has been silent for kSilentMemberTime, or nullptr.
   const RaftMember* SilentMember(Time now) const;
-  // Appends the list if no other change is under way.
+  // True if no change of the members is under way.
+  bool MembersSettled() const;
+  // Appends the list, in the order of the ids. Only while MembersSettled().
   Result<uint64_t> AppendMembers(Time now, RaftMembers members);
   void StartRound();
   void ConfirmReads();
--- a/raft_request.cc
+++ b/raft_request.cc
@@ -22,7 +22,7 @@
 
 Result<uint64_t> Raft::ChangeMember(Time now, const RaftMember& member, bool remove) {
   if (!this->Leading() || !this->transfer_target.empty()) return Fail(ErrorCode::kNotLeader);
-  if (!this->CommittedInTerm() || this->log.Latest().index > this->commit) {
+  if (!this->MembersSettled()) {
     return Fail(ErrorCode::kConflict, "another membership change is in progress");
   }
   RaftMembers members = this->Members();
@@ -41,16 +41,17 @@
     }
     if (added.address.empty()) added.address = learner->second.address;
     members.push_back(std::move(added));
-    std::sort(members.begin(), members.end(),
-              [](const RaftMember& a, const RaftMember& b) { return a.id < b.id; });
   }
   return this->AppendMembers(now, std::move(members));
 }
 
+bool Raft::MembersSettled() const {
+  return this->CommittedInTerm() && this->log.Latest().index <= this->commit;
+}
+
 Result<uint64_t> Raft::AppendMembers(Time now, RaftMembers members) {
-  if (!this->CommittedInTerm() || this->log.Latest().index > this->commit) {
-    return Fail(ErrorCode::kConflict, "another membership change is in progress");
-  }
+  std::sort(members.begin(), members.end(),
+            [](const RaftMember& a, const RaftMember& b) { return a.id < b.id; });
   if (members.empty() || members == this->Members()) {
     return Fail(ErrorCode::kBadRequest, "the change leaves no or the same members");
   }
@@ -64,8 +65,8 @@
 void Raft::MaybeAdmitLearner(Time now, const std::string& id, const Progress& learner) {
   const RaftMember* member = FindMember(this->Members(), id);
   if (member != nullptr && member->incarnation == learner.incarnation) return;
-  if (!this->CommittedInTerm() || learner.match < this->commit) return;
-  if (this->log.Latest().index > this->commit || !this->transfer_target.empty()) return;
+  if (!this->MembersSettled() || learner.match < this->commit) return;
+  if (!this->transfer_target.empty()) return;
   if (member == nullptr) return this->MaybeGrow(now, {id, learner.incarnation, learner.address});
   LOG(INFO) << "raft: " << this->options.id << " admits the new incarnation of " << id;
   const RaftMember replacement{id, learner.incarnation, learner.address};
@@ -95,8 +96,6 @@
   }
   LOG(INFO) << "raft: " << this->options.id << " admits " << learner.id;
   members.push_back(learner);
-  std::sort(members.begin(), members.end(),
-            [](const RaftMember& a, const RaftMember& b) { return a.id < b.id; });
   const Result<uint64_t> index = this->AppendMembers(now, std::move(members));
   LOG_IF(WARNING, !index) << "raft: admission failed: " << index.error().ToString();
 }
@@ -105,8 +104,7 @@
 // again as a learner when it is back.
 void Raft::MaybeRemoveSilent(Time now) {
   if (this->options.grow_to == 0 || this->Members().size() <= kSmallestGroup) return;
-  if (!this->CommittedInTerm() || this->log.Latest().index > this->commit) return;
-  if (!this->transfer_target.empty()) return;
+  if (!this->MembersSettled() || !this->transfer_target.empty()) return;
   const RaftMember* silent = this->SilentMember(now);
   if (silent == nullptr) return;
   LOG(WARNING) << "raft: " << this->options.id << " removes the silent member " << silent->id;
--- a/records.cc
+++ b/records.cc
@@ -3,6 +3,11 @@
 
 namespace peridotgauge {
 
+std::string_view NameOf(TargetState state) {
+  const auto index = static_cast<size_t>(state);
+  return index < kTargetStateNames.size() ? kTargetStateNames[index] : "unknown";
+}
+
 std::unique_ptr<wire::TargetRecordT> ToWire(const TargetRecord& record) {
   auto out = std::make_unique<wire::TargetRecordT>();
   out->target = record.target;
--- a/records.h
+++ b/records.h
@@ -5,10 +5,12 @@
 #ifndef PERIDOTGAUGE_RECORDS_H_
 #define PERIDOTGAUGE_RECORDS_H_
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "peer_generated.h"
@@ -21,6 +23,12 @@
 
 enum class TargetState : uint8_t { kStarting, kServing, kDraining, kGone };
 
+// Names in messages and logs, by value.
+constexpr std::array<std::string_view, 4> kTargetStateNames = {"starting", "serving", "draining",
+                                                               "gone"};
+// "unknown" for a value that another version of the protocol may have sent.
+std::string_view NameOf(TargetState state);
+
 // A target as its last registration described it.
 struct TargetRecord {
   std::string target;  // unique name
--- a/replica_choice.cc
+++ b/replica_choice.cc
@@ -1,9 +1,12 @@
 // Scores, ejection and the strategy table.
 #include "replica_choice.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace peridotgauge {
 namespace {
@@ -59,6 +62,13 @@
               "replica_choice: \"" + std::string(name) + "\"; allowed are " + allowed);
 }
 
+std::unique_ptr<ReplicaChoice> ReplicaChoice::MustMake(std::string_view name,
+                                                       const ReplicaChoiceOptions& options) {
+  Result<std::unique_ptr<ReplicaChoice>> choice = Make(name, options);
+  LOG_IF(FATAL, !choice) << "router: " << choice.error().ToString();
+  return std::move(*choice);
+}
+
 const TargetRecord* ReplicaChoice::Choose(Time now, Candidates candidates, Candidates excluded) {
   std::vector<const TargetRecord*> untried;
   for (const TargetRecord* target : candidates) {
--- a/replica_choice.h
+++ b/replica_choice.h
@@ -102,6 +102,9 @@
   // An empty name is the default strategy. kInvalidSettings names the allowed ones.
   static Result<std::unique_ptr<ReplicaChoice>> Make(std::string_view name,
                                                      const ReplicaChoiceOptions& options);
+  // As Make(), for a name that was checked when the settings were read.
+  static std::unique_ptr<ReplicaChoice> MustMake(std::string_view name,
+                                                 const ReplicaChoiceOptions& options);
   static std::vector<std::string_view> Names();
 
   const TargetRecord* Choose(Time now, Candidates candidates, Candidates excluded) override;
--- a/route_plan.h
+++ b/route_plan.h
@@ -3,7 +3,7 @@
 // Use:
 //   RoutePlanner plans(planner);
 //   plans.Invalidate();                                    // configuration or targets changed
-//   std::shared_ptr<const Plan> plan = plans.PlanFor(revision, route, services);
+//   std::shared_ptr<const Plan> plan = plans.ForShards(revision, route);
 //
 // Contract: a plan names each service as a fleet of its own, so that budgets count by service. All
 // fleets have the snapshot 0. Plans are cached until Invalidate().
--- a/route_request.cc
+++ b/route_request.cc
@@ -45,8 +45,8 @@
   Run(RouteContext& context, RouteTask task, Callback done)
       : context(context),
         task(std::move(task)),
-        budget(
-            context.route_budgets.try_emplace(this->task.route.name, context.budget).first->second),
+        budget(context.route_budgets.try_emplace(this->task.route->name, context.budget)
+                   .first->second),
         search(this->task.plan, ParamsOf(this->task), {context.replicas, this->budget}),
         timer(context.io),
         done(std::move(done)) {}
@@ -73,7 +73,7 @@
   };
 
   static SearchParams ParamsOf(const RouteTask& task) {
-    const Route& route = task.route;
+    const Route& route = *task.route;
     return {.request_id = task.terms.request_id,
             .deadline = task.deadline,
             .canaries = false,
@@ -190,7 +190,7 @@
   // --- Answers ---
 
   void OnOutcome(Time now, SearchOutcome outcome) {
-    const Route& route = this->task.route;
+    const Route& route = *this->task.route;
     if (outcome.covered.size() < (route.Gathers() ? route.MinShards() : 1U)) {
       return this->Fail(now, outcome);
     }
@@ -213,7 +213,7 @@
   }
 
   void Fail(Time now, const SearchOutcome& outcome) {
-    if (!this->task.route.Gathers()) {
+    if (!this->task.route->Gathers()) {
       // A target's own failure is the answer, if there is one.
       for (auto attempt = this->attempts.rbegin(); attempt != this->attempts.rend(); ++attempt) {
         if (attempt->proof.empty()) continue;
@@ -242,15 +242,15 @@
            uint32_t covered) {
     this->ended = true;
     this->timer.cancel();
-    const Labels labels = {{"route", this->task.route.name}, {"result", std::string(result)}};
+    const Labels labels = {{"route", this->task.route->name}, {"result", std::string(result)}};
     this->context.metrics.CounterOf("peridotgauge_requests_total", labels).Add();
     this->context.metrics
-        .LatencyOf("peridotgauge_request_seconds", {{"route", this->task.route.name}})
+        .LatencyOf("peridotgauge_request_seconds", {{"route", this->task.route->name}})
         .Add(now - this->task.arrived);
     this->context.log.Write(now, UnixMillis(),
                             Event("request_end")
                                 .Add("request", this->task.terms.request_id)
-                                .Add("route", this->task.route.name)
+                                .Add("route", this->task.route->name)
                                 .Add("result", result)
                                 .Add("status", status)
                                 .Add("elapsed_ms", now - this->task.arrived)
--- a/router.cc
+++ b/router.cc
@@ -31,14 +31,6 @@
 // The leader's answer to a Leave; afterwards the session expires by itself.
 constexpr Duration kLeaveTime = Seconds(3);
 
-// The settings were checked when they were read, so an unknown strategy cannot come here.
-std::unique_ptr<ReplicaChoice> MakeReplicaChoice(const Settings& settings) {
-  auto choice = ReplicaChoice::Make(settings.replica_choice,
-                                    {.seed = RandomSeed(), .ejection = settings.ejection});
-  LOG_IF(FATAL, !choice) << "router: " << choice.error().ToString();
-  return std::move(*choice);
-}
-
 std::string RandomRequestId(std::mt19937_64& random) { return ToHex(TraceId{random(), random()}); }
 
 }  // namespace
@@ -50,7 +42,8 @@
       : self(self),
         control(control),
         peers(peers),
-        replicas(MakeReplicaChoice(settings)),
+        replicas(ReplicaChoice::MustMake(settings.replica_choice,
+                                         {.seed = RandomSeed(), .ejection = settings.ejection})),
         admission(settings.admission),
         owner({io, settings, control, peers, tracer, metrics}, {self.id, self.incarnation}),
         sender(self.id, this->owner, peers, *this->replicas, this->hedges),
@@ -117,11 +110,8 @@
   void Drain(std::function<void()> done) {
     LOG(INFO) << "router: leaving the address list";
     this->on_drained = std::move(done);
-    wire::LeaveT leave;
-    leave.id = this->self.id;
-    leave.incarnation = this->self.incarnation;
-    this->control.Command(ToCommand(std::move(leave)), SteadyNow() + kLeaveTime,
-                          [](const Result<wire::CommandReplyT>&) {});
+    this->control.Command(LeaveCommand(this->self.id, this->self.incarnation, /*clean=*/false),
+                          SteadyNow() + kLeaveTime, [](const Result<wire::CommandReplyT>&) {});
     this->refuse_at = SteadyNow() + kDrainTime;
   }
 
@@ -234,20 +224,16 @@
 
   // Takes the differences between the directory and the records known here.
   void OnDirectory() {
-    const auto& targets = this->control.Directory().Targets();
-    for (const auto& [name, record] : targets) {
-      auto known = this->known.find(name);
-      if (known != this->known.end() && known->second == record) continue;
-      this->known[name] = record;
-      this->planner.Upsert(record);
-      this->registrations.Observe(record);
-    }
-    std::erase_if(this->known, [&](const auto& entry) {
-      if (targets.contains(entry.first)) return false;
-      this->planner.Remove(entry.first);
-      this->replicas->Remove(entry.first);
-      return true;
-    });
+    FollowTargets(
+        this->control.Directory().Targets(), this->known,
+        [this](const TargetRecord& record) {
+          this->planner.Upsert(record);
+          this->registrations.Observe(record);
+        },
+        [this](const TargetRecord& record) {
+          this->planner.Remove(record.target);
+          this->replicas->Remove(record.target);
+        });
   }
 
   void OnRouters() {
@@ -277,11 +263,8 @@
     if (this->running_searches > 0 || this->orders.running > 0 || !this->owner.Idle()) return;
     this->leaving = true;
     this->control.StopSync();
-    wire::LeaveT leave;
-    leave.id = this->self.id;
-    leave.incarnation = this->self.incarnation;
-    leave.clean = true;
-    this->control.Command(ToCommand(std::move(leave)), now + kLeaveTime,
+    this->control.Command(LeaveCommand(this->self.id, this->self.incarnation, /*clean=*/true),
+                          now + kLeaveTime,
                           [weak = this->weak_from_this()](const Result<wire::CommandReplyT>&) {
                             auto router = weak.lock();
                             if (!router || !router->on_drained) return;
--- a/settings.cc
+++ b/settings.cc
@@ -56,7 +56,7 @@
   for (const json::value& item : value.get_array()) {
     const std::string text = item.is_string() ? std::string(item.get_string()) : "";
     const std::string ip = text.substr(0, text.rfind(':'));
-    const Address peer = ip + ":" + std::to_string(own->port);
+    const Address peer = JoinAddress(ip, own->port);
     if (!ParseAddress(peer)) {
       return reader.Refuse("seeds", ShowJson(item) + "; allowed is an IP number");
     }
@@ -118,7 +118,6 @@
   constexpr uint64_t kLongestMillis = 3'600'000;
   root.ReadMillis("heartbeat_ms", settings.heartbeat, {.min = 10, .max = kLongestMillis});
   root.ReadMillis("grace_ms", settings.grace, {.min = 100, .max = kLongestMillis});
-  root.ReadMillis("extra_window_ms", settings.extra.window, {.min = 100, .max = kLongestMillis});
   root.Read("extra_slack", settings.extra.slack, Range{.max = 1'000'000});
   if (const json::value* ratio = root.Find("extra_ratio")) {
     boost::system::error_code error;
--- a/target_pool.h
+++ b/target_pool.h
@@ -3,10 +3,13 @@
 // Use:
 //   pool.SetShare("verstas-1", 4);                 // connections to each target of a service
 //   HttpClient& client = pool.ClientOf(record);
-//   pool.Keep(targets);                            // closes connections to all others
+//   pool.Keep(targets);                            // drops the idle clients of all others
 //
 // Contract: runs on the thread of the io_context. Another incarnation or address of a target gets
-// new connections.
+// new connections. Connections are opened by the first request that needs one and kept until the
+// target closes them. None is opened in advance: with many routers these would fill the limits of
+// the targets, and a target counts the connections of a router that lost power until its own
+// timeout.
 #ifndef PERIDOTGAUGE_TARGET_POOL_H_
 #define PERIDOTGAUGE_TARGET_POOL_H_
 
@@ -20,10 +23,6 @@
 
 namespace peridotgauge {
 
-// Connections are opened by the first request that needs one and kept until the target closes them.
-// None is opened in advance: with many routers these would fill the limits of the targets, and a
-// target counts the connections of a router that lost power until its own timeout.
-
 class TargetPool {
  public:
   explicit TargetPool(boost::asio::io_context& io) : io(io) {}
--- a/testing/route_request_test.cc
+++ b/testing/route_request_test.cc
@@ -69,7 +69,7 @@
                             .headers = {{"Host", "h"}, {"Peridotgauge-Request-Id", "r1"}},
                             .body = "work"},
                    .terms = {.request_id = "r1", .host = "h"},
-                   .route = route,
+                   .route = std::make_shared<const Route>(route),
                    .plan = route.Gathers()
                                ? this->plans.ForShards(1, route)
                                : this->plans.ForService(1, route, route.split[0].service),
