Keep targets through a cut that takes the leader and all controllers near them

Change: a heartbeat without a leader is refused after 300 ms (a departure still waits for its publication). A new leader collects for the registration lease, as a heartbeat is not overdue before. TargetIntake begins the directory.

--- a/control_client.cc
+++ b/control_client.cc
@@ -85,11 +85,14 @@
     this->Exchange(ToBody(std::move(request)), deadline, resend, std::move(callback));
   }
 
-  void Heartbeat(const TargetRecord& record, bool remove, Time deadline, CommandCallback callback) {
+  void Heartbeat(const TargetRecord& record, bool remove, CommandCallback callback) {
     wire::RegisterRequestT request;
     request.target = ToWire(record);
     request.remove = remove;
-    this->Exchange(ToBody(std::move(request)), deadline, Resend::kAllowed, std::move(callback));
+    const bool leaving = remove || record.state == TargetState::kDraining;
+    this->Exchange(ToBody(std::move(request)),
+                   SteadyNow() + (leaving ? kDepartureCallTime : kHeartbeatCallTime),
+                   Resend::kAllowed, std::move(callback));
   }
 
   void Exchange(wire::BodyUnion body, Time deadline, Resend resend, CommandCallback callback) {
@@ -394,9 +397,8 @@
   this->impl->Command(std::move(body), deadline, std::move(callback));
 }
 
-void ControlClient::Heartbeat(const TargetRecord& record, bool remove, Time deadline,
-                              CommandCallback callback) {
-  this->impl->Heartbeat(record, remove, deadline, std::move(callback));
+void ControlClient::Heartbeat(const TargetRecord& record, bool remove, CommandCallback callback) {
+  this->impl->Heartbeat(record, remove, std::move(callback));
 }
 void ControlClient::Read(wire::ReadKind kind, uint64_t revision, Time deadline,
                          ReadCallback callback) {
--- a/control_client.h
+++ b/control_client.h
@@ -41,6 +41,13 @@
 // A reply later than this makes the client switch to another controller. It is the longest hold of
 // a poll (400 ms) and ample time for a quorum round; the rest of the lease is left for the switch.
 constexpr Duration kSyncReplyTimeout = Millis(700);
+// Targets wait a second for the answer to a heartbeat and then call another controller. A departure
+// may wait for kPublishTime until all routers know it. Others are refused as soon as an election
+// would have ended, so that a target leaves a controller that is cut off without missing
+// heartbeats.
+constexpr Duration kHeartbeatCallTime = Millis(300);
+constexpr Duration kDepartureCallTime = Millis(900);
+
 struct ControlClientOptions {
   RouterRecord self;
   std::vector<ControllerAddress> controllers;
@@ -97,8 +104,9 @@
 
   // A Claim needs a `claim_id` above all that this process has used before.
   void Command(wire::CommandBodyUnion body, Time deadline, CommandCallback callback);
-  // Passes a target's heartbeat, or its departure, on to the leader.
-  void Heartbeat(const TargetRecord& record, bool remove, Time deadline, CommandCallback callback);
+  // Passes a target's heartbeat, or its departure, on to the leader, within kHeartbeatCallTime or
+  // kDepartureCallTime.
+  void Heartbeat(const TargetRecord& record, bool remove, CommandCallback callback);
   void Read(wire::ReadKind kind, uint64_t revision, Time deadline, ReadCallback callback);
 
  private:
--- a/controller.cc
+++ b/controller.cc
@@ -104,10 +104,9 @@
     const Time now = SteadyNow();
     this->sessions.Begin(now);
     this->sessions.Tick(now, this->state.Routers());
-    this->directory.Begin(now, term);
     this->last_push.clear();
     this->publication.Begin();
-    this->intake.Begin();
+    this->intake.Begin(now, term);
   }
 
  private:
@@ -468,8 +467,9 @@
       if (published) return responder.reply(ToBody(wire::CommandReplyT{}));
       responder.reply(CommandError({ErrorCode::kNotLeader, ""}, this->log.Leader()));
     };
-    if (!taken->leaving || this->PublishedUpTo(now) >= this->directory.Version())
+    if (!taken->leaving || this->PublishedUpTo(now) >= this->directory.Version()) {
       return answer(true);
+    }
     this->publication.Await(this->directory.Version(), now + kPublishTime, answer);
   }
 
--- a/directory.cc
+++ b/directory.cc
@@ -60,14 +60,14 @@
   return XXH3_64bits(bytes.data(), bytes.size());
 }
 
-void Directory::Begin(Time now, uint64_t new_epoch) {
+void Directory::Begin(Time now, uint64_t new_epoch, Duration collect_time) {
   this->epoch = new_epoch;
   // Version 0 is left for copies that need everything.
   this->version = 1;
   this->bytes = 0;
   this->digest = 0;
   this->collecting = true;
-  this->collect_until = now + kCollectTime;
+  this->collect_until = now + collect_time;
   this->full_before = 0;
   this->entries.clear();
   this->by_version.clear();
--- a/directory.h
+++ b/directory.h
@@ -60,8 +60,9 @@
 
 class Directory {
  public:
-  // Starts a new leadership with an empty directory. `epoch` must be above the previous one.
-  void Begin(Time now, uint64_t epoch);
+  // Starts a new leadership with an empty directory. `epoch` must be above the previous one. For
+  // `collect_time` the copies of routers keep targets that have not registered again.
+  void Begin(Time now, uint64_t epoch, Duration collect_time = kCollectTime);
 
   // A registrar that is always in the view, besides the routers.
   void SetOwnRegistrar(const std::string& registrar) {
--- a/target_intake.cc
+++ b/target_intake.cc
@@ -12,7 +12,8 @@
 
 }  // namespace
 
-void TargetIntake::Begin() {
+void TargetIntake::Begin(Time now, uint64_t term) {
+  this->directory.Begin(now, term, std::max(kCollectTime, this->lease));
   this->registrations.Clear();
   this->directory.SetOwnRegistrar(this->controller);
 }
--- a/target_intake.h
+++ b/target_intake.h
@@ -1,7 +1,7 @@
 // Heartbeats of targets at the leader: which of them change the directory, and which end a target.
 //
 // Use:
-//   intake.Begin();                                       // on gaining leadership
+//   intake.Begin(now, term);                              // on gaining leadership
 //   Result<Intake> taken = intake.Take(now, record, remove);
 //   if (taken && taken->news) WakeRouters();
 //   for (const TargetRecord& gone : intake.Expire(now)) ...
@@ -35,11 +35,13 @@
   // The registrar of the targets is `controller`. `directory` outlives this object.
   TargetIntake(std::string controller, Duration lease, Directory& directory)
       : controller(std::move(controller)),
+        lease(lease),
         directory(directory),
         registrations(this->controller, lease) {}
 
-  // Starts a new leadership; the directory has begun.
-  void Begin();
+  // Starts a new leadership, and the directory with it. Routers keep targets that they know until a
+  // heartbeat is overdue.
+  void Begin(Time now, uint64_t term);
   // Takes a heartbeat or, with `remove`, a departure, of which only the name is read. kUnavailable
   // for a departure of a target that a new leader does not know yet, errors of
   // Registrations::Register() otherwise.
@@ -53,6 +55,7 @@
   }
 
   std::string controller;
+  Duration lease;
   Directory& directory;
   Registrations registrations;
 };
