Answer earlier those callers that have waited before their request arrived

Ruled out: lag of the event loop (the answer leaves at 55.1 ms in the median, 72 at the 99th percentile).

Change: a router keeps the longest patience of each route of late; what a caller's patience lacks of that is time that it has spent, and the soft deadline of the search is earlier by that, at most by half.

--- a/gateway.cc
+++ b/gateway.cc
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <utility>
 
+#include "patience.h"
 #include "plan.h"
 #include "random_seed.h"
 #include "replica_choice.h"
@@ -74,6 +75,8 @@
       return this->Refuse(now, http, terms->request_id, {ErrorCode::kNotFound, "no route"},
                           responder);
     }
+    const Duration spent =
+        terms->patience ? this->patience[route->name].Spent(now, *terms->patience) : Duration(0);
     const Duration patience = std::min(terms->patience.value_or(route->timeout), route->timeout);
     const uint64_t revision = this->config->Revision();
     RouteTask task{.http = std::move(http),
@@ -84,6 +87,7 @@
                                : this->plans.ForService(revision, *route, this->split.Next(*route)),
                    .directory_version = this->control.Directory().Version(),
                    .arrived = now,
+                   .spent = spent,
                    .deadline = now + std::max(patience - kDeadlineMargin, kShortestDeadline)};
     const auto run = RouteRequest::Start(
         this->context, std::move(task),
@@ -138,6 +142,11 @@
 
   void OnConfig(Time now) {
     this->config = this->control.CurrentConfig();
+    const std::vector<Route>& routes = this->config->Routes().Routes();
+    std::erase_if(this->patience, [&](const auto& item) {
+      return std::none_of(routes.begin(), routes.end(),
+                          [&](const Route& route) { return route.name == item.first; });
+    });
     this->context.log.Write(now, UnixMillis(),
                             Event("config_in_force")
                                 .Add("revision", this->config->Revision())
@@ -204,6 +213,7 @@
   HedgeBudget budget;
   std::map<std::string, RouteBudget> route_budgets;
   SplitCounter split;
+  std::map<std::string, PatienceWindow> patience;  // by route name
   std::mt19937_64 random;
   RouteContext context;
   std::shared_ptr<const Config> config = std::make_shared<const Config>();
--- a/route_request.cc
+++ b/route_request.cc
@@ -80,6 +80,7 @@
     const Route& route = *task.route;
     return {.request_id = task.terms.request_id,
             .deadline = task.deadline,
+            .spent = task.spent,
             .canaries = false,
             .hedging = route.idempotent,
             .min_covered = route.Gathers() ? route.MinShards() : 1,
--- a/search.cc
+++ b/search.cc
@@ -31,7 +31,9 @@
 SearchEffects Search::Start(Time now) {
   SearchEffects effects;
   this->started = now;
-  this->soft_deadline = now + this->plan->soft_deadline;
+  const Duration soft = this->plan->soft_deadline;
+  const Duration spent = this->params.spent < soft ? this->params.spent : Duration(0);
+  this->soft_deadline = now + std::max(soft - spent, soft / 2);
   for (uint32_t i = 0; i < this->shards.size(); ++i) {
     if (this->plan->shards[i].candidates.empty()) this->Lose(i, ErrorCode::kNoTarget);
   }
--- a/search.h
+++ b/search.h
@@ -61,7 +61,10 @@
 
 struct SearchParams {
   std::string request_id;
-  Time deadline;         // of the caller, or of the service
+  Time deadline;  // of the caller, or of the service
+  // How long the caller had waited at the start. The soft deadline is earlier by this, at most by
+  // half; it is not if the caller has waited for longer than that already.
+  Duration spent{0};
   bool trusted = false;  // the fingerprint succeeded recently: no canaries
   bool suspect = false;  // the fingerprint crashed a target: no hedges, no retries
   bool canaries = true;  // false switches canaries off for benchmarks
--- a/testing/search_test.cc
+++ b/testing/search_test.cc
@@ -368,6 +368,21 @@
     CHECK(run.outcome->missing ==
           std::vector<ShardMissing>{{.shard = 67, .cause = ErrorCode::kDeadlineExceeded}});
   }
+  SECTION("and earlier if the caller has waited before") {
+    const auto ends_at = [&](Duration spent) {
+      SearchParams params = Params();
+      params.spent = spent;
+      Run run = start(latency, params);
+      for (size_t i = 0; i < 67; ++i) run.Reply(kStart, Good(run.sends[i]));
+      Time fired = kStart;
+      while (!run.outcome) run.FireTimer(fired = run.timer);
+      return fired - kStart;
+    };
+    CHECK(ends_at(Duration(0)) == Millis(80));
+    CHECK(ends_at(Millis(18)) == Millis(62));
+    CHECK(ends_at(Millis(60)) == Millis(40));
+    CHECK(ends_at(Millis(80)) == Millis(80));
+  }
   SECTION("hedges stragglers from the budget only") {
     budget.tokens = 1;
     Run run = start(latency, Params());
