Limit extra sub-requests over a sliding window, as the operators' bound does

Of nine shards whose answer was lost six were asked again; the others waited for the budget, which asked every 10 ms in vain. The token bucket holds at most the burst (2.1 per router and service), so that what calm seconds do not use is thrown away, while the bound counts over 10 s.

Ruled out: too few candidates or attempts (1.0 of nine shards failed twice), an early end.

Change: ExtraWindow counts needed and granted sub-requests in slots of a tenth of the window; hedges use at most nine tenths of it, so that retries find room. The length comes from the settings (extra_window_s).

--- /dev/null
+++ b/extra_window.cc
@@ -0,0 +1,31 @@
+// Slots of a sliding window.
+#include "extra_window.h"
+
+namespace peridotgauge {
+
+ExtraWindow::Slot& ExtraWindow::SlotAt(Time now) {
+  const int64_t number = this->NumberOf(now);
+  Slot& slot = this->slots[static_cast<size_t>(number) % this->slots.size()];
+  if (slot.number != number) slot = {.number = number};
+  return slot;
+}
+
+void ExtraWindow::CountNeeded(Time now, uint32_t count) { this->SlotAt(now).needed += count; }
+
+bool ExtraWindow::Spend(Time now, double ratio, double slack, double share) {
+  Slot& present = this->SlotAt(now);
+  const auto oldest_granted = present.number - static_cast<int64_t>(kSlots);
+  double needed = 0;
+  double granted = 0;
+  for (const Slot& slot : this->slots) {
+    // A span of the window's length that ends now touches the oldest slot in part: what was granted
+    // there counts, what was needed there does not.
+    if (slot.number >= oldest_granted) granted += slot.granted;
+    if (slot.number > oldest_granted) needed += slot.needed;
+  }
+  if (granted + 1 > share * (ratio * needed + slack)) return false;
+  ++present.granted;
+  return true;
+}
+
+}  // namespace peridotgauge
--- a/gateway.cc
+++ b/gateway.cc
@@ -173,8 +173,10 @@
       for (const std::string& shard : route.shards) add(shard);
     }
     const double slack = this->settings.extra.slack * kExtraShare / static_cast<double>(routers);
-    this->budget.SetOptions(
-        {.burst = std::max(slack, 1.0), .max_debt = 0, .retry_in_overload = true});
+    this->budget.SetOptions({.burst = std::max(slack, 1.0),
+                             .max_debt = 0,
+                             .retry_in_overload = true,
+                             .window = this->settings.extra.window});
     this->budget.SetShares(shares);
   }
 
--- a/hedge.cc
+++ b/hedge.cc
@@ -24,6 +24,9 @@
   for (const auto& [name, share] : shares) {
     const auto [fleet, added] = this->fleets.try_emplace(name);
     if (added) fleet->second.tokens = this->options.burst;
+    if (added && this->options.window > Duration(0)) {
+      fleet->second.window = ExtraWindow(this->options.window);
+    }
     fleet->second.share = share;
   }
 }
@@ -57,10 +60,11 @@
   return std::max(*state->delay, kShortestHedgeDelay);
 }
 
-void HedgeBudget::CountNeeded(Time /*now*/, std::string_view fleet, uint32_t count) {
+void HedgeBudget::CountNeeded(Time now, std::string_view fleet, uint32_t count) {
   FleetState* state = this->Find(fleet);
   if (state == nullptr) return;
   state->tokens = std::min(this->options.burst, state->tokens + state->share * count);
+  state->window.CountNeeded(now, count);
 }
 
 bool HedgeBudget::Spend(Time now, std::string_view fleet, ExtraKind kind) {
@@ -68,6 +72,10 @@
   if (state == nullptr) return false;
   const bool exempt = kind == ExtraKind::kRetry && this->options.retry_in_overload;
   if (!exempt && Overloaded(now, *state)) return false;
+  if (this->options.window > Duration(0)) {
+    const double part = kind == ExtraKind::kHedge ? kHedgeShareOfWindow : 1;
+    return state->share > 0 && state->window.Spend(now, state->share, this->options.burst, part);
+  }
   const bool last_chance = kind == ExtraKind::kLastChance && this->options.max_debt > 0;
   // hedge_percent 0 allows no hedges and retries, not even the initial burst.
   if (!last_chance && (state->share == 0 || state->tokens < 1)) return false;
--- a/hedge.h
+++ b/hedge.h
@@ -21,6 +21,7 @@
 #include <string_view>
 
 #include "config.h"
+#include "extra_window.h"
 #include "quantile_window.h"
 #include "search_policy.h"
 #include "types.h"
@@ -61,8 +62,15 @@
   // Retries are granted in an overloaded fleet too. For deployments in which a few targets refuse
   // requests although others have room, and refusing costs next to nothing.
   bool retry_in_overload = false;
+  // The limit counts over a sliding window of this length, with `burst` as its slack; `max_debt` is
+  // not used then. 0: a token bucket.
+  Duration window{0};
 };
 
+// Share of a sliding limit that hedges may use. The rest is for retries, without which a shard is
+// lost for certain.
+constexpr double kHedgeShareOfWindow = 0.9;
+
 class HedgeBudget : public ExtraBudget {
  public:
   HedgeBudget() = default;
@@ -86,8 +94,9 @@
 
  private:
   struct FleetState {
-    double share = 0;   // hedge_percent / 100
-    double tokens = 0;  // -max_debt to burst
+    double share = 0;    // hedge_percent / 100
+    double tokens = 0;   // -max_debt to burst
+    ExtraWindow window;  // used instead of the tokens if the options say so
     QuantileWindow latency{kHedgeWindow, kHedgeMinSamples};
     std::optional<Duration> delay;
     std::optional<Time> delay_computed;
--- a/settings.cc
+++ b/settings.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <cmath>
 #include <set>
 
 #include "address.h"
@@ -108,6 +109,20 @@
   if (root.Find(key) != nullptr) ReadAddress(reader, root, key, out);
 }
 
+// A number that need not be whole.
+void ReadFraction(StrictJsonReader& reader, StrictJsonObject& root, const std::string& name,
+                  std::pair<double, double> allowed, double& value) {
+  const json::value* found = root.Find(name);
+  if (found == nullptr) return;
+  boost::system::error_code error;
+  value = found->to_number<double>(error);
+  if (error || value < allowed.first || value > allowed.second) {
+    std::ostringstream range;
+    range << ShowJson(*found) << "; allowed is " << allowed.first << " to " << allowed.second;
+    reader.Refuse(name, range.str());
+  }
+}
+
 void ReadInterface(StrictJsonReader& reader, StrictJsonObject& root, Settings& settings) {
   size_t interface = static_cast<size_t>(settings.interface);
   root.ReadChoice("interface", interface, {"native", "routes"});
@@ -119,13 +134,10 @@
   root.ReadMillis("heartbeat_ms", settings.heartbeat, {.min = 10, .max = kLongestMillis});
   root.ReadMillis("grace_ms", settings.grace, {.min = 100, .max = kLongestMillis});
   root.Read("extra_slack", settings.extra.slack, Range{.max = 1'000'000});
-  if (const json::value* ratio = root.Find("extra_ratio")) {
-    boost::system::error_code error;
-    settings.extra.ratio = ratio->to_number<double>(error);
-    if (error || settings.extra.ratio < 0 || settings.extra.ratio > 10) {
-      reader.Refuse("extra_ratio", ShowJson(*ratio) + "; allowed is 0 to 10");
-    }
-  }
+  ReadFraction(reader, root, "extra_ratio", {0, 10}, settings.extra.ratio);
+  double window_s = std::chrono::duration<double>(settings.extra.window).count();
+  ReadFraction(reader, root, "extra_window_s", {0.1, 3'600}, window_s);
+  settings.extra.window = Duration(std::llround(window_s * Seconds(1).count()));
 }
 
 // The other functions have checked the syntax.
--- a/settings.h
+++ b/settings.h
@@ -35,11 +35,11 @@
   kRoutes,  // plain HTTP requests on routes, in the format of platform/
 };
 
-// Limit on sub-requests beyond the needed ones, for each service, summed over all routers. It holds
-// in a window of any length.
+// Limit on sub-requests beyond the needed ones, for each service, summed over all routers.
 struct ExtraLimit {
-  double ratio = 0.2;   // of the needed sub-requests in a window
-  uint32_t slack = 50;  // sub-requests in a window allowed besides
+  double ratio = 0.2;             // of the needed sub-requests in a window
+  uint32_t slack = 50;            // sub-requests in a window allowed besides
+  Duration window = Seconds(10);  // slides: any span of this length counts
   bool operator==(const ExtraLimit&) const = default;
 };
 
--- /dev/null
+++ b/testing/extra_window_test.cc
@@ -0,0 +1,72 @@
+// Tests of the sliding limit on extra sub-requests: guards against more extras in any span than the
+// operators allow, and against a calm time whose room is lost when it is needed.
+#include "../extra_window.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <random>
+
+namespace peridotgauge {
+namespace {
+
+constexpr Duration kLength = Seconds(10);
+constexpr double kRatio = 0.2;
+constexpr double kSlack = 5;
+
+TEST_CASE("a sliding limit", "[extra_window]") {
+  ExtraWindow window(kLength);
+  Time now = TimeAt(20'000);
+  const auto grants = [&](int wanted, double share = 1) {
+    int granted = 0;
+    for (int i = 0; i < wanted; ++i) granted += window.Spend(now, kRatio, kSlack, share) ? 1 : 0;
+    return granted;
+  };
+  SECTION("grants the slack at first") { CHECK(grants(100) == 5); }
+  SECTION("grants what calm seconds have left") {
+    for (int second = 0; second < 9; ++second, now += Seconds(1)) window.CountNeeded(now, 10);
+    CHECK(grants(100) == 23);
+    SECTION("once") {
+      now += Seconds(2);
+      CHECK(grants(100) == 0);
+    }
+    SECTION("until it has moved on") {
+      now += Seconds(12);
+      CHECK(grants(100) == 5);
+    }
+  }
+  SECTION("keeps a part back") {
+    for (int second = 0; second < 9; ++second, now += Seconds(1)) window.CountNeeded(now, 10);
+    CHECK(grants(100, 0.5) == 11);
+    CHECK(grants(100) == 12);
+  }
+}
+
+// Against the definition, with the time of every event.
+TEST_CASE("no span has more extras than the limit", "[extra_window]") {
+  std::mt19937_64 random(1);
+  const auto below = [&](int64_t n) {
+    return std::uniform_int_distribution<int64_t>(0, n)(random);
+  };
+  for (int round = 0; round < 20; ++round) {
+    ExtraWindow window(kLength);
+    std::deque<Time> needed;
+    std::deque<Time> granted;
+    Time now = TimeAt(20'000 + below(5'000));
+    for (int event = 0; event < 2'000; ++event) {
+      now += Duration(below(below(50) == 0 ? 5'000'000 : 20'000));
+      while (!needed.empty() && needed.front() <= now - kLength) needed.pop_front();
+      while (!granted.empty() && granted.front() <= now - kLength) granted.pop_front();
+      if (below(1) == 0) {
+        window.CountNeeded(now, 1);
+        needed.push_back(now);
+      } else if (window.Spend(now, kRatio, kSlack)) {
+        granted.push_back(now);
+        REQUIRE(static_cast<double>(granted.size()) <=
+                kRatio * static_cast<double>(needed.size()) + kSlack);
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace peridotgauge
