--- a/commands.h
+++ b/commands.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <utility>
 
+#include "config.h"
+#include "error.h"
 #include "peer_generated.h"
 
 namespace peridotgauge {
@@ -29,6 +31,17 @@
   return ToCommand(std::move(leave));
 }
 
+// Validates the text of a configuration and adds what the state machine needs of it. `highest`: see
+// ControllerOptions. Errors are those of `read`.
+inline Result<void> PrepareConfig(ConfigReader read, bool highest, wire::ApplyConfigT& command) {
+  const Result<Config> config = read(command.text);
+  command.highest = highest;
+  if (!config) return tl::unexpected(config.error());
+  command.revision = config->Revision();
+  command.digest = config->Digest();
+  return {};
+}
+
 }  // namespace peridotgauge
 
 #endif  // PERIDOTGAUGE_COMMANDS_H_
--- /dev/null
+++ b/control_events.cc
@@ -0,0 +1,70 @@
+// Fields of the controllers' log lines.
+#include "control_events.h"
+
+namespace peridotgauge {
+
+void ControlEvents::Write(const Event& event) {
+  if (this->log != nullptr) this->log->Write(SteadyNow(), UnixMillis(), event);
+}
+
+void ControlEvents::Leadership(bool leading, uint64_t term) {
+  this->Write(Event("leadership").Add("leading", leading).Add("term", term));
+}
+
+void ControlEvents::RouterJoins(const RouterRecord& router) {
+  this->Write(Event("router_joins")
+                  .Add("router", router.id)
+                  .Add("incarnation", router.incarnation)
+                  .Add("address", router.http_address));
+}
+
+void ControlEvents::RouterExpired(const RouterId& router) {
+  this->Write(
+      Event("router_expired").Add("router", router.id).Add("incarnation", router.incarnation));
+}
+
+void ControlEvents::Target(std::string_view name, const TargetRecord& target,
+                           uint64_t directory_version) {
+  this->Write(Event(name)
+                  .Add("target", target.target)
+                  .Add("service", target.service)
+                  .Add("address", target.address)
+                  .Add("state", NameOf(target.state))
+                  .Add("incarnation", target.incarnation)
+                  .Add("sequence", target.sequence)
+                  .Add("directory", directory_version));
+}
+
+void ControlEvents::TargetRegistered(const TargetRecord& target, uint64_t directory_version) {
+  this->Target("target_registered", target, directory_version);
+}
+
+void ControlEvents::TargetRemoved(const TargetRecord& target, uint64_t directory_version) {
+  this->Target("target_removed", target, directory_version);
+}
+
+void ControlEvents::TargetExpired(const TargetRecord& target, uint64_t directory_version) {
+  this->Target("target_expired", target, directory_version);
+}
+
+void ControlEvents::HeartbeatRefused(const TargetRecord& target, const Error& error) {
+  this->Write(Event("heartbeat_refused")
+                  .Add("target", target.target)
+                  .Add("sequence", target.sequence)
+                  .Add("error", error.ToString()));
+}
+
+void ControlEvents::ConfigRefused(const Error& error) {
+  this->Write(Event("config_refused").Add("error", error.ToString()));
+}
+
+void ControlEvents::ConfigDecided(uint64_t revision, const wire::CommandReplyT& reply) {
+  const bool accepted = reply.error < 0;
+  this->Write(Event("config_decided")
+                  .Add("revision", revision)
+                  .Add("accepted", accepted)
+                  .Add("index", reply.index)
+                  .Add("error", accepted ? "" : InfoOf(static_cast<ErrorCode>(reply.error)).name));
+}
+
+}  // namespace peridotgauge
--- a/control_replies.cc
+++ b/control_replies.cc
@@ -79,4 +79,19 @@
   for (const TargetRecord& record : delta.targets) reply.targets.push_back(ToWire(record));
 }
 
+std::optional<wire::BodyUnion> RefusalOf(wire::Body type, const Error& error,
+                                         const std::string& leader) {
+  switch (type) {
+    case wire::Body::SyncRequest:
+      return SyncError(error.code, error.detail, leader);
+    case wire::Body::CommandRequest:
+    case wire::Body::RegisterRequest:
+      return CommandError(error, leader);
+    case wire::Body::ReadRequest:
+      return ReadAnswer(tl::unexpected(error), leader);
+    default:
+      return std::nullopt;
+  }
+}
+
 }  // namespace peridotgauge
--- a/control_replies.h
+++ b/control_replies.h
@@ -8,6 +8,7 @@
 #define PERIDOTGAUGE_CONTROL_REPLIES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "control_report.h"
@@ -33,6 +34,10 @@
 wire::SyncReplyT StateNews(const ControlState& state, uint64_t known_index);
 void AddDirectoryNews(const DirectoryDelta& delta, wire::SyncReplyT& reply);
 
+// The refusal of a request of this type; nothing for a type that gets no reply.
+std::optional<wire::BodyUnion> RefusalOf(wire::Body type, const Error& error,
+                                         const std::string& leader);
+
 }  // namespace peridotgauge
 
 #endif  // PERIDOTGAUGE_CONTROL_REPLIES_H_
--- a/control_report.cc
+++ b/control_report.cc
@@ -161,4 +161,25 @@
                                       {"targets", std::move(targets)}});
 }
 
+Result<std::string> ReportOf(wire::ReadKind kind, uint64_t revision, Time now,
+                             const ReportSources& sources) {
+  const ControlState& state = sources.state;
+  switch (kind) {
+    case wire::ReadKind::Config:
+      return ConfigJson(state, revision);
+    case wire::ReadKind::History:
+      return HistoryJson(state);
+    case wire::ReadKind::InForce:
+      return InForceJson(now, state, sources.sessions, revision);
+    case wire::ReadKind::Status:
+      return StatusJson(sources.log, state, sources.sessions, sources.directory, now);
+    case wire::ReadKind::Targets:
+      return TargetsJson(sources.directory);
+    case wire::ReadKind::Document:
+      if (state.Revision() == 0) return Fail(ErrorCode::kNotFound, "no configuration yet");
+      return state.ConfigText();
+  }
+  return Fail(ErrorCode::kBadRequest, "unknown kind of read");
+}
+
 }  // namespace peridotgauge
--- a/control_report.h
+++ b/control_report.h
@@ -13,6 +13,7 @@
 #include "control_state.h"
 #include "directory.h"
 #include "error.h"
+#include "peer_generated.h"
 #include "session.h"
 #include "types.h"
 
@@ -48,6 +49,18 @@
 // {"epoch","version","collecting","targets":[...]}.
 std::string TargetsJson(const Directory& directory);
 
+// What reports are made of.
+struct ReportSources {
+  LogStatus log;
+  const ControlState& state;
+  SessionTable& sessions;
+  const Directory& directory;
+};
+// The answer to a read: one of the reports above, or the text of the current configuration.
+// kNotFound as for ConfigJson, or before the first configuration.
+Result<std::string> ReportOf(wire::ReadKind kind, uint64_t revision, Time now,
+                             const ReportSources& sources);
+
 }  // namespace peridotgauge
 
 #endif  // PERIDOTGAUGE_CONTROL_REPORT_H_
--- a/controller.cc
+++ b/controller.cc
@@ -12,12 +12,13 @@
 #include <set>
 #include <utility>
 
-#include "address.h"
 #include "commands.h"
 #include "config.h"
+#include "control_events.h"
 #include "control_replies.h"
 #include "control_report.h"
 #include "directory.h"
+#include "leader_relay.h"
 #include "publication.h"
 #include "quorum_round.h"
 #include "session.h"
@@ -37,16 +38,6 @@
 // routers takes longer than the election timeout, and raft heartbeats must go out meanwhile.
 constexpr Duration kAnswerTime = Millis(10);
 
-// Validates the text and adds what Apply needs of it.
-Result<void> Prepare(ConfigReader read, bool highest, wire::ApplyConfigT& command) {
-  const Result<Config> config = read(command.text);
-  command.highest = highest;
-  if (!config) return tl::unexpected(config.error());
-  command.revision = config->Revision();
-  command.digest = config->Digest();
-  return {};
-}
-
 }  // namespace
 
 class Controller::Impl : public std::enable_shared_from_this<Controller::Impl> {
@@ -58,7 +49,9 @@
         state(state),
         timer(io),
         intake(this->options.id, this->options.registration_lease, this->directory),
-        rounds(std::make_shared<QuorumRounds>(io, log)) {}
+        rounds(std::make_shared<QuorumRounds>(io, log)),
+        relay(io, this->options.id, this->options.controllers, this->options.peer_port),
+        events(this->options.events) {}
 
   void Start() {
     this->state.SetObserver([weak = this->weak_from_this()] {
@@ -72,14 +65,17 @@
     this->timer.cancel();
     this->state.SetObserver(nullptr);
     this->FailPolls(ErrorCode::kDraining, "the controller is shutting down");
-    this->relays.clear();
+    this->relay.Stop();
   }
 
   void Handle(wire::BodyUnion body, const Responder& responder) {
     if (this->stopped) return Refuse(body, {ErrorCode::kDraining, ""}, "", responder);
     this->CheckLeadership();
     if (auto* sync = body.AsSyncRequest()) {
-      if (!this->Leading() && sync->relay) return this->Relay(std::move(*sync), responder);
+      if (!this->Leading() && sync->relay) {
+        return this->relay.Pass(this->log.Leader(), std::move(*sync),
+                                SteadyNow() + kMaxPollTime + kQuorumTimeout, responder.reply);
+      }
     }
     if (!this->Leading()) {
       return Refuse(body, {ErrorCode::kNotLeader, ""}, this->log.Leader(), responder);
@@ -99,6 +95,7 @@
     this->publication.FailAll();
     this->joining.clear();
     this->departed.clear();
+    this->events.Leadership(leading, this->log.Term());
     if (!leading) return;
     LOG(INFO) << "controller: leading in term " << term;
     const Time now = SteadyNow();
@@ -132,17 +129,7 @@
 
   static void Refuse(const wire::BodyUnion& body, const Error& error, const std::string& leader,
                      const Responder& responder) {
-    switch (body.type) {
-      case wire::Body::SyncRequest:
-        return responder.reply(SyncError(error.code, error.detail, leader));
-      case wire::Body::CommandRequest:
-      case wire::Body::RegisterRequest:
-        return responder.reply(CommandError(error, leader));
-      case wire::Body::ReadRequest:
-        return responder.reply(ReadAnswer(tl::unexpected(error), leader));
-      default:
-        return;
-    }
+    if (const auto refusal = RefusalOf(body.type, error, leader)) responder.reply(*refusal);
   }
 
   // Runs `function` from the event loop if this leadership still lasts.
@@ -245,7 +232,7 @@
 
   void Join(const RouterRecord& router) {
     if (!this->joining.insert(router.id).second) return;
-    LOG(INFO) << "controller: router " << router.id << " joins, incarnation " << router.incarnation;
+    this->events.RouterJoins(router);
     wire::JoinT command;
     command.router = ToWire(router);
     this->Propose(ToCommand(std::move(command)),
@@ -323,39 +310,17 @@
     }
   }
 
-  // Empty for an unknown controller.
-  Address PeerAddressOf(const std::string& id) const {
-    for (const ControllerAddress& known : this->options.controllers) {
-      if (known.id == id) return known.peer_address;
-    }
-    if (id.empty() || this->options.peer_port == 0) return {};
-    return JoinAddress(id, this->options.peer_port);
-  }
-
-  void Relay(wire::SyncRequestT request, const Responder& responder) {
-    const std::string leader = this->log.Leader();
-    const Address address = this->PeerAddressOf(leader);
-    if (address.empty() || leader == this->options.id) {
-      return responder.reply(SyncError(ErrorCode::kNotLeader, "", ""));
-    }
-    auto& client = this->relays[leader];
-    if (!client) client = std::make_unique<PeerClient>(this->io, address);
-    request.relay = false;
-    client->Call(ToBody(std::move(request)), SteadyNow() + kMaxPollTime + kQuorumTimeout,
-                 [responder, leader](const Result<wire::BodyUnion>& reply) {
-                   if (reply && reply->AsSyncReply() != nullptr) return responder.reply(*reply);
-                   responder.reply(SyncError(ErrorCode::kUnavailable,
-                                             "the leader " + leader + " did not answer", leader));
-                 });
-  }
-
   // --- Commands and reads ---
 
   void OnCommand(wire::CommandRequestT& request, const Responder& responder) {
     if (auto* config = request.body.AsApplyConfig()) {
       const Result<void> prepared =
-          Prepare(this->options.read_config, this->options.highest, *config);
-      if (!prepared) return responder.reply(CommandError(prepared.error(), ""));
+          PrepareConfig(this->options.read_config, this->options.highest, *config);
+      if (!prepared) {
+        this->events.ConfigRefused(prepared.error());
+        return responder.reply(CommandError(prepared.error(), ""));
+      }
+      return this->OnConfig(std::move(request.body), config->revision, responder);
     }
     if (const auto* change = request.body.AsChangeMembers()) {
       return this->ChangeMembers(*change, responder);
@@ -367,6 +332,16 @@
                   [responder](const wire::BodyUnion& answer) { responder.reply(answer); });
   }
 
+  void OnConfig(wire::CommandBodyUnion body, uint64_t revision, const Responder& responder) {
+    this->Propose(std::move(body), [weak = this->weak_from_this(), revision,
+                                    responder](const wire::BodyUnion& answer) {
+      if (const auto self = weak.lock()) {
+        self->events.ConfigDecided(revision, *answer.AsCommandReply());
+      }
+      responder.reply(answer);
+    });
+  }
+
   // Requests of the router that are still under way must not let it join again.
   void OnCleanLeave(const RouterId& router) {
     uint64_t& last = this->departed[router.id];
@@ -430,39 +405,30 @@
       if (!self->Leading()) {
         return responder.reply(ReadAnswer(Fail(ErrorCode::kNotLeader), self->log.Leader()));
       }
-      responder.reply(ReadAnswer(self->Report(kind, revision), self->options.id));
+      responder.reply(ReadAnswer(
+          ReportOf(kind, revision, SteadyNow(),
+                   {StatusOf(self->log.Status()), self->state, self->sessions, self->directory}),
+          self->options.id));
     });
   }
 
-  Result<std::string> Report(wire::ReadKind kind, uint64_t revision) {
-    const Time now = SteadyNow();
-    switch (kind) {
-      case wire::ReadKind::Config:
-        return ConfigJson(this->state, revision);
-      case wire::ReadKind::History:
-        return HistoryJson(this->state);
-      case wire::ReadKind::InForce:
-        return InForceJson(now, this->state, this->sessions, revision);
-      case wire::ReadKind::Status:
-        return StatusJson(StatusOf(this->log.Status()), this->state, this->sessions,
-                          this->directory, now);
-      case wire::ReadKind::Targets:
-        return TargetsJson(this->directory);
-      case wire::ReadKind::Document:
-        if (this->state.Revision() == 0) return Fail(ErrorCode::kNotFound, "no configuration yet");
-        return this->state.ConfigText();
-    }
-    return Fail(ErrorCode::kBadRequest, "unknown kind of read");
-  }
-
   // --- Targets that register with controllers ---
 
   void OnRegister(const wire::RegisterRequestT& request, const Responder& responder) {
     if (!request.target) return responder.reply(CommandError({ErrorCode::kBadRequest, ""}, ""));
     const Time now = SteadyNow();
-    const Result<Intake> taken = this->intake.Take(now, FromWire(*request.target), request.remove);
-    if (!taken) return responder.reply(CommandError(taken.error(), ""));
-    if (taken->news) this->WakeLater();
+    const TargetRecord record = FromWire(*request.target);
+    const Result<Intake> taken = this->intake.Take(now, record, request.remove);
+    if (!taken) {
+      this->events.HeartbeatRefused(record, taken.error());
+      return responder.reply(CommandError(taken.error(), ""));
+    }
+    if (taken->news) {
+      const uint64_t version = this->directory.Version();
+      request.remove ? this->events.TargetRemoved(record, version)
+                     : this->events.TargetRegistered(record, version);
+      this->WakeLater();
+    }
     const auto answer = [this, responder](bool published) {
       if (published) return responder.reply(ToBody(wire::CommandReplyT{}));
       responder.reply(CommandError({ErrorCode::kNotLeader, ""}, this->log.Leader()));
@@ -552,12 +518,12 @@
     this->next_housekeeping = now + kHousekeepingInterval;
     this->sessions.Tick(now, this->state.Routers());
     for (const TargetRecord& gone : this->intake.Expire(now)) {
-      LOG(WARNING) << "controller: target " << gone.target << " has missed its heartbeats";
+      this->events.TargetExpired(gone, this->directory.Version());
       this->WakeLater();
     }
     this->directory.Tick(now, this->state.Routers());
     for (const RouterId& router : this->sessions.Expired(now)) {
-      LOG(WARNING) << "controller: the session of router " << router.id << " has expired";
+      this->events.RouterExpired(router);
       this->sessions.SetLeaving(router, true);
       this->Remove(router);
     }
@@ -603,7 +569,8 @@
 
   std::shared_ptr<QuorumRounds> rounds;
   size_t pending_commands = 0;
-  std::map<std::string, std::unique_ptr<PeerClient>> relays;  // by controller id
+  LeaderRelay relay;
+  ControlEvents events;
 };
 
 Controller::Controller(asio::io_context& io, ControllerOptions options, ReplicatedLog& log,
--- a/controller.h
+++ b/controller.h
@@ -25,6 +25,7 @@
 
 #include "config.h"
 #include "control_state.h"
+#include "event_log.h"
 #include "peer.h"
 #include "peer_generated.h"
 #include "registration.h"
@@ -55,6 +56,7 @@
   ConfigReader read_config = &Config::Parse;   // of new texts
   bool highest = false;  // the highest revision counts, whatever was in effect before
   Duration registration_lease = kRegistrationLease;  // of targets that register with controllers
+  EventLog* events = nullptr;                        // outlives the controller; may be absent
 };
 
 class Controller {
--- a/daemon.cc
+++ b/daemon.cc
@@ -149,7 +149,8 @@
                           .peer_port = this->PeerPort(),
                           .read_config = this->Reader(),
                           .highest = this->external != nullptr,
-                          .registration_lease = kMissedHeartbeats * this->settings.heartbeat},
+                          .registration_lease = kMissedHeartbeats * this->settings.heartbeat,
+                          .events = &this->log},
         *this->raft_log, this->state);
     this->replica->OnLeadership([this](bool) { this->controller->CheckLeadership(); });
     return {};
--- /dev/null
+++ b/leader_relay.cc
@@ -0,0 +1,40 @@
+// Connections to the leader for requests of others.
+#include "leader_relay.h"
+
+#include <utility>
+
+#include "address.h"
+#include "control_replies.h"
+
+namespace peridotgauge {
+
+LeaderRelay::LeaderRelay(boost::asio::io_context& io, std::string self,
+                         std::vector<ControllerAddress> controllers, uint16_t peer_port)
+    : io(io), self(std::move(self)), controllers(std::move(controllers)), peer_port(peer_port) {}
+
+void LeaderRelay::Pass(const std::string& leader, wire::SyncRequestT request, Time deadline,
+                       const Reply& reply) {
+  const Address address = this->AddressOf(leader);
+  if (address.empty() || leader == this->self) {
+    return reply(SyncError(ErrorCode::kNotLeader, "", ""));
+  }
+  auto& client = this->clients[leader];
+  if (!client) client = std::make_unique<PeerClient>(this->io, address);
+  request.relay = false;
+  wire::BodyUnion body;
+  body.Set(std::move(request));
+  client->Call(body, deadline, [reply, leader](const Result<wire::BodyUnion>& answer) {
+    if (answer && answer->AsSyncReply() != nullptr) return reply(*answer);
+    reply(SyncError(ErrorCode::kUnavailable, "the leader " + leader + " did not answer", leader));
+  });
+}
+
+Address LeaderRelay::AddressOf(const std::string& id) const {
+  for (const ControllerAddress& known : this->controllers) {
+    if (known.id == id) return known.peer_address;
+  }
+  if (id.empty() || this->peer_port == 0) return {};
+  return JoinAddress(id, this->peer_port);
+}
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/leader_relay.h
@@ -0,0 +1,54 @@
+// Passes sync requests of routers that cannot reach the leader on to it.
+//
+// Use:
+//   LeaderRelay relay(io, "c1", settings.controllers, peer_port);
+//   relay.Pass(log.Leader(), std::move(request), [](const wire::BodyUnion& reply) { ... });
+//
+// Contract: runs on the thread of the io_context. Each request gets one reply: the leader's,
+// kNotLeader if the leader is not known, or kUnavailable if it did not answer. A passed request is
+// not passed on again.
+#ifndef PERIDOTGAUGE_LEADER_RELAY_H_
+#define PERIDOTGAUGE_LEADER_RELAY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "peer.h"
+#include "peer_generated.h"
+#include "settings.h"
+#include "types.h"
+
+namespace peridotgauge {
+
+class LeaderRelay {
+ public:
+  using Reply = std::function<void(const wire::BodyUnion&)>;
+
+  // `self` is the id of this controller. `peer_port`: see control_channel.h.
+  LeaderRelay(boost::asio::io_context& io, std::string self,
+              std::vector<ControllerAddress> controllers, uint16_t peer_port);
+
+  // The leader has until `deadline`.
+  void Pass(const std::string& leader, wire::SyncRequestT request, Time deadline,
+            const Reply& reply);
+  // Closes the connections; no reply follows.
+  void Stop() { this->clients.clear(); }
+
+ private:
+  // Empty for an unknown controller.
+  Address AddressOf(const std::string& id) const;
+
+  boost::asio::io_context& io;
+  std::string self;
+  std::vector<ControllerAddress> controllers;
+  uint16_t peer_port;
+  std::map<std::string, std::unique_ptr<PeerClient>> clients;  // by controller id
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_LEADER_RELAY_H_
--- a/route_request.cc
+++ b/route_request.cc
@@ -263,6 +263,7 @@
                                 .Add("result", result)
                                 .Add("status", status)
                                 .Add("elapsed_ms", now - this->task.arrived)
+                                .Add("spent_ms", this->task.spent)
                                 .Add("allowed_ms", this->task.deadline - this->task.arrived)
                                 .Add("shards", counts.needed)
                                 .Add("covered", covered)
--- a/testing/control_plane_test.cc
+++ b/testing/control_plane_test.cc
@@ -1,5 +1,8 @@
 // Tests of controllers and control clients over real connections, with the replicated log replaced
 // by one in memory that commits at once.
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -107,7 +110,7 @@
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<ControllerAddress> controllers;
 
-  Cluster() {
+  explicit Cluster(EventLog* events = nullptr) {
     for (size_t i = 0; i < 3; ++i) {
       auto node = std::make_unique<Node>();
       node->log = std::make_unique<FakeLog>(this->io, this->group, i);
@@ -124,8 +127,10 @@
     for (size_t i = 0; i < 3; ++i) {
       Node& node = *this->nodes[i];
       node.controller = std::make_unique<Controller>(
-          this->io, ControllerOptions{this->controllers[i].id, this->controllers}, *node.log,
-          node.state);
+          this->io,
+          ControllerOptions{
+              .id = this->controllers[i].id, .controllers = this->controllers, .events = events},
+          *node.log, node.state);
     }
   }
 
@@ -522,5 +527,56 @@
   edge->Stop();
 }
 
+// Guards against changes of what the controllers believe that on call cannot see.
+TEST_CASE("controllers log what they decide", "[control_plane]") {
+  int ends[2];
+  REQUIRE(pipe2(ends, O_NONBLOCK) == 0);
+  EventLog log(ends[1]);
+  Cluster cluster(&log);
+  std::string text;
+  const auto logged = [&](const std::string& part) {
+    return cluster.RunUntil([&] {
+      char bytes[4'096];
+      const ssize_t got = read(ends[0], bytes, sizeof(bytes));
+      if (got > 0) text.append(bytes, static_cast<size_t>(got));
+      return text.find(part) != std::string::npos;
+    });
+  };
+  const auto router = cluster.Synced("r1");
+  CHECK(logged(R"("event":"leadership","leading":true,"term":1)"));
+  CHECK(logged(R"("event":"router_joins","router":"r1","incarnation":1)"));
+  SECTION("a configuration that is invalid or taken") {
+    cluster.Apply(*router, "{}");
+    CHECK(logged(R"("event":"config_refused","error":)"));
+    cluster.Apply(*router, ConfigOf(1));
+    CHECK(logged(R"("event":"config_decided","revision":1,"accepted":true)"));
+  }
+  SECTION("a target that comes, is refused and leaves") {
+    const auto beat = [&](const TargetRecord& record, bool remove) {
+      bool answered = false;
+      router->Heartbeat(record, remove,
+                        [&](const Result<wire::CommandReplyT>&) { answered = true; });
+      REQUIRE(cluster.RunUntil([&] { return answered; }));
+    };
+    TargetRecord record = TargetOf(1);
+    record.data_centre = "a";
+    record.connections = 1;
+    beat(record, false);
+    CHECK(logged(R"("event":"target_registered","target":"s/a","service":"s")"));
+    record.address = "127.0.0.1:9002";
+    beat(record, false);
+    CHECK(logged(R"("event":"heartbeat_refused","target":"s/a","sequence":1,"error":"conflict)"));
+    beat(record, true);
+    CHECK(logged(R"("event":"target_removed","target":"s/a")"));
+  }
+  SECTION("a leader that is no longer one") {
+    cluster.Elect(1);
+    CHECK(logged(R"("event":"leadership","leading":false,"term":2)"));
+  }
+  router->Stop();
+  close(ends[0]);
+  close(ends[1]);
+}
+
 }  // namespace
 }  // namespace peridotgauge
