--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -47,6 +47,15 @@
                               .hedging = false});
 }
 
+TEST_CASE("the limit on extra sub-requests", "[settings]") {
+  const auto settings =
+      Settings::Parse(With("\"hedging\": false",
+                           "\"extra_ratio\": 0.15, \"extra_slack\": 7, \"extra_window_s\": 2.5"),
+                      "c1.json");
+  REQUIRE(settings);
+  CHECK(settings->extra == ExtraLimit{.ratio = 0.15, .slack = 7, .window = Millis(2'500)});
+}
+
 TEST_CASE("settings are refused with file, key, value and what is allowed", "[settings]") {
   struct Row {
     std::string text;
@@ -57,6 +66,10 @@
       {With("\"id\": \"c1\", \"d", "\"id\": \"c 1\", \"d"),
        "c1.json: id: \"c 1\"; allowed are 1 to 64 letters"},
       {With("\"data_centre\": \"tre-a\", ", ""), "c1.json: data_centre: missing"},
+      {With("\"hedging\": false", "\"extra_window_s\": 0"),
+       "c1.json: extra_window_s: 0; allowed is 0.1 to 3600"},
+      {With("\"hedging\": false", "\"extra_ratio\": \"a\""),
+       "c1.json: extra_ratio: \"a\"; allowed is 0 to 10"},
       {With("\"hedging\": false", "\"hedging\": false, \"hedging\": true"),
        "c1.json: hedging: the key is given twice"},
       {With("\"hedging\"", "\"hedge\""), "c1.json: hedge: unknown key; allowed are adaptive_limit"},
