--- a/testing/replica_choice_test.cc
+++ b/testing/replica_choice_test.cc
@@ -197,8 +197,9 @@
       choice->OnReply(now + Millis(5), second_send, {});
     }
     CHECK(sent.size() == 2);
-    for (const TargetRecord& target : targets)
-      spared_by[target.target] += sent.count(target.target) == 0;
+    for (const TargetRecord& target : targets) {
+      if (!sent.contains(target.target)) ++spared_by[target.target];
+    }
   }
   CHECK(spared_by["t0"] == 0);  // the one in the own data centre
   CHECK(spared_by["t1"] > 15);
