--- a/bench/capacity_data.cc
+++ b/bench/capacity_data.cc
@@ -4,12 +4,13 @@
 
 #include "bench/capacity_model.h"
 #include "bench/capacity_parts.h"
-#include "config.h"
-#include "hedge.h"
-#include "peer.h"
-#include "plan.h"
-#include "replica_choice.h"
-#include "search.h"
+#include "core/config.h"
+#include "core/hedge.h"
+#include "core/plan.h"
+#include "core/replica_choice.h"
+#include "core/search.h"
+#include "io/clock.h"
+#include "io/peer.h"
 
 namespace peridotgauge {
 namespace {
--- a/bench/capacity_group.cc
+++ b/bench/capacity_group.cc
@@ -7,6 +7,8 @@
 #include <cstdlib>
 #include <filesystem>
 
+#include "io/clock.h"
+
 namespace peridotgauge {
 namespace {
 
--- a/bench/capacity_group.h
+++ b/bench/capacity_group.h
@@ -8,11 +8,11 @@
 #include <vector>
 
 #include "bench/capacity_meter.h"
-#include "control_state.h"
-#include "controller.h"
-#include "peer.h"
-#include "replica.h"
-#include "replicated_log.h"
+#include "io/controller.h"
+#include "io/peer.h"
+#include "io/replica.h"
+#include "io/replicated_log.h"
+#include "state/control_state.h"
 
 namespace peridotgauge {
 
--- a/bench/capacity_leader.cc
+++ b/bench/capacity_leader.cc
@@ -12,7 +12,8 @@
 #include "bench/capacity_group.h"
 #include "bench/capacity_model.h"
 #include "bench/capacity_parts.h"
-#include "control_client.h"
+#include "io/clock.h"
+#include "io/control_client.h"
 
 namespace peridotgauge {
 namespace {
--- a/bench/capacity_model.h
+++ b/bench/capacity_model.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "records.h"
+#include "core/records.h"
 
 namespace peridotgauge {
 
--- a/bench/capacity_raft.cc
+++ b/bench/capacity_raft.cc
@@ -8,7 +8,8 @@
 #include "bench/capacity_group.h"
 #include "bench/capacity_model.h"
 #include "bench/capacity_parts.h"
-#include "config.h"
+#include "core/config.h"
+#include "io/clock.h"
 
 namespace peridotgauge {
 namespace {
--- a/bench/capacity_router.cc
+++ b/bench/capacity_router.cc
@@ -6,10 +6,10 @@
 
 #include "bench/capacity_model.h"
 #include "bench/capacity_parts.h"
-#include "config.h"
-#include "directory_copy.h"
-#include "ownership.h"
-#include "plan.h"
+#include "core/config.h"
+#include "core/ownership.h"
+#include "core/plan.h"
+#include "state/directory_copy.h"
 
 namespace peridotgauge {
 namespace {
--- a/bench/load_report.h
+++ b/bench/load_report.h
@@ -17,7 +17,7 @@
 #include <tuple>
 #include <vector>
 
-#include "types.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
--- a/bench/loadgen.cc
+++ b/bench/loadgen.cc
@@ -7,9 +7,10 @@
 #include <random>
 #include <utility>
 
-#include "caller_api.h"
-#include "http_client.h"
-#include "json_text.h"
+#include "core/caller_api.h"
+#include "core/json_text.h"
+#include "io/clock.h"
+#include "io/http_client.h"
 
 namespace peridotgauge {
 namespace {
--- a/bench/loadgen.h
+++ b/bench/loadgen.h
@@ -22,7 +22,7 @@
 #include <vector>
 
 #include "bench/load_report.h"
-#include "types.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
--- a/bench/route_cost_main.cc
+++ b/bench/route_cost_main.cc
@@ -24,8 +24,9 @@
 #include <utility>
 #include <vector>
 
-#include "../route_plan.h"
-#include "../route_request.h"
+#include "core/route_plan.h"
+#include "io/clock.h"
+#include "io/route_request.h"
 
 DEFINE_uint32(shards, 36, "shards of the query, each with three targets");
 DEFINE_uint32(queries, 2'000, "queries, one after the other, after a tenth of them unmeasured");
--- a/bench/standin_headers.h
+++ b/bench/standin_headers.h
@@ -6,9 +6,9 @@
 #include <optional>
 #include <string>
 
-#include "http_message.h"
-#include "records.h"
-#include "types.h"
+#include "core/http_message.h"
+#include "core/records.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
--- a/bench/standin_options.cc
+++ b/bench/standin_options.cc
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "json_text.h"
+#include "core/json_text.h"
 
 namespace peridotgauge {
 namespace {
--- a/bench/standin_options.h
+++ b/bench/standin_options.h
@@ -21,9 +21,9 @@
 #include <string_view>
 #include <vector>
 
-#include "error.h"
-#include "records.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/records.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
--- a/bench/standin_registrar.cc
+++ b/bench/standin_registrar.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "io/clock.h"
+
 namespace peridotgauge {
 namespace {
 
--- a/bench/standin_registrar.h
+++ b/bench/standin_registrar.h
@@ -19,8 +19,8 @@
 #include <random>
 #include <vector>
 
-#include "caller_api.h"
-#include "http_client.h"
+#include "core/caller_api.h"
+#include "io/http_client.h"
 
 namespace peridotgauge {
 
--- a/bench/standin_switches.cc
+++ b/bench/standin_switches.cc
@@ -1,7 +1,7 @@
 // Parsing of POST /standin.
 #include "standin_switches.h"
 
-#include "json_text.h"
+#include "core/json_text.h"
 
 namespace peridotgauge {
 namespace {
--- a/bench/standin_switches.h
+++ b/bench/standin_switches.h
@@ -12,8 +12,8 @@
 #include <vector>
 
 #include "bench/standin_options.h"
-#include "error.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
--- a/bench/standin_target.cc
+++ b/bench/standin_target.cc
@@ -11,12 +11,13 @@
 #include <unordered_set>
 #include <utility>
 
-#include "address.h"
 #include "bench/standin_headers.h"
 #include "bench/standin_switches.h"
-#include "caller_api.h"
-#include "http_beast.h"
-#include "json_text.h"
+#include "core/address.h"
+#include "core/caller_api.h"
+#include "core/json_text.h"
+#include "io/clock.h"
+#include "io/http_beast.h"
 
 namespace peridotgauge {
 namespace {
--- a/bench/standin_target.h
+++ b/bench/standin_target.h
@@ -44,8 +44,8 @@
 
 #include "bench/standin_options.h"
 #include "bench/standin_registrar.h"
-#include "error.h"
-#include "http_message.h"
+#include "core/error.h"
+#include "core/http_message.h"
 
 namespace peridotgauge {
 
--- a/bench/standin_target_main.cc
+++ b/bench/standin_target_main.cc
@@ -19,9 +19,9 @@
 
 #include "bench/standin_options.h"
 #include "bench/standin_target.h"
-#include "caller_api.h"
-#include "http_server.h"
-#include "json_text.h"
+#include "core/caller_api.h"
+#include "core/json_text.h"
+#include "io/http_server.h"
 
 DEFINE_string(targets, "", "file that describes the targets (bench/standin_options.h)");
 DEFINE_string(routers, "",
--- a/address.cc
+++ b/core/address.cc
@@ -1,5 +1,5 @@
 // Parsing of addresses with inet_pton(), which accepts IP numbers only.
-#include "address.h"
+#include "core/address.h"
 
 #include <arpa/inet.h>
 
--- a/address.h
+++ b/core/address.h
@@ -5,15 +5,15 @@
 //
 // Contract: host names are refused, because the system has no name service. The host of the result
 // is in its canonical form, so that two endpoints compare equal if they mean the same.
-#ifndef PERIDOTGAUGE_ADDRESS_H_
-#define PERIDOTGAUGE_ADDRESS_H_
+#ifndef PERIDOTGAUGE_CORE_ADDRESS_H_
+#define PERIDOTGAUGE_CORE_ADDRESS_H_
 
 #include <cstdint>
 #include <string>
 #include <string_view>
 
-#include "error.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -35,4 +35,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_ADDRESS_H_
+#endif  // PERIDOTGAUGE_CORE_ADDRESS_H_
--- a/admission.cc
+++ b/core/admission.cc
@@ -1,5 +1,5 @@
 // Admission of searches.
-#include "admission.h"
+#include "core/admission.h"
 
 namespace peridotgauge {
 
--- a/admission.h
+++ b/core/admission.h
@@ -10,8 +10,8 @@
 // recent complete answers of the service took longer. Partial answers are not counted, because a
 // missing shard makes them last until their deadline. One request in kAdmissionProbeInterval is
 // admitted in any case, so that a service that became faster is noticed.
-#ifndef PERIDOTGAUGE_ADMISSION_H_
-#define PERIDOTGAUGE_ADMISSION_H_
+#ifndef PERIDOTGAUGE_CORE_ADMISSION_H_
+#define PERIDOTGAUGE_CORE_ADMISSION_H_
 
 #include <cstdint>
 #include <map>
@@ -19,9 +19,9 @@
 #include <string>
 #include <string_view>
 
-#include "error.h"
-#include "quantile_window.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/quantile_window.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -59,4 +59,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_ADMISSION_H_
+#endif  // PERIDOTGAUGE_CORE_ADMISSION_H_
--- a/caller_api.cc
+++ b/core/caller_api.cc
@@ -1,5 +1,5 @@
 // JSON of the caller and target interfaces.
-#include "caller_api.h"
+#include "core/caller_api.h"
 
 #include <algorithm>
 #include <array>
@@ -7,8 +7,8 @@
 #include <limits>
 #include <utility>
 
-#include "address.h"
-#include "json_text.h"
+#include "core/address.h"
+#include "core/json_text.h"
 
 namespace peridotgauge {
 namespace {
--- a/caller_api.h
+++ b/core/caller_api.h
@@ -9,8 +9,8 @@
 // Contract: parsing errors are kBadRequest and name the field and what is allowed. Unknown fields
 // are refused, so that a misspelt option never passes silently; parsers of answers ignore them. The
 // JSON of a caller's query or order and of a target's reply is passed on as it was written.
-#ifndef PERIDOTGAUGE_CALLER_API_H_
-#define PERIDOTGAUGE_CALLER_API_H_
+#ifndef PERIDOTGAUGE_CORE_CALLER_API_H_
+#define PERIDOTGAUGE_CORE_CALLER_API_H_
 
 #include <cstdint>
 #include <optional>
@@ -18,10 +18,10 @@
 #include <string_view>
 #include <vector>
 
-#include "error.h"
-#include "http_message.h"
-#include "records.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/http_message.h"
+#include "core/records.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -169,4 +169,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_CALLER_API_H_
+#endif  // PERIDOTGAUGE_CORE_CALLER_API_H_
--- a/cli_format.cc
+++ b/core/cli_format.cc
@@ -1,5 +1,5 @@
 // Human-readable output of the command-line tool.
-#include "cli_format.h"
+#include "core/cli_format.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/cli_format.h
+++ b/core/cli_format.h
@@ -1,12 +1,12 @@
 // Human-readable output of the command-line tool. Pure functions from JSON answers to text.
 //
 // Contract: an answer of an unexpected form is returned as it is, so nothing is hidden.
-#ifndef PERIDOTGAUGE_CLI_FORMAT_H_
-#define PERIDOTGAUGE_CLI_FORMAT_H_
+#ifndef PERIDOTGAUGE_CORE_CLI_FORMAT_H_
+#define PERIDOTGAUGE_CORE_CLI_FORMAT_H_
 
 #include <string>
 
-#include "caller_api.h"
+#include "core/caller_api.h"
 
 namespace peridotgauge {
 
@@ -17,4 +17,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_CLI_FORMAT_H_
+#endif  // PERIDOTGAUGE_CORE_CLI_FORMAT_H_
--- a/config.cc
+++ b/core/config.cc
@@ -1,5 +1,5 @@
 // Parsing, validation, digest and comparison of the operators' text.
-#include "config.h"
+#include "core/config.h"
 
 #include <xxhash.h>
 
@@ -7,7 +7,7 @@
 #include <boost/json.hpp>
 #include <set>
 
-#include "strict_json.h"
+#include "core/strict_json.h"
 
 namespace peridotgauge {
 namespace {
--- a/config.h
+++ b/core/config.h
@@ -8,8 +8,8 @@
 // Contract: a Config is immutable and valid: every dependency exists, there are no cycles, every
 // number is in its range. Parse never throws. Errors name the place, the value and what is allowed,
 // for example "services.kassa-3.depends_on[1]: unknown service \"posty\"".
-#ifndef PERIDOTGAUGE_CONFIG_H_
-#define PERIDOTGAUGE_CONFIG_H_
+#ifndef PERIDOTGAUGE_CORE_CONFIG_H_
+#define PERIDOTGAUGE_CORE_CONFIG_H_
 
 #include <cstdint>
 #include <map>
@@ -17,9 +17,9 @@
 #include <string_view>
 #include <vector>
 
-#include "error.h"
-#include "routes.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/routes.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -101,4 +101,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_CONFIG_H_
+#endif  // PERIDOTGAUGE_CORE_CONFIG_H_
--- a/error.cc
+++ b/core/error.cc
@@ -1,5 +1,5 @@
 // The error table. Row i describes the code with value i; a test checks the order.
-#include "error.h"
+#include "core/error.h"
 
 #include <algorithm>
 #include <array>
--- a/error.h
+++ b/core/error.h
@@ -3,8 +3,8 @@
 // Every failure that leaves a module is an `Error`: a code of this list and a detail for people.
 // The table gives the code's name on the wire, its HTTP status, whether it proves that the request
 // was not executed, and the exit status of the command-line tool.
-#ifndef PERIDOTGAUGE_ERROR_H_
-#define PERIDOTGAUGE_ERROR_H_
+#ifndef PERIDOTGAUGE_CORE_ERROR_H_
+#define PERIDOTGAUGE_CORE_ERROR_H_
 
 #include <cstdint>
 #include <optional>
@@ -83,4 +83,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_ERROR_H_
+#endif  // PERIDOTGAUGE_CORE_ERROR_H_
--- a/extra_window.cc
+++ b/core/extra_window.cc
@@ -1,5 +1,5 @@
 // Slots of a sliding window.
-#include "extra_window.h"
+#include "core/extra_window.h"
 
 namespace peridotgauge {
 
--- a/extra_window.h
+++ b/core/extra_window.h
@@ -12,13 +12,13 @@
 // Contract: in every span of the window's length, at most ratio x needed + slack are granted, where
 // `needed` are those counted in that span. Counts are kept in slots of a tenth of the window and
 // rounded so that the limit is kept.
-#ifndef PERIDOTGAUGE_EXTRA_WINDOW_H_
-#define PERIDOTGAUGE_EXTRA_WINDOW_H_
+#ifndef PERIDOTGAUGE_CORE_EXTRA_WINDOW_H_
+#define PERIDOTGAUGE_CORE_EXTRA_WINDOW_H_
 
 #include <array>
 #include <cstdint>
 
-#include "types.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -46,4 +46,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_EXTRA_WINDOW_H_
+#endif  // PERIDOTGAUGE_CORE_EXTRA_WINDOW_H_
--- a/gather.cc
+++ b/core/gather.cc
@@ -1,5 +1,5 @@
 // Merge of records.
-#include "gather.h"
+#include "core/gather.h"
 
 #include <algorithm>
 
--- a/gather.h
+++ b/core/gather.h
@@ -5,8 +5,8 @@
 //
 // Contract: a body is a sequence of records of kRecordBytes in any order; a shorter remainder is
 // not a record. Records compare byte by byte, the greatest come first, and equal ones all count.
-#ifndef PERIDOTGAUGE_GATHER_H_
-#define PERIDOTGAUGE_GATHER_H_
+#ifndef PERIDOTGAUGE_CORE_GATHER_H_
+#define PERIDOTGAUGE_CORE_GATHER_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -22,4 +22,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_GATHER_H_
+#endif  // PERIDOTGAUGE_CORE_GATHER_H_
--- a/hedge.cc
+++ b/core/hedge.cc
@@ -1,5 +1,5 @@
 // Hedge delays and budgets by fleet.
-#include "hedge.h"
+#include "core/hedge.h"
 
 #include <algorithm>
 #include <cmath>
--- a/hedge.h
+++ b/core/hedge.h
@@ -11,8 +11,8 @@
 // of the needed sub-requests counted so far plus kBudgetBurst. Nothing is granted while the fleet
 // is overloaded. A last-chance retry is granted on an empty budget and leaves a debt of at most
 // kMaxDebt, so that an outage does not switch hedges off for long.
-#ifndef PERIDOTGAUGE_HEDGE_H_
-#define PERIDOTGAUGE_HEDGE_H_
+#ifndef PERIDOTGAUGE_CORE_HEDGE_H_
+#define PERIDOTGAUGE_CORE_HEDGE_H_
 
 #include <cstdint>
 #include <map>
@@ -20,11 +20,11 @@
 #include <string>
 #include <string_view>
 
-#include "config.h"
-#include "extra_window.h"
-#include "quantile_window.h"
-#include "search_policy.h"
-#include "types.h"
+#include "core/config.h"
+#include "core/extra_window.h"
+#include "core/quantile_window.h"
+#include "core/search_policy.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -116,4 +116,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_HEDGE_H_
+#endif  // PERIDOTGAUGE_CORE_HEDGE_H_
--- a/http_message.cc
+++ b/core/http_message.cc
@@ -1,5 +1,5 @@
 // Header lookup and query parameters.
-#include "http_message.h"
+#include "core/http_message.h"
 
 #include <boost/beast/core/string.hpp>
 #include <utility>
--- a/http_message.h
+++ b/core/http_message.h
@@ -6,16 +6,16 @@
 //   responder.Send(JsonResponse(200, FormatStatus(status)));
 //
 // Contract: header names compare without regard to case. The value of an absent header is empty.
-#ifndef PERIDOTGAUGE_HTTP_MESSAGE_H_
-#define PERIDOTGAUGE_HTTP_MESSAGE_H_
+#ifndef PERIDOTGAUGE_CORE_HTTP_MESSAGE_H_
+#define PERIDOTGAUGE_CORE_HTTP_MESSAGE_H_
 
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "error.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -56,4 +56,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_HTTP_MESSAGE_H_
+#endif  // PERIDOTGAUGE_CORE_HTTP_MESSAGE_H_
--- a/json_text.cc
+++ b/core/json_text.cc
@@ -1,5 +1,5 @@
 // JSON checks with Boost.JSON, and a scanner that cuts valid text into its members or elements.
-#include "json_text.h"
+#include "core/json_text.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/json_text.h
+++ b/core/json_text.h
@@ -10,8 +10,8 @@
 // Contract: texts are checked with Boost.JSON. Values of callers and targets are kept as they were
 // written, because a parsed number can lose digits (a price, an order number) when it is written
 // again. Errors are kBadRequest and name the field. No function throws.
-#ifndef PERIDOTGAUGE_JSON_TEXT_H_
-#define PERIDOTGAUGE_JSON_TEXT_H_
+#ifndef PERIDOTGAUGE_CORE_JSON_TEXT_H_
+#define PERIDOTGAUGE_CORE_JSON_TEXT_H_
 
 #include <boost/json/value.hpp>
 #include <cstdint>
@@ -22,7 +22,7 @@
 #include <utility>
 #include <vector>
 
-#include "error.h"
+#include "core/error.h"
 
 namespace peridotgauge {
 
@@ -118,4 +118,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_JSON_TEXT_H_
+#endif  // PERIDOTGAUGE_CORE_JSON_TEXT_H_
--- a/metrics.cc
+++ b/core/metrics.cc
@@ -1,5 +1,5 @@
 // Series by name and label, and their text exposition.
-#include "metrics.h"
+#include "core/metrics.h"
 
 #include <array>
 #include <cstdio>
--- a/metrics.h
+++ b/core/metrics.h
@@ -10,8 +10,8 @@
 // by name and labels, whose order is that of the first use. After kMaxSeries series, further label
 // sets share one series per name without labels, so memory is bounded. One name has one kind; using
 // it with another kind returns a series that is not shown. Not thread-safe.
-#ifndef PERIDOTGAUGE_METRICS_H_
-#define PERIDOTGAUGE_METRICS_H_
+#ifndef PERIDOTGAUGE_CORE_METRICS_H_
+#define PERIDOTGAUGE_CORE_METRICS_H_
 
 #include <cstdint>
 #include <map>
@@ -20,8 +20,8 @@
 #include <string_view>
 #include <vector>
 
-#include "quantile_window.h"
-#include "types.h"
+#include "core/quantile_window.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -91,4 +91,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_METRICS_H_
+#endif  // PERIDOTGAUGE_CORE_METRICS_H_
--- a/operator_api.cc
+++ b/core/operator_api.cc
@@ -1,12 +1,12 @@
 // JSON of the operator interface.
-#include "operator_api.h"
+#include "core/operator_api.h"
 
 #include <charconv>
 #include <limits>
 #include <utility>
 
-#include "caller_api.h"
-#include "json_text.h"
+#include "core/caller_api.h"
+#include "core/json_text.h"
 
 namespace peridotgauge {
 namespace {
--- a/operator_api.h
+++ b/core/operator_api.h
@@ -7,8 +7,8 @@
 //
 // Contract: parsing errors are kBadRequest and name the field. Digests are 16 hexadecimal digits in
 // JSON, because a JSON number cannot hold 64 bits everywhere.
-#ifndef PERIDOTGAUGE_OPERATOR_API_H_
-#define PERIDOTGAUGE_OPERATOR_API_H_
+#ifndef PERIDOTGAUGE_CORE_OPERATOR_API_H_
+#define PERIDOTGAUGE_CORE_OPERATOR_API_H_
 
 #include <cstdint>
 #include <optional>
@@ -16,8 +16,8 @@
 #include <string_view>
 #include <vector>
 
-#include "error.h"
-#include "http_message.h"
+#include "core/error.h"
+#include "core/http_message.h"
 
 namespace peridotgauge {
 
@@ -77,4 +77,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_OPERATOR_API_H_
+#endif  // PERIDOTGAUGE_CORE_OPERATOR_API_H_
--- a/order.cc
+++ b/core/order.cc
@@ -1,6 +1,6 @@
 // Life cycle of one order. Every public function handles one event, then AfterEvent() applies the
 // rules that depend only on time.
-#include "order.h"
+#include "core/order.h"
 
 #include <algorithm>
 #include <utility>
--- a/order.h
+++ b/core/order.h
@@ -30,17 +30,17 @@
 //     that it was not run                              kUnknownOutcome
 //     any other outcome                                kInDoubt
 //   a completion is refused                            kInDoubt
-#ifndef PERIDOTGAUGE_ORDER_H_
-#define PERIDOTGAUGE_ORDER_H_
+#ifndef PERIDOTGAUGE_CORE_ORDER_H_
+#define PERIDOTGAUGE_CORE_ORDER_H_
 
 #include <cstdint>
 #include <optional>
 #include <string>
 
-#include "error.h"
-#include "ledger.h"
-#include "search_policy.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/search_policy.h"
+#include "core/types.h"
+#include "state/ledger.h"
 
 namespace peridotgauge {
 
@@ -164,4 +164,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_ORDER_H_
+#endif  // PERIDOTGAUGE_CORE_ORDER_H_
--- a/ownership.cc
+++ b/core/ownership.cc
@@ -1,5 +1,5 @@
 // Rendezvous hashing of targets over routers, and the fence at a hand-over.
-#include "ownership.h"
+#include "core/ownership.h"
 
 #include <xxhash.h>
 
--- a/ownership.h
+++ b/core/ownership.h
@@ -23,8 +23,8 @@
 // kHandoverWait others may dispatch on an old view; then their leases have ended or they know the
 // view. A Release ends the fence early. It is sent only by a router that was allowed to dispatch
 // until it learned the view, and only if the possible owners are itself and the new owner.
-#ifndef PERIDOTGAUGE_OWNERSHIP_H_
-#define PERIDOTGAUGE_OWNERSHIP_H_
+#ifndef PERIDOTGAUGE_CORE_OWNERSHIP_H_
+#define PERIDOTGAUGE_CORE_OWNERSHIP_H_
 
 #include <cstdint>
 #include <deque>
@@ -35,10 +35,10 @@
 #include <tuple>
 #include <vector>
 
-#include "lease.h"
-#include "records.h"
-#include "settings.h"
-#include "types.h"
+#include "core/records.h"
+#include "core/settings.h"
+#include "core/types.h"
+#include "state/lease.h"
 
 namespace peridotgauge {
 
@@ -163,4 +163,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_OWNERSHIP_H_
+#endif  // PERIDOTGAUGE_CORE_OWNERSHIP_H_
--- a/patience.cc
+++ b/core/patience.cc
@@ -1,5 +1,5 @@
 // The longest patience of two periods.
-#include "patience.h"
+#include "core/patience.h"
 
 #include <algorithm>
 
--- a/patience.h
+++ b/core/patience.h
@@ -10,10 +10,10 @@
 // Contract: the longest patience of the last one to two periods is taken for that of a caller that
 // has not waited yet. Callers of one route that differ in patience look as if they had waited; a
 // caller of this function must therefore expect any value from 0 to the longest patience.
-#ifndef PERIDOTGAUGE_PATIENCE_H_
-#define PERIDOTGAUGE_PATIENCE_H_
+#ifndef PERIDOTGAUGE_CORE_PATIENCE_H_
+#define PERIDOTGAUGE_CORE_PATIENCE_H_
 
-#include "types.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -33,4 +33,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_PATIENCE_H_
+#endif  // PERIDOTGAUGE_CORE_PATIENCE_H_
--- a/plan.cc
+++ b/core/plan.cc
@@ -1,5 +1,5 @@
 // Index of the serving targets of each service, and the choice of layouts and snapshots.
-#include "plan.h"
+#include "core/plan.h"
 
 #include <algorithm>
 #include <set>
--- a/plan.h
+++ b/core/plan.h
@@ -15,8 +15,8 @@
 // and not the number of shards is compared because a repartition can change the number: 4 of 4
 // shards are preferred to 5 of 8. If a service is divided in several ways within one snapshot, the
 // layout with the largest covered part is used, and among equals the one with more shards.
-#ifndef PERIDOTGAUGE_PLAN_H_
-#define PERIDOTGAUGE_PLAN_H_
+#ifndef PERIDOTGAUGE_CORE_PLAN_H_
+#define PERIDOTGAUGE_CORE_PLAN_H_
 
 #include <cstdint>
 #include <functional>
@@ -28,11 +28,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "config.h"
-#include "error.h"
-#include "records.h"
-#include "search_policy.h"
-#include "types.h"
+#include "core/config.h"
+#include "core/error.h"
+#include "core/records.h"
+#include "core/search_policy.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -141,4 +141,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_PLAN_H_
+#endif  // PERIDOTGAUGE_CORE_PLAN_H_
--- a/quantile_window.cc
+++ b/core/quantile_window.cc
@@ -1,5 +1,5 @@
 // Latency histograms with Boost.Histogram, and their two-generation window.
-#include "quantile_window.h"
+#include "core/quantile_window.h"
 
 #include <algorithm>
 #include <cmath>
--- a/quantile_window.h
+++ b/core/quantile_window.h
@@ -9,15 +9,15 @@
 // kQuantileError above the exact value (between kShortestLatency and kLongestLatency). Samples are
 // held in two generations. When the younger one is full and old enough it replaces the older one,
 // so the quantile covers between one and two generations.
-#ifndef PERIDOTGAUGE_QUANTILE_WINDOW_H_
-#define PERIDOTGAUGE_QUANTILE_WINDOW_H_
+#ifndef PERIDOTGAUGE_CORE_QUANTILE_WINDOW_H_
+#define PERIDOTGAUGE_CORE_QUANTILE_WINDOW_H_
 
 #include <boost/histogram.hpp>
 #include <cstdint>
 #include <optional>
 #include <vector>
 
-#include "types.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -78,4 +78,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_QUANTILE_WINDOW_H_
+#endif  // PERIDOTGAUGE_CORE_QUANTILE_WINDOW_H_
--- a/quarantine.cc
+++ b/core/quarantine.cc
@@ -1,5 +1,5 @@
 // Fingerprints, recent successes, suspects and the committed quarantine list.
-#include "quarantine.h"
+#include "core/quarantine.h"
 
 #include <xxhash.h>
 
--- a/quarantine.h
+++ b/core/quarantine.h
@@ -11,8 +11,8 @@
 // one incarnation of a target count once. When a second target has crashed, the caller of OnCrash()
 // must commit a quarantine, and answers kQuarantined only when that is committed. Everything
 // remembered here is bounded.
-#ifndef PERIDOTGAUGE_QUARANTINE_H_
-#define PERIDOTGAUGE_QUARANTINE_H_
+#ifndef PERIDOTGAUGE_CORE_QUARANTINE_H_
+#define PERIDOTGAUGE_CORE_QUARANTINE_H_
 
 #include <cstdint>
 #include <string>
@@ -21,8 +21,8 @@
 #include <unordered_set>
 #include <vector>
 
-#include "records.h"
-#include "types.h"
+#include "core/records.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -114,4 +114,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_QUARANTINE_H_
+#endif  // PERIDOTGAUGE_CORE_QUARANTINE_H_
--- a/records.cc
+++ b/core/records.cc
@@ -1,5 +1,5 @@
 // Conversion between the core's value types and the generated wire types.
-#include "records.h"
+#include "core/records.h"
 
 namespace peridotgauge {
 
--- a/records.h
+++ b/core/records.h
@@ -2,8 +2,8 @@
 //
 // The generated object types hold pointers, so their comparison is not deep. The core uses these
 // types; ToWire() and FromWire() convert at the edge.
-#ifndef PERIDOTGAUGE_RECORDS_H_
-#define PERIDOTGAUGE_RECORDS_H_
+#ifndef PERIDOTGAUGE_CORE_RECORDS_H_
+#define PERIDOTGAUGE_CORE_RECORDS_H_
 
 #include <array>
 #include <compare>
@@ -13,8 +13,8 @@
 #include <string_view>
 #include <vector>
 
+#include "core/types.h"
 #include "peer_generated.h"
-#include "types.h"
 
 namespace peridotgauge {
 
@@ -78,4 +78,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_RECORDS_H_
+#endif  // PERIDOTGAUGE_CORE_RECORDS_H_
--- a/replica_choice.cc
+++ b/core/replica_choice.cc
@@ -1,5 +1,5 @@
 // Scores, ejection and the strategy table.
-#include "replica_choice.h"
+#include "core/replica_choice.h"
 
 #include <glog/logging.h>
 #include <xxhash.h>
--- a/replica_choice.h
+++ b/core/replica_choice.h
@@ -34,8 +34,8 @@
 // (the default: two choices, probes and avoidance of targets that just refused a request) and
 // "least" (probing, but the best of all candidates: with three replicas, two of them slow, a random
 // pair holds none of the good one in a third of the cases).
-#ifndef PERIDOTGAUGE_REPLICA_CHOICE_H_
-#define PERIDOTGAUGE_REPLICA_CHOICE_H_
+#ifndef PERIDOTGAUGE_CORE_REPLICA_CHOICE_H_
+#define PERIDOTGAUGE_CORE_REPLICA_CHOICE_H_
 
 #include <cstdint>
 #include <deque>
@@ -46,9 +46,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "error.h"
-#include "search_policy.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/search_policy.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -206,4 +206,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_REPLICA_CHOICE_H_
+#endif  // PERIDOTGAUGE_CORE_REPLICA_CHOICE_H_
--- a/route_codec.h
+++ b/core/route_codec.h
@@ -8,18 +8,18 @@
 //
 // Contract: implementations translate and decide nothing. They keep no reference to their
 // arguments.
-#ifndef PERIDOTGAUGE_ROUTE_CODEC_H_
-#define PERIDOTGAUGE_ROUTE_CODEC_H_
+#ifndef PERIDOTGAUGE_CORE_ROUTE_CODEC_H_
+#define PERIDOTGAUGE_CORE_ROUTE_CODEC_H_
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "error.h"
-#include "http_message.h"
-#include "records.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/http_message.h"
+#include "core/records.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -78,4 +78,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_ROUTE_CODEC_H_
+#endif  // PERIDOTGAUGE_CORE_ROUTE_CODEC_H_
--- a/route_plan.cc
+++ b/core/route_plan.cc
@@ -1,5 +1,5 @@
 // Plans from routes.
-#include "route_plan.h"
+#include "core/route_plan.h"
 
 #include <algorithm>
 
--- a/route_plan.h
+++ b/core/route_plan.h
@@ -7,8 +7,8 @@
 //
 // Contract: a plan names each service as a fleet of its own, so that budgets count by service. All
 // fleets have the snapshot 0. Plans are cached until Invalidate().
-#ifndef PERIDOTGAUGE_ROUTE_PLAN_H_
-#define PERIDOTGAUGE_ROUTE_PLAN_H_
+#ifndef PERIDOTGAUGE_CORE_ROUTE_PLAN_H_
+#define PERIDOTGAUGE_CORE_ROUTE_PLAN_H_
 
 #include <map>
 #include <memory>
@@ -16,9 +16,9 @@
 #include <utility>
 #include <vector>
 
-#include "plan.h"
-#include "routes.h"
-#include "types.h"
+#include "core/plan.h"
+#include "core/routes.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -52,4 +52,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_ROUTE_PLAN_H_
+#endif  // PERIDOTGAUGE_CORE_ROUTE_PLAN_H_
--- a/routes.cc
+++ b/core/routes.cc
@@ -1,5 +1,5 @@
 // Validation and lookup of routes.
-#include "routes.h"
+#include "core/routes.h"
 
 #include <algorithm>
 #include <cmath>
--- a/routes.h
+++ b/core/routes.h
@@ -8,8 +8,8 @@
 // Contract: a RouteTable is immutable and valid: every service that a route names exists, no two
 // routes share host and prefix, every timeout is above 0 and the weights of a split add up to more
 // than 0. Of the routes of a host, the one with the longest prefix that begins the path matches.
-#ifndef PERIDOTGAUGE_ROUTES_H_
-#define PERIDOTGAUGE_ROUTES_H_
+#ifndef PERIDOTGAUGE_CORE_ROUTES_H_
+#define PERIDOTGAUGE_CORE_ROUTES_H_
 
 #include <compare>
 #include <cstdint>
@@ -18,8 +18,8 @@
 #include <string_view>
 #include <vector>
 
-#include "error.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -105,4 +105,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_ROUTES_H_
+#endif  // PERIDOTGAUGE_CORE_ROUTES_H_
--- a/search.cc
+++ b/core/search.cc
@@ -1,6 +1,6 @@
 // Scatter and gather of one search. Every public function handles one event, then AfterEvent()
 // continues the canaries, answers if it is time to, and sets the timer.
-#include "search.h"
+#include "core/search.h"
 
 #include <algorithm>
 #include <utility>
--- a/search.h
+++ b/core/search.h
@@ -34,8 +34,8 @@
 //   kStragglerFactor times the time that took, if that is sooner. The shards of one search take
 //   alike, whatever the load is at the moment; a delay learned from earlier searches follows too
 //   late.
-#ifndef PERIDOTGAUGE_SEARCH_H_
-#define PERIDOTGAUGE_SEARCH_H_
+#ifndef PERIDOTGAUGE_CORE_SEARCH_H_
+#define PERIDOTGAUGE_CORE_SEARCH_H_
 
 #include <cstdint>
 #include <memory>
@@ -43,10 +43,10 @@
 #include <string>
 #include <vector>
 
-#include "error.h"
-#include "plan.h"
-#include "search_policy.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/plan.h"
+#include "core/search_policy.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -256,4 +256,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_SEARCH_H_
+#endif  // PERIDOTGAUGE_CORE_SEARCH_H_
--- a/search_policy.h
+++ b/core/search_policy.h
@@ -8,16 +8,16 @@
 // identify a target by its name (and incarnation), because two plans can hold two copies of one
 // record. They learn about sends, replies and latencies from the router, not through these
 // interfaces.
-#ifndef PERIDOTGAUGE_SEARCH_POLICY_H_
-#define PERIDOTGAUGE_SEARCH_POLICY_H_
+#ifndef PERIDOTGAUGE_CORE_SEARCH_POLICY_H_
+#define PERIDOTGAUGE_CORE_SEARCH_POLICY_H_
 
 #include <cstdint>
 #include <optional>
 #include <span>
 #include <string_view>
 
-#include "records.h"
-#include "types.h"
+#include "core/records.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -57,4 +57,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_SEARCH_POLICY_H_
+#endif  // PERIDOTGAUGE_CORE_SEARCH_POLICY_H_
--- a/settings.cc
+++ b/core/settings.cc
@@ -1,5 +1,5 @@
 // Parsing and validation of the daemon's settings.
-#include "settings.h"
+#include "core/settings.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -9,8 +9,8 @@
 #include <sstream>
 #include <utility>
 
-#include "address.h"
-#include "strict_json.h"
+#include "core/address.h"
+#include "core/strict_json.h"
 
 namespace peridotgauge {
 namespace {
--- a/settings.h
+++ b/core/settings.h
@@ -6,16 +6,16 @@
 // Contract: parsing checks types, ranges, unknown keys, address syntax and duplicate ports, and the
 // error (kInvalidSettings) names the file, the key, the value and what is allowed.
 // CheckDataFolder() is apart because it touches the disk.
-#ifndef PERIDOTGAUGE_SETTINGS_H_
-#define PERIDOTGAUGE_SETTINGS_H_
+#ifndef PERIDOTGAUGE_CORE_SETTINGS_H_
+#define PERIDOTGAUGE_CORE_SETTINGS_H_
 
 #include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "error.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -83,4 +83,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_SETTINGS_H_
+#endif  // PERIDOTGAUGE_CORE_SETTINGS_H_
--- a/span.cc
+++ b/core/span.cc
@@ -1,5 +1,5 @@
 // Trace and span ids, the traceparent header, and the JSON form of spans.
-#include "span.h"
+#include "core/span.h"
 
 #include <boost/json.hpp>
 #include <charconv>
--- a/span.h
+++ b/core/span.h
@@ -9,8 +9,8 @@
 //
 // Contract: ids are never zero. Times are Unix nanoseconds. ToJsonLine() and ParseSpan() are
 // inverse to each other.
-#ifndef PERIDOTGAUGE_SPAN_H_
-#define PERIDOTGAUGE_SPAN_H_
+#ifndef PERIDOTGAUGE_CORE_SPAN_H_
+#define PERIDOTGAUGE_CORE_SPAN_H_
 
 #include <cstdint>
 #include <optional>
@@ -19,7 +19,7 @@
 #include <string_view>
 #include <vector>
 
-#include "error.h"
+#include "core/error.h"
 
 namespace peridotgauge {
 
@@ -93,4 +93,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_SPAN_H_
+#endif  // PERIDOTGAUGE_CORE_SPAN_H_
--- a/strict_json.cc
+++ b/core/strict_json.cc
@@ -1,6 +1,6 @@
 // Strict JSON: a first pass over the text finds repeated keys, which Boost.JSON's own parser drops
 // silently; a second pass builds the value.
-#include "strict_json.h"
+#include "core/strict_json.h"
 
 #include <algorithm>
 #include <boost/json/basic_parser_impl.hpp>
--- a/strict_json.h
+++ b/core/strict_json.h
@@ -11,8 +11,8 @@
 // Contract: a reader keeps the first problem and ignores later ones, so callers check once at the
 // end. A member that is absent leaves its variable unchanged unless it is required. Problems name
 // the place, the value and what is allowed.
-#ifndef PERIDOTGAUGE_STRICT_JSON_H_
-#define PERIDOTGAUGE_STRICT_JSON_H_
+#ifndef PERIDOTGAUGE_CORE_STRICT_JSON_H_
+#define PERIDOTGAUGE_CORE_STRICT_JSON_H_
 
 #include <boost/json.hpp>
 #include <cstdint>
@@ -21,8 +21,8 @@
 #include <string>
 #include <string_view>
 
-#include "error.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -100,4 +100,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_STRICT_JSON_H_
+#endif  // PERIDOTGAUGE_CORE_STRICT_JSON_H_
--- a/target_queue.cc
+++ b/core/target_queue.cc
@@ -1,5 +1,5 @@
 // The owner's queue for one target.
-#include "target_queue.h"
+#include "core/target_queue.h"
 
 #include <algorithm>
 
--- a/target_queue.h
+++ b/core/target_queue.h
@@ -10,8 +10,8 @@
 // connections. Entries leave in the order of their deadlines (equal ones in the order of arrival).
 // Every pushed id leaves exactly once: it is dispatched, dropped with an error that proves it did
 // not run, or cancelled while it waits. After a dispatch, OnDone() must follow exactly once.
-#ifndef PERIDOTGAUGE_TARGET_QUEUE_H_
-#define PERIDOTGAUGE_TARGET_QUEUE_H_
+#ifndef PERIDOTGAUGE_CORE_TARGET_QUEUE_H_
+#define PERIDOTGAUGE_CORE_TARGET_QUEUE_H_
 
 #include <cstdint>
 #include <map>
@@ -21,8 +21,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "error.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -150,4 +150,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_TARGET_QUEUE_H_
+#endif  // PERIDOTGAUGE_CORE_TARGET_QUEUE_H_
--- a/trace_tree.cc
+++ b/core/trace_tree.cc
@@ -1,5 +1,5 @@
 // Draws the spans of one request as a tree.
-#include "trace_tree.h"
+#include "core/trace_tree.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/trace_tree.h
+++ b/core/trace_tree.h
@@ -7,15 +7,15 @@
 //
 // Contract: spans whose parent is missing are drawn as roots, so a trace with a lost span still
 // shows everything else. Siblings are in the order of their start.
-#ifndef PERIDOTGAUGE_TRACE_TREE_H_
-#define PERIDOTGAUGE_TRACE_TREE_H_
+#ifndef PERIDOTGAUGE_CORE_TRACE_TREE_H_
+#define PERIDOTGAUGE_CORE_TRACE_TREE_H_
 
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "span.h"
+#include "core/span.h"
 
 namespace peridotgauge {
 
@@ -29,4 +29,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_TRACE_TREE_H_
+#endif  // PERIDOTGAUGE_CORE_TRACE_TREE_H_
--- a/types.h
+++ b/core/types.h
@@ -2,8 +2,8 @@
 //
 // Deciding functions never read a clock. They receive the present time as a `Time` argument, and
 // only the I/O layer calls SteadyNow() and UnixMillis().
-#ifndef PERIDOTGAUGE_TYPES_H_
-#define PERIDOTGAUGE_TYPES_H_
+#ifndef PERIDOTGAUGE_CORE_TYPES_H_
+#define PERIDOTGAUGE_CORE_TYPES_H_
 
 #include <chrono>
 #include <compare>
@@ -23,18 +23,6 @@
 // Builds a time from milliseconds since an arbitrary epoch; tests use it.
 constexpr Time TimeAt(int64_t millis) { return Time(Millis(millis)); }
 
-// Reads the monotonic clock. For the I/O layer only.
-inline Time SteadyNow() {
-  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
-// Reads the wall clock, in milliseconds since the Unix epoch. For the I/O layer only.
-inline int64_t UnixMillis() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 // A shard of a service. Shards of a service are numbered from 0.
 struct ShardId {
   std::string service;
@@ -56,4 +44,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_TYPES_H_
+#endif  // PERIDOTGAUGE_CORE_TYPES_H_
--- a/cli_client.cc
+++ b/io/cli_client.cc
@@ -1,13 +1,14 @@
 // Blocking HTTP calls of the command-line tool.
-#include "cli_client.h"
+#include "io/cli_client.h"
 
 #include <boost/asio/io_context.hpp>
 #include <optional>
 #include <utility>
 
-#include "address.h"
-#include "caller_api.h"
-#include "http_client.h"
+#include "core/address.h"
+#include "core/caller_api.h"
+#include "io/clock.h"
+#include "io/http_client.h"
 
 namespace peridotgauge {
 namespace {
--- a/cli_client.h
+++ b/io/cli_client.h
@@ -7,15 +7,15 @@
 // Contract: the addresses are tried in turn. The next one is tried only after a failure that proves
 // that the request was not executed. kUnavailable: no address could be reached. kUnknownOutcome:
 // the request was sent and its answer was lost. Any HTTP status is a response, not an error.
-#ifndef PERIDOTGAUGE_CLI_CLIENT_H_
-#define PERIDOTGAUGE_CLI_CLIENT_H_
+#ifndef PERIDOTGAUGE_IO_CLI_CLIENT_H_
+#define PERIDOTGAUGE_IO_CLI_CLIENT_H_
 
 #include <string>
 #include <vector>
 
-#include "error.h"
-#include "http_message.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/http_message.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -39,4 +39,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_CLI_CLIENT_H_
+#endif  // PERIDOTGAUGE_IO_CLI_CLIENT_H_
--- a/control_channel.cc
+++ b/io/control_channel.cc
@@ -1,12 +1,13 @@
 // Finding the leader and repeating calls.
-#include "control_channel.h"
+#include "io/control_channel.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
-#include "address.h"
+#include "core/address.h"
+#include "io/clock.h"
 
 namespace peridotgauge {
 namespace {
--- a/control_channel.h
+++ b/io/control_channel.h
@@ -8,8 +8,8 @@
 // never from inside the call. A call follows kNotLeader and goes on to other controllers until its
 // deadline. It fails with kUnavailable only if no controller can have received it, otherwise with
 // kUnknownOutcome. With Resend::kNever it is not sent again once a controller may have executed it.
-#ifndef PERIDOTGAUGE_CONTROL_CHANNEL_H_
-#define PERIDOTGAUGE_CONTROL_CHANNEL_H_
+#ifndef PERIDOTGAUGE_IO_CONTROL_CHANNEL_H_
+#define PERIDOTGAUGE_IO_CONTROL_CHANNEL_H_
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -18,11 +18,11 @@
 #include <string>
 #include <vector>
 
-#include "error.h"
-#include "peer.h"
+#include "core/error.h"
+#include "core/settings.h"
+#include "core/types.h"
+#include "io/peer.h"
 #include "peer_generated.h"
-#include "settings.h"
-#include "types.h"
 
 namespace peridotgauge {
 
@@ -94,4 +94,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_CONTROL_CHANNEL_H_
+#endif  // PERIDOTGAUGE_IO_CONTROL_CHANNEL_H_
--- a/control_client.cc
+++ b/io/control_client.cc
@@ -1,5 +1,5 @@
 // The sync loop of a router and its copy of the published state.
-#include "control_client.h"
+#include "io/control_client.h"
 
 #include <glog/logging.h>
 
@@ -9,8 +9,9 @@
 #include <optional>
 #include <utility>
 
-#include "control_channel.h"
-#include "registration_outbox.h"
+#include "io/clock.h"
+#include "io/control_channel.h"
+#include "state/registration_outbox.h"
 
 namespace peridotgauge {
 namespace {
--- a/control_client.h
+++ b/io/control_client.h
@@ -15,8 +15,8 @@
 // if no controller can have received it; kUnknownOutcome if it may have been committed. Commands
 // other than ChangeMembers are idempotent and are sent again until the deadline when an answer is
 // lost.
-#ifndef PERIDOTGAUGE_CONTROL_CLIENT_H_
-#define PERIDOTGAUGE_CONTROL_CLIENT_H_
+#ifndef PERIDOTGAUGE_IO_CONTROL_CLIENT_H_
+#define PERIDOTGAUGE_IO_CONTROL_CLIENT_H_
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -26,15 +26,15 @@
 #include <string>
 #include <vector>
 
-#include "commands.h"
-#include "config.h"
-#include "directory_copy.h"
-#include "error.h"
-#include "lease.h"
+#include "core/config.h"
+#include "core/error.h"
+#include "core/records.h"
+#include "core/settings.h"
+#include "core/types.h"
 #include "peer_generated.h"
-#include "records.h"
-#include "settings.h"
-#include "types.h"
+#include "state/commands.h"
+#include "state/directory_copy.h"
+#include "state/lease.h"
 
 namespace peridotgauge {
 
@@ -116,4 +116,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_CONTROL_CLIENT_H_
+#endif  // PERIDOTGAUGE_IO_CONTROL_CLIENT_H_
--- a/control_events.cc
+++ b/io/control_events.cc
@@ -1,7 +1,8 @@
 // Fields of the controllers' log lines.
-#include "control_events.h"
+#include "io/control_events.h"
 
-#include "target_event.h"
+#include "io/clock.h"
+#include "io/target_event.h"
 
 namespace peridotgauge {
 
--- a/control_events.h
+++ b/io/control_events.h
@@ -7,17 +7,17 @@
 //   events.RouterJoins(router);
 //
 // Contract: never blocks and never fails, see event_log.h. Without a log nothing is written.
-#ifndef PERIDOTGAUGE_CONTROL_EVENTS_H_
-#define PERIDOTGAUGE_CONTROL_EVENTS_H_
+#ifndef PERIDOTGAUGE_IO_CONTROL_EVENTS_H_
+#define PERIDOTGAUGE_IO_CONTROL_EVENTS_H_
 
 #include <cstdint>
 #include <string_view>
 
-#include "error.h"
-#include "event_log.h"
+#include "core/error.h"
+#include "core/records.h"
+#include "io/event_log.h"
 #include "peer_generated.h"
-#include "records.h"
-#include "session.h"
+#include "state/session.h"
 
 namespace peridotgauge {
 
@@ -46,4 +46,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_CONTROL_EVENTS_H_
+#endif  // PERIDOTGAUGE_IO_CONTROL_EVENTS_H_
--- a/control_replies.cc
+++ b/io/control_replies.cc
@@ -1,5 +1,5 @@
 // Replies of a controller, built from its state.
-#include "control_replies.h"
+#include "io/control_replies.h"
 
 #include <utility>
 
--- a/control_replies.h
+++ b/io/control_replies.h
@@ -4,19 +4,19 @@
 //   responder.reply(SyncError(ErrorCode::kNotLeader, "", leader));
 //   wire::SyncReplyT reply = StateNews(state, request.state_index);
 //   AddDirectoryNews(directory.DeltaSince(epoch, version), reply);
-#ifndef PERIDOTGAUGE_CONTROL_REPLIES_H_
-#define PERIDOTGAUGE_CONTROL_REPLIES_H_
+#ifndef PERIDOTGAUGE_IO_CONTROL_REPLIES_H_
+#define PERIDOTGAUGE_IO_CONTROL_REPLIES_H_
 
 #include <cstdint>
 #include <optional>
 #include <string>
 
-#include "control_report.h"
-#include "control_state.h"
-#include "directory.h"
-#include "error.h"
+#include "core/error.h"
+#include "io/replica.h"
 #include "peer_generated.h"
-#include "replica.h"
+#include "state/control_report.h"
+#include "state/control_state.h"
+#include "state/directory.h"
 
 namespace peridotgauge {
 
@@ -40,4 +40,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_CONTROL_REPLIES_H_
+#endif  // PERIDOTGAUGE_IO_CONTROL_REPLIES_H_
--- a/controller.cc
+++ b/io/controller.cc
@@ -1,5 +1,5 @@
 // Long polls, commands and reads of the controller role.
-#include "controller.h"
+#include "io/controller.h"
 
 #include <glog/logging.h>
 
@@ -12,17 +12,18 @@
 #include <set>
 #include <utility>
 
-#include "commands.h"
-#include "config.h"
-#include "control_events.h"
-#include "control_replies.h"
-#include "control_report.h"
-#include "directory.h"
-#include "leader_relay.h"
-#include "publication.h"
-#include "quorum_round.h"
-#include "session.h"
-#include "target_intake.h"
+#include "core/config.h"
+#include "io/clock.h"
+#include "io/control_events.h"
+#include "io/control_replies.h"
+#include "io/leader_relay.h"
+#include "io/quorum_round.h"
+#include "state/commands.h"
+#include "state/control_report.h"
+#include "state/directory.h"
+#include "state/publication.h"
+#include "state/session.h"
+#include "state/target_intake.h"
 
 namespace peridotgauge {
 namespace {
--- a/controller.h
+++ b/io/controller.h
@@ -14,8 +14,8 @@
 // SyncRequest and ReadRequest follow a quorum round that began after the request arrived;
 // requests that wait at the same time share one round. A router receives a success reply, and
 // with it a lease, only while it is in the committed router list.
-#ifndef PERIDOTGAUGE_CONTROLLER_H_
-#define PERIDOTGAUGE_CONTROLLER_H_
+#ifndef PERIDOTGAUGE_IO_CONTROLLER_H_
+#define PERIDOTGAUGE_IO_CONTROLLER_H_
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -23,15 +23,15 @@
 #include <string>
 #include <vector>
 
-#include "config.h"
-#include "control_state.h"
-#include "event_log.h"
-#include "peer.h"
+#include "core/config.h"
+#include "core/settings.h"
+#include "core/types.h"
+#include "io/event_log.h"
+#include "io/peer.h"
+#include "io/replicated_log.h"
 #include "peer_generated.h"
-#include "registration.h"
-#include "replicated_log.h"
-#include "settings.h"
-#include "types.h"
+#include "state/control_state.h"
+#include "state/registration.h"
 
 namespace peridotgauge {
 
@@ -90,4 +90,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_CONTROLLER_H_
+#endif  // PERIDOTGAUGE_IO_CONTROLLER_H_
--- a/daemon.cc
+++ b/io/daemon.cc
@@ -1,5 +1,5 @@
 // One daemon process.
-#include "daemon.h"
+#include "io/daemon.h"
 
 #include <glog/logging.h>
 #include <unistd.h>
@@ -9,23 +9,24 @@
 #include <optional>
 #include <utility>
 
-#include "address.h"
-#include "caller_api.h"
-#include "control_client.h"
-#include "control_state.h"
-#include "controller.h"
-#include "event_log.h"
-#include "gateway.h"
-#include "http_server.h"
-#include "metrics.h"
-#include "operator_http.h"
-#include "peer.h"
-#include "peer_pool.h"
-#include "random_seed.h"
-#include "replica.h"
-#include "replicated_log.h"
-#include "router.h"
-#include "tracer.h"
+#include "core/address.h"
+#include "core/caller_api.h"
+#include "core/metrics.h"
+#include "io/clock.h"
+#include "io/control_client.h"
+#include "io/controller.h"
+#include "io/event_log.h"
+#include "io/gateway.h"
+#include "io/http_server.h"
+#include "io/operator_http.h"
+#include "io/peer.h"
+#include "io/peer_pool.h"
+#include "io/random_seed.h"
+#include "io/replica.h"
+#include "io/replicated_log.h"
+#include "io/router.h"
+#include "io/tracer.h"
+#include "state/control_state.h"
 
 namespace peridotgauge {
 namespace {
--- a/daemon.h
+++ b/io/daemon.h
@@ -6,15 +6,15 @@
 //   io.run();                                  // returns after Shutdown() has finished
 //
 // Contract: runs on the thread of the io_context. The settings have been checked.
-#ifndef PERIDOTGAUGE_DAEMON_H_
-#define PERIDOTGAUGE_DAEMON_H_
+#ifndef PERIDOTGAUGE_IO_DAEMON_H_
+#define PERIDOTGAUGE_IO_DAEMON_H_
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
 
-#include "error.h"
-#include "external_interface.h"
-#include "settings.h"
+#include "core/error.h"
+#include "core/settings.h"
+#include "io/external_interface.h"
 
 namespace peridotgauge {
 
@@ -41,4 +41,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_DAEMON_H_
+#endif  // PERIDOTGAUGE_IO_DAEMON_H_
--- a/data_folder.cc
+++ b/io/data_folder.cc
@@ -6,7 +6,7 @@
 #include <filesystem>
 #include <system_error>
 
-#include "settings.h"
+#include "core/settings.h"
 
 namespace peridotgauge {
 namespace {
--- a/event_log.cc
+++ b/io/event_log.cc
@@ -1,5 +1,5 @@
 // Line budget and writes that never block.
-#include "event_log.h"
+#include "io/event_log.h"
 
 #include <poll.h>
 #include <unistd.h>
--- a/event_log.h
+++ b/io/event_log.h
@@ -8,15 +8,16 @@
 // not take in time is dropped. More than kEventsPerSecond lines a second, beyond a burst, are
 // dropped too. The next line that is written says how many were left out (`left_out`). The field
 // names are listed in docs/OPERATIONS.md.
-#ifndef PERIDOTGAUGE_EVENT_LOG_H_
-#define PERIDOTGAUGE_EVENT_LOG_H_
+#ifndef PERIDOTGAUGE_IO_EVENT_LOG_H_
+#define PERIDOTGAUGE_IO_EVENT_LOG_H_
 
 #include <concepts>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
-#include "types.h"
+#include "core/types.h"
+#include "io/clock.h"
 
 namespace peridotgauge {
 
@@ -72,4 +73,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_EVENT_LOG_H_
+#endif  // PERIDOTGAUGE_IO_EVENT_LOG_H_
--- a/external_interface.h
+++ b/io/external_interface.h
@@ -2,16 +2,16 @@
 //
 // Implemented in platform/, which translates names and formats; everything that decides is behind
 // the functions and objects that it is given here.
-#ifndef PERIDOTGAUGE_EXTERNAL_INTERFACE_H_
-#define PERIDOTGAUGE_EXTERNAL_INTERFACE_H_
+#ifndef PERIDOTGAUGE_IO_EXTERNAL_INTERFACE_H_
+#define PERIDOTGAUGE_IO_EXTERNAL_INTERFACE_H_
 
 #include <functional>
 #include <vector>
 
-#include "config.h"
-#include "control_client.h"
-#include "http_server.h"
-#include "route_codec.h"
+#include "core/config.h"
+#include "core/route_codec.h"
+#include "io/control_client.h"
+#include "io/http_server.h"
 
 namespace peridotgauge {
 
@@ -39,4 +39,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_EXTERNAL_INTERFACE_H_
+#endif  // PERIDOTGAUGE_IO_EXTERNAL_INTERFACE_H_
--- a/gateway.cc
+++ b/io/gateway.cc
@@ -1,5 +1,5 @@
 // Routes of the configuration, targets of the directory, and the requests that bring both together.
-#include "gateway.h"
+#include "io/gateway.h"
 
 #include <algorithm>
 #include <limits>
@@ -7,13 +7,14 @@
 #include <string_view>
 #include <utility>
 
-#include "patience.h"
-#include "plan.h"
-#include "random_seed.h"
-#include "replica_choice.h"
-#include "route_plan.h"
-#include "route_request.h"
-#include "target_event.h"
+#include "core/patience.h"
+#include "core/plan.h"
+#include "core/replica_choice.h"
+#include "core/route_plan.h"
+#include "io/clock.h"
+#include "io/random_seed.h"
+#include "io/route_request.h"
+#include "io/target_event.h"
 
 namespace peridotgauge {
 namespace {
--- a/gateway.h
+++ b/io/gateway.h
@@ -11,19 +11,19 @@
 // be reached: which routes may have changed meanwhile cannot be known, and refusing would help
 // nobody. Before the first configuration everything is refused with kNotSynchronized. A request
 // that is not idempotent is sent a second time only if the first one provably did not run.
-#ifndef PERIDOTGAUGE_GATEWAY_H_
-#define PERIDOTGAUGE_GATEWAY_H_
+#ifndef PERIDOTGAUGE_IO_GATEWAY_H_
+#define PERIDOTGAUGE_IO_GATEWAY_H_
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
 
-#include "control_client.h"
-#include "event_log.h"
-#include "http_message.h"
-#include "http_server.h"
-#include "metrics.h"
-#include "route_codec.h"
-#include "settings.h"
+#include "core/http_message.h"
+#include "core/metrics.h"
+#include "core/route_codec.h"
+#include "core/settings.h"
+#include "io/control_client.h"
+#include "io/event_log.h"
+#include "io/http_server.h"
 
 namespace peridotgauge {
 
@@ -50,4 +50,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_GATEWAY_H_
+#endif  // PERIDOTGAUGE_IO_GATEWAY_H_
--- a/http_beast.cc
+++ b/io/http_beast.cc
@@ -1,5 +1,5 @@
 // Copies of methods, targets, headers and bodies.
-#include "http_beast.h"
+#include "io/http_beast.h"
 
 #include <algorithm>
 #include <boost/beast/http.hpp>
--- a/http_beast.h
+++ b/io/http_beast.h
@@ -4,15 +4,15 @@
 //   HttpRequest request = ToRequest(parser.release());
 //   http::async_write(socket, message = ToMessage(response, keep_alive, head_only), ...);
 //   std::string bytes = RequestText(request, address);
-#ifndef PERIDOTGAUGE_HTTP_BEAST_H_
-#define PERIDOTGAUGE_HTTP_BEAST_H_
+#ifndef PERIDOTGAUGE_IO_HTTP_BEAST_H_
+#define PERIDOTGAUGE_IO_HTTP_BEAST_H_
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <string>
 
-#include "http_message.h"
-#include "types.h"
+#include "core/http_message.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -31,4 +31,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_HTTP_BEAST_H_
+#endif  // PERIDOTGAUGE_IO_HTTP_BEAST_H_
--- a/http_client.cc
+++ b/io/http_client.cc
@@ -1,11 +1,12 @@
 // The connection pool: calls wait in order, idle connections are reused newest first.
-#include "http_client.h"
+#include "io/http_client.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
-#include "http_beast.h"
-#include "http_client_impl.h"
+#include "io/clock.h"
+#include "io/http_beast.h"
+#include "io/http_client_impl.h"
 
 namespace peridotgauge {
 namespace {
--- a/http_client.h
+++ b/io/http_client.h
@@ -18,8 +18,8 @@
 // The pool never has more connections than its limit. A connection that this side closes counts
 // until the peer has closed it too, for at most kCloseTimeout, because the peer counts it as well.
 // Calls above the limit wait in the order of their arrival.
-#ifndef PERIDOTGAUGE_HTTP_CLIENT_H_
-#define PERIDOTGAUGE_HTTP_CLIENT_H_
+#ifndef PERIDOTGAUGE_IO_HTTP_CLIENT_H_
+#define PERIDOTGAUGE_IO_HTTP_CLIENT_H_
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -27,9 +27,9 @@
 #include <memory>
 #include <tl/expected.hpp>
 
-#include "error.h"
-#include "http_message.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/http_message.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -102,4 +102,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_HTTP_CLIENT_H_
+#endif  // PERIDOTGAUGE_IO_HTTP_CLIENT_H_
--- a/http_client_impl.h
+++ b/io/http_client_impl.h
@@ -1,7 +1,7 @@
 // The parts of HttpClient: the pool, which assigns calls to connections, and one connection.
 // For http_client.cc and http_connection.cc only.
-#ifndef PERIDOTGAUGE_HTTP_CLIENT_IMPL_H_
-#define PERIDOTGAUGE_HTTP_CLIENT_IMPL_H_
+#ifndef PERIDOTGAUGE_IO_HTTP_CLIENT_IMPL_H_
+#define PERIDOTGAUGE_IO_HTTP_CLIENT_IMPL_H_
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -17,7 +17,7 @@
 #include <utility>
 #include <vector>
 
-#include "http_client.h"
+#include "io/http_client.h"
 
 namespace peridotgauge {
 
@@ -152,4 +152,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_HTTP_CLIENT_IMPL_H_
+#endif  // PERIDOTGAUGE_IO_HTTP_CLIENT_IMPL_H_
--- a/http_connection.cc
+++ b/io/http_connection.cc
@@ -7,10 +7,11 @@
 #include <charconv>
 #include <string_view>
 
-#include "address.h"
-#include "http_beast.h"
-#include "http_client_impl.h"
-#include "socket_options.h"
+#include "core/address.h"
+#include "io/clock.h"
+#include "io/http_beast.h"
+#include "io/http_client_impl.h"
+#include "io/socket_options.h"
 
 namespace peridotgauge {
 namespace {
--- a/http_server.cc
+++ b/io/http_server.cc
@@ -1,5 +1,5 @@
 // The HTTP server: one Connection per socket, each with at most one outstanding read.
-#include "http_server.h"
+#include "io/http_server.h"
 
 #include <glog/logging.h>
 
@@ -16,10 +16,10 @@
 #include <unordered_set>
 #include <utility>
 
-#include "address.h"
-#include "caller_api.h"
-#include "http_beast.h"
-#include "socket_options.h"
+#include "core/address.h"
+#include "core/caller_api.h"
+#include "io/http_beast.h"
+#include "io/socket_options.h"
 
 namespace peridotgauge {
 namespace {
--- a/http_server.h
+++ b/io/http_server.h
@@ -15,17 +15,17 @@
 // caller_api.h and the connection is closed: kBadRequest for a malformed or unfinished request,
 // kTooLarge for a head or body above its limit, kOverloaded for a connection above the limit. No
 // input ends the process or keeps a connection open without a time limit.
-#ifndef PERIDOTGAUGE_HTTP_SERVER_H_
-#define PERIDOTGAUGE_HTTP_SERVER_H_
+#ifndef PERIDOTGAUGE_IO_HTTP_SERVER_H_
+#define PERIDOTGAUGE_IO_HTTP_SERVER_H_
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
 
-#include "error.h"
-#include "http_message.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/http_message.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -98,4 +98,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_HTTP_SERVER_H_
+#endif  // PERIDOTGAUGE_IO_HTTP_SERVER_H_
--- a/leader_relay.cc
+++ b/io/leader_relay.cc
@@ -1,10 +1,10 @@
 // Connections to the leader for requests of others.
-#include "leader_relay.h"
+#include "io/leader_relay.h"
 
 #include <utility>
 
-#include "address.h"
-#include "control_replies.h"
+#include "core/address.h"
+#include "io/control_replies.h"
 
 namespace peridotgauge {
 
--- a/leader_relay.h
+++ b/io/leader_relay.h
@@ -7,8 +7,8 @@
 // Contract: runs on the thread of the io_context. Each request gets one reply: the leader's,
 // kNotLeader if the leader is not known, or kUnavailable if it did not answer. A passed request is
 // not passed on again.
-#ifndef PERIDOTGAUGE_LEADER_RELAY_H_
-#define PERIDOTGAUGE_LEADER_RELAY_H_
+#ifndef PERIDOTGAUGE_IO_LEADER_RELAY_H_
+#define PERIDOTGAUGE_IO_LEADER_RELAY_H_
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -17,10 +17,10 @@
 #include <string>
 #include <vector>
 
-#include "peer.h"
+#include "core/settings.h"
+#include "core/types.h"
+#include "io/peer.h"
 #include "peer_generated.h"
-#include "settings.h"
-#include "types.h"
 
 namespace peridotgauge {
 
@@ -51,4 +51,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_LEADER_RELAY_H_
+#endif  // PERIDOTGAUGE_IO_LEADER_RELAY_H_
--- a/operator_http.cc
+++ b/io/operator_http.cc
@@ -1,15 +1,16 @@
 // The operators' HTTP interface: one table from paths to reads of the control state, and the
 // command that applies a configuration text.
-#include "operator_http.h"
+#include "io/operator_http.h"
 
 #include <glog/logging.h>
 
 #include <optional>
 #include <utility>
 
-#include "caller_api.h"
-#include "config.h"
-#include "operator_api.h"
+#include "core/caller_api.h"
+#include "core/config.h"
+#include "core/operator_api.h"
+#include "io/clock.h"
 
 namespace peridotgauge {
 
--- a/operator_http.h
+++ b/io/operator_http.h
@@ -8,14 +8,14 @@
 // validated here before it is sent on. Every request gets one answer; kUnknownOutcome is answered
 // if a text may have been accepted but the leader's answer was lost, and the operator can send the
 // same text again to learn the outcome.
-#ifndef PERIDOTGAUGE_OPERATOR_HTTP_H_
-#define PERIDOTGAUGE_OPERATOR_HTTP_H_
+#ifndef PERIDOTGAUGE_IO_OPERATOR_HTTP_H_
+#define PERIDOTGAUGE_IO_OPERATOR_HTTP_H_
 
 #include <string>
 
-#include "control_client.h"
-#include "http_message.h"
-#include "http_server.h"
+#include "core/http_message.h"
+#include "io/control_client.h"
+#include "io/http_server.h"
 
 namespace peridotgauge {
 
@@ -41,4 +41,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_OPERATOR_HTTP_H_
+#endif  // PERIDOTGAUGE_IO_OPERATOR_HTTP_H_
--- a/order_runner.cc
+++ b/io/order_runner.cc
@@ -1,5 +1,5 @@
 // Runs one order.
-#include "order_runner.h"
+#include "io/order_runner.h"
 
 #include <glog/logging.h>
 #include <xxhash.h>
@@ -11,7 +11,8 @@
 #include <utility>
 #include <vector>
 
-#include "search_runner.h"
+#include "io/clock.h"
+#include "io/search_runner.h"
 
 namespace peridotgauge {
 namespace {
--- a/order_runner.h
+++ b/io/order_runner.h
@@ -6,16 +6,16 @@
 // Contract: runs on the thread of the io_context. The callback is called exactly once. A run keeps
 // itself alive until its outcome is recorded, also after the answer and after the caller has
 // disconnected: an order that was claimed is always finished.
-#ifndef PERIDOTGAUGE_ORDER_RUNNER_H_
-#define PERIDOTGAUGE_ORDER_RUNNER_H_
+#ifndef PERIDOTGAUGE_IO_ORDER_RUNNER_H_
+#define PERIDOTGAUGE_IO_ORDER_RUNNER_H_
 
 #include <functional>
 #include <memory>
 #include <optional>
 
-#include "caller_api.h"
-#include "order.h"
-#include "request_context.h"
+#include "core/caller_api.h"
+#include "core/order.h"
+#include "io/request_context.h"
 
 namespace peridotgauge {
 
@@ -41,4 +41,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_ORDER_RUNNER_H_
+#endif  // PERIDOTGAUGE_IO_ORDER_RUNNER_H_
--- a/owner.cc
+++ b/io/owner.cc
@@ -1,5 +1,5 @@
 // Executes sub-requests on owned targets: one queue and one connection pool for each target.
-#include "owner.h"
+#include "io/owner.h"
 
 #include <glog/logging.h>
 
@@ -13,8 +13,9 @@
 #include <utility>
 #include <vector>
 
-#include "target_client.h"
-#include "target_queue.h"
+#include "core/target_queue.h"
+#include "io/clock.h"
+#include "io/target_client.h"
 
 namespace peridotgauge {
 namespace {
--- a/owner.h
+++ b/io/owner.h
@@ -11,8 +11,8 @@
 // owns the target, no earlier owner can still dispatch to it, and the configuration lease is valid;
 // otherwise the reply is kNoTarget, which proves that nothing was sent. Requests in flight at a
 // target never exceed its slots; connections never exceed its connection limit.
-#ifndef PERIDOTGAUGE_OWNER_H_
-#define PERIDOTGAUGE_OWNER_H_
+#ifndef PERIDOTGAUGE_IO_OWNER_H_
+#define PERIDOTGAUGE_IO_OWNER_H_
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -20,14 +20,14 @@
 #include <memory>
 #include <string>
 
-#include "control_client.h"
-#include "metrics.h"
-#include "ownership.h"
+#include "core/metrics.h"
+#include "core/ownership.h"
+#include "core/settings.h"
+#include "core/types.h"
+#include "io/control_client.h"
+#include "io/peer_pool.h"
+#include "io/tracer.h"
 #include "peer_generated.h"
-#include "peer_pool.h"
-#include "settings.h"
-#include "tracer.h"
-#include "types.h"
 
 namespace peridotgauge {
 
@@ -70,4 +70,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_OWNER_H_
+#endif  // PERIDOTGAUGE_IO_OWNER_H_
--- a/peer.cc
+++ b/io/peer.cc
@@ -1,6 +1,6 @@
 // Framed TCP between processes. Both ends share PeerConnection, which reads and writes whole
 // frames; PeerClient adds calls with deadlines, PeerServer adds requests and cancellation.
-#include "peer.h"
+#include "io/peer.h"
 
 #include <glog/logging.h>
 
@@ -16,8 +16,9 @@
 #include <utility>
 #include <vector>
 
-#include "address.h"
-#include "socket_options.h"
+#include "core/address.h"
+#include "io/clock.h"
+#include "io/socket_options.h"
 
 namespace peridotgauge {
 namespace {
--- a/peer.h
+++ b/io/peer.h
@@ -17,17 +17,17 @@
 // kUnavailable if it fails. Frames above kMaxFrameBytes or that fail verification close the
 // connection. Both sides bound the bytes that wait to be written: a client refuses calls with
 // kOverloaded, a server closes a connection that does not read its replies.
-#ifndef PERIDOTGAUGE_PEER_H_
-#define PERIDOTGAUGE_PEER_H_
+#ifndef PERIDOTGAUGE_IO_PEER_H_
+#define PERIDOTGAUGE_IO_PEER_H_
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
 #include <string>
 
-#include "error.h"
+#include "core/error.h"
+#include "core/types.h"
 #include "peer_generated.h"
-#include "types.h"
 
 namespace peridotgauge {
 
@@ -112,4 +112,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_PEER_H_
+#endif  // PERIDOTGAUGE_IO_PEER_H_
--- a/peer_pool.h
+++ b/io/peer_pool.h
@@ -2,16 +2,16 @@
 //
 // Contract: runs on the thread of the io_context. The number of connections is bounded by the
 // number of routers; Keep() closes those that are no longer needed.
-#ifndef PERIDOTGAUGE_PEER_POOL_H_
-#define PERIDOTGAUGE_PEER_POOL_H_
+#ifndef PERIDOTGAUGE_IO_PEER_POOL_H_
+#define PERIDOTGAUGE_IO_PEER_POOL_H_
 
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
 #include <set>
 
-#include "peer.h"
-#include "types.h"
+#include "core/types.h"
+#include "io/peer.h"
 
 namespace peridotgauge {
 
@@ -45,4 +45,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_PEER_POOL_H_
+#endif  // PERIDOTGAUGE_IO_PEER_POOL_H_
--- a/quorum_round.cc
+++ b/io/quorum_round.cc
@@ -1,9 +1,11 @@
 // One quorum round after the other.
-#include "quorum_round.h"
+#include "io/quorum_round.h"
 
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "io/clock.h"
+
 namespace peridotgauge {
 
 void QuorumRounds::Confirm(Callback callback) {
--- a/quorum_round.h
+++ b/io/quorum_round.h
@@ -8,8 +8,8 @@
 // that began after its Confirm(), and never from inside the call; no callback is called after the
 // object has been destroyed. One round runs at a time, and all requests that arrive meanwhile share
 // the next one.
-#ifndef PERIDOTGAUGE_QUORUM_ROUND_H_
-#define PERIDOTGAUGE_QUORUM_ROUND_H_
+#ifndef PERIDOTGAUGE_IO_QUORUM_ROUND_H_
+#define PERIDOTGAUGE_IO_QUORUM_ROUND_H_
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -17,9 +17,9 @@
 #include <memory>
 #include <vector>
 
-#include "error.h"
-#include "replicated_log.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/types.h"
+#include "io/replicated_log.h"
 
 namespace peridotgauge {
 
@@ -44,4 +44,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_QUORUM_ROUND_H_
+#endif  // PERIDOTGAUGE_IO_QUORUM_ROUND_H_
--- a/raft_transport.cc
+++ b/io/raft_transport.cc
@@ -1,5 +1,5 @@
 // Sends raft messages to the other controllers.
-#include "raft_transport.h"
+#include "io/raft_transport.h"
 
 #include <string>
 #include <utility>
--- a/raft_transport.h
+++ b/io/raft_transport.h
@@ -2,15 +2,15 @@
 //
 // Contract: messages are one-way and may be lost; the raft core sends again. Runs on the thread of
 // the io_context.
-#ifndef PERIDOTGAUGE_RAFT_TRANSPORT_H_
-#define PERIDOTGAUGE_RAFT_TRANSPORT_H_
+#ifndef PERIDOTGAUGE_IO_RAFT_TRANSPORT_H_
+#define PERIDOTGAUGE_IO_RAFT_TRANSPORT_H_
 
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
 
-#include "peer.h"
-#include "raft_message.h"
+#include "io/peer.h"
+#include "state/raft_message.h"
 
 namespace peridotgauge {
 
@@ -30,4 +30,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_RAFT_TRANSPORT_H_
+#endif  // PERIDOTGAUGE_IO_RAFT_TRANSPORT_H_
--- a/random_seed.h
+++ b/io/random_seed.h
@@ -1,6 +1,6 @@
 // A seed for random numbers from the operating system.
-#ifndef PERIDOTGAUGE_RANDOM_SEED_H_
-#define PERIDOTGAUGE_RANDOM_SEED_H_
+#ifndef PERIDOTGAUGE_IO_RANDOM_SEED_H_
+#define PERIDOTGAUGE_IO_RANDOM_SEED_H_
 
 #include <cstdint>
 #include <random>
@@ -15,4 +15,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_RANDOM_SEED_H_
+#endif  // PERIDOTGAUGE_IO_RANDOM_SEED_H_
--- a/replica.cc
+++ b/io/replica.cc
@@ -1,5 +1,5 @@
 // Drives the raft core: applies what it commits, stores what it writes, sends what it says.
-#include "replica.h"
+#include "io/replica.h"
 
 #include <glog/logging.h>
 
@@ -10,11 +10,12 @@
 #include <utility>
 #include <vector>
 
-#include "raft.h"
-#include "raft_transport.h"
-#include "random_seed.h"
-#include "storage_thread.h"
-#include "wal.h"
+#include "io/clock.h"
+#include "io/raft_transport.h"
+#include "io/random_seed.h"
+#include "io/storage_thread.h"
+#include "io/wal.h"
+#include "state/raft.h"
 
 namespace peridotgauge {
 namespace {
--- a/replica.h
+++ b/io/replica.h
@@ -8,8 +8,8 @@
 // Contract: everything runs on the thread of the io_context except file writes and syncs, which
 // have a thread of their own. Every callback is called exactly once, never from inside the call
 // that registered it. Committed commands reach StateMachine::Apply in log order, each once.
-#ifndef PERIDOTGAUGE_REPLICA_H_
-#define PERIDOTGAUGE_REPLICA_H_
+#ifndef PERIDOTGAUGE_IO_REPLICA_H_
+#define PERIDOTGAUGE_IO_REPLICA_H_
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -17,11 +17,11 @@
 #include <memory>
 #include <string>
 
-#include "error.h"
+#include "core/error.h"
+#include "core/settings.h"
+#include "core/types.h"
 #include "peer_generated.h"
-#include "settings.h"
-#include "state_machine.h"
-#include "types.h"
+#include "state/state_machine.h"
 
 namespace peridotgauge {
 
@@ -96,4 +96,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_REPLICA_H_
+#endif  // PERIDOTGAUGE_IO_REPLICA_H_
--- a/replicated_log.cc
+++ b/io/replicated_log.cc
@@ -1,5 +1,5 @@
 // Forwards to a Replica.
-#include "replicated_log.h"
+#include "io/replicated_log.h"
 
 #include <utility>
 
--- a/replicated_log.h
+++ b/io/replicated_log.h
@@ -6,17 +6,17 @@
 //   Controller controller(io, options, *log, state);
 //
 // Contract: as in replica.h.
-#ifndef PERIDOTGAUGE_REPLICATED_LOG_H_
-#define PERIDOTGAUGE_REPLICATED_LOG_H_
+#ifndef PERIDOTGAUGE_IO_REPLICATED_LOG_H_
+#define PERIDOTGAUGE_IO_REPLICATED_LOG_H_
 
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
-#include "error.h"
-#include "replica.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/types.h"
+#include "io/replica.h"
 
 namespace peridotgauge {
 
@@ -39,4 +39,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_REPLICATED_LOG_H_
+#endif  // PERIDOTGAUGE_IO_REPLICATED_LOG_H_
--- a/request_context.h
+++ b/io/request_context.h
@@ -1,19 +1,19 @@
 // What the searches and orders of a router share. Everything outlives them.
-#ifndef PERIDOTGAUGE_REQUEST_CONTEXT_H_
-#define PERIDOTGAUGE_REQUEST_CONTEXT_H_
+#ifndef PERIDOTGAUGE_IO_REQUEST_CONTEXT_H_
+#define PERIDOTGAUGE_IO_REQUEST_CONTEXT_H_
 
 #include <boost/asio/io_context.hpp>
 
-#include "admission.h"
-#include "control_client.h"
-#include "hedge.h"
-#include "metrics.h"
-#include "plan.h"
-#include "quarantine.h"
-#include "replica_choice.h"
-#include "settings.h"
-#include "sub_request_sender.h"
-#include "tracer.h"
+#include "core/admission.h"
+#include "core/hedge.h"
+#include "core/metrics.h"
+#include "core/plan.h"
+#include "core/quarantine.h"
+#include "core/replica_choice.h"
+#include "core/settings.h"
+#include "io/control_client.h"
+#include "io/sub_request_sender.h"
+#include "io/tracer.h"
 
 namespace peridotgauge {
 
@@ -33,4 +33,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_REQUEST_CONTEXT_H_
+#endif  // PERIDOTGAUGE_IO_REQUEST_CONTEXT_H_
--- a/route_request.cc
+++ b/io/route_request.cc
@@ -1,5 +1,5 @@
 // Runs the search of one request and turns its outcome into an answer.
-#include "route_request.h"
+#include "io/route_request.h"
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
@@ -7,8 +7,9 @@
 #include <utility>
 #include <vector>
 
-#include "gather.h"
-#include "search.h"
+#include "core/gather.h"
+#include "core/search.h"
+#include "io/clock.h"
 
 namespace peridotgauge {
 namespace {
--- a/route_request.h
+++ b/io/route_request.h
@@ -7,8 +7,8 @@
 // Contract: runs on the thread of the io_context. `done` is called exactly once unless Abort()
 // comes first. The decisions are those of search.h: a request for one target is a search of one
 // shard.
-#ifndef PERIDOTGAUGE_ROUTE_REQUEST_H_
-#define PERIDOTGAUGE_ROUTE_REQUEST_H_
+#ifndef PERIDOTGAUGE_IO_ROUTE_REQUEST_H_
+#define PERIDOTGAUGE_IO_ROUTE_REQUEST_H_
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -17,17 +17,17 @@
 #include <random>
 #include <string>
 
-#include "event_log.h"
-#include "hedge.h"
-#include "http_message.h"
-#include "metrics.h"
-#include "plan.h"
-#include "quantile_window.h"
-#include "replica_choice.h"
-#include "route_codec.h"
-#include "routes.h"
-#include "target_pool.h"
-#include "types.h"
+#include "core/hedge.h"
+#include "core/http_message.h"
+#include "core/metrics.h"
+#include "core/plan.h"
+#include "core/quantile_window.h"
+#include "core/replica_choice.h"
+#include "core/route_codec.h"
+#include "core/routes.h"
+#include "core/types.h"
+#include "io/event_log.h"
+#include "io/target_pool.h"
 
 namespace peridotgauge {
 
@@ -93,4 +93,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_ROUTE_REQUEST_H_
+#endif  // PERIDOTGAUGE_IO_ROUTE_REQUEST_H_
--- a/router.cc
+++ b/io/router.cc
@@ -1,5 +1,5 @@
 // The router role.
-#include "router.h"
+#include "io/router.h"
 
 #include <glog/logging.h>
 
@@ -8,19 +8,20 @@
 #include <set>
 #include <utility>
 
-#include "admission.h"
-#include "caller_api.h"
-#include "hedge.h"
-#include "order_runner.h"
-#include "owner.h"
-#include "plan.h"
-#include "quarantine.h"
-#include "random_seed.h"
-#include "registration.h"
-#include "replica_choice.h"
-#include "request_context.h"
-#include "search_runner.h"
-#include "sub_request_sender.h"
+#include "core/admission.h"
+#include "core/caller_api.h"
+#include "core/hedge.h"
+#include "core/plan.h"
+#include "core/quarantine.h"
+#include "core/replica_choice.h"
+#include "io/clock.h"
+#include "io/order_runner.h"
+#include "io/owner.h"
+#include "io/random_seed.h"
+#include "io/request_context.h"
+#include "io/search_runner.h"
+#include "io/sub_request_sender.h"
+#include "state/registration.h"
 
 namespace peridotgauge {
 namespace {
--- a/router.h
+++ b/io/router.h
@@ -10,21 +10,21 @@
 // Contract: runs on the thread of the io_context. `control` is started and stopped by the router.
 // Every HTTP request gets one answer. While the configuration lease is not valid, everything is
 // refused with kNotSynchronized.
-#ifndef PERIDOTGAUGE_ROUTER_H_
-#define PERIDOTGAUGE_ROUTER_H_
+#ifndef PERIDOTGAUGE_IO_ROUTER_H_
+#define PERIDOTGAUGE_IO_ROUTER_H_
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
 
-#include "control_client.h"
-#include "http_message.h"
-#include "http_server.h"
-#include "metrics.h"
-#include "peer.h"
-#include "peer_pool.h"
-#include "settings.h"
-#include "tracer.h"
+#include "core/http_message.h"
+#include "core/metrics.h"
+#include "core/settings.h"
+#include "io/control_client.h"
+#include "io/http_server.h"
+#include "io/peer.h"
+#include "io/peer_pool.h"
+#include "io/tracer.h"
 
 namespace peridotgauge {
 
@@ -62,4 +62,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_ROUTER_H_
+#endif  // PERIDOTGAUGE_IO_ROUTER_H_
--- a/search_runner.cc
+++ b/io/search_runner.cc
@@ -1,5 +1,5 @@
 // Runs one search.
-#include "search_runner.h"
+#include "io/search_runner.h"
 
 #include <glog/logging.h>
 
@@ -9,7 +9,8 @@
 #include <utility>
 #include <vector>
 
-#include "search.h"
+#include "core/search.h"
+#include "io/clock.h"
 
 namespace peridotgauge {
 namespace {
--- a/search_runner.h
+++ b/io/search_runner.h
@@ -7,16 +7,16 @@
 // Contract: runs on the thread of the io_context. The callback is called exactly once unless the
 // run was aborted. It is not called from inside Start() unless the search is refused. A run keeps
 // itself alive until it ends.
-#ifndef PERIDOTGAUGE_SEARCH_RUNNER_H_
-#define PERIDOTGAUGE_SEARCH_RUNNER_H_
+#ifndef PERIDOTGAUGE_IO_SEARCH_RUNNER_H_
+#define PERIDOTGAUGE_IO_SEARCH_RUNNER_H_
 
 #include <functional>
 #include <memory>
 #include <optional>
 
-#include "caller_api.h"
-#include "request_context.h"
-#include "span.h"
+#include "core/caller_api.h"
+#include "core/span.h"
+#include "io/request_context.h"
 
 namespace peridotgauge {
 
@@ -40,4 +40,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_SEARCH_RUNNER_H_
+#endif  // PERIDOTGAUGE_IO_SEARCH_RUNNER_H_
--- a/socket_options.cc
+++ b/io/socket_options.cc
@@ -1,5 +1,5 @@
 // Options of every TCP connection.
-#include "socket_options.h"
+#include "io/socket_options.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/socket_options.h
+++ b/io/socket_options.h
@@ -1,10 +1,10 @@
 // Options of every TCP connection.
-#ifndef PERIDOTGAUGE_SOCKET_OPTIONS_H_
-#define PERIDOTGAUGE_SOCKET_OPTIONS_H_
+#ifndef PERIDOTGAUGE_IO_SOCKET_OPTIONS_H_
+#define PERIDOTGAUGE_IO_SOCKET_OPTIONS_H_
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include "types.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -21,4 +21,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_SOCKET_OPTIONS_H_
+#endif  // PERIDOTGAUGE_IO_SOCKET_OPTIONS_H_
--- a/span_writer.cc
+++ b/io/span_writer.cc
@@ -1,5 +1,5 @@
 // Appends spans to a file with one write for many lines.
-#include "span_writer.h"
+#include "io/span_writer.h"
 
 #include <fcntl.h>
 #include <sys/stat.h>
--- a/span_writer.h
+++ b/io/span_writer.h
@@ -9,15 +9,15 @@
 // as dropped. Flush() appends whole lines. After a failed write the unwritten spans stay in the
 // buffer. When the file reaches kMaxSpanFileBytes it is renamed to "<path>.1", which replaces the
 // older one, so disk use is bounded. Spans are not synced: they are diagnostic data.
-#ifndef PERIDOTGAUGE_SPAN_WRITER_H_
-#define PERIDOTGAUGE_SPAN_WRITER_H_
+#ifndef PERIDOTGAUGE_IO_SPAN_WRITER_H_
+#define PERIDOTGAUGE_IO_SPAN_WRITER_H_
 
 #include <cstdint>
 #include <deque>
 #include <string>
 
-#include "error.h"
-#include "span.h"
+#include "core/error.h"
+#include "core/span.h"
 
 namespace peridotgauge {
 
@@ -60,4 +60,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_SPAN_WRITER_H_
+#endif  // PERIDOTGAUGE_IO_SPAN_WRITER_H_
--- a/storage_thread.cc
+++ b/io/storage_thread.cc
@@ -1,5 +1,5 @@
 // The thread that writes and syncs the write-ahead log.
-#include "storage_thread.h"
+#include "io/storage_thread.h"
 
 #include <boost/asio/post.hpp>
 #include <iterator>
--- a/storage_thread.h
+++ b/io/storage_thread.h
@@ -9,8 +9,8 @@
 // the sequence of the last write that is synced; writes that wait together share one sync and one
 // callback. After an error the callback is called once with it, and all later writes are dropped.
 // No callback runs after the destructor, which waits for the write under way.
-#ifndef PERIDOTGAUGE_STORAGE_THREAD_H_
-#define PERIDOTGAUGE_STORAGE_THREAD_H_
+#ifndef PERIDOTGAUGE_IO_STORAGE_THREAD_H_
+#define PERIDOTGAUGE_IO_STORAGE_THREAD_H_
 
 #include <boost/asio/io_context.hpp>
 #include <condition_variable>
@@ -20,8 +20,8 @@
 #include <mutex>
 #include <thread>
 
-#include "error.h"
-#include "wal.h"
+#include "core/error.h"
+#include "io/wal.h"
 
 namespace peridotgauge {
 
@@ -54,4 +54,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_STORAGE_THREAD_H_
+#endif  // PERIDOTGAUGE_IO_STORAGE_THREAD_H_
--- a/sub_request_sender.cc
+++ b/io/sub_request_sender.cc
@@ -1,9 +1,10 @@
 // Sends sub-requests to the owners of their targets.
-#include "sub_request_sender.h"
+#include "io/sub_request_sender.h"
 
 #include <utility>
 
-#include "target_client.h"
+#include "io/clock.h"
+#include "io/target_client.h"
 
 namespace peridotgauge {
 namespace {
--- a/sub_request_sender.h
+++ b/io/sub_request_sender.h
@@ -8,19 +8,19 @@
 // Contract: runs on the thread of the io_context. The callback is called exactly once unless the
 // sub-request was cancelled, and never from inside Send(). The error of a reply has `not_run` in
 // the error table only if nothing reached the target.
-#ifndef PERIDOTGAUGE_SUB_REQUEST_SENDER_H_
-#define PERIDOTGAUGE_SUB_REQUEST_SENDER_H_
+#ifndef PERIDOTGAUGE_IO_SUB_REQUEST_SENDER_H_
+#define PERIDOTGAUGE_IO_SUB_REQUEST_SENDER_H_
 
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <unordered_map>
 
-#include "hedge.h"
-#include "owner.h"
-#include "peer_pool.h"
-#include "replica_choice.h"
-#include "types.h"
+#include "core/hedge.h"
+#include "core/replica_choice.h"
+#include "core/types.h"
+#include "io/owner.h"
+#include "io/peer_pool.h"
 
 namespace peridotgauge {
 
@@ -67,4 +67,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_SUB_REQUEST_SENDER_H_
+#endif  // PERIDOTGAUGE_IO_SUB_REQUEST_SENDER_H_
--- a/target_client.cc
+++ b/io/target_client.cc
@@ -1,5 +1,5 @@
 // Headers of the target wire format and the checks of a target's reply.
-#include "target_client.h"
+#include "io/target_client.h"
 
 #include <algorithm>
 #include <charconv>
@@ -7,7 +7,8 @@
 #include <string_view>
 #include <utility>
 
-#include "json_text.h"
+#include "core/json_text.h"
+#include "io/clock.h"
 
 namespace peridotgauge {
 namespace {
--- a/target_client.h
+++ b/io/target_client.h
@@ -10,16 +10,16 @@
 // (kWrongSnapshot if only the snapshot differs), so it is never merged. kShed is reported only for
 // a 503 with "x-not-run: true" that belongs to the request. The body of a successful reply is valid
 // JSON text.
-#ifndef PERIDOTGAUGE_TARGET_CLIENT_H_
-#define PERIDOTGAUGE_TARGET_CLIENT_H_
+#ifndef PERIDOTGAUGE_IO_TARGET_CLIENT_H_
+#define PERIDOTGAUGE_IO_TARGET_CLIENT_H_
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <string>
 
-#include "http_client.h"
+#include "core/types.h"
+#include "io/http_client.h"
 #include "peer_generated.h"
-#include "types.h"
 
 namespace peridotgauge {
 
@@ -55,4 +55,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_TARGET_CLIENT_H_
+#endif  // PERIDOTGAUGE_IO_TARGET_CLIENT_H_
--- a/target_event.h
+++ b/io/target_event.h
@@ -1,12 +1,12 @@
 // The log line of a change of one target, as controllers and routers write it.
-#ifndef PERIDOTGAUGE_TARGET_EVENT_H_
-#define PERIDOTGAUGE_TARGET_EVENT_H_
+#ifndef PERIDOTGAUGE_IO_TARGET_EVENT_H_
+#define PERIDOTGAUGE_IO_TARGET_EVENT_H_
 
 #include <cstdint>
 #include <string_view>
 
-#include "event_log.h"
-#include "records.h"
+#include "core/records.h"
+#include "io/event_log.h"
 
 namespace peridotgauge {
 
@@ -25,4 +25,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_TARGET_EVENT_H_
+#endif  // PERIDOTGAUGE_IO_TARGET_EVENT_H_
--- a/target_pool.cc
+++ b/io/target_pool.cc
@@ -1,5 +1,5 @@
 // Clients by target.
-#include "target_pool.h"
+#include "io/target_pool.h"
 
 #include <algorithm>
 
--- a/target_pool.h
+++ b/io/target_pool.h
@@ -10,16 +10,16 @@
 // target closes them. None is opened in advance: with many routers these would fill the limits of
 // the targets, and a target counts the connections of a router that lost power until its own
 // timeout.
-#ifndef PERIDOTGAUGE_TARGET_POOL_H_
-#define PERIDOTGAUGE_TARGET_POOL_H_
+#ifndef PERIDOTGAUGE_IO_TARGET_POOL_H_
+#define PERIDOTGAUGE_IO_TARGET_POOL_H_
 
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
 #include <string>
 
-#include "http_client.h"
-#include "records.h"
+#include "core/records.h"
+#include "io/http_client.h"
 
 namespace peridotgauge {
 
@@ -51,4 +51,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_TARGET_POOL_H_
+#endif  // PERIDOTGAUGE_IO_TARGET_POOL_H_
--- a/tracer.cc
+++ b/io/tracer.cc
@@ -1,5 +1,5 @@
 // Recording of spans.
-#include "tracer.h"
+#include "io/tracer.h"
 
 namespace peridotgauge {
 
--- a/tracer.h
+++ b/io/tracer.h
@@ -8,8 +8,8 @@
 //
 // Contract: a span that is not sampled, or whose process writes no spans, costs no more than its
 // ids. Spans are buffered; the owner of the tracer flushes the writer from a timer.
-#ifndef PERIDOTGAUGE_TRACER_H_
-#define PERIDOTGAUGE_TRACER_H_
+#ifndef PERIDOTGAUGE_IO_TRACER_H_
+#define PERIDOTGAUGE_IO_TRACER_H_
 
 #include <chrono>
 #include <optional>
@@ -17,9 +17,9 @@
 #include <string_view>
 #include <utility>
 
-#include "error.h"
-#include "span.h"
-#include "span_writer.h"
+#include "core/error.h"
+#include "core/span.h"
+#include "io/span_writer.h"
 
 namespace peridotgauge {
 
@@ -69,4 +69,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_TRACER_H_
+#endif  // PERIDOTGAUGE_IO_TRACER_H_
--- a/wal.cc
+++ b/io/wal.cc
@@ -2,7 +2,7 @@
 //   4 bytes payload length, 4 bytes header check, 8 bytes payload check (little endian).
 // The header check covers length, payload check and the segment's number, so that a damaged length
 // is not mistaken for a record that runs past the end of the file.
-#include "wal.h"
+#include "io/wal.h"
 
 #define XXH_INLINE_ALL
 #include <dirent.h>
--- a/wal.h
+++ b/io/wal.h
@@ -14,8 +14,8 @@
 // Files: `segment-<number>.wal` (records), `snapshot-<index>.snap`, `lock` (held while open).
 // Segments whose entries a snapshot covers are removed, so the folder size is bounded by two
 // snapshot intervals.
-#ifndef PERIDOTGAUGE_WAL_H_
-#define PERIDOTGAUGE_WAL_H_
+#ifndef PERIDOTGAUGE_IO_WAL_H_
+#define PERIDOTGAUGE_IO_WAL_H_
 
 #include <cstdint>
 #include <deque>
@@ -23,8 +23,8 @@
 #include <string>
 #include <string_view>
 
-#include "error.h"
-#include "raft.h"
+#include "core/error.h"
+#include "state/raft.h"
 
 namespace peridotgauge {
 
@@ -92,4 +92,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_WAL_H_
+#endif  // PERIDOTGAUGE_IO_WAL_H_
--- a/peridotgauge.cc
+++ b/programs/peridotgauge.cc
@@ -14,15 +14,16 @@
 #include <sstream>
 #include <thread>
 
-#include "caller_api.h"
-#include "cli_client.h"
-#include "cli_format.h"
-#include "config.h"
-#include "json_text.h"
-#include "operator_api.h"
-#include "random_seed.h"
-#include "span.h"
-#include "trace_tree.h"
+#include "core/caller_api.h"
+#include "core/cli_format.h"
+#include "core/config.h"
+#include "core/json_text.h"
+#include "core/operator_api.h"
+#include "core/span.h"
+#include "core/trace_tree.h"
+#include "io/cli_client.h"
+#include "io/clock.h"
+#include "io/random_seed.h"
 
 DEFINE_string(addresses, "",
               "addresses of the system, separated by commas and tried in turn; by default those of "
--- a/peridotgauged.cc
+++ b/programs/peridotgauged.cc
@@ -12,10 +12,10 @@
 #include <iostream>
 #include <iterator>
 
-#include "daemon.h"
+#include "core/replica_choice.h"
+#include "core/settings.h"
+#include "io/daemon.h"
 #include "platform/platform.h"
-#include "replica_choice.h"
-#include "settings.h"
 
 DEFINE_string(settings, "", "JSON file with the settings of this process");
 DEFINE_bool(check_settings, false, "check the settings, print the result and exit");
--- a/commands.h
+++ b/state/commands.h
@@ -1,13 +1,13 @@
 // Commands of the replicated state machine, wrapped for sending.
-#ifndef PERIDOTGAUGE_COMMANDS_H_
-#define PERIDOTGAUGE_COMMANDS_H_
+#ifndef PERIDOTGAUGE_STATE_COMMANDS_H_
+#define PERIDOTGAUGE_STATE_COMMANDS_H_
 
 #include <cstdint>
 #include <string>
 #include <utility>
 
-#include "config.h"
-#include "error.h"
+#include "core/config.h"
+#include "core/error.h"
 #include "peer_generated.h"
 
 namespace peridotgauge {
@@ -44,4 +44,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_COMMANDS_H_
+#endif  // PERIDOTGAUGE_STATE_COMMANDS_H_
--- a/control_report.cc
+++ b/state/control_report.cc
@@ -1,5 +1,5 @@
 // JSON of the operator API about the control plane.
-#include "control_report.h"
+#include "state/control_report.h"
 
 #include <boost/json.hpp>
 #include <utility>
--- a/control_report.h
+++ b/state/control_report.h
@@ -4,18 +4,18 @@
 // Contract: every function returns one JSON object. Digests are 16 hexadecimal digits, because many
 // JSON readers lose the low bits of 64-bit numbers. ConfigJson fails with kNotFound for a revision
 // that was never accepted or whose text is no longer kept.
-#ifndef PERIDOTGAUGE_CONTROL_REPORT_H_
-#define PERIDOTGAUGE_CONTROL_REPORT_H_
+#ifndef PERIDOTGAUGE_STATE_CONTROL_REPORT_H_
+#define PERIDOTGAUGE_STATE_CONTROL_REPORT_H_
 
 #include <cstdint>
 #include <string>
 
-#include "control_state.h"
-#include "directory.h"
-#include "error.h"
+#include "core/error.h"
+#include "core/types.h"
 #include "peer_generated.h"
-#include "session.h"
-#include "types.h"
+#include "state/control_state.h"
+#include "state/directory.h"
+#include "state/session.h"
 
 namespace peridotgauge {
 
@@ -63,4 +63,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_CONTROL_REPORT_H_
+#endif  // PERIDOTGAUGE_STATE_CONTROL_REPORT_H_
--- a/control_snapshot.cc
+++ b/state/control_snapshot.cc
@@ -3,8 +3,8 @@
 #include <utility>
 #include <vector>
 
-#include "control_state.h"
 #include "control_state_generated.h"
+#include "state/control_state.h"
 
 namespace peridotgauge {
 namespace {
--- a/control_state.cc
+++ b/state/control_state.cc
@@ -1,10 +1,10 @@
 // Commands of the replicated state machine. The snapshot format is in control_snapshot.cc.
-#include "control_state.h"
+#include "state/control_state.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "config.h"
+#include "core/config.h"
 
 namespace peridotgauge {
 namespace {
--- a/control_state.h
+++ b/state/control_state.h
@@ -10,8 +10,8 @@
 // Command.now_ms, and an earlier time than the last one counts as the last one. Version() is the
 // log index of the last change that routers have to learn of (configuration, router list,
 // quarantine); ledger commands do not change it.
-#ifndef PERIDOTGAUGE_CONTROL_STATE_H_
-#define PERIDOTGAUGE_CONTROL_STATE_H_
+#ifndef PERIDOTGAUGE_STATE_CONTROL_STATE_H_
+#define PERIDOTGAUGE_STATE_CONTROL_STATE_H_
 
 #include <cstdint>
 #include <deque>
@@ -21,11 +21,11 @@
 #include <string>
 #include <vector>
 
-#include "error.h"
-#include "ledger.h"
+#include "core/error.h"
+#include "core/records.h"
 #include "peer_generated.h"
-#include "records.h"
-#include "state_machine.h"
+#include "state/ledger.h"
+#include "state/state_machine.h"
 
 namespace peridotgauge {
 
@@ -141,4 +141,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_CONTROL_STATE_H_
+#endif  // PERIDOTGAUGE_STATE_CONTROL_STATE_H_
--- a/directory.cc
+++ b/state/directory.cc
@@ -1,5 +1,5 @@
 // Merging, deltas and expiry of the target directory.
-#include "directory.h"
+#include "state/directory.h"
 
 #include <xxhash.h>
 
--- a/directory.h
+++ b/state/directory.h
@@ -11,8 +11,8 @@
 // record that arrives late cannot bring it back. The epoch changes with each leadership; versions
 // count changes within one epoch. While a new leader collects registrations, a delta only adds to
 // the copy that a router has; the first delta after that replaces it.
-#ifndef PERIDOTGAUGE_DIRECTORY_H_
-#define PERIDOTGAUGE_DIRECTORY_H_
+#ifndef PERIDOTGAUGE_STATE_DIRECTORY_H_
+#define PERIDOTGAUGE_STATE_DIRECTORY_H_
 
 #include <cstdint>
 #include <map>
@@ -21,8 +21,8 @@
 #include <string>
 #include <vector>
 
-#include "records.h"
-#include "types.h"
+#include "core/records.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -130,4 +130,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_DIRECTORY_H_
+#endif  // PERIDOTGAUGE_STATE_DIRECTORY_H_
--- a/directory_copy.cc
+++ b/state/directory_copy.cc
@@ -1,5 +1,5 @@
 // Applying deltas to a router's copy of the directory.
-#include "directory_copy.h"
+#include "state/directory_copy.h"
 
 namespace peridotgauge {
 
--- a/directory_copy.h
+++ b/state/directory_copy.h
@@ -8,15 +8,15 @@
 // Contract: the copy follows one epoch at a time and never goes back to an older epoch or version.
 // After a digest mismatch it reports version 0, so that the leader sends everything; until then it
 // keeps what it has.
-#ifndef PERIDOTGAUGE_DIRECTORY_COPY_H_
-#define PERIDOTGAUGE_DIRECTORY_COPY_H_
+#ifndef PERIDOTGAUGE_STATE_DIRECTORY_COPY_H_
+#define PERIDOTGAUGE_STATE_DIRECTORY_COPY_H_
 
 #include <cstdint>
 #include <map>
 #include <string>
 
-#include "directory.h"
-#include "records.h"
+#include "core/records.h"
+#include "state/directory.h"
 
 namespace peridotgauge {
 
@@ -78,4 +78,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_DIRECTORY_COPY_H_
+#endif  // PERIDOTGAUGE_STATE_DIRECTORY_COPY_H_
--- a/lease.cc
+++ b/state/lease.cc
@@ -1,5 +1,5 @@
 // Lease arithmetic.
-#include "lease.h"
+#include "state/lease.h"
 
 #include <algorithm>
 
--- a/lease.h
+++ b/state/lease.h
@@ -6,12 +6,12 @@
 //
 // Contract: the lease runs from the moment the request was *sent*. The leader's session runs from
 // the moment of arrival and is longer by kSessionMargin, so it never ends before the lease.
-#ifndef PERIDOTGAUGE_LEASE_H_
-#define PERIDOTGAUGE_LEASE_H_
+#ifndef PERIDOTGAUGE_STATE_LEASE_H_
+#define PERIDOTGAUGE_STATE_LEASE_H_
 
 #include <optional>
 
-#include "types.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -37,4 +37,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_LEASE_H_
+#endif  // PERIDOTGAUGE_STATE_LEASE_H_
--- a/ledger.cc
+++ b/state/ledger.cc
@@ -1,6 +1,6 @@
 // Claims, completions and eviction. Every change of a record goes through SetState() or
 // SetExpiry(), which keep the indexes.
-#include "ledger.h"
+#include "state/ledger.h"
 
 #include <algorithm>
 #include <utility>
--- a/ledger.h
+++ b/state/ledger.h
@@ -11,8 +11,8 @@
 // and must not reuse a claim id. A record lives until the request's issue time plus the
 // window; from then on the id is refused with kExpired, so a request whose record is gone can never
 // pass as new. `now_ms` (Unix time) must never decrease.
-#ifndef PERIDOTGAUGE_LEDGER_H_
-#define PERIDOTGAUGE_LEDGER_H_
+#ifndef PERIDOTGAUGE_STATE_LEDGER_H_
+#define PERIDOTGAUGE_STATE_LEDGER_H_
 
 #include <compare>
 #include <cstdint>
@@ -22,7 +22,7 @@
 #include <utility>
 #include <vector>
 
-#include "error.h"
+#include "core/error.h"
 
 namespace peridotgauge {
 
@@ -148,4 +148,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_LEDGER_H_
+#endif  // PERIDOTGAUGE_STATE_LEDGER_H_
--- a/publication.cc
+++ b/state/publication.cc
@@ -1,5 +1,5 @@
 // Versions by router, and replies that wait for them.
-#include "publication.h"
+#include "state/publication.h"
 
 #include <algorithm>
 #include <utility>
--- a/publication.h
+++ b/state/publication.h
@@ -7,8 +7,8 @@
 //
 // Contract: a waiting reply is called exactly once, with true when every router with a session
 // holds the version or the limit has passed, or with false by FailAll().
-#ifndef PERIDOTGAUGE_PUBLICATION_H_
-#define PERIDOTGAUGE_PUBLICATION_H_
+#ifndef PERIDOTGAUGE_STATE_PUBLICATION_H_
+#define PERIDOTGAUGE_STATE_PUBLICATION_H_
 
 #include <cstdint>
 #include <functional>
@@ -16,8 +16,8 @@
 #include <string>
 #include <vector>
 
-#include "session.h"
-#include "types.h"
+#include "core/types.h"
+#include "state/session.h"
 
 namespace peridotgauge {
 
@@ -53,4 +53,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_PUBLICATION_H_
+#endif  // PERIDOTGAUGE_STATE_PUBLICATION_H_
--- a/raft.cc
+++ b/state/raft.cc
@@ -1,5 +1,5 @@
 // Roles, terms, quorums and the hand-over of work to storage and network.
-#include "raft.h"
+#include "state/raft.h"
 
 #include <glog/logging.h>
 
--- a/raft.h
+++ b/state/raft.h
@@ -31,8 +31,8 @@
 // replaces the incarnation. Until a membership entry is known to be committed, elections, commits
 // and reads need a majority of both the list before it and the list in it. Without this, the old
 // incarnation's last vote and the new incarnation's first vote could elect two leaders in one term.
-#ifndef PERIDOTGAUGE_RAFT_H_
-#define PERIDOTGAUGE_RAFT_H_
+#ifndef PERIDOTGAUGE_STATE_RAFT_H_
+#define PERIDOTGAUGE_STATE_RAFT_H_
 
 #include <cstdint>
 #include <deque>
@@ -44,10 +44,10 @@
 #include <string>
 #include <vector>
 
-#include "error.h"
-#include "raft_log.h"
-#include "raft_message.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/types.h"
+#include "state/raft_log.h"
+#include "state/raft_message.h"
 
 namespace peridotgauge {
 
@@ -336,4 +336,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_RAFT_H_
+#endif  // PERIDOTGAUGE_STATE_RAFT_H_
--- a/raft_election.cc
+++ b/state/raft_election.cc
@@ -5,7 +5,7 @@
 #include <set>
 #include <utility>
 
-#include "raft.h"
+#include "state/raft.h"
 
 namespace peridotgauge {
 
--- a/raft_leader.cc
+++ b/state/raft_leader.cc
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "raft.h"
+#include "state/raft.h"
 
 namespace peridotgauge {
 
--- a/raft_log.cc
+++ b/state/raft_log.cc
@@ -1,5 +1,5 @@
 // The in-memory part of the replicated log.
-#include "raft_log.h"
+#include "state/raft_log.h"
 
 #include <algorithm>
 #include <utility>
--- a/raft_log.h
+++ b/state/raft_log.h
@@ -3,15 +3,15 @@
 //
 // Contract: entries are contiguous. Indexes up to `FirstIndex() - 1` are compacted. The snapshot
 // index may be higher than that, since some entries are kept for followers that lag.
-#ifndef PERIDOTGAUGE_RAFT_LOG_H_
-#define PERIDOTGAUGE_RAFT_LOG_H_
+#ifndef PERIDOTGAUGE_STATE_RAFT_LOG_H_
+#define PERIDOTGAUGE_STATE_RAFT_LOG_H_
 
 #include <cstdint>
 #include <deque>
 #include <optional>
 #include <vector>
 
-#include "raft_message.h"
+#include "state/raft_message.h"
 
 namespace peridotgauge {
 
@@ -70,4 +70,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_RAFT_LOG_H_
+#endif  // PERIDOTGAUGE_STATE_RAFT_LOG_H_
--- a/raft_message.cc
+++ b/state/raft_message.cc
@@ -1,5 +1,5 @@
 // Conversion between the value types of the replicated log and raft.fbs.
-#include "raft_message.h"
+#include "state/raft_message.h"
 
 #include <algorithm>
 
--- a/raft_message.h
+++ b/state/raft_message.h
@@ -4,8 +4,8 @@
 // Use:
 //   std::string bytes = EncodeMessage(message);
 //   Result<RaftMessage> message = DecodeMessage(bytes);
-#ifndef PERIDOTGAUGE_RAFT_MESSAGE_H_
-#define PERIDOTGAUGE_RAFT_MESSAGE_H_
+#ifndef PERIDOTGAUGE_STATE_RAFT_MESSAGE_H_
+#define PERIDOTGAUGE_STATE_RAFT_MESSAGE_H_
 
 #include <cstdint>
 #include <memory>
@@ -14,8 +14,8 @@
 #include <string_view>
 #include <vector>
 
-#include "error.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -126,4 +126,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_RAFT_MESSAGE_H_
+#endif  // PERIDOTGAUGE_STATE_RAFT_MESSAGE_H_
--- a/raft_request.cc
+++ b/state/raft_request.cc
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "raft.h"
+#include "state/raft.h"
 
 namespace peridotgauge {
 
--- a/registration.cc
+++ b/state/registration.cc
@@ -1,10 +1,10 @@
 // Registration leases of targets at one router.
-#include "registration.h"
+#include "state/registration.h"
 
 #include <algorithm>
 
-#include "address.h"
-#include "strict_json.h"
+#include "core/address.h"
+#include "core/strict_json.h"
 
 namespace peridotgauge {
 namespace {
--- a/registration.h
+++ b/state/registration.h
@@ -10,8 +10,8 @@
 // of one target the one with the larger (incarnation, sequence) counts, whatever their order of
 // arrival. An expired one is reported once, with the state kGone. What the leader still has to
 // learn, and the full resend to a new leader, is kept by RegistrationOutbox.
-#ifndef PERIDOTGAUGE_REGISTRATION_H_
-#define PERIDOTGAUGE_REGISTRATION_H_
+#ifndef PERIDOTGAUGE_STATE_REGISTRATION_H_
+#define PERIDOTGAUGE_STATE_REGISTRATION_H_
 
 #include <cstdint>
 #include <map>
@@ -20,9 +20,9 @@
 #include <string_view>
 #include <vector>
 
-#include "error.h"
-#include "records.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/records.h"
+#include "core/types.h"
 
 namespace peridotgauge {
 
@@ -69,4 +69,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_REGISTRATION_H_
+#endif  // PERIDOTGAUGE_STATE_REGISTRATION_H_
--- a/registration_outbox.cc
+++ b/state/registration_outbox.cc
@@ -1,5 +1,5 @@
 // Which registrations of a router are sent to the leader.
-#include "registration_outbox.h"
+#include "state/registration_outbox.h"
 
 #include <utility>
 
--- a/registration_outbox.h
+++ b/state/registration_outbox.h
@@ -10,16 +10,16 @@
 // registrar, an older state or no record for a target that this router holds. That repairs every
 // loss, whatever its cause. A removal is remembered for kTombstoneTime and resent to each new
 // leader, because another router may still hold an older registration of the same target.
-#ifndef PERIDOTGAUGE_REGISTRATION_OUTBOX_H_
-#define PERIDOTGAUGE_REGISTRATION_OUTBOX_H_
+#ifndef PERIDOTGAUGE_STATE_REGISTRATION_OUTBOX_H_
+#define PERIDOTGAUGE_STATE_REGISTRATION_OUTBOX_H_
 
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "directory_copy.h"
-#include "records.h"
+#include "core/records.h"
+#include "state/directory_copy.h"
 
 namespace peridotgauge {
 
@@ -63,4 +63,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_REGISTRATION_OUTBOX_H_
+#endif  // PERIDOTGAUGE_STATE_REGISTRATION_OUTBOX_H_
--- a/session.cc
+++ b/state/session.cc
@@ -1,5 +1,5 @@
 // Session bookkeeping of the leader.
-#include "session.h"
+#include "state/session.h"
 
 #include <algorithm>
 
--- a/session.h
+++ b/state/session.h
@@ -12,8 +12,8 @@
 // the router, which runs from the earlier moment of sending. A new leader gives every member of the
 // view a full session, because the previous leader may have renewed its lease just before. A
 // version is in force when no router can hold a lease on an older one.
-#ifndef PERIDOTGAUGE_SESSION_H_
-#define PERIDOTGAUGE_SESSION_H_
+#ifndef PERIDOTGAUGE_STATE_SESSION_H_
+#define PERIDOTGAUGE_STATE_SESSION_H_
 
 #include <compare>
 #include <cstdint>
@@ -22,9 +22,9 @@
 #include <string>
 #include <vector>
 
-#include "lease.h"
-#include "records.h"
-#include "types.h"
+#include "core/records.h"
+#include "core/types.h"
+#include "state/lease.h"
 
 namespace peridotgauge {
 
@@ -85,4 +85,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_SESSION_H_
+#endif  // PERIDOTGAUGE_STATE_SESSION_H_
--- a/state_machine.h
+++ b/state/state_machine.h
@@ -1,12 +1,12 @@
 // What a replicated log drives. Apart from replica.h so that core modules can implement it without
 // including Asio.
-#ifndef PERIDOTGAUGE_STATE_MACHINE_H_
-#define PERIDOTGAUGE_STATE_MACHINE_H_
+#ifndef PERIDOTGAUGE_STATE_STATE_MACHINE_H_
+#define PERIDOTGAUGE_STATE_STATE_MACHINE_H_
 
 #include <cstdint>
 #include <string>
 
-#include "error.h"
+#include "core/error.h"
 
 namespace peridotgauge {
 
@@ -23,4 +23,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_STATE_MACHINE_H_
+#endif  // PERIDOTGAUGE_STATE_STATE_MACHINE_H_
--- a/target_intake.cc
+++ b/state/target_intake.cc
@@ -1,5 +1,5 @@
 // Heartbeats of targets at the leader.
-#include "target_intake.h"
+#include "state/target_intake.h"
 
 #include <algorithm>
 #include <optional>
--- a/target_intake.h
+++ b/state/target_intake.h
@@ -8,18 +8,18 @@
 //
 // Contract: a target that was removed is not brought back by a heartbeat of the same incarnation. A
 // renewal changes nothing in the directory, so that it wakes no router.
-#ifndef PERIDOTGAUGE_TARGET_INTAKE_H_
-#define PERIDOTGAUGE_TARGET_INTAKE_H_
+#ifndef PERIDOTGAUGE_STATE_TARGET_INTAKE_H_
+#define PERIDOTGAUGE_STATE_TARGET_INTAKE_H_
 
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "directory.h"
-#include "error.h"
-#include "records.h"
-#include "registration.h"
-#include "types.h"
+#include "core/error.h"
+#include "core/records.h"
+#include "core/types.h"
+#include "state/directory.h"
+#include "state/registration.h"
 
 namespace peridotgauge {
 
@@ -62,4 +62,4 @@
 
 }  // namespace peridotgauge
 
-#endif  // PERIDOTGAUGE_TARGET_INTAKE_H_
+#endif  // PERIDOTGAUGE_STATE_TARGET_INTAKE_H_
--- a/testing/admission_test.cc
+++ b/testing/admission_test.cc
@@ -1,6 +1,6 @@
 // Tests of admission: guards against unbounded work, and against refusing requests that could be
 // answered, for example because one missing shard makes every answer last until its deadline.
-#include "../admission.h"
+#include "core/admission.h"
 
 #include <catch2/catch.hpp>
 
--- a/testing/caller_api_test.cc
+++ b/testing/caller_api_test.cc
@@ -1,14 +1,14 @@
 // Tests of the JSON of callers, targets and operators: guards against fields that are accepted in a
 // wrong form, errors that do not name the field, and values that change on their way.
-#include "../caller_api.h"
+#include "core/caller_api.h"
 
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
 #include <string>
 
-#include "../json_text.h"
-#include "../operator_api.h"
+#include "core/json_text.h"
+#include "core/operator_api.h"
 
 namespace peridotgauge {
 namespace {
--- a/testing/config_test.cc
+++ b/testing/config_test.cc
@@ -1,6 +1,6 @@
 // Tests of the configuration text: guards against texts that are accepted although they are
 // contradictory, messages that do not name the place, and digests that depend on the layout.
-#include "../config.h"
+#include "core/config.h"
 
 #include <rapidcheck.h>
 
--- a/testing/control_plane_test.cc
+++ b/testing/control_plane_test.cc
@@ -14,11 +14,12 @@
 #include <string>
 #include <vector>
 
-#include "../control_client.h"
-#include "../control_state.h"
-#include "../controller.h"
-#include "../peer.h"
-#include "../replicated_log.h"
+#include "io/clock.h"
+#include "io/control_client.h"
+#include "io/controller.h"
+#include "io/peer.h"
+#include "io/replicated_log.h"
+#include "state/control_state.h"
 
 namespace peridotgauge {
 namespace {
--- a/testing/control_state_test.cc
+++ b/testing/control_state_test.cc
@@ -1,5 +1,5 @@
 // Tests of the replicated state: revisions, router list, quarantine, snapshots.
-#include "../control_state.h"
+#include "state/control_state.h"
 
 #include <rapidcheck.h>
 
@@ -7,7 +7,7 @@
 #include <map>
 #include <vector>
 
-#include "../config.h"
+#include "core/config.h"
 
 namespace peridotgauge {
 namespace {
--- a/testing/directory_test.cc
+++ b/testing/directory_test.cc
@@ -1,5 +1,5 @@
 // Tests of the target directory: the leader's, the routers' copies, and the outbox between them.
-#include "../directory.h"
+#include "state/directory.h"
 
 #include <rapidcheck.h>
 
@@ -8,8 +8,8 @@
 #include <map>
 #include <vector>
 
-#include "../directory_copy.h"
-#include "../registration_outbox.h"
+#include "state/directory_copy.h"
+#include "state/registration_outbox.h"
 
 namespace peridotgauge {
 namespace {
--- a/testing/error_test.cc
+++ b/testing/error_test.cc
@@ -1,6 +1,6 @@
 // Tests of the error table: guards against rows out of order and against a "not run" claim for an
 // error that can follow an execution.
-#include "../error.h"
+#include "core/error.h"
 
 #include <catch2/catch.hpp>
 #include <set>
--- a/testing/event_log_test.cc
+++ b/testing/event_log_test.cc
@@ -1,6 +1,6 @@
 // Tests of the event log: guards against a process that waits for the reader of its log, lines
 // beyond the budget, and lines that cannot be parsed.
-#include "../event_log.h"
+#include "io/event_log.h"
 
 #include <fcntl.h>
 #include <unistd.h>
--- a/testing/extra_window_test.cc
+++ b/testing/extra_window_test.cc
@@ -1,6 +1,6 @@
 // Tests of the sliding limit on extra sub-requests: guards against more extras in any span than the
 // operators allow, and against a calm time whose room is lost when it is needed.
-#include "../extra_window.h"
+#include "core/extra_window.h"
 
 #include <catch2/catch.hpp>
 #include <deque>
--- a/testing/gather_test.cc
+++ b/testing/gather_test.cc
@@ -1,5 +1,5 @@
 // Tests of the merge of records: guards against an answer that is not the greatest records.
-#include "../gather.h"
+#include "core/gather.h"
 
 #include <rapidcheck.h>
 
--- a/testing/hedge_test.cc
+++ b/testing/hedge_test.cc
@@ -1,6 +1,6 @@
 // Tests of the hedge budget: guards against extra load above the configured share, and against
 // hedges that add load to an overloaded fleet.
-#include "../hedge.h"
+#include "core/hedge.h"
 
 #include <rapidcheck.h>
 
--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -1,6 +1,6 @@
 // Tests of the connection pool: guards against reuse of a connection whose exchange did not end,
 // against a wrong claim that nothing was sent, and against connections above the limit.
-#include "../http_client.h"
+#include "io/http_client.h"
 
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "io/clock.h"
 #include "raw_socket.h"
 
 namespace peridotgauge {
--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -1,6 +1,6 @@
 // Tests of the HTTP server: guards against input that ends the process or reaches the handler past
 // a limit, against lost answers at shutdown, and against disconnects that go unnoticed.
-#include "../http_server.h"
+#include "io/http_server.h"
 
 #include <rapidcheck.h>
 
--- a/testing/ledger_test.cc
+++ b/testing/ledger_test.cc
@@ -1,5 +1,5 @@
 // Tests of the at-most-once records, alone and under the commands of the replicated state.
-#include "../ledger.h"
+#include "state/ledger.h"
 
 #include <rapidcheck.h>
 
@@ -9,7 +9,7 @@
 #include <optional>
 #include <vector>
 
-#include "../control_state.h"
+#include "state/control_state.h"
 
 namespace peridotgauge {
 namespace {
--- a/testing/metrics_test.cc
+++ b/testing/metrics_test.cc
@@ -1,5 +1,5 @@
 // Tests of metrics: guards against text that a scraper cannot read and against unbounded memory.
-#include "../metrics.h"
+#include "core/metrics.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
--- a/testing/order_test.cc
+++ b/testing/order_test.cc
@@ -1,6 +1,6 @@
 // Tests of the life cycle of one order. They guard against a second dispatch, a "not run" that is
 // not true, an answer before its record, and an order without an answer.
-#include "../order.h"
+#include "core/order.h"
 
 #include <rapidcheck.h>
 
--- a/testing/ownership_test.cc
+++ b/testing/ownership_test.cc
@@ -1,6 +1,6 @@
 // Tests of ownership: guards against two routers that dispatch to one target at the same time, and
 // against targets that no router dispatches to after the views have settled.
-#include "../ownership.h"
+#include "core/ownership.h"
 
 #include <rapidcheck.h>
 
--- a/testing/patience_test.cc
+++ b/testing/patience_test.cc
@@ -1,6 +1,6 @@
 // Tests of the time that callers have spent: guards against an answer that is ready in time and
 // reaches a caller that had to connect first too late.
-#include "../patience.h"
+#include "core/patience.h"
 
 #include <catch2/catch.hpp>
 
--- a/testing/peer_test.cc
+++ b/testing/peer_test.cc
@@ -1,6 +1,6 @@
 // Tests of the framed transport: guards against replies that reach the wrong call, callbacks that
 // run twice or never, and bytes from outside that end the process.
-#include "../peer.h"
+#include "io/peer.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "io/clock.h"
+
 namespace peridotgauge {
 namespace {
 
--- a/testing/plan_test.cc
+++ b/testing/plan_test.cc
@@ -1,6 +1,6 @@
 // Tests of planning. They guard against a query that mixes snapshots or layouts, that asks a target
 // that does not serve, or that uses a plan made before a change of the directory.
-#include "../plan.h"
+#include "core/plan.h"
 
 #include <rapidcheck.h>
 
--- a/testing/platform_test.cc
+++ b/testing/platform_test.cc
@@ -1,8 +1,8 @@
 // Tests of the translation to and from the platform: names, formats and status codes.
 #include <catch2/catch.hpp>
 
-#include "../platform/documents.h"
-#include "../platform/route_format.h"
+#include "platform/documents.h"
+#include "platform/route_format.h"
 
 namespace peridotgauge::platform {
 namespace {
--- a/testing/publication_test.cc
+++ b/testing/publication_test.cc
@@ -1,6 +1,6 @@
 // Tests of the wait for routers: guards against an acknowledgement before every live router knows,
 // and one that never comes.
-#include "../publication.h"
+#include "state/publication.h"
 
 #include <catch2/catch.hpp>
 #include <optional>
--- a/testing/quantile_window_test.cc
+++ b/testing/quantile_window_test.cc
@@ -1,6 +1,6 @@
 // Tests of online quantiles: guards against quantiles that differ from those of the sorted samples
 // by more than a bin, and against old samples that never leave.
-#include "../quantile_window.h"
+#include "core/quantile_window.h"
 
 #include <rapidcheck.h>
 
--- a/testing/quarantine_test.cc
+++ b/testing/quarantine_test.cc
@@ -1,6 +1,6 @@
 // Tests of the quarantine. They guard against a crashing request that gets new targets by being
 // sent again, against blocking requests that crash nothing, and against unbounded memory.
-#include "../quarantine.h"
+#include "core/quarantine.h"
 
 #include <catch2/catch.hpp>
 
--- a/testing/raft_cluster.h
+++ b/testing/raft_cluster.h
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-#include "../raft.h"
+#include "state/raft.h"
 
 namespace peridotgauge {
 
--- a/testing/raft_rules_test.cc
+++ b/testing/raft_rules_test.cc
@@ -2,7 +2,7 @@
 // backs up, so that random schedules rarely show the lack of one of them.
 #include <catch2/catch.hpp>
 
-#include "../raft.h"
+#include "state/raft.h"
 
 namespace peridotgauge {
 namespace {
--- a/testing/raft_test.cc
+++ b/testing/raft_test.cc
@@ -1,5 +1,5 @@
 // Tests of the raft core over a fake network and fake disks: named failures, one each.
-#include "../raft.h"
+#include "state/raft.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
--- a/testing/registration_test.cc
+++ b/testing/registration_test.cc
@@ -1,6 +1,6 @@
 // Tests of registrations: guards against targets that stay listed after their lease, that fall back
 // to an older state when registrations arrive out of order, and against invalid values.
-#include "../registration.h"
+#include "state/registration.h"
 
 #include <rapidcheck.h>
 
--- a/testing/replica_choice_test.cc
+++ b/testing/replica_choice_test.cc
@@ -1,6 +1,6 @@
 // Tests of replica choice: guards against slow targets that keep their traffic, against ejection of
 // the last half of a shard's replicas, and against targets that never get traffic again.
-#include "../replica_choice.h"
+#include "core/replica_choice.h"
 
 #include <rapidcheck.h>
 
--- a/testing/replica_test.cc
+++ b/testing/replica_test.cc
@@ -1,7 +1,7 @@
 // Tests of replicas that talk over loopback and store to real folders. What the protocol
 // guarantees is tested in raft_test.cc; these tests guard the wiring of core, storage, transport
 // and callbacks.
-#include "../replica.h"
+#include "io/replica.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -11,7 +11,8 @@
 #include <optional>
 #include <vector>
 
-#include "../peer.h"
+#include "io/clock.h"
+#include "io/peer.h"
 
 namespace peridotgauge {
 namespace {
--- a/testing/route_request_test.cc
+++ b/testing/route_request_test.cc
@@ -1,7 +1,7 @@
 // Tests of one request on a route over real connections: guards against a request that runs twice,
 // a refusal that says "not run" of a request that has run, an answer made of the wrong parts, and
 // work that goes on after the caller has left.
-#include "../route_request.h"
+#include "io/route_request.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -11,9 +11,10 @@
 #include <optional>
 #include <vector>
 
-#include "../http_server.h"
-#include "../platform/route_format.h"
-#include "../route_plan.h"
+#include "core/route_plan.h"
+#include "io/clock.h"
+#include "io/http_server.h"
+#include "platform/route_format.h"
 
 namespace peridotgauge {
 namespace {
--- a/testing/routes_test.cc
+++ b/testing/routes_test.cc
@@ -1,6 +1,6 @@
 // Tests of routes: guards against a request that is sent to the wrong service, a configuration that
 // should have been refused, and a split that is off its weights.
-#include "../routes.h"
+#include "core/routes.h"
 
 #include <rapidcheck.h>
 
--- a/testing/search_fakes.h
+++ b/testing/search_fakes.h
@@ -9,8 +9,8 @@
 #include <string_view>
 #include <vector>
 
-#include "../records.h"
-#include "../search_policy.h"
+#include "core/records.h"
+#include "core/search_policy.h"
 
 namespace peridotgauge {
 
--- a/testing/search_test.cc
+++ b/testing/search_test.cc
@@ -1,7 +1,7 @@
 // Tests of one search. They guard against a reply merged under the wrong shard, snapshot, request
 // or attempt, coverage that differs from what was merged, a search that never answers, targets lost
 // to a request that crashes them, and extra load beyond the budget.
-#include "../search.h"
+#include "core/search.h"
 
 #include <rapidcheck.h>
 
--- a/testing/session_test.cc
+++ b/testing/session_test.cc
@@ -1,5 +1,5 @@
 // Tests of router leases and of the leader's sessions.
-#include "../session.h"
+#include "state/session.h"
 
 #include <rapidcheck.h>
 
--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -1,6 +1,6 @@
 // Tests of the settings: guards against processes that start with contradictory addresses, and
 // against messages that do not name file, key, value and what is allowed.
-#include "../settings.h"
+#include "core/settings.h"
 
 #include <unistd.h>
 
@@ -8,7 +8,7 @@
 #include <filesystem>
 #include <fstream>
 
-#include "../address.h"
+#include "core/address.h"
 
 namespace peridotgauge {
 namespace {
--- a/testing/span_test.cc
+++ b/testing/span_test.cc
@@ -1,6 +1,6 @@
 // Tests of spans: guards against traces that break at a hop because a header is misread, and
 // against lines of the span file that cannot be read back or are lost without being counted.
-#include "../span.h"
+#include "core/span.h"
 
 #include <rapidcheck.h>
 #include <unistd.h>
@@ -9,7 +9,7 @@
 #include <filesystem>
 #include <fstream>
 
-#include "../span_writer.h"
+#include "io/span_writer.h"
 
 namespace peridotgauge {
 namespace {
--- a/testing/standin_test.cc
+++ b/testing/standin_test.cc
@@ -5,11 +5,11 @@
 #include <string>
 #include <vector>
 
-#include "../bench/loadgen.h"
-#include "../bench/standin_target.h"
-#include "../http_server.h"
-#include "../json_text.h"
-#include "../target_client.h"
+#include "bench/loadgen.h"
+#include "bench/standin_target.h"
+#include "core/json_text.h"
+#include "io/http_server.h"
+#include "io/target_client.h"
 #include "raw_socket.h"
 
 namespace peridotgauge {
--- a/testing/target_client_test.cc
+++ b/testing/target_client_test.cc
@@ -1,6 +1,6 @@
 // Tests of the target wire format: guards against merging a reply of another request and against a
 // false claim that a target refused a request.
-#include "../target_client.h"
+#include "io/target_client.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
--- a/testing/target_intake_test.cc
+++ b/testing/target_intake_test.cc
@@ -1,10 +1,10 @@
 // Tests of heartbeats at the leader: guards against a removed target that a late heartbeat brings
 // back, and against renewals that wake every router.
-#include "../target_intake.h"
+#include "state/target_intake.h"
 
 #include <catch2/catch.hpp>
 
-#include "../directory_copy.h"
+#include "state/directory_copy.h"
 
 namespace peridotgauge {
 namespace {
--- a/testing/target_queue_test.cc
+++ b/testing/target_queue_test.cc
@@ -1,6 +1,6 @@
 // Tests of the owner's queue: guards against more requests in flight than slots, against a queue
 // that does not go by deadline, and against requests that are lost or leave twice.
-#include "../target_queue.h"
+#include "core/target_queue.h"
 
 #include <rapidcheck.h>
 
--- a/testing/wal_test.cc
+++ b/testing/wal_test.cc
@@ -1,5 +1,5 @@
 // Tests of the write-ahead log: what survives a crash, what is refused, and injected faults.
-#include "../wal.h"
+#include "io/wal.h"
 
 #include <sys/stat.h>
 #include <unistd.h>
