Compare targets' latencies within a kind of request, bound probes, remember rare failures

The score mixed the routes. Every target with twice the best score is probed after a second without a sample.

Change: OnSend() takes the typical latency of the kind of request, the route's median; latencies are scaled by it. Probes are at most 0.01 of first attempts and respect pauses. A failure weighs up to 0.5 after a time without samples, and is forgotten over 4 s.

Each of the three new tests fails with the constants of before.

--- a/core/replica_choice.cc
+++ b/core/replica_choice.cc
@@ -78,6 +78,7 @@
   if (untried.empty()) return nullptr;
   // Only first attempts probe: a hedge or a retry must not go to a target that is likely slow.
   if (this->strategy.probes && excluded.empty()) {
+    this->probe_credit = std::min(this->probe_credit + kProbeShare, 1.0);
     if (const TargetRecord* probe = this->ChooseProbe(now, untried)) return probe;
   }
   std::vector<const TargetRecord*> usable = this->WithoutEjected(now, candidates);
@@ -151,7 +152,10 @@
       continue;
     }
     const bool due = now >= state.next_probe && now - state.measured >= state.probe_interval;
-    if (probe != nullptr || !due || state.in_flight > 0 || now < state.ejected_until) continue;
+    const bool paused = now < std::max(state.ejected_until, state.avoid_until);
+    if (probe != nullptr || !due || state.in_flight > 0 || paused) continue;
+    if (this->probe_credit < 1) continue;
+    this->probe_credit -= 1;
     probe = target;
     state.next_probe = now + state.probe_interval;
     state.probe_interval = std::min(2 * state.probe_interval, kLongestProbeInterval);
@@ -175,12 +179,16 @@
   return out;
 }
 
-uint64_t ReplicaChoice::OnSend(Time now, const TargetRecord& target) {
+uint64_t ReplicaChoice::OnSend(Time now, const TargetRecord& target, Duration typical) {
   State& state = this->StateOf(now, target);
   const uint64_t send = ++this->sends;
   ++state.in_flight;
-  state.outstanding.emplace_back(send, now);
-  this->open_sends[send] = {.target = target.target, .incarnation = state.incarnation, .sent = now};
+  const double scale = typical > Duration(0) ? static_cast<double>(kReferenceLatency.count()) /
+                                                   static_cast<double>(typical.count())
+                                             : 1;
+  state.outstanding.push_back({.send = send, .sent = now, .scale = scale});
+  this->open_sends[send] = {
+      .target = target.target, .incarnation = state.incarnation, .sent = now, .scale = scale};
   return send;
 }
 
@@ -193,13 +201,13 @@
   if (target == this->states.end() || target->second.incarnation != sent.incarnation) return;
   State& state = target->second;
   --state.in_flight;
-  std::erase_if(state.outstanding, [&](const auto& entry) { return entry.first == send; });
+  std::erase_if(state.outstanding, [&](const Outstanding& entry) { return entry.send == send; });
   if (report.load >= 0) state.load = std::min(report.load, 1.0F);
   if (report.owner_in_flight >= 0) {
     state.owner_in_flight = static_cast<uint32_t>(report.owner_in_flight);
   }
   if (report.load >= 0 || report.owner_in_flight >= 0) state.reported = now;
-  const auto elapsed_us = static_cast<double>((now - sent.sent).count());
+  const double elapsed_us = sent.scale * static_cast<double>((now - sent.sent).count());
   switch (report.kind) {
     case ReplyKind::kAnswered:
       NoteOutcome(now, state, false);
@@ -284,7 +292,8 @@
 
 double ReplicaChoice::LatencyOf(Time now, const State& state) {
   if (state.outstanding.empty()) return state.latency_us;
-  const auto running = static_cast<double>((now - state.outstanding.front().second).count());
+  const Outstanding& oldest = state.outstanding.front();
+  const double running = oldest.scale * static_cast<double>((now - oldest.sent).count());
   // Without a sample, a request that has just been sent tells nothing.
   if (state.latency_us == 0 && running < kUnmeasuredLatencyUs) return 0;
   return std::max(state.latency_us, running);
@@ -321,7 +330,9 @@
 
 void ReplicaChoice::NoteOutcome(Time now, State& state, bool failed) {
   const double share = FailureShare(now, state);
-  state.failure_share = share + kFailureSampleWeight * ((failed ? 1.0 : 0.0) - share);
+  const double weight = std::clamp(1 - AgeWeight(now - state.failure_noted, kFailureMemory),
+                                   kFailureSampleWeight, kRareFailureWeight);
+  state.failure_share = share + weight * ((failed ? 1.0 : 0.0) - share);
   state.failure_noted = now;
 }
 
--- a/core/replica_choice.h
+++ b/core/replica_choice.h
@@ -60,6 +60,14 @@
 constexpr Duration kLongestEjection = Seconds(30);
 constexpr Duration kShortestProbeInterval = Seconds(1);
 constexpr Duration kLongestProbeInterval = Seconds(16);
+// Probes are at most this share of the first attempts. Load pattern: 78 routers with two queries a
+// second over 36 shards each, a third of all targets slow. Every slow target is due within a
+// second, and a query that probes a dozen of them at once is as slow as if nothing had been
+// learned.
+constexpr double kProbeShare = 0.01;
+// Latencies are scaled to what they would be for requests of this typical latency, so that a target
+// that was last asked for something short does not look quick.
+constexpr Duration kReferenceLatency = Millis(10);
 // A target is probed if its score is this many times the best one.
 constexpr double kBadScoreRatio = 2.0;
 // A new target gets its full weight after this time.
@@ -80,7 +88,9 @@
 // Weight of the share of failed requests in the score, and how fast the share follows.
 constexpr double kFailureWeight = 8.0;
 constexpr double kFailureSampleWeight = 0.15;
-constexpr Duration kFailureMemory = Seconds(2);
+// Weight of a sample after a long time without one.
+constexpr double kRareFailureWeight = 0.5;
+constexpr Duration kFailureMemory = Seconds(4);
 constexpr double kRemoteFactor = 1.6;
 // If connections are scarce, each router spares one replica of a shard, if possible one in another
 // data centre: it counts this many times as bad, and gets a connection only when the others are
@@ -123,8 +133,9 @@
 
   const TargetRecord* Choose(Time now, Candidates candidates, Candidates excluded) override;
 
-  // Returns the number of the send, for OnReply().
-  uint64_t OnSend(Time now, const TargetRecord& target);
+  // Returns the number of the send, for OnReply(). `typical` is the usual latency of requests of
+  // this kind: latencies are compared relative to it. 0: all requests are alike.
+  uint64_t OnSend(Time now, const TargetRecord& target, Duration typical = Duration(0));
   void OnReply(Time now, uint64_t send, const ReplyReport& report);
   // Forgets a target that is gone.
   void Remove(const std::string& target);
@@ -149,15 +160,22 @@
     std::string target;
     uint64_t incarnation = 0;
     Time sent;
+    double scale = 1;  // of its latency, see kReferenceLatency
+  };
+  // A request that runs.
+  struct Outstanding {
+    uint64_t send = 0;
+    Time sent;
+    double scale = 1;
   };
   struct State {
     uint64_t incarnation = 0;
     Time first_seen{};
     uint32_t in_flight = 0;
-    std::deque<std::pair<uint64_t, Time>> outstanding;  // sends in order; settled ones are removed
-    double latency_us = 0;                              // 0: unknown
-    Time measured{};                                    // last change of `latency_us`
-    double failure_share = 0;                           // of recent requests
+    std::deque<Outstanding> outstanding;  // in the order of sending; settled ones are removed
+    double latency_us = 0;                // scaled; 0: unknown
+    Time measured{};                      // last change of `latency_us`
+    double failure_share = 0;             // of recent requests
     Time failure_noted{};
     bool remote = false;  // in another data centre
     uint64_t rank = 0;    // in an order of this router's own
@@ -200,6 +218,7 @@
   std::mt19937_64 random;
   bool spares = false;
   uint64_t sends = 0;
+  double probe_credit = 1;  // 0 to 1; a probe takes 1
   std::unordered_map<uint64_t, Send> open_sends;
   std::unordered_map<std::string, State> states;
 };
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -23,6 +23,8 @@
 // targets in a pause one or two of 36 lag; together with the tail this stays below the extra
 // sub-requests that the platform allows (0.2 of the needed ones).
 constexpr double kStragglerShare = 0.125;
+// Before enough latencies are known, the median is taken to be this part of the objective.
+constexpr int kObjectiveMedians = 6;
 // Before enough latencies are known, an attempt is hedged after this.
 constexpr Duration kFirstHedgeDelay = Millis(60);
 constexpr Duration kShortestRouteHedgeDelay = Millis(4);
@@ -106,7 +108,9 @@
     attempt.service = &this->task.plan->FleetOf(send.shard).name;
     attempt.sent = now;
     attempt.open = true;
-    attempt.replica_send = this->context.replicas.OnSend(now, *send.target);
+    const Duration typical =
+        this->budget.TypicalLatency(now).value_or(this->task.route->objective / kObjectiveMedians);
+    attempt.replica_send = this->context.replicas.OnSend(now, *send.target, typical);
     attempt.call =
         this->context.pool.ClientOf(*send.target)
             .Send({.request = this->context.codec.ToTarget(this->task.http, *send.target,
@@ -298,13 +302,23 @@
 
 }  // namespace
 
-std::optional<Duration> RouteBudget::HedgeDelay(Time now, std::string_view /*service*/) {
-  if (!this->computed || now - *this->computed >= kDelayRefresh) {
-    this->delay = this->latency.Quantile(now, kRouteHedgeQuantile);
-    const std::optional<Duration> median = this->latency.Quantile(now, 0.5);
-    if (this->delay && median) this->delay = std::min(*this->delay, kHedgeMedians * *median);
-    this->computed = now;
+void RouteBudget::Refresh(Time now) {
+  if (this->computed && now - *this->computed < kDelayRefresh) return;
+  this->delay = this->latency.Quantile(now, kRouteHedgeQuantile);
+  this->median = this->latency.Quantile(now, 0.5);
+  if (this->delay && this->median) {
+    this->delay = std::min(*this->delay, kHedgeMedians * *this->median);
   }
+  this->computed = now;
+}
+
+std::optional<Duration> RouteBudget::TypicalLatency(Time now) {
+  this->Refresh(now);
+  return this->median;
+}
+
+std::optional<Duration> RouteBudget::HedgeDelay(Time now, std::string_view /*service*/) {
+  this->Refresh(now);
   return this->delay ? std::max(*this->delay, kShortestRouteHedgeDelay) : kFirstHedgeDelay;
 }
 
--- a/io/route_request.h
+++ b/io/route_request.h
@@ -40,6 +40,8 @@
   // Notes the latency of one attempt that was answered or cancelled.
   void AddLatency(Time now, Duration latency) { this->latency.Add(now, latency); }
 
+  // Median of the attempts, if enough are known.
+  std::optional<Duration> TypicalLatency(Time now);
   std::optional<Duration> HedgeDelay(Time now, std::string_view service) override;
   void CountNeeded(Time now, std::string_view service, uint32_t count) override {
     this->shared.CountNeeded(now, service, count);
@@ -51,6 +53,9 @@
  private:
   HedgeBudget& shared;
   QuantileWindow latency{kHedgeWindow, kHedgeMinSamples};
+  void Refresh(Time now);
+
+  std::optional<Duration> median;
   std::optional<Duration> delay;
   std::optional<Time> computed;
 };
--- a/testing/replica_choice_test.cc
+++ b/testing/replica_choice_test.cc
@@ -206,6 +206,75 @@
   CHECK(spared_by["t2"] > 15);
 }
 
+// Load pattern: two routes share the targets, one of them asks three times as much work.
+TEST_CASE("latencies compare between requests of different kinds", "[replica_choice]") {
+  const std::vector<TargetRecord> targets = Targets(2);
+  const std::vector<const TargetRecord*> pointers = Pointers(targets);
+  const std::unique_ptr<ReplicaChoice> choice = Make("least");
+  const auto ask = [&](size_t i, Time now, Duration typical, Duration took) {
+    choice->OnReply(now + took, choice->OnSend(now, targets[i], typical), {});
+  };
+  Time now = kStart;
+  for (int i = 0; i < 20; ++i, now += Millis(500)) {
+    ask(0, now, Millis(9), Millis(18));   // twice as slow as usual
+    ask(1, now, Millis(28), Millis(28));  // as usual
+  }
+  CHECK(choice->Latency(now, "t0") > 1.9 * choice->Latency(now, "t1"));
+  CHECK(choice->Choose(now, pointers, {})->target == "t1");
+  SECTION("a request that still runs is compared in the same way") {
+    choice->OnSend(now, targets[1], Millis(28));
+    CHECK(choice->Latency(now + Millis(28), "t1") < choice->Latency(now, "t0"));
+  }
+}
+
+// Load pattern: 78 routers share the queries, so that one router sends two a second to 36 shards.
+// One replica of each shard is slow.
+TEST_CASE("a query does not probe many slow targets at once", "[replica_choice]") {
+  constexpr size_t kShards = 36;
+  constexpr size_t kReplicas = 3;
+  const std::vector<TargetRecord> targets = Targets(kShards * kReplicas);
+  const std::vector<const TargetRecord*> pointers = Pointers(targets);
+  const std::unique_ptr<ReplicaChoice> choice = Make("least");
+  const auto slow = [&](const TargetRecord* target) {
+    return static_cast<size_t>(target - targets.data()) % kReplicas == 0;
+  };
+  int probes = 0;
+  for (int query = 0; query < 60; ++query) {
+    const Time now = kStart + query * Millis(500);
+    int slow_parts = 0;
+    for (size_t shard = 0; shard < kShards; ++shard) {
+      const Candidates replicas = Candidates(pointers).subspan(shard * kReplicas, kReplicas);
+      const TargetRecord* target = choice->Choose(now, replicas, {});
+      if (slow(target)) ++slow_parts;
+      const Duration took = slow(target) ? Millis(250) : Millis(25);
+      choice->OnReply(now + took, choice->OnSend(now, *target, Millis(25)), {});
+    }
+    if (query < 10) continue;  // each replica has to be measured once
+    CHECK(slow_parts <= 1);
+    probes += slow_parts;
+  }
+  CHECK(probes > 5);
+}
+
+// Load pattern: 61 in 100 targets lose a quarter of their answers, and a router asks each of them
+// once or twice a second.
+TEST_CASE("a failure counts for seconds where samples are rare", "[replica_choice]") {
+  const std::vector<TargetRecord> targets = Targets(2);
+  const std::vector<const TargetRecord*> pointers = Pointers(targets);
+  const std::unique_ptr<ReplicaChoice> choice = Make("least");
+  Time now = kStart;
+  for (int i = 0; i < 20; ++i, now += Millis(1300)) {
+    for (const TargetRecord& target : targets) {
+      choice->OnReply(now + Millis(target.target == "t0" ? 10 : 15), choice->OnSend(now, target),
+                      {});
+    }
+  }
+  CHECK(choice->Choose(now, pointers, {})->target == "t0");
+  choice->OnReply(now, choice->OnSend(now, targets[0]), {.kind = ReplyKind::kFailed});
+  CHECK(choice->Choose(now + Seconds(2), pointers, {})->target == "t1");
+  CHECK(choice->Choose(now + Seconds(10), pointers, {})->target == "t0");
+}
+
 TEST_CASE("failures eject and successes admit again", "[replica_choice]") {
   const std::vector<TargetRecord> targets = Targets(3);
   const std::vector<const TargetRecord*> pointers = Pointers(targets);
