Read past a target's response to another request

Cause: a target's extra response may arrive where the next one is expected. The client took it for the answer and closed the connection.

Ruled out: waiting for a response without an id; it answers this request as far as anyone can tell, as before.

Change: HttpCall has an echo header. A response with another value is discarded, up to four in a call, and the next one on the connection is parsed. Event stray_discarded, counter peridotgauge_stray_responses_total.

Without the header (as before) the new test gets the foreign answer.

--- a/bench/route_cost_main.cc
+++ b/bench/route_cost_main.cc
@@ -56,6 +56,9 @@
     sent.headers.push_back({"x-expected-target", target.target});
     return sent;
   }
+  HttpHeader Echo(const std::string& request_id) const override {
+    return {std::string(kIdHeader), request_id};
+  }
   TargetReply FromTarget(const HttpResponse& response,
                          const std::string& request_id) const override {
     if (response.status != 200 || response.Header(kIdHeader) != request_id) return {};
@@ -146,7 +149,7 @@
   asio::io_context io;
   Planner planner;
   RoutePlanner plans(planner);
-  TargetPool pool(io);
+  TargetPool pool(io, {});
   const PlainCodec codec;
   const auto replicas = ReplicaChoice::MustMake("least", {.seed = 1});
   HedgeBudget budget{{.burst = 20, .max_debt = 0, .retry_in_overload = true}};
--- a/core/route_codec.h
+++ b/core/route_codec.h
@@ -63,6 +63,8 @@
   // The request as it is sent to a target that has `left` to answer.
   virtual HttpRequest ToTarget(const HttpRequest& request, const TargetRecord& target,
                                Duration left) const = 0;
+  // The header by which a target's response names the request that it answers.
+  virtual HttpHeader Echo(const std::string& request_id) const = 0;
   virtual TargetReply FromTarget(const HttpResponse& response,
                                  const std::string& request_id) const = 0;
   // A target's response as it is sent to the caller.
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -47,7 +47,8 @@
         self(std::move(self)),
         control(control),
         plans(planner),
-        pool(io),
+        pool(io, [this](const std::string& target, const HttpHeader& echo,
+                        std::string_view value) { this->OnStray(target, echo, value); }),
         replicas(ReplicaChoice::MustMake(
             settings.replica_choice.empty() ? kRouteReplicaChoice : settings.replica_choice,
             {.seed = RandomSeed(),
@@ -129,6 +130,15 @@
     responder.Send(this->context.codec.Failure(error, true, pause));
   }
 
+  void OnStray(const std::string& target, const HttpHeader& echo, std::string_view value) {
+    this->context.metrics.CounterOf("peridotgauge_stray_responses_total").Add();
+    this->context.log.Write(SteadyNow(), UnixMillis(),
+                            Event("stray_discarded")
+                                .Add("request", echo.value)
+                                .Add("target", target)
+                                .Add("answers", value));
+  }
+
   // --- Control plane ---
 
   void OnControlChange(const ControlChange& change) {
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -37,10 +37,14 @@
 // How long a closed connection counts against the limit if the peer does not close its side.
 constexpr Duration kCloseTimeout = Millis(250);
 constexpr size_t kMaxResponseBytes = 4 << 20;
+// Responses to other requests that one call discards before it takes whatever comes.
+constexpr int kMaxStrays = 4;
 
 struct HttpClientOptions {
   size_t connections = 1;  // limit, at least 1
   size_t warm = 0;         // connections kept open while idle; at most `connections`
+  // Called for each discarded response, with the `echo` of the call and the value that came.
+  std::function<void(const HttpHeader& echo, std::string_view value)> on_stray = {};
 };
 
 // Why an exchange has no response.
@@ -61,6 +65,9 @@
   // response is complete, nothing was sent, or the peer has closed the connection (or
   // kCloseTimeout has passed). May be empty.
   std::function<void()> released;
+  // A response that has this header with another value answers another request. It is discarded,
+  // and the next response of the connection is awaited. An empty name: every response is taken.
+  HttpHeader echo = {};
   // The request may be sent again if its connection turns out to be closed. A connection that was
   // used a moment ago is then not checked before, which saves a system call.
   bool repeatable = false;
--- a/io/http_client_impl.h
+++ b/io/http_client_impl.h
@@ -65,6 +65,9 @@
   void Finish(const ExchangePtr& exchange, HttpResult result);
   bool Surplus() const { return this->connections.size() > this->options.connections; }
   void CountReplaced() { ++this->replaced; }
+  void OnStray(const HttpHeader& echo, std::string_view value) const {
+    if (this->options.on_stray) this->options.on_stray(echo, value);
+  }
   // Calls `callback` unless it is empty or the client was destroyed.
   void Notify(const std::function<void()>& callback) const {
     if (callback && !this->closed) callback();
@@ -129,6 +132,10 @@
   void OnRead(boost::system::error_code error, size_t bytes);
   // Takes what has arrived of the answer, or the end of the connection.
   void Parse(boost::system::error_code error);
+  void NewParser();
+  // True if the response that is complete answers another request, and the next one may answer the
+  // running exchange. Prepares for it.
+  bool DiscardStray();
   void OnAnswer();
   void OnLost(const boost::system::error_code& error);
   void EndClose(bool by_peer);
@@ -139,6 +146,7 @@
   Phase phase = Phase::kConnecting;
   bool sent = false;     // at least one byte of the request was written
   bool written = false;  // the whole request was written without an error
+  int strays = 0;        // discarded in the running exchange
   bool fresh = false;    // the running exchange is the reason for this connection
   ExchangePtr exchange;  // set exactly in kBusy
   std::string request;   // the bytes of the running exchange
--- a/io/http_connection.cc
+++ b/io/http_connection.cc
@@ -102,9 +102,8 @@
   this->written = false;
   this->fresh = fresh;
   this->request = RequestText(this->exchange->call.request, this->impl->address);
-  this->parser.emplace();
-  this->parser->body_limit(kMaxResponseBytes);
-  this->parser->eager(true);
+  this->strays = 0;
+  this->NewParser();
   error_code error;
   const size_t done = this->socket.write_some(asio::buffer(this->request), error);
   if (error && error != asio::error::would_block) {
@@ -180,6 +179,7 @@
   error_code failed;
   while (this->buffer.size() > 0 && !this->parser->is_done() && !failed) {
     this->buffer.consume(this->parser->put(this->buffer.data(), failed));
+    if (!failed && this->parser->is_done() && this->DiscardStray()) continue;
   }
   if (failed == http::error::need_more) failed = {};
   if (error == asio::error::eof && !failed && !this->parser->is_done()) {
@@ -197,6 +197,23 @@
   if (this->parser->is_done()) this->OnAnswer();
 }
 
+void HttpClient::Connection::NewParser() {
+  this->parser.emplace();
+  this->parser->body_limit(kMaxResponseBytes);
+  this->parser->eager(true);
+}
+
+bool HttpClient::Connection::DiscardStray() {
+  const HttpHeader& echo = this->exchange->call.echo;
+  if (echo.name.empty() || this->strays == kMaxStrays || !this->parser->keep_alive()) return false;
+  const auto found = this->parser->get().find(echo.name);
+  if (found == this->parser->get().end() || found->value() == echo.value) return false;
+  ++this->strays;
+  this->impl->OnStray(echo, {found->value().data(), found->value().size()});
+  this->NewParser();
+  return true;
+}
+
 void HttpClient::Connection::OnAnswer() {
   const auto self = this->shared_from_this();
   const auto pool = this->impl;
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -119,6 +119,7 @@
                    .done = [self = this->shared_from_this(), number = send.attempt](
                                HttpResult result) { self->OnResult(number, std::move(result)); },
                    .released = {},
+                   .echo = this->context.codec.Echo(this->task.terms.request_id),
                    .repeatable = this->task.route->idempotent});
   }
 
--- a/io/target_pool.h
+++ b/io/target_pool.h
@@ -14,9 +14,12 @@
 #define PERIDOTGAUGE_IO_TARGET_POOL_H_
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include "core/records.h"
 #include "io/http_client.h"
@@ -25,7 +28,13 @@
 
 class TargetPool {
  public:
-  explicit TargetPool(boost::asio::io_context& io) : io(io) {}
+  // Called when a target's response to another request was discarded: the target's id, the header
+  // of the running request, and the value that came.
+  using StrayCallback = std::function<void(const std::string& target, const HttpHeader& echo,
+                                           std::string_view value)>;
+
+  TargetPool(boost::asio::io_context& io, StrayCallback on_stray)
+      : io(io), on_stray(std::move(on_stray)) {}
 
   // Sets the limit on connections to each target of the service.
   void SetShare(const std::string& service, size_t connections);
@@ -42,9 +51,10 @@
     std::string service;
     std::unique_ptr<HttpClient> client;
   };
-  HttpClientOptions OptionsOf(const std::string& service) const;
+  HttpClientOptions OptionsOf(const std::string& target, const std::string& service) const;
 
   boost::asio::io_context& io;
+  StrayCallback on_stray;
   std::map<std::string, size_t> shares;  // by service
   std::map<std::string, Entry> entries;  // by target
 };
--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -40,6 +40,7 @@
                                      outcome.result = std::move(result);
                                    },
                                .released = [&outcome] { ++outcome.released; },
+                               .echo = this->echo,
                                .repeatable = repeatable});
   }
   bool Until(const std::function<bool()>& condition) {
@@ -63,6 +64,7 @@
   boost::asio::io_context io;
   RawListener peer;
   std::unique_ptr<HttpClient> client;
+  HttpHeader echo;  // of the calls that follow
 };
 
 TEST_CASE("http_client reuses a connection after a whole exchange", "[http_client]") {
@@ -85,6 +87,58 @@
   CHECK(fixture.client->Status().opened == 1);
 }
 
+// Load pattern: a target hands out answers to other requests before the one that was asked for.
+TEST_CASE("http_client discards a response to another request", "[http_client]") {
+  std::vector<std::string> discarded;
+  Fixture fixture(
+      {.connections = 1, .on_stray = [&](const HttpHeader& echo, std::string_view value) {
+         discarded.push_back(echo.value + " got " + std::string(value));
+       }});
+  const auto response = [](const std::string& id, const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 2\r\n\r\n" + body;
+  };
+  Outcome outcome;
+  fixture.echo = {"x-id", "q7"};
+  fixture.Send(outcome);
+  RawSocket& socket = fixture.Requested(1);
+  SECTION("and takes its own, which arrives with it") {
+    socket.Send(response("q6", "no") + response("q7", "r1"));
+    REQUIRE(fixture.Until([&] { return outcome.released == 1; }));
+    CHECK((*outcome.result)->body == "r1");
+    CHECK(discarded == std::vector<std::string>{"q7 got q6"});
+    CHECK(fixture.client->Status().idle == 1);
+  }
+  SECTION("and takes its own, which arrives later") {
+    socket.Send(response("q6", "no"));
+    REQUIRE(fixture.Until([&] { return !discarded.empty(); }));
+    CHECK_FALSE(outcome.result);
+    socket.Send(response("q7", "r1"));
+    REQUIRE(fixture.Until([&] { return outcome.released == 1; }));
+    CHECK((*outcome.result)->body == "r1");
+  }
+  SECTION("but not one that names no request") {
+    fixture.Reply(socket, "r1");
+    REQUIRE(fixture.Until([&] { return outcome.released == 1; }));
+    CHECK((*outcome.result)->body == "r1");
+  }
+  SECTION("but not without end") {
+    std::string strays;
+    for (int i = 0; i <= kMaxStrays; ++i) strays += response("q" + std::to_string(i), "no");
+    socket.Send(strays + response("q7", "r1"));
+    REQUIRE(fixture.Until([&] { return outcome.released == 1; }));
+    CHECK((*outcome.result)->Header("x-id") == "q4");
+    CHECK(discarded.size() == kMaxStrays);
+  }
+  SECTION("and loses the call if the connection ends before its own") {
+    socket.Send(response("q6", "no"));
+    REQUIRE(fixture.Until([&] { return !discarded.empty(); }));
+    socket.Close();
+    REQUIRE(fixture.Until([&] { return outcome.released == 1; }));
+    REQUIRE_FALSE(*outcome.result);
+    CHECK(outcome.result->error().sent);
+  }
+}
+
 TEST_CASE("http_client never reuses a connection whose exchange did not end", "[http_client]") {
   Fixture fixture;
   Outcome first;
--- a/testing/platform_test.cc
+++ b/testing/platform_test.cc
@@ -126,6 +126,8 @@
   CHECK(verdict(421, {}) == TargetVerdict::kReplaced);
   SECTION("an answer to another request, without a proof or encoded is none") {
     CHECK(verdict(200, {proof, {"Peridotgauge-Request-Id", "r2"}}) == TargetVerdict::kForeign);
+    CHECK(format.Echo("r1").name == "Peridotgauge-Request-Id");
+    CHECK(format.Echo("r1").value == "r1");
     CHECK(verdict(200, {}) == TargetVerdict::kForeign);
     CHECK(verdict(503, {}) == TargetVerdict::kForeign);
     CHECK(verdict(200, {proof, {"Content-Encoding", "gzip"}}) == TargetVerdict::kForeign);
--- a/testing/route_request_test.cc
+++ b/testing/route_request_test.cc
@@ -98,7 +98,7 @@
   std::vector<std::unique_ptr<HttpServer>> servers;
   Planner planner;
   RoutePlanner plans{this->planner};
-  TargetPool pool{this->io};
+  TargetPool pool{this->io, {}};
   platform::RouteFormat codec;
   std::unique_ptr<ReplicaChoice> replicas = *ReplicaChoice::Make("least", {.seed = 1});
   HedgeBudget budget{{.burst = 20, .max_debt = 0, .retry_in_overload = true}};
