--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -39,8 +39,8 @@
 // that is asked a second time to stop does so at once.
 constexpr Duration kCloseTime = Seconds(30);
 // A leaving router accepts requests for this time: callers may keep a list of routers for three
-// times its lifetime of 1 s.
-constexpr Duration kOldListTime = Millis(3'500);
+// times its lifetime of 2 s.
+constexpr Duration kOldListTime = Millis(6'500);
 // Before the end of the grace period: the last requests are accepted, and the process exits.
 constexpr Duration kFinishTime = Millis(1'500);
 constexpr Duration kExitTime = Millis(400);
