Send the list of routers as deltas

Ruled out: leaving the list out when only the configuration has changed; a restart of all routers, which is most of the traffic, would stay quadratic in records.

A router that differs asks for everything. A request without the new flag gets the whole list, as before.

--- a/io/control_client.cc
+++ b/io/control_client.cc
@@ -12,6 +12,7 @@
 #include "io/clock.h"
 #include "io/control_channel.h"
 #include "state/registration_outbox.h"
+#include "state/router_list.h"
 
 namespace peridotgauge {
 namespace {
@@ -134,7 +135,7 @@
   // Published state.
   Lease lease;
   std::shared_ptr<const Config> config;
-  std::map<std::string, RouterRecord> routers;
+  RouterMap routers;
   std::vector<QuarantineRecord> quarantine;
   DirectoryCopy directory;
   uint64_t view_index = 0;
@@ -186,6 +187,7 @@
     for (const TargetRecord& record : request.records) sync.registrations.push_back(ToWire(record));
     sync.wait_ms = kPollMillis;
     sync.relay = this->relay;
+    sync.router_deltas = true;
     return ToBody(std::move(sync));
   }
 
@@ -320,16 +322,24 @@
       this->state_index = 0;
       return false;
     }
-    if (reply.state_changed) this->ApplyLists(reply, change);
+    if (reply.state_changed && !this->ApplyLists(reply, change)) {
+      LOG(ERROR) << "control: the list of routers differs at index " << reply.state_index;
+      this->state_index = 0;
+      return false;
+    }
     this->state_index = reply.state_index;
     return true;
   }
 
-  void ApplyLists(const wire::SyncReplyT& reply, ControlChange& change) {
-    std::map<std::string, RouterRecord> new_routers;
+  // Returns false if this copy of the list of routers differs from the leader's.
+  bool ApplyLists(const wire::SyncReplyT& reply, ControlChange& change) {
+    RouterDelta delta{
+        .full = !reply.routers_delta, .gone = reply.routers_gone, .digest = reply.routers_digest};
     for (const auto& router : reply.routers) {
-      if (router) new_routers.emplace(router->id, FromWire(*router));
+      if (router) delta.routers.push_back(FromWire(*router));
     }
+    RouterMap new_routers = this->routers;
+    if (!ApplyDelta(delta, new_routers)) return false;
     std::vector<QuarantineRecord> new_quarantine;
     for (const auto& record : reply.quarantine) {
       if (record) new_quarantine.push_back(FromWire(*record));
@@ -339,6 +349,7 @@
     this->routers = std::move(new_routers);
     this->quarantine = std::move(new_quarantine);
     this->view_index = reply.view_index;
+    return true;
   }
 
   void ApplyDirectory(const wire::SyncReplyT& reply, ControlChange& change) {
--- a/io/control_replies.cc
+++ b/io/control_replies.cc
@@ -55,7 +55,7 @@
           .storage_error = status.storage_error};
 }
 
-wire::SyncReplyT StateNews(const ControlState& state, uint64_t known_index) {
+wire::SyncReplyT StateNews(const ControlState& state, uint64_t known_index, bool router_deltas) {
   wire::SyncReplyT reply;
   reply.state_index = state.Version();
   reply.view_index = state.ViewIndex();
@@ -63,7 +63,12 @@
   if (known_index < state.ConfigIndex()) reply.config_text = state.ConfigText();
   if (known_index >= state.Version()) return reply;
   reply.state_changed = true;
-  for (const auto& [id, router] : state.Routers()) reply.routers.push_back(ToWire(router));
+  RouterDelta delta =
+      DeltaSince(state.Routers(), state.RecentRouterChanges(), router_deltas ? known_index : 0);
+  for (const RouterRecord& router : delta.routers) reply.routers.push_back(ToWire(router));
+  reply.routers_delta = !delta.full;
+  reply.routers_gone = std::move(delta.gone);
+  reply.routers_digest = delta.digest;
   for (const auto& [fingerprint, until_ms] : state.Quarantined()) {
     reply.quarantine.push_back(ToWire(QuarantineRecord{fingerprint, until_ms}));
   }
--- a/io/control_replies.h
+++ b/io/control_replies.h
@@ -31,7 +31,8 @@
 
 // What a router that has applied the state up to `known_index` lacks: configuration text, router
 // list and quarantine.
-wire::SyncReplyT StateNews(const ControlState& state, uint64_t known_index);
+// `router_deltas`: the router can apply a delta of the list of routers.
+wire::SyncReplyT StateNews(const ControlState& state, uint64_t known_index, bool router_deltas);
 void AddDirectoryNews(const DirectoryDelta& delta, wire::SyncReplyT& reply);
 
 // The refusal of a request of this type; nothing for a type that gets no reply.
--- a/io/controller.cc
+++ b/io/controller.cc
@@ -112,6 +112,7 @@
   struct Poll {
     RouterRecord router;
     uint64_t state_index = 0;
+    bool router_deltas = false;
     uint64_t directory_epoch = 0;
     uint64_t directory_version = 0;
     std::vector<TargetRecord> registrations;
@@ -154,6 +155,7 @@
     const Time now = SteadyNow();
     Poll poll{.router = FromWire(*request.router),
               .state_index = request.state_index,
+              .router_deltas = request.router_deltas,
               .directory_epoch = request.directory_epoch,
               .directory_version = request.directory_version,
               .full_registrations = request.full_registrations,
@@ -281,7 +283,7 @@
   }
 
   wire::SyncReplyT BuildReply(Time now, const Poll& poll) {
-    wire::SyncReplyT reply = StateNews(this->state, poll.state_index);
+    wire::SyncReplyT reply = StateNews(this->state, poll.state_index, poll.router_deltas);
     reply.leader = this->options.id;
     reply.controllers = this->log.Status().members;
     reply.resend_registrations = !this->directory.HasFull(poll.router.id);
--- a/state/control_snapshot.cc
+++ b/state/control_snapshot.cc
@@ -124,6 +124,7 @@
   restored.version = table->version();
   restored.config_index = table->config_index();
   restored.view_index = table->view_index();
+  restored.router_changes = RouterChanges(restored.view_index);
   ForEach(table->revisions(), [&](const fbs::Revision& revision) {
     restored.revisions.push_back({revision.digest(), revision.index()});
   });
--- a/state/control_state.cc
+++ b/state/control_state.cc
@@ -236,7 +236,8 @@
   return found != this->routers.end() && found->second.incarnation == incarnation;
 }
 
-void ControlState::ChangeView(const Context& at) {
+void ControlState::ChangeView(const Context& at, const std::string& router) {
+  this->router_changes.Note(at.index, router);
   this->view_index = at.index;
   this->version = at.index;
 }
@@ -259,7 +260,7 @@
   this->ledger.RouterLeft(router.id, router.incarnation);
   const std::string id = router.id;
   this->routers.insert_or_assign(id, std::move(router));
-  this->ChangeView(at);
+  this->ChangeView(at, id);
   return {};
 }
 
@@ -270,10 +271,10 @@
   if (command.clean) {
     this->ledger.RouterLeft(command.id);
     this->routers.erase(found);
-    this->ChangeView(at);
+    this->ChangeView(at, command.id);
   } else if (found->second.incarnation == command.incarnation && !found->second.draining) {
     found->second.draining = true;
-    this->ChangeView(at);
+    this->ChangeView(at, command.id);
   }
   return {};
 }
--- a/state/control_state.h
+++ b/state/control_state.h
@@ -25,6 +25,7 @@
 #include "core/records.h"
 #include "peer_generated.h"
 #include "state/ledger.h"
+#include "state/router_list.h"
 #include "state/state_machine.h"
 
 namespace peridotgauge {
@@ -93,7 +94,9 @@
   const std::deque<RevisionDetail>& Details() const { return this->details; }
 
   // The router list, by id.
-  const std::map<std::string, RouterRecord>& Routers() const { return this->routers; }
+  const RouterMap& Routers() const { return this->routers; }
+  // Changes of the list; those before the last Restore() are not known.
+  const RouterChanges& RecentRouterChanges() const { return this->router_changes; }
   // True if this incarnation of the router is in the list.
   bool IsMember(const std::string& id, uint64_t incarnation) const;
   // Blocked fingerprints and the Unix times until which they are blocked.
@@ -116,7 +119,7 @@
   wire::CommandReplyT ApplyLeave(const Context& at, const wire::LeaveT& command);
   wire::CommandReplyT ApplyQuarantine(const Context& at, const wire::QuarantineT& command);
   void AcceptRevision(const Context& at, const wire::ApplyConfigT& command);
-  void ChangeView(const Context& at);
+  void ChangeView(const Context& at, const std::string& router);
   bool DetailsMatchRevisions() const;
 
   LedgerLimits limits;
@@ -134,7 +137,8 @@
   std::optional<RevisionDetail> document;
   uint64_t document_digest = 0;
   Ledger ledger;
-  std::map<std::string, RouterRecord> routers;
+  RouterMap routers;
+  RouterChanges router_changes;  // not part of the state
   std::map<uint64_t, int64_t> quarantine;
   std::function<void()> observer;  // not part of the state
 };
