Weigh the distance of a target more, and do not probe a target for its distance

Cause: with latencies compared within a route the noise that hid the distance is gone, and a remote target at 1.6 still got requests whenever one waited at the near one.

Found on the way: from a factor of 2 on, the existing test chose the remote target at once, because a target with twice the best score is probed. What is probed now leaves the distance out.

--- a/core/replica_choice.cc
+++ b/core/replica_choice.cc
@@ -142,12 +142,12 @@
   const double latency = this->DefaultLatency(now, usable);
   double best = std::numeric_limits<double>::max();
   for (const TargetRecord* target : usable) {
-    best = std::min(best, this->Score(now, this->StateOf(now, *target), latency));
+    best = std::min(best, this->Condition(now, this->StateOf(now, *target), latency));
   }
   const TargetRecord* probe = nullptr;
   for (const TargetRecord* target : usable) {
     State& state = this->StateOf(now, *target);
-    if (this->Score(now, state, latency) < kBadScoreRatio * best) {
+    if (this->Condition(now, state, latency) < kBadScoreRatio * best) {
       state.probe_interval = kShortestProbeInterval;
       continue;
     }
@@ -277,6 +277,10 @@
 }
 
 double ReplicaChoice::Score(Time now, const State& state, double default_latency) const {
+  return this->Condition(now, state, default_latency) * (state.remote ? kRemoteFactor : 1);
+}
+
+double ReplicaChoice::Condition(Time now, const State& state, double default_latency) const {
   const double measured = LatencyOf(now, state);
   const double latency = measured > 0 ? measured : default_latency;
   const double weight = AgeWeight(now - state.reported, kReportAge);
@@ -284,9 +288,8 @@
       std::max<double>(state.in_flight, weight * static_cast<double>(state.owner_in_flight));
   const double warmth =
       std::min(1.0, std::chrono::duration<double>(now - state.first_seen) / kReplicaWarmUp);
-  const double distance = state.remote ? kRemoteFactor : 1;
   const double failures = 1 + kFailureWeight * FailureShare(now, state);
-  return (in_flight + 1) * latency * (1 + weight * state.load) * distance * failures /
+  return (in_flight + 1) * latency * (1 + weight * state.load) * failures /
          (kColdWeight + (1 - kColdWeight) * warmth);
 }
 
--- a/core/replica_choice.h
+++ b/core/replica_choice.h
@@ -68,7 +68,7 @@
 // Latencies are scaled to what they would be for requests of this typical latency, so that a target
 // that was last asked for something short does not look quick.
 constexpr Duration kReferenceLatency = Millis(10);
-// A target is probed if its score is this many times the best one.
+// A target is probed if its score, but for the distance, is this many times the best one.
 constexpr double kBadScoreRatio = 2.0;
 // A new target gets its full weight after this time.
 constexpr Duration kReplicaWarmUp = Seconds(5);
@@ -91,7 +91,8 @@
 // Weight of a sample after a long time without one.
 constexpr double kRareFailureWeight = 0.5;
 constexpr Duration kFailureMemory = Seconds(4);
-constexpr double kRemoteFactor = 1.6;
+// A request that waits in the own data centre costs less than the bytes; two do not.
+constexpr double kRemoteFactor = 2.4;
 // If connections are scarce, each router spares one replica of a shard, if possible one in another
 // data centre: it counts this many times as bad, and gets a connection only when the others are
 // bad.
@@ -205,6 +206,8 @@
   State& StateOf(Time now, const TargetRecord& target);
   bool Ejected(Time now, const State& state) const;
   double Score(Time now, const State& state, double default_latency) const;
+  // The score but for the distance: how the target does. Decides what is probed.
+  double Condition(Time now, const State& state, double default_latency) const;
   static double LatencyOf(Time now, const State& state);
   // For targets without a sample: the mean of the others.
   double DefaultLatency(Time now, const std::vector<const TargetRecord*>& usable);
