Log lost controllers and configurations refused by the controller that reads them

Cause: of a lapse only its end was logged (controllers_regained), and an invalid configuration that the reading controller answered at once left no line anywhere.

Change: ControlClient watches the end of its lease and tells once; the gateway writes controllers_lost with the age of the lease and the versions that it goes on with. ControllerServices has config_refused, so that the adapter still decides nothing.

Before and after: the test of a lost quorum now counts one lapse and one renewal; without the timer it waits for the lapse in vain.

--- a/io/control_client.cc
+++ b/io/control_client.cc
@@ -50,6 +50,7 @@
                                                  options.peer_port)),
         read_config(options.read_config),
         pause(io),
+        lapse(io),
         config(std::make_shared<const Config>()),
         outbox(this->self.id) {}
 
@@ -62,6 +63,7 @@
     this->syncing = false;
     this->lease.Drop();
     this->pause.cancel();
+    this->lapse.cancel();
     this->AbandonRequests();
   }
 
@@ -130,6 +132,7 @@
   std::shared_ptr<ControlChannel> channel;
   ConfigReader read_config;
   asio::steady_timer pause;
+  asio::steady_timer lapse;  // runs while the lease is valid
   ChangeCallback on_change;
 
   // Published state.
@@ -296,6 +299,7 @@
     const bool was_valid = this->lease.Valid(now);
     this->lease.Renew(request.sent);
     change.lease = !was_valid && this->lease.Valid(now);
+    if (change.lease) this->WatchLease();
     const bool any =
         change.config || change.routers || change.quarantine || change.directory || change.lease;
     // A copy, because the callback may stop this client.
@@ -304,6 +308,18 @@
     return true;
   }
 
+  // Tells once when the lease ends without a renewal.
+  void WatchLease() {
+    this->lapse.expires_at(*this->lease.End());
+    this->lapse.async_wait([weak = this->weak_from_this()](boost::system::error_code error) {
+      auto impl = weak.lock();
+      if (!impl || error || !impl->lease.End()) return;
+      if (impl->lease.Valid(SteadyNow())) return impl->WatchLease();
+      const ChangeCallback callback = impl->on_change;
+      if (callback) callback({.lapsed = true});
+    });
+  }
+
   bool ApplyState(const wire::SyncReplyT& reply, ControlChange& change) {
     // A reply to an earlier request that came after a newer one.
     if (reply.state_index < this->state_index) return true;
--- a/io/control_client.h
+++ b/io/control_client.h
@@ -55,13 +55,14 @@
   ConfigReader read_config = &Config::Parse;  // of accepted texts
 };
 
-// What a sync reply changed.
+// What a sync reply changed, or that none came for the length of the lease.
 struct ControlChange {
   bool config = false;
   bool routers = false;
   bool quarantine = false;
   bool directory = false;
-  bool lease = false;  // the lease was renewed after it had been invalid
+  bool lease = false;   // the lease was renewed after it had been invalid
+  bool lapsed = false;  // the lease has ended; called once, and with nothing else
 };
 
 class ControlClient {
--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -14,6 +14,7 @@
 #include "core/metrics.h"
 #include "io/clock.h"
 #include "io/control_client.h"
+#include "io/control_events.h"
 #include "io/controller.h"
 #include "io/event_log.h"
 #include "io/gateway.h"
@@ -198,7 +199,9 @@
     const HttpServer::Handler calls = this->external->ControllerCalls(
         {.control = this->control,
          .routers = [this] { return this->RouterAddresses(); },
-         .leader_address = [this] { return this->LeaderAddress(); }});
+         .leader_address = [this] { return this->LeaderAddress(); },
+         .config_refused =
+             [this](const Error& error) { ControlEvents(&this->log).ConfigRefused(error); }});
     const HttpServer::Handler main =
         this->settings.router ? this->Bound(&Impl::OnRouteRequest) : calls;
     struct Listener {
--- a/io/external_interface.h
+++ b/io/external_interface.h
@@ -23,6 +23,8 @@
   std::function<Result<std::vector<Address>>()> routers;
   // Where the leader takes heartbeats; empty if unknown.
   std::function<Address()> leader_address;
+  // Told of a configuration that cannot be read and so does not reach the leader; writes the event.
+  std::function<void(const Error&)> config_refused;
 };
 
 class ExternalInterface {
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -143,6 +143,14 @@
 
   void OnControlChange(const ControlChange& change) {
     const Time now = SteadyNow();
+    if (change.lapsed) {
+      this->context.log.Write(
+          now, UnixMillis(),
+          Event("controllers_lost")
+              .Add("lease_ms", now - *this->control.CurrentLease().End() + kLeaseLength)
+              .Add("revision", this->config->Revision())
+              .Add("directory", this->control.Directory().Version()));
+    }
     if (change.config) this->OnConfig(now);
     if (change.directory) this->OnDirectory(now);
     if (change.config || change.routers) this->OnShares();
--- a/testing/control_plane_test.cc
+++ b/testing/control_plane_test.cc
@@ -285,10 +285,20 @@
   }
   SECTION("and has no lease once no quorum confirms it") {
     auto r1 = cluster.Synced("r1");
+    int lapsed = 0;
+    int renewed = 0;
+    r1->OnChange([&](const ControlChange& change) {
+      lapsed += change.lapsed ? 1 : 0;
+      renewed += change.lease ? 1 : 0;
+    });
     cluster.group.quorum = false;
     CHECK(cluster.RunUntil([&] { return !r1->Synchronized(SteadyNow()); }));
+    CHECK(cluster.RunUntil([&] { return lapsed == 1; }));
+    CHECK(renewed == 0);
     cluster.group.quorum = true;
     CHECK(cluster.RunUntil([&] { return r1->Synchronized(SteadyNow()); }));
+    CHECK(lapsed == 1);
+    CHECK(renewed == 1);
   }
 }
 
