--- a/core/replica_choice.h
+++ b/core/replica_choice.h
@@ -18,17 +18,17 @@
 //   mean counts already before its reply. An attempt that was cancelled counts with the time that
 //   it ran plus the mean, its expected latency if the rest is exponential. Without this, a slow
 //   target whose hedges always win would never look slow.
-// - A target with a bad score gets a probe when its latency has not been measured for a while. The
-//   interval grows while it stays bad.
-//
+// - Kinds of requests: latencies are scaled by what is typical for the kind, see OnSend().
+// - Probes: a target with a bad score gets a request when its latency has not been measured for a
+//   while. The interval grows while it stays bad, and kProbeShare bounds all probes together.
 // - Failures: a target that refused or failed a share of its recent requests counts as
-//   1 + kFailureWeight x share times as bad. It is then used when the others are busy.
+//   1 + kFailureWeight x share times as bad. It is then used when the others are busy. Where a
+//   target gets a request once a second, one failure counts for seconds.
 // - Distance: a target in another data centre counts as kRemoteFactor times as bad, if the own data
 //   centre is known. Load decides first, bytes between data centres second.
 // - Connections: see kSparedFactor. Load pattern: 63 routers, and targets that accept 64
-// connections
-//   and count those of a host that lost power for seconds. With one from every router each target
-//   is full after a loss of power, and nobody can connect.
+//   connections and count those of a host that lost power for seconds. With one from every router
+//   each target is full after a loss of power, and nobody can connect.
 //
 // Strategies: "random" (baseline), "two_choices" (the better of two random candidates), "probing"
 // (the default: two choices, probes and avoidance of targets that just refused a request) and
