--- a/programs/peridotgauged.cc
+++ b/programs/peridotgauged.cc
@@ -7,6 +7,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -15,6 +17,7 @@
 #include "core/replica_choice.h"
 #include "core/settings.h"
 #include "io/daemon.h"
+#include "io/file_watch.h"
 #include "platform/platform.h"
 
 DEFINE_string(settings, "", "JSON file with the settings of this process");
@@ -41,6 +44,9 @@
   return settings;
 }
 
+// How often the settings file is looked at. New seeds are due within three seconds.
+constexpr std::chrono::seconds kSettingsInterval{1};
+
 // Reads the settings file again. A file that cannot be used changes nothing.
 void Reload(Daemon& daemon) {
   const Result<Settings> settings = ReadSettings(FLAGS_settings);
@@ -62,11 +68,24 @@
     LOG(ERROR) << "daemon: cannot start: " << daemon.error().ToString();
     return 1;
   }
+  // The file may change without a signal.
+  FileWatch watch(FLAGS_settings);
+  boost::asio::steady_timer look(io);
+  std::function<void()> look_later = [&] {
+    look.expires_after(kSettingsInterval);
+    look.async_wait([&](boost::system::error_code error) {
+      if (error) return;
+      if (watch.Changed()) Reload(**daemon);
+      look_later();
+    });
+  };
+  look_later();
   boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
   std::function<void(boost::system::error_code, int)> on_signal =
       [&](boost::system::error_code error, int signal) {
         if (error) return;
         if (signal == SIGHUP) {
+          watch.Changed();  // Known from now on.
           Reload(**daemon);
         } else {
           (*daemon)->Shutdown();
--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -23,7 +23,7 @@
 };
 
 struct Fixture {
-  explicit Fixture(HttpClientOptions options = {.connections = 1, .warm = 0})
+  explicit Fixture(const HttpClientOptions& options = {.connections = 1, .warm = 0})
       : client(std::make_unique<HttpClient>(this->io, this->peer.AddressText(), options)) {}
 
   // Starts an exchange; the outcome stays at its place.
