Derive a target's requests in flight from the sends that are kept

Cause: ReplicaChoice kept the number of requests in flight beside the list of them, and the time and scale of each send twice. Where a target leaves the directory and comes back with its incarnation while a request runs, the reply lowered the number of the new state from 0 to 4,294,967,295: the target looks hopelessly busy until it restarts. Found by reading the change once more.

Change: the number is the length of the list, the time and scale are in the list only, and a reply whose send is not in the list changes nothing, like one of another incarnation.

Before and after: the new test has 0 and 4,294,967,295 in flight where 1 and 0 are right, and passes now.

--- a/core/replica_choice.cc
+++ b/core/replica_choice.cc
@@ -153,7 +153,7 @@
     }
     const bool due = now >= state.next_probe && now - state.measured >= state.probe_interval;
     const bool paused = now < std::max(state.ejected_until, state.avoid_until);
-    if (probe != nullptr || !due || state.in_flight > 0 || paused) continue;
+    if (probe != nullptr || !due || !state.outstanding.empty() || paused) continue;
     if (this->probe_credit < 1) continue;
     this->probe_credit -= 1;
     probe = target;
@@ -182,13 +182,11 @@
 uint64_t ReplicaChoice::OnSend(Time now, const TargetRecord& target, Duration typical) {
   State& state = this->StateOf(now, target);
   const uint64_t send = ++this->sends;
-  ++state.in_flight;
   const double scale = typical > Duration(0) ? static_cast<double>(kReferenceLatency.count()) /
                                                    static_cast<double>(typical.count())
                                              : 1;
   state.outstanding.push_back({.send = send, .sent = now, .scale = scale});
-  this->open_sends[send] = {
-      .target = target.target, .incarnation = state.incarnation, .sent = now, .scale = scale};
+  this->open_sends[send] = {.target = target.target, .incarnation = state.incarnation};
   return send;
 }
 
@@ -200,14 +198,17 @@
   const auto target = this->states.find(sent.target);
   if (target == this->states.end() || target->second.incarnation != sent.incarnation) return;
   State& state = target->second;
-  --state.in_flight;
-  std::erase_if(state.outstanding, [&](const Outstanding& entry) { return entry.send == send; });
+  const auto settled = std::find_if(state.outstanding.begin(), state.outstanding.end(),
+                                    [&](const Outstanding& entry) { return entry.send == send; });
+  // The target was removed meanwhile and is back.
+  if (settled == state.outstanding.end()) return;
+  const double elapsed_us = settled->Microseconds(now);
+  state.outstanding.erase(settled);
   if (report.load >= 0) state.load = std::min(report.load, 1.0F);
   if (report.owner_in_flight >= 0) {
     state.owner_in_flight = static_cast<uint32_t>(report.owner_in_flight);
   }
   if (report.load >= 0 || report.owner_in_flight >= 0) state.reported = now;
-  const double elapsed_us = sent.scale * static_cast<double>((now - sent.sent).count());
   switch (report.kind) {
     case ReplyKind::kAnswered:
       NoteOutcome(now, state, false);
@@ -246,12 +247,12 @@
 
 bool ReplicaChoice::Ejected(Time now, const State& state) const {
   if (!this->options.ejection || state.ejection == Duration(0)) return false;
-  return now < state.ejected_until || state.in_flight > 0;
+  return now < state.ejected_until || !state.outstanding.empty();
 }
 
 uint32_t ReplicaChoice::InFlight(std::string_view target) const {
   const auto found = this->states.find(std::string(target));
-  return found == this->states.end() ? 0 : found->second.in_flight;
+  return found == this->states.end() ? 0 : static_cast<uint32_t>(found->second.outstanding.size());
 }
 
 Duration ReplicaChoice::Latency(Time now, std::string_view target) const {
@@ -284,8 +285,8 @@
   const double measured = LatencyOf(now, state);
   const double latency = measured > 0 ? measured : default_latency;
   const double weight = AgeWeight(now - state.reported, kReportAge);
-  const double in_flight =
-      std::max<double>(state.in_flight, weight * static_cast<double>(state.owner_in_flight));
+  const double in_flight = std::max(static_cast<double>(state.outstanding.size()),
+                                    weight * static_cast<double>(state.owner_in_flight));
   const double warmth =
       std::min(1.0, std::chrono::duration<double>(now - state.first_seen) / kReplicaWarmUp);
   const double failures = 1 + kFailureWeight * FailureShare(now, state);
@@ -295,8 +296,7 @@
 
 double ReplicaChoice::LatencyOf(Time now, const State& state) {
   if (state.outstanding.empty()) return state.latency_us;
-  const Outstanding& oldest = state.outstanding.front();
-  const double running = oldest.scale * static_cast<double>((now - oldest.sent).count());
+  const double running = state.outstanding.front().Microseconds(now);
   // Without a sample, a request that has just been sent tells nothing.
   if (state.latency_us == 0 && running < kUnmeasuredLatencyUs) return 0;
   return std::max(state.latency_us, running);
--- a/core/replica_choice.h
+++ b/core/replica_choice.h
@@ -160,19 +160,20 @@
   struct Send {
     std::string target;
     uint64_t incarnation = 0;
-    Time sent;
-    double scale = 1;  // of its latency, see kReferenceLatency
   };
   // A request that runs.
   struct Outstanding {
     uint64_t send = 0;
     Time sent;
-    double scale = 1;
+    double scale = 1;  // of its latency, see kReferenceLatency
+
+    double Microseconds(Time now) const {
+      return this->scale * static_cast<double>((now - this->sent).count());
+    }
   };
   struct State {
     uint64_t incarnation = 0;
     Time first_seen{};
-    uint32_t in_flight = 0;
     std::deque<Outstanding> outstanding;  // in the order of sending; settled ones are removed
     double latency_us = 0;                // scaled; 0: unknown
     Time measured{};                      // last change of `latency_us`
--- a/testing/replica_choice_test.cc
+++ b/testing/replica_choice_test.cc
@@ -278,6 +278,19 @@
   CHECK(choice->Choose(now + Seconds(10), pointers, {})->target == "t0");
 }
 
+// A target whose heartbeats were late leaves the directory and comes back while a request runs.
+TEST_CASE("a reply from before a target's removal does not count", "[replica_choice]") {
+  const std::vector<TargetRecord> targets = Targets(2);
+  const std::unique_ptr<ReplicaChoice> choice = Make("least");
+  const uint64_t before = choice->OnSend(kStart, targets[0]);
+  choice->Remove("t0");
+  const uint64_t after = choice->OnSend(kStart, targets[0]);
+  choice->OnReply(kStart + Millis(5), before, {.kind = ReplyKind::kFailed});
+  CHECK(choice->InFlight("t0") == 1);
+  choice->OnReply(kStart + Millis(5), after, {});
+  CHECK(choice->InFlight("t0") == 0);
+}
+
 TEST_CASE("failures eject and successes admit again", "[replica_choice]") {
   const std::vector<TargetRecord> targets = Targets(3);
   const std::vector<const TargetRecord*> pointers = Pointers(targets);
