Use what stood twice once; take the command path out of the controller

Behaviour is unchanged, no check or bound is touched.

Change: - The observer of discarded responses leaves HttpClientOptions, which are limits again and copied as before; it is an argument of the client.

Ruled out: one delta log for routers and targets. The directory keeps one entry and a tombstone for each target and counts versions of its own, the list of routers remembers indices of the replicated log; what is shared is the idea.

--- a/bench/standin_target.cc
+++ b/bench/standin_target.cc
@@ -18,6 +18,7 @@
 #include "core/json_text.h"
 #include "io/clock.h"
 #include "io/http_beast.h"
+#include "io/socket_options.h"
 
 namespace peridotgauge {
 namespace {
@@ -144,11 +145,7 @@
   const Result<Endpoint> endpoint = ParseListenAddress(this->options.record.address);
   if (!endpoint) return tl::unexpected<Error>(endpoint.error());
   const Tcp::endpoint where(asio::ip::make_address(endpoint->host), endpoint->port);
-  error_code error;
-  this->acceptor.open(where.protocol(), error);
-  if (!error) this->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-  if (!error) this->acceptor.bind(where, error);
-  if (!error) this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  error_code error = OpenListener(this->acceptor, where);
   if (error) {
     const std::string why = error.message();
     this->acceptor.close(error);
--- a/core/admission.cc
+++ b/core/admission.cc
@@ -14,7 +14,7 @@
   if (expected && now + *expected > deadline && state->second.last_admitted &&
       now - *state->second.last_admitted < kAdmissionProbeInterval) {
     return Fail(ErrorCode::kOverloaded, "answers take at least " +
-                                            std::to_string(*expected / Millis(1)) +
+                                            std::to_string(WholeMillis(*expected)) +
                                             " ms at present, more than the time left");
   }
   if (state != this->services.end()) state->second.last_admitted = now;
--- a/core/caller_api.cc
+++ b/core/caller_api.cc
@@ -2,7 +2,6 @@
 #include "core/caller_api.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <limits>
 #include <utility>
@@ -21,8 +20,6 @@
 constexpr uint32_t kMaxSlots = 100'000;
 constexpr size_t kMaxQuotedBody = 200;
 
-// Wire names of TargetState, in the order of its values.
-
 // Builds a JSON object or array.
 class Writer {
  public:
@@ -74,8 +71,6 @@
   return array.Close();
 }
 
-int64_t WholeMillis(Duration duration) { return duration / Millis(1); }
-
 std::optional<Duration> ReadDeadline(JsonReader& reader) {
   if (!reader.Has("deadline_ms")) return std::nullopt;
   return Millis(static_cast<int64_t>(reader.Unsigned("deadline_ms", 1, kMaxMillis)));
--- a/core/config.cc
+++ b/core/config.cc
@@ -26,8 +26,6 @@
 
 std::string Quoted(std::string_view text) { return "\"" + std::string(text) + "\""; }
 
-int64_t WholeMillis(Duration duration) { return duration / Millis(1); }
-
 Fleet ReadFleet(StrictJsonReader& reader, const json::value& value, const std::string& name) {
   Fleet fleet{.name = name};
   StrictJsonObject object(reader, value, "fleets." + name);
--- a/core/records.h
+++ b/core/records.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -62,6 +63,9 @@
   auto operator<=>(const RouterRecord&) const = default;
 };
 
+// The list of routers, by id.
+using RouterMap = std::map<std::string, RouterRecord>;
+
 // A blocked request fingerprint.
 struct QuarantineRecord {
   uint64_t fingerprint = 0;
--- a/core/types.h
+++ b/core/types.h
@@ -20,6 +20,8 @@
 constexpr Duration Millis(int64_t n) { return std::chrono::milliseconds(n); }
 constexpr Duration Seconds(int64_t n) { return std::chrono::seconds(n); }
 constexpr double ToMillis(Duration d) { return static_cast<double>(d.count()) / 1000.0; }
+// Without the fraction.
+constexpr int64_t WholeMillis(Duration d) { return d / Millis(1); }
 // Builds a time from milliseconds since an arbitrary epoch; tests use it.
 constexpr Time TimeAt(int64_t millis) { return Time(Millis(millis)); }
 
--- a/io/control_client.cc
+++ b/io/control_client.cc
@@ -406,9 +406,7 @@
 bool ControlClient::Synchronized(Time now) const { return this->impl->lease.Valid(now); }
 const Lease& ControlClient::CurrentLease() const { return this->impl->lease; }
 std::shared_ptr<const Config> ControlClient::CurrentConfig() const { return this->impl->config; }
-const std::map<std::string, RouterRecord>& ControlClient::Routers() const {
-  return this->impl->routers;
-}
+const RouterMap& ControlClient::Routers() const { return this->impl->routers; }
 uint64_t ControlClient::ViewIndex() const { return this->impl->view_index; }
 const std::vector<QuarantineRecord>& ControlClient::QuarantineList() const {
   return this->impl->quarantine;
--- a/io/control_client.h
+++ b/io/control_client.h
@@ -90,7 +90,7 @@
   // The current configuration; never null, revision 0 before the first.
   std::shared_ptr<const Config> CurrentConfig() const;
   // The router list by id, and the log index of its last change.
-  const std::map<std::string, RouterRecord>& Routers() const;
+  const RouterMap& Routers() const;
   uint64_t ViewIndex() const;
   const std::vector<QuarantineRecord>& QuarantineList() const;
   const DirectoryCopy& Directory() const;
--- a/io/control_replies.cc
+++ b/io/control_replies.cc
@@ -3,24 +3,16 @@
 
 #include <utility>
 
-namespace peridotgauge {
-namespace {
-
-template <typename T>
-wire::BodyUnion Wrap(T message) {
-  wire::BodyUnion body;
-  body.Set(std::move(message));
-  return body;
-}
+#include "io/peer.h"
 
-}  // namespace
+namespace peridotgauge {
 
 wire::BodyUnion SyncError(ErrorCode code, const std::string& detail, const std::string& leader) {
   wire::SyncReplyT reply;
   reply.error = static_cast<int8_t>(code);
   reply.detail = detail;
   reply.leader = leader;
-  return Wrap(std::move(reply));
+  return ToBody(std::move(reply));
 }
 
 wire::BodyUnion CommandError(const Error& error, const std::string& leader) {
@@ -28,7 +20,7 @@
   reply.error = static_cast<int8_t>(error.code);
   reply.detail = error.detail;
   reply.leader = leader;
-  return Wrap(std::move(reply));
+  return ToBody(std::move(reply));
 }
 
 wire::BodyUnion ReadAnswer(const Result<std::string>& json, const std::string& leader) {
@@ -40,7 +32,7 @@
     reply.error = static_cast<int8_t>(json.error().code);
     reply.detail = json.error().detail;
   }
-  return Wrap(std::move(reply));
+  return ToBody(std::move(reply));
 }
 
 LogStatus StatusOf(const ReplicaStatus& status) {
--- a/io/controller.cc
+++ b/io/controller.cc
@@ -17,6 +17,7 @@
 #include "io/control_events.h"
 #include "io/control_replies.h"
 #include "io/leader_relay.h"
+#include "io/proposals.h"
 #include "io/quorum_round.h"
 #include "state/commands.h"
 #include "state/control_report.h"
@@ -51,6 +52,7 @@
         timer(io),
         intake(this->options.id, this->options.registration_lease, this->directory),
         rounds(std::make_shared<QuorumRounds>(io, log)),
+        proposals(std::make_shared<Proposals>(io, log, state)),
         relay(io, this->options.id, this->options.controllers, this->options.peer_port),
         events(this->options.events) {}
 
@@ -125,7 +127,6 @@
 
     RouterId Id() const { return {this->router.id, this->router.incarnation}; }
   };
-  using CommandCallback = std::function<void(const wire::BodyUnion&)>;
 
   bool Leading() const { return this->led_term != 0; }
 
@@ -238,10 +239,11 @@
     this->events.RouterJoins(router);
     wire::JoinT command;
     command.router = ToWire(router);
-    this->Propose(ToCommand(std::move(command)),
-                  this->InThisTerm([id = router.id](Impl& self, const wire::BodyUnion& answer) {
-                    self.OnJoined(id, *answer.AsCommandReply());
-                  }));
+    this->proposals->Propose(
+        ToCommand(std::move(command)),
+        this->InThisTerm([id = router.id](Impl& self, const wire::BodyUnion& answer) {
+          self.OnJoined(id, *answer.AsCommandReply());
+        }));
   }
 
   void OnJoined(const std::string& router, const wire::CommandReplyT& reply) {
@@ -331,13 +333,14 @@
     if (const auto* leave = request.body.AsLeave()) {
       if (leave->clean) this->OnCleanLeave({leave->id, leave->incarnation});
     }
-    this->Propose(std::move(request.body),
-                  [responder](const wire::BodyUnion& answer) { responder.reply(answer); });
+    this->proposals->Propose(std::move(request.body), [responder](const wire::BodyUnion& answer) {
+      responder.reply(answer);
+    });
   }
 
   void OnConfig(wire::CommandBodyUnion body, uint64_t revision, const Responder& responder) {
-    this->Propose(std::move(body), [weak = this->weak_from_this(), revision,
-                                    responder](const wire::BodyUnion& answer) {
+    this->proposals->Propose(std::move(body), [weak = this->weak_from_this(), revision,
+                                               responder](const wire::BodyUnion& answer) {
       if (const auto self = weak.lock()) {
         self->events.ConfigDecided(revision, *answer.AsCommandReply());
       }
@@ -355,33 +358,6 @@
     }
   }
 
-  // Proposes a command and passes on the CommandReply, whoever leads by then.
-  void Propose(wire::CommandBodyUnion body, CommandCallback done) {
-    if (this->pending_commands >= kMaxPendingCommands) {
-      asio::post(this->io, [done = std::move(done)] {
-        done(CommandError({ErrorCode::kOverloaded, "too many commands wait"}, ""));
-      });
-      return;
-    }
-    ++this->pending_commands;
-    const int64_t now_ms = std::max(UnixMillis(), this->state.LogTime());
-    this->log.Propose(
-        ControlState::Encode(now_ms, std::move(body)), SteadyNow() + kProposalTimeout,
-        [weak = this->weak_from_this(), done = std::move(done)](const Result<Applied>& applied) {
-          auto self = weak.lock();
-          if (!self) return;
-          --self->pending_commands;
-          done(self->AnswerOf(applied));
-        });
-  }
-
-  wire::BodyUnion AnswerOf(const Result<Applied>& applied) const {
-    if (!applied) return CommandError(applied.error(), this->log.Leader());
-    Result<wire::CommandReplyT> reply = ControlState::DecodeReply(applied->result);
-    if (!reply) return CommandError({ErrorCode::kInternal, reply.error().detail}, "");
-    return ToBody(std::move(*reply));
-  }
-
   void ChangeMembers(const wire::ChangeMembersT& change, const Responder& responder) {
     this->log.ChangeMember({.id = change.id, .peer_address = change.address}, change.incarnation,
                            change.remove, SteadyNow() + kProposalTimeout,
@@ -533,10 +509,10 @@
   }
 
   void Remove(const RouterId& router) {
-    this->Propose(LeaveCommand(router.id, router.incarnation, /*clean=*/true),
-                  this->InThisTerm([router](Impl& self, const wire::BodyUnion& answer) {
-                    self.OnLeft(router, *answer.AsCommandReply());
-                  }));
+    this->proposals->Propose(LeaveCommand(router.id, router.incarnation, /*clean=*/true),
+                             this->InThisTerm([router](Impl& self, const wire::BodyUnion& answer) {
+                               self.OnLeft(router, *answer.AsCommandReply());
+                             }));
   }
 
   void OnLeft(const RouterId& router, const wire::CommandReplyT& reply) {
@@ -571,7 +547,7 @@
   bool wake_scheduled = false;
 
   std::shared_ptr<QuorumRounds> rounds;
-  size_t pending_commands = 0;
+  std::shared_ptr<Proposals> proposals;
   LeaderRelay relay;
   ControlEvents events;
 };
--- a/io/controller.h
+++ b/io/controller.h
@@ -42,12 +42,9 @@
 // at once.
 constexpr Duration kDirectoryInterval = Millis(50);
 constexpr Duration kControllerTick = Millis(20);
-constexpr Duration kProposalTimeout = Seconds(2);
 // Longest wait for the routers to learn that a target leaves before its heartbeat is acknowledged;
 // well below the second for which targets wait.
 constexpr Duration kPublishTime = Millis(600);
-// Commands waiting for their commit; further ones are refused with kOverloaded.
-constexpr size_t kMaxPendingCommands = 4'096;
 
 struct ControllerOptions {
   std::string id;
--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -56,6 +56,9 @@
 constexpr Duration kRouteElectionTimeout = Millis(200);
 constexpr size_t kCallerHeadBytes = 64 << 10;
 
+// 0 for an address without a port; the settings have none such.
+uint16_t PortOf(const Address& address) { return ParseAddress(address).value_or(Endpoint{}).port; }
+
 }  // namespace
 
 class Daemon::Impl : public std::enable_shared_from_this<Daemon::Impl> {
@@ -252,12 +255,11 @@
     if (!this->raft_log) return {};
     const std::string leader = this->raft_log->Leader();
     if (leader.empty()) return {};
-    return JoinAddress(leader, ParseAddress(this->settings.http_address).value_or(Endpoint{}).port);
+    return JoinAddress(leader, PortOf(this->settings.http_address));
   }
 
   uint16_t PeerPort() const {
-    if (this->settings.seeds.empty()) return 0;
-    return ParseAddress(this->settings.peer_address).value_or(Endpoint{}).port;
+    return this->settings.seeds.empty() ? 0 : PortOf(this->settings.peer_address);
   }
 
   ConfigReader Reader() const {
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -118,13 +118,12 @@
         .CounterOf("peridotgauge_requests_total",
                    {{"route", ""}, {"result", std::string(error.Name())}})
         .Add();
-    this->context.log.Write(now, UnixMillis(),
-                            Event("request_refused")
-                                .Add("request", id)
-                                .Add("host", http.Header("host"))
-                                .Add("path", http.path)
-                                .Add("error", error.ToString())
-                                .Add("revision", this->config->Revision()));
+    this->Log(now, Event("request_refused")
+                       .Add("request", id)
+                       .Add("host", http.Header("host"))
+                       .Add("path", http.path)
+                       .Add("error", error.ToString())
+                       .Add("revision", this->config->Revision()));
     std::optional<Duration> pause;
     if (temporary) pause = kSynchronizePause + RetryPause(this->random);
     responder.Send(this->context.codec.Failure(error, true, pause));
@@ -132,31 +131,29 @@
 
   void OnStray(const std::string& target, const HttpHeader& echo, std::string_view value) {
     this->context.metrics.CounterOf("peridotgauge_stray_responses_total").Add();
-    this->context.log.Write(SteadyNow(), UnixMillis(),
-                            Event("stray_discarded")
-                                .Add("request", echo.value)
-                                .Add("target", target)
-                                .Add("answers", value));
+    this->Log(SteadyNow(), Event("stray_discarded")
+                               .Add("request", echo.value)
+                               .Add("target", target)
+                               .Add("answers", value));
   }
 
+  void Log(Time now, const Event& event) { this->context.log.Write(now, UnixMillis(), event); }
+
   // --- Control plane ---
 
   void OnControlChange(const ControlChange& change) {
     const Time now = SteadyNow();
     if (change.lapsed) {
-      this->context.log.Write(
-          now, UnixMillis(),
-          Event("controllers_lost")
-              .Add("lease_ms", now - *this->control.CurrentLease().End() + kLeaseLength)
-              .Add("revision", this->config->Revision())
-              .Add("directory", this->control.Directory().Version()));
+      this->Log(now, Event("controllers_lost")
+                         .Add("lease_ms", now - *this->control.CurrentLease().End() + kLeaseLength)
+                         .Add("revision", this->config->Revision())
+                         .Add("directory", this->control.Directory().Version()));
     }
     if (change.config) this->OnConfig(now);
     if (change.directory) this->OnDirectory(now);
     if (change.config || change.routers) this->OnShares();
     if (change.lease) {
-      this->context.log.Write(now, UnixMillis(),
-                              Event("controllers_regained").Add("leader", this->control.Leader()));
+      this->Log(now, Event("controllers_regained").Add("leader", this->control.Leader()));
     }
     if (change.config || change.directory) {
       this->plans.Invalidate();
@@ -171,10 +168,9 @@
       return std::none_of(routes.begin(), routes.end(),
                           [&](const Route& route) { return route.name == item.first; });
     });
-    this->context.log.Write(now, UnixMillis(),
-                            Event("config_in_force")
-                                .Add("revision", this->config->Revision())
-                                .Add("routes", this->config->Routes().Routes().size()));
+    this->Log(now, Event("config_in_force")
+                       .Add("revision", this->config->Revision())
+                       .Add("routes", this->config->Routes().Routes().size()));
   }
 
   // Divides what all routers share: connections to targets and extra sub-requests.
@@ -222,9 +218,7 @@
   }
 
   void LogTarget(Time now, const TargetRecord& record, TargetState state) {
-    this->context.log.Write(
-        now, UnixMillis(),
-        TargetEvent("target", record, state, this->control.Directory().Version()));
+    this->Log(now, TargetEvent("target", record, state, this->control.Directory().Version()));
   }
 
   const Settings& settings;
--- a/io/http_client.cc
+++ b/io/http_client.cc
@@ -27,8 +27,13 @@
 
 // --- Pool ---
 
-HttpClient::Impl::Impl(asio::io_context& io, Address address, HttpClientOptions options)
-    : io(io), address(std::move(address)), options(Repair(std::move(options))), reopen(io) {}
+HttpClient::Impl::Impl(asio::io_context& io, Address address, HttpClientOptions options,
+                       StrayCallback on_stray)
+    : io(io),
+      address(std::move(address)),
+      options(Repair(options)),
+      on_stray(std::move(on_stray)),
+      reopen(io) {}
 
 uint64_t HttpClient::Impl::Send(HttpCall call) {
   const uint64_t id = ++this->last_id;
@@ -203,7 +208,7 @@
 }
 
 void HttpClient::Impl::SetOptions(HttpClientOptions options) {
-  this->options = Repair(std::move(options));
+  this->options = Repair(options);
   size_t surplus =
       this->connections.size() - std::min(this->connections.size(), this->options.connections);
   while (surplus > 0 && !this->idle.empty()) {
@@ -253,8 +258,9 @@
 
 // --- HttpClient ---
 
-HttpClient::HttpClient(asio::io_context& io, Address address, HttpClientOptions options)
-    : impl(std::make_shared<Impl>(io, std::move(address), std::move(options))) {
+HttpClient::HttpClient(asio::io_context& io, Address address, HttpClientOptions options,
+                       StrayCallback on_stray)
+    : impl(std::make_shared<Impl>(io, std::move(address), options, std::move(on_stray))) {
   this->impl->KeepWarm();
 }
 
@@ -264,9 +270,7 @@
 
 void HttpClient::Cancel(uint64_t id) { this->impl->Cancel(id); }
 
-void HttpClient::SetOptions(HttpClientOptions options) {
-  this->impl->SetOptions(std::move(options));
-}
+void HttpClient::SetOptions(HttpClientOptions options) { this->impl->SetOptions(options); }
 
 const Address& HttpClient::PeerAddress() const { return this->impl->address; }
 
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -25,6 +25,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <tl/expected.hpp>
 
 #include "core/error.h"
@@ -43,10 +44,11 @@
 struct HttpClientOptions {
   size_t connections = 1;  // limit, at least 1
   size_t warm = 0;         // connections kept open while idle; at most `connections`
-  // Called for each discarded response, with the `echo` of the call and the value that came.
-  std::function<void(const HttpHeader& echo, std::string_view value)> on_stray = {};
 };
 
+// Called for each discarded response, with the `echo` of the call and the value that came.
+using StrayCallback = std::function<void(const HttpHeader& echo, std::string_view value)>;
+
 // Why an exchange has no response.
 struct HttpFailure {
   Error error;
@@ -66,8 +68,9 @@
   // kCloseTimeout has passed). May be empty.
   std::function<void()> released;
   // A response that has this header with another value answers another request. It is discarded,
-  // and the next response of the connection is awaited. An empty name: every response is taken.
-  HttpHeader echo = {};
+  // and the next response of the connection is awaited. Null: every response is taken. Shared by
+  // the calls of one request.
+  std::shared_ptr<const HttpHeader> echo;
   // The request may be sent again if its connection turns out to be closed. A connection that was
   // used a moment ago is then not checked before, which saves a system call.
   bool repeatable = false;
@@ -84,7 +87,8 @@
 
 class HttpClient {
  public:
-  HttpClient(boost::asio::io_context& io, Address address, HttpClientOptions options);
+  HttpClient(boost::asio::io_context& io, Address address, HttpClientOptions options,
+             StrayCallback on_stray = {});
   // Closes all connections; no callback is called afterwards.
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
--- a/io/http_client_impl.h
+++ b/io/http_client_impl.h
@@ -44,7 +44,8 @@
   };
   using ExchangePtr = std::shared_ptr<Exchange>;
 
-  Impl(boost::asio::io_context& io, Address address, HttpClientOptions options);
+  Impl(boost::asio::io_context& io, Address address, HttpClientOptions options,
+       StrayCallback on_stray);
 
   uint64_t Send(HttpCall call);
   void Cancel(uint64_t id);
@@ -66,7 +67,7 @@
   bool Surplus() const { return this->connections.size() > this->options.connections; }
   void CountReplaced() { ++this->replaced; }
   void OnStray(const HttpHeader& echo, std::string_view value) const {
-    if (this->options.on_stray) this->options.on_stray(echo, value);
+    if (this->on_stray) this->on_stray(echo, value);
   }
   // Calls `callback` unless it is empty or the client was destroyed.
   void Notify(const std::function<void()>& callback) const {
@@ -87,6 +88,7 @@
   void Release(const ExchangePtr& exchange);
 
   HttpClientOptions options;
+  StrayCallback on_stray;
   boost::asio::steady_timer reopen;
   bool reopen_pending = false;
   bool closed = false;
--- a/io/http_connection.cc
+++ b/io/http_connection.cc
@@ -204,12 +204,12 @@
 }
 
 bool HttpClient::Connection::DiscardStray() {
-  const HttpHeader& echo = this->exchange->call.echo;
-  if (echo.name.empty() || this->strays == kMaxStrays || !this->parser->keep_alive()) return false;
-  const auto found = this->parser->get().find(echo.name);
-  if (found == this->parser->get().end() || found->value() == echo.value) return false;
+  const std::shared_ptr<const HttpHeader>& echo = this->exchange->call.echo;
+  if (!echo || this->strays == kMaxStrays || !this->parser->keep_alive()) return false;
+  const auto found = this->parser->get().find(echo->name);
+  if (found == this->parser->get().end() || found->value() == echo->value) return false;
   ++this->strays;
-  this->impl->OnStray(echo, {found->value().data(), found->value().size()});
+  this->impl->OnStray(*echo, {found->value().data(), found->value().size()});
   this->NewParser();
   return true;
 }
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -160,11 +160,7 @@
   const Result<Endpoint> endpoint = ParseListenAddress(address);
   if (!endpoint) return tl::unexpected<Error>(endpoint.error());
   const Tcp::endpoint where(asio::ip::make_address(endpoint->host), endpoint->port);
-  error_code error;
-  this->acceptor.open(where.protocol(), error);
-  if (!error) this->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-  if (!error) this->acceptor.bind(where, error);
-  if (!error) this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  error_code error = OpenListener(this->acceptor, where);
   if (!error) this->acceptor.non_blocking(true, error);
   if (error) {
     return Fail(ErrorCode::kUnavailable, "cannot bind " + address + ": " + error.message());
--- a/io/leader_relay.cc
+++ b/io/leader_relay.cc
@@ -21,12 +21,12 @@
   auto& client = this->clients[leader];
   if (!client) client = std::make_unique<PeerClient>(this->io, address);
   request.relay = false;
-  wire::BodyUnion body;
-  body.Set(std::move(request));
-  client->Call(body, deadline, [reply, leader](const Result<wire::BodyUnion>& answer) {
-    if (answer && answer->AsSyncReply() != nullptr) return reply(*answer);
-    reply(SyncError(ErrorCode::kUnavailable, "the leader " + leader + " did not answer", leader));
-  });
+  client->Call(
+      ToBody(std::move(request)), deadline, [reply, leader](const Result<wire::BodyUnion>& answer) {
+        if (answer && answer->AsSyncReply() != nullptr) return reply(*answer);
+        reply(
+            SyncError(ErrorCode::kUnavailable, "the leader " + leader + " did not answer", leader));
+      });
 }
 
 Address LeaderRelay::AddressOf(const std::string& id) const {
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -56,7 +56,8 @@
                    .first->second),
         search(this->task.plan, ParamsOf(this->task), {context.replicas, this->budget}),
         timer(context.io),
-        done(std::move(done)) {}
+        done(std::move(done)),
+        echo(std::make_shared<const HttpHeader>(context.codec.Echo(this->task.terms.request_id))) {}
 
   void Begin(Time now) { this->Apply(now, this->search.Start(now)); }
 
@@ -119,7 +120,7 @@
                    .done = [self = this->shared_from_this(), number = send.attempt](
                                HttpResult result) { self->OnResult(number, std::move(result)); },
                    .released = {},
-                   .echo = this->context.codec.Echo(this->task.terms.request_id),
+                   .echo = this->echo,
                    .repeatable = this->task.route->idempotent});
   }
 
@@ -296,8 +297,9 @@
   Search search;
   boost::asio::steady_timer timer;
   Callback done;
-  std::vector<Attempt> attempts;  // attempt n is at n - 1
-  bool may_have_run = false;      // a target may have executed the request
+  std::shared_ptr<const HttpHeader> echo;  // of every attempt
+  std::vector<Attempt> attempts;           // attempt n is at n - 1
+  bool may_have_run = false;               // a target may have executed the request
   bool ended = false;
 };
 
--- a/io/route_request.h
+++ b/io/route_request.h
@@ -51,10 +51,10 @@
   }
 
  private:
-  HedgeBudget& shared;
-  QuantileWindow latency{kHedgeWindow, kHedgeMinSamples};
   void Refresh(Time now);
 
+  HedgeBudget& shared;
+  QuantileWindow latency{kHedgeWindow, kHedgeMinSamples};
   std::optional<Duration> median;
   std::optional<Duration> delay;
   std::optional<Time> computed;
--- a/io/socket_options.cc
+++ b/io/socket_options.cc
@@ -1,4 +1,4 @@
-// Options of every TCP connection.
+// Options of sockets.
 #include "io/socket_options.h"
 
 #include <netinet/in.h>
@@ -14,4 +14,15 @@
   socket.set_option(UserTimeout(static_cast<int>(kUnacknowledgedTimeout / Millis(1))), ignored);
 }
 
+boost::system::error_code OpenListener(boost::asio::ip::tcp::acceptor& acceptor,
+                                       const boost::asio::ip::tcp::endpoint& where) {
+  using boost::asio::ip::tcp;
+  boost::system::error_code error;
+  acceptor.open(where.protocol(), error);
+  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor.bind(where, error);
+  if (!error) acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+  return error;
+}
+
 }  // namespace peridotgauge
--- a/io/socket_options.h
+++ b/io/socket_options.h
@@ -1,4 +1,4 @@
-// Options of every TCP connection.
+// Options of every TCP connection, and how a listener is opened.
 #ifndef PERIDOTGAUGE_IO_SOCKET_OPTIONS_H_
 #define PERIDOTGAUGE_IO_SOCKET_OPTIONS_H_
 
@@ -19,6 +19,10 @@
 // connection works without the options.
 void SetSocketOptions(boost::asio::ip::tcp::socket& socket);
 
+// Opens, binds and listens. An address whose last listener has just closed can be bound again.
+boost::system::error_code OpenListener(boost::asio::ip::tcp::acceptor& acceptor,
+                                       const boost::asio::ip::tcp::endpoint& where);
+
 }  // namespace peridotgauge
 
 #endif  // PERIDOTGAUGE_IO_SOCKET_OPTIONS_H_
--- a/io/target_client.cc
+++ b/io/target_client.cc
@@ -121,7 +121,7 @@
 }
 
 TargetClient::TargetClient(boost::asio::io_context& io, Address address, HttpClientOptions options)
-    : client(io, std::move(address), std::move(options)) {}
+    : client(io, std::move(address), options) {}
 
 uint64_t TargetClient::Send(const wire::SubRequestT& request, Callback done,
                             std::function<void()> released) {
--- a/io/target_client.h
+++ b/io/target_client.h
@@ -45,7 +45,7 @@
                 std::function<void()> released = {});
   // Withdraws the sub-request by closing its connection.
   void Cancel(uint64_t id) { this->client.Cancel(id); }
-  void SetOptions(HttpClientOptions options) { this->client.SetOptions(std::move(options)); }
+  void SetOptions(HttpClientOptions options) { this->client.SetOptions(options); }
 
   const Address& TargetAddress() const { return this->client.PeerAddress(); }
   HttpClientStatus Status() const { return this->client.Status(); }
--- a/io/target_pool.cc
+++ b/io/target_pool.cc
@@ -5,14 +5,10 @@
 
 namespace peridotgauge {
 
-HttpClientOptions TargetPool::OptionsOf(const std::string& target,
-                                        const std::string& service) const {
+HttpClientOptions TargetPool::OptionsOf(const std::string& service) const {
   const auto share = this->shares.find(service);
   const size_t connections = share == this->shares.end() ? 1 : std::max<size_t>(share->second, 1);
-  return {.connections = connections,
-          .on_stray = [this, target](const HttpHeader& echo, std::string_view value) {
-            if (this->on_stray) this->on_stray(target, echo, value);
-          }};
+  return {.connections = connections};
 }
 
 void TargetPool::SetShare(const std::string& service, size_t connections) {
@@ -20,7 +16,7 @@
   if (share == connections) return;
   share = connections;
   for (auto& [target, entry] : this->entries) {
-    if (entry.service == service) entry.client->SetOptions(this->OptionsOf(target, service));
+    if (entry.service == service) entry.client->SetOptions(this->OptionsOf(service));
   }
 }
 
@@ -33,7 +29,10 @@
              .address = record.address,
              .service = record.service,
              .client = std::make_unique<HttpClient>(
-                 this->io, record.address, this->OptionsOf(record.target, record.service))};
+                 this->io, record.address, this->OptionsOf(record.service),
+                 [this, target = record.target](const HttpHeader& echo, std::string_view value) {
+                   if (this->on_stray) this->on_stray(target, echo, value);
+                 })};
   }
   return *entry.client;
 }
--- a/io/target_pool.h
+++ b/io/target_pool.h
@@ -30,10 +30,10 @@
  public:
   // Called when a target's response to another request was discarded: the target's id, the header
   // of the running request, and the value that came.
-  using StrayCallback = std::function<void(const std::string& target, const HttpHeader& echo,
-                                           std::string_view value)>;
+  using TargetStrayCallback = std::function<void(const std::string& target, const HttpHeader& echo,
+                                                 std::string_view value)>;
 
-  TargetPool(boost::asio::io_context& io, StrayCallback on_stray)
+  TargetPool(boost::asio::io_context& io, TargetStrayCallback on_stray)
       : io(io), on_stray(std::move(on_stray)) {}
 
   // Sets the limit on connections to each target of the service.
@@ -51,10 +51,10 @@
     std::string service;
     std::unique_ptr<HttpClient> client;
   };
-  HttpClientOptions OptionsOf(const std::string& target, const std::string& service) const;
+  HttpClientOptions OptionsOf(const std::string& service) const;
 
   boost::asio::io_context& io;
-  StrayCallback on_stray;
+  TargetStrayCallback on_stray;
   std::map<std::string, size_t> shares;  // by service
   std::map<std::string, Entry> entries;  // by target
 };
--- a/state/directory.cc
+++ b/state/directory.cc
@@ -169,7 +169,7 @@
   entry.dropped = true;
 }
 
-bool Directory::Tick(Time now, const std::map<std::string, RouterRecord>& view) {
+bool Directory::Tick(Time now, const RouterMap& view) {
   const uint64_t before = this->version;
   for (auto& [name, entry] : this->entries) {
     if (entry.gone) continue;
--- a/state/directory.h
+++ b/state/directory.h
@@ -81,7 +81,7 @@
 
   // Drops targets whose registrar has been away from the view for kCollectTime, prunes tombstones
   // and ends the collecting phase. Returns true if something changed.
-  bool Tick(Time now, const std::map<std::string, RouterRecord>& view);
+  bool Tick(Time now, const RouterMap& view);
 
   // The changes after `version`, or everything if the epoch differs or the version is too old.
   DirectoryDelta DeltaSince(uint64_t epoch, uint64_t version) const;
--- a/state/router_list.h
+++ b/state/router_list.h
@@ -19,7 +19,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -29,8 +28,6 @@
 
 namespace peridotgauge {
 
-using RouterMap = std::map<std::string, RouterRecord>;  // by id
-
 // Changes that are remembered: every router of the planned size (480) restarts twice.
 constexpr size_t kRouterChangesKept = 1024;
 
--- a/state/session.cc
+++ b/state/session.cc
@@ -27,7 +27,7 @@
   session.acknowledged = std::max(session.acknowledged, acknowledged);
 }
 
-void SessionTable::Tick(Time now, const std::map<std::string, RouterRecord>& view) {
+void SessionTable::Tick(Time now, const RouterMap& view) {
   const Duration gap = this->last_tick ? now - *this->last_tick : Duration::zero();
   this->last_tick = now;
   if (gap > kMaxTickGap) {
@@ -61,16 +61,15 @@
          found->second.leaving;
 }
 
-bool SessionTable::InForce(Time now, uint64_t version,
-                           const std::map<std::string, RouterRecord>& view) {
+bool SessionTable::InForce(Time now, uint64_t version, const RouterMap& view) {
   if (version <= this->in_force) return true;
   if (!this->Waiting(now, version, view).empty()) return false;
   this->in_force = version;
   return true;
 }
 
-std::vector<std::string> SessionTable::Waiting(
-    Time now, uint64_t version, const std::map<std::string, RouterRecord>& view) const {
+std::vector<std::string> SessionTable::Waiting(Time now, uint64_t version,
+                                               const RouterMap& view) const {
   std::vector<std::string> waiting;
   for (const auto& [id, router] : view) {
     const auto found = this->sessions.find(id);
--- a/state/session.h
+++ b/state/session.h
@@ -59,7 +59,7 @@
 
   // Gives each member of the view without a session a full one, and forgets sessions of routers
   // that are not members. Call it regularly and after each change of the view.
-  void Tick(Time now, const std::map<std::string, RouterRecord>& view);
+  void Tick(Time now, const RouterMap& view);
 
   // Sessions that have ended and are not leaving yet.
   std::vector<RouterId> Expired(Time now) const;
@@ -70,10 +70,9 @@
   // True once every member of the view has acknowledged `version` or its session has ended. Stays
   // true within one leadership, because a router that comes later receives that version with its
   // first lease.
-  bool InForce(Time now, uint64_t version, const std::map<std::string, RouterRecord>& view);
+  bool InForce(Time now, uint64_t version, const RouterMap& view);
   // Members that hold InForce(version) up.
-  std::vector<std::string> Waiting(Time now, uint64_t version,
-                                   const std::map<std::string, RouterRecord>& view) const;
+  std::vector<std::string> Waiting(Time now, uint64_t version, const RouterMap& view) const;
 
   const std::map<std::string, Session>& Sessions() const { return this->sessions; }
 
--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -23,8 +23,10 @@
 };
 
 struct Fixture {
-  explicit Fixture(const HttpClientOptions& options = {.connections = 1, .warm = 0})
-      : client(std::make_unique<HttpClient>(this->io, this->peer.AddressText(), options)) {}
+  explicit Fixture(HttpClientOptions options = {.connections = 1, .warm = 0},
+                   StrayCallback on_stray = {})
+      : client(std::make_unique<HttpClient>(this->io, this->peer.AddressText(), options,
+                                            std::move(on_stray))) {}
 
   // Starts an exchange; the outcome stays at its place.
   uint64_t Send(Outcome& outcome, Duration budget = Seconds(10), std::string body = "{}",
@@ -64,7 +66,7 @@
   boost::asio::io_context io;
   RawListener peer;
   std::unique_ptr<HttpClient> client;
-  HttpHeader echo;  // of the calls that follow
+  std::shared_ptr<const HttpHeader> echo;  // of the calls that follow
 };
 
 TEST_CASE("http_client reuses a connection after a whole exchange", "[http_client]") {
@@ -90,15 +92,14 @@
 // Load pattern: a target hands out answers to other requests before the one that was asked for.
 TEST_CASE("http_client discards a response to another request", "[http_client]") {
   std::vector<std::string> discarded;
-  Fixture fixture(
-      {.connections = 1, .on_stray = [&](const HttpHeader& echo, std::string_view value) {
-         discarded.push_back(echo.value + " got " + std::string(value));
-       }});
+  Fixture fixture({.connections = 1}, [&](const HttpHeader& echo, std::string_view value) {
+    discarded.push_back(echo.value + " got " + std::string(value));
+  });
   const auto response = [](const std::string& id, const std::string& body) {
     return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 2\r\n\r\n" + body;
   };
   Outcome outcome;
-  fixture.echo = {"x-id", "q7"};
+  fixture.echo = std::make_shared<const HttpHeader>(HttpHeader{"x-id", "q7"});
   fixture.Send(outcome);
   RawSocket& socket = fixture.Requested(1);
   SECTION("and takes its own, which arrives with it") {
