Tell callers about as many routers as the load needs

The share of connections was computed for 191 routers, so that none kept a connection to a target, and each router saw 2 queries a second, too few to know a slow or lossy target before the fault was over.

A fixed number would not carry more load.

Change: routers report the sub-requests that they send and their share of a processor; the leader derives the number of routers to offer and commits it, so that every controller offers the same routers, those of the caller's data centre first. Routers divide the connections by that number. The first connect between processes times out after 150 ms instead of 500, and a controller that could not be reached is tried again after 3 s instead of 10: after a loss of power routers had waited for hosts that were not up yet, and relayed for 10 s afterwards.

--- a/core/settings.cc
+++ b/core/settings.cc
@@ -137,6 +137,7 @@
   constexpr uint64_t kLongestMillis = 3'600'000;
   root.ReadMillis("heartbeat_ms", settings.heartbeat_interval, {.min = 10, .max = kLongestMillis});
   root.ReadMillis("grace_ms", settings.shutdown_grace, {.min = 100, .max = kLongestMillis});
+  ReadFraction(errors, root, "processor_share", {0.001, 1'024}, settings.processor_share);
   ReadFraction(errors, root, "extra_slack", {0, 1'000'000}, settings.extra_requests.slack);
   ReadFraction(errors, root, "extra_ratio", {0, 10}, settings.extra_requests.ratio);
   double window_s = std::chrono::duration<double>(settings.extra_requests.window).count();
--- a/core/settings.h
+++ b/core/settings.h
@@ -59,6 +59,8 @@
   // IP addresses of some controllers, in place of `controllers`. The id of a controller is then its
   // IP address, and all processes use the same peer port.
   std::vector<std::string> seeds;
+  // Share of a processor that this process may use, above 0.
+  double processor_share = 1;
   ExtraRequestLimit extra_requests;
   Duration heartbeat_interval = Seconds(1);    // interval at which targets register
   Duration shutdown_grace = Seconds(30);       // from SIGTERM to SIGKILL
--- a/io/control_channel.h
+++ b/io/control_channel.h
@@ -32,7 +32,7 @@
 // Delay before the next attempt after a failure or when no leader is known.
 constexpr Duration kLeaderRetryDelay = Millis(50);
 // Time for which an unreachable controller is not used while another one replies.
-constexpr Duration kUnreachableBackoff = Seconds(10);
+constexpr Duration kUnreachableBackoff = Seconds(3);
 
 enum class Resend : uint8_t { kAllowed, kNever };
 
--- a/io/control_client.cc
+++ b/io/control_client.cc
@@ -149,6 +149,8 @@
   std::shared_ptr<const Config> config;
   RouterMap routers;
   size_t active_routers = 0;
+  size_t offered_routers = 0;
+  std::function<RouterLoad(Time now)> load_report;
   std::vector<QuarantineRecord> quarantine;
   DirectoryCopy directory;
   uint64_t view_index = 0;
@@ -210,6 +212,11 @@
     sync.relay = this->relay;
     sync.router_deltas = true;
     sync.compact = this->compact;
+    if (this->load_report) {
+      const RouterLoad load = this->load_report(request.sent);
+      sync.load = static_cast<float>(load.sub_requests_per_s);
+      sync.processor_share = static_cast<float>(load.processor_share);
+    }
     if (this->compact && !this->config_text.empty()) {
       sync.config_revision = this->config->Revision();
       sync.config_digest = this->config_digest;
@@ -328,6 +335,7 @@
     if (reply.state_index > this->state_index || reply.state_changed) {
       if (!this->ApplyState(reply, change)) return false;
     }
+    this->ApplyRouterCounts(reply, change);
     this->ApplyDirectory(reply, change);
     this->failures = 0;
     this->timeouts = 0;
@@ -380,10 +388,6 @@
       this->state_index = 0;
       return false;
     }
-    if (reply.active_routers > 0) {
-      change.routers = change.routers || this->active_routers != reply.active_routers;
-      this->active_routers = reply.active_routers;
-    }
     this->state_index = reply.state_index;
     return true;
   }
@@ -446,6 +450,7 @@
     this->active_routers =
         static_cast<size_t>(std::count_if(new_routers.begin(), new_routers.end(),
                                           [](const auto& item) { return !item.second.draining; }));
+    this->offered_routers = this->active_routers;
     change.quarantine = new_quarantine != this->quarantine;
     this->routers = std::move(new_routers);
     this->quarantine = std::move(new_quarantine);
@@ -453,6 +458,16 @@
     return true;
   }
 
+  // The counts come with every reply to a compact request, also without a change of the state.
+  void ApplyRouterCounts(const wire::SyncReplyT& reply, ControlChange& change) {
+    if (reply.active_routers == 0) return;
+    const size_t offered = OfferedCount(reply.offered_routers, reply.active_routers);
+    change.routers = change.routers || this->active_routers != reply.active_routers ||
+                     this->offered_routers != offered;
+    this->active_routers = reply.active_routers;
+    this->offered_routers = offered;
+  }
+
   void ApplyDirectory(const wire::SyncReplyT& reply, ControlChange& change) {
     if (reply.directory_epoch == 0) return;  // the reply has no directory update
     const DirectoryDelta delta = DeltaOf(reply);
@@ -503,6 +518,10 @@
 std::shared_ptr<const Config> ControlClient::CurrentConfig() const { return this->impl->config; }
 const RouterMap& ControlClient::Routers() const { return this->impl->routers; }
 size_t ControlClient::ActiveRouters() const { return this->impl->active_routers; }
+size_t ControlClient::OfferedRouterCount() const { return this->impl->offered_routers; }
+void ControlClient::SetLoadReport(std::function<RouterLoad(Time now)> report) {
+  this->impl->load_report = std::move(report);
+}
 uint64_t ControlClient::ViewIndex() const { return this->impl->view_index; }
 const std::vector<QuarantineRecord>& ControlClient::QuarantineList() const {
   return this->impl->quarantine;
--- a/io/control_client.h
+++ b/io/control_client.h
@@ -30,6 +30,7 @@
 #include "core/config.h"
 #include "core/error.h"
 #include "core/records.h"
+#include "core/router_offer.h"
 #include "core/settings.h"
 #include "core/types.h"
 #include "peer_generated.h"
@@ -109,6 +110,12 @@
   // Returns the id of the leader; empty if unknown.
   std::string Leader() const;
 
+  // Returns the number of routers that callers are told about; at most ActiveRouters().
+  size_t OfferedRouterCount() const;
+
+  // Sets the function that returns the load to report with each sync request.
+  void SetLoadReport(std::function<RouterLoad(Time now)> report);
+
   // Adds controllers, see ControlChannel::AddControllers().
   void AddControllers(const std::vector<std::string>& controllers);
 
--- a/io/control_events.cc
+++ b/io/control_events.cc
@@ -32,6 +32,10 @@
                   .Add("incarnation", target.incarnation));
 }
 
+void ControlEvents::RoutersOffered(size_t count, size_t active) {
+  this->Write(Event("routers_offered").Add("count", count).Add("active", active));
+}
+
 void ControlEvents::TargetRegistered(const TargetRecord& target, uint64_t directory_version) {
   this->WriteTargetEvent("target_registered", target, directory_version);
 }
--- a/io/control_events.h
+++ b/io/control_events.h
@@ -28,6 +28,8 @@
   void LeadershipChanged(bool leading, uint64_t term);
   void RouterJoining(const RouterRecord& router);
   void RouterExpired(const RouterId& router);
+  // Writes the number of routers that callers will be told about, of `active`.
+  void RoutersOffered(size_t count, size_t active);
   void TargetRegistered(const TargetRecord& target, uint64_t directory_version);
   void TargetRemoved(const TargetRecord& target, uint64_t directory_version);
   void TargetExpired(const TargetRecord& target, uint64_t directory_version);
--- a/io/control_replies.cc
+++ b/io/control_replies.cc
@@ -76,6 +76,7 @@
   reply.view_index = state.ViewIndex();
   reply.config_revision = config_revision;
   reply.active_routers = static_cast<uint32_t>(state.ActiveRouters());
+  reply.offered_routers = static_cast<uint32_t>(state.OfferedRouterCount());
   return reply;
 }
 
--- a/io/controller.cc
+++ b/io/controller.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "core/config.h"
+#include "core/router_offer.h"
 #include "io/clock.h"
 #include "io/control_events.h"
 #include "io/control_replies.h"
@@ -111,6 +112,9 @@
     this->ack_tracker.Reset();
     this->departures_since.clear();
     this->config_pacer.Reset();
+    this->loads.clear();
+    this->offer_policy.Reset(now);
+    this->offer_pending = false;
     this->PublishConfig(now);
     this->heartbeat_handler.StartTerm(now, term);
   }
@@ -190,6 +194,10 @@
       if (record) poll.registrations.push_back(FromWire(*record));
     }
     this->sessions.Renew(now, poll.Id(), poll.state_index);
+    if (request.processor_share > 0 && request.load >= 0) {
+      this->loads[poll.router.id] = {.sub_requests_per_s = request.load,
+                                     .processor_share = request.processor_share};
+    }
     const bool same_epoch = poll.directory_epoch == this->directory.Epoch();
     this->ack_tracker.RecordVersion(poll.router.id, same_epoch ? poll.directory_version : 0);
     this->AcknowledgeDepartures(now);
@@ -595,6 +603,7 @@
       this->ScheduleDueCheck();
     }
     this->directory.Tick(now, this->state.Routers());
+    this->UpdateOffer(now);
     for (const RouterId& router : this->sessions.Expired(now)) {
       this->events.RouterExpired(router);
       this->sessions.SetRemovalPending(router, true);
@@ -602,6 +611,31 @@
     }
   }
 
+  // Adapts the number of routers that callers are told about to the load.
+  void UpdateOffer(Time now) {
+    std::erase_if(this->loads, [&](const auto& item) {
+      return !this->sessions.Sessions().contains(item.first);
+    });
+    if (this->offer_pending) return;
+    std::vector<RouterLoad> reported;
+    for (const auto& [id, load] : this->loads) reported.push_back(load);
+    std::set<std::string> data_centres;
+    for (const auto& [id, router] : this->state.Routers()) data_centres.insert(router.data_centre);
+    const size_t active = this->state.ActiveRouters();
+    const size_t current = OfferedCount(this->state.OfferedRouterCount(), active);
+    const auto count =
+        this->offer_policy.NextCount(now, current, active, data_centres.size(), reported);
+    if (!count) return;
+    this->offer_pending = true;
+    this->events.RoutersOffered(*count, active);
+    wire::OfferRoutersT command;
+    command.count = static_cast<uint32_t>(*count);
+    this->proposals->Propose(ToCommand(command),
+                             this->IfTermUnchanged([](Impl& self, const wire::BodyUnion&) {
+                               self.offer_pending = false;
+                             }));
+  }
+
   void Remove(const RouterId& router) {
     this->proposals->Propose(
         LeaveCommand(router.id, router.incarnation, /*clean=*/true),
@@ -641,7 +675,10 @@
   std::map<std::string, Time> last_directory_push;  // by router id
   // By target: when its departure was first reported. Cleared when it registers again.
   std::map<std::string, Time> departures_since;
-  ConfigFeed config_feed;  // what compact polls receive
+  std::map<std::string, RouterLoad> loads;  // by id of the router
+  RouterOfferPolicy offer_policy;
+  bool offer_pending = false;  // a command with a new number is on its way into the log
+  ConfigFeed config_feed;      // what compact polls receive
   PushPacer config_pacer;
   // State version that a compact reply brings a router to; below the log index of a configuration
   // that is not published yet.
--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -12,6 +12,7 @@
 #include "core/address.h"
 #include "core/caller_api.h"
 #include "core/metrics.h"
+#include "core/router_offer.h"
 #include "io/clock.h"
 #include "io/control_client.h"
 #include "io/control_events.h"
@@ -206,7 +207,8 @@
   Result<void> ListenExternal() {
     const HttpServer::Handler controller_handler = this->external->ControllerHandler(
         {.control = this->control,
-         .routers = [this] { return this->RouterAddresses(); },
+         .routers =
+             [this](const std::string& data_centre) { return this->RouterAddresses(data_centre); },
          .leader_address = [this] { return this->LeaderAddress(); },
          .config_refused =
              [this](const Error& error) { ControlEvents(&this->log).ConfigRefused(error); }});
@@ -246,14 +248,12 @@
     responder.Send(this->external->Readiness(request, ready));
   }
 
-  // Returns the addresses of all routers that are not draining. A router uses its copy of the list,
+  // Returns the addresses of the routers to offer to a caller. A router uses its copy of the list,
   // so that callers can find routers while no controller is reachable.
-  Result<std::vector<Address>> RouterAddresses() const {
+  Result<std::vector<Address>> RouterAddresses(const std::string& data_centre) const {
     const auto& routers = this->raft_log ? this->state.Routers() : this->control.Routers();
-    std::vector<Address> addresses;
-    for (const auto& [id, router] : routers) {
-      if (!router.draining) addresses.push_back(router.http_address);
-    }
+    std::vector<Address> addresses =
+        OfferedRouters(routers, this->raft_log ? this->state.OfferedRouterCount() : 0, data_centre);
     if (addresses.empty()) return Fail(ErrorCode::kNotSynchronized, "no router accepts requests");
     return addresses;
   }
--- a/io/external_interface.h
+++ b/io/external_interface.h
@@ -20,8 +20,9 @@
 // and heartbeats through `control` to the leader.
 struct ControllerServices {
   ControlClient& control;
-  // Returns the routers that callers may use now, or an error if this process does not know them.
-  std::function<Result<std::vector<Address>>()> routers;
+  // Returns the routers that a caller in this data centre may use now, or an error if this process
+  // does not know them.
+  std::function<Result<std::vector<Address>>(const std::string& data_centre)> routers;
   // Returns the address at which the leader accepts heartbeats; empty if unknown.
   std::function<Address()> leader_address;
   // Logs the event of a configuration that cannot be parsed and therefore is not sent to the
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -10,6 +10,7 @@
 #include "core/plan.h"
 #include "core/replica_choice.h"
 #include "core/route_plan.h"
+#include "core/router_offer.h"
 #include "io/clock.h"
 #include "io/random_seed.h"
 #include "io/route_request.h"
@@ -66,9 +67,18 @@
     this->control.OnChange([weak = this->weak_from_this()](const ControlChange& change) {
       if (auto gateway = weak.lock()) gateway->OnControlChange(change);
     });
+    this->control.SetLoadReport([weak = this->weak_from_this()](Time now) {
+      const auto gateway = weak.lock();
+      return gateway ? gateway->Load(now) : RouterLoad{};
+    });
     this->control.Start();
   }
 
+  RouterLoad Load(Time now) const {
+    return {.sub_requests_per_s = this->sub_request_rate.PerSecond(now),
+            .processor_share = this->settings.processor_share};
+  }
+
   bool Ready() const { return !this->draining && !this->config->Routes().Empty(); }
 
   void Handle(HttpRequest http, const HttpResponder& responder) {
@@ -103,6 +113,7 @@
         .arrived = now,
         .caller_wait = caller_wait,
         .deadline = now + std::max(time_left - kDeadlineMargin, kShortestDeadline)};
+    this->sub_request_rate.Add(now, static_cast<double>(params.plan->shards.size()));
     const auto route_request = RouteRequest::Start(
         this->context, std::move(params),
         [responder](HttpResponse response) { responder.Send(std::move(response)); });
@@ -181,10 +192,11 @@
                        .Add("routes", this->config->Routes().Routes().size()));
   }
 
-  // Computes this router's share of what all routers divide among them: connections to targets and
-  // extra sub-requests.
+  // Computes this router's share of the connections to targets, which the routers that callers are
+  // told about divide among them, and of extra sub-requests, which all routers divide.
   void UpdateShares() {
     const size_t routers = std::max<size_t>(this->control.ActiveRouters(), 1);
+    const size_t offered = std::max<size_t>(this->control.OfferedRouterCount(), 1);
     std::map<std::string, double, std::less<>> shares;
     size_t fewest_connections = std::numeric_limits<size_t>::max();
     const auto add_service = [&](const std::string& service) {
@@ -194,7 +206,7 @@
         return;
       }
       const size_t own_connections =
-          static_cast<size_t>(service_spec->connections * kConnectionShare) / routers;
+          static_cast<size_t>(service_spec->connections * kConnectionShare) / offered;
       fewest_connections = std::min(fewest_connections, own_connections);
       this->pool.SetConnectionLimit(service, own_connections);
     };
@@ -245,6 +257,7 @@
   RouteContext context;
   std::shared_ptr<const Config> config = std::make_shared<const Config>();
   std::map<std::string, TargetRecord> known_targets;  // the targets that the planner has
+  RateMeter sub_request_rate;  // sub-requests that requests need, without hedges and retries
   bool draining = false;
 };
 
--- a/io/peer.cc
+++ b/io/peer.cc
@@ -4,6 +4,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -255,9 +256,11 @@
     if (!endpoint) return this->OnConnectFailed(endpoint.error().detail);
     const uint64_t attempt = ++this->connect_attempt;
     this->connecting = std::make_shared<tcp::socket>(this->io);
-    this->connect_timer.expires_after(kPeerConnectTimeout);
+    this->connect_timer.expires_after(this->connect_timeout);
     this->connect_timer.async_wait([self = this->shared_from_this(), attempt](error_code error) {
-      if (!error && attempt == self->connect_attempt) self->OnConnectFailed("connect timed out");
+      if (error || attempt != self->connect_attempt) return;
+      self->connect_timeout = std::min<Duration>(2 * self->connect_timeout, kMaxPeerConnectTimeout);
+      self->OnConnectFailed("connect timed out");
     });
     auto socket = this->connecting;
     socket->async_connect(tcp::endpoint(asio::ip::make_address(endpoint->host), endpoint->port),
@@ -290,6 +293,7 @@
     ++this->connect_attempt;
     this->connect_timer.cancel();
     this->connecting.reset();
+    this->connect_timeout = kPeerConnectTimeout;
     this->connection = std::make_shared<PeerConnection>(std::move(socket));
     this->connection->on_frame = [self = this->weak_from_this()](wire::FrameT& frame) {
       if (auto client = self.lock()) client->OnFrame(frame);
@@ -393,7 +397,8 @@
   size_t unsent_bytes = 0;
   uint64_t last_call_id = 0;
   Calls calls;
-  std::multimap<Time, uint64_t> deadlines;  // one element for each element of `calls`
+  std::multimap<Time, uint64_t> deadlines;         // one element for each element of `calls`
+  Duration connect_timeout = kPeerConnectTimeout;  // of the next attempt
   asio::steady_timer connect_timer;
   asio::steady_timer deadline_timer;
   bool timer_armed = false;
--- a/io/peer.h
+++ b/io/peer.h
@@ -33,7 +33,10 @@
 
 constexpr size_t kMaxFrameBytes = 4 << 20;
 constexpr size_t kMaxUnwrittenBytes = 32 << 20;
-constexpr Duration kPeerConnectTimeout = Millis(500);
+// Timeout of the first attempt to connect; it doubles with each failure up to the limit. A host
+// without power does not answer, and would delay the search for another one.
+constexpr Duration kPeerConnectTimeout = Millis(150);
+constexpr Duration kMaxPeerConnectTimeout = Millis(500);
 
 // Encodes one frame, including its length prefix.
 std::string EncodeFrame(uint64_t call_id, bool reply, const wire::BodyUnion& body);
--- a/state/control_snapshot.cc
+++ b/state/control_snapshot.cc
@@ -110,7 +110,7 @@
       builder.CreateVectorOfStructs(packed_revisions), builder.CreateVector(packed_details),
       builder.CreateVector(packed_records), builder.CreateVector(packed_routers),
       builder.CreateVectorOfStructs(packed_quarantine), packed_highest_config,
-      this->highest_config_digest));
+      this->highest_config_digest, this->offered_routers));
   return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -146,6 +146,7 @@
   ForEach(table->routers(), [&](const fbs::Router& router) {
     restored.routers.insert_or_assign(Text(router.id()), Unpack(router));
   });
+  restored.offered_routers = table->offered_routers();
   ForEach(table->quarantine(), [&](const fbs::Quarantine& blocked) {
     restored.quarantine[blocked.fingerprint()] = blocked.until_ms();
   });
--- a/state/control_state.cc
+++ b/state/control_state.cc
@@ -97,6 +97,7 @@
   if (const auto* join = body.AsJoin()) return this->ApplyJoin(context, *join);
   if (const auto* leave = body.AsLeave()) return this->ApplyLeave(context, *leave);
   if (const auto* entry = body.AsQuarantine()) return this->ApplyQuarantine(context, *entry);
+  if (const auto* offer = body.AsOfferRouters()) return this->ApplyOffer(*offer);
   // Membership changes of the controllers are handled by the replicated log itself.
   return Reject(ErrorCode::kBadRequest, "command: not handled by the control state");
 }
@@ -308,6 +309,11 @@
   return {};
 }
 
+Reply ControlState::ApplyOffer(const wire::OfferRoutersT& command) {
+  this->offered_routers = command.count;
+  return {};
+}
+
 bool ControlState::operator==(const ControlState& other) const {
   return this->log_time == other.log_time && this->version == other.version &&
          this->config_index == other.config_index && this->view_index == other.view_index &&
@@ -315,7 +321,7 @@
          this->detail_bytes == other.detail_bytes && this->highest_config == other.highest_config &&
          this->highest_config_digest == other.highest_config_digest &&
          this->ledger == other.ledger && this->routers == other.routers &&
-         this->quarantine == other.quarantine;
+         this->quarantine == other.quarantine && this->offered_routers == other.offered_routers;
 }
 
 }  // namespace peridotgauge
--- a/state/control_state.h
+++ b/state/control_state.h
@@ -99,6 +99,8 @@
   const RouterMap& Routers() const { return this->routers; }
   // Returns the number of routers that are not draining.
   size_t ActiveRouters() const;
+  // Returns the number of routers that callers are told about; 0: all.
+  size_t OfferedRouterCount() const { return this->offered_routers; }
   // Returns the recent changes of the router list; changes before the last Restore() are not known.
   const RouterChangeLog& RecentRouterChanges() const { return this->router_changes; }
   // Returns true if this incarnation of the router is in the list.
@@ -124,6 +126,7 @@
   wire::CommandReplyT ApplyLeave(const CommandContext& context, const wire::LeaveT& command);
   wire::CommandReplyT ApplyQuarantine(const CommandContext& context,
                                       const wire::QuarantineT& command);
+  wire::CommandReplyT ApplyOffer(const wire::OfferRoutersT& command);
   void AcceptRevision(const CommandContext& context, const wire::ApplyConfigT& command);
   void RecordRouterChange(const CommandContext& context, const std::string& router);
   bool DetailsMatchRevisions() const;
@@ -146,6 +149,7 @@
   RouterMap routers;
   RouterChangeLog router_changes;  // not part of the state
   std::map<uint64_t, int64_t> quarantine;
+  uint32_t offered_routers = 0;    // not covered by `version`: no router waits for it
   std::function<void()> observer;  // not part of the state
 };
 
--- a/testing/control_fleet_test.cc
+++ b/testing/control_fleet_test.cc
@@ -187,6 +187,17 @@
     router->Start();
     CHECK(in_use(*router, 12));
   }
+  SECTION("learns how many routers carry the load, as every controller does") {
+    CHECK(router->OfferedRouterCount() == 2);
+    wire::OfferRoutersT offer;
+    offer.count = 1;
+    REQUIRE(cluster.Run(*other, ToCommand(offer))->error < 0);
+    CHECK(cluster.RunUntil([&] { return router->OfferedRouterCount() == 1; }));
+    for (const auto& node : cluster.nodes) CHECK(node->state.OfferedRouterCount() == 1);
+    ControlState restored;
+    REQUIRE(restored.Restore(cluster.group.index, cluster.nodes[1]->state.Snapshot()));
+    CHECK(restored.OfferedRouterCount() == 1);
+  }
   SECTION("counts the routers that are left") {
     REQUIRE(cluster.Run(*other, LeaveCommand("r2", 1, /*clean=*/false))->error < 0);
     CHECK(cluster.RunUntil([&] { return router->ActiveRouters() == 1; }));
--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -47,6 +47,17 @@
                               .hedging = false});
 }
 
+TEST_CASE("the share of a processor", "[settings]") {
+  CHECK(Settings::Parse(With("", ""), "c1.json")->processor_share == 1);
+  CHECK(Settings::Parse(With("\"hedging\": false", "\"processor_share\": 0.12"), "c1.json")
+            ->processor_share == Approx(0.12));
+  const auto refused =
+      Settings::Parse(With("\"hedging\": false", "\"processor_share\": 0"), "c1.json");
+  REQUIRE_FALSE(refused);
+  CHECK(refused.error().detail.find("processor_share: 0; allowed is 0.001 to 1024") !=
+        std::string::npos);
+}
+
 TEST_CASE("the limit on extra sub-requests", "[settings]") {
   const auto settings =
       Settings::Parse(With("\"hedging\": false",
