Bound what a peer can send without end; lower the number of offered routers only at a steady load

Cause 1: a chunk extension or a trailer without end grew the buffer of a connection to a target until the deadline of the call, and that of a caller until the request timeout: the parser reads these elements whole and has no limit for them. Heads, status lines, bodies and chunks were bounded. Change: at most 64 KiB of unparsed bytes from a target, then the call fails; a limited buffer for callers, then 413. Both tests failed first. The second copy of a response reaches nobody (new tests passed on the code as it was, so nothing was changed there).

Change: not lowered while the load is unknown or rises; 10% planned; 64 until a load is known.

--- a/core/packed_text.cc
+++ b/core/packed_text.cc
@@ -49,7 +49,7 @@
 }
 
 Result<std::string> UnpackText(std::string_view packed, std::string_view base, size_t max_bytes) {
-  const unsigned long long size = ZSTD_getFrameContentSize(packed.data(), packed.size());
+  const uint64_t size = ZSTD_getFrameContentSize(packed.data(), packed.size());
   if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN) {
     return Damaged("no valid header");
   }
--- a/core/router_offer.cc
+++ b/core/router_offer.cc
@@ -14,7 +14,7 @@
 namespace {
 
 // Length of the average of RateMeter.
-constexpr double kRateWindowSeconds = 4;
+constexpr double kRateWindowSeconds = 2;
 
 using RouterLists = std::map<std::string, std::vector<const RouterRecord*>, std::less<>>;
 
@@ -53,7 +53,7 @@
 }  // namespace
 
 size_t OfferedCount(size_t count, size_t active) {
-  return count == 0 ? active : std::min(count, active);
+  return std::min(count == 0 ? kMaxListedRouters : count, active);
 }
 
 std::vector<Address> OfferedRouters(const RouterMap& routers, size_t count,
@@ -90,10 +90,13 @@
       std::clamp(static_cast<size_t>(std::ceil(sub_requests / per_router)),
                  std::min(active, kMinOfferedPerDataCentre * data_centres), active);
   const double change = std::abs(static_cast<double>(needed) - static_cast<double>(current));
-  if (change <= kMinOfferChange * static_cast<double>(current)) return std::nullopt;
-  if (needed > current) return needed;
+  const bool worthwhile = change > kMinOfferChange * static_cast<double>(current);
+  if (needed > current) return worthwhile ? std::optional(needed) : std::nullopt;
   if (now < this->next_decrease) return std::nullopt;
   this->next_decrease = now + kOfferInterval;
+  const double before = std::exchange(this->earlier_load, sub_requests);
+  const bool steady = before > 0 && sub_requests <= kSteadyLoadRatio * before;
+  if (!worthwhile || !steady) return std::nullopt;
   return std::max(needed, current / 2);
 }
 
--- a/core/router_offer.h
+++ b/core/router_offer.h
@@ -34,14 +34,17 @@
 // is planned for. The rest carries bursts, the load of routers that fail, and keeps waiting times
 // for the processor short.
 constexpr double kSubRequestsPerProcessor = 15'000;
-constexpr double kPlannedUtilization = 0.125;
+constexpr double kPlannedUtilization = 0.1;
 constexpr size_t kMinOfferedPerDataCentre = 4;
-// The number is lowered in steps, because loads are unknown after a change of leader and callers
-// reconnect with each step.
+// The number is lowered in steps, because callers reconnect with each step, and not while the load
+// rises or is unknown: callers keep a list for seconds, so that too few routers would have to carry
+// the rise for as long.
 constexpr Duration kOfferInterval = Seconds(2);
 constexpr double kMinOfferChange = 0.2;
+constexpr double kSteadyLoadRatio = 1.1;  // of the load to the one an interval ago
 
-// Returns how many of `active` routers are in use; 0: the number is not decided yet, all are.
+// Returns how many of `active` routers are in use. If `count` is 0, no load is known yet; then as
+// many are as one list can hold.
 size_t OfferedCount(size_t count, size_t active);
 
 // Returns the addresses for a caller in `data_centre`, which may be empty or unknown.
@@ -57,8 +60,11 @@
 
 class RouterOfferPolicy {
  public:
-  // Starts a term of leadership: the number is not lowered before loads can have been reported.
-  void Reset(Time now) { this->next_decrease = now + kOfferInterval; }
+  // Starts a term of leadership. The number is not lowered before two intervals have passed.
+  void Reset(Time now) {
+    this->next_decrease = now + kOfferInterval;
+    this->earlier_load = 0;
+  }
 
   // Returns the number of routers to offer if it has to change. `current` is the result of
   // OfferedCount(); `active` is the number of routers that are not draining.
@@ -67,6 +73,7 @@
 
  private:
   Time next_decrease;
+  double earlier_load = 0;  // sub-requests per second at the last time that a decrease was weighed
 };
 
 // Measures a rate as an exponential moving average.
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -40,6 +40,9 @@
 // does not close its side.
 constexpr Duration kCloseTimeout = Millis(250);
 constexpr size_t kMaxResponseBytes = 4 << 20;
+// Maximum number of bytes of an incomplete element (a head, a chunk header, a trailer). The parser
+// reads these as a whole.
+constexpr size_t kMaxUnparsedBytes = 64 << 10;
 // Responses to other requests that a call discards; it accepts the next response unchecked.
 constexpr int kMaxStrays = 4;
 
--- a/io/http_connection.cc
+++ b/io/http_connection.cc
@@ -182,6 +182,9 @@
     if (!failed && this->parser->is_done() && this->DiscardStray()) continue;
   }
   if (failed == http::error::need_more) failed = {};
+  if (!failed && !this->parser->is_done() && this->buffer.size() > kMaxUnparsedBytes) {
+    failed = http::error::header_limit;
+  }
   if (error == asio::error::eof && !failed && !this->parser->is_done()) {
     // A response without a length ends at the end of the stream.
     if (this->parser->got_some()) {
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -146,7 +146,7 @@
   Tcp::socket socket;
   asio::steady_timer timer;
   Phase phase = Phase::kIdle;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer;   // limited, because a chunk header or a trailer may have no end
   bool reading_ahead = false;  // a read of ReadAhead() is outstanding; `buffer` is empty then
   std::optional<Parser> parser;
   std::weak_ptr<HttpResponder::State> responder;  // of the running request
@@ -294,6 +294,7 @@
   this->phase = Phase::kReceiving;
   this->StartTimer(this->impl->limits.request_timeout);
   this->parser.emplace();
+  this->buffer.max_size(this->impl->limits.max_header_bytes + kReadBytes);
   this->parser->header_limit(static_cast<uint32_t>(this->impl->limits.max_header_bytes));
   this->parser->body_limit(this->impl->limits.max_body_bytes);
   http::async_read_header(
--- a/state/config_feed.cc
+++ b/state/config_feed.cc
@@ -32,7 +32,7 @@
     found->second = {
         .base_revision = base_revision,
         .digest = published.digest,
-        .packed = PackText(published.text, base == nullptr ? "" : std::string_view(base->text))};
+        .packed = PackText(published.text, base == nullptr ? std::string_view{} : base->text)};
   }
   return found->second;
 }
--- a/state/directory_ack_tracker.cc
+++ b/state/directory_ack_tracker.cc
@@ -27,8 +27,9 @@
 }
 
 void DirectoryAckTracker::FailWaiters() {
-  for (const Waiter& waiter : std::exchange(this->waiters, {}))
+  for (const Waiter& waiter : std::exchange(this->waiters, {})) {
     waiter.callback(DirectoryAck::kLeadershipLost);
+  }
 }
 
 }  // namespace peridotgauge
--- a/state/push_pacing.cc
+++ b/state/push_pacing.cc
@@ -8,8 +8,7 @@
 
 // Returns the interval at which each of `routers` gets a reply at the given total rate.
 Duration Interval(size_t routers, size_t replies_per_second) {
-  return Duration(Seconds(1)) * static_cast<int64_t>(routers) /
-         static_cast<int64_t>(replies_per_second);
+  return Seconds(1) * static_cast<int64_t>(routers) / static_cast<int64_t>(replies_per_second);
 }
 
 }  // namespace
--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -226,6 +226,101 @@
   CHECK_FALSE(first.result);
 }
 
+// Guards against a target in trouble that sends bytes until the client closes: the buffer must not
+// grow, and the call must not wait for its deadline.
+TEST_CASE("http_client ends an exchange with bytes without end", "[http_client]") {
+  Fixture fixture;
+  Outcome outcome;
+  fixture.Send(outcome, Seconds(600));
+  RawSocket& socket = fixture.WaitForRequest(1);
+  struct Row {
+    std::string_view place;
+    std::string_view start;
+  };
+  const Row row = GENERATE(
+      Row{"head", "HTTP/1.1 200 OK\r\nX-Long: "}, Row{"status line", "HTTP/1.1 200 "},
+      Row{"no response at all", ""}, Row{"body without a length", "HTTP/1.1 200 OK\r\n\r\n"},
+      Row{"one chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n"},
+      Row{"chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x="},
+      Row{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Long: "});
+  INFO(row.place);
+  socket.Send(row.start);
+  const std::string block(0x10000, 'x');
+  std::string_view rest = block;
+  size_t blocks = 0;
+  REQUIRE(fixture.Until([&] {
+    rest = socket.Send(rest);
+    if (rest.empty()) {
+      rest = block;
+      ++blocks;
+    }
+    return outcome.result.has_value();
+  }));
+  REQUIRE_FALSE(*outcome.result);
+  CHECK(outcome.result->error().sent);
+  // What the client takes, and what fits into the buffers of the two sockets.
+  CHECK(blocks * block.size() <= kMaxResponseBytes + (16 << 20));
+  CHECK(fixture.Until([&] { return outcome.released == 1; }));
+  CHECK(fixture.client->Status().running == 0);
+}
+
+// Guards against an answer that reaches the next call on the connection.
+TEST_CASE("http_client gives a second copy of a response to nobody", "[http_client]") {
+  std::vector<std::string> discarded;
+  Fixture fixture(
+      {.max_connections = 1, .min_connections = 0},
+      [&](const HttpHeader&, std::string_view value) { discarded.emplace_back(value); });
+  const auto response = [](const std::string& id, const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 2\r\n\r\n" + body;
+  };
+  Outcome first;
+  fixture.echo = std::make_shared<const HttpHeader>(HttpHeader{"x-id", "q1"});
+  fixture.Send(first);
+  RawSocket& socket = fixture.WaitForRequest(1);
+  socket.Text().clear();
+  socket.Send(response("q1", "r1"));
+  REQUIRE(fixture.Until([&] { return first.released == 1; }));
+  Outcome second;
+  fixture.echo = std::make_shared<const HttpHeader>(HttpHeader{"x-id", "q2"});
+  SECTION("that arrives while the next call runs on the connection") {
+    fixture.Send(second);
+    REQUIRE(fixture.Until([&] { return socket.Received(kHeaderEnd); }));
+    SECTION("whole") { socket.Send(response("q1", "r1") + response("q2", "r2")); }
+    SECTION("cut in the middle of its head") {
+      const std::string copy = response("q1", "r1");
+      socket.Send(copy.substr(0, 20));
+      fixture.io.run_for(std::chrono::milliseconds(20));
+      CHECK_FALSE(second.result);
+      socket.Send(copy.substr(20) + response("q2", "r2"));
+    }
+    REQUIRE(fixture.Until([&] { return second.released == 1; }));
+    REQUIRE(*second.result);
+    CHECK((*second.result)->body == "r2");
+    CHECK(discarded == std::vector<std::string>{"q1"});
+  }
+  SECTION("cut off in its body, with the next response behind it") {
+    fixture.Send(second);
+    REQUIRE(fixture.Until([&] { return socket.Received(kHeaderEnd); }));
+    socket.Send("HTTP/1.1 200 OK\r\nX-Id: q1\r\nContent-Length: 9\r\n\r\nr1" +
+                response("q2", "r2"));
+    socket.Close();
+    REQUIRE(fixture.Until([&] { return second.released == 1; }));
+    const bool own = *second.result && (**second.result).body == "r2";
+    CHECK((!*second.result || own));
+  }
+  SECTION("that arrives between two calls") {
+    socket.Send(response("q1", "r1"));
+    fixture.io.run_for(std::chrono::milliseconds(20));
+    fixture.Send(second);
+    // The connection with unexpected bytes is not used again.
+    RawSocket& next = fixture.WaitForRequest(2);
+    next.Send(response("q2", "r2"));
+    REQUIRE(fixture.Until([&] { return second.released == 1; }));
+    REQUIRE(*second.result);
+    CHECK((*second.result)->body == "r2");
+  }
+}
+
 TEST_CASE("http_client reports whether anything was sent", "[http_client]") {
   Fixture fixture;
   Outcome outcome;
--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -136,6 +136,19 @@
     status = "413 ";
     error = "too_large";
   }
+  // Guards against a buffer that grows for as long as the caller sends.
+  SECTION("a chunk extension or a trailer without end") {
+    const std::string_view start = GENERATE("5;x=", "0\r\nX-Long: ");
+    caller.Send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                std::string(start));
+    const std::string block(0x10000, 'x');
+    for (int i = 0; i < 4; ++i) {
+      std::string_view rest = block;
+      REQUIRE(fixture.Until([&] { return (rest = caller.Send(rest)).empty() || caller.Closed(); }));
+    }
+    status = "413 ";
+    error = "too_large";
+  }
   SECTION("data that is not HTTP") {
     caller.Send("hello\r\n\r\n");
     status = "400 ";
