--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,5 +1,7 @@
-// A backend turns slow and drains while requests wait in a router for one of its connections.
-// Counts the requests that reach the backend later than the pages allow.
+// A router is stopped with SIGTERM. Clients that hold a router list from just before go on sending
+// it requests. Counts the requests that the router passed on to a backend and then ended without an
+// answer.
+#include <csignal>
 #include <memory>
 
 #include "../common/harness.h"
@@ -7,23 +9,38 @@
 namespace {
 
 using review::Backend;
+using review::Now;
 
-constexpr int kBackends = 2;
-constexpr int kConnections = 6;        // `maxConns`; each of two routers uses 2 of them
-constexpr int64_t kTimeoutMs = 5'000;  // deadline of `font-archive`
-constexpr int64_t kWorkMs = 300;       // within the work of `font-archive` (mean 220, most 1,300)
-constexpr int64_t kSlowFactor = 12;    // `srv_slow`, x = 12
-constexpr double kDrainS = 3;          // `drainMs`
-constexpr double kServesAfterS = 4;    // how long the backend serves after the acknowledgement
-constexpr int kBurst = 8;              // requests at the same moment at one router
+constexpr int kBackends = 3;
+constexpr int kGraceS = 6;
+constexpr int64_t kWorkMs = 1'300;     // the longest work of `font-archive`
+constexpr int64_t kTimeoutMs = 5'000;  // its deadline
+// Requests sent up to 3 s after the SIGTERM may be cut in the last sixth of the grace period.
+constexpr double kFirstSendS = 3.1;
+constexpr double kLastSendS = 4.5;
+constexpr double kSendIntervalS = 0.05;
+
+struct Sent {
+  std::string id;
+  double at = 0;
+  review::Reply reply;
+};
+
+bool Reached(const std::vector<std::unique_ptr<Backend>>& backends, const std::string& id) {
+  for (const auto& backend : backends) {
+    for (const review::Arrival& arrival : backend->Arrivals()) {
+      if (arrival.request_id == id) return true;
+    }
+  }
+  return false;
+}
 
 }  // namespace
 
 int main(int, char** argv) {
   review::Record record("record.txt");
-  review::Deployment deployment(record, argv[1], {});
+  review::Deployment deployment(record, argv[1], {.grace_s = kGraceS});
   if (!deployment.Start()) return review::kCannotRun;
-  std::atomic<bool> slow{false};
   std::vector<std::unique_ptr<Backend>> backends;
   std::vector<std::unique_ptr<review::Registrar>> registrars;
   for (int i = 1; i <= kBackends; ++i) {
@@ -32,54 +49,49 @@
         review::BackendOptions{.id = "i-" + std::to_string(i),
                                .service = "archive",
                                .address = deployment.NewAddress(),
-                               .slots = 4},
-        [i, &slow](const review::Request&) {
-          return review::Work{.millis = i == 1 && slow ? kSlowFactor * kWorkMs : kWorkMs};
-        }));
+                               .slots = 16},
+        [](const review::Request&) { return review::Work{.millis = kWorkMs}; }));
     registrars.push_back(std::make_unique<review::Registrar>(
         record, *backends.back(), deployment.ControllerAddresses(), 1'200));
   }
   const std::string config = review::ConfigJson(
-      1, {review::RouteJson("archive", "/font/", "unsafe", kTimeoutMs, 2, "archive")},
-      {{"archive", kConnections}});
+      1, {review::RouteJson("archive", "/font/", "safe", kTimeoutMs, 2, "archive")},
+      {{"archive", 110}});
   if (!deployment.Apply(config) || !deployment.AwaitReady()) return review::kCannotRun;
   review::SleepMillis(8'000);
 
-  std::atomic<int> answered{0};
-  const auto send = [&](const std::string& id) {
-    record.Line("request " + id + " is sent to router-1");
-    const review::Reply reply =
-        review::Call(deployment.RouterAddress(1), "POST", "/font/" + id,
-                     review::ClientHeaders(id, kTimeoutMs), "{}", kTimeoutMs);
-    record.Line("request " + id + " gets " +
-                (reply.status != 0 ? std::to_string(reply.status) : reply.failure));
-    if (reply.status == 200) ++answered;
-  };
-  // Lets the router measure both backends.
-  for (int i = 0; i < 6; ++i) send("first-" + std::to_string(i));
-  review::SleepMillis(4'000);
-
-  slow = review::Trouble();
+  const std::string router = deployment.RouterAddress(1);
+  const double start = Now();
+  if (review::Trouble()) deployment.Signal("router-1", SIGTERM);
+  std::vector<Sent> sent(static_cast<size_t>((kLastSendS - kFirstSendS) / kSendIntervalS) + 1);
   std::vector<std::thread> clients;
-  clients.reserve(kBurst);
-  for (int i = 0; i < kBurst; ++i) {
-    clients.emplace_back([&send, i] { send("burst-" + std::to_string(i)); });
+  clients.reserve(sent.size());
+  for (size_t i = 0; i < sent.size(); ++i) {
+    review::SleepUntil(start + kFirstSendS + static_cast<double>(i) * kSendIntervalS);
+    Sent& one = sent[i];
+    one.id = "late-" + std::to_string(i);
+    one.at = Now() - start;
+    record.Line("request " + one.id + " is sent to router-1");
+    clients.emplace_back([&record, &one, router] {
+      one.reply = review::Call(router, "GET", "/font/" + one.id,
+                               review::ClientHeaders(one.id, kTimeoutMs), "", kTimeoutMs);
+      record.Line("request " + one.id + " gets " +
+                  (one.reply.status != 0 ? std::to_string(one.reply.status) : one.reply.failure));
+    });
   }
-  review::SleepMillis(100);
-  const double acknowledged = registrars[0]->Drain();
-  review::SleepUntil(acknowledged + kServesAfterS);
-  backends[0]->Crash();
-  registrars[0]->Silence();
   for (std::thread& client : clients) client.join();
 
-  int late = 0;
-  for (const review::Arrival& arrival : backends[0]->Arrivals()) {
-    if (arrival.at <= acknowledged + kDrainS) continue;
-    ++late;
-    record.Line("DRAIN: request " + arrival.request_id + " reached i-1 " +
-                std::to_string(arrival.at - acknowledged) + " s after its drain was acknowledged");
+  int answered = 0;
+  int lost = 0;
+  for (const Sent& one : sent) {
+    if (one.reply.status != 0) ++answered;
+    if (one.reply.failure != "closed" || !Reached(backends, one.id)) continue;
+    ++lost;
+    record.Line("LOST: request " + one.id + ", sent " + std::to_string(one.at) +
+                " s after the SIGTERM, was passed on and ended without an answer");
   }
-  record.Line("answered " + std::to_string(answered) + ", too late at i-1 " + std::to_string(late));
+  record.Line("answered " + std::to_string(answered) + " of " + std::to_string(sent.size()) +
+              ", passed on and cut " + std::to_string(lost));
   if (answered == 0) return review::kCannotRun;
-  return late > 0 ? review::kRuleBroken : review::kRuleHeld;
+  return lost > 0 ? review::kRuleBroken : review::kRuleHeld;
 }
--- a/review/common/harness.cc
+++ b/review/common/harness.cc
@@ -261,6 +261,7 @@
 void Backend::Serve(int connection) {
   constexpr double kIdleTimeoutS = 60;
   std::string buffer;
+  std::string extra;
   while (this->alive) {
     Message message;
     if (!ReadMessage(connection, buffer, Now() + kIdleTimeoutS, message).empty()) break;
@@ -271,14 +272,35 @@
                           .headers = std::move(message.headers),
                           .body = std::move(message.body),
                           .arrived = Now()};
-    if (!this->Answer(connection, request)) break;
+    if (!this->Answer(connection, request, extra)) break;
   }
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->connections.erase(connection);
   close(connection);
 }
 
-bool Backend::Answer(int connection, const Request& request) {
+bool Backend::TakeSlot(const std::string& id) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->running >= this->options.slots && this->waiting >= this->options.queue) return false;
+    ++this->waiting;
+  }
+  while (this->alive) {
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      if (this->running < this->options.slots) {
+        ++this->running;
+        --this->waiting;
+        this->ran.push_back(id);
+        return true;
+      }
+    }
+    SleepMillis(1);
+  }
+  return true;
+}
+
+bool Backend::Answer(int connection, const Request& request, std::string& extra) {
   const std::string id = request.Header("Peridotgauge-Request-Id");
   const auto respond = [&](const std::string& status, const std::string& extra,
                            const std::string& body) {
@@ -298,16 +320,23 @@
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->arrivals.push_back({id, request.arrived});
   }
-  while (this->alive) {
-    {
-      const std::lock_guard<std::mutex> lock(this->mutex);
-      if (this->running < this->options.slots) {
-        ++this->running;
-        this->ran.push_back(id);
-        break;
-      }
+  if (!extra.empty()) {
+    this->record.Line("request " + id + ": " + this->options.id +
+                      " sends the earlier refusal again");
+    ++this->extra_answers;
+    if (!WriteAll(connection, std::exchange(extra, ""))) return false;
+  }
+  if (!this->TakeSlot(id)) {
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\n" + echo +
+                                "Peridotgauge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    this->record.Line("request " + id + " is refused by " + this->options.id);
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->repeat_credit += this->options.repeated_refusals;
+    if (this->repeat_credit >= 1) {
+      this->repeat_credit -= 1;
+      extra = refusal;
     }
-    SleepMillis(1);
+    return WriteAll(connection, refusal);
   }
   this->record.Line("request " + id + " is run by " + this->options.id);
   const Work work = this->decide(request);
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -101,6 +101,10 @@
   std::string address;
   std::string zone = "z-a";
   int slots = 4;
+  int queue = 1'000;  // requests that wait for a slot; a further one is refused as not executed
+  // Share of the refusals that are sent a second time, late: when the next request has arrived on
+  // the connection and its answer is expected.
+  double repeated_refusals = 0;
 };
 
 struct Arrival {
@@ -127,25 +131,33 @@
   const BackendOptions& Options() const { return this->options; }
   // The requests that were passed on to this backend, without status checks and 421 answers.
   std::vector<Arrival> Arrivals() const;
+  // The number of answers that were sent a second time.
+  int ExtraAnswers() const { return this->extra_answers; }
   // The ids of the requests that this backend began to run.
   std::vector<std::string> Ran() const;
 
  private:
   void Accept();
   void Serve(int connection);
-  // Runs the request. Returns false if the connection must end without an answer.
-  bool Answer(int connection, const Request& request);
+  // Runs the request. Returns false if the connection must end without an answer. `extra` holds a
+  // second copy of an answer that is still to be sent on the connection.
+  bool Answer(int connection, const Request& request, std::string& extra);
+  // Takes a place in the queue and then a slot. Returns false if the queue is full.
+  bool TakeSlot(const std::string& id);
 
   Record& record;
   const BackendOptions options;
   Decide decide;
   std::atomic<bool> alive{true};
+  std::atomic<int> extra_answers{0};
   int listener = -1;
   mutable std::mutex mutex;
   std::set<int> connections;        // guarded by `mutex`
   std::vector<Arrival> arrivals;    // guarded by `mutex`
   std::vector<std::string> ran;     // guarded by `mutex`
   int running = 0;                  // guarded by `mutex`
+  int waiting = 0;                  // guarded by `mutex`
+  double repeat_credit = 0;         // guarded by `mutex`
   std::vector<std::thread> served;  // guarded by `mutex`
   std::thread acceptor;
 };
