Bound the replicated log and its copies in bytes

Cause: limits that count entries or messages where an entry can have 1 MiB. A restart copied the recovered log into memory and all committed entries once more for the state machine.

Change: the log knows the bytes up to each entry. Committed entries are delivered in parts of 2 MiB, and reads wait for their index.

--- a/io/replica.cc
+++ b/io/replica.cc
@@ -3,6 +3,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
@@ -21,8 +22,12 @@
 namespace {
 
 constexpr int kTicksPerHeartbeat = 5;
-// A quarter of snapshot_interval entries is retained after a snapshot for followers that lag.
+// A quarter of the entries between two snapshots, up to half of the bytes, is retained for
+// followers that lag.
 constexpr uint64_t kRetainedLogDivisor = 4;
+constexpr uint64_t kRetainedBytesDivisor = 2;
+// The log is not replaced by a snapshot before it has this part of the last snapshot's size.
+constexpr uint64_t kSnapshotShareDivisor = 2;
 
 RaftMembers InitialMembers(const std::vector<ControllerAddress>& controllers) {
   RaftMembers members;
@@ -40,6 +45,7 @@
   core.heartbeat = options.heartbeat;
   core.election_timeout = options.election_timeout;
   core.retained_entries = options.snapshot_interval / kRetainedLogDivisor;
+  core.retained_bytes = options.snapshot_log_bytes / kRetainedBytesDivisor;
   core.random_seed = options.random_seed != 0 ? options.random_seed : RandomSeed();
   return core;
 }
@@ -201,10 +207,10 @@
   if (ready.write) this->storage->Submit(std::move(*ready.write));
   if (ready.restore && !this->Restore(*ready.restore)) return;
   for (const LogEntry& entry : ready.committed) this->Apply(entry);
-  // The index of a confirmed read is committed, so it has been applied by now.
   for (const ReadResult& read : ready.reads) this->CompleteRead(read);
   this->ReportLeadershipChange();
   this->MaybeCompact();
+  if (this->raft.HasUndelivered()) this->ScheduleReady();
 }
 
 void Replica::Impl::Apply(const LogEntry& entry) {
@@ -246,10 +252,22 @@
   this->Post([callback = std::move(callback), answer] { callback(answer); });
 }
 
+// Entries can be as small as a router's lease and as large as a whole configuration, so that both
+// their number and their bytes are bounded. The share of the snapshot bounds what is written for
+// snapshots to a multiple of what is written for entries.
 void Replica::Impl::MaybeCompact() {
   if (this->raft.Role() == RaftRole::kFailed) return;
-  if (this->applied < this->raft.Log().Snapshot().index + this->options.snapshot_interval) return;
-  this->raft.Compact(this->applied, this->machine.Snapshot());
+  const RaftSnapshot& last = this->raft.Log().Snapshot();
+  const uint64_t entry_count = this->applied - last.index;
+  const uint64_t bytes = this->raft.Log().BytesBetween(last.index, this->applied);
+  const uint64_t last_bytes = last.data == nullptr ? 0 : last.data->size();
+  const uint64_t byte_limit =
+      std::max(this->options.snapshot_log_bytes, last_bytes / kSnapshotShareDivisor);
+  if (entry_count < this->options.snapshot_interval && bytes < byte_limit) return;
+  std::string snapshot = this->machine.Snapshot();
+  LOG(INFO) << "replica: snapshot at index " << this->applied << ": " << snapshot.size()
+            << " bytes replace " << entry_count << " log entries of " << bytes << " bytes";
+  this->raft.Compact(this->applied, std::move(snapshot));
   this->ScheduleReady();
 }
 
@@ -395,6 +413,10 @@
     const Result<void> restored = machine.Restore(stored.snapshot.index, *stored.snapshot.data);
     if (!restored) return tl::unexpected<Error>(restored.error());
   }
+  LOG(INFO) << "replica: recovered a snapshot at index " << stored.snapshot.index << " of "
+            << (stored.snapshot.data == nullptr ? 0 : stored.snapshot.data->size()) << " bytes and "
+            << stored.entries.size() << " log entries; the folder has " << (*wal)->Bytes()
+            << " bytes";
   auto impl = std::make_shared<Impl>(io, std::move(options), machine, std::move(stored));
   impl->Start(std::move(*wal));
   return std::unique_ptr<Replica>(new Replica(std::move(impl)));
--- a/io/replica.h
+++ b/io/replica.h
@@ -39,8 +39,11 @@
   std::string data_folder;
   Duration heartbeat = Millis(50);
   Duration election_timeout = Millis(300);  // plus a random addition of up to the same length
-  uint64_t snapshot_interval = 2'000;       // log entries between snapshots
-  uint64_t random_seed = 0;                 // 0: seeded by the operating system
+  // A snapshot is taken once the log after the last one has this many entries, or this many bytes
+  // and at least half of that snapshot.
+  uint64_t snapshot_interval = 2'000;
+  uint64_t snapshot_log_bytes = 8 << 20;
+  uint64_t random_seed = 0;  // 0: seeded by the operating system
 };
 
 struct ReplicaStatus {
--- a/io/storage_thread.cc
+++ b/io/storage_thread.cc
@@ -8,8 +8,16 @@
 namespace peridotgauge {
 namespace {
 
-// Limit on the entries of a batch, which bounds the time of one sync.
+// Limits of a batch, which bound the time of one sync and the size of one record. A single larger
+// write is still taken.
 constexpr size_t kMaxBatchEntries = 1'000;
+constexpr size_t kMaxBatchBytes = 4 << 20;
+
+size_t DataBytes(const RaftWrite& write) {
+  size_t bytes = 0;
+  for (const LogEntry& entry : write.entries) bytes += entry.data.size();
+  return bytes;
+}
 
 }  // namespace
 
@@ -46,12 +54,13 @@
       if (this->stopping) return;
       write = this->TakeBatch();
     }
-    const Result<void> written = this->wal->Write(write);
+    const uint64_t sequence = write.sequence;
+    const Result<void> written = this->wal->Write(std::move(write));
     if (!written) {
       this->PostResult(tl::unexpected<Error>(written.error()));
       return;
     }
-    this->PostResult(write.sequence);
+    this->PostResult(sequence);
   }
 }
 
@@ -60,9 +69,12 @@
 RaftWrite StorageThread::TakeBatch() {
   RaftWrite batch = std::move(this->queue.front());
   this->queue.pop_front();
+  size_t bytes = DataBytes(batch);
   while (!this->queue.empty() && !this->queue.front().snapshot &&
          batch.entries.size() < kMaxBatchEntries) {
     RaftWrite& next = this->queue.front();
+    bytes += DataBytes(next);
+    if (bytes > kMaxBatchBytes) break;
     batch.sequence = next.sequence;
     if (next.hard_state) batch.hard_state = std::move(next.hard_state);
     batch.entries.insert(batch.entries.end(), std::make_move_iterator(next.entries.begin()),
--- a/io/wal.cc
+++ b/io/wal.cc
@@ -290,7 +290,7 @@
   return {};
 }
 
-Result<void> Wal::Write(const RaftWrite& write) {
+Result<void> Wal::Write(RaftWrite write) {
   if (this->failed) return Fail(ErrorCode::kStorageFailed, "an earlier write or sync failed");
   if (write.hard_state) this->hard_state = *write.hard_state;
   if (write.snapshot) {
@@ -304,7 +304,7 @@
   WalRecord record{.segment = this->segments.back().number,
                    .hard_state = write.hard_state,
                    .reset_index = {},
-                   .entries = write.entries};
+                   .entries = std::move(write.entries)};
   if (this->segments.back().bytes == 0) record.hard_state = this->hard_state;
   if (write.reset) record.reset_index = write.snapshot->index;
   if (Result<void> appended = this->AppendRecord(record); !appended) return appended;
--- a/io/wal.h
+++ b/io/wal.h
@@ -14,7 +14,7 @@
 //
 // Files: `segment-<number>.wal` (records), `snapshot-<index>.snap`, `lock` (held while open).
 // Segments whose entries are covered by a snapshot are removed, so the folder size is bounded by
-// two snapshot intervals of entries.
+// two snapshots and the log between them, see ReplicaOptions.
 #ifndef PERIDOTGAUGE_IO_WAL_H_
 #define PERIDOTGAUGE_IO_WAL_H_
 
@@ -56,7 +56,7 @@
   Wal& operator=(const Wal&) = delete;
 
   // Stores and syncs one write. Returns kStorageFailed on any error and for all later writes.
-  Result<void> Write(const RaftWrite& write);
+  Result<void> Write(RaftWrite write);
   // Returns the total size of segments and snapshot in bytes.
   uint64_t Bytes() const;
 
--- a/state/raft.cc
+++ b/state/raft.cc
@@ -12,7 +12,7 @@
 Raft::Raft(RaftOptions options, RaftStoredState stored, Time now)
     : options(std::move(options)),
       hard_state(std::move(stored.hard_state)),
-      log(std::move(stored.snapshot), stored.entries),
+      log(std::move(stored.snapshot), std::move(stored.entries)),
       random(this->options.random_seed) {
   const uint64_t snapshot_index = this->log.Snapshot().index;
   this->commit_index =
@@ -242,12 +242,16 @@
 
 RaftReady Raft::TakeReady() {
   RaftReady ready;
-  ready.reads = std::exchange(this->finished_reads, {});
-  if (this->role == RaftRole::kFailed) return ready;
+  if (this->role == RaftRole::kFailed) {
+    ready.reads = std::exchange(this->finished_reads, {});
+    return ready;
+  }
   if (this->replication_pending) this->ReplicateAll();
   ready.restore = std::exchange(this->pending_restore, std::nullopt);
-  ready.committed = this->log.Range(this->delivered_index + 1, this->commit_index, UINT64_MAX);
-  this->delivered_index = this->commit_index;
+  ready.committed =
+      this->log.Range(this->delivered_index + 1, this->commit_index, kMaxDeliveredBytes);
+  this->delivered_index += ready.committed.size();
+  ready.reads = this->TakeFinishedReads();
   if (this->HasUnwrittenChanges()) {
     RaftWrite write{.sequence = this->next_sequence++};
     write.snapshot = std::exchange(this->unwritten_snapshot, std::nullopt);
@@ -265,6 +269,16 @@
   return ready;
 }
 
+std::vector<ReadResult> Raft::TakeFinishedReads() {
+  const auto waiting = std::stable_partition(
+      this->finished_reads.begin(), this->finished_reads.end(), [this](const ReadResult& read) {
+        return !read.confirmed || read.index <= this->delivered_index;
+      });
+  std::vector<ReadResult> out(this->finished_reads.begin(), waiting);
+  this->finished_reads.erase(this->finished_reads.begin(), waiting);
+  return out;
+}
+
 void Raft::OnPersisted(Time now, uint64_t sequence) {
   if (this->role == RaftRole::kFailed) return;
   while (!this->pending_writes.empty() && this->pending_writes.front().sequence <= sequence) {
@@ -294,6 +308,8 @@
   this->deferred.clear();
   this->outbox.clear();
   this->pending_restore.reset();
+  // Nothing is delivered any more, so that reads that wait for an entry fail.
+  for (ReadResult& read : this->finished_reads) read.confirmed = false;
 }
 
 void Raft::Compact(uint64_t index, std::string data) {
@@ -302,7 +318,8 @@
   RaftSnapshot snapshot{index, *this->log.TermAt(index), this->log.MembershipAsOf(index).members,
                         std::make_shared<const std::string>(std::move(data))};
   this->unwritten_snapshot = snapshot;
-  this->log.Compact(std::move(snapshot), this->options.retained_entries);
+  this->log.Compact(std::move(snapshot), this->options.retained_entries,
+                    this->options.retained_bytes);
   this->first_unwritten_index = std::max(this->first_unwritten_index, this->log.FirstIndex());
 }
 
--- a/state/raft.h
+++ b/state/raft.h
@@ -6,7 +6,7 @@
 //   RaftReady ready = raft.TakeReady();   // after every call above
 //   ... send ready.messages; write and sync ready.write
 //   raft.OnPersisted(now, ready.write->sequence);
-//   ... apply ready.committed in order
+//   ... apply ready.committed in order; repeat while raft.HasUndelivered()
 //
 // Contract: a message that depends on stored state (a vote, an acknowledgement) is deferred until
 // OnPersisted() confirms the writes that it depends on. Writes must reach the disk in the order in
@@ -55,15 +55,21 @@
 namespace peridotgauge {
 
 constexpr uint64_t kMaxCommandBytes = 2 << 20;
-// Limits on appended entries that are not committed yet. A command beyond a limit is rejected with
-// kOverloaded.
+// Limits on appended entries that are not committed yet, or not synced by the leader itself. A
+// command beyond a limit is rejected with kOverloaded. Such entries are in memory several times:
+// in the log, in the write in progress and in its encoded form.
 constexpr uint64_t kMaxUncommittedEntries = 10'000;
-constexpr uint64_t kMaxUncommittedBytes = 32 << 20;
+constexpr uint64_t kMaxUncommittedBytes = 16 << 20;
+// Maximum size of the committed entries in one RaftReady (a single larger entry is still returned).
+// Without it, a restart would hold a second copy of the whole stored log.
+constexpr uint64_t kMaxDeliveredBytes = 2 << 20;
 // Maximum payload of one kAppend (a single larger entry is still sent) and of one kSnapshot
 // message. Even with the largest entry, a message stays below the frame limit of the peer protocol.
 constexpr uint64_t kMaxAppendBytes = 512 << 10;
 constexpr uint64_t kSnapshotChunkBytes = 512 << 10;
 constexpr uint32_t kMaxInFlightAppends = 32;
+// No further append is sent to a receiver while it has not acknowledged this many bytes of entries.
+constexpr uint64_t kMaxInFlightBytes = 4 << 20;
 constexpr size_t kMaxLearners = 8;
 // A member that has not answered for this long may be replaced or removed. Shorter than the time in
 // which a second controller may fail after a replacement has started (4 s on the smallest
@@ -86,7 +92,10 @@
   // additional member while there are fewer than `max_members`, and removes unresponsive members
   // while more than kMinGroupSize are left.
   size_t max_members = 0;
-  uint64_t retained_entries = 500;  // retained below a snapshot for lagging followers
+  // Retained below a snapshot for lagging followers, up to either limit. A follower that lags
+  // further gets the snapshot.
+  uint64_t retained_entries = 500;
+  uint64_t retained_bytes = 4 << 20;
   uint64_t random_seed = 1;
 };
 
@@ -119,7 +128,7 @@
   std::vector<RaftMessage> messages;
   std::optional<RaftSnapshot> restore;  // to restore before applying `committed`
   std::vector<LogEntry> committed;      // in log order, each exactly once
-  std::vector<ReadResult> reads;
+  std::vector<ReadResult> reads;  // the index of a confirmed read has been returned in `committed`
 };
 
 class Raft {
@@ -146,6 +155,10 @@
   bool TransferLeadership(Time now);
 
   RaftReady TakeReady();
+  // Returns true if committed entries are left that did not fit into the last RaftReady.
+  bool HasUndelivered() const {
+    return this->role != RaftRole::kFailed && this->delivered_index < this->commit_index;
+  }
   // Confirms that the write with this sequence and all earlier ones are synced to disk.
   void OnPersisted(Time now, uint64_t sequence);
   // Must be called when a write or sync failed. The replica permanently stops voting, acknowledging
@@ -226,6 +239,8 @@
   void CommitTo(Time now, uint64_t index);
   void MaybeAdmitSelf(Time now);
   void FailReads();
+  // Removes from `finished_reads` those that need no entry above `delivered_index`.
+  std::vector<ReadResult> TakeFinishedReads();
   void OnLeaderContact(Time now, const RaftMessage& message);
   void MarkHardStateChanged() { this->hard_state_changed = true; }
   // Returns true if `test` holds for a majority of every active member list: the newest committed
@@ -318,8 +333,7 @@
   std::map<std::string, Progress> learners;  // incarnations that are not members
   Time next_heartbeat;
   Time leader_since;
-  uint64_t term_start_index = 0;  // index of this term's first entry
-  uint64_t uncommitted_bytes = 0;
+  uint64_t term_start_index = 0;     // index of this term's first entry
   bool replication_pending = false;  // entries were appended since the last TakeReady()
   uint64_t read_round = 0;
   bool read_round_open = false;
--- a/state/raft_leader.cc
+++ b/state/raft_leader.cc
@@ -19,10 +19,6 @@
   this->progress.clear();
   this->learners.clear();
   this->UpdateProgressMembers(now);
-  this->uncommitted_bytes = 0;
-  for (uint64_t i = this->commit_index + 1; i <= this->log.LastIndex(); ++i) {
-    this->uncommitted_bytes += this->log.At(i).data.size();
-  }
   this->term_start_index = this->AppendAsLeader({});
   this->read_round = 0;
   this->read_round_open = false;
@@ -120,7 +116,6 @@
 uint64_t Raft::AppendAsLeader(LogEntry entry) {
   entry.index = this->log.LastIndex() + 1;
   entry.term = this->hard_state.term;
-  this->uncommitted_bytes += entry.data.size();
   this->log.Append(std::move(entry));
   this->replication_pending = true;
   return this->log.LastIndex();
@@ -141,7 +136,11 @@
       this->StartSnapshot(id, receiver);
       return;
     }
-    if (!receiver.probing && receiver.next > this->log.LastIndex()) return;
+    if (!receiver.probing &&
+        (receiver.next > this->log.LastIndex() ||
+         this->log.BytesBetween(receiver.match, receiver.next - 1) >= kMaxInFlightBytes)) {
+      return;
+    }
     RaftMessage message = this->MakeMessage(MessageType::kAppend, id);
     message.to_incarnation = receiver.incarnation;
     message.index = receiver.next - 1;
@@ -290,9 +289,6 @@
     agreed = std::min(agreed, matches[matches.size() / 2]);
   }
   if (agreed <= this->commit_index || this->log.TermAt(agreed) != this->hard_state.term) return;
-  for (uint64_t i = this->commit_index + 1; i <= agreed; ++i) {
-    this->uncommitted_bytes -= this->log.At(i).data.size();
-  }
   const uint64_t previous = this->commit_index;
   this->CommitTo(now, agreed);
   if (this->log.LatestMembership().index > previous &&
--- a/state/raft_log.cc
+++ b/state/raft_log.cc
@@ -16,13 +16,27 @@
 
 }  // namespace
 
-RaftLog::RaftLog(RaftSnapshot snapshot, const std::vector<LogEntry>& entries) {
+RaftLog::RaftLog(RaftSnapshot snapshot, std::vector<LogEntry> entries) {
   this->Reset(std::move(snapshot));
-  for (const LogEntry& entry : entries) {
-    if (entry.index > this->LastIndex()) this->Append(entry);
+  for (LogEntry& entry : entries) {
+    if (entry.index > this->LastIndex()) this->Append(std::move(entry));
   }
 }
 
+uint64_t RaftLog::EndOf(uint64_t index) const {
+  return index == this->base_index ? this->base_end : this->ends[index - this->base_index - 1];
+}
+
+uint64_t RaftLog::BytesAfter(uint64_t index) const {
+  return this->BytesBetween(index, this->LastIndex());
+}
+
+uint64_t RaftLog::BytesBetween(uint64_t after, uint64_t to) const {
+  const uint64_t first = std::clamp(after, this->base_index, this->LastIndex());
+  const uint64_t last = std::clamp(to, first, this->LastIndex());
+  return this->EndOf(last) - this->EndOf(first);
+}
+
 std::optional<uint64_t> RaftLog::TermAt(uint64_t index) const {
   if (index == this->base_index) return this->base_term;
   if (index == this->snapshot.index) return this->snapshot.term;
@@ -46,7 +60,7 @@
 }
 
 void RaftLog::Append(LogEntry entry) {
-  this->bytes += BytesOf(entry);
+  this->ends.push_back(this->EndOf(this->LastIndex()) + BytesOf(entry));
   if (entry.kind == EntryKind::kMembership) {
     this->memberships.push_back({entry.index, entry.members});
   }
@@ -55,21 +69,23 @@
 
 void RaftLog::TruncateFrom(uint64_t index) {
   while (!this->entries.empty() && this->LastIndex() >= index) {
-    this->bytes -= BytesOf(this->entries.back());
     this->entries.pop_back();
+    this->ends.pop_back();
   }
   while (this->memberships.size() > 1 && this->memberships.back().index >= index) {
     this->memberships.pop_back();
   }
 }
 
-void RaftLog::Compact(RaftSnapshot new_snapshot, uint64_t keep) {
-  const uint64_t last_dropped = new_snapshot.index > keep ? new_snapshot.index - keep : 0;
-  while (!this->entries.empty() && this->base_index < last_dropped) {
+void RaftLog::Compact(RaftSnapshot new_snapshot, uint64_t keep_entries, uint64_t keep_bytes) {
+  while (!this->entries.empty() && this->base_index < new_snapshot.index &&
+         (new_snapshot.index - this->base_index > keep_entries ||
+          this->BytesBetween(this->base_index, new_snapshot.index) > keep_bytes)) {
     this->base_index = this->entries.front().index;
     this->base_term = this->entries.front().term;
-    this->bytes -= BytesOf(this->entries.front());
+    this->base_end = this->ends.front();
     this->entries.pop_front();
+    this->ends.pop_front();
   }
   this->snapshot = std::move(new_snapshot);
   while (this->memberships.size() > 1 && this->memberships[1].index <= this->snapshot.index) {
@@ -79,7 +95,8 @@
 
 void RaftLog::Reset(RaftSnapshot new_snapshot) {
   this->entries.clear();
-  this->bytes = 0;
+  this->ends.clear();
+  this->base_end = 0;
   this->base_index = new_snapshot.index;
   this->base_term = new_snapshot.term;
   this->memberships = {{new_snapshot.index, new_snapshot.members}};
--- a/state/raft_log.h
+++ b/state/raft_log.h
@@ -25,13 +25,17 @@
  public:
   RaftLog() = default;
   // Ignores entries at or below the snapshot's index.
-  RaftLog(RaftSnapshot snapshot, const std::vector<LogEntry>& entries);
+  RaftLog(RaftSnapshot snapshot, std::vector<LogEntry> entries);
 
   uint64_t FirstIndex() const { return this->base_index + 1; }
   uint64_t LastIndex() const { return this->base_index + this->entries.size(); }
   uint64_t LastTerm() const { return *this->TermAt(this->LastIndex()); }
   size_t Size() const { return this->entries.size(); }
-  uint64_t Bytes() const { return this->bytes; }
+  uint64_t Bytes() const { return this->BytesAfter(this->base_index); }
+  // Returns the bytes of the entries above `index`.
+  uint64_t BytesAfter(uint64_t index) const;
+  // Returns the bytes of the entries in (after, to].
+  uint64_t BytesBetween(uint64_t after, uint64_t to) const;
   const RaftSnapshot& Snapshot() const { return this->snapshot; }
 
   // Returns the term of an entry, or nothing if the index is compacted or past the end.
@@ -44,8 +48,9 @@
   void Append(LogEntry entry);
   // Removes the entry at `index` and all later ones.
   void TruncateFrom(uint64_t index);
-  // Replaces the snapshot and removes the entries up to its index, except for the last `keep`.
-  void Compact(RaftSnapshot new_snapshot, uint64_t keep);
+  // Replaces the snapshot and removes the entries up to its index, except for the last
+  // `keep_entries` as far as they have at most `keep_bytes` together.
+  void Compact(RaftSnapshot new_snapshot, uint64_t keep_entries, uint64_t keep_bytes);
   // Replaces the snapshot and removes all entries.
   void Reset(RaftSnapshot new_snapshot);
 
@@ -59,10 +64,16 @@
   void SetInitialMembers(const RaftMembers& members);
 
  private:
+  // Returns the sum of the bytes of all entries appended up to `index`, which must be in
+  // [base_index, LastIndex()].
+  uint64_t EndOf(uint64_t index) const;
+
   uint64_t base_index = 0;
   uint64_t base_term = 0;
   std::deque<LogEntry> entries;
-  uint64_t bytes = 0;
+  // Element i is base_end plus the bytes of entries[0] to entries[i].
+  std::deque<uint64_t> ends;
+  uint64_t base_end = 0;
   RaftSnapshot snapshot;
   // Ascending by index. Never empty; the first element is at or below the snapshot's index.
   std::vector<IndexedMembership> memberships = {IndexedMembership{}};
--- a/state/raft_request.cc
+++ b/state/raft_request.cc
@@ -13,9 +13,11 @@
 Result<uint64_t> Raft::Propose(Time, std::string command) {
   if (!this->Leading() || !this->transfer_target.empty()) return Fail(ErrorCode::kNotLeader);
   if (command.size() > kMaxCommandBytes) return Fail(ErrorCode::kTooLarge, "command is too large");
-  if (this->log.LastIndex() - this->commit_index >= kMaxUncommittedEntries ||
-      this->uncommitted_bytes + command.size() > kMaxUncommittedBytes) {
-    return Fail(ErrorCode::kOverloaded, "too many uncommitted commands");
+  const uint64_t settled =
+      std::max(std::min(this->commit_index, this->synced_index), this->log.FirstIndex() - 1);
+  if (this->log.LastIndex() - settled >= kMaxUncommittedEntries ||
+      this->log.BytesAfter(settled) + command.size() > kMaxUncommittedBytes) {
+    return Fail(ErrorCode::kOverloaded, "too many commands that are not committed and synced");
   }
   return this->AppendAsLeader({.kind = EntryKind::kCommand, .data = std::move(command)});
 }
--- a/testing/raft_cluster.cc
+++ b/testing/raft_cluster.cc
@@ -145,6 +145,7 @@
     node.raft->Compact(node.applied, Join(node.state));
     this->ProcessReady(i);
   }
+  if (node.raft->HasUndelivered()) this->ProcessReady(i);
 }
 
 void RaftCluster::Store(size_t i, const RaftWrite& write) {
--- a/testing/raft_rules_test.cc
+++ b/testing/raft_rules_test.cc
@@ -55,6 +55,110 @@
   raft.Step(TimeAt(5'001), reply);
 }
 
+uint64_t DataBytes(const std::vector<LogEntry>& entries) {
+  uint64_t sum = 0;
+  for (const LogEntry& entry : entries) sum += entry.data.size();
+  return sum;
+}
+
+// Guards against copies of large entries whose total is bounded by a number of entries or messages
+// only: of the whole stored log at a restart, of what a receiver has not acknowledged, and of what
+// the leader's own disk has not synced.
+TEST_CASE("copies of large entries are bounded by their bytes", "[raft]") {
+  constexpr size_t kEntryBytes = 512 << 10;
+  constexpr uint64_t kEntries = 40;
+
+  SECTION("a restart delivers the stored log in parts") {
+    RaftStoredState stored = Stored();
+    stored.entries.clear();
+    for (uint64_t i = 1; i <= kEntries; ++i) {
+      stored.entries.push_back({i, 3, EntryKind::kCommand, std::string(kEntryBytes, 'x'), {}});
+    }
+    stored.hard_state.commit = kEntries;
+    Raft raft({.id = "a", .initial = Members()}, stored, TimeAt(0));
+    uint64_t delivered = 0;
+    for (uint64_t round = 0; round < kEntries && delivered < kEntries; ++round) {
+      const RaftReady ready = raft.TakeReady();
+      CHECK(DataBytes(ready.committed) <= kMaxDeliveredBytes);
+      for (const LogEntry& entry : ready.committed) CHECK(entry.index == ++delivered);
+      CHECK(raft.HasUndelivered() == (delivered < kEntries));
+    }
+    CHECK(delivered == kEntries);
+  }
+  SECTION("a read waits until its index is delivered") {
+    Raft raft = Started();
+    Elect(raft);
+    Acknowledge(raft, 3);
+    ProcessReady(raft);
+    for (uint64_t i = 4; i < 4 + kEntries / 4; ++i) {
+      REQUIRE(raft.Propose(TimeAt(5'001), std::string(kEntryBytes, 'x')));
+    }
+    const RaftReady written = raft.TakeReady();
+    raft.OnPersisted(TimeAt(5'001), written.write->sequence);
+    const uint64_t last = raft.Log().LastIndex();
+    Acknowledge(raft, last);
+    const Result<uint64_t> read = raft.RequestRead(TimeAt(5'001));
+    REQUIRE(read);
+    RaftMessage reply = FromB(MessageType::kHeartbeatReply, 5);
+    reply.round = 1'000;
+    raft.Step(TimeAt(5'001), reply);
+    uint64_t delivered = 0;
+    bool confirmed = false;
+    for (int round = 0; round < 20 && !confirmed; ++round) {
+      const RaftReady ready = raft.TakeReady();
+      if (!ready.committed.empty()) delivered = ready.committed.back().index;
+      for (const ReadResult& result : ready.reads) confirmed = result.confirmed;
+      if (confirmed) CHECK(delivered >= last);
+      if (!confirmed) CHECK(raft.HasUndelivered());
+    }
+    CHECK(confirmed);
+  }
+  SECTION("a receiver that does not acknowledge gets no more") {
+    Raft raft = Started();
+    Elect(raft);
+    Acknowledge(raft, 3);
+    ProcessReady(raft);
+    uint64_t sent = 0;
+    for (uint64_t i = 0; i < kMaxUncommittedBytes / kEntryBytes - 1; ++i) {
+      REQUIRE(raft.Propose(TimeAt(5'001), std::string(kEntryBytes, 'x')));
+      for (const RaftMessage& message : ProcessReady(raft)) {
+        if (message.to == "b") sent += DataBytes(message.entries);
+      }
+    }
+    CHECK(sent >= kMaxInFlightBytes - kEntryBytes);
+    CHECK(sent <= kMaxInFlightBytes + kMaxAppendBytes);
+    Acknowledge(raft, raft.Log().LastIndex() - 1);
+    uint64_t more = 0;
+    for (const RaftMessage& message : ProcessReady(raft)) {
+      if (message.to == "b") more += DataBytes(message.entries);
+    }
+    CHECK(more == kEntryBytes);
+  }
+  SECTION("a leader whose own disk hangs rejects commands") {
+    Raft raft = Started();
+    Elect(raft);
+    Acknowledge(raft, 3);
+    Acknowledge(raft, 3, 3);
+    ProcessReady(raft);
+    uint64_t accepted = 0;
+    while (accepted < 1'000 && raft.Propose(TimeAt(5'001), std::string(kEntryBytes, 'x'))) {
+      ++accepted;
+      raft.TakeReady();
+      // The other two members hold the command, so that it is committed without this disk.
+      for (const auto& [id, incarnation] : {std::pair{"b", 2}, std::pair{"c", 3}}) {
+        RaftMessage reply = FromB(MessageType::kAppendReply, 5);
+        reply.from = id;
+        reply.from_incarnation = static_cast<uint64_t>(incarnation);
+        reply.index = raft.Log().LastIndex();
+        raft.Step(TimeAt(5'001), reply);
+      }
+      CHECK(raft.CommitIndex() == raft.Log().LastIndex());
+    }
+    CHECK(accepted * kEntryBytes <= kMaxUncommittedBytes);
+    CHECK(accepted * kEntryBytes >= kMaxUncommittedBytes / 2);
+  }
+}
+
 // Guards against a committed command that a later leader without it overwrites: entries of earlier
 // terms are committed only together with an entry of the leader's own term.
 TEST_CASE("a leader does not commit entries of earlier terms alone", "[raft]") {
--- a/testing/replica_test.cc
+++ b/testing/replica_test.cc
@@ -19,11 +19,14 @@
 
 namespace fs = std::filesystem;
 
-// Appends commands to a list; the result of a command is its position.
+// Appends commands to a list, of which it keeps the last `kept`; the result of a command is its
+// position.
 class ListMachine : public StateMachine {
  public:
+  explicit ListMachine(size_t kept) : kept(kept) {}
   std::string Apply(uint64_t, const std::string& command) override {
     this->commands.push_back(command);
+    if (this->commands.size() > this->kept) this->commands.erase(this->commands.begin());
     return std::to_string(this->commands.size());
   }
   std::string Snapshot() const override {
@@ -40,6 +43,7 @@
     }
     return {};
   }
+  size_t kept;
   std::vector<std::string> commands;
 };
 
@@ -53,7 +57,8 @@
 
 class Group {
  public:
-  explicit Group(size_t size) : nodes(size) {
+  explicit Group(size_t size, uint64_t snapshot_interval = 40, size_t kept = SIZE_MAX)
+      : nodes(size), snapshot_interval(snapshot_interval), kept(kept) {
     std::string pattern = (fs::temp_directory_path() / "replica_test_XXXXXX").string();
     this->root = mkdtemp(pattern.data());
     for (size_t i = 0; i < size; ++i) {
@@ -82,9 +87,9 @@
     ReplicaOptions options{.id = this->controllers[i].id,
                            .controllers = this->controllers,
                            .data_folder = node.folder};
-    options.snapshot_interval = 40;
+    options.snapshot_interval = this->snapshot_interval;
     options.random_seed = i + 1;
-    node.machine = std::make_unique<ListMachine>();
+    node.machine = std::make_unique<ListMachine>(this->kept);
     Result<std::unique_ptr<Replica>> replica = Replica::Open(this->io, options, *node.machine);
     if (!replica) return tl::unexpected<Error>(replica.error());
     node.replica = std::move(*replica);
@@ -146,6 +151,8 @@
   boost::asio::io_context io;
   std::string root;
   std::vector<Node> nodes;
+  uint64_t snapshot_interval;
+  size_t kept;
   std::vector<ControllerAddress> controllers;
   std::vector<std::string> expected;
 };
@@ -270,5 +277,47 @@
   }
 }
 
+uint64_t FolderBytes(const std::string& folder) {
+  uint64_t sum = 0;
+  for (const auto& entry : fs::directory_iterator(folder)) sum += entry.file_size();
+  return sum;
+}
+
+// Guards against a log that is compacted only by its number of entries: some hundred changes of a
+// large configuration then fill the disk, and a restart needs more memory than the host has.
+TEST_CASE("the log of large commands is bounded by its bytes", "[replica]") {
+  constexpr size_t kCommandBytes = 512 << 10;
+  constexpr uint64_t kMaxLogBytes = 16 << 20;     // in memory, with what followers may still need
+  constexpr uint64_t kMaxFolderBytes = 32 << 20;  // a quarter of the smallest disk
+  Group group(3, 2'000, 1);
+  const auto commit = [&](int number) {
+    group.Commit(std::to_string(number) + std::string(kCommandBytes, 'x'));
+    group.expected = {group.expected.back()};
+  };
+  for (int i = 0; i < 100; ++i) commit(i);
+  REQUIRE(group.AllApplied());
+
+  SECTION("on every replica") {
+    for (const Node& node : group.nodes) {
+      CHECK(node.replica->Status().log_bytes <= kMaxLogBytes);
+      CHECK(FolderBytes(node.folder) <= kMaxFolderBytes);
+    }
+  }
+  SECTION("a replica that was stopped meanwhile catches up") {
+    const size_t stopped = (*group.Leader() + 1) % 3;
+    group.Stop(stopped);
+    for (int i = 100; i < 160; ++i) commit(i);
+    REQUIRE(group.Start(stopped));
+    CHECK(group.AllApplied());
+  }
+  SECTION("after a restart of all, the last command is there") {
+    for (size_t i = 0; i < 3; ++i) group.Stop(i);
+    for (size_t i = 0; i < 3; ++i) REQUIRE(group.Start(i));
+    CHECK(group.AllApplied());
+    commit(200);
+    CHECK(group.AllApplied());
+  }
+}
+
 }  // namespace
 }  // namespace peridotgauge
