Answer every request that a stopping router accepts

Other operators report the same for requests that must not be repeated.

Cause: admission did not know the end of the process, and the exit timer stopped the event loop with whatever was running.

Ruled out: responses that are ready but not written.

Change: from the stop signal on, a request that may outlast the last answer (0.7 s before the end) is refused at once with kDraining, not run, Retry-After 0. One that may be repeated is accepted if twice its usual latency fits; its deadline is cut to the last answer. Requests that still run then are answered as at their deadline, those from before the signal included.

--- a/core/search.cc
+++ b/core/search.cc
@@ -101,6 +101,11 @@
   return effects;
 }
 
+SearchEffects Search::Expire(Time now) {
+  this->params.deadline = std::min(this->params.deadline, now);
+  return this->OnTimer(now);
+}
+
 SearchEffects Search::Abort() {
   SearchEffects effects;
   for (uint32_t i = 0; i < this->shards.size(); ++i) this->CancelRunning(i, effects);
--- a/core/search.h
+++ b/core/search.h
@@ -168,6 +168,8 @@
   SearchEffects Start(Time now);
   SearchEffects OnReply(Time now, AttemptReply reply);
   SearchEffects OnTimer(Time now);
+  // Emits the answer now, as if the deadline had passed.
+  SearchEffects Expire(Time now);
   // Cancels all attempts without emitting an answer, because the caller has disconnected.
   SearchEffects Abort();
 
--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -43,9 +43,11 @@
 // Time for which a draining router still accepts requests: callers may use a cached router list for
 // three times its lifetime of 2 s.
 constexpr Duration kStaleListAcceptTime = Millis(6'500);
-// Times before the end of the grace period at which the router stops accepting requests and at
-// which the process exits.
+// Times before the end of the grace period at which the router stops accepting connections, at
+// which it answers all requests that are still running, and at which the process exits. Between the
+// last two the answers are written, also on a host that is slowed down.
 constexpr Duration kDrainReserve = Millis(1'500);
+constexpr Duration kAnswerReserve = Millis(700);
 constexpr Duration kExitReserve = Millis(400);
 // Maximum number of voting controllers if controllers are discovered from seeds.
 constexpr size_t kMaxVotingControllers = 5;
@@ -276,22 +278,33 @@
   }
 
   // Serves callers with a stale router list for a while and asks each to close its connection. Then
-  // finishes the requests in progress and exits before the end of the grace period, when the
-  // process is killed.
+  // finishes the requests in progress, answers those that are still running shortly before the end
+  // of the grace period, and exits before the process is killed.
   void DrainGateway() {
-    this->gateway->Drain();
+    const Time now = SteadyNow();
+    const Time answer_by = now + this->Before(kAnswerReserve);
+    this->gateway->Drain(answer_by);
     this->http->Drain();
-    const Duration accept_time = std::clamp(this->settings.shutdown_grace - kDrainReserve,
-                                            Duration(0), kStaleListAcceptTime);
-    this->close_timer.expires_after(accept_time);
-    this->close_timer.async_wait(
-        [self = this->shared_from_this(), accept_time](boost::system::error_code) {
-          self->close_timer.expires_after(
-              std::max(self->settings.shutdown_grace - accept_time - kExitReserve, Duration(0)));
-          self->close_timer.async_wait(
-              [self](boost::system::error_code) { self->TransferLeadership(); });
-          self->http->Stop([self] { self->close_timer.cancel(); });
-        });
+    this->RunAt(now + std::min(this->Before(kDrainReserve), kStaleListAcceptTime), [this] {
+      this->http->Stop([self = this->shared_from_this()] { self->TransferLeadership(); });
+    });
+    this->RunAt(answer_by, [this] { this->gateway->AnswerRunning(); });
+    this->RunAt(now + this->Before(kExitReserve), [this] { this->TransferLeadership(); });
+  }
+
+  // Calls `function` at `at`, unless the event loop has stopped by then.
+  template <typename Function>
+  void RunAt(Time at, Function function) {
+    auto at_timer = std::make_shared<asio::steady_timer>(this->io, at);
+    at_timer->async_wait([self = this->shared_from_this(), at_timer,
+                          function = std::move(function)](boost::system::error_code error) {
+      if (!error) function();
+    });
+  }
+
+  // Returns the time from the stop signal to `reserve` before the end of the grace period.
+  Duration Before(Duration reserve) const {
+    return std::max(this->settings.shutdown_grace - reserve, Duration(0));
   }
 
   void OnPeerRequest(wire::BodyUnion body, const PeerRequest& request) {
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -2,11 +2,14 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 #include <random>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 
 #include "core/caller_wait.h"
+#include "core/drain_policy.h"
 #include "core/plan.h"
 #include "core/replica_choice.h"
 #include "core/route_plan.h"
@@ -33,6 +36,8 @@
 // Callers retry after this time if the router has no configuration. A restarted router is
 // synchronized after an election, which takes 200 to 400 ms.
 constexpr Duration kSynchronizeDelay = Millis(400);
+// Callers can send a request that a draining router refuses to another router at once.
+constexpr Duration kDrainingRetryDelay{0};
 constexpr Duration kLeaveTimeout = Seconds(2);
 // With fewer connections to a target of any service, connections count as scarce and the router
 // avoids one replica of each shard.
@@ -79,7 +84,7 @@
             .processor_share = this->settings.processor_share};
   }
 
-  bool Ready() const { return !this->draining && !this->config->Routes().Empty(); }
+  bool Ready() const { return !this->answer_by && !this->config->Routes().Empty(); }
 
   void Handle(HttpRequest http, const HttpResponder& responder) {
     const Time now = SteadyNow();
@@ -101,6 +106,19 @@
             : Duration(0);
     const Duration time_left =
         std::min(request_info->timeout.value_or(route->timeout), route->timeout);
+    Time deadline = now + std::max(time_left - kDeadlineMargin, kShortestDeadline);
+    if (this->answer_by) {
+      const auto accepted = DrainDeadline(now, *this->answer_by,
+                                          {.deadline = deadline,
+                                           .idempotent = route->idempotent,
+                                           .slow_latency = this->SlowLatency(now, *route)});
+      if (!accepted) {
+        return this->Refuse(now, http, request_info->request_id,
+                            {ErrorCode::kDraining, "the request may outlast this process"},
+                            responder);
+      }
+      deadline = *accepted;
+    }
     const uint64_t revision = this->config->Revision();
     RouteRequestParams params{
         .http = std::move(http),
@@ -112,18 +130,37 @@
         .directory_version = this->control.Directory().Version(),
         .arrived = now,
         .caller_wait = caller_wait,
-        .deadline = now + std::max(time_left - kDeadlineMargin, kShortestDeadline)};
+        .deadline = deadline};
     this->sub_request_rate.Add(now, static_cast<double>(params.plan->shards.size()));
-    const auto route_request = RouteRequest::Start(
-        this->context, std::move(params),
-        [responder](HttpResponse response) { responder.Send(std::move(response)); });
-    responder.OnDisconnect([weak = std::weak_ptr<RouteRequest>(route_request)] {
+    const uint64_t id = ++this->last_running_id;
+    const auto gateway = this->weak_from_this();
+    this->running.emplace(id, std::weak_ptr<RouteRequest>());
+    const auto route_request = RouteRequest::Start(this->context, std::move(params),
+                                                   [responder, gateway, id](HttpResponse response) {
+                                                     if (const auto self = gateway.lock())
+                                                       self->running.erase(id);
+                                                     responder.Send(std::move(response));
+                                                   });
+    // The request may have ended already.
+    const auto entry = this->running.find(id);
+    if (entry == this->running.end()) return;
+    entry->second = route_request;
+    responder.OnDisconnect([gateway, id, weak = std::weak_ptr<RouteRequest>(route_request)] {
+      if (const auto self = gateway.lock()) self->running.erase(id);
       if (auto request = weak.lock()) request->Abort();
     });
   }
 
-  void Drain() {
-    this->draining = true;
+  void AnswerRunning() {
+    const auto open_requests = this->running;
+    this->Log(SteadyNow(), Event("answer_running").Add("requests", open_requests.size()));
+    for (const auto& [id, weak] : open_requests) {
+      if (const auto request = weak.lock()) request->Expire();
+    }
+  }
+
+  void Drain(Time deadline) {
+    this->answer_by = deadline;
     this->control.Command(LeaveCommand(this->self.id, this->self.incarnation, /*clean=*/false),
                           SteadyNow() + kLeaveTimeout, [](const Result<wire::CommandReplyT>&) {});
   }
@@ -131,7 +168,6 @@
  private:
   void Refuse(Time now, const HttpRequest& http, const std::string& id, const Error& error,
               const HttpResponder& responder) {
-    const bool temporary = error.code == ErrorCode::kNotSynchronized;
     this->context.metrics
         .CounterOf("peridotgauge_requests_total",
                    {{"route", ""}, {"result", std::string(error.Name())}})
@@ -143,10 +179,20 @@
                        .Add("error", error.ToString())
                        .Add("revision", this->config->Revision()));
     std::optional<Duration> retry_after;
-    if (temporary) retry_after = kSynchronizeDelay + RandomRetryDelay(this->random);
+    if (error.code == ErrorCode::kNotSynchronized) {
+      retry_after = kSynchronizeDelay + RandomRetryDelay(this->random);
+    } else if (error.code == ErrorCode::kDraining) {
+      retry_after = kDrainingRetryDelay;
+    }
     responder.Send(this->context.codec.BuildErrorResponse(error, true, retry_after));
   }
 
+  // Returns nothing if no latencies of the route are known.
+  std::optional<Duration> SlowLatency(Time now, const Route& route) {
+    const auto found = this->hedge_budgets.find(route.name);
+    return found == this->hedge_budgets.end() ? std::nullopt : found->second.SlowLatency(now);
+  }
+
   void OnStray(const std::string& target, const HttpHeader& request_id_header,
                std::string_view value) {
     this->context.metrics.CounterOf("peridotgauge_stray_responses_total").Add();
@@ -258,7 +304,9 @@
   std::shared_ptr<const Config> config = std::make_shared<const Config>();
   std::map<std::string, TargetRecord> known_targets;  // the targets that the planner has
   RateMeter sub_request_rate;  // sub-requests that requests need, without hedges and retries
-  bool draining = false;
+  std::unordered_map<uint64_t, std::weak_ptr<RouteRequest>> running;  // requests without an answer
+  uint64_t last_running_id = 0;
+  std::optional<Time> answer_by;  // set while draining: when AnswerRunning() is called
 };
 
 Gateway::Gateway(asio::io_context& io, const Settings& settings, const RouterRecord& self,
@@ -269,7 +317,8 @@
 void Gateway::Handle(HttpRequest request, const HttpResponder& responder) {
   this->impl->Handle(std::move(request), responder);
 }
-void Gateway::Drain() { this->impl->Drain(); }
+void Gateway::Drain(Time answer_by) { this->impl->Drain(answer_by); }
+void Gateway::AnswerRunning() { this->impl->AnswerRunning(); }
 bool Gateway::Ready() const { return this->impl->Ready(); }
 
 }  // namespace peridotgauge
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -4,7 +4,8 @@
 //   Gateway gateway(io, settings, self, control, codec, metrics, log);
 //   gateway.Start();
 //   gateway.Handle(http_request, responder);
-//   gateway.Drain();                              // leaves the address list, continues to serve
+//   gateway.Drain(answer_by);                     // leaves the address list, continues to serve
+//   gateway.AnswerRunning();                      // at `answer_by`
 //
 // Contract: runs on the thread of the io_context. Every HTTP request gets one response. Requests
 // are served from the newest configuration that this process has received, also while no controller
@@ -38,8 +39,11 @@
 
   void Start();
   void Handle(HttpRequest request, const HttpResponder& responder);
-  // Leaves the address list. Requests of callers with an old list are still served.
-  void Drain();
+  // Leaves the address list. Requests of callers with an old list are still served if they end by
+  // `answer_by`, see drain_policy.h; others are refused, so that the callers ask another router.
+  void Drain(Time answer_by);
+  // Answers all running requests now, as if their deadlines had passed.
+  void AnswerRunning();
   // Returns true if the gateway can take callers: it has a configuration with routes and is not
   // draining.
   bool Ready() const;
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -64,6 +64,12 @@
 
   void Begin(Time now) { this->Apply(now, this->search.Start(now)); }
 
+  void Expire() override {
+    if (this->ended) return;
+    const Time now = SteadyNow();
+    this->Apply(now, this->search.Expire(now));
+  }
+
   void Abort() override {
     if (this->ended) return;
     const Time now = SteadyNow();
@@ -314,11 +320,8 @@
 
 void RouteHedgeBudget::Refresh(Time now) {
   if (this->computed && now - *this->computed < kHedgeDelayRefreshInterval) return;
-  this->delay = this->latency.Quantile(now, kRouteHedgeQuantile);
+  this->slow = this->latency.Quantile(now, kRouteHedgeQuantile);
   this->median = this->latency.Quantile(now, 0.5);
-  if (this->delay && this->median) {
-    this->delay = std::min(*this->delay, kMaxHedgeDelayMedians * *this->median);
-  }
   this->computed = now;
 }
 
@@ -329,7 +332,14 @@
 
 std::optional<Duration> RouteHedgeBudget::HedgeDelay(Time now, std::string_view /*service*/) {
   this->Refresh(now);
-  return this->delay ? std::max(*this->delay, kMinRouteHedgeDelay) : kInitialHedgeDelay;
+  if (!this->slow || !this->median) return kInitialHedgeDelay;
+  return std::max(std::min(*this->slow, kMaxHedgeDelayMedians * *this->median),
+                  kMinRouteHedgeDelay);
+}
+
+std::optional<Duration> RouteHedgeBudget::SlowLatency(Time now) {
+  this->Refresh(now);
+  return this->slow;
 }
 
 std::shared_ptr<RouteRequest> RouteRequest::Start(RouteContext& context, RouteRequestParams params,
--- a/io/route_request.h
+++ b/io/route_request.h
@@ -43,6 +43,8 @@
 
   // Returns the median latency of the attempts, or nothing if too few are known.
   std::optional<Duration> TypicalLatency(Time now);
+  // Returns a high quantile of the latency of the attempts, or nothing if too few are known.
+  std::optional<Duration> SlowLatency(Time now);
   std::optional<Duration> HedgeDelay(Time now, std::string_view service) override;
   void CountNeeded(Time now, std::string_view service, uint32_t count) override {
     this->shared.CountNeeded(now, service, count);
@@ -52,13 +54,13 @@
   }
 
  private:
-  // Computes `median` and `delay` again if they are older than kHedgeDelayRefreshInterval.
+  // Computes the quantiles again if they are older than kHedgeDelayRefreshInterval.
   void Refresh(Time now);
 
   HedgeBudget& shared;
   QuantileWindow latency{kHedgeWindow, kHedgeMinSamples};
   std::optional<Duration> median;
-  std::optional<Duration> delay;
+  std::optional<Duration> slow;
   std::optional<Time> computed;
 };
 
@@ -92,6 +94,8 @@
   virtual ~RouteRequest() = default;
   static std::shared_ptr<RouteRequest> Start(RouteContext& context, RouteRequestParams params,
                                              Callback done);
+  // Answers now, as if the deadline had passed. Does nothing if the request has ended.
+  virtual void Expire() = 0;
   // Cancels all attempts, for example because the caller has disconnected. `done` is not called.
   virtual void Abort() = 0;
 };
--- /dev/null
+++ b/testing/route_deployment.cc
@@ -0,0 +1,366 @@
+// Implements the deployment of routers, controllers and targets in one process.
+#include "route_deployment.h"
+
+#include <unistd.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <future>
+#include <utility>
+
+#include "core/address.h"
+#include "core/settings.h"
+#include "io/clock.h"
+
+namespace peridotgauge {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr int kHttpPort = 18'201;
+constexpr int kHealthPort = 18'202;
+constexpr int kDirectoryPort = 18'203;
+constexpr int kMetricsPort = 18'204;
+constexpr int kPeerPort = 18'205;
+constexpr int kTargetPort = 18'210;
+constexpr Duration kControlTimeout = Seconds(1);
+constexpr Duration kPollInterval = Millis(50);
+constexpr char kHost[] = "test.example";
+
+// Calls `condition` until it returns true or kDeploymentTimeout has passed.
+bool Await(const std::function<bool()>& condition) {
+  const Time end = SteadyNow() + kDeploymentTimeout;
+  while (!condition()) {
+    if (SteadyNow() >= end) return false;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return true;
+}
+
+std::string Quoted(const std::string& text) { return "\"" + text + "\""; }
+
+std::string Joined(const std::vector<std::string>& texts) {
+  std::string out;
+  for (const std::string& text : texts) out += (out.empty() ? "" : ",") + text;
+  return out;
+}
+
+// The state of one Call(), which outlives its asynchronous operations.
+struct Exchange {
+  explicit Exchange(asio::io_context& io) : stream(io) {}
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  http::request<http::string_body> request;
+  http::response<http::string_body> response;
+  bool complete = false;
+};
+
+}  // namespace
+
+std::optional<HttpResponse> Call(const Address& address, const HttpRequest& request,
+                                 Duration timeout) {
+  const Endpoint endpoint = *ParseAddress(address);
+  asio::io_context io(1);
+  Exchange exchange(io);
+  exchange.request = {http::string_to_verb(request.method), request.path, 11};
+  exchange.request.set(http::field::host, address);
+  for (const HttpHeader& header : request.headers) {
+    exchange.request.set(header.name, header.value);
+  }
+  exchange.request.body() = request.body;
+  exchange.request.prepare_payload();
+  exchange.stream.expires_after(timeout);
+  exchange.stream.async_connect(
+      asio::ip::tcp::endpoint(asio::ip::make_address(endpoint.host), endpoint.port),
+      [&](boost::system::error_code error) {
+        if (error) return;
+        http::async_write(exchange.stream, exchange.request,
+                          [&](boost::system::error_code write_error, size_t) {
+                            if (write_error) return;
+                            http::async_read(exchange.stream, exchange.buffer, exchange.response,
+                                             [&](boost::system::error_code read_error, size_t) {
+                                               exchange.complete = !read_error;
+                                             });
+                          });
+      });
+  io.run();
+  if (!exchange.complete) return std::nullopt;
+  HttpResponse response{.status = static_cast<int>(exchange.response.result_int()),
+                        .headers = {},
+                        .body = exchange.response.body()};
+  for (const auto& field : exchange.response) {
+    response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  return response;
+}
+
+HttpRequest CallerRequest(const std::string& id, const std::string& method, const std::string& path,
+                          Duration timeout) {
+  return {.method = method,
+          .path = path,
+          .headers = {{"Host", kHost},
+                      {"Peridotgauge-Request-Id", id},
+                      {"Peridotgauge-Deadline-Ms", std::to_string(WholeMillis(timeout))}},
+          .body = method == "POST" ? "{}" : ""};
+}
+
+std::string RouteText(const std::string& name, const std::string& prefix, const std::string& kind,
+                      int64_t timeout_ms, const std::string& service) {
+  return R"({"name":)" + Quoted(name) + R"(,"host":)" + Quoted(kHost) + R"(,"pathPrefix":)" +
+         Quoted(prefix) + R"(,"kind":)" + Quoted(kind) + R"(,"timeoutMs":)" +
+         std::to_string(timeout_ms) + R"(,"targetLatencyMs":500,"priority":1,"service":)" +
+         Quoted(service) + R"(,"maxAttempts":2})";
+}
+
+std::string ConfigText(uint64_t version, const std::vector<std::string>& routes,
+                       const std::vector<std::string>& services) {
+  std::vector<std::string> service_texts;
+  for (const std::string& service : services) {
+    service_texts.push_back(R"({"name":)" + Quoted(service) +
+                            R"(,"healthPath":"/health","maxConns":40})");
+  }
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + Joined(routes) +
+         R"(],"services":[)" + Joined(service_texts) + "]}";
+}
+
+std::string HeartbeatText(const std::string& service, const Address& address,
+                          const std::string& state, uint64_t sequence) {
+  return R"({"service":)" + Quoted(service) + R"(,"address":)" + Quoted(address) +
+         R"(,"zone":"z-a","version":"v1","slots":4,"state":)" + Quoted(state) +
+         R"(,"warmupLeftMs":0,"sequence":)" + std::to_string(sequence) + "}";
+}
+
+// --- LoopThread ---
+
+LoopThread::LoopThread()
+    : work(asio::make_work_guard(this->io)), thread([this] {
+        this->io.run();
+        this->stopped = true;
+      }) {}
+
+LoopThread::~LoopThread() {
+  this->io.stop();
+  this->Join();
+}
+
+void LoopThread::Join() {
+  if (this->thread.joinable()) this->thread.join();
+}
+
+void LoopThread::Run(const std::function<void()>& function) {
+  std::promise<void> done;
+  asio::post(this->io, [&] {
+    function();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+void LoopThread::Post(std::function<void()> function) { asio::post(this->io, std::move(function)); }
+
+// --- RouteTarget ---
+
+RouteTarget::RouteTarget(Address address, WorkTime work_time)
+    : address(std::move(address)), work_time(std::move(work_time)) {
+  this->loop.Run([this] {
+    auto listening =
+        HttpServer::Listen(this->loop.io, this->address,
+                           [this](const HttpRequest& request, const HttpResponder& responder) {
+                             this->Handle(request, responder);
+                           });
+    if (listening) this->server = std::move(*listening);
+  });
+  REQUIRE(this->server);
+}
+
+RouteTarget::~RouteTarget() {
+  this->loop.Run([this] { this->server.reset(); });
+}
+
+void RouteTarget::Handle(const HttpRequest& request, const HttpResponder& responder) {
+  const std::string id(request.Header("Peridotgauge-Request-Id"));
+  HttpResponse response{
+      .status = 200,
+      .headers = {{"Peridotgauge-Request-Id", id}, {"Peridotgauge-Server-Stamp", "stamp-" + id}},
+      .body = request.path};
+  Duration work(0);
+  if (!id.empty()) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->arrivals.push_back(id);
+    work = this->work_time(request);
+  }
+  auto timer = std::make_shared<asio::steady_timer>(this->loop.io, work);
+  timer->async_wait([timer, responder, response](boost::system::error_code error) {
+    if (!error) responder.Send(response);
+  });
+}
+
+std::vector<std::string> RouteTarget::Arrivals() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->arrivals;
+}
+
+// --- RouteDeployment ---
+
+RouteDeployment::RouteDeployment(RouteDeploymentOptions options) : options(options) {
+  // Tests that run at the same time, and deployments of one test, do not share addresses.
+  static int deployments = 0;
+  const int number = getpid() + 1'000 * deployments++;
+  this->network = "127." + std::to_string(64 + number / 250 % 100) + "." +
+                  std::to_string(1 + number % 250) + ".";
+  std::string pattern = (std::filesystem::temp_directory_path() / "routes_test_XXXXXX").string();
+  this->folder = mkdtemp(pattern.data());
+  for (size_t i = 0; i < options.controllers; ++i) this->StartController(i);
+  for (size_t i = 0; i < options.routers; ++i) this->Start("router-" + std::to_string(i));
+  REQUIRE(Await([this] { return this->Leader().has_value(); }));
+}
+
+RouteDeployment::~RouteDeployment() {
+  while (!this->processes.empty()) this->End(this->processes.begin()->first);
+  std::error_code ignored;
+  std::filesystem::remove_all(this->folder, ignored);
+}
+
+std::string RouteDeployment::IpOf(const std::string& name) const {
+  const int number = std::stoi(name.substr(name.find('-') + 1));
+  return this->network + std::to_string(1 + number + (name.starts_with("router") ? 20 : 0));
+}
+
+std::string RouteDeployment::SettingsText(const std::string& name) const {
+  const std::string ip = this->IpOf(name);
+  const auto at = [&](int port) { return Quoted(ip + ":" + std::to_string(port)); };
+  std::vector<std::string> seeds;
+  for (size_t i = 0; i < this->options.controllers; ++i) {
+    seeds.push_back(Quoted(this->ControllerAddress(i)));
+  }
+  const bool controller = name.starts_with("controller");
+  return R"({"id":)" + Quoted(ip) + R"(,"data_centre":"z-a","interface":"routes","roles":[)" +
+         Quoted(controller ? "controller" : "router") + R"(],"http_address":)" + at(kHttpPort) +
+         R"(,"metrics_address":)" + at(kMetricsPort) + R"(,"peer_address":)" + at(kPeerPort) +
+         (controller ? R"(,"directory_address":)" + at(kDirectoryPort) + R"(,"data_folder":)" +
+                           Quoted(this->folder + "/" + name)
+                     : R"(,"health_address":)" + at(kHealthPort)) +
+         R"(,"grace_ms":)" + std::to_string(WholeMillis(this->options.grace)) +
+         R"(,"heartbeat_ms":60000,"seeds":[)" + Joined(seeds) + "]}";
+}
+
+void RouteDeployment::Start(const std::string& name) {
+  Process& process = this->processes[name];
+  process.loop = std::make_unique<LoopThread>();
+  const Result<Settings> settings = Settings::Parse(this->SettingsText(name), name);
+  REQUIRE(settings);
+  std::string failure;
+  process.loop->Run([&] {
+    auto daemon = Daemon::Start(process.loop->io, *settings, &this->platform);
+    if (daemon) {
+      process.daemon = std::move(*daemon);
+    } else {
+      failure = daemon.error().ToString();
+    }
+  });
+  INFO(name);
+  REQUIRE(failure == "");
+}
+
+// Destroys the process after its loop has ended, as its objects may only be used on the loop.
+void RouteDeployment::End(const std::string& name) {
+  const auto found = this->processes.find(name);
+  if (found == this->processes.end()) return;
+  found->second.loop->io.stop();
+  found->second.loop->Join();
+  found->second.daemon.reset();
+  this->processes.erase(found);
+}
+
+void RouteDeployment::StartController(size_t number) {
+  this->Start("controller-" + std::to_string(number));
+}
+
+bool RouteDeployment::StopController(size_t number) {
+  const std::string name = "controller-" + std::to_string(number);
+  Process& process = this->processes.at(name);
+  process.loop->Post([&process] { process.daemon->Shutdown(); });
+  const bool ended = Await([&process] { return process.loop->Stopped(); });
+  this->End(name);
+  return ended;
+}
+
+void RouteDeployment::KillController(size_t number) {
+  this->End("controller-" + std::to_string(number));
+}
+
+std::optional<size_t> RouteDeployment::Leader() {
+  for (size_t i = 0; i < this->options.controllers; ++i) {
+    const Address metrics =
+        this->IpOf("controller-" + std::to_string(i)) + ":" + std::to_string(kMetricsPort);
+    const auto health = Call(metrics, {.method = "GET", .path = "/healthz"}, kControlTimeout);
+    if (health && health->body.find(R"("role":"leader")") != std::string::npos) return i;
+  }
+  return std::nullopt;
+}
+
+void RouteDeployment::BeginStopRouter(size_t number) {
+  Process& process = this->processes.at("router-" + std::to_string(number));
+  process.loop->Post([&process] { process.daemon->Shutdown(); });
+}
+
+bool RouteDeployment::RouterStopped(size_t number) {
+  return this->processes.at("router-" + std::to_string(number)).loop->Stopped();
+}
+
+bool RouteDeployment::Apply(const std::string& text) {
+  size_t next = 0;
+  return Await([&] {
+    const auto answer = Call(this->ControllerAddress(next++ % this->options.controllers),
+                             {.method = "PUT", .path = "/config", .body = text}, kControlTimeout);
+    return answer && answer->status == 200;
+  });
+}
+
+std::optional<HttpResponse> RouteDeployment::Heartbeat(size_t controller, const std::string& id,
+                                                       const std::string& body) {
+  return Call(this->ControllerAddress(controller),
+              {.method = "PUT", .path = "/instances/" + id, .body = body}, kControlTimeout);
+}
+
+std::optional<HttpResponse> RouteDeployment::Deregister(size_t controller, const std::string& id) {
+  return Call(this->ControllerAddress(controller), {.method = "DELETE", .path = "/instances/" + id},
+              kControlTimeout);
+}
+
+bool RouteDeployment::AwaitRoute(const std::string& path) {
+  for (size_t i = 0; i < this->options.routers; ++i) {
+    const bool served = Await([&] {
+      const auto answer = Call(this->RouterAddress(i),
+                               CallerRequest("ready-" + std::to_string(++this->next_request), "GET",
+                                             path, kControlTimeout),
+                               kControlTimeout);
+      return answer && answer->status == 200;
+    });
+    if (!served) return false;
+  }
+  return true;
+}
+
+Address RouteDeployment::ControllerAddress(size_t number) const {
+  return this->IpOf("controller-" + std::to_string(number)) + ":" + std::to_string(kHttpPort);
+}
+
+Address RouteDeployment::RouterAddress(size_t number) const {
+  return this->IpOf("router-" + std::to_string(number)) + ":" + std::to_string(kHttpPort);
+}
+
+Address RouteDeployment::NewAddress() {
+  return this->network + std::to_string(this->next_host++) + ":" + std::to_string(kTargetPort);
+}
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/testing/route_deployment.h
@@ -0,0 +1,156 @@
+// A deployment with the interface of the platform, in one process: controllers, routers and
+// targets, each on its own event loop and thread, on loopback addresses. For tests of what callers,
+// targets and operators see.
+//
+// Use:
+//   RouteDeployment deployment({.controllers = 1, .routers = 1});
+//   deployment.Apply(ConfigText(1, {RouteText("r", "/p/", "safe", 2'000, "s")}, {"s"}));
+//   RouteTarget target(deployment.NewAddress(), [](const HttpRequest&) { return Millis(10); });
+//   deployment.Heartbeat(0, "i-1", HeartbeatText("s", target.address, "ready", 1));
+//   REQUIRE(deployment.AwaitRoute("/p/ready"));
+//   std::optional<HttpResponse> answer = Call(deployment.RouterAddress(0), CallerRequest("r1",
+//   ...));
+//
+// Contract: all functions are called on the thread of the test. Waiting functions return false
+// after kDeploymentTimeout.
+#ifndef PERIDOTGAUGE_TESTING_ROUTE_DEPLOYMENT_H_
+#define PERIDOTGAUGE_TESTING_ROUTE_DEPLOYMENT_H_
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "core/http_message.h"
+#include "core/types.h"
+#include "io/daemon.h"
+#include "io/http_server.h"
+#include "platform/platform.h"
+
+namespace peridotgauge {
+
+constexpr Duration kDeploymentTimeout = Seconds(20);
+
+// Sends a request on a new connection. Returns nothing if the connection cannot be opened, or ends
+// without a complete response within `timeout`.
+std::optional<HttpResponse> Call(const Address& address, const HttpRequest& request,
+                                 Duration timeout);
+
+// Returns a caller's request for a path of the host of RouteText().
+HttpRequest CallerRequest(const std::string& id, const std::string& method, const std::string& path,
+                          Duration timeout);
+
+// Texts of the platform's documents.
+std::string RouteText(const std::string& name, const std::string& prefix, const std::string& kind,
+                      int64_t timeout_ms, const std::string& service);
+std::string ConfigText(uint64_t version, const std::vector<std::string>& routes,
+                       const std::vector<std::string>& services);
+std::string HeartbeatText(const std::string& service, const Address& address,
+                          const std::string& state, uint64_t sequence);
+
+// An event loop with a thread.
+class LoopThread {
+ public:
+  LoopThread();
+  // Stops the loop and waits for the thread.
+  ~LoopThread();
+  // Runs `function` on the loop and waits until it has returned.
+  void Run(const std::function<void()>& function);
+  // Runs `function` on the loop, without waiting.
+  void Post(std::function<void()> function);
+  bool Stopped() const { return this->stopped; }
+  void Join();
+
+  boost::asio::io_context io{1};
+
+ private:
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+  std::atomic<bool> stopped{false};
+  std::thread thread;  // declared last, because it uses all other members
+};
+
+// A target that answers every request after the time that a test chooses.
+class RouteTarget {
+ public:
+  using WorkTime = std::function<Duration(const HttpRequest&)>;
+  RouteTarget(Address address, WorkTime work_time);
+  ~RouteTarget();
+
+  // Returns the ids of the requests that have arrived.
+  std::vector<std::string> Arrivals();
+
+  const Address address;
+
+ private:
+  void Handle(const HttpRequest& request, const HttpResponder& responder);
+
+  WorkTime work_time;
+  std::mutex mutex;
+  std::vector<std::string> arrivals;  // guarded by `mutex`
+  std::unique_ptr<HttpServer> server;
+  LoopThread loop;
+};
+
+struct RouteDeploymentOptions {
+  size_t controllers = 1;
+  size_t routers = 1;
+  Duration grace = Seconds(6);  // from the stop signal to the end of the process
+};
+
+class RouteDeployment {
+ public:
+  explicit RouteDeployment(RouteDeploymentOptions options);
+  ~RouteDeployment();
+
+  void StartController(size_t number);
+  // Stops a controller as SIGTERM does, and waits until it has ended.
+  bool StopController(size_t number);
+  // Ends a controller without a graceful shutdown.
+  void KillController(size_t number);
+  std::optional<size_t> Leader();
+  // Stops a router as SIGTERM does, without waiting.
+  void BeginStopRouter(size_t number);
+  bool RouterStopped(size_t number);
+
+  // Sends a configuration until it is accepted.
+  bool Apply(const std::string& text);
+  std::optional<HttpResponse> Heartbeat(size_t controller, const std::string& id,
+                                        const std::string& body);
+  std::optional<HttpResponse> Deregister(size_t controller, const std::string& id);
+  // Waits until every router has answered a request for the path with 200.
+  bool AwaitRoute(const std::string& path);
+
+  Address ControllerAddress(size_t number) const;
+  Address RouterAddress(size_t number) const;
+  Address NewAddress();
+
+ private:
+  struct Process {
+    std::unique_ptr<LoopThread> loop;
+    std::unique_ptr<Daemon> daemon;
+  };
+  std::string IpOf(const std::string& name) const;
+  void Start(const std::string& name);
+  void End(const std::string& name);
+  std::string SettingsText(const std::string& name) const;
+
+  RouteDeploymentOptions options;
+  std::string network;  // the first three numbers of all addresses
+  std::string folder;
+  int next_host = 100;
+  int next_request = 0;
+  platform::Platform platform;
+  std::map<std::string, Process> processes;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_TESTING_ROUTE_DEPLOYMENT_H_
