Commit the departures of targets to the replicated log

Cause: departures were kept in the memory of one leader. A new leader accepts any heartbeat of a target that it does not know.

Ruled out: routers that keep the target from their copies. The script on the untouched code, logs kept: target_removed under term 1, then target_registered with sequence 9 by the leader of term 2, 6 s later.

Change: RecordDepartures, a command of the replicated state. The leader commits a departure (removed, draining, or reported by a router) before it acknowledges it; every record is compared with the departures where the directory merges it, also one that was accepted before the departure was applied. A removal takes the incarnation from the last record of the target or from its earlier departure. An ignored heartbeat is logged as heartbeat_stale. HeartbeatResult tells that a heartbeat was stale; the check of it in target_heartbeat_handler_test is stricter by that.

--- a/io/control_events.cc
+++ b/io/control_events.cc
@@ -55,6 +55,13 @@
                   .Add("error", error.ToString()));
 }
 
+void ControlEvents::HeartbeatStale(const TargetRecord& target) {
+  this->Write(Event("heartbeat_stale")
+                  .Add("target", target.target)
+                  .Add("incarnation", target.incarnation)
+                  .Add("sequence", target.sequence));
+}
+
 void ControlEvents::ConfigRefused(const Error& error) {
   this->Write(Event("config_refused").Add("error", error.ToString()));
 }
--- a/io/control_events.h
+++ b/io/control_events.h
@@ -34,6 +34,8 @@
   void TargetRemoved(const TargetRecord& target, uint64_t directory_version);
   void TargetExpired(const TargetRecord& target, uint64_t directory_version);
   void HeartbeatRefused(const TargetRecord& target, const Error& error);
+  // Writes that a heartbeat is older than what is known of the target, and was ignored.
+  void HeartbeatStale(const TargetRecord& target);
   void ConfigRefused(const Error& error);
   // Writes the outcome of a proposed configuration.
   void ConfigDecided(uint64_t revision, const wire::CommandReplyT& reply);
--- a/io/controller.cc
+++ b/io/controller.cc
@@ -61,6 +61,7 @@
         events(this->options.events) {}
 
   void Start() {
+    this->directory.SetDepartures(&this->state.Departures());
     this->state.SetObserver([weak = this->weak_from_this()] {
       if (auto self = weak.lock()) self->ScheduleDueCheck();
     });
@@ -152,12 +153,19 @@
   // is called.
   template <typename Function>
   auto IfTermUnchanged(Function function) {
-    return [weak = this->weak_from_this(), term = this->leader_term,
-            function = std::move(function)](auto&&... arguments) {
+    return this->IfTermUnchangedOr(std::move(function), [] {});
+  }
+
+  // As above, but calls `otherwise` in place of `function` if the term has changed.
+  template <typename Function, typename Otherwise>
+  auto IfTermUnchangedOr(Function function, Otherwise otherwise) {
+    return [weak = this->weak_from_this(), term = this->leader_term, function = std::move(function),
+            otherwise = std::move(otherwise)](auto&&... arguments) {
       auto self = weak.lock();
-      if (!self || self->stopped) return;
+      if (!self || self->stopped) return otherwise();
       self->CheckLeadership();
-      if (self->leader_term == term) function(*self, arguments...);
+      if (self->leader_term != term) return otherwise();
+      function(*self, arguments...);
     };
   }
 
@@ -245,10 +253,12 @@
       return this->ProposeJoin(poll.router);
     }
     const Time now = SteadyNow();
-    const bool changed = this->directory.Merge(
-        now, poll.router.id, std::exchange(poll.registrations, {}), poll.full_registrations);
+    const std::vector<TargetRecord> registrations = std::exchange(poll.registrations, {});
+    const bool changed =
+        this->directory.Merge(now, poll.router.id, registrations, poll.full_registrations);
     poll.full_registrations = false;
     if (changed) this->ScheduleDueCheck();
+    this->RecordReportedDepartures(registrations);
     this->rounds->Confirm(this->IfTermUnchanged(
         [id](Impl& self, const Result<uint64_t>& confirmed) { self.OnConfirmed(id, confirmed); }));
   }
@@ -481,11 +491,64 @@
                      : this->events.TargetRegistered(record, version);
       this->ScheduleDueCheck();
     }
+    if (accepted->stale) this->events.HeartbeatStale(record);
     if (!accepted->leaving) {
-      this->departures_since.erase(record.target);
+      if (!accepted->stale) this->departures_since.erase(record.target);
       return responder.reply(ToBody(wire::CommandReplyT{}));
     }
-    this->AwaitDeparture(now, record.target, responder);
+    this->departures_since.try_emplace(record.target, now);
+    const auto departure = this->directory.LastDeparture(record.target);
+    if (!departure || this->state.Departures().Covers(*departure)) {
+      return this->AwaitDeparture(now, record.target, responder);
+    }
+    this->RecordDepartures(
+        {*departure},
+        this->IfTermUnchangedOr(
+            [target = record.target, responder](Impl& self, const wire::BodyUnion& answer) {
+              if (answer.AsCommandReply()->error >= 0) return responder.reply(answer);
+              self.AwaitDeparture(SteadyNow(), target, responder);
+            },
+            [responder] {
+              responder.reply(MakeCommandError({ErrorCode::kNotLeader, ""}, ""));
+            }));
+  }
+
+  // Commits that targets leave, so that no later leader believes an older heartbeat of them.
+  void RecordDepartures(const std::vector<Departure>& departures, Proposals::Callback callback) {
+    wire::RecordDeparturesT command;
+    for (const Departure& departure : departures) {
+      auto entry = std::make_unique<wire::TargetDepartureT>();
+      entry->target = departure.target;
+      entry->incarnation = departure.incarnation;
+      entry->sequence = departure.sequence;
+      command.targets.push_back(std::move(entry));
+    }
+    this->proposals->Propose(ToCommand(std::move(command)), std::move(callback));
+  }
+
+  // Records the departures among the registrations of a router. The router sends them again until
+  // it gets a reply, so a lost command is repeated.
+  void RecordReportedDepartures(const std::vector<TargetRecord>& registrations) {
+    std::vector<Departure> departures;
+    for (const TargetRecord& record : registrations) {
+      if (record.state != TargetState::kDraining && record.state != TargetState::kGone) continue;
+      const Departure departure{record.target, record.incarnation, record.sequence};
+      if (!this->state.Departures().Covers(departure)) departures.push_back(departure);
+    }
+    if (departures.empty()) return;
+    this->RecordDepartures(departures, [](const wire::BodyUnion& answer) {
+      const auto* reply = answer.AsCommandReply();
+      LOG_IF(WARNING, reply->error >= 0)
+          << "controller: departures of targets were not recorded: " << reply->detail;
+    });
+  }
+
+  // Removes targets whose departure was committed in an earlier term and applied here only after an
+  // older heartbeat had been accepted.
+  void ApplyDepartures(Time now) {
+    const uint64_t index = this->state.DeparturesIndex();
+    if (std::exchange(this->applied_departures, index) == index) return;
+    this->directory.RemoveDeparted(now);
   }
 
   // Acknowledges the departure of a target once all routers with a session know of it.
@@ -535,6 +598,7 @@
 
   void EnqueueDuePolls(Time now) {
     this->PublishConfig(now);
+    this->ApplyDepartures(now);
     for (auto& [id, poll] : this->polls) {
       if (this->IsDue(now, poll)) this->Enqueue(id, poll);
     }
@@ -685,6 +749,7 @@
   // State version that a compact reply brings a router to; below the log index of a configuration
   // that is not published yet.
   uint64_t published_version = 0;
+  uint64_t applied_departures = 0;  // DeparturesIndex() up to which departures were applied
   Time next_expiry_check;
   bool due_check_scheduled = false;
 
--- a/state/control_snapshot.cc
+++ b/state/control_snapshot.cc
@@ -103,6 +103,12 @@
   for (const auto& [fingerprint, until_ms] : this->quarantine) {
     packed_quarantine.emplace_back(fingerprint, until_ms);
   }
+  std::vector<flatbuffers::Offset<fbs::Departure>> packed_departures;
+  for (const auto& [target, departure] : this->departures.All()) {
+    packed_departures.push_back(fbs::CreateDeparture(builder, builder.CreateString(target),
+                                                     departure.incarnation, departure.sequence,
+                                                     departure.recorded_ms));
+  }
   const auto packed_highest_config =
       this->highest_config ? Pack(builder, *this->highest_config) : 0;
   builder.Finish(fbs::CreateControlState(
@@ -110,7 +116,7 @@
       builder.CreateVectorOfStructs(packed_revisions), builder.CreateVector(packed_details),
       builder.CreateVector(packed_records), builder.CreateVector(packed_routers),
       builder.CreateVectorOfStructs(packed_quarantine), packed_highest_config,
-      this->highest_config_digest, this->offered_routers));
+      this->highest_config_digest, this->offered_routers, builder.CreateVector(packed_departures)));
   return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -150,6 +156,12 @@
   ForEach(table->quarantine(), [&](const fbs::Quarantine& blocked) {
     restored.quarantine[blocked.fingerprint()] = blocked.until_ms();
   });
+  ForEach(table->departures(), [&](const fbs::Departure& departure) {
+    restored.departures.Restore({.target = Text(departure.target()),
+                                 .incarnation = departure.incarnation(),
+                                 .sequence = departure.sequence(),
+                                 .recorded_ms = departure.recorded_ms()});
+  });
   if (!valid) return Fail(ErrorCode::kCorrupt, "control state snapshot: inconsistent content");
   restored.observer = std::move(this->observer);
   *this = std::move(restored);
--- a/state/control_state.cc
+++ b/state/control_state.cc
@@ -77,7 +77,7 @@
 }
 
 std::string ControlState::Apply(uint64_t index, const std::string& command) {
-  const uint64_t version_before = this->version;
+  const std::pair before(this->version, this->departures_index);
   Reply reply = Reject(ErrorCode::kBadRequest, "command: fails verification");
   if (const auto* table = VerifiedRoot<wire::Command>(command)) {
     wire::CommandT decoded;
@@ -86,7 +86,8 @@
     reply = this->Dispatch({.index = index, .now_ms = this->log_time}, decoded.body);
   }
   if (reply.index == 0) reply.index = index;
-  if (this->version != version_before && this->observer) this->observer();
+  const std::pair after(this->version, this->departures_index);
+  if (after != before && this->observer) this->observer();
   return Serialize<wire::CommandReply>(reply);
 }
 
@@ -98,6 +99,7 @@
   if (const auto* leave = body.AsLeave()) return this->ApplyLeave(context, *leave);
   if (const auto* entry = body.AsQuarantine()) return this->ApplyQuarantine(context, *entry);
   if (const auto* offer = body.AsOfferRouters()) return this->ApplyOffer(*offer);
+  if (const auto* left = body.AsRecordDepartures()) return this->ApplyDepartures(context, *left);
   // Membership changes of the controllers are handled by the replicated log itself.
   return Reject(ErrorCode::kBadRequest, "command: not handled by the control state");
 }
@@ -314,6 +316,21 @@
   return {};
 }
 
+Reply ControlState::ApplyDepartures(const CommandContext& context,
+                                    const wire::RecordDeparturesT& command) {
+  for (const auto& departure : command.targets) {
+    if (!departure || departure->target.empty()) {
+      return Reject(ErrorCode::kBadRequest, "name of a departed target is missing");
+    }
+    const bool recorded =
+        this->departures.Record(context.now_ms, {.target = departure->target,
+                                                 .incarnation = departure->incarnation,
+                                                 .sequence = departure->sequence});
+    if (recorded) this->departures_index = context.index;
+  }
+  return {};
+}
+
 bool ControlState::operator==(const ControlState& other) const {
   return this->log_time == other.log_time && this->version == other.version &&
          this->config_index == other.config_index && this->view_index == other.view_index &&
@@ -321,7 +338,8 @@
          this->detail_bytes == other.detail_bytes && this->highest_config == other.highest_config &&
          this->highest_config_digest == other.highest_config_digest &&
          this->ledger == other.ledger && this->routers == other.routers &&
-         this->quarantine == other.quarantine && this->offered_routers == other.offered_routers;
+         this->quarantine == other.quarantine && this->offered_routers == other.offered_routers &&
+         this->departures == other.departures;
 }
 
 }  // namespace peridotgauge
--- a/state/control_state.h
+++ b/state/control_state.h
@@ -1,4 +1,5 @@
-// The replicated state of the controllers: configuration history, ledger, router list, quarantine.
+// The replicated state of the controllers: configuration history, ledger, router list, quarantine,
+// departures of targets.
 //
 // Use:
 //   ControlState state;
@@ -9,7 +10,7 @@
 // Contract: Apply() depends only on the command and earlier state. Its only clock is
 // Command.now_ms, which is replaced by the previous command's time if it is earlier than that.
 // Version() is the log index of the last change that is sent to routers (configuration, router
-// list, quarantine); ledger commands do not change it.
+// list, quarantine); ledger commands and departures do not change it.
 #ifndef PERIDOTGAUGE_STATE_CONTROL_STATE_H_
 #define PERIDOTGAUGE_STATE_CONTROL_STATE_H_
 
@@ -24,6 +25,7 @@
 #include "core/error.h"
 #include "core/records.h"
 #include "peer_generated.h"
+#include "state/departures.h"
 #include "state/ledger.h"
 #include "state/router_list.h"
 #include "state/state_machine.h"
@@ -73,8 +75,8 @@
   // Replaces the state. On kCorrupt the state is unchanged.
   Result<void> Restore(uint64_t index, const std::string& snapshot) override;
 
-  // Sets a callback that runs after Apply() has changed Version() and after each successful
-  // Restore().
+  // Sets a callback that runs after Apply() has changed Version() or DeparturesIndex(), and after
+  // each successful Restore().
   void SetObserver(std::function<void()> callback) { this->observer = std::move(callback); }
 
   uint64_t Version() const { return this->version; }
@@ -108,6 +110,10 @@
   // Returns the quarantined fingerprints and the Unix times at which their quarantine ends.
   const std::map<uint64_t, int64_t>& Quarantined() const { return this->quarantine; }
   const Ledger& RequestLedger() const { return this->ledger; }
+  // Returns the targets that have said that they leave.
+  const DepartureTable& Departures() const { return this->departures; }
+  // Returns the log index of the last new departure since the last Restore(), or 0.
+  uint64_t DeparturesIndex() const { return this->departures_index; }
 
   bool operator==(const ControlState& other) const;
 
@@ -127,6 +133,8 @@
   wire::CommandReplyT ApplyQuarantine(const CommandContext& context,
                                       const wire::QuarantineT& command);
   wire::CommandReplyT ApplyOffer(const wire::OfferRoutersT& command);
+  wire::CommandReplyT ApplyDepartures(const CommandContext& context,
+                                      const wire::RecordDeparturesT& command);
   void AcceptRevision(const CommandContext& context, const wire::ApplyConfigT& command);
   void RecordRouterChange(const CommandContext& context, const std::string& router);
   bool DetailsMatchRevisions() const;
@@ -149,7 +157,9 @@
   RouterMap routers;
   RouterChangeLog router_changes;  // not part of the state
   std::map<uint64_t, int64_t> quarantine;
-  uint32_t offered_routers = 0;    // not covered by `version`: no router waits for it
+  uint32_t offered_routers = 0;  // not covered by `version`: no router waits for it
+  DepartureTable departures;
+  uint64_t departures_index = 0;   // not part of the state
   std::function<void()> observer;  // not part of the state
 };
 
--- a/state/directory.cc
+++ b/state/directory.cc
@@ -93,6 +93,10 @@
 }
 
 bool Directory::MergeRecord(Time now, const TargetRecord& record) {
+  if (this->HasDeparted(record)) {
+    ++this->counters.stale;
+    return false;
+  }
   const auto found = this->entries.find(record.target);
   if (!this->FitsLimits(found == this->entries.end() ? nullptr : &found->second, record)) {
     ++this->counters.refused;
@@ -169,6 +173,36 @@
   entry.removed_by_directory = true;
 }
 
+bool Directory::RemoveDeparted(Time now) {
+  if (this->departures == nullptr) return false;
+  const uint64_t before = this->version;
+  for (const auto& [target, departure] : this->departures->All()) {
+    const auto found = this->entries.find(target);
+    if (found == this->entries.end() || found->second.gone_since) continue;
+    if (this->HasDeparted(found->second.record)) this->Drop(now, found->second);
+  }
+  return this->version != before;
+}
+
+std::optional<TargetRecord> Directory::LastRecord(const std::string& target) const {
+  const auto found = this->entries.find(target);
+  if (found == this->entries.end()) return std::nullopt;
+  return found->second.record;
+}
+
+std::optional<Departure> Directory::LastDeparture(const std::string& target) const {
+  const auto found = this->entries.find(target);
+  if (found != this->entries.end()) {
+    const TargetRecord& record = found->second.record;
+    const bool said_so = record.state == TargetState::kDraining ||
+                         (found->second.gone_since && !found->second.removed_by_directory);
+    if (!said_so) return std::nullopt;
+    return Departure{target, record.incarnation, record.sequence};
+  }
+  const Departure* known = this->departures == nullptr ? nullptr : this->departures->Find(target);
+  return known == nullptr ? std::nullopt : std::optional(*known);
+}
+
 bool Directory::Tick(Time now, const RouterMap& view) {
   const uint64_t before = this->version;
   for (auto& [name, entry] : this->entries) {
--- a/state/directory.h
+++ b/state/directory.h
@@ -10,8 +10,9 @@
 // Contract: of two records of one target the one with the higher (incarnation, sequence) wins, in
 // any order of arrival. A record with the state kGone is kept for kTombstoneTime, so that an older
 // record that arrives late cannot restore the target. The epoch changes with each leadership term;
-// versions count changes within one epoch. While a new leader collects registrations, a delta only
-// adds to the copy of a router; the first delta after that replaces the copy.
+// versions count changes within one epoch. A record that a known departure supersedes is rejected
+// in every epoch. While a new leader collects registrations, a delta only adds to the copy of a
+// router; the first delta after that replaces the copy.
 #ifndef PERIDOTGAUGE_STATE_DIRECTORY_H_
 #define PERIDOTGAUGE_STATE_DIRECTORY_H_
 
@@ -24,6 +25,7 @@
 
 #include "core/records.h"
 #include "core/types.h"
+#include "state/departures.h"
 
 namespace peridotgauge {
 
@@ -74,6 +76,17 @@
     this->fully_reported.insert(registrar);
   }
 
+  // Sets the departures that are known to all leaders. `known` must outlive the directory; null:
+  // none.
+  void SetDepartures(const DepartureTable* known) { this->departures = known; }
+  // Returns true if the target of the record has left since it was sent.
+  bool HasDeparted(const TargetRecord& record) const {
+    return this->departures != nullptr && this->departures->Supersedes(record);
+  }
+  // Removes the records that departures supersede, which were accepted before these were known
+  // here. Returns true if the directory changed.
+  bool RemoveDeparted(Time now);
+
   // Merges the records of one registrar. `full` means that `records` is the full list of the
   // registrar: its other targets are removed after kCollectTime unless they register again. Returns
   // true if the directory changed.
@@ -101,6 +114,11 @@
   const DirectoryCounters& Counters() const { return this->counters; }
   // Returns the record of a target, or nothing if it is unknown or gone.
   std::optional<TargetRecord> Find(const std::string& target) const;
+  // Returns the last record of a target, also if it is gone, or nothing.
+  std::optional<TargetRecord> LastRecord(const std::string& target) const;
+  // Returns the departure that the target reported last to this leader or, if it is unknown here,
+  // to an earlier one. Returns nothing if the target has not said that it leaves.
+  std::optional<Departure> LastDeparture(const std::string& target) const;
   // Returns the records that are not gone, sorted by target name.
   std::vector<TargetRecord> Targets() const;
 
@@ -122,6 +140,7 @@
   void Drop(Time now, Entry& entry);
   void Prune(Time now);
 
+  const DepartureTable* departures = nullptr;
   std::string own_registrar;
   uint64_t epoch = 0;
   uint64_t version = 0;
--- a/state/target_heartbeat_handler.cc
+++ b/state/target_heartbeat_handler.cc
@@ -5,12 +5,6 @@
 #include <optional>
 
 namespace peridotgauge {
-namespace {
-
-// Sequence number of a removal; far above those that heartbeats reach.
-constexpr uint64_t kRemovedSequence = uint64_t{1} << 62U;
-
-}  // namespace
 
 void TargetHeartbeatHandler::StartTerm(Time now, uint64_t term) {
   this->directory.StartEpoch(now, term, std::max(kCollectTime, this->lease));
@@ -19,26 +13,40 @@
 }
 
 Result<HeartbeatResult> TargetHeartbeatHandler::Handle(Time now, TargetRecord record, bool remove) {
-  if (remove) {
-    std::optional<TargetRecord> last = this->directory.Find(record.target);
-    if (!last && this->directory.Collecting()) {
-      return Fail(ErrorCode::kUnavailable,
-                  "directory: the new leader is still collecting registrations");
-    }
-    // The removal may be a repeated one, and routers may still lack the first.
-    if (!last) return HeartbeatResult{.leaving = true};
-    record = std::move(*last);
-    record.state = TargetState::kGone;
-    // Supersedes every heartbeat of this incarnation that is still in flight.
-    record.sequence = std::max(record.sequence, kRemovedSequence);
-  }
+  if (remove) return this->Remove(now, record.target);
+  if (this->directory.HasDeparted(record)) return HeartbeatResult{.stale = true};
   const Result<RegistrationChange> change = this->registrations.Register(now, record);
   if (!change) return tl::unexpected(change.error());
   const bool directory_changed =
       *change == RegistrationChange::kChanged ||
       (*change == RegistrationChange::kRenewed && !this->directory.Find(record.target));
   return HeartbeatResult{.directory_changed = directory_changed && this->Merge(now, record),
-                         .leaving = remove || record.state == TargetState::kDraining};
+                         .leaving = record.state == TargetState::kDraining,
+                         .stale = *change == RegistrationChange::kStale};
+}
+
+// The removal supersedes every heartbeat of this incarnation that is still in flight. It needs the
+// incarnation, which the target does not state, from its last record or from an earlier departure.
+Result<HeartbeatResult> TargetHeartbeatHandler::Remove(Time now, const std::string& target) {
+  std::optional<TargetRecord> last = this->directory.LastRecord(target);
+  const bool registered = last.has_value();
+  if (!last) {
+    if (const auto departure = this->directory.LastDeparture(target)) {
+      last = TargetRecord{.target = target, .incarnation = departure->incarnation};
+    }
+  }
+  if (!last && this->directory.Collecting()) {
+    return Fail(ErrorCode::kUnavailable,
+                "directory: the new leader is still collecting registrations");
+  }
+  if (!last) return HeartbeatResult{.leaving = true};
+  last->state = TargetState::kGone;
+  last->sequence = std::max(last->sequence, kRemovedSequence);
+  if (registered) {
+    const Result<RegistrationChange> change = this->registrations.Register(now, *last);
+    if (!change) return tl::unexpected(change.error());
+  }
+  return HeartbeatResult{.directory_changed = this->Merge(now, *last), .leaving = true};
 }
 
 std::vector<TargetRecord> TargetHeartbeatHandler::Expire(Time now) {
--- a/state/target_heartbeat_handler.h
+++ b/state/target_heartbeat_handler.h
@@ -7,7 +7,8 @@
 //   if (result && result->directory_changed) NotifyRouters();
 //   for (const TargetRecord& gone : handler.Expire(now)) ...
 //
-// Contract: a heartbeat does not restore a target that was removed under the same incarnation. A
+// Contract: a heartbeat does not restore a target that was removed under the same incarnation, also
+// if an earlier leader removed it (Directory::SetDepartures()). A
 // heartbeat that only renews the lease leaves the directory unchanged, so no router is notified.
 #ifndef PERIDOTGAUGE_STATE_TARGET_HEARTBEAT_HANDLER_H_
 #define PERIDOTGAUGE_STATE_TARGET_HEARTBEAT_HANDLER_H_
@@ -28,6 +29,7 @@
 struct HeartbeatResult {
   bool directory_changed = false;
   bool leaving = false;  // the target gets no new work from now on
+  bool stale = false;    // older than what is known of the target; ignored
   bool operator==(const HeartbeatResult&) const = default;
 };
 
@@ -51,6 +53,7 @@
   std::vector<TargetRecord> Expire(Time now);
 
  private:
+  Result<HeartbeatResult> Remove(Time now, const std::string& target);
   bool Merge(Time now, const TargetRecord& record) {
     return this->directory.Merge(now, this->controller, {record}, /*full=*/false);
   }
--- a/testing/route_deployment.cc
+++ b/testing/route_deployment.cc
@@ -133,10 +133,11 @@
 }
 
 std::string HeartbeatText(const std::string& service, const Address& address,
-                          const std::string& state, uint64_t sequence) {
+                          const std::string& state, uint64_t sequence, uint64_t born) {
   return R"({"service":)" + Quoted(service) + R"(,"address":)" + Quoted(address) +
          R"(,"zone":"z-a","version":"v1","slots":4,"state":)" + Quoted(state) +
-         R"(,"warmupLeftMs":0,"sequence":)" + std::to_string(sequence) + "}";
+         R"(,"warmupLeftMs":0,"sequence":)" + std::to_string(sequence) + R"(,"born":)" +
+         std::to_string(born) + "}";
 }
 
 // --- LoopThread ---
@@ -250,7 +251,8 @@
                            Quoted(this->folder + "/" + name)
                      : R"(,"health_address":)" + at(kHealthPort)) +
          R"(,"grace_ms":)" + std::to_string(WholeMillis(this->options.grace)) +
-         R"(,"heartbeat_ms":60000,"seeds":[)" + Joined(seeds) + "]}";
+         R"(,"heartbeat_ms":)" + std::to_string(WholeMillis(this->options.heartbeat)) +
+         R"(,"seeds":[)" + Joined(seeds) + "]}";
 }
 
 void RouteDeployment::Start(const std::string& name) {
--- a/testing/route_deployment.h
+++ b/testing/route_deployment.h
@@ -54,7 +54,7 @@
 std::string ConfigText(uint64_t version, const std::vector<std::string>& routes,
                        const std::vector<std::string>& services);
 std::string HeartbeatText(const std::string& service, const Address& address,
-                          const std::string& state, uint64_t sequence);
+                          const std::string& state, uint64_t sequence, uint64_t born = 1'000);
 
 // An event loop with a thread.
 class LoopThread {
@@ -102,7 +102,8 @@
 struct RouteDeploymentOptions {
   size_t controllers = 1;
   size_t routers = 1;
-  Duration grace = Seconds(6);  // from the stop signal to the end of the process
+  Duration grace = Seconds(6);       // from the stop signal to the end of the process
+  Duration heartbeat = Seconds(60);  // interval at which targets are expected to register
 };
 
 class RouteDeployment {
--- a/testing/target_heartbeat_handler_test.cc
+++ b/testing/target_heartbeat_handler_test.cc
@@ -44,7 +44,7 @@
     CHECK(handler.Handle(kStart, {.target = "t"}, true) ==
           HeartbeatResult{.directory_changed = true, .leaving = true});
     record.sequence = 9;
-    CHECK(handler.Handle(kStart, record, false) == HeartbeatResult{});
+    CHECK(handler.Handle(kStart, record, false) == HeartbeatResult{.stale = true});
     CHECK_FALSE(directory.Find("t"));
     record.incarnation = 2;
     CHECK(handler.Handle(kStart, record, false) == HeartbeatResult{.directory_changed = true});
@@ -57,6 +57,56 @@
     CHECK(handler.Handle(kStart + kShortLease, {.target = "u"}, true) ==
           HeartbeatResult{.leaving = true});
   }
+  SECTION("a removal supersedes heartbeats also after the target has expired") {
+    CHECK(handler.Expire(kStart + kShortLease).size() == 1);
+    CHECK(handler.Handle(kStart + kShortLease, {.target = "t"}, true).value().leaving);
+    record.sequence = 9;
+    CHECK(handler.Handle(kStart + kShortLease, record, false) == HeartbeatResult{.stale = true});
+    CHECK_FALSE(directory.Find("t"));
+  }
+  SECTION("a departure that an earlier leader recorded") {
+    DepartureTable departures;
+    directory.SetDepartures(&departures);
+    const auto next_leader = [&] { handler.StartTerm(kStart + Seconds(1), 2); };
+    SECTION("supersedes older heartbeats") {
+      departures.Record(0, {"t", 1, kRemovedSequence});
+      next_leader();
+      record.sequence = 9;
+      CHECK(handler.Handle(kStart + Seconds(2), record, false) == HeartbeatResult{.stale = true});
+      CHECK_FALSE(directory.Find("t"));
+      record.incarnation = 2;
+      CHECK(handler.Handle(kStart + Seconds(2), record, false).value().directory_changed);
+    }
+    SECTION("of a draining target does not supersede its later heartbeats") {
+      departures.Record(0, {"t", 1, 5});
+      next_leader();
+      record.sequence = 4;
+      CHECK(handler.Handle(kStart + Seconds(2), record, false) == HeartbeatResult{.stale = true});
+      record.sequence = 6;
+      record.state = TargetState::kDraining;
+      CHECK(handler.Handle(kStart + Seconds(2), record, false) ==
+            HeartbeatResult{.directory_changed = true, .leaving = true});
+    }
+    SECTION("lets the next leader take the removal, and tell the routers") {
+      departures.Record(0, {"t", 1, 5});
+      next_leader();
+      CHECK(handler.Handle(kStart + Seconds(2), {.target = "t"}, true) ==
+            HeartbeatResult{.directory_changed = true, .leaving = true});
+      CHECK(directory.LastDeparture("t") == Departure{"t", 1, kRemovedSequence});
+    }
+    SECTION("removes a target that was accepted before the departure was known") {
+      departures.Record(0, {"t", 1, 5});
+      CHECK(directory.RemoveDeparted(kStart));
+      CHECK_FALSE(directory.Find("t"));
+      CHECK_FALSE(directory.RemoveDeparted(kStart));
+    }
+    SECTION("also applies to what routers report") {
+      departures.Record(0, {"t", 1, kRemovedSequence});
+      next_leader();
+      CHECK_FALSE(directory.Merge(kStart + Seconds(2), "r1", {record}, false));
+      CHECK_FALSE(directory.Find("t"));
+    }
+  }
   // A partition that isolates the leader and all controllers near some targets delays the
   // heartbeats of these targets, which are still alive.
   SECTION("routers keep a target under a new leader until its heartbeats are overdue") {
