Send a request at most once on a connection

Cause: all sendings of a request carry the same id, and after a refusal the connection went back to the pool and carried the request again. The copy of the first refusal was taken for the answer to the second sending.

Ruled out: the pool's repetition on a connection found closed. In the new test the second sending comes on the connection of the first, and a third one follows the copy.

Change: the sendings of a request share the list of connections that they used; the pool gives each another one, and closes an idle connection if the limit leaves no room for it. A connection is closed after a response that identifies no request, also on the native interface; on a used connection of a route such a response is no answer.

--- a/io/http_client.cc
+++ b/io/http_client.cc
@@ -25,6 +25,12 @@
 
 }  // namespace
 
+bool EchoedRequest::WasSentOn(const std::weak_ptr<void>& connection) const {
+  return std::any_of(this->connections.begin(), this->connections.end(), [&](const auto& used) {
+    return !used.owner_before(connection) && !connection.owner_before(used);
+  });
+}
+
 // --- Pool ---
 
 HttpClient::Impl::Impl(asio::io_context& io, Address address, HttpClientOptions options,
@@ -55,21 +61,43 @@
 }
 
 void HttpClient::Impl::AssignQueued() {
-  while (!this->waiting.empty() && !this->idle.empty()) {
-    const auto connection = this->idle.back();
-    this->idle.pop_back();
-    if (connection->IsStale(SteadyNow(), this->waiting.front()->call.idempotent)) {
-      ++this->replaced;
-      std::erase(this->connections, connection);
-      connection->Abort();
-      continue;
+  for (size_t i = 0; i < this->waiting.size() && !this->idle.empty();) {
+    const ExchangePtr exchange = this->waiting[i];
+    if (const auto connection = this->TakeIdleFor(exchange->call)) {
+      this->Assign(exchange, connection, /*newly_opened=*/false);
+    } else {
+      ++i;
     }
-    this->Assign(connection, /*newly_opened=*/false);
   }
   while (this->connecting < this->waiting.size() &&
          this->connections.size() < this->options.max_connections) {
     this->Open();
   }
+  // The calls that are left can use none of the idle connections, and no further one may be opened.
+  if (this->connecting < this->waiting.size() && !this->idle.empty()) this->MakeRoom();
+}
+
+std::shared_ptr<HttpClient::Connection> HttpClient::Impl::TakeIdleFor(const HttpCall& call) {
+  for (size_t i = this->idle.size(); i > 0; --i) {
+    const auto connection = this->idle[i - 1];
+    if (call.echo && call.echo->WasSentOn(connection)) continue;
+    this->idle.erase(this->idle.begin() + static_cast<ptrdiff_t>(i - 1));
+    if (!connection->IsStale(SteadyNow(), call.idempotent)) return connection;
+    ++this->replaced;
+    std::erase(this->connections, connection);
+    connection->Abort();
+  }
+  return nullptr;
+}
+
+void HttpClient::Impl::MakeRoom() {
+  for (const ExchangePtr& exchange : this->waiting) {
+    if (this->idle.empty()) return;
+    if (std::exchange(exchange->made_room, true)) continue;
+    const auto connection = this->idle.front();
+    this->idle.erase(this->idle.begin());
+    connection->BeginClose({});
+  }
 }
 
 void HttpClient::Impl::Open() {
@@ -89,16 +117,17 @@
   } else {
     // A peer above its connection limit may already have sent an error response. The call takes it:
     // opening another connection instead would be refused in the same way, without end.
-    this->Assign(connection, /*newly_opened=*/true);
+    this->Assign(this->waiting.front(), connection, /*newly_opened=*/true);
   }
 }
 
-// Assigns the connection to the call that has waited longest.
-void HttpClient::Impl::Assign(const std::shared_ptr<Connection>& connection, bool newly_opened) {
-  const ExchangePtr exchange = this->waiting.front();
-  this->waiting.pop_front();
-  exchange->connection = connection;
-  connection->Start(exchange, newly_opened);
+void HttpClient::Impl::Assign(const ExchangePtr& exchange,
+                              const std::shared_ptr<Connection>& connection, bool newly_opened) {
+  const ExchangePtr assigned = exchange;  // `exchange` may be an element of the queue
+  std::erase(this->waiting, assigned);
+  assigned->connection = connection;
+  if (const auto& echo = assigned->call.echo) echo->connections.push_back(connection);
+  connection->Start(assigned, newly_opened);
 }
 
 void HttpClient::Impl::OnIdle(const std::shared_ptr<Connection>& connection) {
@@ -160,6 +189,7 @@
 
 void HttpClient::Impl::Requeue(const ExchangePtr& exchange) {
   exchange->connection = nullptr;
+  exchange->made_room = false;
   this->waiting.push_front(exchange);
 }
 
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -16,6 +16,13 @@
 // peer closes a persistent connection before any byte of the request was sent, the call moves to
 // another connection without an error.
 //
+// A response belongs to the call if it echoes the header of the call (HttpCall::echo). No
+// connection carries one request twice, so that a second copy of the response to an earlier sending
+// cannot be taken for the response to a later one. A response that echoes nothing is accepted only
+// on a connection that has carried nothing else; otherwise the outcome is unknown. After a response
+// that does not identify its request the connection is closed, since a copy of it could not be told
+// from a later response.
+//
 // The pool never holds more than `max_connections`. A connection that this side closes counts
 // until the peer has closed it too, for at most kCloseTimeout, because the peer counts it as well.
 // Calls above the limit are queued first in, first out.
@@ -28,6 +35,7 @@
 #include <memory>
 #include <string_view>
 #include <tl/expected.hpp>
+#include <vector>
 
 #include "core/error.h"
 #include "core/http_message.h"
@@ -51,6 +59,18 @@
   size_t min_connections = 0;  // kept open even if idle; at most `max_connections`
 };
 
+// The header with which the peer identifies the responses to one request. All sendings of the
+// request share it.
+struct EchoedRequest {
+  explicit EchoedRequest(HttpHeader header) : header(std::move(header)) {}
+
+  // Returns true if the request was sent on this connection.
+  bool WasSentOn(const std::weak_ptr<void>& connection) const;
+
+  HttpHeader header;
+  std::vector<std::weak_ptr<void>> connections;  // on which the request was sent
+};
+
 // Called for each discarded response, with the `echo` of the call and the value received instead.
 using StrayCallback = std::function<void(const HttpHeader& echo, std::string_view value)>;
 
@@ -72,10 +92,12 @@
   // response is complete, nothing was sent, or the peer has closed the connection (or
   // kCloseTimeout has passed). May be empty.
   std::function<void()> released;
-  // A header that the peer echoes. A response that has it with another value belongs to another
-  // request: it is discarded, and the client waits for the next response on the connection. Null
-  // accepts every response. Shared by the calls of one request.
-  std::shared_ptr<const HttpHeader> echo;
+  // A response that echoes another value belongs to another request: it is discarded, and the
+  // client waits for the next response on the connection. Null accepts every response.
+  std::shared_ptr<EchoedRequest> echo;
+  // Without `echo`: the header with which a response identifies its request; empty if there is
+  // none.
+  std::string_view identifying_header;
   // The request may be sent again if its connection turns out to be closed. This saves the system
   // call that checks a recently used connection before it is reused.
   bool idempotent = false;
--- a/io/http_client_impl.h
+++ b/io/http_client_impl.h
@@ -41,6 +41,8 @@
     HttpCall call;
     boost::asio::steady_timer timer;
     std::shared_ptr<Connection> connection;  // null while the call is queued
+    // A connection that the call cannot use was closed to make room for a new one.
+    bool made_room = false;
   };
   using ExchangePtr = std::shared_ptr<Exchange>;
 
@@ -81,7 +83,13 @@
  private:
   // Assigns queued calls to idle connections, and opens connections for the rest.
   void AssignQueued();
-  void Assign(const std::shared_ptr<Connection>& connection, bool newly_opened);
+  // Removes from `idle` the connection used last that can carry the call, and returns it. Returns
+  // null if there is none.
+  std::shared_ptr<Connection> TakeIdleFor(const HttpCall& call);
+  void Assign(const ExchangePtr& exchange, const std::shared_ptr<Connection>& connection,
+              bool newly_opened);
+  // Closes one idle connection for each queued call, which can use none of them.
+  void MakeRoom();
   void Open();
   void OnDeadline(const ExchangePtr& exchange);
   void FailCall(const ExchangePtr& exchange, const std::string& reason);
@@ -143,6 +151,10 @@
   // Returns true, and prepares the parser for the next response, if the complete response belongs
   // to another request and the next one may belong to the running exchange.
   bool DiscardStray();
+  // Returns true if the complete response identifies its request, or responses do not do that.
+  bool IdentifiesRequest() const;
+  // Returns false if nothing shows that the complete response belongs to the running exchange.
+  bool IsAttributable() const;
   void OnResponse();
   void OnExchangeFailed(const boost::system::error_code& error);
   void EndClose(bool by_peer);
@@ -154,6 +166,7 @@
   bool sent = false;          // at least one byte of the request was written
   bool written = false;       // the whole request was written without an error
   int strays = 0;             // responses that the running exchange has discarded
+  bool reused = false;        // an earlier exchange has completed on the connection
   bool newly_opened = false;  // the connection was opened for the running exchange
   ExchangePtr exchange;       // the running exchange; set exactly in kBusy
   std::string request;        // the serialized request of the running exchange
--- a/io/http_connection.cc
+++ b/io/http_connection.cc
@@ -195,6 +195,9 @@
   } else if (error && !failed && !this->parser->is_done()) {
     failed = error;
   }
+  if (!failed && this->parser->is_done() && !this->IsAttributable()) {
+    failed = make_error_code(boost::system::errc::bad_message);
+  }
   if (failed) return this->OnExchangeFailed(failed);
   this->Read();
   if (this->parser->is_done()) this->OnResponse();
@@ -207,27 +210,40 @@
 }
 
 bool HttpClient::Connection::DiscardStray() {
-  const std::shared_ptr<const HttpHeader>& echo = this->exchange->call.echo;
+  const std::shared_ptr<EchoedRequest>& echo = this->exchange->call.echo;
   if (!echo || this->strays == kMaxStrays || !this->parser->keep_alive()) return false;
-  const auto found = this->parser->get().find(echo->name);
-  if (found == this->parser->get().end() || found->value() == echo->value) return false;
+  const auto found = this->parser->get().find(echo->header.name);
+  if (found == this->parser->get().end() || found->value() == echo->header.value) return false;
   ++this->strays;
-  this->impl->OnStray(*echo, {found->value().data(), found->value().size()});
+  this->impl->OnStray(echo->header, {found->value().data(), found->value().size()});
   this->ResetParser();
   return true;
 }
 
+bool HttpClient::Connection::IdentifiesRequest() const {
+  const HttpCall& call = this->exchange->call;
+  const std::string_view name = call.echo ? call.echo->header.name : call.identifying_header;
+  return name.empty() || this->parser->get().find(name) != this->parser->get().end();
+}
+
+bool HttpClient::Connection::IsAttributable() const {
+  const bool unused = !this->reused && this->strays == 0;
+  return unused || !this->exchange->call.echo || this->IdentifiesRequest();
+}
+
 void HttpClient::Connection::OnResponse() {
   const auto self = this->shared_from_this();
   const auto pool = this->impl;
+  const bool identified = this->IdentifiesRequest();
   const ExchangePtr ended = std::exchange(this->exchange, nullptr);
   auto released = std::exchange(ended->call.released, {});
   const bool interim = this->parser->get().result_int() < 200;
   const bool reusable = this->written && this->parser->get().keep_alive() && !interim &&
-                        this->buffer.size() == 0 && !pool->AboveLimit();
+                        identified && this->buffer.size() == 0 && !pool->AboveLimit();
   HttpResponse response = ToResponse(this->parser->release());
   this->phase = Phase::kIdle;
   if (reusable) {
+    this->reused = true;
     this->idle_since = SteadyNow();
     this->idle_timeout = IdleTimeoutOf(response);
     pool->OnIdle(self);
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -59,7 +59,7 @@
         search(this->params.plan, ParamsOf(this->params), {context.replica_choice, this->budget}),
         timer(context.io),
         done(std::move(done)),
-        request_id_header(std::make_shared<const HttpHeader>(
+        echo(std::make_shared<EchoedRequest>(
             context.codec.RequestIdHeader(this->params.request_info.request_id))) {}
 
   void Begin(Time now) { this->Apply(now, this->search.Start(now)); }
@@ -129,7 +129,7 @@
                    .done = [self = this->shared_from_this(), number = send.attempt](
                                HttpResult result) { self->OnResult(number, std::move(result)); },
                    .released = {},
-                   .echo = this->request_id_header,
+                   .echo = this->echo,
                    .idempotent = this->params.route->idempotent});
   }
 
@@ -309,10 +309,9 @@
   Search search;
   boost::asio::steady_timer timer;
   Callback done;
-  // Targets echo this header. A response with another value belongs to another request.
-  std::shared_ptr<const HttpHeader> request_id_header;
-  std::vector<Attempt> attempts;  // attempt n is at index n - 1
-  bool may_have_run = false;      // a target may have executed the request
+  std::shared_ptr<EchoedRequest> echo;  // targets echo the request id
+  std::vector<Attempt> attempts;        // attempt n is at index n - 1
+  bool may_have_run = false;            // a target may have executed the request
   bool ended = false;
 };
 
--- a/io/target_client.cc
+++ b/io/target_client.cc
@@ -136,7 +136,8 @@
   return this->client.Send({.request = FormatSubRequest(request),
                             .deadline = start + Duration(std::max<int64_t>(request.budget_us, 0)),
                             .done = std::move(receive),
-                            .released = std::move(released)});
+                            .released = std::move(released),
+                            .identifying_header = "x-request-id"});
 }
 
 }  // namespace peridotgauge
--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -43,6 +43,7 @@
                                    },
                                .released = [&outcome] { ++outcome.released; },
                                .echo = this->echo,
+                               .identifying_header = this->identifying_header,
                                .idempotent = idempotent});
   }
   bool Until(const std::function<bool()>& condition) {
@@ -66,7 +67,8 @@
   boost::asio::io_context io;
   RawListener peer;
   std::unique_ptr<HttpClient> client;
-  std::shared_ptr<const HttpHeader> echo;  // used by later calls of Send()
+  std::shared_ptr<EchoedRequest> echo;  // used by later calls of Send()
+  std::string_view identifying_header;  // as above
 };
 
 TEST_CASE("http_client reuses a connection after a complete exchange", "[http_client]") {
@@ -99,7 +101,7 @@
     return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 2\r\n\r\n" + body;
   };
   Outcome outcome;
-  fixture.echo = std::make_shared<const HttpHeader>(HttpHeader{"x-id", "q7"});
+  fixture.echo = std::make_shared<EchoedRequest>(HttpHeader{"x-id", "q7"});
   fixture.Send(outcome);
   RawSocket& socket = fixture.WaitForRequest(1);
   SECTION("and accepts its own, which arrives together with it") {
@@ -274,14 +276,14 @@
     return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 2\r\n\r\n" + body;
   };
   Outcome first;
-  fixture.echo = std::make_shared<const HttpHeader>(HttpHeader{"x-id", "q1"});
+  fixture.echo = std::make_shared<EchoedRequest>(HttpHeader{"x-id", "q1"});
   fixture.Send(first);
   RawSocket& socket = fixture.WaitForRequest(1);
   socket.Text().clear();
   socket.Send(response("q1", "r1"));
   REQUIRE(fixture.Until([&] { return first.released == 1; }));
   Outcome second;
-  fixture.echo = std::make_shared<const HttpHeader>(HttpHeader{"x-id", "q2"});
+  fixture.echo = std::make_shared<EchoedRequest>(HttpHeader{"x-id", "q2"});
   SECTION("that arrives while the next call runs on the connection") {
     fixture.Send(second);
     REQUIRE(fixture.Until([&] { return socket.Received(kHeaderEnd); }));
@@ -418,6 +420,77 @@
   CHECK((*second.result)->body == "r2");
 }
 
+// Guards against a late second copy of a refusal that is taken for the answer to the next sending
+// of the same request: the request would be sent again although a target runs it.
+TEST_CASE("http_client sends a request at most once on a connection", "[http_client]") {
+  const auto response = [](const std::string& id, const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 2\r\n\r\n" + body;
+  };
+  const size_t limit = GENERATE(1, 2);
+  Fixture fixture({.max_connections = limit, .min_connections = 0});
+  Outcome first;
+  fixture.echo = std::make_shared<EchoedRequest>(HttpHeader{"x-id", "q1"});
+  fixture.Send(first);
+  RawSocket& socket = fixture.WaitForRequest(1);
+  socket.Text().clear();
+  socket.Send(response("q1", "r1"));
+  REQUIRE(fixture.Until([&] { return first.released == 1; }));
+
+  SECTION("but on another one, also if the limit allows only one") {
+    Outcome second;
+    fixture.Send(second);
+    REQUIRE(fixture.Until([&] {
+      if (limit == 1 && socket.Closed()) socket.Close();
+      return fixture.peer.sockets.size() == 2 && fixture.peer.sockets.back().Received(kHeaderEnd);
+    }));
+    // The copy arrives where nothing is expected any more.
+    if (limit == 2) socket.Send(response("q1", "r1"));
+    fixture.peer.sockets.back().Send(response("q1", "r2"));
+    REQUIRE(fixture.Until([&] { return second.released == 1; }));
+    REQUIRE(*second.result);
+    CHECK((*second.result)->body == "r2");
+    CHECK_FALSE(socket.Received("POST"));
+    CHECK(fixture.client->Status().connections <= limit);
+  }
+  SECTION("and another request may use the connection meanwhile") {
+    Outcome again;
+    Outcome other;
+    if (limit == 1) return;
+    fixture.Send(again);
+    fixture.echo = std::make_shared<EchoedRequest>(HttpHeader{"x-id", "q2"});
+    fixture.Send(other);
+    REQUIRE(fixture.Until([&] { return socket.Received(kHeaderEnd); }));
+    socket.Send(response("q2", "r2"));
+    REQUIRE(fixture.Until([&] { return other.released == 1; }));
+    CHECK((*other.result)->body == "r2");
+    fixture.WaitForRequest(2).Send(response("q1", "r1"));
+    REQUIRE(fixture.Until([&] { return again.released == 1; }));
+  }
+  SECTION("and believes no response without an id on a used connection") {
+    Outcome other;
+    fixture.echo = std::make_shared<EchoedRequest>(HttpHeader{"x-id", "q2"});
+    fixture.Send(other);
+    REQUIRE(fixture.Until([&] { return socket.Received(kHeaderEnd); }));
+    fixture.Reply(socket, "r1");
+    REQUIRE(fixture.Until([&] { return other.result.has_value(); }));
+    REQUIRE_FALSE(*other.result);
+    CHECK(other.result->error().sent);
+    CHECK(other.result->error().error.code == ErrorCode::kConnectionLost);
+  }
+  SECTION("and does not use it again after a response that does not identify its request") {
+    Outcome refused;
+    fixture.echo = nullptr;
+    fixture.identifying_header = "x-id";
+    fixture.Send(refused);
+    REQUIRE(fixture.Until([&] { return socket.Received(kHeaderEnd); }));
+    fixture.Reply(socket, "no");
+    REQUIRE(fixture.Until([&] { return refused.result.has_value(); }));
+    REQUIRE(*refused.result);
+    CHECK((*refused.result)->body == "no");
+    CHECK(fixture.Until([&] { return socket.Closed(); }));
+  }
+}
+
 TEST_CASE("http_client accepts the error response of a peer that refuses the connection",
           "[http_client]") {
   // Guards against opening connections in an endless loop to a peer above its connection limit.
--- a/testing/route_request_test.cc
+++ b/testing/route_request_test.cc
@@ -15,6 +15,7 @@
 #include "io/clock.h"
 #include "io/http_server.h"
 #include "platform/route_format.h"
+#include "raw_socket.h"
 
 namespace peridotgauge {
 namespace {
@@ -47,15 +48,20 @@
           behaviour(request, responder);
         });
     REQUIRE(server);
-    this->planner.Upsert({.target = "i-" + std::to_string(index),
-                          .address = "127.0.0.1:" + std::to_string((*server)->Port()),
+    this->AddAt(service, "i-" + std::to_string(index),
+                "127.0.0.1:" + std::to_string((*server)->Port()));
+    this->servers.push_back(std::move(*server));
+    return index;
+  }
+  // Adds a target that the test plays itself.
+  void AddAt(const std::string& service, const std::string& name, const Address& address) {
+    this->planner.Upsert({.target = name,
+                          .address = address,
                           .service = service,
                           .data_centre = "a",
                           .incarnation = 1,
                           .state = TargetState::kServing,
                           .slots = 1});
-    this->servers.push_back(std::move(*server));
-    return index;
   }
 
   std::shared_ptr<RouteRequest> Begin(const Route& route, Duration timeout = Seconds(2)) {
@@ -262,5 +268,55 @@
   kept_responders.clear();
 }
 
+// Guards against a late second copy of a refusal that is taken for the answer to the next sending
+// of the same request: the request is then sent a third time, although the target runs it, or
+// reported as not run.
+TEST_CASE("a late copy of a refusal does not answer the next sending", "[route_request]") {
+  const bool idempotent = GENERATE(false, true);
+  CAPTURE(idempotent);
+  RouterFixture router;
+  RawListener target;
+  router.AddAt("s", "i-0", target.AddressText());
+  const auto run = router.Begin(Single(idempotent), Seconds(10));
+  const std::string refusal =
+      "HTTP/1.1 503 No\r\nPeridotgauge-Request-Id: r1\r\nPeridotgauge-Not-Executed: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  const std::string answer =
+      "HTTP/1.1 200 OK\r\nPeridotgauge-Request-Id: r1\r\nPeridotgauge-Server-Stamp: m\r\n"
+      "Content-Length: 4\r\n\r\ndone";
+  size_t requests = 0;
+  // Returns the connection on which the next request has arrived.
+  const auto next_request = [&]() -> RawSocket* {
+    RawSocket* found = nullptr;
+    RunUntil(router.io, [&] {
+      target.Accept();
+      for (RawSocket& socket : target.sockets) {
+        if (found == nullptr && socket.Received("work")) found = &socket;
+      }
+      return found != nullptr || router.response;
+    });
+    if (found == nullptr) return nullptr;
+    found->Text().clear();
+    ++requests;
+    return found;
+  };
+  RawSocket* first = next_request();
+  REQUIRE(first != nullptr);
+  first->Send(refusal);
+  RawSocket* second = next_request();
+  REQUIRE(second != nullptr);
+  first->Send(refusal);
+  // The target runs the second sending; a third one must not follow.
+  router.io.restart();
+  router.io.run_for(std::chrono::milliseconds(100));
+  CHECK_FALSE(router.response);
+  second->Send(answer);
+  next_request();
+  CHECK(requests == 2);
+  REQUIRE(router.response);
+  CHECK(router.response->status == 200);
+  CHECK(router.response->body == "done");
+}
+
 }  // namespace
 }  // namespace peridotgauge
