Show that a truncated answer of a target never reaches a caller as a whole one

Result: it cannot happen here. The client's test cuts a response at every byte, with a length, chunked and without a length (in the head), with an orderly close and a reset, on new and on used connections; the route's test checks what the caller gets (502, or a gathered answer without that part).

Ruled out: the end of the stream as the end of a response without a length, while its head is incomplete: the parser reports a partial message.

--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -266,6 +266,45 @@
   CHECK(fixture.client->Status().running == 0);
 }
 
+// Guards against a response that ends early, in its head or its body, and is taken for a whole one.
+TEST_CASE("http_client takes no response that ends early for a whole one", "[http_client]") {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Id: q1\r\nServer-Stamp: s\r\n";
+  const std::string whole =
+      GENERATE_COPY(head + "Content-Length: 12\r\n\r\nabcdefghijkl",
+                    head + "Transfer-Encoding: chunked\r\n\r\n6\r\nabcdef\r\n0\r\n\r\n",
+                    head + "\r\n");  // without a length: only the head can be incomplete
+  const bool reset = GENERATE(false, true);
+  const bool used = GENERATE(false, true);
+  for (size_t cut = 0; cut < whole.size(); ++cut) {
+    CAPTURE(whole, cut, reset, used);
+    Fixture fixture;
+    Outcome outcome;
+    if (used) {
+      Outcome earlier;
+      fixture.echo = std::make_shared<EchoedRequest>(HttpHeader{"x-id", "q0"});
+      fixture.Send(earlier);
+      RawSocket& socket = fixture.WaitForRequest(1);
+      socket.Text().clear();
+      socket.Send("HTTP/1.1 200 OK\r\nX-Id: q0\r\nContent-Length: 2\r\n\r\nr0");
+      REQUIRE(fixture.Until([&] { return earlier.released == 1; }));
+    }
+    fixture.echo = std::make_shared<EchoedRequest>(HttpHeader{"x-id", "q1"});
+    fixture.Send(outcome);
+    RawSocket& socket = fixture.WaitForRequest(1);
+    socket.Send(whole.substr(0, cut));
+    if (reset) {
+      // Lets the bytes arrive before the reset, which would discard them.
+      fixture.io.restart();
+      fixture.io.run_for(std::chrono::milliseconds(1));
+      socket.Reset();
+    } else {
+      socket.Close();
+    }
+    REQUIRE(fixture.Until([&] { return outcome.result.has_value(); }));
+    CHECK_FALSE(*outcome.result);
+  }
+}
+
 // Guards against an answer that reaches the next call on the connection.
 TEST_CASE("http_client gives a second copy of a response to nobody", "[http_client]") {
   std::vector<std::string> discarded;
--- a/testing/route_request_test.cc
+++ b/testing/route_request_test.cc
@@ -318,5 +318,43 @@
   CHECK(router.response->body == "done");
 }
 
+// Guards against an answer whose head or body ends early and that reaches the caller as a whole
+// one.
+TEST_CASE("a truncated answer of a target is a failure", "[route_request]") {
+  RouterFixture router;
+  RawListener target;
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nPeridotgauge-Request-Id: r1\r\n"
+      "Peridotgauge-Server-Stamp: m\r\n";
+  const std::string bytes =
+      GENERATE_COPY(head, head + "Content-Le", head + "Content-Length: 32\r\n\r\n0123456789abcdef");
+  CAPTURE(bytes);
+  const bool gathers = GENERATE(false, true);
+  Route route = gathers ? Gathering(0.5) : Single(false);
+  route.max_attempts = 1;
+  const std::string service = gathers ? "c" : "s";
+  if (gathers) {
+    router.Add("a", RespondsWith(Answer(200, Record('1'), "pa")));
+    router.Add("b", RespondsWith(Answer(200, Record('3'), "pb")));
+  }
+  router.AddAt(service, "raw", target.AddressText());
+  const auto run = router.Begin(route);
+  REQUIRE(RunUntil(router.io, [&] {
+    target.Accept();
+    return !target.sockets.empty() && target.sockets.front().Received("work");
+  }));
+  target.sockets.front().Send(bytes);
+  target.sockets.front().Close();
+  REQUIRE(RunUntil(router.io, [&] { return router.response.has_value(); }));
+  if (gathers) {
+    CHECK(router.response->status == 200);
+    CHECK(router.response->Header("Peridotgauge-Missing-Parts") == "1");
+    CHECK(router.response->Header("Peridotgauge-Part-Stamps") == "pa, pb");
+  } else {
+    CHECK(router.response->status == 502);
+    CHECK(router.response->Header("Peridotgauge-Server-Stamp").empty());
+  }
+}
+
 }  // namespace
 }  // namespace peridotgauge
