Reject registrations with numbers that nothing can supersede

But `born` and `sequence` of a registration were bounded by their type only; an odd entry under the id of a target replaced it for good, since no later registration of the target was newer.

--- a/state/registration.cc
+++ b/state/registration.cc
@@ -5,6 +5,7 @@
 
 #include "core/address.h"
 #include "core/strict_json.h"
+#include "state/departures.h"
 
 namespace peridotgauge {
 namespace {
@@ -54,6 +55,10 @@
   if (const Result<Endpoint> endpoint = ParseAddress(record.address); !endpoint) {
     return Fail(ErrorCode::kBadRequest, "address: " + endpoint.error().detail);
   }
+  if (record.sequence > kRemovedSequence) {
+    return InvalidField("sequence", std::to_string(record.sequence),
+                        "at most " + std::to_string(kRemovedSequence));
+  }
   if (record.slots == 0 || record.slots > kMaxSlots) {
     return InvalidField("slots", std::to_string(record.slots), "1 to 1024");
   }
--- a/state/target_heartbeat_handler.cc
+++ b/state/target_heartbeat_handler.cc
@@ -1,7 +1,6 @@
 // Handling of target heartbeats at the leader.
 #include "state/target_heartbeat_handler.h"
 
-#include <algorithm>
 #include <optional>
 
 namespace peridotgauge {
@@ -41,7 +40,7 @@
   }
   if (!last) return HeartbeatResult{.leaving = true};
   last->state = TargetState::kGone;
-  last->sequence = std::max(last->sequence, kRemovedSequence);
+  last->sequence = kRemovedSequence;
   if (registered) {
     const Result<RegistrationChange> change = this->registrations.Register(now, *last);
     if (!change) return tl::unexpected(change.error());
--- a/testing/platform_test.cc
+++ b/testing/platform_test.cc
@@ -57,6 +57,25 @@
                        "\"weight\":0},{\"service\":\"b\",\"weight\":0}"));
 }
 
+// Guards against times that overflow when they are added to the present time.
+TEST_CASE("a configuration with very long times", "[platform]") {
+  for (const char* millis : {"1e15", "1e300", "9223372036854775807"}) {
+    std::string text(kText);
+    for (const char* name : {"\"timeoutMs\":600", "\"idleTimeoutMs\":15000"}) {
+      const std::string member(name);
+      text.replace(text.find(member), member.size(),
+                   member.substr(0, member.find(':') + 1) + millis);
+    }
+    const auto config = ParseConfiguration(text);
+    REQUIRE(config);
+    const Route* route = config->Routes().Match("h", "/p/1");
+    REQUIRE(route != nullptr);
+    CHECK(route->timeout > Seconds(3'600));
+    CHECK(TimeAt(INT64_MAX / 4'000) + route->timeout > TimeAt(INT64_MAX / 4'000));
+    CHECK(config->Routes().Limits().idle_timeout > Seconds(3'600));
+  }
+}
+
 TEST_CASE("a heartbeat", "[platform]") {
   const std::string heartbeat =
       R"({"service":"a","address":"10.0.0.9:80","zone":"z","version":"v1","slots":2,)"
--- a/testing/registration_test.cc
+++ b/testing/registration_test.cc
@@ -68,6 +68,7 @@
         {"data_centre", [](auto& r) { r.data_centre = "a\r\n"; }},
         {"address", [](auto& r) { r.address = "host:1"; }},
         {"slots", [](auto& r) { r.slots = 0; }},
+        {"sequence", [](auto& r) { r.sequence = UINT64_MAX; }},
         {"connections", [](auto& r) { r.connections = 70'000; }},
         {"holds", [](auto& r) {
            r.holds = {{1, 2, 2}};
