Begin a leadership term with the departures that earlier leaders recorded

The new leader acknowledged a repeated or late `draining` of a target at once, since it knew the departure, while routers that had missed it could still hold the target as serving; and a target that left after its registration had expired had no departure at all.

Ruled out: acknowledging by the log alone; only the routers' versions of the directory tell whether they know.

Change: a term starts with all recorded departures as gone targets in the directory, so that routers drop older records while the leader collects, and the acknowledgement waits for that version. A removal uses the last record also if it is gone. At most 2,000 departures are kept, a fifth of the targets of a directory.

--- a/io/controller.cc
+++ b/io/controller.cc
@@ -543,12 +543,12 @@
     });
   }
 
-  // Removes targets whose departure was committed in an earlier term and applied here only after an
-  // older heartbeat had been accepted.
+  // Takes over departures that were committed in an earlier term and applied here only after this
+  // one began; an older heartbeat may have been accepted meanwhile.
   void ApplyDepartures(Time now) {
     const uint64_t index = this->state.DeparturesIndex();
     if (std::exchange(this->applied_departures, index) == index) return;
-    this->directory.RemoveDeparted(now);
+    this->directory.ApplyDepartures(now);
   }
 
   // Acknowledges the departure of a target once all routers with a session know of it.
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -133,20 +133,21 @@
         .deadline = deadline};
     this->sub_request_rate.Add(now, static_cast<double>(params.plan->shards.size()));
     const uint64_t id = ++this->last_running_id;
-    const auto gateway = this->weak_from_this();
     this->running.emplace(id, std::weak_ptr<RouteRequest>());
+    // Called when the request has its answer or its caller has left.
+    const auto ended = [gateway = this->weak_from_this(), id] {
+      if (const auto self = gateway.lock()) self->running.erase(id);
+    };
     const auto route_request = RouteRequest::Start(this->context, std::move(params),
-                                                   [responder, gateway, id](HttpResponse response) {
-                                                     if (const auto self = gateway.lock())
-                                                       self->running.erase(id);
+                                                   [responder, ended](HttpResponse response) {
+                                                     ended();
                                                      responder.Send(std::move(response));
                                                    });
-    // The request may have ended already.
     const auto entry = this->running.find(id);
-    if (entry == this->running.end()) return;
+    if (entry == this->running.end()) return;  // it has ended already
     entry->second = route_request;
-    responder.OnDisconnect([gateway, id, weak = std::weak_ptr<RouteRequest>(route_request)] {
-      if (const auto self = gateway.lock()) self->running.erase(id);
+    responder.OnDisconnect([ended, weak = std::weak_ptr<RouteRequest>(route_request)] {
+      ended();
       if (auto request = weak.lock()) request->Abort();
     });
   }
--- a/io/http_client.cc
+++ b/io/http_client.cc
@@ -79,7 +79,7 @@
 
 std::shared_ptr<HttpClient::Connection> HttpClient::Impl::TakeIdleFor(const HttpCall& call) {
   for (size_t i = this->idle.size(); i > 0; --i) {
-    const auto connection = this->idle[i - 1];
+    auto connection = this->idle[i - 1];
     if (call.echo && call.echo->WasSentOn(connection)) continue;
     this->idle.erase(this->idle.begin() + static_cast<ptrdiff_t>(i - 1));
     if (!connection->IsStale(SteadyNow(), call.idempotent)) return connection;
@@ -121,13 +121,12 @@
   }
 }
 
-void HttpClient::Impl::Assign(const ExchangePtr& exchange,
-                              const std::shared_ptr<Connection>& connection, bool newly_opened) {
-  const ExchangePtr assigned = exchange;  // `exchange` may be an element of the queue
-  std::erase(this->waiting, assigned);
-  assigned->connection = connection;
-  if (const auto& echo = assigned->call.echo) echo->connections.push_back(connection);
-  connection->Start(assigned, newly_opened);
+void HttpClient::Impl::Assign(ExchangePtr exchange, const std::shared_ptr<Connection>& connection,
+                              bool newly_opened) {
+  std::erase(this->waiting, exchange);
+  exchange->connection = connection;
+  if (const auto& echo = exchange->call.echo) echo->connections.push_back(connection);
+  connection->Start(std::move(exchange), newly_opened);
 }
 
 void HttpClient::Impl::OnIdle(const std::shared_ptr<Connection>& connection) {
--- a/io/http_client_impl.h
+++ b/io/http_client_impl.h
@@ -86,7 +86,7 @@
   // Removes from `idle` the connection used last that can carry the call, and returns it. Returns
   // null if there is none.
   std::shared_ptr<Connection> TakeIdleFor(const HttpCall& call);
-  void Assign(const ExchangePtr& exchange, const std::shared_ptr<Connection>& connection,
+  void Assign(ExchangePtr exchange, const std::shared_ptr<Connection>& connection,
               bool newly_opened);
   // Closes one idle connection for each queued call, which can use none of them.
   void MakeRoom();
--- a/state/departures.h
+++ b/state/departures.h
@@ -23,7 +23,7 @@
 
 // Far above the time for which a heartbeat can be delayed on its way to the leader.
 constexpr int64_t kDepartureRetentionMs = 60'000;
-constexpr size_t kMaxDepartures = 10'000;
+constexpr size_t kMaxDepartures = 2'000;
 // Sequence number of a removal; far above those that heartbeats reach, so that a removal supersedes
 // every heartbeat of its incarnation.
 constexpr uint64_t kRemovedSequence = uint64_t{1} << 62U;
--- a/state/directory.cc
+++ b/state/directory.cc
@@ -24,8 +24,10 @@
   return {record.incarnation, record.sequence};
 }
 
-// These fields do not change within an incarnation.
+// These fields do not change within an incarnation. They are not known of a target whose departure
+// an earlier leader has recorded.
 bool SameProcess(const TargetRecord& a, const TargetRecord& b) {
+  if (a.address.empty() || b.address.empty()) return true;
   return a.address == b.address && a.service == b.service && a.data_centre == b.data_centre;
 }
 
@@ -72,6 +74,7 @@
   this->entries.clear();
   this->by_version.clear();
   this->fully_reported.clear();
+  this->ApplyDepartures(now);
 }
 
 bool Directory::Merge(Time now, const std::string& registrar,
@@ -173,13 +176,26 @@
   entry.removed_by_directory = true;
 }
 
-bool Directory::RemoveDeparted(Time now) {
+bool Directory::HasDeparted(const TargetRecord& record) const {
+  if (this->departures != nullptr && this->departures->Supersedes(record)) return true;
+  const std::optional<Departure> departure = this->LastDeparture(record.target);
+  return departure && VersionKey(record) < departure->Key();
+}
+
+bool Directory::ApplyDepartures(Time now) {
   if (this->departures == nullptr) return false;
   const uint64_t before = this->version;
   for (const auto& [target, departure] : this->departures->All()) {
     const auto found = this->entries.find(target);
-    if (found == this->entries.end() || found->second.gone_since) continue;
-    if (this->HasDeparted(found->second.record)) this->Drop(now, found->second);
+    if (found == this->entries.end()) {
+      this->Store(now, this->entries[target],
+                  {.target = target,
+                   .incarnation = departure.incarnation,
+                   .sequence = departure.sequence,
+                   .state = TargetState::kGone});
+    } else if (!found->second.gone_since && this->HasDeparted(found->second.record)) {
+      this->Drop(now, found->second);
+    }
   }
   return this->version != before;
 }
@@ -192,15 +208,12 @@
 
 std::optional<Departure> Directory::LastDeparture(const std::string& target) const {
   const auto found = this->entries.find(target);
-  if (found != this->entries.end()) {
-    const TargetRecord& record = found->second.record;
-    const bool said_so = record.state == TargetState::kDraining ||
-                         (found->second.gone_since && !found->second.removed_by_directory);
-    if (!said_so) return std::nullopt;
-    return Departure{target, record.incarnation, record.sequence};
-  }
-  const Departure* known = this->departures == nullptr ? nullptr : this->departures->Find(target);
-  return known == nullptr ? std::nullopt : std::optional(*known);
+  if (found == this->entries.end()) return std::nullopt;
+  const Entry& entry = found->second;
+  const bool reported = entry.record.state == TargetState::kDraining ||
+                        (entry.gone_since && !entry.removed_by_directory);
+  if (!reported) return std::nullopt;
+  return Departure{target, entry.record.incarnation, entry.record.sequence};
 }
 
 bool Directory::Tick(Time now, const RouterMap& view) {
--- a/state/directory.h
+++ b/state/directory.h
@@ -80,12 +80,11 @@
   // none.
   void SetDepartures(const DepartureTable* known) { this->departures = known; }
   // Returns true if the target of the record has left since it was sent.
-  bool HasDeparted(const TargetRecord& record) const {
-    return this->departures != nullptr && this->departures->Supersedes(record);
-  }
-  // Removes the records that departures supersede, which were accepted before these were known
-  // here. Returns true if the directory changed.
-  bool RemoveDeparted(Time now);
+  bool HasDeparted(const TargetRecord& record) const;
+  // Marks the targets of all departures as gone, unless they are registered with newer records, so
+  // that routers learn of them. Called again when departures of an earlier term become known.
+  // Returns true if the directory changed.
+  bool ApplyDepartures(Time now);
 
   // Merges the records of one registrar. `full` means that `records` is the full list of the
   // registrar: its other targets are removed after kCollectTime unless they register again. Returns
@@ -116,8 +115,8 @@
   std::optional<TargetRecord> Find(const std::string& target) const;
   // Returns the last record of a target, also if it is gone, or nothing.
   std::optional<TargetRecord> LastRecord(const std::string& target) const;
-  // Returns the departure that the target reported last to this leader or, if it is unknown here,
-  // to an earlier one. Returns nothing if the target has not said that it leaves.
+  // Returns the departure that the target has reported, to this leader or to an earlier one.
+  // Returns nothing if it has not said that it leaves.
   std::optional<Departure> LastDeparture(const std::string& target) const;
   // Returns the records that are not gone, sorted by target name.
   std::vector<TargetRecord> Targets() const;
--- a/state/target_heartbeat_handler.cc
+++ b/state/target_heartbeat_handler.cc
@@ -13,7 +13,9 @@
 
 Result<HeartbeatResult> TargetHeartbeatHandler::Handle(Time now, TargetRecord record, bool remove) {
   if (remove) return this->Remove(now, record.target);
-  if (this->directory.HasDeparted(record)) return HeartbeatResult{.stale = true};
+  if (this->directory.HasDeparted(record)) {
+    return HeartbeatResult{.leaving = record.state == TargetState::kDraining, .stale = true};
+  }
   const Result<RegistrationChange> change = this->registrations.Register(now, record);
   if (!change) return tl::unexpected(change.error());
   const bool directory_changed =
@@ -25,20 +27,15 @@
 }
 
 // The removal supersedes every heartbeat of this incarnation that is still in flight. It needs the
-// incarnation, which the target does not state, from its last record or from an earlier departure.
+// incarnation, which the target does not state, from its last record.
 Result<HeartbeatResult> TargetHeartbeatHandler::Remove(Time now, const std::string& target) {
   std::optional<TargetRecord> last = this->directory.LastRecord(target);
-  const bool registered = last.has_value();
-  if (!last) {
-    if (const auto departure = this->directory.LastDeparture(target)) {
-      last = TargetRecord{.target = target, .incarnation = departure->incarnation};
-    }
-  }
   if (!last && this->directory.Collecting()) {
     return Fail(ErrorCode::kUnavailable,
                 "directory: the new leader is still collecting registrations");
   }
   if (!last) return HeartbeatResult{.leaving = true};
+  const bool registered = last->state != TargetState::kGone;
   last->state = TargetState::kGone;
   last->sequence = kRemovedSequence;
   if (registered) {
--- a/testing/target_heartbeat_handler_test.cc
+++ b/testing/target_heartbeat_handler_test.cc
@@ -87,7 +87,17 @@
       CHECK(handler.Handle(kStart + Seconds(2), record, false) ==
             HeartbeatResult{.directory_changed = true, .leaving = true});
     }
-    SECTION("lets the next leader take the removal, and tell the routers") {
+    SECTION("reaches routers that have missed it, while the next leader collects") {
+      DirectoryCopy copy;
+      directory.Tick(kStart + kShortLease, {});
+      copy.Apply(directory.DeltaSince(copy.Epoch(), copy.Version()));
+      REQUIRE(copy.Find("t") != nullptr);
+      departures.Record(0, {"t", 1, 5});
+      next_leader();
+      copy.Apply(directory.DeltaSince(copy.Epoch(), copy.Version()));
+      CHECK(copy.Find("t") == nullptr);
+    }
+    SECTION("lets the next leader take the removal") {
       departures.Record(0, {"t", 1, 5});
       next_leader();
       CHECK(handler.Handle(kStart + Seconds(2), {.target = "t"}, true) ==
@@ -96,9 +106,9 @@
     }
     SECTION("removes a target that was accepted before the departure was known") {
       departures.Record(0, {"t", 1, 5});
-      CHECK(directory.RemoveDeparted(kStart));
+      CHECK(directory.ApplyDepartures(kStart));
       CHECK_FALSE(directory.Find("t"));
-      CHECK_FALSE(directory.RemoveDeparted(kStart));
+      CHECK_FALSE(directory.ApplyDepartures(kStart));
     }
     SECTION("also applies to what routers report") {
       departures.Record(0, {"t", 1, kRemovedSequence});
