Tests: mend two findings of the linter in new test code

Cause: a string literal with an embedded NUL, which cut that input short, and a list that grew in a loop. Also the include of <utility> in http_client.h. No other change.

--- a/io/http_client.h
+++ b/io/http_client.h
@@ -35,6 +35,7 @@
 #include <memory>
 #include <string_view>
 #include <tl/expected.hpp>
+#include <utility>
 #include <vector>
 
 #include "core/error.h"
--- a/testing/odd_registration_test.cc
+++ b/testing/odd_registration_test.cc
@@ -28,8 +28,15 @@
 }
 
 std::vector<std::string> OddRegistrations() {
-  std::vector<std::string> bodies = {
-      "", "null", "[]", "7", "\"text\"", "{", "{}", "\xff\xfe\x00x", "{\"service\":\"s\"}"};
+  std::vector<std::string> bodies = {"",
+                                     "null",
+                                     "[]",
+                                     "7",
+                                     "\"text\"",
+                                     "{",
+                                     "{}",
+                                     std::string("\xff\xfe\0x", 4),
+                                     "{\"service\":\"s\"}"};
   for (const size_t depth : {31U, 33U, 1'000U, 200'000U}) {
     bodies.push_back(Nested(depth, "[", "]"));
     bodies.push_back(Nested(depth, R"({"a":)", "}"));
--- a/testing/route_deployment.cc
+++ b/testing/route_deployment.cc
@@ -124,6 +124,7 @@
 std::string ConfigText(uint64_t version, const std::vector<std::string>& routes,
                        const std::vector<std::string>& services) {
   std::vector<std::string> service_texts;
+  service_texts.reserve(services.size());
   for (const std::string& service : services) {
     service_texts.push_back(R"({"name":)" + Quoted(service) +
                             R"(,"healthPath":"/health","maxConns":40})");
