--- a/testing/route_deployment.cc
+++ b/testing/route_deployment.cc
@@ -32,7 +32,7 @@
 constexpr int kMetricsPort = 18'204;
 constexpr int kPeerPort = 18'205;
 constexpr int kTargetPort = 18'210;
-constexpr Duration kControlTimeout = Seconds(1);
+constexpr Duration kControlTimeout = Seconds(5);
 constexpr Duration kPollInterval = Millis(50);
 constexpr char kHost[] = "test.example";
 
