--- a/core/settings.h
+++ b/core/settings.h
@@ -83,7 +83,7 @@
 };
 
 // Creates the data folder if it does not exist, and checks that files in it can be written and
-// synced.
+// synced. A disk that is full or fails at the moment is only logged.
 Result<void> CheckDataFolder(const std::string& folder);
 
 }  // namespace peridotgauge
--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -212,6 +212,7 @@
          .routers =
              [this](const std::string& data_centre) { return this->RouterAddresses(data_centre); },
          .leader_address = [this] { return this->LeaderAddress(); },
+         .unavailable = [this] { return this->ControlUnavailable(); },
          .config_refused =
              [this](const Error& error) { ControlEvents(&this->log).ConfigRefused(error); }});
     const HttpServer::Handler main_handler =
@@ -269,6 +270,15 @@
     return JoinAddress(leader, PortOf(this->settings.http_address));
   }
 
+  // A controller that cannot store passes requests on to the leader. If it knows none, it would
+  // only hold them until their deadline.
+  std::optional<Error> ControlUnavailable() const {
+    if (!this->replica || this->replica->StorageError().empty()) return std::nullopt;
+    if (!this->replica->Leader().empty()) return std::nullopt;
+    return Error{ErrorCode::kUnavailable, "this controller cannot store and knows no leader: " +
+                                              this->replica->StorageError()};
+  }
+
   uint16_t PeerPort() const {
     return this->settings.seeds.empty() ? 0 : PortOf(this->settings.peer_address);
   }
@@ -349,6 +359,13 @@
         .Set(static_cast<double>(this->tracer.Dropped()));
     this->metrics.GaugeOf("peridotgauge_config_revision")
         .Set(static_cast<double>(this->control.CurrentConfig()->Revision()));
+    if (this->replica) {
+      const ReplicaStatus replica_status = this->replica->Status();
+      this->metrics.GaugeOf("peridotgauge_storage_available")
+          .Set(replica_status.storage_error.empty() ? 1 : 0);
+      this->metrics.GaugeOf("peridotgauge_storage_outages")
+          .Set(static_cast<double>(replica_status.storage_outages));
+    }
     return this->metrics.Text();
   }
 
--- a/io/daemon.h
+++ b/io/daemon.h
@@ -21,7 +21,7 @@
 class Daemon {
  public:
   // `external` is required with Interface::kRoutes and must outlive the daemon; otherwise it is
-  // nullptr.
+  // nullptr. Returns kStorageFailed if the disk refuses to store; the caller may try again.
   static Result<std::unique_ptr<Daemon>> Start(boost::asio::io_context& io, Settings settings,
                                                const ExternalInterface* external = nullptr);
   ~Daemon();
--- a/io/data_folder.cc
+++ b/io/data_folder.cc
@@ -1,10 +1,13 @@
 // Checks the data folder. Separate from the validation of the settings because it accesses the
 // disk.
 #include <fcntl.h>
+#include <glog/logging.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <filesystem>
+#include <iterator>
 #include <system_error>
 
 #include "core/settings.h"
@@ -12,6 +15,9 @@
 namespace peridotgauge {
 namespace {
 
+// Errors that pass without a change of the settings: a full disk, or one that fails for a time.
+constexpr int kTemporaryErrors[] = {ENOSPC, EDQUOT, EFBIG, EIO};
+
 constexpr char kProbeFileName[] = "write_check.tmp";
 
 // Closes a file descriptor at the end of its scope.
@@ -29,7 +35,15 @@
   int value;
 };
 
-tl::unexpected<Error> FolderError(const std::string& folder, std::string_view step, int error) {
+// Returns the error of a step of the check. An error that passes by itself is only logged: the
+// controller waits for the disk, see Daemon::Start().
+Result<void> FolderError(const std::string& folder, std::string_view step, int error) {
+  if (std::find(std::begin(kTemporaryErrors), std::end(kTemporaryErrors), error) !=
+      std::end(kTemporaryErrors)) {
+    LOG(WARNING) << "data folder \"" << folder << "\": cannot " << step
+                 << " at present: " << std::generic_category().message(error);
+    return {};
+  }
   return Fail(ErrorCode::kStorageFailed,
               "data folder \"" + folder + "\": cannot " + std::string(step) + ": " +
                   std::generic_category().message(error) +
--- a/io/external_interface.h
+++ b/io/external_interface.h
@@ -7,6 +7,7 @@
 #define PERIDOTGAUGE_IO_EXTERNAL_INTERFACE_H_
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "core/config.h"
@@ -25,6 +26,9 @@
   std::function<Result<std::vector<Address>>(const std::string& data_centre)> routers;
   // Returns the address at which the leader accepts heartbeats; empty if unknown.
   std::function<Address()> leader_address;
+  // Returns why this controller can neither decide on requests nor pass them on, or nothing. A
+  // caller should then use another controller.
+  std::function<std::optional<Error>()> unavailable;
   // Logs the event of a configuration that cannot be parsed and therefore is not sent to the
   // leader.
   std::function<void(const Error&)> config_refused;
--- a/io/replica.cc
+++ b/io/replica.cc
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr int kTicksPerHeartbeat = 5;
+constexpr const char* kFailedRoleName = "failed";
 // A quarter of the entries between two snapshots, up to half of the bytes, is retained for
 // followers that lag.
 constexpr uint64_t kRetainedLogDivisor = 4;
@@ -72,7 +73,7 @@
     case RaftRole::kFailed:
       break;
   }
-  return "failed";
+  return kFailedRoleName;
 }
 
 }  // namespace
@@ -103,6 +104,7 @@
   ReplicaStatus Status() const;
 
   const Raft& Core() const { return this->raft; }
+  const std::string& StorageError() const { return this->storage_error; }
   void OnLeadershipChange(std::function<void(bool)> callback) {
     this->on_leadership = std::move(callback);
   }
@@ -133,6 +135,8 @@
   void CompleteRead(const ReadResult& read);
   void MaybeCompact();
   void OnStored(const Result<uint64_t>& done);
+  void OnStoreFailed(Time now, const Error& error);
+  void OnStoreRecovered(Time now);
   void ReportLeadershipChange();
   void FailLostEntries();
   void OnTick();
@@ -147,7 +151,9 @@
   RaftTransport transport;
   boost::asio::steady_timer timer;
   std::unique_ptr<StorageThread> storage;
-  std::string storage_error;
+  std::string storage_error;  // empty while the disk takes writes
+  uint64_t storage_outages = 0;
+  Time storage_failed_at;  // valid while `storage_error` is not empty
   bool closed = false;
   bool ready_scheduled = false;
   uint64_t reported_leader_term = 0;  // term last reported to `on_leadership`, or 0 if not leader
@@ -272,15 +278,34 @@
 }
 
 void Replica::Impl::OnStored(const Result<uint64_t>& done) {
-  if (done) {
-    this->raft.OnPersisted(SteadyNow(), *done);
+  const Time now = SteadyNow();
+  if (!done) {
+    this->OnStoreFailed(now, done.error());
   } else {
-    this->storage_error = done.error().ToString();
-    this->raft.OnStorageFailure();
+    if (!this->storage_error.empty()) this->OnStoreRecovered(now);
+    this->raft.OnPersisted(now, *done);
   }
   this->ScheduleReady();
 }
 
+void Replica::Impl::OnStoreFailed(Time now, const Error& error) {
+  LOG(ERROR) << "replica: does not vote, acknowledge or lead, and repeats the write every "
+             << WholeMillis(kStorageRetryInterval) << " ms: " << error.ToString();
+  if (this->storage_error.empty()) {
+    this->storage_failed_at = now;
+    ++this->storage_outages;
+  }
+  this->storage_error = error.ToString();
+  this->raft.OnStorageUnavailable(now);
+}
+
+void Replica::Impl::OnStoreRecovered(Time now) {
+  if (this->raft.Role() == RaftRole::kFailed) return;
+  LOG(WARNING) << "replica: stores and votes again after "
+               << WholeMillis(now - this->storage_failed_at) << " ms";
+  this->storage_error.clear();
+}
+
 void Replica::Impl::ReportLeadershipChange() {
   const uint64_t term = this->raft.Leading() ? this->raft.Term() : 0;
   if (term == this->reported_leader_term) return;
@@ -391,7 +416,7 @@
   std::vector<std::string> members;
   for (const RaftMember& member : this->raft.Members()) members.push_back(member.id);
   return {.id = this->options.id,
-          .role = RoleName(this->raft.Role()),
+          .role = this->storage_error.empty() ? RoleName(this->raft.Role()) : kFailedRoleName,
           .leader = this->raft.Leader(),
           .term = this->raft.Term(),
           .commit_index = this->raft.CommitIndex(),
@@ -399,13 +424,14 @@
           .log_entries = this->raft.Log().Size(),
           .log_bytes = this->raft.Log().Bytes(),
           .storage_error = this->storage_error,
+          .storage_outages = this->storage_outages,
           .members = std::move(members)};
 }
 
 Result<std::unique_ptr<Replica>> Replica::Open(boost::asio::io_context& io, ReplicaOptions options,
                                                StateMachine& machine) {
   RaftStoredState stored;
-  Result<std::unique_ptr<Wal>> wal = Wal::Open(options.data_folder, {}, stored);
+  Result<std::unique_ptr<Wal>> wal = Wal::Open(options.data_folder, options.wal, stored);
   if (!wal) return tl::unexpected<Error>(wal.error());
   const Result<void> incarnation_stored = EnsureIncarnation(**wal, stored);
   if (!incarnation_stored) return tl::unexpected<Error>(incarnation_stored.error());
@@ -451,6 +477,8 @@
 
 ReplicaStatus Replica::Status() const { return this->impl->Status(); }
 
+const std::string& Replica::StorageError() const { return this->impl->StorageError(); }
+
 void Replica::OnLeadershipChange(std::function<void(bool)> callback) {
   this->impl->OnLeadershipChange(std::move(callback));
 }
--- a/io/replica.h
+++ b/io/replica.h
@@ -7,7 +7,9 @@
 //
 // Contract: everything runs on the thread of the io_context except file writes and syncs, which
 // run on a separate thread. Every callback is called exactly once, never from inside the call that
-// registered it. Each committed command is passed to StateMachine::Apply once, in log order.
+// registered it. Each committed command is passed to StateMachine::Apply once, in log order. While
+// the disk refuses writes, for example because it is full, the replica repeats the write, does not
+// vote, acknowledge or lead, and takes part again by itself once the write has succeeded.
 #ifndef PERIDOTGAUGE_IO_REPLICA_H_
 #define PERIDOTGAUGE_IO_REPLICA_H_
 
@@ -20,6 +22,7 @@
 #include "core/error.h"
 #include "core/settings.h"
 #include "core/types.h"
+#include "io/wal.h"
 #include "peer_generated.h"
 #include "state/state_machine.h"
 
@@ -44,18 +47,20 @@
   uint64_t snapshot_interval = 2'000;
   uint64_t snapshot_log_bytes = 8 << 20;
   uint64_t random_seed = 0;  // 0: seeded by the operating system
+  WalOptions wal;
 };
 
 struct ReplicaStatus {
   std::string id;
-  std::string role;    // "leader", "follower", "candidate", "learner" or "failed"
+  std::string role;    // "leader", "follower", "candidate", "learner", or "failed": cannot store
   std::string leader;  // empty if unknown
   uint64_t term = 0;
   uint64_t commit_index = 0;
   uint64_t applied_index = 0;
   uint64_t log_entries = 0;
   uint64_t log_bytes = 0;
-  std::string storage_error;         // why the replica has stopped voting; empty while it votes
+  std::string storage_error;         // why the replica does not vote; empty while it votes
+  uint64_t storage_outages = 0;      // how often it has stopped voting since the start
   std::vector<std::string> members;  // ids of the voting members
 };
 
@@ -89,6 +94,8 @@
   // Returns the id of the leader; empty if unknown.
   std::string Leader() const;
   ReplicaStatus Status() const;
+  // Returns ReplicaStatus::storage_error.
+  const std::string& StorageError() const;
   // Sets the callback for the gain (true) or loss (false) of leadership.
   void OnLeadershipChange(std::function<void(bool)> callback);
   // Transfers leadership to the most up-to-date member. Calls back once this replica is not the
--- a/io/storage_thread.cc
+++ b/io/storage_thread.cc
@@ -3,6 +3,7 @@
 
 #include <boost/asio/post.hpp>
 #include <iterator>
+#include <optional>
 #include <utility>
 
 namespace peridotgauge {
@@ -54,13 +55,24 @@
       if (this->stopping) return;
       write = this->TakeBatch();
     }
-    const uint64_t sequence = write.sequence;
-    const Result<void> written = this->wal->Write(std::move(write));
-    if (!written) {
-      this->PostResult(tl::unexpected<Error>(written.error()));
-      return;
+    if (!this->Store(write)) return;
+    this->PostResult(write.sequence);
+  }
+}
+
+bool StorageThread::Store(const RaftWrite& write) {
+  std::optional<Error> reported;
+  while (true) {
+    const Result<void> written = this->wal->Write(write);
+    if (written) return true;
+    if (reported != written.error()) {
+      reported = written.error();
+      this->PostResult(tl::unexpected<Error>(*reported));
     }
-    this->PostResult(sequence);
+    std::unique_lock<std::mutex> lock(this->mutex);
+    const bool stopped = this->queue_changed.wait_for(lock, kStorageRetryInterval,
+                                                      [this] { return this->stopping; });
+    if (stopped) return false;
   }
 }
 
--- a/io/storage_thread.h
+++ b/io/storage_thread.h
@@ -7,8 +7,10 @@
 //
 // Contract: writes reach the log in the order of Submit(). The callback runs on the event loop with
 // the sequence number of the last synced write; queued writes share one sync and one callback.
-// After an error the callback is called once with it, and all later writes are dropped. The
-// destructor waits for the write in progress; no callback runs after it.
+// A write that fails, for example on a full disk, is repeated every kStorageRetryInterval until it
+// succeeds; later writes wait for it. The callback gets the error once for each cause of a row of
+// failures; the next sequence number tells that the row has ended. The destructor waits for the
+// write in progress; no callback runs after it.
 #ifndef PERIDOTGAUGE_IO_STORAGE_THREAD_H_
 #define PERIDOTGAUGE_IO_STORAGE_THREAD_H_
 
@@ -21,10 +23,13 @@
 #include <thread>
 
 #include "core/error.h"
+#include "core/types.h"
 #include "io/wal.h"
 
 namespace peridotgauge {
 
+constexpr Duration kStorageRetryInterval = Millis(100);
+
 class StorageThread {
  public:
   using Callback = std::function<void(Result<uint64_t>)>;
@@ -38,6 +43,8 @@
 
  private:
   void Run();
+  // Repeats the write until it succeeds. Returns false if the thread is stopped before.
+  bool Store(const RaftWrite& write);
   // Removes from the queue the next writes that can share one record. Requires `mutex` to be held.
   RaftWrite TakeBatch();
   void PostResult(Result<uint64_t> done);
--- a/io/wal.cc
+++ b/io/wal.cc
@@ -89,6 +89,10 @@
   return false;
 }
 
+tl::unexpected<Error> StorageError(const std::string& what, int error_number) {
+  return Fail(ErrorCode::kStorageFailed, "cannot " + what + ": " + ErrnoText(error_number));
+}
+
 Result<std::string> ReadFile(const std::string& path) {
   const int fd = open(path.c_str(), O_RDONLY | O_CLOEXEC);
   if (fd < 0) return Fail(ErrorCode::kStorageFailed, path + ": " + ErrnoText(errno));
@@ -160,6 +164,11 @@
 
 }  // namespace
 
+int WalFile::Open(const std::string& path, int flags, int& fd) {
+  fd = open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC | flags, kFileMode);
+  return fd >= 0 ? 0 : errno;
+}
+
 int WalFile::Write(int fd, std::string_view bytes) {
   while (!bytes.empty()) {
     const ssize_t count = write(fd, bytes.data(), bytes.size());
@@ -170,6 +179,10 @@
   return 0;
 }
 
+int WalFile::Truncate(int fd, uint64_t size) {
+  return ftruncate(fd, static_cast<off_t>(size)) == 0 ? 0 : errno;
+}
+
 int WalFile::Sync(int fd) { return fsync(fd) == 0 ? 0 : errno; }
 
 Wal::Wal(std::string folder, WalOptions options)
@@ -185,13 +198,13 @@
                                        RaftStoredState& stored) {
   std::unique_ptr<Wal> wal(new Wal(folder, std::move(options)));
   if (mkdir(folder.c_str(), kFolderMode) != 0 && errno != EEXIST) {
-    return wal->Failed("create " + folder, errno);
+    return StorageError("create " + folder, errno);
   }
   wal->folder_fd = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (wal->folder_fd < 0) return wal->Failed("open " + folder, errno);
+  if (wal->folder_fd < 0) return StorageError("open " + folder, errno);
   const std::string lock = folder + "/lock";
   wal->lock_fd = open(lock.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
-  if (wal->lock_fd < 0) return wal->Failed("open " + lock, errno);
+  if (wal->lock_fd < 0) return StorageError("open " + lock, errno);
   if (flock(wal->lock_fd, LOCK_EX | LOCK_NB) != 0) {
     return Fail(ErrorCode::kConflict, folder + ": the data folder is in use by another process");
   }
@@ -278,20 +291,40 @@
   }
   this->segments.push_back(segment);
   if (!last) return {};
-  this->segment_fd = open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
-  if (this->segment_fd < 0) return this->Failed("open " + path, errno);
+  const int error_number = this->options.file->Open(path, 0, this->segment_fd);
+  if (error_number != 0) return StorageError("open " + path, error_number);
   if (segment.bytes == bytes->size()) return {};
   LOG(WARNING) << "wal: " << path << ": truncating an incomplete record at byte " << segment.bytes;
-  if (ftruncate(this->segment_fd, static_cast<off_t>(segment.bytes)) != 0) {
-    return this->Failed("truncate " + path, errno);
+  return this->RemoveUnsynced();
+}
+
+Result<void> Wal::RemoveUnsynced() {
+  if (this->segment_fd >= 0) {
+    const Segment& segment = this->segments.back();
+    int error_number = this->options.file->Truncate(this->segment_fd, segment.bytes);
+    if (error_number == 0) error_number = this->options.file->Sync(this->segment_fd);
+    if (error_number != 0) {
+      return StorageError("truncate " + this->SegmentPath(segment.number), error_number);
+    }
   }
-  const int error_number = this->options.file->Sync(this->segment_fd);
-  if (error_number != 0) return this->Failed("sync " + path, error_number);
-  return {};
+  return this->SyncFolder();
+}
+
+Result<void> Wal::Write(const RaftWrite& write) {
+  if (this->failed_sequence) {
+    if (*this->failed_sequence != write.sequence) {
+      return Fail(ErrorCode::kInternal, "an earlier write failed and was not repeated");
+    }
+    if (Result<void> removed = this->RemoveUnsynced(); !removed) return removed;
+    this->failed_sequence.reset();
+  }
+  Result<void> written = this->WriteOnce(write);
+  if (!written) this->failed_sequence = write.sequence;
+  return written;
 }
 
-Result<void> Wal::Write(RaftWrite write) {
-  if (this->failed) return Fail(ErrorCode::kStorageFailed, "an earlier write or sync failed");
+// Every step may be repeated after a failure of a later one.
+Result<void> Wal::WriteOnce(const RaftWrite& write) {
   if (write.hard_state) this->hard_state = *write.hard_state;
   if (write.snapshot) {
     if (Result<void> saved = this->SaveSnapshot(*write.snapshot); !saved) return saved;
@@ -304,10 +337,12 @@
   WalRecord record{.segment = this->segments.back().number,
                    .hard_state = write.hard_state,
                    .reset_index = {},
-                   .entries = std::move(write.entries)};
+                   .entries = {}};
   if (this->segments.back().bytes == 0) record.hard_state = this->hard_state;
   if (write.reset) record.reset_index = write.snapshot->index;
-  if (Result<void> appended = this->AppendRecord(record); !appended) return appended;
+  if (Result<void> appended = this->AppendRecord(record, write.entries); !appended) {
+    return appended;
+  }
   return write.snapshot ? this->RemoveObsolete() : Result<void>{};
 }
 
@@ -320,23 +355,24 @@
 Result<void> Wal::CreateSegment() {
   const uint64_t number = this->segments.empty() ? 1 : this->segments.back().number + 1;
   const std::string path = this->SegmentPath(number);
+  int fd = -1;
+  const int error_number = this->options.file->Open(path, O_CREAT | O_EXCL, fd);
+  if (error_number != 0) return StorageError("create " + path, error_number);
   if (this->segment_fd >= 0) close(this->segment_fd);
-  this->segment_fd =
-      open(path.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_EXCL | O_CLOEXEC, kFileMode);
-  if (this->segment_fd < 0) return this->Failed("create " + path, errno);
+  this->segment_fd = fd;
   this->segments.push_back({.number = number});
   return this->SyncFolder();
 }
 
-Result<void> Wal::AppendRecord(const WalRecord& record) {
+Result<void> Wal::AppendRecord(const WalRecord& record, const std::vector<LogEntry>& entries) {
   Segment& segment = this->segments.back();
-  const std::string bytes = FrameRecord(EncodeRecord(record), segment.number);
+  const std::string bytes = FrameRecord(EncodeRecord(record, entries), segment.number);
   int error_number = this->options.file->Write(this->segment_fd, bytes);
-  if (error_number != 0) return this->Failed("write to the log", error_number);
+  if (error_number != 0) return StorageError("write to the log", error_number);
   error_number = this->options.file->Sync(this->segment_fd);
-  if (error_number != 0) return this->Failed("sync the log", error_number);
+  if (error_number != 0) return StorageError("sync the log", error_number);
   segment.bytes += bytes.size();
-  for (const LogEntry& entry : record.entries) {
+  for (const LogEntry& entry : entries) {
     segment.max_index = std::max(segment.max_index, entry.index);
   }
   return {};
@@ -347,15 +383,18 @@
 Result<void> Wal::SaveSnapshot(const RaftSnapshot& snapshot) {
   const std::string path = this->SnapshotPath(snapshot.index);
   const std::string temporary = path + std::string(kTemporarySuffix);
-  const int fd =
-      open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, kFileMode);
-  if (fd < 0) return this->Failed("create " + temporary, errno);
+  int fd = -1;
+  int error_number = this->options.file->Open(temporary, O_CREAT | O_TRUNC, fd);
+  if (error_number != 0) return StorageError("create " + temporary, error_number);
   const std::string bytes = FrameRecord(EncodeSnapshot(snapshot), snapshot.index);
-  int error_number = this->options.file->Write(fd, bytes);
+  error_number = this->options.file->Write(fd, bytes);
   if (error_number == 0) error_number = this->options.file->Sync(fd);
   close(fd);
-  if (error_number != 0) return this->Failed("write " + temporary, error_number);
-  if (rename(temporary.c_str(), path.c_str()) != 0) return this->Failed("rename " + path, errno);
+  if (error_number != 0) {
+    unlink(temporary.c_str());  // a partial file would keep a full disk full
+    return StorageError("write " + temporary, error_number);
+  }
+  if (rename(temporary.c_str(), path.c_str()) != 0) return StorageError("rename " + path, errno);
   if (Result<void> synced = this->SyncFolder(); !synced) return synced;
   this->has_snapshot = true;
   this->snapshot_index = snapshot.index;
@@ -366,7 +405,7 @@
 // Removes older snapshots and, starting from the oldest, the segments covered by the snapshot.
 Result<void> Wal::RemoveObsolete() {
   const Result<std::vector<std::string>> names = ListFolder(this->folder);
-  if (!names) return this->Failed("list " + this->folder, errno);
+  if (!names) return tl::unexpected<Error>(names.error());
   for (const std::string& name : *names) {
     const auto index = ParseNumberedName(name, kSnapshotPrefix, kSnapshotSuffix);
     if (index && *index != this->snapshot_index) unlink((this->folder + "/" + name).c_str());
@@ -377,7 +416,7 @@
     const std::string path = this->SegmentPath(this->segments.front().number);
     // Stops at the first failure: removing the next segment would leave a gap, which recovery takes
     // for a missing segment.
-    if (unlink(path.c_str()) != 0) return this->Failed("remove " + path, errno);
+    if (unlink(path.c_str()) != 0) return StorageError("remove " + path, errno);
     this->segments.pop_front();
   }
   return this->SyncFolder();
@@ -385,17 +424,10 @@
 
 Result<void> Wal::SyncFolder() {
   const int error_number = this->options.file->Sync(this->folder_fd);
-  if (error_number != 0) return this->Failed("sync " + this->folder, error_number);
+  if (error_number != 0) return StorageError("sync " + this->folder, error_number);
   return {};
 }
 
-// Refuses all further writes and returns the error.
-tl::unexpected<Error> Wal::Failed(const std::string& what, int error_number) {
-  this->failed = true;
-  LOG(ERROR) << "wal: disabling the log: cannot " << what << ": " << ErrnoText(error_number);
-  return Fail(ErrorCode::kStorageFailed, what + ": " + ErrnoText(error_number));
-}
-
 std::string Wal::SegmentPath(uint64_t number) const {
   return this->folder + "/" + NumberedName(kSegmentPrefix, number, kSegmentSuffix);
 }
--- a/io/wal.h
+++ b/io/wal.h
@@ -9,8 +9,10 @@
 // Contract: Write() returns success only after files and folder are synced. Each Write() is one
 // checksummed record (XXH3), so a crash leaves at most one partial record at the end of the last
 // segment; Open() truncates it. Any other bad record, missing segment or bad snapshot is kCorrupt.
-// After a failed write or sync the log refuses all further writes, because the kernel may have
-// dropped the dirty pages of a failed sync. A Wal must be used by one thread at a time.
+// After a failed Write() nothing is known of the bytes behind the last synced record, since the
+// kernel may have dropped the dirty pages of a failed sync. The caller must repeat the failed write
+// before any other; the next Write() first truncates the last segment to its synced records and
+// syncs it. A Wal must be used by one thread at a time.
 //
 // Files: `segment-<number>.wal` (records), `snapshot-<index>.snap`, `lock` (held while open).
 // Segments whose entries are covered by a snapshot are removed, so the folder size is bounded by
@@ -21,20 +23,25 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/error.h"
 #include "state/raft.h"
 
 namespace peridotgauge {
 
-// File operations that can fail. Tests override them to inject faults. Both return 0 or an errno.
+// File operations that can fail. Tests override them to inject faults. All return 0 or an errno.
 class WalFile {
  public:
   virtual ~WalFile() = default;
+  // Opens a file to append to it, with the given additional flags.
+  virtual int Open(const std::string& path, int flags, int& fd);
   // Appends all bytes to the file. On an error a prefix may have been written.
   virtual int Write(int fd, std::string_view bytes);
+  virtual int Truncate(int fd, uint64_t size);
   virtual int Sync(int fd);
 };
 
@@ -55,8 +62,9 @@
   Wal(const Wal&) = delete;
   Wal& operator=(const Wal&) = delete;
 
-  // Stores and syncs one write. Returns kStorageFailed on any error and for all later writes.
-  Result<void> Write(RaftWrite write);
+  // Stores and syncs one write. Returns kStorageFailed on any error, and kInternal if the write has
+  // another sequence number than the one that failed before and is to be repeated.
+  Result<void> Write(const RaftWrite& write);
   // Returns the total size of segments and snapshot in bytes.
   uint64_t Bytes() const;
 
@@ -64,19 +72,21 @@
   struct Segment {
     uint64_t number = 0;
     uint64_t max_index = 0;  // highest entry index in the segment; 0 if none
-    uint64_t bytes = 0;
+    uint64_t bytes = 0;      // of synced records
   };
 
   Wal(std::string folder, WalOptions options);
+  Result<void> WriteOnce(const RaftWrite& write);
+  // Removes what a failed write has left behind the last synced record.
+  Result<void> RemoveUnsynced();
   Result<void> Recover(RaftStoredState& stored);
   Result<void> LoadSnapshot(RaftStoredState& stored);
   Result<void> LoadSegment(uint64_t number, bool last, RaftStoredState& stored);
   Result<void> CreateSegment();
-  Result<void> AppendRecord(const WalRecord& record);
+  Result<void> AppendRecord(const WalRecord& record, const std::vector<LogEntry>& entries);
   Result<void> SaveSnapshot(const RaftSnapshot& snapshot);
   Result<void> RemoveObsolete();
   Result<void> SyncFolder();
-  tl::unexpected<Error> Failed(const std::string& what, int error_number);
   std::string SegmentPath(uint64_t number) const;
   std::string SnapshotPath(uint64_t index) const;
 
@@ -90,7 +100,8 @@
   bool has_snapshot = false;
   uint64_t snapshot_index = 0;
   uint64_t snapshot_bytes = 0;
-  bool failed = false;
+  // Sequence number of the last write if it failed.
+  std::optional<uint64_t> failed_sequence;
 };
 
 }  // namespace peridotgauge
--- a/programs/peridotgauged.cc
+++ b/programs/peridotgauged.cc
@@ -14,6 +14,8 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <memory>
+#include <utility>
 
 #include "core/replica_choice.h"
 #include "core/settings.h"
@@ -38,7 +40,14 @@
   if (auto choice = ReplicaChoice::Make(settings->replica_choice, {}); !choice) {
     return Fail(ErrorCode::kInvalidSettings, path + ": replica_choice: " + choice.error().detail);
   }
-  if (!settings->controller) return settings;
+  return settings;
+}
+
+// Reads the settings and checks that the data folder can be used. A running daemon reads changed
+// settings without this check: new seeds must take effect also while its disk is full.
+Result<Settings> ReadSettingsAtStart(const std::string& path) {
+  Result<Settings> settings = ReadSettings(path);
+  if (!settings || !settings->controller) return settings;
   if (Result<void> usable = CheckDataFolder(settings->data_folder); !usable) {
     return Fail(ErrorCode::kInvalidSettings, path + ": data_folder: " + usable.error().detail);
   }
@@ -47,56 +56,102 @@
 
 // How often the settings file is checked for changes. New seeds must take effect within 3 seconds.
 constexpr std::chrono::seconds kSettingsPollInterval{1};
+// How often the start is tried again while the disk refuses to store.
+constexpr std::chrono::milliseconds kStartRetryInterval{200};
 
-// Reads the settings file again. An invalid file is logged and ignored.
-void Reload(Daemon& daemon) {
-  const Result<Settings> settings = ReadSettings(FLAGS_settings);
-  if (!settings) {
-    LOG(ERROR) << "daemon: the changed settings are ignored: " << settings.error().ToString();
-    return;
+// The process: starts the daemon, reloads its settings and stops it.
+class Process {
+ public:
+  explicit Process(Settings settings)
+      : settings(std::move(settings)),
+        watch(FLAGS_settings),
+        start_timer(this->io),
+        poll_timer(this->io),
+        signals(this->io, SIGTERM, SIGINT, SIGHUP) {}
+
+  // Runs until the daemon has shut down. Returns the exit status.
+  int Run() {
+    this->Start();
+    this->AwaitSignal();
+    this->SchedulePoll();
+    this->io.run();
+    return this->exit_status;
   }
-  daemon.Reload(*settings);
-}
 
-// Runs until the daemon has shut down. Returns the exit status.
-int Run(const Settings& settings) {
-  boost::asio::io_context io(1);
-  const platform::Platform platform;
-  const bool routes = settings.interface == Interface::kRoutes;
-  Result<std::unique_ptr<Daemon>> daemon =
-      Daemon::Start(io, settings, routes ? &platform : nullptr);
-  if (!daemon) {
-    LOG(ERROR) << "daemon: cannot start: " << daemon.error().ToString();
-    return 1;
+ private:
+  // While the disk refuses to store, a controller waits and does not listen, so that callers use
+  // another one.
+  void Start() {
+    const bool routes = this->settings.interface == Interface::kRoutes;
+    Result<std::unique_ptr<Daemon>> started =
+        Daemon::Start(this->io, this->settings, routes ? &this->platform : nullptr);
+    if (started) {
+      this->daemon = std::move(*started);
+      LOG_IF(WARNING, this->waiting) << "daemon: the disk takes writes again; started";
+      return;
+    }
+    if (started.error().code != ErrorCode::kStorageFailed) {
+      LOG(ERROR) << "daemon: cannot start: " << started.error().ToString();
+      this->exit_status = 1;
+      return this->io.stop();
+    }
+    LOG_IF(ERROR, !this->waiting) << "daemon: waits for its disk before it starts: "
+                                  << started.error().ToString();
+    this->waiting = true;
+    this->start_timer.expires_after(kStartRetryInterval);
+    this->start_timer.async_wait([this](boost::system::error_code error) {
+      if (!error) this->Start();
+    });
+  }
+
+  // Reads the settings file again. An invalid file is logged and ignored.
+  void Reload() {
+    const Result<Settings> changed = ReadSettings(FLAGS_settings);
+    if (!changed) {
+      LOG(ERROR) << "daemon: the changed settings are ignored: " << changed.error().ToString();
+    } else if (this->daemon) {
+      this->daemon->Reload(*changed);
+    } else {
+      this->settings = *changed;
+    }
   }
+
   // Polls the settings file, which may change without a SIGHUP.
-  FileWatch watch(FLAGS_settings);
-  boost::asio::steady_timer poll_timer(io);
-  std::function<void()> schedule_poll = [&] {
-    poll_timer.expires_after(kSettingsPollInterval);
-    poll_timer.async_wait([&](boost::system::error_code error) {
+  void SchedulePoll() {
+    this->poll_timer.expires_after(kSettingsPollInterval);
+    this->poll_timer.async_wait([this](boost::system::error_code error) {
       if (error) return;
-      if (watch.Changed()) Reload(**daemon);
-      schedule_poll();
+      if (this->watch.Changed()) this->Reload();
+      this->SchedulePoll();
     });
-  };
-  schedule_poll();
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
-  std::function<void(boost::system::error_code, int)> on_signal =
-      [&](boost::system::error_code error, int signal) {
-        if (error) return;
-        if (signal == SIGHUP) {
-          watch.Changed();  // Marks the change as seen, so that the poll does not reload again.
-          Reload(**daemon);
-        } else {
-          (*daemon)->Shutdown();
-        }
-        signals.async_wait(on_signal);
-      };
-  signals.async_wait(on_signal);
-  io.run();
-  return 0;
-}
+  }
+
+  void AwaitSignal() {
+    this->signals.async_wait([this](boost::system::error_code error, int signal) {
+      if (error) return;
+      if (signal == SIGHUP) {
+        this->watch.Changed();  // Marks the change as seen, so that the poll does not reload again.
+        this->Reload();
+      } else if (this->daemon) {
+        this->daemon->Shutdown();
+      } else {
+        this->io.stop();
+      }
+      this->AwaitSignal();
+    });
+  }
+
+  boost::asio::io_context io{1};
+  Settings settings;
+  const platform::Platform platform;
+  FileWatch watch;
+  boost::asio::steady_timer start_timer;
+  boost::asio::steady_timer poll_timer;
+  boost::asio::signal_set signals;
+  std::unique_ptr<Daemon> daemon;
+  bool waiting = false;  // the disk has refused to store at the start
+  int exit_status = 0;
+};
 
 }  // namespace
 }  // namespace peridotgauge
@@ -109,7 +164,9 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   google::InitGoogleLogging(argv[0]);
   google::InstallFailureSignalHandler();
-  auto settings = peridotgauge::ReadSettings(FLAGS_settings);
+  // A write beyond a limit on the size of files fails like one to a full disk.
+  std::signal(SIGXFSZ, SIG_IGN);
+  auto settings = peridotgauge::ReadSettingsAtStart(FLAGS_settings);
   if (!settings) {
     std::cerr << settings.error().ToString() << "\n";
     return 2;
@@ -118,5 +175,5 @@
     std::cout << FLAGS_settings << ": settings are valid\n";
     return 0;
   }
-  return peridotgauge::Run(*settings);
+  return peridotgauge::Process(std::move(*settings)).Run();
 }
--- a/state/raft.cc
+++ b/state/raft.cc
@@ -82,7 +82,7 @@
 void Raft::Tick(Time now) {
   if (this->role == RaftRole::kFailed) return;
   const bool needs_admission =
-      !this->hard_state.admitted || (this->options.max_members > 0 && !this->CanCampaign());
+      !this->hard_state.admitted || (this->options.max_members > 0 && !this->IsMember());
   if (needs_admission && now >= this->next_announcement) this->SendAnnouncements(now);
   if (this->Leading()) {
     this->LeaderTick(now);
@@ -133,11 +133,13 @@
   return !this->leader.empty() && now - this->last_leader_contact < this->options.election_timeout;
 }
 
-bool Raft::CanCampaign() const {
+bool Raft::IsMember() const {
   return this->hard_state.admitted &&
          ContainsMember(this->Members(), this->options.id, this->hard_state.incarnation);
 }
 
+bool Raft::CanCampaign() const { return this->IsMember() && this->storage_available; }
+
 bool Raft::IsSelf(const RaftMember& member) const {
   return member.id == this->options.id && member.incarnation == this->hard_state.incarnation;
 }
@@ -194,13 +196,17 @@
 
 // Sends the message once all changes made so far are synced to disk.
 void Raft::SendAfterSync(RaftMessage message) {
-  if (this->HasUnwrittenChanges()) {
-    this->deferred.push_back({this->next_sequence, std::move(message)});
-  } else if (!this->pending_writes.empty()) {
-    this->deferred.push_back({this->pending_writes.back().sequence, std::move(message)});
-  } else {
-    this->Send(std::move(message));
+  const bool unwritten = this->HasUnwrittenChanges();
+  if (!unwritten && this->pending_writes.empty()) return this->Send(std::move(message));
+  if (this->deferred.size() >= kMaxDeferredMessages) {
+    const auto superseded =
+        std::find_if(this->deferred.begin(), this->deferred.end(), [&](const DeferredMessage& old) {
+          return old.message.type == message.type && old.message.to == message.to;
+        });
+    if (superseded != this->deferred.end()) this->deferred.erase(superseded);
   }
+  const uint64_t sequence = unwritten ? this->next_sequence : this->pending_writes.back().sequence;
+  this->deferred.push_back({sequence, std::move(message)});
 }
 
 bool Raft::HasUnwrittenChanges() const {
@@ -290,6 +296,11 @@
     this->stored_term = done.hard_term;
     this->pending_writes.pop_front();
   }
+  if (!this->storage_available) {
+    LOG(INFO) << "raft: " << this->options.id << " can store again and takes part in elections";
+    this->storage_available = true;
+    this->ResetElectionTimer(now);
+  }
   auto unsynced = std::stable_partition(
       this->deferred.begin(), this->deferred.end(),
       [sequence](const DeferredMessage& message) { return message.sequence <= sequence; });
@@ -299,6 +310,17 @@
   if (this->role == RaftRole::kCandidate) this->CountVotes(now);
 }
 
+// A leader hands over to a member that can store; LeaderTick() gives up if that takes too long.
+void Raft::OnStorageUnavailable(Time now) {
+  if (this->role == RaftRole::kFailed || !this->storage_available) return;
+  LOG(WARNING) << "raft: " << this->options.id << " cannot store and takes no part in elections";
+  this->storage_available = false;
+  const bool hands_over = this->Leading() && this->TransferLeadership(now);
+  if (this->role == RaftRole::kCandidate || (this->Leading() && !hands_over)) {
+    this->BecomeFollower(now, this->hard_state.term, "");
+  }
+}
+
 void Raft::OnStorageFailure() {
   LOG(ERROR) << "raft: " << this->options.id
              << " stops taking part in the group after a storage failure";
--- a/state/raft.h
+++ b/state/raft.h
@@ -12,6 +12,10 @@
 // OnPersisted() confirms the writes that it depends on. Writes must reach the disk in the order in
 // which TakeReady() returned them. After OnStorageFailure() the replica sends no more messages.
 //
+// Disk errors. A write that fails is to be repeated until it succeeds. Between
+// OnStorageUnavailable() and the next OnPersisted() the replica follows and serves what needs no
+// disk, as with a slow disk, but gives up leadership, does not campaign and grants no pre-votes.
+//
 // Members and incarnations. A member is (id, incarnation); the incarnation is a random number that
 // is stored in the data folder before the first message, so a lost or replaced folder results in a
 // new incarnation. Votes and acknowledgements count only if the member list in the candidate's or
@@ -80,6 +84,9 @@
 // Appends without progress for this many heartbeat intervals are considered lost. A round trip and
 // a disk sync take less.
 constexpr int kAppendTimeoutHeartbeats = 2;
+// Messages that wait for a sync. With more, a new one replaces an earlier one of the same type to
+// the same receiver: the receiver asks again for as long as the disk is stalled.
+constexpr size_t kMaxDeferredMessages = 256;
 
 struct RaftOptions {
   std::string id;
@@ -161,8 +168,10 @@
   }
   // Confirms that the write with this sequence and all earlier ones are synced to disk.
   void OnPersisted(Time now, uint64_t sequence);
-  // Must be called when a write or sync failed. The replica permanently stops voting, acknowledging
-  // and sending.
+  // Must be called when a write or sync failed that will be repeated.
+  void OnStorageUnavailable(Time now);
+  // Must be called when the replica cannot go on with what it has stored. It permanently stops
+  // voting, acknowledging and sending.
   void OnStorageFailure();
   // Takes over `data`, a snapshot of the state machine at the applied `index`, and compacts the
   // log.
@@ -174,6 +183,8 @@
   uint64_t Term() const { return this->hard_state.term; }
   uint64_t Incarnation() const { return this->hard_state.incarnation; }
   bool Admitted() const { return this->hard_state.admitted; }
+  // Returns the number of messages that wait for a sync.
+  size_t DeferredMessages() const { return this->deferred.size(); }
   uint64_t CommitIndex() const { return this->commit_index; }
   const std::string& Leader() const { return this->leader; }
   const RaftLog& Log() const { return this->log; }
@@ -228,6 +239,8 @@
   void BecomeFollower(Time now, uint64_t term, const std::string& new_leader);
   void ResetElectionTimer(Time now);
   bool HeardFromLeader(Time now) const;
+  // Returns true if the newest member list contains this replica.
+  bool IsMember() const;
   bool CanCampaign() const;
   RaftMessage MakeMessage(MessageType type, const std::string& to) const;
   RaftMessage MakeReply(MessageType type, const RaftMessage& request) const;
@@ -354,7 +367,8 @@
   bool unwritten_reset = false;
   uint64_t next_sequence = 1;
   uint64_t synced_sequence = 0;
-  uint64_t stored_term = 0;  // the term in the synced hard state
+  uint64_t stored_term = 0;       // the term in the synced hard state
+  bool storage_available = true;  // false while the oldest pending write fails
   std::deque<PendingWrite> pending_writes;
   std::vector<DeferredMessage> deferred;
   std::vector<RaftMessage> outbox;
--- a/state/raft_election.cc
+++ b/state/raft_election.cc
@@ -141,7 +141,7 @@
   if (this->Leading() && may_join) this->FindOrAddLearner(now, message);
   RaftMessage reply = this->MakeReply(MessageType::kPreVoteReply, message);
   reply.granted = message.term > this->hard_state.term && this->LogIsUpToDate(message) &&
-                  !this->HeardFromLeader(now);
+                  !this->HeardFromLeader(now) && this->storage_available;
   if (reply.granted) reply.term = message.term;
   this->Send(std::move(reply));
 }
--- a/state/raft_leader.cc
+++ b/state/raft_leader.cc
@@ -51,6 +51,11 @@
   if (!this->transfer_target.empty() && now >= this->transfer_deadline) {
     this->transfer_target.clear();
   }
+  if (!this->storage_available && this->transfer_target.empty()) {
+    LOG(WARNING) << "raft: " << this->options.id << " steps down: it cannot store";
+    this->BecomeFollower(now, this->hard_state.term, "");
+    return;
+  }
   std::erase_if(this->learners, [&](const auto& learner) {
     return now - learner.second.last_heard > 10 * timeout;
   });
@@ -300,7 +305,7 @@
 
 void Raft::OnMembershipCommitted(Time now) {
   this->UpdateProgressMembers(now);
-  if (!this->CanCampaign()) {
+  if (!this->IsMember()) {
     LOG(INFO) << "raft: " << this->options.id << " steps down: it is no longer a member";
     this->BecomeFollower(now, this->hard_state.term, "");
   }
--- a/state/raft_message.cc
+++ b/state/raft_message.cc
@@ -147,7 +147,7 @@
                      .data = ToText(wire->data)};
 }
 
-std::string EncodeRecord(const WalRecord& record) {
+std::string EncodeRecord(const WalRecord& record, const std::vector<LogEntry>& entries) {
   raftwire::RecordT wire;
   wire.segment = record.segment;
   if (record.hard_state) {
@@ -161,7 +161,7 @@
   }
   wire.reset = record.reset_index.has_value();
   wire.reset_index = record.reset_index.value_or(0);
-  wire.entries = ToWire(record.entries);
+  wire.entries = ToWire(entries);
   return Encode<raftwire::Record>(wire);
 }
 
--- a/state/raft_message.h
+++ b/state/raft_message.h
@@ -117,7 +117,8 @@
 };
 
 std::string EncodeMessage(const RaftMessage& message);
-std::string EncodeRecord(const WalRecord& record);
+// Encodes the record with `entries` in place of its own.
+std::string EncodeRecord(const WalRecord& record, const std::vector<LogEntry>& entries);
 std::string EncodeSnapshot(const RaftSnapshot& snapshot);
 // Return kCorrupt if the bytes fail verification.
 Result<RaftMessage> DecodeMessage(std::string_view bytes);
--- a/testing/raft_cluster.cc
+++ b/testing/raft_cluster.cc
@@ -155,17 +155,36 @@
   const uint64_t sequence = write.sequence;
   const Duration sync = this->RandomDuration(this->rates.min_sync, this->rates.max_sync);
   this->ScheduleEvent(this->now + sync, [=, this] {
-    ClusterNode& writer = this->nodes[i];
+    const ClusterNode& writer = this->nodes[i];
     if (!writer.raft || writer.starts != start) return;
-    while (!writer.unsynced_writes.empty() && writer.unsynced_writes.front().sequence <= sequence) {
-      ApplyToDisk(writer.unsynced_writes.front(), writer.disk);
-      writer.unsynced_writes.erase(writer.unsynced_writes.begin());
-    }
-    writer.raft->OnPersisted(this->now, sequence);
+    const bool synced = std::none_of(
+        writer.unsynced_writes.begin(), writer.unsynced_writes.end(),
+        [sequence](const RaftWrite& unsynced) { return unsynced.sequence <= sequence; });
+    if (synced) return;
+    if (!writer.disk_full) return this->Sync(i, sequence);
+    writer.raft->OnStorageUnavailable(this->now);
     this->ProcessReady(i);
   });
 }
 
+void RaftCluster::Sync(size_t i, uint64_t sequence) {
+  ClusterNode& writer = this->nodes[i];
+  while (!writer.unsynced_writes.empty() && writer.unsynced_writes.front().sequence <= sequence) {
+    ApplyToDisk(writer.unsynced_writes.front(), writer.disk);
+    writer.unsynced_writes.erase(writer.unsynced_writes.begin());
+  }
+  writer.raft->OnPersisted(this->now, sequence);
+  this->ProcessReady(i);
+}
+
+void RaftCluster::EmptyDisk(size_t i) {
+  ClusterNode& node = this->nodes[i];
+  node.disk_full = false;
+  if (node.raft && !node.unsynced_writes.empty()) {
+    this->Sync(i, node.unsynced_writes.back().sequence);
+  }
+}
+
 void RaftCluster::Send(size_t from, const RaftMessage& message) {
   const size_t to = this->IndexOf(message.to);
   if (this->blocked_links.contains({from, to}) || this->Chance(this->rates.loss)) return;
@@ -233,7 +252,9 @@
   return index.has_value();
 }
 
-bool RaftCluster::CommitOne() {
+bool RaftCluster::CommitOne() { return this->CommitOneWithout(this->nodes.size()); }
+
+bool RaftCluster::CommitOneWithout(size_t i) {
   const size_t before = this->reference_log.size();
   while (this->reference_log.size() == before) {
     if (!this->RunUntil([this] { return this->Leader().has_value(); })) return false;
@@ -245,7 +266,8 @@
   const size_t target = this->reference_log.size();
   return this->RunUntil([&] {
     return std::all_of(this->nodes.begin(), this->nodes.end(), [&](const ClusterNode& node) {
-      return !node.raft || node.raft->Role() == RaftRole::kFailed || node.state.size() >= target;
+      return !node.raft || node.raft->Role() == RaftRole::kFailed || node.state.size() >= target ||
+             this->IndexOf(node.id) == i;
     });
   });
 }
--- a/testing/raft_cluster.h
+++ b/testing/raft_cluster.h
@@ -42,6 +42,7 @@
   std::vector<uint64_t> confirmed;         // ids of confirmed reads
   std::vector<uint64_t> refused_reads;     // ids of refused reads
   uint64_t starts = 0;  // number of starts; events of an earlier start are ignored
+  bool disk_full = false;
 };
 
 class RaftCluster {
@@ -61,6 +62,9 @@
   // Stops a node. Writes that are not synced are lost, except for a random prefix of them.
   void Crash(size_t i);
   void ReplaceDisk(size_t i);
+  // From now on writes to the disk fail, and are repeated once it has room again.
+  void FillDisk(size_t i) { this->nodes[i].disk_full = true; }
+  void EmptyDisk(size_t i);
   // Drops messages from `from` to `to` until Heal().
   void BlockLink(size_t from, size_t to) { this->blocked_links.insert({from, to}); }
   void Isolate(size_t i);
@@ -72,6 +76,8 @@
   bool Propose(size_t i);
   // Proposes to the current leader until one command is applied by all running replicas.
   bool CommitOne();
+  // As above, without waiting for node `i` to apply it.
+  bool CommitOneWithout(size_t i);
   // Returns the id of the read, or nothing if it was rejected at once.
   std::optional<uint64_t> Read(size_t i);
   // Processes the RaftReady of a node. Must be called after each direct call of its Raft instance.
@@ -91,6 +97,8 @@
   bool Chance(double probability);
   void Send(size_t from, const RaftMessage& message);
   void Store(size_t i, const RaftWrite& write);
+  // Syncs the unsynced writes of the node up to `sequence`.
+  void Sync(size_t i, uint64_t sequence);
   void Apply(ClusterNode& node, const LogEntry& entry);
   void Restore(ClusterNode& node, const RaftSnapshot& snapshot);
   void TickNode(size_t i, uint64_t start);
--- a/testing/raft_test.cc
+++ b/testing/raft_test.cc
@@ -251,6 +251,58 @@
   CheckNoViolations(*cluster);
 }
 
+// Guards against a replica that leaves the group for good after a full disk, and against one that
+// leads, votes or acknowledges while it cannot store.
+TEST_CASE("a replica whose disk refuses writes takes part again once it has room", "[raft]") {
+  const size_t size = GENERATE(3, 5);
+  auto cluster = MakeReadyCluster(size);
+  const size_t leader = *cluster->Leader();
+  // A full disk is noticed with the next write.
+  const auto fill = [&](size_t i) {
+    cluster->FillDisk(i);
+    if (const auto current = cluster->Leader()) cluster->Propose(*current);
+  };
+  SECTION("the leader hands over within an election timeout") {
+    fill(leader);
+    CHECK(cluster->RunUntil([&] { return cluster->Leader() && *cluster->Leader() != leader; },
+                            Millis(600)));
+    CHECK(cluster->CommitOneWithout(leader));
+    cluster->EmptyDisk(leader);
+    CHECK(cluster->CommitOne());
+  }
+  SECTION("with a majority of full disks nothing is committed and nobody leads") {
+    for (size_t k = 0; k <= size / 2; ++k) fill((leader + k) % size);
+    cluster->Propose(leader);
+    const size_t before = cluster->reference_log.size();
+    cluster->Run(Seconds(60));
+    CHECK(cluster->reference_log.size() == before);
+    CHECK_FALSE(cluster->Leader());
+    SECTION("after a minute little is kept for sending") {
+      for (size_t i = 0; i < size; ++i) CHECK(cluster->Node(i).raft->DeferredMessages() <= 512);
+    }
+    for (size_t k = 0; k <= size / 2; ++k) cluster->EmptyDisk((leader + k) % size);
+    CHECK(cluster->CommitOne());
+  }
+  SECTION("all disks full at once") {
+    for (size_t i = 0; i < size; ++i) fill(i);
+    cluster->Run(Seconds(10));
+    CHECK_FALSE(cluster->Leader());
+    for (size_t i = 0; i < size; ++i) cluster->EmptyDisk(i);
+    CHECK(cluster->CommitOne());
+  }
+  SECTION("each in turn, many times") {
+    for (size_t turn = 0; turn < 4 * size; ++turn) {
+      const size_t i = turn % 2 == 0 ? turn % size : cluster->Leader().value_or(0);
+      fill(i);
+      cluster->Run(Millis(2'500));
+      CHECK(cluster->CommitOneWithout(i));
+      cluster->EmptyDisk(i);
+      CHECK(cluster->CommitOne());
+    }
+  }
+  CheckNoViolations(*cluster);
+}
+
 // Guards against an unbounded log and against data loss when all replicas restart.
 TEST_CASE("the log is bounded and survives a restart of all replicas", "[raft]") {
   auto cluster = MakeReadyCluster(3);
--- a/testing/replica_test.cc
+++ b/testing/replica_test.cc
@@ -4,7 +4,9 @@
 #include "io/replica.h"
 
 #include <algorithm>
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <cerrno>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -47,7 +49,20 @@
   std::vector<std::string> commands;
 };
 
+// Refuses every write while `full` is set, as a full disk does, and counts the refused writes.
+class FullDisk : public WalFile {
+ public:
+  int Write(int fd, std::string_view bytes) override {
+    if (!this->full) return WalFile::Write(fd, bytes);
+    ++this->refused;
+    return ENOSPC;
+  }
+  std::atomic<bool> full = false;
+  std::atomic<int> refused = 0;
+};
+
 struct Node {
+  std::shared_ptr<FullDisk> disk = std::make_shared<FullDisk>();
   std::string folder;
   std::unique_ptr<PeerServer> server;  // stays open while the replica is stopped
   std::unique_ptr<ListMachine> machine;
@@ -89,6 +104,7 @@
                            .data_folder = node.folder};
     options.snapshot_interval = this->snapshot_interval;
     options.random_seed = i + 1;
+    options.wal.file = node.disk;
     node.machine = std::make_unique<ListMachine>(this->kept);
     Result<std::unique_ptr<Replica>> replica = Replica::Open(this->io, options, *node.machine);
     if (!replica) return tl::unexpected<Error>(replica.error());
@@ -277,6 +293,75 @@
   }
 }
 
+// Guards against a replica that leaves the group for good once its disk has refused a write: after
+// as many such replicas as a majority the group accepts nothing although every disk has room.
+TEST_CASE("replicas whose disks were full take part again", "[replica]") {
+  Group group(3);
+  group.Commit("first");
+  REQUIRE(group.AllApplied());
+  // Commits until the replica has noticed that its disk is full.
+  const auto fill = [&](size_t i) {
+    FullDisk& disk = *group.nodes[i].disk;
+    disk.full = true;
+    for (int k = 0; disk.refused == 0 && k < 100; ++k) group.Commit("more " + std::to_string(k));
+    REQUIRE(
+        group.RunUntil([&] { return !group.nodes[i].replica->Status().storage_error.empty(); }));
+  };
+  const auto empty = [&](size_t i) {
+    group.nodes[i].disk->full = false;
+    group.nodes[i].disk->refused = 0;
+  };
+  const auto takes_part = [&](size_t i) {
+    const ReplicaStatus status = group.nodes[i].replica->Status();
+    return status.storage_error.empty() && (status.role == "follower" || status.role == "leader");
+  };
+
+  SECTION("one disk after another, the leader's too") {
+    for (int turn = 0; turn < 6; ++turn) {
+      const size_t i = turn % 2 == 0 ? static_cast<size_t>(turn / 2) : *group.Leader();
+      fill(i);
+      CHECK(group.RunUntil([&] { return group.Leader() && *group.Leader() != i; }));
+      group.Commit("while a disk is full");
+      empty(i);
+      CHECK(group.RunUntil([&] { return takes_part(i); }));
+      REQUIRE(group.RunUntil([&] { return group.Leader().has_value(); }));
+    }
+    CHECK(group.AllApplied());
+  }
+  SECTION("all disks at once: nothing is accepted meanwhile, everything afterwards") {
+    const size_t leader = *group.Leader();
+    for (Node& node : group.nodes) node.disk->full = true;
+    CHECK(group.Propose(leader, "lost", Seconds(1)).error().code == ErrorCode::kUnknownOutcome);
+    CHECK(group.RunUntil([&] { return !group.Leader(); }));
+    for (size_t i = 0; i < 3; ++i) empty(i);
+    // The command with the unknown outcome may be committed once the disks have room.
+    REQUIRE(group.RunUntil([&] { return group.Leader().has_value(); }));
+    const auto committed = [&] { return group.Propose(*group.Leader(), "last"); };
+    Result<Applied> applied = committed();
+    for (int k = 0; !applied && k < 10; ++k) {
+      REQUIRE(group.RunUntil([&] { return group.Leader().has_value(); }));
+      applied = committed();
+    }
+    CHECK(applied);
+    CHECK(group.RunUntil([&] {
+      return std::all_of(group.nodes.begin(), group.nodes.end(), [&](const Node& node) {
+        return node.machine->commands == group.nodes[0].machine->commands;
+      });
+    }));
+  }
+  SECTION("what was committed meanwhile is stored, also by the replica whose disk was full") {
+    const size_t i = (*group.Leader() + 1) % 3;
+    fill(i);
+    for (int k = 0; k < 100; ++k) group.Commit("meanwhile " + std::to_string(k));  // a snapshot too
+    empty(i);
+    CHECK(group.RunUntil([&] { return takes_part(i); }));
+    REQUIRE(group.AllApplied());
+    group.Stop(i);
+    REQUIRE(group.Start(i));
+    CHECK(group.AllApplied());
+  }
+}
+
 uint64_t FolderBytes(const std::string& folder) {
   uint64_t sum = 0;
   for (const auto& entry : fs::directory_iterator(folder)) sum += entry.file_size();
