Tell candidates what is committed when they ask for pre-votes

What callers would have seen: no change accepted and no leader, with two of three controllers sound.

Cause: a leader commits a member list through the others and ends before it has stored that, for example because its disk was full. Restarted, it needs a majority of the list before, which may be lost, while the others, who know better, have a shorter log and cannot be elected.

Change: replies to pre-votes name the last entry known to be committed; a candidate with the same entry takes it over.

The schedules count a replica as lost if its admission is not on its disk. Before, they asked the running replica, so that a second disk was replaced while the first replica's admission was still on its way to the disk: two at once.

Tests: "a candidate learns from a refused pre-vote that a member list is committed" (new).

--- a/state/raft_election.cc
+++ b/state/raft_election.cc
@@ -143,6 +143,8 @@
   reply.granted = message.term > this->hard_state.term && this->LogIsUpToDate(message) &&
                   !this->HeardFromLeader(now) && this->storage_available;
   if (reply.granted) reply.term = message.term;
+  reply.index = this->commit_index;
+  reply.log_term = *this->log.TermAt(this->commit_index);
   this->Send(std::move(reply));
 }
 
@@ -163,6 +165,11 @@
 }
 
 void Raft::HandlePreVoteReply(Time now, const RaftMessage& message) {
+  // This replica may have stored a member list but not that it is committed, and may be the only
+  // one left that can lead. It would then need a majority of the list before, which may be lost.
+  if (message.log_term != 0 && this->log.TermAt(message.index) == message.log_term) {
+    this->CommitTo(now, message.index);
+  }
   const bool expected = this->role == RaftRole::kCandidate && this->pre_voting;
   if (!expected || !message.granted || message.term != this->hard_state.term + 1) return;
   this->granted_votes[message.from] = message.from_incarnation;
--- a/state/raft_message.h
+++ b/state/raft_message.h
@@ -70,8 +70,8 @@
   kAnnounce = 0,   // sent by a replica that is not admitted, to be found by the leader
   kAnnounceReply,  // granted: the sender is uninitialized; otherwise the initial `members`
   kPreVote,        // term: the term the sender would campaign in; index, log_term: its last entry
-  kPreVoteReply,
-  kVote,  // as kPreVote; transfer: the leader requested the election
+  kPreVoteReply,   // index, log_term: the last entry that the sender knows to be committed
+  kVote,           // as kPreVote; transfer: the leader requested the election
   kVoteReply,
   kAppend,          // index, log_term: the entry before `entries`; commit
   kAppendReply,     // granted: index is the last matching entry; otherwise the next to try
--- a/testing/raft_property_test.cc
+++ b/testing/raft_property_test.cc
@@ -12,7 +12,8 @@
 constexpr int kSteps = 120;
 
 // One random schedule. Faults never exceed what the group tolerates: a disk is replaced only if a
-// majority of the replicas stays admitted.
+// majority of the replicas stays admitted, as stored on their disks. Any number of disks may refuse
+// writes.
 class Schedule {
  public:
   Schedule(size_t size, uint64_t seed) : cluster(size, seed, 20), random(seed) {
@@ -40,6 +41,7 @@
   bool Recovers() {
     this->cluster.Heal();
     this->cluster.rates = {};
+    for (size_t i = 0; i < this->cluster.Size(); ++i) this->cluster.EmptyDisk(i);
     for (size_t i = 0; i < this->cluster.Size(); ++i) this->cluster.Start(i);
     const std::vector<std::string> before = this->cluster.reference_log;
     if (!this->cluster.CommitOne()) return false;
@@ -69,7 +71,7 @@
 
   void InjectFault() {
     const size_t i = this->RandomBelow(this->cluster.Size());
-    switch (this->RandomBelow(12)) {
+    switch (this->RandomBelow(16)) {
       case 0:
       case 1:
         this->cluster.Crash(i);
@@ -94,6 +96,14 @@
           this->cluster.ProcessReady(i);
         }
         break;
+      case 9:
+      case 10:
+        this->cluster.FillDisk(i);
+        break;
+      case 11:
+      case 12:
+        for (size_t k = 0; k < this->cluster.Size(); ++k) this->cluster.EmptyDisk(k);
+        break;
       default:
         for (size_t k = 0; k < this->cluster.Size(); ++k) this->cluster.Start(k);
         break;
@@ -101,10 +111,11 @@
   }
 
   void MaybeReplaceDisk(size_t i) {
-    const ClusterNode& node = this->cluster.Node(i);
-    const bool admitted = node.raft ? node.raft->Admitted() : node.disk.hard_state.admitted;
-    const size_t unadmitted = this->cluster.UnadmittedCount() + (admitted ? 1 : 0);
-    if (unadmitted > (this->cluster.Size() - 1) / 2) return;
+    size_t lost = 1;
+    for (size_t k = 0; k < this->cluster.Size(); ++k) {
+      if (k != i && !this->cluster.Node(k).disk.hard_state.admitted) ++lost;
+    }
+    if (lost > (this->cluster.Size() - 1) / 2) return;
     this->cluster.ReplaceDisk(i);
     ++this->replacements;
   }
--- a/testing/raft_rules_test.cc
+++ b/testing/raft_rules_test.cc
@@ -61,6 +61,42 @@
   return sum;
 }
 
+// Guards against a group without a leader: the only replica with the newest entries has stored a
+// member list but not that it is committed, and a majority of the list before it is lost.
+TEST_CASE("a candidate learns from a refused pre-vote that a member list is committed", "[raft]") {
+  const RaftMembers before = {{"a", 1, ""}, {"b", 7, ""}, {"c", 3, ""}};
+  RaftStoredState stored = Stored();
+  stored.snapshot.members = before;
+  stored.entries.push_back({3, 4, EntryKind::kMembership, {}, Members()});
+  Raft raft({.id = "a", .initial = before}, stored, TimeAt(0));
+  raft.Tick(TimeAt(5'000));
+  ProcessReady(raft);
+  raft.Step(TimeAt(5'000), FromB(MessageType::kPreVoteReply, 5));
+  ProcessReady(raft);
+  REQUIRE(raft.Term() == 4);  // the new incarnation of b does not count in the list before
+
+  RaftMessage refusal = FromB(MessageType::kPreVoteReply, 4);
+  refusal.granted = false;
+  refusal.index = 3;
+  SECTION("if it has the same entry") {
+    refusal.log_term = 4;
+    raft.Step(TimeAt(5'001), refusal);
+    CHECK(raft.CommitIndex() == 3);
+    // Each write makes it count the votes again: the pre-vote that b has granted, then the vote.
+    while (const auto write = raft.TakeReady().write) {
+      raft.OnPersisted(TimeAt(5'001), write->sequence);
+    }
+    CHECK(raft.Term() == 5);
+    raft.Step(TimeAt(5'001), FromB(MessageType::kVoteReply, 5));
+    CHECK(raft.Leading());
+  }
+  SECTION("not if it has another entry there") {
+    refusal.log_term = 3;
+    raft.Step(TimeAt(5'001), refusal);
+    CHECK(raft.CommitIndex() < 3);
+  }
+}
+
 // Guards against copies of large entries whose total is bounded by a number of entries or messages
 // only: of the whole stored log at a restart, of what a receiver has not acknowledged, and of what
 // the leader's own disk has not synced.
