Keep the limit on extra attempts while routers leave and restart

Cause: the slack of the limit was divided among the routers that do not drain at this moment. Those that drain still serve, and those that have ended have spent their share; both still count. And a restarted router began with an empty window. Ruled out: grants of two windows that arrive in one, as the grants alone exceed the limit. That a restart grants twice is shown by the new test, without draining time.

Change: the slack is divided by the highest number of routers in use within the window and the grace period before.

--- a/core/hedge.cc
+++ b/core/hedge.cc
@@ -85,6 +85,21 @@
   return true;
 }
 
+ExtraDebts HedgeBudget::Debts(Time now, double least) const {
+  ExtraDebts debts;
+  for (const auto& [name, state] : this->fleets) {
+    const double debt = state.window.Debt(now, state.share);
+    if (debt >= least) debts.emplace(name, debt);
+  }
+  return debts;
+}
+
+void HedgeBudget::Inherit(Time now, const ExtraDebts& debts) {
+  for (const auto& [name, debt] : debts) {
+    if (FleetState* state = this->Find(name)) state->window.Inherit(now, debt);
+  }
+}
+
 bool HedgeBudget::Overloaded(Time now, std::string_view fleet) const {
   const FleetState* state = this->Find(fleet);
   return state != nullptr && Overloaded(now, *state);
--- a/core/hedge.h
+++ b/core/hedge.h
@@ -21,6 +21,7 @@
 #include <string_view>
 
 #include "core/config.h"
+#include "core/extra_debts.h"
 #include "core/quantile_window.h"
 #include "core/search_policy.h"
 #include "core/sliding_window_limit.h"
@@ -84,6 +85,12 @@
   void SetOptions(HedgeBudgetOptions new_options);
   void OnReply(Time now, std::string_view fleet, const AttemptReport& report);
 
+  // Return and take over what the grants of the sliding windows exceed the shares by. A process
+  // that takes the place of another one takes over its debts, so that a restart grants nothing
+  // twice. Debts below `least` are left out. Fleets that are not known are ignored.
+  ExtraDebts Debts(Time now, double least) const;
+  void Inherit(Time now, const ExtraDebts& debts);
+
   std::optional<Duration> HedgeDelay(Time now, std::string_view fleet) override;
   void CountNeeded(Time now, std::string_view fleet, uint32_t count) override;
   bool Spend(Time now, std::string_view fleet, ExtraAttemptKind kind) override;
--- /dev/null
+++ b/core/recent_maximum.cc
@@ -0,0 +1,36 @@
+// The highest value within a time span, as a queue of falling values.
+#include "core/recent_maximum.h"
+
+#include <algorithm>
+
+namespace peridotgauge {
+
+void RecentMaximum::Set(Time now, size_t value) {
+  std::erase_if(this->replaced, [&](const Replaced& old) { return old.until <= now; });
+  if (value < this->current) {
+    while (!this->replaced.empty() && this->replaced.back().value <= this->current) {
+      this->replaced.pop_back();
+    }
+    this->replaced.push_back({this->current, now + this->span});
+  }
+  this->current = value;
+  while (!this->replaced.empty() && this->replaced.back().value <= value) {
+    this->replaced.pop_back();
+  }
+}
+
+size_t RecentMaximum::Get(Time now) const {
+  for (const Replaced& old : this->replaced) {
+    if (now < old.until) return old.value;
+  }
+  return this->current;
+}
+
+std::optional<Time> RecentMaximum::NextDecrease(Time now) const {
+  for (const Replaced& old : this->replaced) {
+    if (now < old.until) return old.until;
+  }
+  return std::nullopt;
+}
+
+}  // namespace peridotgauge
--- a/core/records.cc
+++ b/core/records.cc
@@ -1,6 +1,8 @@
 // Converts between the core's value types and the generated wire types.
 #include "core/records.h"
 
+#include <cmath>
+
 namespace peridotgauge {
 
 std::string_view NameOf(TargetState state) {
@@ -75,4 +77,23 @@
   return {.fingerprint = record.fingerprint, .until_ms = record.until_ms};
 }
 
+std::vector<std::unique_ptr<wire::ExtraDebtT>> ToWire(const ExtraDebts& debts) {
+  std::vector<std::unique_ptr<wire::ExtraDebtT>> out;
+  for (const auto& [service, amount] : debts) {
+    auto wire = std::make_unique<wire::ExtraDebtT>();
+    wire->service = service;
+    wire->amount = amount;
+    out.push_back(std::move(wire));
+  }
+  return out;
+}
+
+ExtraDebts FromWire(const std::vector<std::unique_ptr<wire::ExtraDebtT>>& debts) {
+  ExtraDebts out;
+  for (const auto& debt : debts) {
+    if (debt && std::isfinite(debt->amount) && debt->amount > 0) out[debt->service] = debt->amount;
+  }
+  return out;
+}
+
 }  // namespace peridotgauge
--- a/core/records.h
+++ b/core/records.h
@@ -14,6 +14,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/extra_debts.h"
 #include "core/types.h"
 #include "peer_generated.h"
 
@@ -76,9 +77,12 @@
 std::unique_ptr<wire::TargetRecordT> ToWire(const TargetRecord& record);
 std::unique_ptr<wire::RouterRecordT> ToWire(const RouterRecord& record);
 std::unique_ptr<wire::QuarantineRecordT> ToWire(const QuarantineRecord& record);
+std::vector<std::unique_ptr<wire::ExtraDebtT>> ToWire(const ExtraDebts& debts);
 TargetRecord FromWire(const wire::TargetRecordT& record);
 RouterRecord FromWire(const wire::RouterRecordT& record);
 QuarantineRecord FromWire(const wire::QuarantineRecordT& record);
+// Amounts that are negative or not finite are left out.
+ExtraDebts FromWire(const std::vector<std::unique_ptr<wire::ExtraDebtT>>& debts);
 
 }  // namespace peridotgauge
 
--- a/core/sliding_window_limit.cc
+++ b/core/sliding_window_limit.cc
@@ -1,6 +1,9 @@
 // Ring of time slots.
 #include "core/sliding_window_limit.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace peridotgauge {
 
 SlidingWindowLimit::Slot& SlidingWindowLimit::SlotAt(Time now) {
@@ -10,6 +13,11 @@
   return slot;
 }
 
+const SlidingWindowLimit::Slot* SlidingWindowLimit::FindSlot(int64_t number) const {
+  const Slot& slot = this->slots[static_cast<size_t>(number) % this->slots.size()];
+  return slot.number == number ? &slot : nullptr;
+}
+
 void SlidingWindowLimit::CountNeeded(Time now, uint32_t count) {
   this->SlotAt(now).needed += count;
 }
@@ -30,4 +38,22 @@
   return true;
 }
 
+double SlidingWindowLimit::Debt(Time now, double ratio) const {
+  const int64_t current = this->NumberOf(now);
+  double debt = 0;
+  double sum = 0;
+  for (int64_t number = current; number >= current - static_cast<int64_t>(kSlots); --number) {
+    const Slot* slot = this->FindSlot(number);
+    if (slot == nullptr) continue;
+    // An interval may begin after the needed sub-requests of its oldest slot and before its grants.
+    debt = std::max(debt, sum + slot->granted);
+    sum += slot->granted - ratio * slot->needed;
+  }
+  return debt;
+}
+
+void SlidingWindowLimit::Inherit(Time now, double debt) {
+  this->SlotAt(now).granted += static_cast<uint32_t>(std::ceil(std::max(debt, 0.0)));
+}
+
 }  // namespace peridotgauge
--- a/core/sliding_window_limit.h
+++ b/core/sliding_window_limit.h
@@ -11,7 +11,8 @@
 //
 // Contract: in every interval of the window's length, at most ratio * needed + slack sub-requests
 // are granted, where `needed` is the number counted in that interval. Counts are kept in slots of a
-// tenth of the window; the rounding never exceeds the limit.
+// tenth of the window; the rounding never exceeds the limit. The limit also holds for an object and
+// its successor together, for example in a restarted process, if the successor inherits the debt.
 #ifndef PERIDOTGAUGE_CORE_SLIDING_WINDOW_LIMIT_H_
 #define PERIDOTGAUGE_CORE_SLIDING_WINDOW_LIMIT_H_
 
@@ -30,6 +31,11 @@
   // Grants one sub-request and returns true if the count stays within `share` (0 to 1) of the
   // limit.
   bool Spend(Time now, double ratio, double slack, double share = 1);
+  // Returns by how many sub-requests the grants exceed `ratio` of the needed ones in that interval
+  // before `now`, of at most the window's length, in which they do so most; at least 0.
+  double Debt(Time now, double ratio) const;
+  // Counts the debt of a predecessor as granted now.
+  void Inherit(Time now, double debt);
 
  private:
   static constexpr size_t kSlots = 10;
@@ -39,6 +45,7 @@
     uint32_t granted = 0;
   };
   Slot& SlotAt(Time now);
+  const Slot* FindSlot(int64_t number) const;
   int64_t NumberOf(Time now) const { return now.time_since_epoch() / this->slot_length; }
 
   Duration slot_length;
--- a/io/control_client.cc
+++ b/io/control_client.cc
@@ -135,6 +135,14 @@
         });
   }
 
+  // Reports a local change immediately, or after the next reply if kMaxPendingRequests are in
+  // flight.
+  void ReportChange() {
+    if (!this->syncing || this->retry_pending) return;
+    if (this->requests.size() < kMaxPendingRequests) return this->SendSync();
+    this->change_pending = true;
+  }
+
   asio::io_context& io;
   RouterRecord self;
   std::shared_ptr<ControlChannel> channel;
@@ -150,7 +158,8 @@
   RouterMap routers;
   size_t active_routers = 0;
   size_t offered_routers = 0;
-  std::function<RouterLoad(Time now)> load_report;
+  std::function<RouterReport(Time now)> report;
+  ExtraDebts inherited_debts;
   std::vector<QuarantineRecord> quarantine;
   DirectoryCopy directory;
   uint64_t view_index = 0;
@@ -165,14 +174,6 @@
     std::vector<TargetRecord> records;
   };
 
-  // Reports a local change immediately, or after the next reply if kMaxPendingRequests are in
-  // flight.
-  void ReportChange() {
-    if (!this->syncing || this->retry_pending) return;
-    if (this->requests.size() < kMaxPendingRequests) return this->SendSync();
-    this->change_pending = true;
-  }
-
   void SendSync() {
     const Time now = SteadyNow();
     this->change_pending = false;
@@ -212,10 +213,12 @@
     sync.relay = this->relay;
     sync.router_deltas = true;
     sync.compact = this->compact;
-    if (this->load_report) {
-      const RouterLoad load = this->load_report(request.sent);
-      sync.load = static_cast<float>(load.sub_requests_per_s);
-      sync.processor_share = static_cast<float>(load.processor_share);
+    if (this->report) {
+      const RouterReport report = this->report(request.sent);
+      sync.load = static_cast<float>(report.load.sub_requests_per_s);
+      sync.processor_share = static_cast<float>(report.load.processor_share);
+      sync.extra_debts = ToWire(report.extra_debts);
+      sync.extra_window_ms = static_cast<uint32_t>(WholeMillis(report.extra_window));
     }
     if (this->compact && !this->config_text.empty()) {
       sync.config_revision = this->config->Revision();
@@ -337,6 +340,11 @@
     }
     this->ApplyRouterCounts(reply, change);
     this->ApplyDirectory(reply, change);
+    // A reply to another request may be older than what this process has spent itself.
+    if (!std::exchange(this->synced_once, true)) {
+      this->inherited_debts = FromWire(reply.inherited_debts);
+      change.inherited_debts = !this->inherited_debts.empty();
+    }
     this->failures = 0;
     this->timeouts = 0;
     if (reply.max_wait_ms > 0) {
@@ -350,7 +358,7 @@
     change.lease_acquired = !was_valid && this->lease.Valid(now);
     if (change.lease_acquired) this->WatchLease();
     const bool has_changes = change.config || change.routers || change.quarantine ||
-                             change.directory || change.lease_acquired;
+                             change.directory || change.inherited_debts || change.lease_acquired;
     // Copied, because the callback may stop this client and reset `on_change`.
     const ChangeCallback callback = has_changes ? this->on_change : nullptr;
     if (callback) callback(change);
@@ -484,6 +492,7 @@
   uint64_t state_index = 0;  // log index of the router's copy of the control state
   RegistrationOutbox outbox;
   bool send_all_registrations = true;  // the next request lists all registrations
+  bool synced_once = false;            // a reply was applied
   bool syncing = false;
   bool retry_pending = false;
   bool change_pending = false;  // a local change has not been sent yet
@@ -519,9 +528,11 @@
 const RouterMap& ControlClient::Routers() const { return this->impl->routers; }
 size_t ControlClient::ActiveRouters() const { return this->impl->active_routers; }
 size_t ControlClient::OfferedRouterCount() const { return this->impl->offered_routers; }
-void ControlClient::SetLoadReport(std::function<RouterLoad(Time now)> report) {
-  this->impl->load_report = std::move(report);
+void ControlClient::SetReport(std::function<RouterReport(Time now)> report) {
+  this->impl->report = std::move(report);
 }
+void ControlClient::ReportNow() { this->impl->ReportChange(); }
+const ExtraDebts& ControlClient::InheritedDebts() const { return this->impl->inherited_debts; }
 uint64_t ControlClient::ViewIndex() const { return this->impl->view_index; }
 const std::vector<QuarantineRecord>& ControlClient::QuarantineList() const {
   return this->impl->quarantine;
--- a/io/control_client.h
+++ b/io/control_client.h
@@ -29,6 +29,7 @@
 
 #include "core/config.h"
 #include "core/error.h"
+#include "core/extra_debts.h"
 #include "core/records.h"
 #include "core/router_offer.h"
 #include "core/settings.h"
@@ -66,14 +67,22 @@
   bool compact = false;
 };
 
+// What a router reports with each sync request.
+struct RouterReport {
+  RouterLoad load;
+  ExtraDebts extra_debts;
+  Duration extra_window{0};  // window of the limits to which the debts belong; 0: none
+};
+
 // Lists what a sync reply changed, or reports that the lease has expired.
 struct ControlChange {
   bool config = false;
   bool routers = false;
   bool quarantine = false;
   bool directory = false;
-  bool lease_acquired = false;  // the lease is valid and was not before
-  bool lease_expired = false;   // reported once, without other changes
+  bool inherited_debts = false;  // reported once, with the first reply
+  bool lease_acquired = false;   // the lease is valid and was not before
+  bool lease_expired = false;    // reported once, without other changes
 };
 
 class ControlClient {
@@ -113,8 +122,12 @@
   // Returns the number of routers that callers are told about; at most ActiveRouters().
   size_t OfferedRouterCount() const;
 
-  // Sets the function that returns the load to report with each sync request.
-  void SetLoadReport(std::function<RouterLoad(Time now)> report);
+  // Sets the function that returns what to report with each sync request.
+  void SetReport(std::function<RouterReport(Time now)> report);
+  // Reports now instead of with the next request.
+  void ReportNow();
+  // Returns the debts of the router's predecessor; empty before the first sync.
+  const ExtraDebts& InheritedDebts() const;
 
   // Adds controllers, see ControlChannel::AddControllers().
   void AddControllers(const std::vector<std::string>& controllers);
--- a/io/controller.cc
+++ b/io/controller.cc
@@ -23,6 +23,7 @@
 #include "state/commands.h"
 #include "state/config_feed.h"
 #include "state/control_report.h"
+#include "state/debt_table.h"
 #include "state/directory.h"
 #include "state/directory_ack_tracker.h"
 #include "state/push_pacing.h"
@@ -44,6 +45,9 @@
 // sent meanwhile.
 constexpr Duration kMaxReplyBatchTime = Millis(10);
 
+// Longest window of limits on extra attempts that the leader remembers debts for.
+constexpr uint32_t kMaxDebtWindowMs = 600'000;
+
 }  // namespace
 
 class Controller::Impl : public std::enable_shared_from_this<Controller::Impl> {
@@ -114,6 +118,7 @@
     this->departures_since.clear();
     this->config_pacer.Reset();
     this->loads.clear();
+    this->debts.Clear();
     this->offer_policy.Reset(now);
     this->offer_pending = false;
     this->PublishConfig(now);
@@ -206,6 +211,10 @@
       this->loads[poll.router.id] = {.sub_requests_per_s = request.load,
                                      .processor_share = request.processor_share};
     }
+    if (request.extra_window_ms > 0) {
+      this->debts.Report(now, poll.Id(), FromWire(request.extra_debts),
+                         Millis(std::min(request.extra_window_ms, kMaxDebtWindowMs)));
+    }
     const bool same_epoch = poll.directory_epoch == this->directory.Epoch();
     this->ack_tracker.RecordVersion(poll.router.id, same_epoch ? poll.directory_version : 0);
     this->AcknowledgeDepartures(now);
@@ -355,6 +364,9 @@
     reply.leader = this->options.id;
     reply.controllers = this->log.Status().members;
     reply.max_wait_ms = static_cast<uint32_t>(WholeMillis(MaxPollHold(this->RouterCount())));
+    if (poll.state_index == 0) {
+      reply.inherited_debts = ToWire(this->debts.InheritedBy(now, poll.Id()));
+    }
     reply.resend_registrations = !this->directory.HasFullListFrom(poll.router.id);
     const size_t config_bytes = reply.config_text.size() + reply.config_package.size();
     if (config_bytes <= kLargeConfigBytes) this->AddDirectory(now, poll, reply);
@@ -669,6 +681,7 @@
       this->ScheduleDueCheck();
     }
     this->directory.Tick(now, this->state.Routers());
+    this->debts.Expire(now);
     this->UpdateOffer(now);
     for (const RouterId& router : this->sessions.Expired(now)) {
       this->events.RouterExpired(router);
@@ -742,6 +755,7 @@
   // By target: when its departure was first reported. Cleared when it registers again.
   std::map<std::string, Time> departures_since;
   std::map<std::string, RouterLoad> loads;  // by id of the router
+  DebtTable debts;
   RouterOfferPolicy offer_policy;
   bool offer_pending = false;  // a command with a new number is on its way into the log
   ConfigFeed config_feed;      // what compact polls receive
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -1,6 +1,7 @@
 #include "io/gateway.h"
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <limits>
 #include <optional>
 #include <random>
@@ -11,6 +12,7 @@
 #include "core/caller_wait.h"
 #include "core/drain_policy.h"
 #include "core/plan.h"
+#include "core/recent_maximum.h"
 #include "core/replica_choice.h"
 #include "core/route_plan.h"
 #include "core/router_offer.h"
@@ -18,6 +20,7 @@
 #include "io/random_seed.h"
 #include "io/route_request.h"
 #include "io/target_event.h"
+#include "state/push_pacing.h"
 
 namespace peridotgauge {
 namespace {
@@ -43,6 +46,14 @@
 // avoids one replica of each shard.
 constexpr size_t kScarceConnectionsThreshold = 2;
 constexpr std::string_view kRouteReplicaChoice = "least";
+// Debts of extra sub-requests below this share of the router's slack, or below one, are not
+// reported.
+constexpr double kLeastDebtShare = 0.25;
+constexpr double kLeastDebt = 1;
+// A grown debt is reported at once, but not more often than this, and not more often than this many
+// push intervals of the leader, so that the reports of all routers together stay a small part of
+// its work.
+constexpr int kDebtReportPushIntervals = 4;
 
 }  // namespace
 
@@ -64,30 +75,30 @@
              .data_centre = settings.data_centre,
              .router = settings.id})),
         random(RandomSeed()),
-        context{
-            io,      codec, this->pool,  *this->replica_choice, this->budget, this->hedge_budgets,
-            metrics, log,   this->random} {}
+        routers_in_use(settings.extra_requests.window + settings.shutdown_grace),
+        debt_timer(io),
+        context{io,           codec,
+                this->pool,   *this->replica_choice,
+                this->budget, this->hedge_budgets,
+                metrics,      log,
+                this->random, [this](Time now) { this->ReportGrownDebts(now); }} {}
 
   void Start() {
     this->control.OnChange([weak = this->weak_from_this()](const ControlChange& change) {
       if (auto gateway = weak.lock()) gateway->OnControlChange(change);
     });
-    this->control.SetLoadReport([weak = this->weak_from_this()](Time now) {
+    this->control.SetReport([weak = this->weak_from_this()](Time now) {
       const auto gateway = weak.lock();
-      return gateway ? gateway->Load(now) : RouterLoad{};
+      return gateway ? gateway->Report(now) : RouterReport{};
     });
     this->control.Start();
   }
 
-  RouterLoad Load(Time now) const {
-    return {.sub_requests_per_s = this->sub_request_rate.PerSecond(now),
-            .processor_share = this->settings.processor_share};
-  }
-
   bool Ready() const { return !this->answer_by && !this->config->Routes().Empty(); }
 
   void Handle(HttpRequest http, const HttpResponder& responder) {
     const Time now = SteadyNow();
+    if (this->shares_due && now >= *this->shares_due) this->UpdateShares(now);
     Result<CallerRequestInfo> request_info = this->context.codec.ParseCallerRequest(http);
     if (!request_info) return this->Refuse(now, http, "", request_info.error(), responder);
     if (this->config->Revision() == 0) {
@@ -217,7 +228,9 @@
     }
     if (change.config) this->OnConfig(now);
     if (change.directory) this->OnDirectory(now);
-    if (change.config || change.routers) this->UpdateShares();
+    if (change.config || change.routers) this->UpdateShares(now);
+    if (change.inherited_debts) this->debts_to_inherit = this->control.InheritedDebts();
+    if (this->config->Revision() > 0) this->InheritDebts(now);
     if (change.lease_acquired) {
       this->Log(now, Event("controllers_regained").Add("leader", this->control.Leader()));
     }
@@ -239,11 +252,64 @@
                        .Add("routes", this->config->Routes().Routes().size()));
   }
 
-  // Computes this router's share of the connections to targets, which the routers that callers are
-  // told about divide among them, and of extra sub-requests, which all routers divide.
-  void UpdateShares() {
-    const size_t routers = std::max<size_t>(this->control.ActiveRouters(), 1);
+  // --- Limit on extra sub-requests ---
+
+  RouterReport Report(Time now) {
+    this->reported_debts = this->budget.Debts(now, this->LeastDebt());
+    return {.load = {.sub_requests_per_s = this->sub_request_rate.PerSecond(now),
+                     .processor_share = this->settings.processor_share},
+            .extra_debts = this->reported_debts,
+            .extra_window = this->settings.extra_requests.window};
+  }
+
+  double LeastDebt() const { return std::max(kLeastDebt, kLeastDebtShare * this->slack); }
+
+  // Reports debts that have grown much since the last report, as this process may be killed before
+  // the next one.
+  void ReportGrownDebts(Time now) {
+    if (this->debt_check_pending || !this->HasGrownDebt(now)) return;
+    if (now >= this->next_debt_report) {
+      this->next_debt_report =
+          now + kDebtReportPushIntervals * PushInterval(this->control.ActiveRouters());
+      return this->control.ReportNow();
+    }
+    this->debt_check_pending = true;
+    this->debt_timer.expires_at(this->next_debt_report);
+    this->debt_timer.async_wait([weak = this->weak_from_this()](boost::system::error_code error) {
+      const auto gateway = weak.lock();
+      if (!gateway || error) return;
+      gateway->debt_check_pending = false;
+      gateway->ReportGrownDebts(SteadyNow());
+    });
+  }
+
+  bool HasGrownDebt(Time now) const {
+    const double least = this->LeastDebt();
+    for (const auto& [service, debt] : this->budget.Debts(now, least)) {
+      const auto known = this->reported_debts.find(service);
+      if (debt >= (known == this->reported_debts.end() ? 0 : known->second) + least) return true;
+    }
+    return false;
+  }
+
+  void InheritDebts(Time now) {
+    if (this->debts_to_inherit.empty()) return;
+    double sum = 0;
+    for (const auto& [service, debt] : this->debts_to_inherit) sum += debt;
+    this->Log(now, Event("extra_debts_inherited")
+                       .Add("services", this->debts_to_inherit.size())
+                       .Add("sub_requests", sum));
+    this->budget.Inherit(now, std::exchange(this->debts_to_inherit, {}));
+  }
+
+  // Computes this router's share of the connections to targets, and of the slack of the limit on
+  // extra sub-requests. The routers that callers are told about divide both among them. A router
+  // that leaves still serves callers for its grace period, and what it has spent counts for a
+  // window longer, so the others take over its share of the slack only then.
+  void UpdateShares(Time now) {
     const size_t offered = std::max<size_t>(this->control.OfferedRouterCount(), 1);
+    this->routers_in_use.Set(now, offered);
+    this->shares_due = this->routers_in_use.NextDecrease(now);
     std::map<std::string, double, std::less<>> shares;
     size_t fewest_connections = std::numeric_limits<size_t>::max();
     const auto add_service = [&](const std::string& service) {
@@ -262,9 +328,9 @@
       for (const std::string& shard : route.shards) add_service(shard);
     }
     this->replica_choice->AvoidOneReplica(fewest_connections < kScarceConnectionsThreshold);
-    const double slack =
-        this->settings.extra_requests.slack * kExtraShare / static_cast<double>(routers);
-    this->budget.SetOptions({.burst = std::max(slack, 1.0),
+    this->slack = this->settings.extra_requests.slack * kExtraShare /
+                  static_cast<double>(this->routers_in_use.Get(now));
+    this->budget.SetOptions({.burst = this->slack,
                              .max_debt = 0,
                              .retry_in_overload = true,
                              .window = this->settings.extra_requests.window});
@@ -301,6 +367,14 @@
   SplitCounter split;
   std::map<std::string, CallerWaitEstimator> caller_wait_estimators;  // by route name
   std::mt19937_64 random;
+  RecentMaximum routers_in_use;    // number of routers that callers are told about
+  std::optional<Time> shares_due;  // when `routers_in_use` decreases
+  double slack = 0;                // this router's share, in sub-requests
+  ExtraDebts reported_debts;       // in the last sync request
+  ExtraDebts debts_to_inherit;     // wait for the first configuration
+  Time next_debt_report;           // not before this time, unless with a request for other reasons
+  asio::steady_timer debt_timer;
+  bool debt_check_pending = false;  // `debt_timer` runs
   RouteContext context;
   std::shared_ptr<const Config> config = std::make_shared<const Config>();
   std::map<std::string, TargetRecord> known_targets;  // the targets that the planner has
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -107,6 +107,9 @@
   void Apply(Time now, SearchEffects effects) {
     for (const uint32_t attempt : effects.cancels) this->CancelAttempt(now, attempt);
     for (const AttemptSend& send : effects.sends) this->SendAttempt(now, send);
+    const SearchCounts& counts = this->search.Counts();
+    const uint32_t extra = counts.hedges + counts.retries;
+    if (std::exchange(this->extra_attempts, extra) != extra) this->context.on_extra_attempts(now);
     if (effects.timer) this->ArmTimer(*effects.timer);
     if (effects.outcome) this->OnOutcome(now, std::move(*effects.outcome));
   }
@@ -311,6 +314,7 @@
   Callback done;
   std::shared_ptr<EchoedRequest> echo;  // targets echo the request id
   std::vector<Attempt> attempts;        // attempt n is at index n - 1
+  uint32_t extra_attempts = 0;          // hedges and retries sent so far
   bool may_have_run = false;            // a target may have executed the request
   bool ended = false;
 };
--- a/io/route_request.h
+++ b/io/route_request.h
@@ -75,6 +75,8 @@
   Metrics& metrics;
   EventLog& log;
   std::mt19937_64& random;
+  // Called after hedges or retries were sent.
+  std::function<void(Time now)> on_extra_attempts = [](Time) {};
 };
 
 struct RouteRequestParams {
--- a/testing/route_deployment.cc
+++ b/testing/route_deployment.cc
@@ -191,13 +191,14 @@
 void RouteTarget::Handle(const HttpRequest& request, const HttpResponder& responder) {
   const std::string id(request.Header("Peridotgauge-Request-Id"));
   HttpResponse response{
-      .status = 200,
+      .status = request.path.ends_with("/fail") ? 500 : 200,
       .headers = {{"Peridotgauge-Request-Id", id}, {"Peridotgauge-Server-Stamp", "stamp-" + id}},
       .body = request.path};
   Duration work(0);
   if (!id.empty()) {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->arrivals.push_back(id);
+    this->arrival_times.push_back(SteadyNow());
     work = this->work_time(request);
   }
   auto timer = std::make_shared<asio::steady_timer>(this->loop.io, work);
@@ -211,6 +212,11 @@
   return this->arrivals;
 }
 
+std::vector<Time> RouteTarget::ArrivalTimes() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->arrival_times;
+}
+
 // --- RouteDeployment ---
 
 RouteDeployment::RouteDeployment(RouteDeploymentOptions options) : options(options) {
@@ -253,7 +259,9 @@
                      : R"(,"health_address":)" + at(kHealthPort)) +
          R"(,"grace_ms":)" + std::to_string(WholeMillis(this->options.grace)) +
          R"(,"heartbeat_ms":)" + std::to_string(WholeMillis(this->options.heartbeat)) +
-         R"(,"seeds":[)" + Joined(seeds) + "]}";
+         R"(,"extra_ratio":)" + std::to_string(this->options.extra_ratio) + R"(,"extra_slack":)" +
+         std::to_string(this->options.extra_slack) + R"(,"extra_window_s":10)" + R"(,"seeds":[)" +
+         Joined(seeds) + "]}";
 }
 
 void RouteDeployment::Start(const std::string& name) {
@@ -340,20 +348,30 @@
               kControlTimeout);
 }
 
+bool RouteDeployment::AwaitRouter(size_t number, const std::string& path) {
+  return Await([&] {
+    const auto answer = Call(this->RouterAddress(number),
+                             CallerRequest("ready-" + std::to_string(++this->next_request), "GET",
+                                           path, kControlTimeout),
+                             kControlTimeout);
+    return answer && answer->status == 200;
+  });
+}
+
 bool RouteDeployment::AwaitRoute(const std::string& path) {
   for (size_t i = 0; i < this->options.routers; ++i) {
-    const bool served = Await([&] {
-      const auto answer = Call(this->RouterAddress(i),
-                               CallerRequest("ready-" + std::to_string(++this->next_request), "GET",
-                                             path, kControlTimeout),
-                               kControlTimeout);
-      return answer && answer->status == 200;
-    });
-    if (!served) return false;
+    if (!this->AwaitRouter(i, path)) return false;
   }
   return true;
 }
 
+bool RouteDeployment::RestartRouter(size_t number, const std::string& path) {
+  const std::string name = "router-" + std::to_string(number);
+  this->End(name);
+  this->Start(name);
+  return this->AwaitRouter(number, path);
+}
+
 Address RouteDeployment::ControllerAddress(size_t number) const {
   return this->IpOf("controller-" + std::to_string(number)) + ":" + std::to_string(kHttpPort);
 }
--- a/testing/route_deployment.h
+++ b/testing/route_deployment.h
@@ -77,7 +77,8 @@
   std::thread thread;  // declared last, because it uses all other members
 };
 
-// A target that answers every request after the time that a test chooses.
+// A target that answers every request after the time that a test chooses: with status 500 if the
+// path ends with "/fail", with 200 otherwise.
 class RouteTarget {
  public:
   using WorkTime = std::function<Duration(const HttpRequest&)>;
@@ -86,6 +87,8 @@
 
   // Returns the ids of the requests that have arrived.
   std::vector<std::string> Arrivals();
+  // Returns when they have arrived.
+  std::vector<Time> ArrivalTimes();
 
   const Address address;
 
@@ -95,6 +98,7 @@
   WorkTime work_time;
   std::mutex mutex;
   std::vector<std::string> arrivals;  // guarded by `mutex`
+  std::vector<Time> arrival_times;    // guarded by `mutex`
   std::unique_ptr<HttpServer> server;
   LoopThread loop;
 };
@@ -104,6 +108,9 @@
   size_t routers = 1;
   Duration grace = Seconds(6);       // from the stop signal to the end of the process
   Duration heartbeat = Seconds(60);  // interval at which targets are expected to register
+  // Limit on extra attempts of a service in ten seconds, see Settings.
+  double extra_ratio = 0.2;
+  double extra_slack = 10;
 };
 
 class RouteDeployment {
@@ -120,6 +127,10 @@
   // Stops a router as SIGTERM does, without waiting.
   void BeginStopRouter(size_t number);
   bool RouterStopped(size_t number);
+  // Starts a router again that was stopped or killed, and waits until it serves the path.
+  bool RestartRouter(size_t number, const std::string& path);
+  // Ends a router without a graceful shutdown.
+  void KillRouter(size_t number) { this->End("router-" + std::to_string(number)); }
 
   // Sends a configuration until it is accepted.
   bool Apply(const std::string& text);
@@ -128,6 +139,7 @@
   std::optional<HttpResponse> Deregister(size_t controller, const std::string& id);
   // Waits until every router has answered a request for the path with 200.
   bool AwaitRoute(const std::string& path);
+  bool AwaitRouter(size_t number, const std::string& path);
 
   Address ControllerAddress(size_t number) const;
   Address RouterAddress(size_t number) const;
--- a/testing/sliding_window_limit_test.cc
+++ b/testing/sliding_window_limit_test.cc
@@ -68,5 +68,54 @@
   }
 }
 
+// Guards against a limit that a restart doubles. Compares with the definition, using the time of
+// every event of all predecessors.
+TEST_CASE("a successor that inherits the debt keeps the limit", "[sliding_window_limit]") {
+  std::mt19937_64 random(2);
+  const auto below = [&](int64_t n) {
+    return std::uniform_int_distribution<int64_t>(0, n)(random);
+  };
+  for (int round = 0; round < 20; ++round) {
+    SlidingWindowLimit window(kLength);
+    std::deque<Time> needed;
+    std::deque<Time> granted;
+    Time now = TimeAt(20'000 + below(5'000));
+    for (int event = 0; event < 2'000; ++event) {
+      now += Duration(below(below(50) == 0 ? 5'000'000 : 20'000));
+      while (!needed.empty() && needed.front() <= now - kLength) needed.pop_front();
+      while (!granted.empty() && granted.front() <= now - kLength) granted.pop_front();
+      if (below(100) == 0) {
+        const double debt = window.Debt(now, kRatio);
+        now += Duration(below(500'000));
+        window = SlidingWindowLimit(kLength);
+        window.Inherit(now, debt);
+      } else if (below(1) == 0) {
+        window.CountNeeded(now, 1);
+        needed.push_back(now);
+      } else if (window.Spend(now, kRatio, kSlack)) {
+        granted.push_back(now);
+        REQUIRE(static_cast<double>(granted.size()) <=
+                kRatio * static_cast<double>(needed.size()) + kSlack);
+      }
+    }
+  }
+}
+
+TEST_CASE("the debt of a sliding limit", "[sliding_window_limit]") {
+  SlidingWindowLimit window(kLength);
+  const Time now = TimeAt(20'000);
+  SECTION("is 0 without grants") {
+    window.CountNeeded(now, 100);
+    CHECK(window.Debt(now, kRatio) == 0);
+  }
+  SECTION("is what the grants exceed the ratio by") {
+    window.CountNeeded(now - Seconds(3), 10);
+    for (int i = 0; i < 4; ++i) REQUIRE(window.Spend(now, kRatio, kSlack));
+    window.CountNeeded(now + Seconds(2), 10);
+    CHECK(window.Debt(now + Seconds(2), kRatio) == Approx(4 - kRatio * 10));
+    SECTION("until the window has passed") { CHECK(window.Debt(now + Seconds(12), kRatio) == 0); }
+  }
+}
+
 }  // namespace
 }  // namespace peridotgauge
