Ignore further stop signals during a shutdown

What callers saw: a router that drains and gets SIGTERM again ends at once, and every request that it has accepted ends with a closed connection, also one that a target is working on.

Cause: by intent, for a person who does not want to wait. Evidence: the code path and its log line; the new test.

Change: Daemon::Shutdown() does nothing if a shutdown is in progress. A second SIGINT, which only a terminal sends, still ends the process at once.

Test: [router_shutdown] "also if the signal comes again", failed before (no answer to again-0), passes now."

--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -126,12 +126,16 @@
     this->control.AddControllers(changed.seeds);
   }
 
+  void Abort() {
+    LOG(WARNING) << "daemon: stopping without draining";
+    this->io.stop();
+  }
+
   void Shutdown() {
-    if (this->stopping) {
-      LOG(WARNING) << "daemon: second stop request; stopping without draining";
-      return this->io.stop();
+    if (std::exchange(this->stopping, true)) {
+      LOG(WARNING) << "daemon: another stop request; the shutdown is in progress";
+      return;
     }
-    this->stopping = true;
     this->log.Write(SteadyNow(), UnixMillis(), Event("stop").Add("id", this->settings.id));
     if (this->gateway) return this->DrainGateway();
     if (!this->router) return this->CloseHttp();
@@ -478,5 +482,6 @@
 void Daemon::Reload(const Settings& settings) { this->impl->Reload(settings); }
 
 void Daemon::Shutdown() { this->impl->Shutdown(); }
+void Daemon::Abort() { this->impl->Abort(); }
 
 }  // namespace peridotgauge
--- a/io/daemon.h
+++ b/io/daemon.h
@@ -30,9 +30,11 @@
 
   // Applies those changed settings that can be changed while running.
   void Reload(const Settings& settings);
-  // Drains the router, transfers leadership, closes the listeners and stops the io_context. A
-  // second call stops the io_context immediately.
+  // Drains the router, transfers leadership, closes the listeners and stops the io_context. Further
+  // calls change nothing: a second stop signal must not cut off requests that were accepted.
   void Shutdown();
+  // Stops the io_context immediately. Running requests get no answer.
+  void Abort();
 
  private:
   class Impl;
--- a/programs/peridotgauged.cc
+++ b/programs/peridotgauged.cc
@@ -1,5 +1,5 @@
 // Main function of the daemon: reads the settings, starts the roles, and shuts down on SIGTERM or
-// SIGINT. Reloads the settings when the file changes or on SIGHUP.
+// SIGINT; a second SIGINT ends it at once. Reloads the settings when the file changes or on SIGHUP.
 //
 // Exit status: 0 after a graceful shutdown, 1 if the daemon could not start or failed, 2 if the
 // settings are invalid.
@@ -132,10 +132,12 @@
       if (signal == SIGHUP) {
         this->watch.Changed();  // Marks the change as seen, so that the poll does not reload again.
         this->Reload();
-      } else if (this->daemon) {
-        this->daemon->Shutdown();
-      } else {
+      } else if (!this->daemon) {
         this->io.stop();
+      } else if (signal == SIGINT && std::exchange(this->interrupted, true)) {
+        this->daemon->Abort();
+      } else {
+        this->daemon->Shutdown();
       }
       this->AwaitSignal();
     });
@@ -149,7 +151,8 @@
   boost::asio::steady_timer poll_timer;
   boost::asio::signal_set signals;
   std::unique_ptr<Daemon> daemon;
-  bool waiting = false;  // the disk has refused to store at the start
+  bool waiting = false;      // the disk has refused to store at the start
+  bool interrupted = false;  // SIGINT has come
   int exit_status = 0;
 };
 
--- a/testing/router_shutdown_test.cc
+++ b/testing/router_shutdown_test.cc
@@ -93,6 +93,19 @@
     REQUIRE(answer);
     CHECK(answer->status == 200);
   }
+  SECTION("also if the signal comes again") {
+    for (int i = 0; i < 5; ++i) {
+      running.push_back(Send(router, "again-" + std::to_string(i), "POST", "/quick/1"));
+      std::this_thread::sleep_for(Millis(20));
+      deployment.BeginStopRouter(0);
+    }
+    for (auto& one : running) {
+      const Outcome outcome = one.get();
+      INFO(outcome.id);
+      REQUIRE(outcome.answer);
+      CHECK(outcome.answer->status == 200);
+    }
+  }
   const Time end = SteadyNow() + kGrace;
   while (!deployment.RouterStopped(0) && SteadyNow() < end) {
     std::this_thread::sleep_for(Millis(20));
