--- /dev/null
+++ b/testing/soak/route_soak_main.cc
@@ -0,0 +1,608 @@
+// A soak of the route interface with real processes on loopback: controllers and routers are
+// stopped, restarted, killed and frozen in overlapping series while callers keep their connections
+// open, the configuration changes, and some targets fail. Records the end of every request.
+//
+// Use:
+//   route_soak --daemon=build/peridotgauged --seed=7 --seconds=30
+//
+// Exit status 0 if nothing below was seen, 1 otherwise, 2 if the deployment did not start:
+//   lost      a connection closed without an answer to a request that a target has received, or
+//   that
+//             was sent completely over kLossSlack before, with no kill or freeze of the router
+//   untrue    a request that must not be repeated ran more than once, or ran and was answered 503
+//   malformed bytes that are no response
+//   old       a route is not served, or an older revision is read, kApplyTime after a confirmation
+//   gone      the newest confirmed revision is not read back at the end
+//   unacked   a valid change had no confirmation within kAckTime while no controller was disturbed
+//   outlived  a process ran longer than its grace period
+//
+// The schedule depends on the seed; the times at which processes act on it do not.
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "io/clock.h"
+#include "io/http_server.h"
+#include "testing/soak/soak_caller.h"
+#include "testing/soak/soak_process.h"
+
+DEFINE_string(daemon, "build/peridotgauged", "the program");
+DEFINE_uint64(seed, 1, "seed of the schedule");
+DEFINE_double(seconds, 30, "length of the run after the start");
+DEFINE_uint32(controllers, 3, "controllers");
+DEFINE_uint32(routers, 4, "routers");
+DEFINE_uint32(callers, 32, "callers, each with one connection");
+DEFINE_uint32(routes, 40, "routes of the first configuration; more make larger texts");
+DEFINE_bool(kills, true, "kill and freeze processes too");
+DEFINE_bool(keep_folder, false, "keep the logs of the processes");
+
+namespace peridotgauge {
+namespace {
+
+namespace fs = std::filesystem;
+namespace asio = boost::asio;
+
+constexpr int kHttpPort = 18'401;
+constexpr int kHealthPort = 18'402;
+constexpr int kDirectoryPort = 18'403;
+constexpr int kMetricsPort = 18'404;
+constexpr int kPeerPort = 18'405;
+constexpr int kTargetPort = 18'410;
+constexpr int kTargets = 3;  // of each service
+constexpr int64_t kGraceMs = 3'000;
+constexpr int64_t kHeartbeatMs = 600;
+constexpr int64_t kTimeoutMs = 1'500;
+constexpr Duration kLossSlack = Millis(200);
+constexpr Duration kApplyTime = Seconds(3);
+constexpr Duration kAckTime = Seconds(5);
+constexpr Duration kContactTime = Seconds(4);
+constexpr Duration kEndSlack = Millis(500);
+constexpr char kHost[] = "soak.example";
+
+std::string Quoted(const std::string& text) { return "\"" + text + "\""; }
+
+std::string Http(const std::string& method, const std::string& path, const std::string& headers,
+                 const std::string& body) {
+  return method + " " + path + " HTTP/1.1\r\nHost: " + kHost + "\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// What was seen, with the times at which requests reached targets.
+class Record {
+ public:
+  void Violation(const std::string& kind, const std::string& text) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    ++this->violations[kind];
+    if (this->violations[kind] <= 5) std::cout << kind << ": " << text << "\n" << std::flush;
+  }
+  void Count(const std::string& what) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    ++this->counts[what];
+  }
+  void Arrived(const std::string& id) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    ++this->arrivals[id];
+  }
+  int Arrivals(const std::string& id) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const auto found = this->arrivals.find(id);
+    return found == this->arrivals.end() ? 0 : found->second;
+  }
+  // Prints the counts. Returns true if there was no violation.
+  bool Report() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    for (const auto& [what, count] : this->counts) std::cout << what << " " << count << "\n";
+    for (const auto& [kind, count] : this->violations) {
+      std::cout << "VIOLATION " << kind << " " << count << "\n";
+    }
+    return this->violations.empty();
+  }
+
+ private:
+  std::mutex mutex;
+  std::map<std::string, int> violations;
+  std::map<std::string, int> counts;
+  std::map<std::string, int> arrivals;
+};
+
+// The targets of both services, on one event loop. Some answers are slow, a few fail.
+class Targets {
+ public:
+  Targets(const std::string& network, uint64_t seed, Record& record)
+      : record(record), random(seed), work(asio::make_work_guard(this->io)) {
+    for (const char* service : {"s", "u"}) {
+      for (int i = 0; i < kTargets; ++i) {
+        const Address address = network + std::to_string((*service == 's' ? 100 : 120) + i) + ":" +
+                                std::to_string(kTargetPort);
+        auto server = HttpServer::Listen(
+            this->io, address, [this](const HttpRequest& request, const HttpResponder& responder) {
+              this->Handle(request, responder);
+            });
+        CHECK(server) << server.error().ToString();
+        this->servers.push_back(std::move(*server));
+        this->names.push_back({std::string(service) + "-" + std::to_string(i), service, address});
+      }
+    }
+    this->thread = std::thread([this] { this->io.run(); });
+  }
+  ~Targets() {
+    this->io.stop();
+    this->thread.join();
+  }
+
+  struct Name {
+    std::string id;
+    std::string service;
+    Address address;
+  };
+  const std::vector<Name>& Names() const { return this->names; }
+
+ private:
+  void Handle(const HttpRequest& request, const HttpResponder& responder) {
+    const std::string id(request.Header("Peridotgauge-Request-Id"));
+    HttpResponse response{
+        .status = 200,
+        .headers = {{"Peridotgauge-Request-Id", id}, {"Peridotgauge-Server-Stamp", "stamp-" + id}},
+        .body = std::string(200, 'x')};
+    if (!id.empty()) this->record.Arrived(id);
+    const auto draw = std::uniform_int_distribution<int>(0, 999)(this->random);
+    if (!id.empty() && draw < 20 && !request.path.starts_with("/u/")) response.status = 500;
+    const Duration time = id.empty() ? Duration(0) : Millis(draw < 50 ? 300 : 2 + draw % 40);
+    auto timer = std::make_shared<asio::steady_timer>(this->io, time);
+    timer->async_wait([timer, responder, response](boost::system::error_code error) {
+      if (!error) responder.Send(response);
+    });
+  }
+
+  Record& record;
+  std::mt19937_64 random;  // used on the event loop only
+  asio::io_context io{1};
+  asio::executor_work_guard<asio::io_context::executor_type> work;
+  std::vector<std::unique_ptr<HttpServer>> servers;
+  std::vector<Name> names;
+  std::thread thread;
+};
+
+class Soak {
+ public:
+  explicit Soak(uint64_t seed) : random(seed) {
+    std::string pattern = (fs::temp_directory_path() / "route_soak_XXXXXX").string();
+    this->folder = mkdtemp(pattern.data());
+    this->network = "127." + std::to_string(170 + getpid() / 250 % 80) + "." +
+                    std::to_string(1 + getpid() % 250) + ".";
+    for (uint32_t i = 0; i < FLAGS_controllers; ++i) this->Add("controller", i, this->controllers);
+    for (uint32_t i = 0; i < FLAGS_routers; ++i) this->Add("router", i, this->routers);
+    this->targets = std::make_unique<Targets>(this->network, seed + 1, this->record);
+  }
+  ~Soak() {
+    this->stopping = true;
+    for (std::thread& thread : this->threads) thread.join();
+    this->routers.clear();
+    this->controllers.clear();
+    std::error_code ignored;
+    if (!FLAGS_keep_folder) fs::remove_all(this->folder, ignored);
+  }
+
+  bool Start() {
+    for (auto* group : {&this->controllers, &this->routers}) {
+      for (auto& process : *group) {
+        if (!process->Start()) return false;
+      }
+    }
+    this->threads.emplace_back([this] { this->SendHeartbeats(); });
+    if (!this->Await([this] { return this->PutConfig(this->version + 1); })) return false;
+    return this->Await([this] {
+      return std::all_of(this->routers.begin(), this->routers.end(), [&](const auto& router) {
+        SoakConnection connection;
+        return this->Get(connection, *router, "/s/start").status == 200;
+      });
+    });
+  }
+
+  void Run(Duration length) {
+    for (uint32_t i = 0; i < FLAGS_callers; ++i) {
+      this->threads.emplace_back([this, i] { this->SendRequests(i); });
+    }
+    this->threads.emplace_back([this] { this->ChangeConfig(); });
+    this->threads.emplace_back([this] { this->CheckRoutes(); });
+    this->threads.emplace_back([this] { this->ReadConfig(); });
+    const Time end = SteadyNow() + length;
+    while (SteadyNow() < end) {
+      std::this_thread::sleep_for(Millis(this->Below(900)));
+      this->Disturb();
+    }
+    for (std::thread& thread : this->disturbances) thread.join();
+    this->disturbances.clear();
+    std::this_thread::sleep_for(kContactTime);
+  }
+
+  bool Finish() {
+    this->stopping = true;
+    for (std::thread& thread : this->threads) thread.join();
+    this->threads.clear();
+    const uint64_t newest = this->acked;
+    if (!this->Await([&] { return this->ReadVersion().value_or(0) >= newest; })) {
+      this->record.Violation("gone", "version " + std::to_string(newest) + " is not read back");
+    }
+    if (FLAGS_keep_folder) std::cout << "logs: " << this->folder << "\n";
+    return this->record.Report();
+  }
+
+ private:
+  struct Process : SoakProcess {
+    using SoakProcess::SoakProcess;
+    std::atomic<bool> busy{false};  // a disturbance is in progress
+  };
+  using Group = std::vector<std::unique_ptr<Process>>;
+
+  int64_t Below(int64_t bound) {
+    return std::uniform_int_distribution<int64_t>(0, bound - 1)(this->random);
+  }
+
+  bool Await(const std::function<bool()>& condition) {
+    const Time end = SteadyNow() + Seconds(20);
+    while (!condition()) {
+      if (SteadyNow() >= end) return false;
+      std::this_thread::sleep_for(Millis(50));
+    }
+    return true;
+  }
+
+  void Add(const std::string& role, uint32_t number, Group& group) {
+    const std::string name = role + "-" + std::to_string(number);
+    const bool controller = role == "controller";
+    const std::string ip = this->network + std::to_string((controller ? 1 : 21) + number);
+    const auto at = [&](int port) { return Quoted(ip + ":" + std::to_string(port)); };
+    std::string seeds;
+    for (uint32_t i = 0; i < FLAGS_controllers; ++i) {
+      seeds += (i == 0 ? "" : ",") +
+               Quoted(this->network + std::to_string(1 + i) + ":" + std::to_string(kHttpPort));
+    }
+    std::ofstream(this->folder + "/" + name + ".json")
+        << R"({"id":)" << Quoted(ip) << R"(,"data_centre":"z-a","interface":"routes","roles":[)"
+        << Quoted(role) << R"(],"http_address":)" << at(kHttpPort) << R"(,"metrics_address":)"
+        << at(kMetricsPort) << R"(,"peer_address":)" << at(kPeerPort)
+        << (controller ? R"(,"directory_address":)" + at(kDirectoryPort) + R"(,"data_folder":)" +
+                             Quoted(this->folder + "/" + name)
+                       : R"(,"health_address":)" + at(kHealthPort))
+        << R"(,"grace_ms":)" << kGraceMs << R"(,"heartbeat_ms":)" << kHeartbeatMs << R"(,"seeds":[)"
+        << seeds << "]}";
+    group.push_back(std::make_unique<Process>(
+        name, ip,
+        std::vector<std::string>{FLAGS_daemon, "--settings=" + this->folder + "/" + name + ".json"},
+        this->folder + "/" + name + ".log"));
+  }
+
+  // --- Control interface ---
+
+  std::string Route(const std::string& name, const std::string& prefix, const std::string& kind,
+                    const std::string& service) {
+    return R"({"name":)" + Quoted(name) + R"(,"host":)" + Quoted(kHost) + R"(,"pathPrefix":)" +
+           Quoted(prefix) + R"(,"kind":)" + Quoted(kind) + R"(,"timeoutMs":)" +
+           std::to_string(kTimeoutMs) + R"(,"targetLatencyMs":500,"priority":1,"service":)" +
+           Quoted(service) + R"(,"maxAttempts":2})";
+  }
+
+  // The text of a version has the routes /extra-N/ of all versions N up to it, the newest hundred.
+  std::string ConfigText(uint64_t number) {
+    std::string routes =
+        this->Route("s", "/s/", "safe", "s") + "," + this->Route("u", "/u/", "unsafe", "u");
+    for (uint32_t i = 0; i < FLAGS_routes; ++i) {
+      const std::string name = "fill-" + std::to_string(i);
+      routes += "," + this->Route(name, "/" + name + "/", "safe", "s");
+    }
+    for (uint64_t n = number > 100 ? number - 100 : 1; n <= number; ++n) {
+      const std::string name = "extra-" + std::to_string(n);
+      routes += "," + this->Route(name, "/" + name + "/", "safe", "s");
+    }
+    return R"({"version":)" + std::to_string(number) + R"(,"routes":[)" + routes +
+           R"(],"services":[{"name":"s","healthPath":"/health","maxConns":60},)" +
+           R"({"name":"u","healthPath":"/health","maxConns":60}]})";
+  }
+
+  CallerEnd Control(size_t controller, const std::string& text) {
+    SoakConnection connection;
+    if (!connection.Open(this->controllers[controller]->ip + ":" + std::to_string(kHttpPort))) {
+      return {};
+    }
+    return connection.Send(text, Seconds(1));
+  }
+
+  // Sends a version to controllers in turn until one confirms it.
+  bool PutConfig(uint64_t number) {
+    const std::string text = Http("PUT", "/config", "", this->ConfigText(number));
+    const Time began = SteadyNow();
+    for (size_t i = number; SteadyNow() < began + Seconds(12) && !this->stopping; ++i) {
+      const CallerEnd end = this->Control(i % this->controllers.size(), text);
+      if (end.kind == CallerEndKind::kAnswered && end.status == 200) {
+        this->version = number;
+        {
+          const std::lock_guard<std::mutex> lock(this->mutex);
+          this->confirmed.emplace_back(SteadyNow(), number);
+        }
+        this->acked = number;
+        if (end.ended - began > kAckTime && this->ControllersCalmSince(began - kContactTime)) {
+          this->record.Violation("unacked", "version " + std::to_string(number));
+        }
+        return true;
+      }
+      if (end.kind == CallerEndKind::kAnswered && end.status < 500) {
+        this->record.Violation("unacked", "version " + std::to_string(number) + " got status " +
+                                              std::to_string(end.status));
+        return false;
+      }
+      std::this_thread::sleep_for(Millis(50));
+    }
+    return false;
+  }
+
+  bool ControllersCalmSince(Time from) {
+    return std::all_of(this->controllers.begin(), this->controllers.end(),
+                       [&](const auto& process) {
+                         return process->LastDisturbance() < from && process->Running();
+                       });
+  }
+
+  std::optional<uint64_t> ReadVersion() {
+    for (size_t i = 0; i < this->controllers.size(); ++i) {
+      if (const auto read = this->ReadVersionOf(i)) return read;
+    }
+    return std::nullopt;
+  }
+
+  // Returns the version that a controller reads, or nothing if it answers none.
+  std::optional<uint64_t> ReadVersionOf(size_t controller) {
+    const Address address = this->controllers[controller]->ip + ":" + std::to_string(kHttpPort);
+    SoakConnection connection;
+    std::string body;
+    if (!connection.Open(address)) return std::nullopt;
+    const CallerEnd end = connection.Send(Http("GET", "/config", "", ""), Seconds(2), &body);
+    if (end.kind != CallerEndKind::kAnswered || end.status != 200) return std::nullopt;
+    const size_t at = body.find(R"("version":)");
+    if (at == std::string::npos) return 0;
+    return std::strtoull(body.c_str() + at + 10, nullptr, 10);
+  }
+
+  void SendHeartbeats() {
+    for (uint64_t sequence = 1; !this->stopping; ++sequence) {
+      for (const Targets::Name& target : this->targets->Names()) {
+        const std::string body =
+            R"({"service":)" + Quoted(target.service) + R"(,"address":)" + Quoted(target.address) +
+            R"(,"zone":"z-a","version":"v1","slots":16,"state":"ready",)" +
+            R"("warmupLeftMs":0,"sequence":)" + std::to_string(sequence) + R"(,"born":1000})";
+        const std::string text = Http("PUT", "/instances/" + target.id, "", body);
+        for (size_t i = 0; i < this->controllers.size(); ++i) {
+          if (this->Control((sequence + i) % this->controllers.size(), text).status == 200) break;
+        }
+      }
+      std::this_thread::sleep_for(Millis(kHeartbeatMs / 2));
+    }
+  }
+
+  // Changes the configuration, and sometimes sends the same text again, as after a lost reply.
+  void ChangeConfig() {
+    std::mt19937_64 own(FLAGS_seed + 2);
+    while (!this->stopping) {
+      this->record.Count(this->PutConfig(this->version + 1) ? "changes confirmed"
+                                                            : "changes not confirmed");
+      if (own() % 4 == 0 && !this->PutConfig(this->version)) this->record.Count("resends refused");
+      std::this_thread::sleep_for(Millis(static_cast<int64_t>(own() % 700)));
+    }
+  }
+
+  // Returns the newest version that was confirmed before `time`.
+  uint64_t ConfirmedBefore(Time time) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    uint64_t newest = 0;
+    for (const auto& [at, number] : this->confirmed) {
+      if (at < time) newest = number;
+    }
+    return newest;
+  }
+
+  // Asks routers in touch for the newest route that they must know.
+  void CheckRoutes() {
+    for (size_t i = 0; !this->stopping; ++i) {
+      Process& router = *this->routers[i % this->routers.size()];
+      const Time sent = SteadyNow();
+      const uint64_t number = this->ConfirmedBefore(sent - kApplyTime);
+      SoakConnection connection;
+      const CallerEnd end =
+          number == 0 ? CallerEnd{}
+                      : this->Get(connection, router, "/extra-" + std::to_string(number) + "/x");
+      const bool calm = router.LastDisturbance() < sent - kContactTime &&
+                        this->ControllersCalmSince(sent - kContactTime);
+      if (end.status == 404 && calm) {
+        this->record.Violation("old",
+                               router.name + " does not know version " + std::to_string(number));
+      }
+      if (end.status != 0) this->record.Count("route checks");
+      std::this_thread::sleep_for(Millis(20));
+    }
+  }
+
+  // Reads from controllers, disturbed or not: none may read an older version.
+  void ReadConfig() {
+    for (size_t i = 0; !this->stopping; ++i) {
+      const uint64_t number = this->ConfirmedBefore(SteadyNow() - kApplyTime);
+      const auto read = this->ReadVersionOf(i % this->controllers.size());
+      if (read) this->record.Count("reads");
+      if (read && *read < number) {
+        this->record.Violation("old", "version " + std::to_string(*read) + " was read after " +
+                                          std::to_string(number) + " had been confirmed");
+      }
+      std::this_thread::sleep_for(Millis(50));
+    }
+  }
+
+  // --- Callers ---
+
+  static std::string RequestText(const std::string& id, const std::string& method,
+                                 const std::string& path) {
+    return Http(method, path,
+                "Peridotgauge-Request-Id: " + id +
+                    "\r\nPeridotgauge-Deadline-Ms: " + std::to_string(kTimeoutMs) + "\r\n",
+                method == "POST" ? "{}" : "");
+  }
+
+  CallerEnd Get(SoakConnection& connection, const Process& router, const std::string& path) {
+    if (!connection.Open(router.ip + ":" + std::to_string(kHttpPort))) return {};
+    const std::string id = "check-" + std::to_string(++this->checks);
+    return connection.Send(RequestText(id, "GET", path), Seconds(3));
+  }
+
+  void SendRequests(uint32_t caller) {
+    std::mt19937_64 own(FLAGS_seed * 1'000 + caller);
+    SoakConnection connection;
+    Process* router = nullptr;
+    for (int i = 0; !this->stopping; ++i) {
+      if (!connection.IsOpen()) {
+        router = this->routers[own() % this->routers.size()].get();
+        if (!connection.Open(router->ip + ":" + std::to_string(kHttpPort))) {
+          std::this_thread::sleep_for(Millis(20));
+          continue;
+        }
+      }
+      const bool safe = own() % 2 == 0;
+      const std::string id = std::to_string(caller) + "-" + std::to_string(i);
+      const CallerEnd end = connection.Send(
+          RequestText(id, safe ? "GET" : "POST", (safe ? "/s/" : "/u/") + id), Seconds(4));
+      this->Judge(*router, id, safe, end);
+      if (end.closes) connection.Close();
+      std::this_thread::sleep_for(Millis(static_cast<int64_t>(own() % 30)));
+    }
+  }
+
+  void Judge(Process& router, const std::string& id, bool safe, const CallerEnd& end) {
+    const auto text = [&] {
+      return id + (safe ? " (safe)" : " (unsafe)") + " at " + router.name + ", arrivals " +
+             std::to_string(this->record.Arrivals(id)) + ", status " + std::to_string(end.status) +
+             ", " + std::to_string(WholeMillis(end.ended - end.sent)) + " ms, " + end.detail;
+    };
+    if (end.kind == CallerEndKind::kMalformed) return this->record.Violation("malformed", text());
+    if (end.kind == CallerEndKind::kAnswered) {
+      this->record.Count("answered " + std::to_string(end.status));
+      const int ran = safe ? 0 : this->record.Arrivals(id);
+      if (ran > 1 || (ran > 0 && end.status == 503)) this->record.Violation("untrue", text());
+      return;
+    }
+    if (end.kind == CallerEndKind::kUnsent) return this->record.Count("connection closed between");
+    const bool excused = router.WasKilled(end.sent - kTimeOfRequest, end.ended + kEndSlack);
+    const bool passed_on = this->record.Arrivals(id) > 0;
+    const bool late = end.ended - end.sent > kLossSlack;
+    if (excused) return this->record.Count("cut by a kill or freeze");
+    if (passed_on || late) return this->record.Violation("lost", text());
+    this->record.Count("crossed the close of the connection");
+  }
+
+  // --- Disturbances ---
+
+  void Disturb() {
+    const bool router = this->Below(4) != 0;
+    Group& group = router ? this->routers : this->controllers;
+    Process& process = *group[static_cast<size_t>(this->Below(static_cast<int64_t>(group.size())))];
+    // A majority of the controllers, and one router, are left alone.
+    const auto busy = std::count_if(group.begin(), group.end(),
+                                    [](const auto& other) { return other->busy.load(); });
+    const size_t most = router ? group.size() - 1 : (group.size() - 1) / 2;
+    if (process.busy || static_cast<size_t>(busy) >= most) return;
+    const int64_t kind = this->Below(FLAGS_kills ? 10 : 6);
+    const Duration pause = Millis(this->Below(600));
+    const Duration between = Millis(this->Below(500));
+    process.busy = true;
+    this->disturbances.emplace_back([this, &process, kind, pause, between] {
+      if (kind == 5) {
+        this->record.Count("reloads");
+        process.Signal(SIGHUP);
+      } else if (kind < 5) {
+        this->Stop(process, /*again=*/kind < 2, between, pause);
+      } else if (kind < 8) {
+        this->record.Count("kills");
+        process.Kill();
+        std::this_thread::sleep_for(pause);
+        process.Start();
+      } else {
+        this->record.Count("freezes");
+        process.Signal(SIGSTOP);
+        std::this_thread::sleep_for(Millis(300) + 3 * pause);
+        process.Signal(SIGCONT);
+      }
+      std::this_thread::sleep_for(Millis(300));
+      process.busy = false;
+    });
+  }
+
+  void Stop(Process& process, bool again, Duration between, Duration pause) {
+    this->record.Count(again ? "stops with a second signal" : "stops");
+    const Time began = SteadyNow();
+    process.Signal(SIGTERM);
+    if (again) {
+      std::this_thread::sleep_for(between);
+      process.Signal(SIGTERM);
+    }
+    if (!process.AwaitEnd(Millis(kGraceMs) - (SteadyNow() - began))) {
+      this->record.Violation("outlived", process.name);
+      process.Kill();
+    }
+    std::this_thread::sleep_for(pause);
+    process.Start();
+  }
+
+  static constexpr Duration kTimeOfRequest = Millis(kTimeoutMs);
+
+  std::mt19937_64 random;  // used by the thread of Run() only
+  std::string folder;
+  std::string network;
+  Record record;
+  Group controllers;
+  Group routers;
+  std::unique_ptr<Targets> targets;
+  std::atomic<bool> stopping{false};
+  std::atomic<uint64_t> version{0};
+  std::atomic<uint64_t> acked{0};
+  std::atomic<uint64_t> checks{0};
+  std::mutex mutex;
+  std::vector<std::pair<Time, uint64_t>> confirmed;  // guarded by `mutex`
+  std::vector<std::thread> threads;
+  std::vector<std::thread> disturbances;
+};
+
+int Main() {
+  Soak soak(FLAGS_seed);
+  if (!soak.Start()) {
+    std::cout << "the deployment did not start\n";
+    return 2;
+  }
+  soak.Run(Duration(static_cast<int64_t>(FLAGS_seconds * 1'000'000)));
+  return soak.Finish() ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace peridotgauge
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("--daemon=FILE --seed=N --seconds=S: see the head of route_soak_main.cc");
+  FLAGS_logtostderr = true;
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  google::InitGoogleLogging(argv[0]);
+  return peridotgauge::Main();
+}
