Record the departure of a target that the leader does not know

Cause: a removal does not name the target's start. A leader that did not know the target acknowledged the removal without a record, and took the late heartbeat for a new target. Evidence: the trace in the issue (no line for the acknowledgement, then target_registered for the same incarnation). Ruled out: routers that keep the target from their copy; their lines show it gone in between.

It is recorded as the departure, in the log and for the routers, also while a new leader collects registrations: the target need not wait for that any more. At most 500 are kept; beyond that a removal of an unknown target is refused. Every acknowledged departure has a line departure_acknowledged.

--- a/io/control_events.cc
+++ b/io/control_events.cc
@@ -62,6 +62,18 @@
                   .Add("sequence", target.sequence));
 }
 
+void ControlEvents::DepartureAcknowledged(const std::string& target,
+                                          const std::optional<Departure>& departure,
+                                          Duration waited) {
+  const Departure recorded = departure.value_or(Departure{});
+  this->Write(Event("departure_acknowledged")
+                  .Add("target", target)
+                  .Add("incarnation", recorded.incarnation)
+                  .Add("sequence", recorded.sequence)
+                  .Add("recorded", departure.has_value())
+                  .Add("waited_ms", waited));
+}
+
 void ControlEvents::ConfigRefused(const Error& error) {
   this->Write(Event("config_refused").Add("error", error.ToString()));
 }
--- a/io/control_events.h
+++ b/io/control_events.h
@@ -10,12 +10,15 @@
 #define PERIDOTGAUGE_IO_CONTROL_EVENTS_H_
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <string_view>
 
 #include "core/error.h"
 #include "core/records.h"
 #include "io/event_log.h"
 #include "peer_generated.h"
+#include "state/departures.h"
 #include "state/session.h"
 
 namespace peridotgauge {
@@ -36,6 +39,10 @@
   void HeartbeatRefused(const TargetRecord& target, const Error& error);
   // Writes that a heartbeat is older than what is known of the target, and was ignored.
   void HeartbeatStale(const TargetRecord& target);
+  // Writes that the departure of a target is acknowledged, `waited` after it was first reported.
+  // `departure` is what later leaders know of it.
+  void DepartureAcknowledged(const std::string& target, const std::optional<Departure>& departure,
+                             Duration waited);
   void ConfigRefused(const Error& error);
   // Writes the outcome of a proposed configuration.
   void ConfigDecided(uint64_t revision, const wire::CommandReplyT& reply);
--- a/io/controller.cc
+++ b/io/controller.cc
@@ -487,12 +487,20 @@
 
   // --- Targets that register with controllers ---
 
+  Result<HeartbeatResult> HandleHeartbeat(Time now, const TargetRecord& record, bool remove) {
+    const bool unknown = remove && !this->directory.LastRecord(record.target);
+    if (unknown &&
+        this->state.Departures().UnknownCount(this->state.LogTime()) >= kMaxUnknownDepartures) {
+      return Fail(ErrorCode::kOverloaded, "too many removals of unknown targets");
+    }
+    return this->heartbeat_handler.Handle(now, record, remove);
+  }
+
   void OnRegister(const wire::RegisterRequestT& request, const Responder& responder) {
     if (!request.target) return responder.reply(MakeCommandError({ErrorCode::kBadRequest, ""}, ""));
     const Time now = SteadyNow();
     const TargetRecord record = FromWire(*request.target);
-    const Result<HeartbeatResult> accepted =
-        this->heartbeat_handler.Handle(now, record, request.remove);
+    const Result<HeartbeatResult> accepted = this->HandleHeartbeat(now, record, request.remove);
     if (!accepted) {
       this->events.HeartbeatRefused(record, accepted.error());
       return responder.reply(MakeCommandError(accepted.error(), ""));
@@ -566,7 +574,7 @@
   // Acknowledges the departure of a target once all routers with a session know of it.
   void AwaitDeparture(Time now, const std::string& target, const Responder& responder) {
     const Time since = this->departures_since.try_emplace(target, now).first->second;
-    const auto answer = [this, responder, since](DirectoryAck ack) {
+    const auto answer = [this, responder, since, target](DirectoryAck ack) {
       const bool left_out = ack == DirectoryAck::kTimedOut;
       if (ack == DirectoryAck::kLeadershipLost) {
         return responder.reply(MakeCommandError({ErrorCode::kNotLeader, ""}, this->log.Leader()));
@@ -575,6 +583,8 @@
         return responder.reply(MakeCommandError(
             {ErrorCode::kDeadlineExceeded, "a router has not received the departure yet"}, ""));
       }
+      this->events.DepartureAcknowledged(target, this->directory.LastDeparture(target),
+                                         SteadyNow() - since);
       responder.reply(ToBody(wire::CommandReplyT{}));
     };
     if (this->AcknowledgedVersion(now) >= this->directory.Version()) {
--- a/state/departures.cc
+++ b/state/departures.cc
@@ -38,6 +38,14 @@
   return known != nullptr && departure.Key() <= known->Key();
 }
 
+size_t DepartureTable::UnknownCount(int64_t now_ms) const {
+  return static_cast<size_t>(
+      std::count_if(this->departures.begin(), this->departures.end(), [now_ms](const auto& item) {
+        return item.second.sequence == kUnknownRemovedSequence &&
+               now_ms - item.second.recorded_ms < kDepartureRetentionMs;
+      }));
+}
+
 void DepartureTable::Prune(int64_t now_ms) {
   std::erase_if(this->departures, [now_ms](const auto& item) {
     return now_ms - item.second.recorded_ms >= kDepartureRetentionMs;
--- a/state/departures.h
+++ b/state/departures.h
@@ -27,6 +27,12 @@
 // Sequence number of a removal; far above those that heartbeats reach, so that a removal supersedes
 // every heartbeat of its incarnation.
 constexpr uint64_t kRemovedSequence = uint64_t{1} << 62U;
+// Sequence number of the removal of a target that the leader does not know. Its incarnation is then
+// the highest that the removal can refer to.
+constexpr uint64_t kUnknownRemovedSequence = kRemovedSequence - 1;
+// Removals of targets that no leader knows, which may never have existed, are refused beyond this
+// number, so that they leave room for the others.
+constexpr size_t kMaxUnknownDepartures = 500;
 
 struct Departure {
   std::string target;
@@ -53,6 +59,8 @@
   // Returns true if this departure, or a newer one of the target, is known.
   bool Covers(const Departure& departure) const;
 
+  // Returns the number of removals of unknown targets that are kept.
+  size_t UnknownCount(int64_t now_ms) const;
   // Returns the departures by target.
   const std::map<std::string, Departure>& All() const { return this->departures; }
   bool operator==(const DepartureTable&) const = default;
--- a/state/target_heartbeat_handler.h
+++ b/state/target_heartbeat_handler.h
@@ -45,15 +45,18 @@
   // Starts a leadership term with an empty directory. Routers keep the targets that they know until
   // a heartbeat is overdue.
   void StartTerm(Time now, uint64_t term);
-  // Processes a heartbeat or, with `remove`, a removal, for which only the target name is used.
-  // Returns kUnavailable if the target to remove is unknown while a new leader still collects
-  // registrations; other errors are those of Registrations::Register().
+  // Processes a heartbeat or, with `remove`, a removal. Of a removal the target name is used and,
+  // if the target is unknown, the incarnation, which is then the highest that the removal can refer
+  // to. Without it (0) the removal of an unknown target changes nothing, and fails with
+  // kUnavailable while a new leader still collects registrations. Other errors are those of
+  // Registrations::Register(), and kOverloaded if too many unknown targets were removed.
   Result<HeartbeatResult> Handle(Time now, TargetRecord record, bool remove);
   // Removes the targets whose heartbeats are overdue and returns them.
   std::vector<TargetRecord> Expire(Time now);
 
  private:
-  Result<HeartbeatResult> Remove(Time now, const std::string& target);
+  Result<HeartbeatResult> Remove(Time now, const TargetRecord& removal);
+  Result<HeartbeatResult> RemoveUnknown(Time now, const TargetRecord& removal);
   bool Merge(Time now, const TargetRecord& record) {
     return this->directory.Merge(now, this->controller, {record}, /*full=*/false);
   }
--- a/testing/departure_test.cc
+++ b/testing/departure_test.cc
@@ -1,6 +1,8 @@
 // Tests that a target that has said that it leaves gets no more requests, whatever happens to the
 // controllers and however late its earlier heartbeats arrive.
 #include <catch2/catch.hpp>
+#include <functional>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -75,5 +77,66 @@
   CHECK(requests_in_a_second() > 0);
 }
 
+// Guards against a late heartbeat that brings back a target whose departure was acknowledged by a
+// leader that did not know the target.
+TEST_CASE("a target that leaves a leader that does not know it is not used again", "[departure]") {
+  RouteDeployment deployment({.controllers = 3, .heartbeat = kHeartbeat});
+  REQUIRE(deployment.Apply(ConfigText(1, {RouteText("r", "/p/", "unsafe", 1'000, "s")}, {"s"})));
+  RouteTarget target(deployment.NewAddress(), [](const HttpRequest&) { return Millis(1); });
+  // Repeats a call to controllers in turn until one confirms it.
+  const auto confirmed = [&](const std::function<std::optional<HttpResponse>(size_t)>& call) {
+    for (size_t attempt = 0; attempt < 100; ++attempt) {
+      const auto answer = call(attempt % 3);
+      if (answer && answer->status == 200) return true;
+      std::this_thread::sleep_for(Millis(100));
+    }
+    return false;
+  };
+  const auto heartbeat = [&](uint64_t sequence, uint64_t born) {
+    return confirmed([&](size_t controller) {
+      return deployment.Heartbeat(controller, "i-1",
+                                  HeartbeatText("s", target.address, "ready", sequence, born));
+    });
+  };
+  const auto deregister = [&](const std::string& id) {
+    return confirmed([&](size_t controller) { return deployment.Deregister(controller, id); });
+  };
+  // Returns true if the target gets any of the requests that are sent for a second.
+  const auto gets_requests = [&] {
+    const size_t before = target.Arrivals().size();
+    for (int i = 0; i < 20; ++i) {
+      Call(deployment.RouterAddress(0),
+           CallerRequest("c" + std::to_string(i), "POST", "/p/1", Seconds(1)), Seconds(1));
+      std::this_thread::sleep_for(Millis(50));
+    }
+    return target.Arrivals().size() > before;
+  };
+  REQUIRE(heartbeat(1, 1'000));
+  REQUIRE(deployment.AwaitRoute("/p/ready"));
+  const std::optional<size_t> leader = deployment.Leader();
+  REQUIRE(leader);
+  deployment.KillController(*leader);
+  while (!deployment.Leader()) std::this_thread::sleep_for(Millis(20));
+  const Time asked = SteadyNow();
+  REQUIRE(deregister("i-1"));
+  SECTION("while it collects registrations") {
+    CHECK(SteadyNow() - asked < kCollecting);
+    CHECK_FALSE(gets_requests());
+  }
+  SECTION("also after it has collected them") { std::this_thread::sleep_for(kCollecting); }
+  SECTION("also under the leader after it") {
+    deployment.StartController(*leader);
+    const std::optional<size_t> second = deployment.Leader();
+    REQUIRE(second);
+    REQUIRE(deployment.StopController(*second));
+    deployment.StartController(*second);
+  }
+  REQUIRE(heartbeat(2, 1'000));
+  CHECK_FALSE(gets_requests());
+  // The same name with a new start.
+  REQUIRE(heartbeat(1, static_cast<uint64_t>(UnixMillis())));
+  CHECK(gets_requests());
+}
+
 }  // namespace
 }  // namespace peridotgauge
--- a/testing/departures_test.cc
+++ b/testing/departures_test.cc
@@ -36,6 +36,12 @@
     departures.Record(1'000 + kDepartureRetentionMs, {"v", 1, 1});
     CHECK(departures.Find("t") == nullptr);
   }
+  SECTION("of an unknown target is counted for the retention time") {
+    CHECK(departures.UnknownCount(0) == 0);
+    departures.Record(0, {"u", 5, kUnknownRemovedSequence});
+    CHECK(departures.UnknownCount(0) == 1);
+    CHECK(departures.UnknownCount(kDepartureRetentionMs) == 0);
+  }
   SECTION("is the first to go when there are too many") {
     for (size_t i = 0; i < kMaxDepartures; ++i) {
       departures.Record(1'001 + static_cast<int64_t>(i), {"n" + std::to_string(i), 1, 1});
--- a/testing/soak/route_soak_main.cc
+++ b/testing/soak/route_soak_main.cc
@@ -53,6 +53,7 @@
 DEFINE_uint32(callers, 32, "callers, each with one connection");
 DEFINE_uint32(routes, 40, "routes of the first configuration; more make larger texts");
 DEFINE_bool(kills, true, "kill and freeze processes too");
+DEFINE_bool(second_signals, true, "send some stopping processes a second SIGTERM");
 DEFINE_bool(keep_folder, false, "keep the logs of the processes");
 
 namespace peridotgauge {
@@ -534,7 +535,7 @@
         this->record.Count("reloads");
         process.Signal(SIGHUP);
       } else if (kind < 5) {
-        this->Stop(process, /*again=*/kind < 2, between, pause);
+        this->Stop(process, /*again=*/kind < 2 && FLAGS_second_signals, between, pause);
       } else if (kind < 8) {
         this->record.Count("kills");
         process.Kill();
--- a/testing/target_heartbeat_handler_test.cc
+++ b/testing/target_heartbeat_handler_test.cc
@@ -57,6 +57,36 @@
     CHECK(handler.Handle(kStart + kShortLease, {.target = "u"}, true) ==
           HeartbeatResult{.leaving = true});
   }
+  SECTION("a removal of an unknown target that bounds its incarnation") {
+    constexpr uint64_t kBound = 50;
+    const auto removed = handler.Handle(kStart, {.target = "u", .incarnation = kBound}, true);
+    CHECK(removed == HeartbeatResult{.directory_changed = true, .leaving = true});
+    SECTION("is accepted while a new leader collects registrations, and sent to routers") {
+      CHECK(directory.Collecting());
+      DirectoryCopy copy;
+      TargetRecord known = record;
+      known.target = "u";
+      copy.Apply(
+          {.epoch = 1, .version = 1, .digest = DigestOf(known), .full = true, .targets = {known}});
+      REQUIRE(copy.Targets().contains("u"));
+      copy.Apply(directory.DeltaSince(1, 1));
+      CHECK_FALSE(copy.Targets().contains("u"));
+    }
+    SECTION("supersedes what the target had sent before, but no later start") {
+      record.target = "u";
+      record.sequence = 21;
+      record.incarnation = kBound;
+      CHECK(handler.Handle(kStart, record, false) == HeartbeatResult{.stale = true});
+      CHECK_FALSE(directory.Find("u"));
+      record.sequence = 1;
+      record.incarnation = kBound + 1;
+      CHECK(handler.Handle(kStart, record, false) == HeartbeatResult{.directory_changed = true});
+    }
+    SECTION("changes nothing if it is sent again") {
+      CHECK(handler.Handle(kStart, {.target = "u", .incarnation = kBound + 9}, true) ==
+            HeartbeatResult{.leaving = true});
+    }
+  }
   SECTION("a removal supersedes heartbeats also after the target has expired") {
     CHECK(handler.Expire(kStart + kShortLease).size() == 1);
     CHECK(handler.Handle(kStart + kShortLease, {.target = "t"}, true).value().leaving);
