--- a/io/data_folder.cc
+++ b/io/data_folder.cc
@@ -36,7 +36,7 @@
 };
 
 // Returns the error of a step of the check. An error that passes by itself is only logged: the
-// controller waits for the disk, see Daemon::Start().
+// process waits for its disk before it starts the daemon.
 Result<void> FolderError(const std::string& folder, std::string_view step, int error) {
   if (std::find(std::begin(kTemporaryErrors), std::end(kTemporaryErrors), error) !=
       std::end(kTemporaryErrors)) {
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -50,9 +50,8 @@
 // reported.
 constexpr double kLeastDebtShare = 0.25;
 constexpr double kLeastDebt = 1;
-// A grown debt is reported at once, but not more often than this, and not more often than this many
-// push intervals of the leader, so that the reports of all routers together stay a small part of
-// its work.
+// A grown debt is reported at once, but not more often than once in this many push intervals of the
+// leader, so that the reports of all routers together stay a small part of its work.
 constexpr int kDebtReportPushIntervals = 4;
 
 }  // namespace
--- a/testing/extra_attempts_test.cc
+++ b/testing/extra_attempts_test.cc
@@ -2,6 +2,7 @@
 // guard against more retries than the operators allow while routers restart or leave.
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -18,26 +19,59 @@
 constexpr Duration kWindow = Seconds(10);
 constexpr Duration kTimeout = Millis(400);
 
-// Sends requests to routers in turn and keeps the times at which they were sent.
-class FailingLoad {
+// Routers, and two targets of a service that fail the requests of Send().
+class FailingFleet {
  public:
-  explicit FailingLoad(RouteDeployment& deployment) : deployment(deployment) {}
+  FailingFleet() {
+    REQUIRE(this->deployment.Apply(
+        ConfigText(1, {RouteText("r", "/p/", "safe", WholeMillis(kTimeout), "s")}, {"s"})));
+    for (size_t i = 0; i < 2; ++i) {
+      this->targets.push_back(std::make_unique<RouteTarget>(
+          this->deployment.NewAddress(), [](const HttpRequest&) { return Duration(0); }));
+      REQUIRE(this->deployment.Heartbeat(
+          0, "i-" + std::to_string(i),
+          HeartbeatText("s", this->targets.back()->address, "ready", 1)));
+    }
+    REQUIRE(this->deployment.AwaitRoute("/p/ready"));
+  }
 
-  // Sends `count` requests that every target fails.
+  // Sends `count` requests that every target fails, one after another.
   void Send(size_t router, int count) {
     for (int i = 0; i < count; ++i) {
       this->sent.push_back(SteadyNow());
-      const auto answer = Call(
-          this->deployment.RouterAddress(router),
-          CallerRequest("fail-" + std::to_string(this->sent.size()), "GET", "/p/fail", kTimeout),
-          2 * kTimeout);
+      const std::string id = "fail-" + std::to_string(this->sent.size());
+      const auto answer = Call(this->deployment.RouterAddress(router),
+                               CallerRequest(id, "GET", "/p/fail", kTimeout), 2 * kTimeout);
       if (answer) CHECK(answer->status >= 500);
     }
   }
+  void Stop(size_t router) {
+    this->deployment.BeginStopRouter(router);
+    while (!this->deployment.RouterStopped(router)) std::this_thread::sleep_for(Millis(10));
+  }
+  void Restart(size_t router, bool kill) {
+    if (kill) {
+      this->deployment.KillRouter(router);
+    } else {
+      this->Stop(router);
+    }
+    REQUIRE(this->deployment.RestartRouter(router, "/p/ready"));
+  }
+
+  // Return when requests were sent and when they and their retries arrived at targets.
   const std::vector<Time>& Sent() const { return this->sent; }
+  std::vector<Time> Arrivals() {
+    std::vector<Time> arrivals;
+    for (const auto& target : this->targets) {
+      for (const Time at : target->ArrivalTimes()) arrivals.push_back(at);
+    }
+    return arrivals;
+  }
 
  private:
-  RouteDeployment& deployment;
+  RouteDeployment deployment{
+      {.routers = kRouters, .grace = Millis(500), .extra_ratio = kRatio, .extra_slack = kSlack}};
+  std::vector<std::unique_ptr<RouteTarget>> targets;
   std::vector<Time> sent;
 };
 
@@ -61,78 +95,36 @@
 // Guards against routers that forget at a restart what they have granted, or take over at once the
 // share of a router that has just left.
 TEST_CASE("routers that restart while targets fail keep the limit on retries", "[extra_attempts]") {
-  RouteDeployment deployment(
-      {.routers = kRouters, .grace = Millis(500), .extra_ratio = kRatio, .extra_slack = kSlack});
-  REQUIRE(deployment.Apply(
-      ConfigText(1, {RouteText("r", "/p/", "safe", WholeMillis(kTimeout), "s")}, {"s"})));
-  const auto no_work = [](const HttpRequest&) { return Duration(0); };
-  RouteTarget first(deployment.NewAddress(), no_work);
-  RouteTarget second(deployment.NewAddress(), no_work);
-  REQUIRE(deployment.Heartbeat(0, "i-1", HeartbeatText("s", first.address, "ready", 1)));
-  REQUIRE(deployment.Heartbeat(0, "i-2", HeartbeatText("s", second.address, "ready", 1)));
-  REQUIRE(deployment.AwaitRoute("/p/ready"));
-  FailingLoad load(deployment);
-
+  FailingFleet fleet;
   // The retries that the limit leaves open are used up.
-  for (size_t router = 0; router < kRouters; ++router) load.Send(router, 8);
-  const auto restart = [&](size_t router, bool kill) {
-    if (kill) {
-      deployment.KillRouter(router);
-    } else {
-      deployment.BeginStopRouter(router);
-      while (!deployment.RouterStopped(router)) std::this_thread::sleep_for(Millis(10));
-    }
-    return deployment.RestartRouter(router, "/p/ready");
-  };
-  SECTION("stopped in order") {
-    for (int k = 0; k < 5; ++k) {
-      REQUIRE(restart(k % kRouters, false));
-      load.Send(k % kRouters, 8);
-    }
-  }
-  SECTION("killed") {
-    for (int k = 0; k < 5; ++k) {
-      REQUIRE(restart(k % kRouters, true));
-      load.Send(k % kRouters, 8);
+  for (size_t router = 0; router < kRouters; ++router) fleet.Send(router, 8);
+  SECTION("stopped in order, or killed") {
+    const bool kill = GENERATE(false, true);
+    CAPTURE(kill);
+    for (size_t k = 0; k < 5; ++k) {
+      fleet.Restart(k % kRouters, kill);
+      fleet.Send(k % kRouters, 8);
     }
   }
   SECTION("one leaves for good") {
-    deployment.BeginStopRouter(0);
-    while (!deployment.RouterStopped(0)) std::this_thread::sleep_for(Millis(10));
+    fleet.Stop(0);
     for (int k = 0; k < 2; ++k) {
-      load.Send(1, 8);
-      load.Send(2, 8);
+      fleet.Send(1, 8);
+      fleet.Send(2, 8);
     }
   }
-  std::vector<Time> arrivals = first.ArrivalTimes();
-  for (const Time at : second.ArrivalTimes()) arrivals.push_back(at);
-  CheckLimit(arrivals, load.Sent());
+  CheckLimit(fleet.Arrivals(), fleet.Sent());
 }
 
 // Guards against a limit that forbids a restarted router what nobody has spent.
 TEST_CASE("a router that starts in a calm fleet can retry at once", "[extra_attempts]") {
-  RouteDeployment deployment(
-      {.routers = kRouters, .grace = Millis(500), .extra_ratio = kRatio, .extra_slack = kSlack});
-  REQUIRE(deployment.Apply(
-      ConfigText(1, {RouteText("r", "/p/", "safe", WholeMillis(kTimeout), "s")}, {"s"})));
-  const auto no_work = [](const HttpRequest&) { return Duration(0); };
-  RouteTarget first(deployment.NewAddress(), no_work);
-  RouteTarget second(deployment.NewAddress(), no_work);
-  REQUIRE(deployment.Heartbeat(0, "i-1", HeartbeatText("s", first.address, "ready", 1)));
-  REQUIRE(deployment.Heartbeat(0, "i-2", HeartbeatText("s", second.address, "ready", 1)));
-  REQUIRE(deployment.AwaitRoute("/p/ready"));
+  FailingFleet fleet;
   const bool kill = GENERATE(true, false);
-  if (kill) {
-    deployment.KillRouter(0);
-  } else {
-    deployment.BeginStopRouter(0);
-    while (!deployment.RouterStopped(0)) std::this_thread::sleep_for(Millis(10));
-  }
-  REQUIRE(deployment.RestartRouter(0, "/p/ready"));
-  const size_t before = first.Arrivals().size() + second.Arrivals().size();
-  FailingLoad load(deployment);
-  load.Send(0, 2);
-  CHECK(first.Arrivals().size() + second.Arrivals().size() == before + 4);
+  CAPTURE(kill);
+  fleet.Restart(0, kill);
+  const size_t before = fleet.Arrivals().size();
+  fleet.Send(0, 2);
+  CHECK(fleet.Arrivals().size() == before + 4);
 }
 
 }  // namespace
--- a/testing/sliding_window_limit_test.cc
+++ b/testing/sliding_window_limit_test.cc
@@ -41,9 +41,10 @@
   }
 }
 
-// Compares with the definition, using the time of every event.
-TEST_CASE("no interval has more grants than the limit", "[sliding_window_limit]") {
-  std::mt19937_64 random(1);
+// Compares random events with the definition, using the time of each. Every `restarts`-th event, on
+// average, the limit is replaced by a successor that inherits its debt; 0: never.
+void CheckRandomEvents(uint64_t seed, int64_t restarts) {
+  std::mt19937_64 random(seed);
   const auto below = [&](int64_t n) {
     return std::uniform_int_distribution<int64_t>(0, n)(random);
   };
@@ -56,35 +57,7 @@
       now += Duration(below(below(50) == 0 ? 5'000'000 : 20'000));
       while (!needed.empty() && needed.front() <= now - kLength) needed.pop_front();
       while (!granted.empty() && granted.front() <= now - kLength) granted.pop_front();
-      if (below(1) == 0) {
-        window.CountNeeded(now, 1);
-        needed.push_back(now);
-      } else if (window.Spend(now, kRatio, kSlack)) {
-        granted.push_back(now);
-        REQUIRE(static_cast<double>(granted.size()) <=
-                kRatio * static_cast<double>(needed.size()) + kSlack);
-      }
-    }
-  }
-}
-
-// Guards against a limit that a restart doubles. Compares with the definition, using the time of
-// every event of all predecessors.
-TEST_CASE("a successor that inherits the debt keeps the limit", "[sliding_window_limit]") {
-  std::mt19937_64 random(2);
-  const auto below = [&](int64_t n) {
-    return std::uniform_int_distribution<int64_t>(0, n)(random);
-  };
-  for (int round = 0; round < 20; ++round) {
-    SlidingWindowLimit window(kLength);
-    std::deque<Time> needed;
-    std::deque<Time> granted;
-    Time now = TimeAt(20'000 + below(5'000));
-    for (int event = 0; event < 2'000; ++event) {
-      now += Duration(below(below(50) == 0 ? 5'000'000 : 20'000));
-      while (!needed.empty() && needed.front() <= now - kLength) needed.pop_front();
-      while (!granted.empty() && granted.front() <= now - kLength) granted.pop_front();
-      if (below(100) == 0) {
+      if (restarts > 0 && below(restarts) == 0) {
         const double debt = window.Debt(now, kRatio);
         now += Duration(below(500'000));
         window = SlidingWindowLimit(kLength);
@@ -101,6 +74,15 @@
   }
 }
 
+TEST_CASE("no interval has more grants than the limit", "[sliding_window_limit]") {
+  CheckRandomEvents(1, 0);
+}
+
+// Guards against a limit that a restart doubles.
+TEST_CASE("a successor that inherits the debt keeps the limit", "[sliding_window_limit]") {
+  CheckRandomEvents(2, 100);
+}
+
 TEST_CASE("the debt of a sliding limit", "[sliding_window_limit]") {
   SlidingWindowLimit window(kLength);
   const Time now = TimeAt(20'000);
