--- a/testing/soak/route_soak_main.cc
+++ b/testing/soak/route_soak_main.cc
@@ -53,6 +53,7 @@
 DEFINE_uint32(callers, 32, "callers, each with one connection");
 DEFINE_uint32(routes, 40, "routes of the first configuration; more make larger texts");
 DEFINE_bool(kills, true, "kill and freeze processes too");
+DEFINE_bool(full_disks, true, "let disks of controllers be full for up to 3 s");
 DEFINE_bool(second_signals, true, "send some stopping processes a second SIGTERM");
 DEFINE_bool(keep_folder, false, "keep the logs of the processes");
 
@@ -529,9 +530,15 @@
     const int64_t kind = this->Below(FLAGS_kills ? 10 : 6);
     const Duration pause = Millis(this->Below(600));
     const Duration between = Millis(this->Below(500));
+    const bool fill = !router && FLAGS_full_disks && this->Below(3) == 0;
     process.busy = true;
-    this->disturbances.emplace_back([this, &process, kind, pause, between] {
-      if (kind == 5) {
+    this->disturbances.emplace_back([this, &process, kind, pause, between, fill] {
+      if (fill) {
+        this->record.Count("full disks");
+        process.SetDiskFull(true);
+        std::this_thread::sleep_for(5 * pause);
+        process.SetDiskFull(false);
+      } else if (kind == 5) {
         this->record.Count("reloads");
         process.Signal(SIGHUP);
       } else if (kind < 5) {
--- a/testing/soak/soak_process.cc
+++ b/testing/soak/soak_process.cc
@@ -3,6 +3,7 @@
 
 #include <fcntl.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -72,6 +73,15 @@
   this->AwaitEnd(Seconds(10));
 }
 
+void SoakProcess::SetDiskFull(bool full) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->Reap();
+  if (this->pid <= 0) return;
+  this->last_disturbance = SteadyNow();
+  const rlimit limit{.rlim_cur = full ? 0 : RLIM_INFINITY, .rlim_max = RLIM_INFINITY};
+  prlimit(this->pid, RLIMIT_FSIZE, &limit, nullptr);
+}
+
 bool SoakProcess::Running() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->Reap();
--- a/testing/soak/soak_process.h
+++ b/testing/soak/soak_process.h
@@ -31,6 +31,8 @@
   // Returns false if the process still runs after `limit`.
   bool AwaitEnd(Duration limit);
   void Kill();
+  // Makes all writes of the process to files fail, as on a full disk, or no longer.
+  void SetDiskFull(bool full);
   bool Running();
   // Returns the last disturbance: a start, a signal or an end.
   Time LastDisturbance();
