Do not give routers of large fleets more slack than before

Change: all routers divide the slack again, with one sub-request each at least, as far as the routers that callers are told about do not exceed the slack together.

Tests: [extra_attempts] passes.

--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -46,6 +46,8 @@
 // avoids one replica of each shard.
 constexpr size_t kScarceConnectionsThreshold = 2;
 constexpr std::string_view kRouteReplicaChoice = "least";
+// A router of a large fleet may send this many extra sub-requests that the ratio does not cover.
+constexpr double kLeastSlack = 1;
 // Debts of extra sub-requests below this share of the router's slack, or below one, are not
 // reported.
 constexpr double kLeastDebtShare = 0.25;
@@ -74,7 +76,8 @@
              .data_centre = settings.data_centre,
              .router = settings.id})),
         random(RandomSeed()),
-        routers_in_use(settings.extra_requests.window + settings.shutdown_grace),
+        offered_routers(settings.extra_requests.window + settings.shutdown_grace),
+        active_routers(settings.extra_requests.window + settings.shutdown_grace),
         debt_timer(io),
         context{io,           codec,
                 this->pool,   *this->replica_choice,
@@ -97,7 +100,7 @@
 
   void Handle(HttpRequest http, const HttpResponder& responder) {
     const Time now = SteadyNow();
-    if (this->shares_due && now >= *this->shares_due) this->UpdateShares(now);
+    if (now >= this->shares_due) this->UpdateShares(now);
     Result<CallerRequestInfo> request_info = this->context.codec.ParseCallerRequest(http);
     if (!request_info) return this->Refuse(now, http, "", request_info.error(), responder);
     if (this->config->Revision() == 0) {
@@ -301,14 +304,26 @@
     this->budget.Inherit(now, std::exchange(this->debts_to_inherit, {}));
   }
 
-  // Computes this router's share of the connections to targets, and of the slack of the limit on
-  // extra sub-requests. The routers that callers are told about divide both among them. A router
-  // that leaves still serves callers for its grace period, and what it has spent counts for a
-  // window longer, so the others take over its share of the slack only then.
+  // All routers divide the slack, and each gets one sub-request at least as far as those that
+  // callers are told about do not exceed it together. A router that leaves still serves callers for
+  // its grace period, and what it has spent counts for a window longer, so the others take over its
+  // share only then.
+  void UpdateSlack(Time now, size_t offered) {
+    this->offered_routers.Set(now, offered);
+    this->active_routers.Set(now, std::max<size_t>(this->control.ActiveRouters(), 1));
+    this->shares_due = std::min(this->offered_routers.NextDecrease(now).value_or(Time::max()),
+                                this->active_routers.NextDecrease(now).value_or(Time::max()));
+    const double slack = this->settings.extra_requests.slack * kExtraShare;
+    const double equal_share = slack / static_cast<double>(this->active_routers.Get(now));
+    const double highest_share = slack / static_cast<double>(this->offered_routers.Get(now));
+    this->slack = std::min(std::max(equal_share, kLeastSlack), highest_share);
+  }
+
+  // Computes this router's share of the connections to targets, which the routers that callers are
+  // told about divide among them, and of the slack of the limit on extra sub-requests.
   void UpdateShares(Time now) {
     const size_t offered = std::max<size_t>(this->control.OfferedRouterCount(), 1);
-    this->routers_in_use.Set(now, offered);
-    this->shares_due = this->routers_in_use.NextDecrease(now);
+    this->UpdateSlack(now, offered);
     std::map<std::string, double, std::less<>> shares;
     size_t fewest_connections = std::numeric_limits<size_t>::max();
     const auto add_service = [&](const std::string& service) {
@@ -327,8 +342,6 @@
       for (const std::string& shard : route.shards) add_service(shard);
     }
     this->replica_choice->AvoidOneReplica(fewest_connections < kScarceConnectionsThreshold);
-    this->slack = this->settings.extra_requests.slack * kExtraShare /
-                  static_cast<double>(this->routers_in_use.Get(now));
     this->budget.SetOptions({.burst = this->slack,
                              .max_debt = 0,
                              .retry_in_overload = true,
@@ -366,12 +379,13 @@
   SplitCounter split;
   std::map<std::string, CallerWaitEstimator> caller_wait_estimators;  // by route name
   std::mt19937_64 random;
-  RecentMaximum routers_in_use;    // number of routers that callers are told about
-  std::optional<Time> shares_due;  // when `routers_in_use` decreases
-  double slack = 0;                // this router's share, in sub-requests
-  ExtraDebts reported_debts;       // in the last sync request
-  ExtraDebts debts_to_inherit;     // wait for the first configuration
-  Time next_debt_report;           // not before this time, unless with a request for other reasons
+  RecentMaximum offered_routers;  // number of routers that callers are told about
+  RecentMaximum active_routers;   // number of routers that are not draining
+  Time shares_due = Time::max();  // when one of the two decreases
+  double slack = 0;               // this router's share, in sub-requests
+  ExtraDebts reported_debts;      // in the last sync request
+  ExtraDebts debts_to_inherit;    // wait for the first configuration
+  Time next_debt_report;          // not before this time, unless with a request for other reasons
   asio::steady_timer debt_timer;
   bool debt_check_pending = false;  // `debt_timer` runs
   RouteContext context;
