Report only large debts of extra attempts at once

Cause: each single hedge made a debt of one, which a router with a slack of one reported at once, with a sync request and two replies. Evidence: of the prices only bytes between data centres differ.

Change: a debt is reported at once only if it has grown by half of the slack or by three since the last report.

--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -52,8 +52,12 @@
 // reported.
 constexpr double kLeastDebtShare = 0.25;
 constexpr double kLeastDebt = 1;
-// A grown debt is reported at once, but not more often than once in this many push intervals of the
-// leader, so that the reports of all routers together stay a small part of its work.
+// A debt that has grown by this share of the slack, or by this number, since the last report is
+// reported at once. In a calm fleet single hedges make small debts all the time.
+constexpr double kUrgentDebtShare = 0.5;
+constexpr double kUrgentDebt = 3;
+// Such reports are sent at most once in this many push intervals of the leader, so that those of
+// all routers together stay a small part of its work.
 constexpr int kDebtReportPushIntervals = 4;
 
 }  // namespace
@@ -286,10 +290,10 @@
   }
 
   bool HasGrownDebt(Time now) const {
-    const double least = this->LeastDebt();
-    for (const auto& [service, debt] : this->budget.Debts(now, least)) {
+    const double urgent = std::max(kUrgentDebt, kUrgentDebtShare * this->slack);
+    for (const auto& [service, debt] : this->budget.Debts(now, urgent)) {
       const auto known = this->reported_debts.find(service);
-      if (debt >= (known == this->reported_debts.end() ? 0 : known->second) + least) return true;
+      if (debt >= (known == this->reported_debts.end() ? 0 : known->second) + urgent) return true;
     }
     return false;
   }
