--- a/core/quarantine.cc
+++ b/core/quarantine.cc
@@ -4,6 +4,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
+#include <cinttypes>
+#include <cstdio>
 #include <utility>
 
 namespace peridotgauge {
@@ -16,6 +19,23 @@
   return XXH3_64bits_withSeed(body.data(), body.size(), seed);
 }
 
+uint64_t RouteFingerprint(std::string_view host, const HttpRequest& request) {
+  // Each hash seeds the next one, so that moving bytes between two parts changes the result.
+  uint64_t hash = 0;
+  for (const std::string_view part :
+       {host, std::string_view(request.method), std::string_view(request.path),
+        std::string_view(request.query), std::string_view(request.body)}) {
+    hash = XXH3_64bits_withSeed(part.data(), part.size(), hash);
+  }
+  return hash;
+}
+
+std::string FingerprintText(uint64_t fingerprint) {
+  std::array<char, 17> text{};
+  std::snprintf(text.data(), text.size(), "%016" PRIx64, fingerprint);
+  return text.data();
+}
+
 void RecentSet::Insert(Time now, uint64_t value) {
   this->Rotate(now);
   if (this->current.size() >= this->generation_capacity) {
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -21,6 +21,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "core/http_message.h"
 #include "core/records.h"
 #include "core/types.h"
 
@@ -30,6 +31,12 @@
 
 // Returns the XXH3 hash of the three arguments.
 uint64_t Fingerprint(std::string_view service, RequestKind kind, std::string_view body);
+// Returns the fingerprint of a request on a route. It depends on what the caller asks for (host,
+// method, path, query and body) and on no header, as the request id and the deadline differ each
+// time. It does not depend on the service, to which a route may send it by weight.
+uint64_t RouteFingerprint(std::string_view host, const HttpRequest& request);
+// Returns the fingerprint as 16 hexadecimal digits, for logs.
+std::string FingerprintText(uint64_t fingerprint);
 
 constexpr Duration kQuarantineDuration = Seconds(600);
 // A fingerprint that succeeded within this time needs no canaries. It is kept for at least half of
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -12,6 +12,7 @@
 #include "core/caller_wait.h"
 #include "core/drain_policy.h"
 #include "core/plan.h"
+#include "core/quarantine.h"
 #include "core/recent_maximum.h"
 #include "core/replica_choice.h"
 #include "core/route_plan.h"
@@ -137,6 +138,7 @@
       deadline = *accepted;
     }
     const uint64_t revision = this->config->Revision();
+    const uint64_t fingerprint = RouteFingerprint(request_info->host, http);
     RouteRequestParams params{
         .http = std::move(http),
         .request_info = std::move(*request_info),
@@ -145,6 +147,7 @@
                     ? this->plans.ForShards(revision, *route)
                     : this->plans.ForService(revision, *route, this->split.Next(*route)),
         .directory_version = this->control.Directory().Version(),
+        .fingerprint = fingerprint,
         .arrived = now,
         .caller_wait = caller_wait,
         .deadline = deadline};
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/gather.h"
+#include "core/quarantine.h"
 #include "core/search.h"
 #include "io/clock.h"
 
@@ -185,7 +186,7 @@
       this->budget.AddLatency(now, now - attempt.sent);
     } else {
       reply.error = Error{ErrorCodeOf(read.kind), "status " + std::to_string(response.status)};
-      this->LogFailure(now, attempt, reply.error->ToString());
+      this->LogFailure(now, attempt, reply.error->ToString(), /*crashed=*/false);
     }
     if (!refused && read.kind != TargetReplyKind::kUnrelated) {
       attempt.server_stamp = std::move(read.server_stamp);
@@ -203,17 +204,26 @@
     this->context.budget.OnReply(now, *attempt.service, {});
     reply.error = failure.error;
     reply.crashed = failure.crashed;
-    this->LogFailure(now, attempt, failure.error.ToString());
+    if (failure.crashed) {
+      this->context.metrics
+          .CounterOf("peridotgauge_lost_attempts_total", {{"service", *attempt.service}})
+          .Add();
+    }
+    this->LogFailure(now, attempt, failure.error.ToString(), failure.crashed);
   }
 
-  void LogFailure(Time now, const Attempt& attempt, const std::string& error) {
+  // `crashed`: the target closed the connection without a complete response.
+  void LogFailure(Time now, const Attempt& attempt, const std::string& error, bool crashed) {
     this->context.log.Write(now, UnixMillis(),
                             Event("attempt_failed")
                                 .Add("request", this->params.request_info.request_id)
                                 .Add("target", attempt.target->target)
                                 .Add("service", *attempt.service)
                                 .Add("address", attempt.target->address)
+                                .Add("incarnation", attempt.target->incarnation)
+                                .Add("fingerprint", FingerprintText(this->params.fingerprint))
                                 .Add("elapsed_ms", now - attempt.sent)
+                                .Add("crashed", crashed)
                                 .Add("error", error));
   }
 
--- a/io/route_request.h
+++ b/io/route_request.h
@@ -85,6 +85,7 @@
   std::shared_ptr<const Route> route;  // kept alive with its configuration
   std::shared_ptr<const Plan> plan;
   uint64_t directory_version = 0;  // for the log
+  uint64_t fingerprint = 0;        // RouteFingerprint() of `http`
   Time arrived;
   Duration caller_wait{0};  // how long the caller had waited before the arrival, see caller_wait.h
   Time deadline;
