--- /dev/null
+++ b/testing/crashing_fleet.cc
@@ -0,0 +1,200 @@
+// Implements the deployment with targets that crash.
+#include "crashing_fleet.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+#include <utility>
+
+#include "io/clock.h"
+
+namespace peridotgauge {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kHeartbeat = Millis(600);
+constexpr Duration kTimeout = Millis(1'000);
+constexpr Duration kCrashTime = Millis(20);  // from the arrival of a request to the crash
+constexpr Duration kWorkTime = Millis(5);
+
+}  // namespace
+
+CrashingFleet::CrashingFleet(CrashingFleetOptions options)
+    : options(options),
+      deployment({.controllers = options.controllers,
+                  .routers = options.routers,
+                  .grace = Seconds(1),
+                  .heartbeat = kHeartbeat,
+                  .extra_ratio = 1,
+                  .extra_slack = 100}) {
+  REQUIRE(this->deployment.Apply(
+      ConfigText(1,
+                 {RouteText("s", "/s/", "safe", WholeMillis(kTimeout), "s"),
+                  RouteText("u", "/u/", "unsafe", WholeMillis(kTimeout), "u")},
+                 {"s", "u"})));
+  int number = 0;
+  for (const char* service : {"s", "u"}) {
+    for (size_t i = 0; i < options.targets; ++i) {
+      this->targets.push_back(
+          std::make_unique<Target>(Target{.service = service,
+                                          .address = this->deployment.NewAddress(),
+                                          .number = number++,
+                                          .server = nullptr}));
+    }
+  }
+  this->loop.Run([this] {
+    for (const auto& target : this->targets) this->Listen(*target);
+  });
+  this->heartbeats = std::thread([this] {
+    while (!this->stopping) {
+      this->SendHeartbeats();
+      std::this_thread::sleep_for(kHeartbeat / 3);
+    }
+  });
+  REQUIRE(this->deployment.AwaitRoute("/s/ready"));
+  REQUIRE(this->deployment.AwaitRoute("/u/ready"));
+}
+
+CrashingFleet::~CrashingFleet() {
+  this->stopping = true;
+  this->heartbeats.join();
+  this->loop.Run([this] { this->targets.clear(); });
+}
+
+void CrashingFleet::Listen(Target& target) {
+  auto listening = HttpServer::Listen(
+      this->loop.io, target.address,
+      [this, &target](const HttpRequest& request, const HttpResponder& responder) {
+        this->Handle(target, request, responder);
+      });
+  if (!listening) return;
+  target.server = std::move(*listening);
+  ++target.start;
+  target.sequence = 0;
+  target.running = true;
+}
+
+void CrashingFleet::Crash(Target& target) {
+  if (!std::exchange(target.running, false)) return;
+  target.server->Close();
+  // The server is destroyed later, as this may run inside one of its callbacks.
+  asio::post(this->loop.io, [server = std::shared_ptr<HttpServer>(std::move(target.server))] {});
+  auto timer = std::make_shared<asio::steady_timer>(this->loop.io, kRestartDelay);
+  timer->async_wait([this, timer, &target](boost::system::error_code error) {
+    if (!error && !this->stopping) this->Listen(target);
+  });
+}
+
+void CrashingFleet::Handle(Target& target, const HttpRequest& request,
+                           const HttpResponder& responder) {
+  const std::string id(request.Header("Peridotgauge-Request-Id"));
+  const bool crash = request.path.find("crash") != std::string::npos;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->arrivals.push_back({request.path, SteadyNow(), crash});
+  }
+  auto timer = std::make_shared<asio::steady_timer>(this->loop.io, crash ? kCrashTime : kWorkTime);
+  timer->async_wait([this, timer, &target, crash, responder, id](boost::system::error_code error) {
+    if (error || this->stopping) return;
+    if (crash) return this->Crash(target);
+    responder.Send(
+        {.status = 200,
+         .headers = {{"Peridotgauge-Request-Id", id}, {"Peridotgauge-Server-Stamp", "stamp-" + id}},
+         .body = "ok"});
+  });
+}
+
+void CrashingFleet::SendHeartbeats() {
+  std::vector<std::pair<std::string, std::string>> messages;
+  this->loop.Run([&] {
+    for (const auto& target : this->targets) {
+      if (!target->running) continue;
+      messages.emplace_back(
+          "i-" + std::to_string(target->number) + "-" + std::to_string(target->start),
+          HeartbeatText(target->service, target->address, "ready", ++target->sequence,
+                        1'000 * target->start));
+    }
+  });
+  for (const auto& [id, text] : messages) {
+    for (size_t i = 0; i < this->options.controllers; ++i) {
+      const auto answer =
+          Call(this->deployment.ControllerAddress(i),
+               {.method = "PUT", .path = "/instances/" + id, .body = text}, Millis(500));
+      if (answer && answer->status == 200) break;
+    }
+  }
+}
+
+void CrashingFleet::Resend(const std::string& method, const std::string& path, Duration length,
+                           const std::function<void(int)>& disturb) {
+  const Time end = SteadyNow() + length;
+  for (int sent = 0; SteadyNow() < end; ++sent) {
+    const size_t router = this->random() % this->options.routers;
+    const auto answer = Call(
+        this->deployment.RouterAddress(router),
+        CallerRequest("resend-" + std::to_string(++this->next_request), method, path, kTimeout),
+        2 * kTimeout);
+    if (answer) this->statuses.push_back(answer->status);
+    if (disturb) disturb(sent);
+    std::this_thread::sleep_for(Millis(static_cast<int64_t>(200 + this->random() % 300)));
+  }
+}
+
+int CrashingFleet::Send(size_t router, const std::string& method, const std::string& path) {
+  const auto answer = Call(
+      this->deployment.RouterAddress(router),
+      CallerRequest("harmless-" + std::to_string(++this->next_request), method, path, kTimeout),
+      2 * kTimeout);
+  return answer ? answer->status : 0;
+}
+
+std::vector<CrashingFleet::Arrival> CrashingFleet::ArrivalsOf(const std::string& path) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::vector<Arrival> found;
+  std::copy_if(this->arrivals.begin(), this->arrivals.end(), std::back_inserter(found),
+               [&](const Arrival& arrival) { return arrival.path == path; });
+  return found;
+}
+
+size_t CrashingFleet::Crashes(const std::string& path) {
+  const auto found = this->ArrivalsOf(path);
+  return static_cast<size_t>(
+      std::count_if(found.begin(), found.end(), [](const Arrival& a) { return a.crash; }));
+}
+
+size_t CrashingFleet::LateSends(const std::string& path) {
+  const auto found = this->ArrivalsOf(path);
+  if (found.size() < 3) return 0;
+  const Time from = found[2].at + kCrashTime + kContactTime;
+  return static_cast<size_t>(
+      std::count_if(found.begin(), found.end(), [&](const Arrival& a) { return a.at > from; }));
+}
+
+void CrashingFleet::CrashTargets(const std::string& service, size_t count) {
+  this->loop.Run([&] {
+    for (const auto& target : this->targets) {
+      if (count == 0) return;
+      if (target->service != service || !target->running) continue;
+      this->Crash(*target);
+      --count;
+    }
+  });
+}
+
+void CrashingFleet::ResetConnections() {
+  this->loop.Run([this] {
+    for (const auto& target : this->targets) {
+      if (!target->running) continue;
+      target->server->Close();
+      asio::post(this->loop.io,
+                 [server = std::shared_ptr<HttpServer>(std::move(target->server))] {});
+      target->running = false;
+      this->Listen(*target);
+      --target->start;
+    }
+  });
+}
+
+}  // namespace peridotgauge
--- /dev/null
+++ b/testing/crashing_fleet.h
@@ -0,0 +1,106 @@
+// A RouteDeployment whose targets crash on certain requests, and callers of harmless and of
+// crashing requests. For tests of what a request that crashes its targets costs.
+//
+// Use:
+//   CrashingFleet fleet({.routers = 3});
+//   fleet.Resend("GET", "/s/crash", Seconds(6));   // again and again, at any router
+//   CHECK(fleet.LateSends("/s/crash") <= 3);
+//
+// Contract: a target crashes when a request arrives whose path contains "crash": all its
+// connections are closed, nothing is deregistered, and after kRestartDelay the next incarnation
+// registers at the same address under another id. All functions are called on the thread of the
+// test.
+#ifndef PERIDOTGAUGE_TESTING_CRASHING_FLEET_H_
+#define PERIDOTGAUGE_TESTING_CRASHING_FLEET_H_
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "route_deployment.h"
+
+namespace peridotgauge {
+
+// Time from the crash of a target to the registration of its next incarnation.
+constexpr Duration kRestartDelay = Millis(1'500);
+// The sends to targets that are allowed later than kContactTime after the third crash.
+constexpr size_t kAllowedLateSends = 3;
+constexpr Duration kContactTime = Seconds(4);
+
+struct CrashingFleetOptions {
+  size_t controllers = 1;
+  size_t routers = 3;
+  size_t targets = 5;  // of each of the services "s" (idempotent) and "u" (not idempotent)
+};
+
+class CrashingFleet {
+ public:
+  explicit CrashingFleet(CrashingFleetOptions options);
+  ~CrashingFleet();
+
+  // Sends the request every 200 to 500 ms to some router, for `length`. Calls `disturb` between two
+  // sends, with the number of sends so far.
+  void Resend(const std::string& method, const std::string& path, Duration length,
+              const std::function<void(int)>& disturb = {});
+  // Sends a harmless request and returns the status, or 0 if there is no answer.
+  int Send(size_t router, const std::string& method, const std::string& path);
+  // Returns the number of targets that have crashed on the path.
+  size_t Crashes(const std::string& path);
+  // Returns how many sends of the path have reached targets later than kContactTime after the third
+  // crash.
+  size_t LateSends(const std::string& path);
+
+  // Ends targets of the service as a loss of power of their rack does, and starts them again after
+  // kRestartDelay.
+  void CrashTargets(const std::string& service, size_t count);
+  // Resets the connections of all targets that have a request in flight, which go on running.
+  void ResetConnections();
+
+  // Returns the answers to the resends that were refused with a status of the system itself.
+  const std::vector<int>& Statuses() const { return this->statuses; }
+  RouteDeployment& Deployment() { return this->deployment; }
+
+ private:
+  struct Target {
+    std::string service;
+    Address address;
+    int number = 0;
+    uint64_t start = 0;  // number of starts so far
+    uint64_t sequence = 0;
+    bool running = false;
+    std::unique_ptr<HttpServer> server;
+  };
+  struct Arrival {
+    std::string path;
+    Time at;
+    bool crash = false;
+  };
+
+  void Listen(Target& target);
+  void Crash(Target& target);
+  void Handle(Target& target, const HttpRequest& request, const HttpResponder& responder);
+  // Sends the heartbeats of all running targets once.
+  void SendHeartbeats();
+  std::vector<Arrival> ArrivalsOf(const std::string& path);
+
+  CrashingFleetOptions options;
+  RouteDeployment deployment;
+  std::mutex mutex;
+  std::vector<Arrival> arrivals;                 // guarded by `mutex`
+  std::vector<std::unique_ptr<Target>> targets;  // used on `loop`
+  std::vector<int> statuses;
+  std::mt19937_64 random{1};
+  int next_request = 0;
+  std::atomic<bool> stopping{false};
+  std::thread heartbeats;
+  LoopThread loop;
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_TESTING_CRASHING_FLEET_H_
