--- a/bench/route_cost_main.cc
+++ b/bench/route_cost_main.cc
@@ -164,7 +164,10 @@
   Metrics metrics;
   EventLog log(-1);
   std::mt19937_64 random(1);
-  RouteContext context{io, codec, pool, *replicas, budget, hedge_budgets, metrics, log, random};
+  ControlClient control(io, {.self = {}, .controllers = {{"c", "127.0.0.1:1"}}});
+  CrashGuard crash_guard({io, control, metrics, log});
+  RouteContext context{io,      codec, pool,   *replicas,  budget, hedge_budgets,
+                       metrics, log,   random, crash_guard};
   Route route{.name = "query",
               .host = "h",
               .prefix = "/p/",
--- a/core/error.cc
+++ b/core/error.cc
@@ -38,6 +38,7 @@
     {ErrorCode::kStorageFailed, "storage_failed", 500, false, 4, "writing to the disk failed"},
     {ErrorCode::kCorrupt, "corrupt", 500, false, 1, "stored data failed its checksum"},
     {ErrorCode::kInternal, "internal", 500, false, 1, "internal error"},
+    {ErrorCode::kSuspect, "suspect", 503, true, 5, "the request has crashed targets; not sent"},
 }};
 
 }  // namespace
--- a/core/error.h
+++ b/core/error.h
@@ -45,9 +45,10 @@
   kStorageFailed,     // a write or sync to the data folder failed
   kCorrupt,           // stored data failed its checksum
   kInternal,          // a bug
+  kSuspect,           // the request has crashed targets and was not sent; a trial of it may follow
 };
 
-constexpr int kErrorCodeCount = static_cast<int>(ErrorCode::kInternal) + 1;
+constexpr int kErrorCodeCount = static_cast<int>(ErrorCode::kSuspect) + 1;
 
 // Properties of an error code.
 struct ErrorInfo {
--- a/core/quarantine.cc
+++ b/core/quarantine.cc
@@ -4,9 +4,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <array>
-#include <cinttypes>
-#include <cstdio>
 #include <utility>
 
 namespace peridotgauge {
@@ -31,9 +28,10 @@
 }
 
 std::string FingerprintText(uint64_t fingerprint) {
-  std::array<char, 17> text{};
-  std::snprintf(text.data(), text.size(), "%016" PRIx64, fingerprint);
-  return text.data();
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  for (int shift = 60; shift >= 0; shift -= 4) text.push_back(kDigits[(fingerprint >> shift) & 15]);
+  return text;
 }
 
 void RecentSet::Insert(Time now, uint64_t value) {
@@ -65,8 +63,10 @@
 void Quarantine::SetCommitted(const std::vector<QuarantineRecord>& records) {
   this->committed.clear();
   for (const QuarantineRecord& record : records) {
-    int64_t& until = this->committed[record.fingerprint];
-    until = std::max(until, record.until_ms);
+    if (!record.suspect) {
+      int64_t& until = this->committed[record.fingerprint];
+      until = std::max(until, record.until_ms);
+    }
     this->suspects.erase(record.fingerprint);
     this->successes.Erase(record.fingerprint);
   }
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -80,7 +80,8 @@
 
 class Quarantine {
  public:
-  // Replaces the list of committed quarantines.
+  // Replaces the list of committed quarantines. Requests that are only suspect are not blocked
+  // here.
   void SetCommitted(const std::vector<QuarantineRecord>& records);
 
   // Returns the status of a fingerprint. `now_ms` is Unix time, which committed records use.
--- a/core/records.cc
+++ b/core/records.cc
@@ -43,6 +43,8 @@
   auto out = std::make_unique<wire::QuarantineRecordT>();
   out->fingerprint = record.fingerprint;
   out->until_ms = record.until_ms;
+  out->suspect = record.suspect;
+  out->services = record.services;
   return out;
 }
 
@@ -74,7 +76,10 @@
 }
 
 QuarantineRecord FromWire(const wire::QuarantineRecordT& record) {
-  return {.fingerprint = record.fingerprint, .until_ms = record.until_ms};
+  return {.fingerprint = record.fingerprint,
+          .until_ms = record.until_ms,
+          .suspect = record.suspect,
+          .services = record.services};
 }
 
 std::vector<std::unique_ptr<wire::ExtraDebtT>> ToWire(const ExtraDebts& debts) {
--- a/core/records.h
+++ b/core/records.h
@@ -67,10 +67,13 @@
 // Routers by id.
 using RouterMap = std::map<std::string, RouterRecord>;
 
-// The fingerprint of a request that is blocked because it crashed targets.
+// The fingerprint of a request that has crashed targets.
 struct QuarantineRecord {
   uint64_t fingerprint = 0;
-  int64_t until_ms = 0;  // end of the block, Unix time
+  int64_t until_ms = 0;  // when the record ends, Unix time
+  bool suspect = false;  // may be sent in a trial, see crash_table.h; otherwise it is blocked
+  // The services whose targets it has crashed; empty if unknown.
+  std::vector<std::string> services;
   auto operator<=>(const QuarantineRecord&) const = default;
 };
 
--- a/core/search.cc
+++ b/core/search.cc
@@ -35,8 +35,14 @@
   const Duration caller_wait =
       this->params.caller_wait < soft ? this->params.caller_wait : Duration(0);
   this->soft_deadline = now + std::max(soft - caller_wait, soft / 2);
+  const auto& excluded = this->params.excluded_services;
   for (uint32_t i = 0; i < this->shards.size(); ++i) {
-    if (this->plan->shards[i].candidates.empty()) this->MarkMissing(i, ErrorCode::kNoTarget);
+    if (std::find(excluded.begin(), excluded.end(), this->plan->ServiceOf(i).name) !=
+        excluded.end()) {
+      this->MarkMissing(i, ErrorCode::kSuspect);
+    } else if (this->plan->shards[i].candidates.empty()) {
+      this->MarkMissing(i, ErrorCode::kNoTarget);
+    }
   }
   if (this->canaries_done && !this->CannotReachMinimum() && now < this->AnswerTime()) {
     this->SendRemaining(now, effects);
--- a/core/search.h
+++ b/core/search.h
@@ -79,6 +79,8 @@
   bool idempotent = true;  // false: no second attempt unless the first one provably did not run
   bool suspect_on_crash = true;  // false: a crash does not stop hedges and retries
   double straggler_share = 0;    // of the shards; 0: none is hedged before the budget's hedge delay
+  // Services whose shards are not sent to; they are missing with kSuspect.
+  std::vector<std::string> excluded_services;
   // Retries after a refusal are charged to the budget like other retries, wait while it is empty,
   // and may go to a target that has refused the request before.
   bool charge_refusals = false;
--- a/io/control_client.cc
+++ b/io/control_client.cc
@@ -161,6 +161,7 @@
   std::function<RouterReport(Time now)> report;
   ExtraDebts inherited_debts;
   std::vector<QuarantineRecord> quarantine;
+  uint64_t quarantine_index = 0;  // of a compact client
   DirectoryCopy directory;
   uint64_t view_index = 0;
 
@@ -213,6 +214,7 @@
     sync.relay = this->relay;
     sync.router_deltas = true;
     sync.compact = this->compact;
+    sync.quarantine_index = this->quarantine_index;
     if (this->report) {
       const RouterReport report = this->report(request.sent);
       sync.load = static_cast<float>(report.load.sub_requests_per_s);
@@ -339,6 +341,10 @@
       if (!this->ApplyState(reply, change)) return false;
     }
     this->ApplyRouterCounts(reply, change);
+    if (this->compact && reply.quarantine_index > this->quarantine_index) {
+      this->quarantine_index = reply.quarantine_index;
+      this->ApplyQuarantine(reply, change);
+    }
     this->ApplyDirectory(reply, change);
     // A reply to another request may be older than what this process has spent itself.
     if (!std::exchange(this->synced_once, true)) {
@@ -450,22 +456,26 @@
     }
     RouterMap new_routers = this->routers;
     if (!ApplyDelta(delta, new_routers)) return false;
-    std::vector<QuarantineRecord> new_quarantine;
-    for (const auto& record : reply.quarantine) {
-      if (record) new_quarantine.push_back(FromWire(*record));
-    }
     change.routers = new_routers != this->routers || this->view_index != reply.view_index;
     this->active_routers =
         static_cast<size_t>(std::count_if(new_routers.begin(), new_routers.end(),
                                           [](const auto& item) { return !item.second.draining; }));
     this->offered_routers = this->active_routers;
-    change.quarantine = new_quarantine != this->quarantine;
     this->routers = std::move(new_routers);
-    this->quarantine = std::move(new_quarantine);
+    this->ApplyQuarantine(reply, change);
     this->view_index = reply.view_index;
     return true;
   }
 
+  void ApplyQuarantine(const wire::SyncReplyT& reply, ControlChange& change) {
+    std::vector<QuarantineRecord> records;
+    for (const auto& record : reply.quarantine) {
+      if (record) records.push_back(FromWire(*record));
+    }
+    change.quarantine = records != this->quarantine;
+    this->quarantine = std::move(records);
+  }
+
   // The counts come with every reply to a compact request, also without a change of the state.
   void ApplyRouterCounts(const wire::SyncReplyT& reply, ControlChange& change) {
     if (reply.active_routers == 0) return;
--- a/io/control_replies.cc
+++ b/io/control_replies.cc
@@ -63,9 +63,7 @@
   reply.routers_delta = !delta.full;
   reply.routers_gone = std::move(delta.gone);
   reply.routers_digest = delta.digest;
-  for (const auto& [fingerprint, until_ms] : state.Quarantined()) {
-    reply.quarantine.push_back(ToWire(QuarantineRecord{fingerprint, until_ms}));
-  }
+  AddQuarantine(state, reply);
   return reply;
 }
 
@@ -77,9 +75,16 @@
   reply.config_revision = config_revision;
   reply.active_routers = static_cast<uint32_t>(state.ActiveRouters());
   reply.offered_routers = static_cast<uint32_t>(state.OfferedRouterCount());
+  reply.quarantine_index = state.QuarantineIndex();
   return reply;
 }
 
+void AddQuarantine(const ControlState& state, wire::SyncReplyT& reply) {
+  for (const QuarantineRecord& record : state.QuarantineList()) {
+    reply.quarantine.push_back(ToWire(record));
+  }
+}
+
 void AddConfigPackage(const ConfigPackage& package, wire::SyncReplyT& reply) {
   reply.config_package.assign(package.packed.begin(), package.packed.end());
   reply.config_base = package.base_revision;
--- a/io/control_replies.h
+++ b/io/control_replies.h
@@ -39,6 +39,8 @@
 // configuration. `state_index` is the index up to which the sender is up to date with that reply.
 wire::SyncReplyT MakeCompactSyncReply(const ControlState& state, uint64_t state_index,
                                       uint64_t config_revision);
+// Fills the list of requests that crash targets.
+void AddQuarantine(const ControlState& state, wire::SyncReplyT& reply);
 // Fills the configuration fields of the reply to a compact request.
 void AddConfigPackage(const ConfigPackage& package, wire::SyncReplyT& reply);
 // Fills the directory fields of the reply.
--- a/io/controller.cc
+++ b/io/controller.cc
@@ -114,6 +114,7 @@
     this->sessions.Reset(now);
     this->sessions.Tick(now, this->state.Routers());
     this->last_directory_push.clear();
+    this->last_quarantine_push.clear();
     this->ack_tracker.Reset();
     this->departures_since.clear();
     this->config_pacer.Reset();
@@ -134,6 +135,7 @@
     bool compact = false;
     uint64_t config_revision = 0;
     uint64_t config_digest = 0;
+    uint64_t quarantine_index = 0;
     uint64_t directory_epoch = 0;
     uint64_t directory_version = 0;
     std::vector<TargetRecord> registrations;
@@ -188,6 +190,7 @@
               .compact = request.compact,
               .config_revision = request.config_revision,
               .config_digest = request.config_digest,
+              .quarantine_index = request.quarantine_index,
               .directory_epoch = request.directory_epoch,
               .directory_version = request.directory_version,
               .full_registrations = request.full_registrations,
@@ -327,6 +330,15 @@
     return poll.state_index == 0 || poll.state_index < this->config_feed.ConfigIndex();
   }
 
+  // Returns true if a compact poll lacks a change of the list of requests that crash targets, and
+  // the last one was sent long enough ago. Other polls get the list with the replicated state.
+  bool HasQuarantineUpdate(Time now, const Poll& poll) const {
+    if (!poll.compact || poll.quarantine_index >= this->state.QuarantineIndex()) return false;
+    const auto last_push = this->last_quarantine_push.find(poll.router.id);
+    return last_push == this->last_quarantine_push.end() ||
+           now - last_push->second >= PushInterval(this->RouterCount());
+  }
+
   // Publishes the current configuration to compact polls if the last round began long enough ago.
   void PublishConfig(Time now) {
     if (this->config_feed.ConfigIndex() != this->state.ConfigIndex() &&
@@ -340,9 +352,10 @@
   }
 
   bool IsDue(Time now, const Poll& poll) const {
-    return poll.confirmed && (poll.superseded || now >= poll.hold_until ||
-                              this->HasStateUpdate(poll) || this->HasDirectoryUpdate(now, poll) ||
-                              !this->directory.HasFullListFrom(poll.router.id));
+    return poll.confirmed &&
+           (poll.superseded || now >= poll.hold_until || this->HasStateUpdate(poll) ||
+            this->HasDirectoryUpdate(now, poll) || this->HasQuarantineUpdate(now, poll) ||
+            !this->directory.HasFullListFrom(poll.router.id));
   }
 
   void ReplyIfDue(Time now, uint64_t id) {
@@ -379,6 +392,10 @@
     this->PublishConfig(now);
     wire::SyncReplyT reply =
         MakeCompactSyncReply(this->state, this->published_version, this->config_feed.Revision());
+    if (poll.quarantine_index < this->state.QuarantineIndex()) {
+      AddQuarantine(this->state, reply);
+      this->last_quarantine_push[poll.router.id] = now;
+    }
     if (poll.state_index < this->config_feed.ConfigIndex()) {
       AddConfigPackage(this->config_feed.PackageFor(poll.config_revision, poll.config_digest),
                        reply);
@@ -761,7 +778,8 @@
   std::map<std::string, uint64_t> departed;  // by router id: last incarnation that left cleanly
   TargetHeartbeatHandler heartbeat_handler;  // heartbeats of targets that register with controllers
   DirectoryAckTracker ack_tracker;
-  std::map<std::string, Time> last_directory_push;  // by router id
+  std::map<std::string, Time> last_directory_push;   // by router id
+  std::map<std::string, Time> last_quarantine_push;  // by router id
   // By target: when its departure was first reported. Cleared when it registers again.
   std::map<std::string, Time> departures_since;
   std::map<std::string, RouterLoad> loads;  // by id of the router
--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -102,7 +102,7 @@
       this->gateway->Start();
     } else if (this->settings.router) {
       this->router = std::make_unique<Router>(this->io, this->settings, this->self, this->control,
-                                              this->peers, this->metrics, this->tracer);
+                                              this->peers, this->metrics, this->tracer, this->log);
       this->router->Start();
     }
     this->FlushSpans();
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -18,6 +18,7 @@
 #include "core/route_plan.h"
 #include "core/router_offer.h"
 #include "io/clock.h"
+#include "io/crash_guard.h"
 #include "io/random_seed.h"
 #include "io/route_request.h"
 #include "io/target_event.h"
@@ -42,6 +43,9 @@
 constexpr Duration kSynchronizeDelay = Millis(400);
 // Callers can send a request that a draining router refuses to another router at once.
 constexpr Duration kDrainingRetryDelay{0};
+// A caller of a suspect request retries after this time, in which another request may have shown
+// that it is harmless.
+constexpr Duration kTrialDelay = Millis(100);
 constexpr Duration kLeaveTimeout = Seconds(2);
 // With fewer connections to a target of any service, connections count as scarce and the router
 // avoids one replica of each shard.
@@ -84,11 +88,18 @@
         offered_routers(settings.extra_requests.window + settings.shutdown_grace),
         active_routers(settings.extra_requests.window + settings.shutdown_grace),
         debt_timer(io),
-        context{io,           codec,
-                this->pool,   *this->replica_choice,
-                this->budget, this->hedge_budgets,
-                metrics,      log,
-                this->random, [this](Time now) { this->ReportGrownDebts(now); }} {}
+        crash_guard({io, control, metrics, log}),
+        context{io,
+                codec,
+                this->pool,
+                *this->replica_choice,
+                this->budget,
+                this->hedge_budgets,
+                metrics,
+                log,
+                this->random,
+                this->crash_guard,
+                [this](Time now) { this->ReportGrownDebts(now); }} {}
 
   void Start() {
     this->control.OnChange([weak = this->weak_from_this()](const ControlChange& change) {
@@ -151,7 +162,30 @@
         .arrived = now,
         .caller_wait = caller_wait,
         .deadline = deadline};
-    this->sub_request_rate.Add(now, static_cast<double>(params.plan->shards.size()));
+    const Suspicion suspicion = this->crash_guard.Check(now, UnixMillis(), fingerprint);
+    if (suspicion.status == SuspectStatus::kClear) return this->Run(std::move(params), responder);
+    this->HandleSuspect(std::move(params), suspicion, responder);
+  }
+
+  void AnswerRunning() {
+    const auto open_requests = this->running;
+    this->Log(SteadyNow(), Event("answer_running").Add("requests", open_requests.size()));
+    for (const auto& [id, weak] : open_requests) {
+      if (const auto request = weak.lock()) request->Expire();
+    }
+  }
+
+  void Drain(Time deadline) {
+    this->answer_by = deadline;
+    this->control.Command(LeaveCommand(this->self.id, this->self.incarnation, /*clean=*/false),
+                          SteadyNow() + kLeaveTimeout, [](const Result<wire::CommandReplyT>&) {});
+  }
+
+ private:
+  // --- Requests ---
+
+  void Run(RouteRequestParams params, const HttpResponder& responder) {
+    this->sub_request_rate.Add(params.arrived, static_cast<double>(params.plan->shards.size()));
     const uint64_t id = ++this->last_running_id;
     this->running.emplace(id, std::weak_ptr<RouteRequest>());
     // Called when the request has its answer or its caller has left.
@@ -172,23 +206,59 @@
     });
   }
 
-  void AnswerRunning() {
-    const auto open_requests = this->running;
-    this->Log(SteadyNow(), Event("answer_running").Add("requests", open_requests.size()));
-    for (const auto& [id, weak] : open_requests) {
-      if (const auto request = weak.lock()) request->Expire();
+  // Handles a request that has crashed targets. It is sent in a trial if the controllers grant one,
+  // and otherwise only to services whose targets it has not crashed, if that is enough for an
+  // answer.
+  void HandleSuspect(RouteRequestParams params, const Suspicion& suspicion,
+                     const HttpResponder& responder) {
+    const Time now = params.arrived;
+    const uint64_t fingerprint = params.fingerprint;
+    const Time deadline = params.deadline;
+    if (suspicion.status == SuspectStatus::kSuspect) {
+      auto shared_params = std::make_shared<RouteRequestParams>(std::move(params));
+      const bool asked = this->crash_guard.RequestTrial(
+          now, fingerprint, deadline,
+          [weak = this->weak_from_this(), shared_params, suspicion,
+           responder](const Result<uint64_t>& trial) {
+            const auto self = weak.lock();
+            if (self) self->OnTrial(std::move(*shared_params), suspicion, trial, responder);
+          });
+      if (asked) return;
+      params = std::move(*shared_params);
     }
+    this->RunWithoutTrial(std::move(params), suspicion, responder);
   }
 
-  void Drain(Time deadline) {
-    this->answer_by = deadline;
-    this->control.Command(LeaveCommand(this->self.id, this->self.incarnation, /*clean=*/false),
-                          SteadyNow() + kLeaveTimeout, [](const Result<wire::CommandReplyT>&) {});
+  void OnTrial(RouteRequestParams params, const Suspicion& suspicion, const Result<uint64_t>& trial,
+               const HttpResponder& responder) {
+    const Time now = SteadyNow();
+    const bool in_time = responder.Connected() && now < params.deadline;
+    if (trial && !in_time) {
+      this->crash_guard.EndTrial(now, params.fingerprint, *trial, {});
+    }
+    if (!trial || !in_time) return this->RunWithoutTrial(std::move(params), suspicion, responder);
+    params.trial = *trial;
+    this->Run(std::move(params), responder);
+  }
+
+  void RunWithoutTrial(RouteRequestParams params, const Suspicion& suspicion,
+                       const HttpResponder& responder) {
+    // A request that has crashed targets of several services may crash those of any.
+    const bool partial = params.route->Gathers() && suspicion.services.size() == 1 &&
+                         params.route->shards.size() > params.route->MinShards();
+    if (partial) {
+      params.excluded_services = suspicion.services;
+      return this->Run(std::move(params), responder);
+    }
+    const bool blocked = suspicion.status == SuspectStatus::kBlocked;
+    this->Refuse(SteadyNow(), params.http, params.request_info.request_id,
+                 {ErrorCode::kSuspect, blocked ? "the request crashes targets and is blocked"
+                                               : "the request has crashed targets"},
+                 responder, blocked ? std::optional(suspicion.blocked_for) : std::nullopt);
   }
 
- private:
   void Refuse(Time now, const HttpRequest& http, const std::string& id, const Error& error,
-              const HttpResponder& responder) {
+              const HttpResponder& responder, std::optional<Duration> retry_after = std::nullopt) {
     this->context.metrics
         .CounterOf("peridotgauge_requests_total",
                    {{"route", ""}, {"result", std::string(error.Name())}})
@@ -199,11 +269,12 @@
                        .Add("path", http.path)
                        .Add("error", error.ToString())
                        .Add("revision", this->config->Revision()));
-    std::optional<Duration> retry_after;
     if (error.code == ErrorCode::kNotSynchronized) {
       retry_after = kSynchronizeDelay + RandomRetryDelay(this->random);
     } else if (error.code == ErrorCode::kDraining) {
       retry_after = kDrainingRetryDelay;
+    } else if (error.code == ErrorCode::kSuspect && !retry_after) {
+      retry_after = kTrialDelay + RandomRetryDelay(this->random);
     }
     responder.Send(this->context.codec.BuildErrorResponse(error, true, retry_after));
   }
@@ -237,6 +308,7 @@
     }
     if (change.config) this->OnConfig(now);
     if (change.directory) this->OnDirectory(now);
+    this->crash_guard.OnControlChange(now, change);
     if (change.config || change.routers) this->UpdateShares(now);
     if (change.inherited_debts) this->debts_to_inherit = this->control.InheritedDebts();
     if (this->config->Revision() > 0) this->InheritDebts(now);
@@ -395,6 +467,7 @@
   Time next_debt_report;          // not before this time, unless with a request for other reasons
   asio::steady_timer debt_timer;
   bool debt_check_pending = false;  // `debt_timer` runs
+  CrashGuard crash_guard;
   RouteContext context;
   std::shared_ptr<const Config> config = std::make_shared<const Config>();
   std::map<std::string, TargetRecord> known_targets;  // the targets that the planner has
--- a/io/order_runner.cc
+++ b/io/order_runner.cc
@@ -22,12 +22,13 @@
 class OrderRun : public std::enable_shared_from_this<OrderRun> {
  public:
   OrderRun(RequestContext& context, OrderContext& order_context, OrderRequest request,
-           OrderParams params, uint64_t fingerprint, ActiveSpan span,
+           OrderParams params, uint64_t fingerprint, uint64_t trial, ActiveSpan span,
            std::function<void(OrderReply)> callback, std::set<std::string> tried = {})
       : context(context),
         order_context(order_context),
         request(std::move(request)),
         fingerprint(fingerprint),
+        trial(trial),
         params(params),
         deadline(params.deadline),
         tried(std::move(tried)),
@@ -116,6 +117,7 @@
   }
 
   void Dispatch(Time now, const OrderDispatch& dispatch) {
+    this->sent = now;
     wire::SubRequestT sub_request;
     sub_request.request_id = this->request.request_id;
     sub_request.attempt = dispatch.attempt;
@@ -147,12 +149,23 @@
       result.error = Error{static_cast<ErrorCode>(reply.error), std::move(reply.detail)};
     }
     this->context.tracer.End(std::move(child_span), UnixNanos(), result.error);
-    if (reply.crashed && this->context.quarantine.OnCrash(now, this->fingerprint, target, false)) {
-      CommitQuarantine(this->context.control, this->fingerprint, [](bool) {});
+    if (reply.crashed) {
+      this->OnCrash(now, target);
+    } else if (!result.error || result.error->code == ErrorCode::kTargetFailed) {
+      this->trial_run.answered.push_back(target.service);
+      this->context.crash_guard.OnAnswered(now, this->fingerprint, target.service, this->sent);
     }
     this->Apply(now, this->order.OnDispatchReply(now, std::move(result)));
   }
 
+  void OnCrash(Time now, const TargetRecord& target) {
+    this->context.quarantine.OnCrash(now, this->fingerprint, target, false);
+    const TargetCrash crash{
+        .service = target.service, .target = target.target, .incarnation = target.incarnation};
+    if (this->trial != 0) return this->trial_run.crashes.push_back(crash);
+    this->context.crash_guard.Report(now, this->fingerprint, crash, [](bool) {});
+  }
+
   void Complete(Time now, Completion completion) {
     wire::CompleteT command;
     command.request_id = std::move(completion.request_id);
@@ -197,12 +210,16 @@
     params.holder.claim_id = ++this->order_context.last_claim_id;
     auto run = std::make_shared<OrderRun>(
         this->context, this->order_context, this->request, std::move(params), this->fingerprint,
-        std::move(this->span), std::exchange(this->callback, nullptr), this->tried);
+        this->trial, std::move(this->span), std::exchange(this->callback, nullptr), this->tried);
     run->Begin(SteadyNow());
   }
 
   void Answer(OrderOutcome outcome) {
     if (this->CanTryAnotherReplica(outcome)) return this->TryAnotherReplica();
+    if (this->trial != 0) {
+      this->context.crash_guard.EndTrial(SteadyNow(), this->fingerprint, this->trial,
+                                         std::exchange(this->trial_run, {}));
+    }
     const std::string label = outcome.error ? std::string(outcome.error->Name()) : "done";
     this->context.metrics.CounterOf("peridotgauge_orders_total", {{"outcome", label}}).Add();
     this->context.tracer.End(std::move(this->span), UnixNanos(), outcome.error);
@@ -231,6 +248,9 @@
   OrderContext& order_context;
   OrderRequest request;
   uint64_t fingerprint;
+  uint64_t trial;  // in which the order is sent; 0: none
+  TrialRun trial_run;
+  Time sent{};  // when the order was dispatched
   OrderParams params;
   Time deadline;
   std::set<std::string> tried;  // targets that were tried, under earlier claims too
@@ -268,8 +288,10 @@
   const uint64_t fingerprint = Fingerprint(request.service, RequestKind::kOrder, request.body);
   const FingerprintStatus fingerprint_status =
       context.quarantine.Check(now, UnixMillis(), fingerprint);
+  const Suspicion suspicion = context.crash_guard.Check(now, UnixMillis(), fingerprint);
   if (fingerprint_status == FingerprintStatus::kQuarantined ||
-      fingerprint_status == FingerprintStatus::kCrashing) {
+      fingerprint_status == FingerprintStatus::kCrashing ||
+      suspicion.status == SuspectStatus::kBlocked) {
     return refuse(
         {ErrorCode::kQuarantined, "the request crashed targets and is quarantined for a time"});
   }
@@ -283,9 +305,35 @@
   ActiveSpan span = context.tracer.Begin(parent, "order", UnixNanos());
   span.AddAttribute("request_id", request.request_id);
   span.AddAttribute("service", request.service);
-  auto run = std::make_shared<OrderRun>(context, order_context, std::move(request), params,
-                                        fingerprint, std::move(span), std::move(callback));
-  run->Begin(now);
+  if (suspicion.status == SuspectStatus::kClear) {
+    auto run =
+        std::make_shared<OrderRun>(context, order_context, std::move(request), params, fingerprint,
+                                   /*trial=*/0, std::move(span), std::move(callback));
+    return run->Begin(now);
+  }
+  const Time deadline = params.deadline;
+  // Shared, because callbacks are copied.
+  auto shared_span = std::make_shared<ActiveSpan>(std::move(span));
+  const auto begin = [&context, &order_context, request, params, fingerprint, shared_span,
+                      callback](uint64_t trial, Time at) {
+    auto run = std::make_shared<OrderRun>(context, order_context, request, params, fingerprint,
+                                          trial, std::move(*shared_span), callback);
+    run->Begin(at);
+  };
+  const auto refuse_suspect = [&context, shared_span, callback](ErrorCode code) {
+    context.tracer.End(std::move(*shared_span), UnixNanos(), Error{code, ""});
+    callback({Fail(code), false});
+  };
+  const bool asked = context.crash_guard.RequestTrial(
+      now, fingerprint, deadline,
+      [begin, refuse_suspect, deadline, &context, fingerprint](const Result<uint64_t>& trial) {
+        const Time at = SteadyNow();
+        if (trial && at < deadline) return begin(*trial, at);
+        if (trial) context.crash_guard.EndTrial(at, fingerprint, *trial, {});
+        const bool blocked = !trial && trial.error().code == ErrorCode::kQuarantined;
+        refuse_suspect(blocked ? ErrorCode::kQuarantined : ErrorCode::kSuspect);
+      });
+  if (!asked) refuse_suspect(ErrorCode::kSuspect);
 }
 
 }  // namespace peridotgauge
--- a/io/request_context.h
+++ b/io/request_context.h
@@ -12,6 +12,7 @@
 #include "core/replica_choice.h"
 #include "core/settings.h"
 #include "io/control_client.h"
+#include "io/crash_guard.h"
 #include "io/sub_request_sender.h"
 #include "io/tracer.h"
 
@@ -26,6 +27,7 @@
   HedgeBudget& hedge_budget;
   Admission& admission;
   Quarantine& quarantine;
+  CrashGuard& crash_guard;
   SubRequestSender& sender;
   Tracer& tracer;
   Metrics& metrics;
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -95,13 +95,15 @@
     return {.request_id = params.request_info.request_id,
             .deadline = params.deadline,
             .caller_wait = params.caller_wait,
-            .canaries = false,
+            .suspect = params.trial != 0,
+            .canaries = params.trial != 0,
             .hedging = route.idempotent,
             .min_covered = route.Gathers() ? route.MinShards() : 1,
             .max_attempts = route.max_attempts,
             .idempotent = route.idempotent,
-            .suspect_on_crash = false,
+            .suspect_on_crash = params.trial != 0,
             .straggler_share = kStragglerShare,
+            .excluded_services = params.excluded_services,
             .charge_refusals = true};
   }
 
@@ -188,12 +190,32 @@
       reply.error = Error{ErrorCodeOf(read.kind), "status " + std::to_string(response.status)};
       this->LogFailure(now, attempt, reply.error->ToString(), /*crashed=*/false);
     }
+    if (answered || read.kind == TargetReplyKind::kFailed) this->OnTargetAnswered(now, attempt);
     if (!refused && read.kind != TargetReplyKind::kUnrelated) {
       attempt.server_stamp = std::move(read.server_stamp);
       attempt.response = std::move(response);
     }
   }
 
+  // The target has run the request without ending.
+  void OnTargetAnswered(Time now, const Attempt& attempt) {
+    this->context.crash_guard.OnAnswered(now, this->params.fingerprint, *attempt.service,
+                                         attempt.sent);
+    if (this->params.trial != 0) this->trial_run.answered.push_back(*attempt.service);
+  }
+
+  void OnTargetLost(Time now, const Attempt& attempt) {
+    this->context.metrics
+        .CounterOf("peridotgauge_lost_attempts_total", {{"service", *attempt.service}})
+        .Add();
+    this->context.crash_guard.OnLost(now, this->params.fingerprint, *attempt.service,
+                                     *attempt.target);
+    if (this->params.trial == 0) return;
+    this->trial_run.lost.push_back({.service = *attempt.service,
+                                    .target = attempt.target->target,
+                                    .incarnation = attempt.target->incarnation});
+  }
+
   void OnFailure(Time now, const Attempt& attempt, const HttpFailure& failure,
                  AttemptReply& reply) {
     const bool timed_out = failure.error.code == ErrorCode::kDeadlineExceeded;
@@ -204,11 +226,7 @@
     this->context.budget.OnReply(now, *attempt.service, {});
     reply.error = failure.error;
     reply.crashed = failure.crashed;
-    if (failure.crashed) {
-      this->context.metrics
-          .CounterOf("peridotgauge_lost_attempts_total", {{"service", *attempt.service}})
-          .Add();
-    }
+    if (failure.crashed) this->OnTargetLost(now, attempt);
     this->LogFailure(now, attempt, failure.error.ToString(), failure.crashed);
   }
 
@@ -283,6 +301,10 @@
               uint32_t covered) {
     this->ended = true;
     this->timer.cancel();
+    if (this->params.trial != 0) {
+      this->context.crash_guard.EndTrial(now, this->params.fingerprint, this->params.trial,
+                                         std::move(this->trial_run));
+    }
     const Labels labels = {{"route", this->params.route->name}, {"result", std::string(result)}};
     this->context.metrics.CounterOf("peridotgauge_requests_total", labels).Add();
     this->context.metrics
@@ -326,6 +348,7 @@
   std::vector<Attempt> attempts;        // attempt n is at index n - 1
   uint32_t extra_attempts = 0;          // hedges and retries sent so far
   bool may_have_run = false;            // a target may have executed the request
+  TrialRun trial_run;                   // if the request is sent in a trial
   bool ended = false;
 };
 
--- a/io/route_request.h
+++ b/io/route_request.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "core/hedge.h"
 #include "core/http_message.h"
@@ -26,6 +27,7 @@
 #include "core/route_codec.h"
 #include "core/routes.h"
 #include "core/types.h"
+#include "io/crash_guard.h"
 #include "io/event_log.h"
 #include "io/target_pool.h"
 
@@ -75,6 +77,7 @@
   Metrics& metrics;
   EventLog& log;
   std::mt19937_64& random;
+  CrashGuard& crash_guard;
   // Called after hedges or retries were sent.
   std::function<void(Time now)> on_extra_attempts = [](Time) {};
 };
@@ -86,6 +89,10 @@
   std::shared_ptr<const Plan> plan;
   uint64_t directory_version = 0;  // for the log
   uint64_t fingerprint = 0;        // RouteFingerprint() of `http`
+  // The trial in which the request is sent, or 0. It is first sent to one target, without hedges
+  // and retries, and to the other shards once that target has answered.
+  uint64_t trial = 0;
+  std::vector<std::string> excluded_services;  // not sent to, see SearchParams
   Time arrived;
   Duration caller_wait{0};  // how long the caller had waited before the arrival, see caller_wait.h
   Time deadline;
--- a/io/router.cc
+++ b/io/router.cc
@@ -38,7 +38,7 @@
 class Router::Impl : public std::enable_shared_from_this<Router::Impl> {
  public:
   Impl(asio::io_context& io, const Settings& settings, const RouterRecord& self,
-       ControlClient& control, PeerPool& peers, Metrics& metrics, Tracer& tracer)
+       ControlClient& control, PeerPool& peers, Metrics& metrics, Tracer& tracer, EventLog& log)
       : self(self),
         control(control),
         peers(peers),
@@ -48,6 +48,7 @@
         owner({io, settings, control, peers, tracer, metrics}, {self.id, self.incarnation}),
         sender(self.id, this->owner, peers, *this->replica_choice, this->hedge_budget),
         registrations(self.id),
+        crash_guard({io, control, metrics, log}),
         context{io,
                 settings,
                 control,
@@ -56,6 +57,7 @@
                 this->hedge_budget,
                 this->admission,
                 this->quarantine,
+                this->crash_guard,
                 this->sender,
                 tracer,
                 metrics},
@@ -221,6 +223,7 @@
     if (change.config) this->OnConfig();
     if (change.directory) this->OnDirectory();
     if (change.quarantine) this->quarantine.SetCommitted(this->control.QuarantineList());
+    this->crash_guard.OnControlChange(now, change);
     if (change.routers) this->OnRouters();
     this->owner.OnControlChange(now, change);
   }
@@ -295,6 +298,7 @@
   Owner owner;
   SubRequestSender sender;
   Registrations registrations;
+  CrashGuard crash_guard;
   RequestContext context;
   OrderContext orders;
   asio::steady_timer timer;
@@ -307,8 +311,9 @@
 };
 
 Router::Router(asio::io_context& io, const Settings& settings, const RouterRecord& self,
-               ControlClient& control, PeerPool& peers, Metrics& metrics, Tracer& tracer)
-    : impl(std::make_shared<Impl>(io, settings, self, control, peers, metrics, tracer)) {}
+               ControlClient& control, PeerPool& peers, Metrics& metrics, Tracer& tracer,
+               EventLog& log)
+    : impl(std::make_shared<Impl>(io, settings, self, control, peers, metrics, tracer, log)) {}
 Router::~Router() = default;
 void Router::Start() { this->impl->Start(); }
 bool Router::Handles(const HttpRequest& request) const { return this->impl->Handles(request); }
--- a/io/router.h
+++ b/io/router.h
@@ -22,6 +22,7 @@
 #include "core/metrics.h"
 #include "core/settings.h"
 #include "io/control_client.h"
+#include "io/event_log.h"
 #include "io/http_server.h"
 #include "io/peer.h"
 #include "io/peer_pool.h"
@@ -38,7 +39,7 @@
  public:
   // All arguments outlive the router.
   Router(boost::asio::io_context& io, const Settings& settings, const RouterRecord& self,
-         ControlClient& control, PeerPool& peers, Metrics& metrics, Tracer& tracer);
+         ControlClient& control, PeerPool& peers, Metrics& metrics, Tracer& tracer, EventLog& log);
   ~Router();
   Router(const Router&) = delete;
   Router& operator=(const Router&) = delete;
--- a/io/search_runner.cc
+++ b/io/search_runner.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -14,17 +15,22 @@
 namespace peridotgauge {
 namespace {
 
-// Timeout of committing a quarantine, for which the caller waits. An election takes about 1 s.
-constexpr Duration kQuarantineCommitTimeout = Seconds(2);
+// Returns true if the target has run the request and did not end.
+bool ShowsSurvival(const AttemptReply& reply) {
+  return !reply.error || reply.error->code == ErrorCode::kTargetFailed ||
+         reply.error->code == ErrorCode::kWrongSnapshot;
+}
 
 class SearchRunImpl : public SearchRun, public std::enable_shared_from_this<SearchRunImpl> {
  public:
   SearchRunImpl(RequestContext& context, SearchRequest request, std::shared_ptr<const Plan> plan,
-                SearchParams params, uint64_t fingerprint, ActiveSpan span, Callback callback)
+                SearchParams params, uint64_t fingerprint, uint64_t trial, ActiveSpan span,
+                Callback callback)
       : context(context),
         request(std::move(request)),
         plan(plan),
         fingerprint(fingerprint),
+        trial(trial),
         deadline(params.deadline),
         trusted(params.trusted),
         search(std::move(plan), std::move(params), {context.replica_choice, context.hedge_budget}),
@@ -104,7 +110,11 @@
     }
     auto found = this->attempts.extract(number);
     if (!found.empty()) {
-      if (reply.crashed) this->OnCrash(now, *found.mapped().target);
+      if (reply.crashed) {
+        this->OnCrash(now, *found.mapped().target);
+      } else if (this->trial != 0 && ShowsSurvival(reply)) {
+        this->trial_run.answered.push_back(found.mapped().target->service);
+      }
       this->context.tracer.End(std::move(found.mapped().span), UnixNanos(), reply.error);
     }
     this->Apply(now, this->search.OnReply(now, std::move(reply)));
@@ -113,14 +123,19 @@
   void OnCrash(Time now, const TargetRecord& target) {
     LOG(WARNING) << "search: " << this->request.request_id << ": target " << target.target
                  << " closed the connection without a reply; treated as a crash";
-    if (!this->context.quarantine.OnCrash(now, this->fingerprint, target, this->trusted)) return;
-    if (this->committing) return;
-    this->committing = true;
-    CommitQuarantine(this->context.control, this->fingerprint,
-                     [self = this->shared_from_this()](bool) {
-                       self->committing = false;
-                       self->MaybeAnswer();
-                     });
+    const bool crashing =
+        this->context.quarantine.OnCrash(now, this->fingerprint, target, this->trusted);
+    if (this->trusted) return;
+    const TargetCrash crash{
+        .service = target.service, .target = target.target, .incarnation = target.incarnation};
+    if (this->trial != 0) return this->trial_run.crashes.push_back(crash);
+    this->await_reports = this->await_reports || crashing;
+    ++this->open_reports;
+    this->context.crash_guard.Report(now, this->fingerprint, crash,
+                                     [self = this->shared_from_this()](bool) {
+                                       --self->open_reports;
+                                       self->MaybeAnswer();
+                                     });
   }
 
   void ArmTimer(Time at) {
@@ -135,15 +150,29 @@
   void OnOutcome(Time now, SearchOutcome outcome) {
     if (outcome.Succeeded()) {
       this->context.quarantine.OnSuccess(now, this->fingerprint, outcome.Complete());
+      this->ReportAnswers(now, outcome);
     }
     this->outcome = std::move(outcome);
     this->MaybeAnswer();
   }
 
-  // Answers once no quarantine is being committed, so that any router that receives a resend of the
-  // request already knows the quarantine.
+  // Tells the guard which services have answered.
+  void ReportAnswers(Time now, const SearchOutcome& outcome) {
+    if (this->trial != 0) return;  // reported at the end of the trial
+    std::set<std::string> services;
+    for (const ShardBody& body : outcome.covered) {
+      services.insert(this->plan->ServiceOf(body.shard).name);
+    }
+    for (const std::string& service : services) {
+      this->context.crash_guard.OnAnswered(now, this->fingerprint, service, this->started);
+    }
+  }
+
+  // Answers once the crashes that make the request suspect are committed, so that any router that
+  // receives a resend of the request learns of them.
   void MaybeAnswer() {
-    if (!this->outcome || this->committing || this->ended) return;
+    if (!this->outcome || this->ended) return;
+    if (this->await_reports && this->open_reports > 0) return;
     const Time now = SteadyNow();
     if (this->outcome->canaries_crashed) {
       const Error error{ErrorCode::kQuarantined, "the request crashed the targets that ran it"};
@@ -190,6 +219,10 @@
     this->ended = true;
     this->timer.cancel();
     this->callback = nullptr;
+    if (this->trial != 0) {
+      this->context.crash_guard.EndTrial(now, this->fingerprint, this->trial,
+                                         std::move(this->trial_run));
+    }
     const Duration latency = now - this->started;
     this->context.admission.OnFinished(now, this->request.service, latency, complete);
     const SearchCounts& counts = this->search.Counts();
@@ -207,6 +240,7 @@
   SearchRequest request;
   std::shared_ptr<const Plan> plan;
   uint64_t fingerprint;
+  uint64_t trial;  // in which the search is sent; 0: none
   Time deadline;
   bool trusted;  // sent without canaries
   Time started;
@@ -216,7 +250,9 @@
   Callback callback;
   std::unordered_map<uint32_t, Attempt> attempts;  // running attempts by number
   std::optional<SearchOutcome> outcome;
-  bool committing = false;  // a quarantine is being committed
+  uint32_t open_reports = 0;   // crashes whose report is not committed
+  bool await_reports = false;  // the answer waits for them
+  TrialRun trial_run;
   bool ended = false;
 };
 
@@ -236,22 +272,80 @@
   }
 };
 
-}  // namespace
+// What a search needs to start, apart from its context.
+struct SearchStart {
+  SearchRequest request;
+  std::shared_ptr<const Plan> plan;
+  uint64_t fingerprint = 0;
+  bool trusted = false;
+  bool suspect = false;
+  Time deadline;
+};
 
-void CommitQuarantine(ControlClient& control, uint64_t fingerprint,
-                      std::function<void(bool committed)> done) {
-  wire::QuarantineT command;
-  command.fingerprint = fingerprint;
-  command.duration_ms = kQuarantineDuration.count() / 1000;
-  control.Command(ToCommand(command), SteadyNow() + kQuarantineCommitTimeout,
-                  [done = std::move(done), fingerprint](const Result<wire::CommandReplyT>& reply) {
-                    const bool committed = reply && reply->error < 0;
-                    LOG(WARNING) << "quarantine: fingerprint " << std::hex << fingerprint
-                                 << (committed ? " quarantined" : " could not be quarantined");
-                    done(committed);
-                  });
+// Starts a search, in the trial if that is not 0. Returns nullptr if it was refused.
+std::shared_ptr<SearchRun> BeginSearch(Refusal refuse, SearchStart start, uint64_t trial,
+                                       Time now) {
+  RequestContext& context = refuse.context;
+  const std::string& service = start.request.service;
+  if (Result<void> admitted = context.admission.Admit(now, service, start.deadline); !admitted) {
+    if (trial != 0) context.crash_guard.EndTrial(now, start.fingerprint, trial, {});
+    return refuse(admitted.error());
+  }
+  SearchParams params{.request_id = start.request.request_id,
+                      .deadline = start.deadline,
+                      .trusted = start.trusted && trial == 0,
+                      .suspect = start.suspect || trial != 0,
+                      .canaries = context.settings.canaries || trial != 0,
+                      .hedging = context.settings.hedging};
+  auto run = std::make_shared<SearchRunImpl>(
+      context, std::move(start.request), std::move(start.plan), std::move(params),
+      start.fingerprint, trial, std::move(refuse.span), std::move(refuse.callback));
+  run->Begin(now);
+  return run;
 }
 
+// A search that waits for its trial.
+class TrialSearch : public SearchRun, public std::enable_shared_from_this<TrialSearch> {
+ public:
+  TrialSearch(Refusal refuse, SearchStart start)
+      : refuse(std::move(refuse)), start(std::move(start)) {}
+
+  // Returns false if no trial can be asked for; the search has been refused then.
+  bool Begin(Time now) {
+    const bool asked = this->refuse.context.crash_guard.RequestTrial(
+        now, this->start.fingerprint, this->start.deadline,
+        [self = this->shared_from_this()](const Result<uint64_t>& trial) { self->OnTrial(trial); });
+    if (!asked) this->refuse({ErrorCode::kSuspect, ""});
+    return asked;
+  }
+
+  void Abort() override {
+    this->aborted = true;
+    if (this->run) this->run->Abort();
+  }
+
+ private:
+  void OnTrial(const Result<uint64_t>& trial) {
+    const Time now = SteadyNow();
+    const bool in_time = !this->aborted && now < this->start.deadline;
+    if (trial && in_time) {
+      this->run = BeginSearch(std::move(this->refuse), std::move(this->start), *trial, now);
+      return;
+    }
+    if (trial) this->refuse.context.crash_guard.EndTrial(now, this->start.fingerprint, *trial, {});
+    if (this->aborted) return;
+    const bool blocked = !trial && trial.error().code == ErrorCode::kQuarantined;
+    this->refuse({blocked ? ErrorCode::kQuarantined : ErrorCode::kSuspect, ""});
+  }
+
+  Refusal refuse;
+  SearchStart start;
+  std::shared_ptr<SearchRun> run;
+  bool aborted = false;
+};
+
+}  // namespace
+
 std::shared_ptr<SearchRun> SearchRun::Start(RequestContext& context, SearchRequest request,
                                             const std::optional<SpanContext>& parent, Time now,
                                             Callback callback) {
@@ -265,26 +359,25 @@
   const uint64_t fingerprint = Fingerprint(request.service, RequestKind::kSearch, request.query);
   const FingerprintStatus fingerprint_status =
       context.quarantine.Check(now, UnixMillis(), fingerprint);
+  const Suspicion suspicion = context.crash_guard.Check(now, UnixMillis(), fingerprint);
   if (fingerprint_status == FingerprintStatus::kQuarantined ||
-      fingerprint_status == FingerprintStatus::kCrashing) {
+      fingerprint_status == FingerprintStatus::kCrashing ||
+      suspicion.status == SuspectStatus::kBlocked) {
     return refuse(
         {ErrorCode::kQuarantined, "the request crashed targets and is quarantined for a time"});
   }
-  const Time deadline = now + std::min(request.deadline.value_or((*plan)->deadline), kMaxDeadline);
-  if (Result<void> admitted = context.admission.Admit(now, request.service, deadline); !admitted) {
-    return refuse(admitted.error());
+  SearchStart start{
+      .plan = *plan,
+      .fingerprint = fingerprint,
+      .trusted = fingerprint_status == FingerprintStatus::kTrusted,
+      .suspect = fingerprint_status == FingerprintStatus::kSuspect,
+      .deadline = now + std::min(request.deadline.value_or((*plan)->deadline), kMaxDeadline)};
+  start.request = std::move(request);
+  if (suspicion.status == SuspectStatus::kClear) {
+    return BeginSearch(std::move(refuse), std::move(start), /*trial=*/0, now);
   }
-  SearchParams params{.request_id = request.request_id,
-                      .deadline = deadline,
-                      .trusted = fingerprint_status == FingerprintStatus::kTrusted,
-                      .suspect = fingerprint_status == FingerprintStatus::kSuspect,
-                      .canaries = context.settings.canaries,
-                      .hedging = context.settings.hedging};
-  auto run = std::make_shared<SearchRunImpl>(context, std::move(request), std::move(*plan),
-                                             std::move(params), fingerprint, std::move(refuse.span),
-                                             std::move(refuse.callback));
-  run->Begin(now);
-  return run;
+  auto run = std::make_shared<TrialSearch>(std::move(refuse), std::move(start));
+  return run->Begin(now) ? run : nullptr;
 }
 
 }  // namespace peridotgauge
--- a/io/search_runner.h
+++ b/io/search_runner.h
@@ -1,5 +1,5 @@
 // Runs one search: carries out the effects of its state machine with sub-requests and a timer, and
-// reports crashes of targets to the quarantine.
+// reports crashes of targets to the quarantine and to the controllers.
 //
 // Use:
 //   auto run = SearchRun::Start(context, std::move(request), trace, now,
@@ -8,7 +8,7 @@
 //
 // Contract: runs on the thread of the io_context. The callback is called exactly once unless the
 // run was aborted. It is called from inside Start() only if the search is refused. A run keeps
-// itself alive until it ends.
+// itself alive until it ends. A suspect search waits for its trial first, see crash_guard.h.
 #ifndef PERIDOTGAUGE_IO_SEARCH_RUNNER_H_
 #define PERIDOTGAUGE_IO_SEARCH_RUNNER_H_
 
@@ -37,10 +37,6 @@
                                           Callback callback);
 };
 
-// Commits a quarantine of the fingerprint. `done` is called when it is committed or has failed.
-void CommitQuarantine(ControlClient& control, uint64_t fingerprint,
-                      std::function<void(bool committed)> done);
-
 }  // namespace peridotgauge
 
 #endif  // PERIDOTGAUGE_IO_SEARCH_RUNNER_H_
--- a/state/control_report.cc
+++ b/state/control_report.cc
@@ -136,9 +136,11 @@
 std::string StatusJson(const LogStatus& log, const ControlState& state,
                        const SessionTable& sessions, const Directory& directory, Time now) {
   json::array quarantine;
-  for (const auto& [fingerprint, until_ms] : state.Quarantined()) {
-    quarantine.push_back(
-        json::object{{"fingerprint", DigestToHex(fingerprint)}, {"until_ms", until_ms}});
+  for (const QuarantineRecord& record : state.QuarantineList()) {
+    quarantine.push_back(json::object{{"fingerprint", DigestToHex(record.fingerprint)},
+                                      {"until_ms", record.until_ms},
+                                      {"blocked", !record.suspect},
+                                      {"services", json::value_from(record.services)}});
   }
   const Ledger& ledger = state.RequestLedger();
   return json::serialize(json::object{{"controller", ControllerJson(log)},
--- a/state/control_snapshot.cc
+++ b/state/control_snapshot.cc
@@ -75,6 +75,32 @@
           .draining = router.draining()};
 }
 
+flatbuffers::Offset<fbs::CrashSuspect> Pack(FlatBufferBuilder& builder, uint64_t fingerprint,
+                                            const CrashSuspect& suspect) {
+  std::vector<flatbuffers::Offset<fbs::Crash>> crashes;
+  for (const TargetCrash& crash : suspect.crashes) {
+    crashes.push_back(fbs::CreateCrash(builder, builder.CreateString(crash.service),
+                                       builder.CreateString(crash.target), crash.incarnation));
+  }
+  return fbs::CreateCrashSuspect(builder, fingerprint, builder.CreateVector(crashes),
+                                 suspect.last_crash_ms, suspect.trials, suspect.open_trial,
+                                 suspect.open_until_ms);
+}
+
+CrashSuspect Unpack(const fbs::CrashSuspect& packed) {
+  CrashSuspect suspect{.crashes = {},
+                       .last_crash_ms = packed.last_crash_ms(),
+                       .trials = packed.trials(),
+                       .open_trial = packed.open_trial(),
+                       .open_until_ms = packed.open_until_ms()};
+  ForEach(packed.crashes(), [&](const fbs::Crash& crash) {
+    suspect.crashes.push_back({.service = Text(crash.service()),
+                               .target = Text(crash.target()),
+                               .incarnation = crash.incarnation()});
+  });
+  return suspect;
+}
+
 bool Valid(const LedgerRecord& record) {
   return record.state <= RecordState::kInDoubt && record.outcome <= Outcome::kFailed;
 }
@@ -109,6 +135,10 @@
                                                      departure.incarnation, departure.sequence,
                                                      departure.recorded_ms));
   }
+  std::vector<flatbuffers::Offset<fbs::CrashSuspect>> packed_suspects;
+  for (const auto& [fingerprint, suspect] : this->crashes.All()) {
+    packed_suspects.push_back(Pack(builder, fingerprint, suspect));
+  }
   const auto packed_highest_config =
       this->highest_config ? Pack(builder, *this->highest_config) : 0;
   builder.Finish(fbs::CreateControlState(
@@ -116,7 +146,8 @@
       builder.CreateVectorOfStructs(packed_revisions), builder.CreateVector(packed_details),
       builder.CreateVector(packed_records), builder.CreateVector(packed_routers),
       builder.CreateVectorOfStructs(packed_quarantine), packed_highest_config,
-      this->highest_config_digest, this->offered_routers, builder.CreateVector(packed_departures)));
+      this->highest_config_digest, this->offered_routers, builder.CreateVector(packed_departures),
+      builder.CreateVector(packed_suspects), this->quarantine_index));
   return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -156,6 +187,10 @@
   ForEach(table->quarantine(), [&](const fbs::Quarantine& blocked) {
     restored.quarantine[blocked.fingerprint()] = blocked.until_ms();
   });
+  ForEach(table->crash_suspects(), [&](const fbs::CrashSuspect& packed) {
+    restored.crashes.Restore(packed.fingerprint(), Unpack(packed));
+  });
+  restored.quarantine_index = table->quarantine_index();
   ForEach(table->departures(), [&](const fbs::Departure& departure) {
     restored.departures.Restore({.target = Text(departure.target()),
                                  .incarnation = departure.incarnation(),
--- a/state/control_state.cc
+++ b/state/control_state.cc
@@ -100,6 +100,9 @@
   if (const auto* entry = body.AsQuarantine()) return this->ApplyQuarantine(context, *entry);
   if (const auto* offer = body.AsOfferRouters()) return this->ApplyOffer(*offer);
   if (const auto* left = body.AsRecordDepartures()) return this->ApplyDepartures(context, *left);
+  if (const auto* crashed = body.AsRecordCrashes()) return this->ApplyCrashes(context, *crashed);
+  if (const auto* begin = body.AsBeginTrial()) return this->ApplyBeginTrial(context, *begin);
+  if (const auto* end = body.AsEndTrial()) return this->ApplyEndTrial(context, *end);
   // Membership changes of the controllers are handled by the replicated log itself.
   return Reject(ErrorCode::kBadRequest, "command: not handled by the control state");
 }
@@ -307,10 +310,65 @@
   }
   if (found != this->quarantine.end() && found->second >= until_ms) return {};
   this->quarantine[command.fingerprint] = until_ms;
+  this->RecordQuarantineChange(context, true);
+  return {};
+}
+
+void ControlState::RecordQuarantineChange(const CommandContext& context, bool changed) {
+  if (!changed) return;
+  this->quarantine_index = context.index;
   this->version = context.index;
+}
+
+Reply ControlState::ApplyCrashes(const CommandContext& context,
+                                 const wire::RecordCrashesT& command) {
+  bool changed = false;
+  for (const auto& entry : command.crashes) {
+    if (!entry || !entry->crash) {
+      return Reject(ErrorCode::kBadRequest, "crash: target is missing");
+    }
+    changed |= this->crashes.Record(context.now_ms, entry->fingerprint, FromWire(*entry->crash));
+  }
+  this->RecordQuarantineChange(context, changed);
   return {};
 }
 
+Reply ControlState::ApplyBeginTrial(const CommandContext& context,
+                                    const wire::BeginTrialT& command) {
+  if (command.trial == 0) return Reject(ErrorCode::kBadRequest, "trial: must not be 0");
+  bool changed = false;
+  for (const TargetCrash& crash : FromWire(command.crashes)) {
+    changed |= this->crashes.Record(context.now_ms, command.fingerprint, crash);
+  }
+  this->RecordQuarantineChange(context, changed);
+  switch (this->crashes.BeginTrial(context.now_ms, command.fingerprint,
+                                   {.id = command.trial, .hold_ms = command.hold_ms})) {
+    case TrialDecision::kGranted:
+      return {};
+    case TrialDecision::kBusy:
+      return Reject(ErrorCode::kSuspect, "another trial of the request is open");
+    case TrialDecision::kBlocked:
+      break;
+  }
+  return Reject(ErrorCode::kQuarantined, "the request has crashed targets in all its trials");
+}
+
+Reply ControlState::ApplyEndTrial(const CommandContext& context, const wire::EndTrialT& command) {
+  this->RecordQuarantineChange(
+      context,
+      this->crashes.EndTrial(context.now_ms, command.fingerprint, command.trial,
+                             {.answered = command.answered, .crashes = FromWire(command.crashes)}));
+  return {};
+}
+
+std::vector<QuarantineRecord> ControlState::QuarantineList() const {
+  std::vector<QuarantineRecord> records = this->crashes.Suspects();
+  for (const auto& [fingerprint, until_ms] : this->quarantine) {
+    records.push_back({.fingerprint = fingerprint, .until_ms = until_ms, .services = {}});
+  }
+  return records;
+}
+
 Reply ControlState::ApplyOffer(const wire::OfferRoutersT& command) {
   this->offered_routers = command.count;
   return {};
@@ -338,8 +396,9 @@
          this->detail_bytes == other.detail_bytes && this->highest_config == other.highest_config &&
          this->highest_config_digest == other.highest_config_digest &&
          this->ledger == other.ledger && this->routers == other.routers &&
-         this->quarantine == other.quarantine && this->offered_routers == other.offered_routers &&
-         this->departures == other.departures;
+         this->quarantine == other.quarantine && this->crashes == other.crashes &&
+         this->quarantine_index == other.quarantine_index &&
+         this->offered_routers == other.offered_routers && this->departures == other.departures;
 }
 
 }  // namespace peridotgauge
--- a/state/control_state.h
+++ b/state/control_state.h
@@ -25,6 +25,7 @@
 #include "core/error.h"
 #include "core/records.h"
 #include "peer_generated.h"
+#include "state/crash_table.h"
 #include "state/departures.h"
 #include "state/ledger.h"
 #include "state/router_list.h"
@@ -107,7 +108,11 @@
   const RouterChangeLog& RecentRouterChanges() const { return this->router_changes; }
   // Returns true if this incarnation of the router is in the list.
   bool IsMember(const std::string& id, uint64_t incarnation) const;
-  // Returns the quarantined fingerprints and the Unix times at which their quarantine ends.
+  // Returns what routers learn of requests that crash targets.
+  std::vector<QuarantineRecord> QuarantineList() const;
+  // Returns the log index of the last change of QuarantineList(), or 0.
+  uint64_t QuarantineIndex() const { return this->quarantine_index; }
+  // Returns the fingerprints that routers have quarantined and the Unix times at which that ends.
   const std::map<uint64_t, int64_t>& Quarantined() const { return this->quarantine; }
   const Ledger& RequestLedger() const { return this->ledger; }
   // Returns the targets that have said that they leave.
@@ -132,6 +137,12 @@
   wire::CommandReplyT ApplyLeave(const CommandContext& context, const wire::LeaveT& command);
   wire::CommandReplyT ApplyQuarantine(const CommandContext& context,
                                       const wire::QuarantineT& command);
+  wire::CommandReplyT ApplyCrashes(const CommandContext& context,
+                                   const wire::RecordCrashesT& command);
+  wire::CommandReplyT ApplyBeginTrial(const CommandContext& context,
+                                      const wire::BeginTrialT& command);
+  wire::CommandReplyT ApplyEndTrial(const CommandContext& context, const wire::EndTrialT& command);
+  void RecordQuarantineChange(const CommandContext& context, bool changed);
   wire::CommandReplyT ApplyOffer(const wire::OfferRoutersT& command);
   wire::CommandReplyT ApplyDepartures(const CommandContext& context,
                                       const wire::RecordDeparturesT& command);
@@ -155,8 +166,10 @@
   uint64_t highest_config_digest = 0;
   Ledger ledger;
   RouterMap routers;
-  RouterChangeLog router_changes;  // not part of the state
-  std::map<uint64_t, int64_t> quarantine;
+  RouterChangeLog router_changes;          // not part of the state
+  std::map<uint64_t, int64_t> quarantine;  // requests that routers have blocked themselves
+  CrashTable crashes;
+  uint64_t quarantine_index = 0;
   uint32_t offered_routers = 0;  // not covered by `version`: no router waits for it
   DepartureTable departures;
   uint64_t departures_index = 0;   // not part of the state
--- a/testing/control_fleet_test.cc
+++ b/testing/control_fleet_test.cc
@@ -226,6 +226,25 @@
     REQUIRE(restored.Restore(cluster.group.index, cluster.nodes[1]->state.Snapshot()));
     CHECK(restored.OfferedRouterCount() == 1);
   }
+  SECTION("learns which requests crash targets, also from the next leader") {
+    const auto crash = [&](const std::string& target) {
+      wire::RecordCrashesT command;
+      auto entry = std::make_unique<wire::RequestCrashT>();
+      entry->fingerprint = 7;
+      entry->crash = ToWire(TargetCrash{.service = "s", .target = target, .incarnation = 1});
+      command.crashes.push_back(std::move(entry));
+      return cluster.Run(*other, ToCommand(std::move(command)))->error < 0;
+    };
+    REQUIRE(crash("a"));
+    REQUIRE(crash("b"));
+    CHECK(cluster.RunUntil([&] { return router->QuarantineList().size() == 1; }));
+    cluster.Elect(1);
+    CHECK(cluster.RunUntil([&] { return router->Leader() == "c1"; }));
+    REQUIRE(crash("c"));
+    auto newcomer = cluster.StartSyncedRouter("r3", 1, /*compact=*/true);
+    CHECK(cluster.RunUntil([&] { return newcomer->QuarantineList().size() == 1; }));
+    newcomer->Stop();
+  }
   SECTION("counts the routers that are left") {
     REQUIRE(cluster.Run(*other, LeaveCommand("r2", 1, /*clean=*/false))->error < 0);
     CHECK(cluster.RunUntil([&] { return router->ActiveRouters() == 1; }));
--- a/testing/control_state_test.cc
+++ b/testing/control_state_test.cc
@@ -182,6 +182,80 @@
   CHECK(HasError(machine.Quarantine(0, 5, 0), ErrorCode::kBadRequest));
 }
 
+TEST_CASE("crashes of requests are part of the state", "[control_state]") {
+  Machine machine;
+  const auto record = [&](int64_t now_ms, const std::string& target) {
+    wire::RecordCrashesT command;
+    auto entry = std::make_unique<wire::RequestCrashT>();
+    entry->fingerprint = 7;
+    entry->crash = ToWire(TargetCrash{.service = "s", .target = target, .incarnation = 1});
+    command.crashes.push_back(std::move(entry));
+    return machine.Run(now_ms, std::move(command));
+  };
+  const auto begin = [&](uint64_t trial, std::vector<TargetCrash> crashes = {}) {
+    wire::BeginTrialT command;
+    command.fingerprint = 7;
+    command.trial = trial;
+    command.hold_ms = 1'000;
+    command.crashes = ToWire(crashes);
+    return machine.Run(2'000, std::move(command));
+  };
+  const auto end = [&](uint64_t trial, const std::vector<std::string>& answered,
+                       const std::vector<TargetCrash>& crashes) {
+    wire::EndTrialT command;
+    command.fingerprint = 7;
+    command.trial = trial;
+    command.answered = answered;
+    command.crashes = ToWire(crashes);
+    return machine.Run(2'000, std::move(command));
+  };
+  REQUIRE(record(1'000, "a").error < 0);
+  SECTION("one crash is not sent to routers") {
+    CHECK(machine.state.Version() == 0);
+    CHECK(machine.state.QuarantineIndex() == 0);
+    machine.RestoreFromSnapshot();
+    SECTION("but counts after a restart") {
+      REQUIRE(record(1'000, "b").error < 0);
+      CHECK(machine.state.QuarantineList().size() == 1);
+    }
+  }
+  SECTION("a trial is granted only after the crashes that the router knows") {
+    CHECK(begin(1, {{.service = "s", .target = "b", .incarnation = 1}}).error < 0);
+    CHECK(HasError(begin(2), ErrorCode::kSuspect));
+  }
+  SECTION("two are, as is the end of the suspicion, over restarts") {
+    REQUIRE(record(1'500, "b").error < 0);
+    CHECK(machine.state.Version() == machine.index);
+    CHECK(machine.state.QuarantineIndex() == machine.index);
+    machine.RestoreFromSnapshot();
+    REQUIRE(begin(1).error < 0);
+    CHECK(machine.state.QuarantineIndex() == machine.index - 1);
+    machine.RestoreFromSnapshot();
+    CHECK(HasError(begin(2), ErrorCode::kSuspect));
+    REQUIRE(end(1, {"s"}, {}).error < 0);
+    CHECK(machine.state.QuarantineIndex() == machine.index);
+    CHECK(machine.state.QuarantineList().empty());
+  }
+  SECTION("a request without trials left is blocked over restarts") {
+    REQUIRE(record(1'500, "b").error < 0);
+    for (uint64_t trial = 1; trial <= kMaxTrials; ++trial) {
+      REQUIRE(begin(trial).error < 0);
+      const std::string target = "c" + std::to_string(trial);
+      end(trial, {}, {{.service = "s", .target = target, .incarnation = 1}});
+      machine.RestoreFromSnapshot();
+    }
+    CHECK(HasError(begin(9), ErrorCode::kQuarantined));
+    REQUIRE(machine.state.QuarantineList().size() == 1);
+    CHECK_FALSE(machine.state.QuarantineList().front().suspect);
+  }
+  SECTION("incomplete commands are rejected") {
+    wire::RecordCrashesT command;
+    command.crashes.push_back(std::make_unique<wire::RequestCrashT>());
+    CHECK(HasError(machine.Run(0, std::move(command)), ErrorCode::kBadRequest));
+    CHECK(HasError(begin(0), ErrorCode::kBadRequest));
+  }
+}
+
 TEST_CASE("malformed input is rejected", "[control_state]") {
   Machine machine;
   machine.ApplyText(1, "one");
--- a/testing/crashing_fleet.cc
+++ b/testing/crashing_fleet.cc
@@ -2,6 +2,7 @@
 #include "crashing_fleet.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
@@ -18,6 +19,22 @@
 constexpr Duration kTimeout = Millis(1'000);
 constexpr Duration kCrashTime = Millis(20);  // from the arrival of a request to the crash
 constexpr Duration kWorkTime = Millis(5);
+constexpr Duration kSlowWorkTime = Millis(400);  // of paths that end with "slow"
+constexpr std::array<const char*, 5> kServices = {"s", "u", "g0", "g1", "g2"};
+
+std::string GatherRouteText() {
+  return R"({"name":"g","host":"test.example","pathPrefix":"/g/","kind":"safe","timeoutMs":)" +
+         std::to_string(WholeMillis(kTimeout)) +
+         R"(,"targetLatencyMs":500,"priority":1,"gather":["g0","g1","g2"],"maxAttempts":2,)" +
+         R"("topK":3,"minVersion":0.6})";
+}
+
+bool CrashesOn(const std::string& path, const std::string& service) {
+  const size_t at = path.find("crash");
+  if (at == std::string::npos) return false;
+  const std::string rest = path.substr(at + 5);
+  return rest.empty() || rest == "-" + service;
+}
 
 }  // namespace
 
@@ -32,10 +49,10 @@
   REQUIRE(this->deployment.Apply(
       ConfigText(1,
                  {RouteText("s", "/s/", "safe", WholeMillis(kTimeout), "s"),
-                  RouteText("u", "/u/", "unsafe", WholeMillis(kTimeout), "u")},
-                 {"s", "u"})));
+                  RouteText("u", "/u/", "unsafe", WholeMillis(kTimeout), "u"), GatherRouteText()},
+                 {kServices.begin(), kServices.end()})));
   int number = 0;
-  for (const char* service : {"s", "u"}) {
+  for (const char* service : kServices) {
     for (size_t i = 0; i < options.targets; ++i) {
       this->targets.push_back(
           std::make_unique<Target>(Target{.service = service,
@@ -55,9 +72,11 @@
   });
   REQUIRE(this->deployment.AwaitRoute("/s/ready"));
   REQUIRE(this->deployment.AwaitRoute("/u/ready"));
+  REQUIRE(this->deployment.AwaitRoute("/g/ready"));
 }
 
 CrashingFleet::~CrashingFleet() {
+  this->StopHarmless(Time::max());
   this->stopping = true;
   this->heartbeats.join();
   this->loop.Run([this] { this->targets.clear(); });
@@ -90,12 +109,14 @@
 void CrashingFleet::Handle(Target& target, const HttpRequest& request,
                            const HttpResponder& responder) {
   const std::string id(request.Header("Peridotgauge-Request-Id"));
-  const bool crash = request.path.find("crash") != std::string::npos;
+  const bool crash = CrashesOn(request.path, target.service);
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->arrivals.push_back({request.path, SteadyNow(), crash});
   }
-  auto timer = std::make_shared<asio::steady_timer>(this->loop.io, crash ? kCrashTime : kWorkTime);
+  const bool slow = request.path.ends_with("slow");
+  auto timer = std::make_shared<asio::steady_timer>(
+      this->loop.io, crash ? kCrashTime : (slow ? kSlowWorkTime : kWorkTime));
   timer->async_wait([this, timer, &target, crash, responder, id](boost::system::error_code error) {
     if (error || this->stopping) return;
     if (crash) return this->Crash(target);
@@ -142,12 +163,50 @@
   }
 }
 
-int CrashingFleet::Send(size_t router, const std::string& method, const std::string& path) {
-  const auto answer = Call(
+std::optional<HttpResponse> CrashingFleet::Send(size_t router, const std::string& method,
+                                                const std::string& path) {
+  return Call(
       this->deployment.RouterAddress(router),
-      CallerRequest("harmless-" + std::to_string(++this->next_request), method, path, kTimeout),
+      CallerRequest("single-" + std::to_string(++this->next_request), method, path, kTimeout),
       2 * kTimeout);
-  return answer ? answer->status : 0;
+}
+
+void CrashingFleet::StartHarmless() {
+  for (size_t i = 0; i < this->options.routers; ++i) {
+    this->harmless.emplace_back([this, i] {
+      const Address router = this->deployment.RouterAddress(i);
+      static const std::array<std::pair<std::string, std::string>, 4> kRequests = {
+          {{"GET", "/s/a"}, {"GET", "/s/b"}, {"POST", "/u/a"}, {"GET", "/g/a"}}};
+      for (size_t n = 0; !this->harmless_stopping; ++n) {
+        const auto& [method, path] = kRequests[n % kRequests.size()];
+        const Time sent = SteadyNow();
+        const std::string id = "harmless-" + std::to_string(i) + "-" + std::to_string(n);
+        const auto answer = Call(router, CallerRequest(id, method, path, kTimeout), 2 * kTimeout);
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->harmless_ends.push_back({sent, path, answer ? answer->status : 0});
+      }
+    });
+  }
+}
+
+std::vector<HarmlessEnd> CrashingFleet::StopHarmless(Time since) {
+  this->harmless_stopping = true;
+  for (std::thread& thread : this->harmless) thread.join();
+  this->harmless.clear();
+  this->harmless_stopping = false;
+  std::vector<HarmlessEnd> failed;
+  std::copy_if(this->harmless_ends.begin(), this->harmless_ends.end(), std::back_inserter(failed),
+               [&](const HarmlessEnd& end) { return end.sent > since && end.status != 200; });
+  return failed;
+}
+
+void CrashingFleet::KillAll() {
+  for (size_t i = 0; i < this->options.controllers; ++i) this->deployment.KillController(i);
+  for (size_t i = 0; i < this->options.routers; ++i) this->deployment.KillRouter(i);
+  for (size_t i = 0; i < this->options.controllers; ++i) this->deployment.StartController(i);
+  for (size_t i = 0; i < this->options.routers; ++i) {
+    REQUIRE(this->deployment.RestartRouter(i, "/s/ready"));
+  }
 }
 
 std::vector<CrashingFleet::Arrival> CrashingFleet::ArrivalsOf(const std::string& path) {
@@ -164,12 +223,25 @@
       std::count_if(found.begin(), found.end(), [](const Arrival& a) { return a.crash; }));
 }
 
+std::vector<CrashingFleet::Arrival> CrashingFleet::LateArrivalsOf(const std::string& path) {
+  std::vector<Arrival> late;
+  std::optional<Time> from;
+  int crashes = 0;
+  for (const Arrival& arrival : this->ArrivalsOf(path)) {
+    if (from && arrival.at > *from) late.push_back(arrival);
+    if (arrival.crash && ++crashes == 3) from = arrival.at + kCrashTime + kContactTime;
+  }
+  return late;
+}
+
 size_t CrashingFleet::LateSends(const std::string& path) {
-  const auto found = this->ArrivalsOf(path);
-  if (found.size() < 3) return 0;
-  const Time from = found[2].at + kCrashTime + kContactTime;
+  return this->LateArrivalsOf(path).size();
+}
+
+size_t CrashingFleet::LateCrashes(const std::string& path) {
+  const auto late = this->LateArrivalsOf(path);
   return static_cast<size_t>(
-      std::count_if(found.begin(), found.end(), [&](const Arrival& a) { return a.at > from; }));
+      std::count_if(late.begin(), late.end(), [](const Arrival& a) { return a.crash; }));
 }
 
 void CrashingFleet::CrashTargets(const std::string& service, size_t count) {
--- a/testing/crashing_fleet.h
+++ b/testing/crashing_fleet.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -35,7 +36,14 @@
 struct CrashingFleetOptions {
   size_t controllers = 1;
   size_t routers = 3;
-  size_t targets = 5;  // of each of the services "s" (idempotent) and "u" (not idempotent)
+  size_t targets = 4;  // of each service
+};
+
+// The end of a request that no target crashes on.
+struct HarmlessEnd {
+  Time sent;
+  std::string path;
+  int status = 0;  // 0: no answer
 };
 
 class CrashingFleet {
@@ -47,13 +55,22 @@
   // sends, with the number of sends so far.
   void Resend(const std::string& method, const std::string& path, Duration length,
               const std::function<void(int)>& disturb = {});
-  // Sends a harmless request and returns the status, or 0 if there is no answer.
-  int Send(size_t router, const std::string& method, const std::string& path);
+  // Sends a request to the router and returns the answer, or nothing if there is none.
+  std::optional<HttpResponse> Send(size_t router, const std::string& method,
+                                   const std::string& path);
+  // Starts threads that send harmless requests to all routers. Each path is sent every few
+  // milliseconds.
+  void StartHarmless();
+  // Stops these threads and returns their requests that were sent after `since` and not answered
+  // with 200.
+  std::vector<HarmlessEnd> StopHarmless(Time since);
   // Returns the number of targets that have crashed on the path.
   size_t Crashes(const std::string& path);
   // Returns how many sends of the path have reached targets later than kContactTime after the third
   // crash.
   size_t LateSends(const std::string& path);
+  // Returns how many of these have crashed their targets.
+  size_t LateCrashes(const std::string& path);
 
   // Ends targets of the service as a loss of power of their rack does, and starts them again after
   // kRestartDelay.
@@ -61,7 +78,10 @@
   // Resets the connections of all targets that have a request in flight, which go on running.
   void ResetConnections();
 
-  // Returns the answers to the resends that were refused with a status of the system itself.
+  // Ends all processes at once and starts them again.
+  void KillAll();
+
+  // Returns the statuses of the answers to the resends.
   const std::vector<int>& Statuses() const { return this->statuses; }
   RouteDeployment& Deployment() { return this->deployment; }
 
@@ -87,6 +107,8 @@
   // Sends the heartbeats of all running targets once.
   void SendHeartbeats();
   std::vector<Arrival> ArrivalsOf(const std::string& path);
+  // Returns the arrivals later than kContactTime after the third crash.
+  std::vector<Arrival> LateArrivalsOf(const std::string& path);
 
   CrashingFleetOptions options;
   RouteDeployment deployment;
@@ -94,6 +116,9 @@
   std::vector<Arrival> arrivals;                 // guarded by `mutex`
   std::vector<std::unique_ptr<Target>> targets;  // used on `loop`
   std::vector<int> statuses;
+  std::vector<HarmlessEnd> harmless_ends;  // guarded by `mutex`
+  std::atomic<bool> harmless_stopping{false};
+  std::vector<std::thread> harmless;
   std::mt19937_64 random{1};
   int next_request = 0;
   std::atomic<bool> stopping{false};
--- a/testing/route_request_test.cc
+++ b/testing/route_request_test.cc
@@ -112,9 +112,11 @@
   Metrics metrics;
   EventLog log{-1};
   std::mt19937_64 random{1};
-  RouteContext context{this->io,        this->codec,  this->pool,
-                       *this->replicas, this->budget, this->hedge_budgets,
-                       this->metrics,   this->log,    this->random};
+  ControlClient control{this->io, {.self = {}, .controllers = {{"c", "127.0.0.1:1"}}}};
+  CrashGuard crash_guard{{this->io, this->control, this->metrics, this->log}};
+  RouteContext context{this->io,     this->codec,         this->pool,    *this->replicas,
+                       this->budget, this->hedge_budgets, this->metrics, this->log,
+                       this->random, this->crash_guard};
 };
 
 Route Single(bool idempotent) {
--- a/testing/soak/route_soak_main.cc
+++ b/testing/soak/route_soak_main.cc
@@ -15,6 +15,10 @@
 //   gone      the newest confirmed revision is not read back at the end
 //   unacked   a valid change had no confirmation within kAckTime while no controller was disturbed
 //   outlived  a process ran longer than its grace period
+//   crashes   a request that crashes its targets, sent again and again by its caller, reached
+//   targets more
+//             than kSoakLateSends times later than kSoakContactTime after it had crashed the third
+//   unserved  harmless requests were not served after the last disturbance
 //
 // The schedule depends on the seed; the times at which processes act on it do not.
 #include <gflags/gflags.h>
@@ -23,10 +27,6 @@
 #include <unistd.h>
 
 #include <atomic>
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -41,9 +41,10 @@
 #include <vector>
 
 #include "io/clock.h"
-#include "io/http_server.h"
 #include "testing/soak/soak_caller.h"
 #include "testing/soak/soak_process.h"
+#include "testing/soak/soak_record.h"
+#include "testing/soak/soak_targets.h"
 
 DEFINE_string(daemon, "build/peridotgauged", "the program");
 DEFINE_uint64(seed, 1, "seed of the schedule");
@@ -55,13 +56,13 @@
 DEFINE_bool(kills, true, "kill and freeze processes too");
 DEFINE_bool(full_disks, true, "let disks of controllers be full for up to 3 s");
 DEFINE_bool(second_signals, true, "send some stopping processes a second SIGTERM");
+DEFINE_bool(crashes, true, "let callers resend requests that crash their targets");
 DEFINE_bool(keep_folder, false, "keep the logs of the processes");
 
 namespace peridotgauge {
 namespace {
 
 namespace fs = std::filesystem;
-namespace asio = boost::asio;
 
 constexpr int kHttpPort = 18'401;
 constexpr int kHealthPort = 18'402;
@@ -76,8 +77,8 @@
 constexpr Duration kLossSlack = Millis(200);
 constexpr Duration kApplyTime = Seconds(3);
 constexpr Duration kAckTime = Seconds(5);
-constexpr Duration kContactTime = Seconds(4);
 constexpr Duration kEndSlack = Millis(500);
+constexpr Duration kCalmTime = Seconds(2);
 constexpr char kHost[] = "soak.example";
 
 std::string Quoted(const std::string& text) { return "\"" + text + "\""; }
@@ -88,102 +89,6 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-// What was seen, with the times at which requests reached targets.
-class Record {
- public:
-  void Violation(const std::string& kind, const std::string& text) {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    ++this->violations[kind];
-    if (this->violations[kind] <= 5) std::cout << kind << ": " << text << "\n" << std::flush;
-  }
-  void Count(const std::string& what) {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    ++this->counts[what];
-  }
-  void Arrived(const std::string& id) {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    ++this->arrivals[id];
-  }
-  int Arrivals(const std::string& id) {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    const auto found = this->arrivals.find(id);
-    return found == this->arrivals.end() ? 0 : found->second;
-  }
-  // Prints the counts. Returns true if there was no violation.
-  bool Report() {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    for (const auto& [what, count] : this->counts) std::cout << what << " " << count << "\n";
-    for (const auto& [kind, count] : this->violations) {
-      std::cout << "VIOLATION " << kind << " " << count << "\n";
-    }
-    return this->violations.empty();
-  }
-
- private:
-  std::mutex mutex;
-  std::map<std::string, int> violations;
-  std::map<std::string, int> counts;
-  std::map<std::string, int> arrivals;
-};
-
-// The targets of both services, on one event loop. Some answers are slow, a few fail.
-class Targets {
- public:
-  Targets(const std::string& network, uint64_t seed, Record& record)
-      : record(record), random(seed), work(asio::make_work_guard(this->io)) {
-    for (const char* service : {"s", "u"}) {
-      for (int i = 0; i < kTargets; ++i) {
-        const Address address = network + std::to_string((*service == 's' ? 100 : 120) + i) + ":" +
-                                std::to_string(kTargetPort);
-        auto server = HttpServer::Listen(
-            this->io, address, [this](const HttpRequest& request, const HttpResponder& responder) {
-              this->Handle(request, responder);
-            });
-        CHECK(server) << server.error().ToString();
-        this->servers.push_back(std::move(*server));
-        this->names.push_back({std::string(service) + "-" + std::to_string(i), service, address});
-      }
-    }
-    this->thread = std::thread([this] { this->io.run(); });
-  }
-  ~Targets() {
-    this->io.stop();
-    this->thread.join();
-  }
-
-  struct Name {
-    std::string id;
-    std::string service;
-    Address address;
-  };
-  const std::vector<Name>& Names() const { return this->names; }
-
- private:
-  void Handle(const HttpRequest& request, const HttpResponder& responder) {
-    const std::string id(request.Header("Peridotgauge-Request-Id"));
-    HttpResponse response{
-        .status = 200,
-        .headers = {{"Peridotgauge-Request-Id", id}, {"Peridotgauge-Server-Stamp", "stamp-" + id}},
-        .body = std::string(200, 'x')};
-    if (!id.empty()) this->record.Arrived(id);
-    const auto draw = std::uniform_int_distribution<int>(0, 999)(this->random);
-    if (!id.empty() && draw < 20 && !request.path.starts_with("/u/")) response.status = 500;
-    const Duration time = id.empty() ? Duration(0) : Millis(draw < 50 ? 300 : 2 + draw % 40);
-    auto timer = std::make_shared<asio::steady_timer>(this->io, time);
-    timer->async_wait([timer, responder, response](boost::system::error_code error) {
-      if (!error) responder.Send(response);
-    });
-  }
-
-  Record& record;
-  std::mt19937_64 random;  // used on the event loop only
-  asio::io_context io{1};
-  asio::executor_work_guard<asio::io_context::executor_type> work;
-  std::vector<std::unique_ptr<HttpServer>> servers;
-  std::vector<Name> names;
-  std::thread thread;
-};
-
 class Soak {
  public:
   explicit Soak(uint64_t seed) : random(seed) {
@@ -193,7 +98,8 @@
                     std::to_string(1 + getpid() % 250) + ".";
     for (uint32_t i = 0; i < FLAGS_controllers; ++i) this->Add("controller", i, this->controllers);
     for (uint32_t i = 0; i < FLAGS_routers; ++i) this->Add("router", i, this->routers);
-    this->targets = std::make_unique<Targets>(this->network, seed + 1, this->record);
+    this->targets =
+        std::make_unique<SoakTargets>(this->network, kTargetPort, kTargets, seed + 1, this->record);
   }
   ~Soak() {
     this->stopping = true;
@@ -224,6 +130,10 @@
     for (uint32_t i = 0; i < FLAGS_callers; ++i) {
       this->threads.emplace_back([this, i] { this->SendRequests(i); });
     }
+    if (FLAGS_crashes) {
+      this->threads.emplace_back([this] { this->ResendCrashing("GET", "/s/crash", 7); });
+      this->threads.emplace_back([this] { this->ResendCrashing("POST", "/u/crash", 8); });
+    }
     this->threads.emplace_back([this] { this->ChangeConfig(); });
     this->threads.emplace_back([this] { this->CheckRoutes(); });
     this->threads.emplace_back([this] { this->ReadConfig(); });
@@ -234,7 +144,10 @@
     }
     for (std::thread& thread : this->disturbances) thread.join();
     this->disturbances.clear();
-    std::this_thread::sleep_for(kContactTime);
+    std::this_thread::sleep_for(kSoakContactTime + kSoakRestartDelay);
+    this->calm = true;
+    std::this_thread::sleep_for(kCalmTime);
+    this->calm = false;
   }
 
   bool Finish() {
@@ -342,7 +255,7 @@
           this->confirmed.emplace_back(SteadyNow(), number);
         }
         this->acked = number;
-        if (end.ended - began > kAckTime && this->ControllersCalmSince(began - kContactTime)) {
+        if (end.ended - began > kAckTime && this->ControllersCalmSince(began - kSoakContactTime)) {
           this->record.Violation("unacked", "version " + std::to_string(number));
         }
         return true;
@@ -386,11 +299,12 @@
 
   void SendHeartbeats() {
     for (uint64_t sequence = 1; !this->stopping; ++sequence) {
-      for (const Targets::Name& target : this->targets->Names()) {
-        const std::string body =
-            R"({"service":)" + Quoted(target.service) + R"(,"address":)" + Quoted(target.address) +
-            R"(,"zone":"z-a","version":"v1","slots":16,"state":"ready",)" +
-            R"("warmupLeftMs":0,"sequence":)" + std::to_string(sequence) + R"(,"born":1000})";
+      for (const SoakTargets::Registration& target : this->targets->Running()) {
+        const std::string body = R"({"service":)" + Quoted(target.service) + R"(,"address":)" +
+                                 Quoted(target.address) +
+                                 R"(,"zone":"z-a","version":"v1","slots":16,"state":"ready",)" +
+                                 R"("warmupLeftMs":0,"sequence":)" + std::to_string(sequence) +
+                                 R"(,"born":)" + std::to_string(target.born) + "}";
         const std::string text = Http("PUT", "/instances/" + target.id, "", body);
         for (size_t i = 0; i < this->controllers.size(); ++i) {
           if (this->Control((sequence + i) % this->controllers.size(), text).status == 200) break;
@@ -431,8 +345,8 @@
       const CallerEnd end =
           number == 0 ? CallerEnd{}
                       : this->Get(connection, router, "/extra-" + std::to_string(number) + "/x");
-      const bool calm = router.LastDisturbance() < sent - kContactTime &&
-                        this->ControllersCalmSince(sent - kContactTime);
+      const bool calm = router.LastDisturbance() < sent - kSoakContactTime &&
+                        this->ControllersCalmSince(sent - kSoakContactTime);
       if (end.status == 404 && calm) {
         this->record.Violation("old",
                                router.name + " does not know version " + std::to_string(number));
@@ -489,11 +403,37 @@
       const CallerEnd end = connection.Send(
           RequestText(id, safe ? "GET" : "POST", (safe ? "/s/" : "/u/") + id), Seconds(4));
       this->Judge(*router, id, safe, end);
+      if (this->calm && (end.status != 200 && end.status != 500)) {
+        this->record.Violation("unserved", id + " at " + router->name + ", status " +
+                                               std::to_string(end.status) + ", " + end.detail);
+      }
       if (end.closes) connection.Close();
       std::this_thread::sleep_for(Millis(static_cast<int64_t>(own() % 30)));
     }
   }
 
+  // Sends a request that crashes its targets again and again, at any router.
+  void ResendCrashing(const std::string& method, const std::string& path, uint64_t number) {
+    std::mt19937_64 own(FLAGS_seed * 1'000 + 500 + number);
+    for (int i = 0; !this->stopping; ++i) {
+      SoakConnection connection;
+      Process& router = *this->routers[own() % this->routers.size()];
+      if (connection.Open(router.ip + ":" + std::to_string(kHttpPort))) {
+        const std::string id = "crash-" + std::to_string(number) + "-" + std::to_string(i);
+        const CallerEnd end = connection.Send(RequestText(id, method, path), Seconds(4));
+        this->Judge(router, id, method == "GET", end);
+      }
+      std::this_thread::sleep_for(Millis(static_cast<int64_t>(300 + own() % 500)));
+    }
+    this->record.Count("arrivals of " + path + ": " +
+                       std::to_string(this->record.CrashArrivals(path)));
+    const size_t late = this->record.LateCrashArrivals(path);
+    if (late > kSoakLateSends) {
+      this->record.Violation("crashes", path + " was sent to targets " + std::to_string(late) +
+                                            " times later than allowed");
+    }
+  }
+
   void Judge(Process& router, const std::string& id, bool safe, const CallerEnd& end) {
     const auto text = [&] {
       return id + (safe ? " (safe)" : " (unsafe)") + " at " + router.name + ", arrivals " +
@@ -580,11 +520,12 @@
   std::mt19937_64 random;  // used by the thread of Run() only
   std::string folder;
   std::string network;
-  Record record;
+  SoakRecord record;
   Group controllers;
   Group routers;
-  std::unique_ptr<Targets> targets;
+  std::unique_ptr<SoakTargets> targets;
   std::atomic<bool> stopping{false};
+  std::atomic<bool> calm{false};  // no disturbance for a while: all requests must be served
   std::atomic<uint64_t> version{0};
   std::atomic<uint64_t> acked{0};
   std::atomic<uint64_t> checks{0};
--- a/testing/soak/soak_process.cc
+++ b/testing/soak/soak_process.cc
@@ -37,6 +37,8 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, this->log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0640);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // An inherited socket of a target would stay open when the target closes it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::vector<char*> arguments;
   for (std::string& word : this->command) arguments.push_back(word.data());
   arguments.push_back(nullptr);
