Tell targets the time that is left when a request is sent, not when it begins to wait

Under load callers left while targets worked on: a request that waits for a connection was built with its deadline before the wait. The test failed before: four busy connections for 0.7 s, the fifth request told 2,000 ms where 1,300 were left. Now the pool calls back before it writes, each time, also after a requeue. Ruled out: the native interface, which computes the time when a slot and a connection are free.

--- a/bench/route_cost_main.cc
+++ b/bench/route_cost_main.cc
@@ -59,6 +59,7 @@
     sent.headers.push_back({"x-expected-target", target.target});
     return sent;
   }
+  void SetTimeLeft(Duration, HttpRequest&) const override {}
   HttpHeader RequestIdHeader(const std::string& request_id) const override {
     return {std::string(kIdHeader), request_id};
   }
--- a/core/route_codec.h
+++ b/core/route_codec.h
@@ -63,6 +63,8 @@
   // Returns the request to send to `target`, which has `time_left` to respond.
   virtual HttpRequest BuildTargetRequest(const HttpRequest& request, const TargetRecord& target,
                                          Duration time_left) const = 0;
+  // Replaces the time to respond in a request that BuildTargetRequest() has returned.
+  virtual void SetTimeLeft(Duration time_left, HttpRequest& request) const = 0;
   // Returns the header with which a target's response identifies its request.
   virtual HttpHeader RequestIdHeader(const std::string& request_id) const = 0;
   virtual TargetReply ParseTargetResponse(const HttpResponse& response,
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -99,6 +99,9 @@
   // Without `echo`: the header with which a response identifies its request; empty if there is
   // none.
   std::string_view identifying_header;
+  // Called with the request each time before it is written, for fields that depend on the time that
+  // the call has waited for a connection. May be empty.
+  std::function<void(HttpRequest& request)> before_sending;
   // The request may be sent again if its connection turns out to be closed. This saves the system
   // call that checks a recently used connection before it is reused.
   bool idempotent = false;
--- a/io/http_connection.cc
+++ b/io/http_connection.cc
@@ -102,6 +102,8 @@
   this->sent = false;
   this->written = false;
   this->newly_opened = newly_opened;
+  HttpCall& call = this->exchange->call;
+  if (call.before_sending) call.before_sending(call.request);
   this->request = SerializeRequest(this->exchange->call.request, this->impl->address);
   this->strays = 0;
   this->ResetParser();
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -136,6 +136,11 @@
                                HttpResult result) { self->OnResult(number, std::move(result)); },
                    .released = {},
                    .echo = this->echo,
+                   .before_sending =
+                       [&codec = this->context.codec,
+                        deadline = this->params.deadline](HttpRequest& request) {
+                         codec.SetTimeLeft(deadline - SteadyNow(), request);
+                       },
                    .idempotent = this->params.route->idempotent});
   }
 
--- a/testing/route_request_test.cc
+++ b/testing/route_request_test.cc
@@ -358,5 +358,29 @@
   }
 }
 
+// Guards against targets that work on after the caller has left, because the request had waited for
+// a connection since the time left was computed.
+TEST_CASE("a request that has waited for a connection tells the target what time is left",
+          "[route_request]") {
+  RouterFixture router;
+  constexpr size_t kConnections = 4;  // see Begin()
+  constexpr Duration kWait = Millis(700);
+  constexpr Duration kTimeout = Seconds(2);
+  std::vector<int> deadlines_ms;
+  std::vector<HttpResponder> responders;
+  router.Add("s", [&](const HttpRequest& request, const HttpResponder& responder) {
+    deadlines_ms.push_back(std::stoi(std::string(request.Header("Peridotgauge-Deadline-Ms"))));
+    responders.push_back(responder);
+  });
+  std::vector<std::shared_ptr<RouteRequest>> runs;
+  for (size_t i = 0; i <= kConnections; ++i) runs.push_back(router.Begin(Single(false), kTimeout));
+  REQUIRE(RunUntil(router.io, [&] { return deadlines_ms.size() == kConnections; }));
+  const Time begin = SteadyNow();
+  RunUntil(router.io, [&] { return SteadyNow() >= begin + kWait; });
+  for (const HttpResponder& responder : responders) responder.Send(Answer(200, "", "p"));
+  REQUIRE(RunUntil(router.io, [&] { return deadlines_ms.size() == kConnections + 1; }));
+  CHECK(deadlines_ms.back() <= WholeMillis(kTimeout - kWait));
+}
+
 }  // namespace
 }  // namespace peridotgauge
