Departures: compare keys in place, one place that begins the wait, a name for each step

No behaviour changes: [directory], [departures], [target_heartbeat_handler], [departure], [control_state] pass.

--- a/io/controller.cc
+++ b/io/controller.cc
@@ -533,17 +533,17 @@
       if (!accepted->stale) this->departures_since.erase(record.target);
       return responder.reply(ToBody(wire::CommandReplyT{}));
     }
-    this->departures_since.try_emplace(record.target, now);
+    const Time since = this->departures_since.try_emplace(record.target, now).first->second;
     const auto departure = this->directory.LastDeparture(record.target);
     if (!departure || this->state.Departures().Covers(*departure)) {
-      return this->AwaitDeparture(now, record.target, responder);
+      return this->AwaitDeparture(now, since, record.target, responder);
     }
     this->RecordDepartures(
         {*departure},
         this->IfTermUnchangedOr(
-            [target = record.target, responder](Impl& self, const wire::BodyUnion& answer) {
+            [since, target = record.target, responder](Impl& self, const wire::BodyUnion& answer) {
               if (answer.AsCommandReply()->error >= 0) return responder.reply(answer);
-              self.AwaitDeparture(SteadyNow(), target, responder);
+              self.AwaitDeparture(SteadyNow(), since, target, responder);
             },
             [responder] {
               responder.reply(MakeCommandError({ErrorCode::kNotLeader, ""}, ""));
@@ -582,15 +582,15 @@
 
   // Takes over departures that were committed in an earlier term and applied here only after this
   // one began; an older heartbeat may have been accepted meanwhile.
-  void ApplyDepartures(Time now) {
+  void TakeOverDepartures(Time now) {
     const uint64_t index = this->state.DeparturesIndex();
     if (std::exchange(this->applied_departures, index) == index) return;
     this->directory.ApplyDepartures(now);
   }
 
-  // Acknowledges the departure of a target once all routers with a session know of it.
-  void AwaitDeparture(Time now, const std::string& target, const Responder& responder) {
-    const Time since = this->departures_since.try_emplace(target, now).first->second;
+  // Acknowledges the departure of a target once all routers with a session know of it. `since`:
+  // when the departure was first reported.
+  void AwaitDeparture(Time now, Time since, const std::string& target, const Responder& responder) {
     const auto answer = [this, responder, since, target](DirectoryAck ack) {
       const bool left_out = ack == DirectoryAck::kTimedOut;
       if (ack == DirectoryAck::kLeadershipLost) {
@@ -637,7 +637,7 @@
 
   void EnqueueDuePolls(Time now) {
     this->PublishConfig(now);
-    this->ApplyDepartures(now);
+    this->TakeOverDepartures(now);
     for (auto& [id, poll] : this->polls) {
       if (this->IsDue(now, poll)) this->Enqueue(id, poll);
     }
--- a/state/control_state.cc
+++ b/state/control_state.cc
@@ -99,7 +99,8 @@
   if (const auto* leave = body.AsLeave()) return this->ApplyLeave(context, *leave);
   if (const auto* entry = body.AsQuarantine()) return this->ApplyQuarantine(context, *entry);
   if (const auto* offer = body.AsOfferRouters()) return this->ApplyOffer(*offer);
-  if (const auto* left = body.AsRecordDepartures()) return this->ApplyDepartures(context, *left);
+  if (const auto* left = body.AsRecordDepartures())
+    return this->ApplyRecordDepartures(context, *left);
   if (const auto* crashed = body.AsRecordCrashes()) return this->ApplyCrashes(context, *crashed);
   if (const auto* begin = body.AsBeginTrial()) return this->ApplyBeginTrial(context, *begin);
   if (const auto* end = body.AsEndTrial()) return this->ApplyEndTrial(context, *end);
@@ -374,8 +375,8 @@
   return {};
 }
 
-Reply ControlState::ApplyDepartures(const CommandContext& context,
-                                    const wire::RecordDeparturesT& command) {
+Reply ControlState::ApplyRecordDepartures(const CommandContext& context,
+                                          const wire::RecordDeparturesT& command) {
   for (const auto& departure : command.targets) {
     if (!departure || departure->target.empty()) {
       return Reject(ErrorCode::kBadRequest, "name of a departed target is missing");
--- a/state/control_state.h
+++ b/state/control_state.h
@@ -144,8 +144,8 @@
   wire::CommandReplyT ApplyEndTrial(const CommandContext& context, const wire::EndTrialT& command);
   void RecordQuarantineChange(const CommandContext& context, bool changed);
   wire::CommandReplyT ApplyOffer(const wire::OfferRoutersT& command);
-  wire::CommandReplyT ApplyDepartures(const CommandContext& context,
-                                      const wire::RecordDeparturesT& command);
+  wire::CommandReplyT ApplyRecordDepartures(const CommandContext& context,
+                                            const wire::RecordDeparturesT& command);
   void AcceptRevision(const CommandContext& context, const wire::ApplyConfigT& command);
   void RecordRouterChange(const CommandContext& context, const std::string& router);
   bool DetailsMatchRevisions() const;
--- a/state/departures.cc
+++ b/state/departures.cc
@@ -9,7 +9,7 @@
   this->Prune(now_ms);
   if (this->Covers(departure)) return false;
   departure.recorded_ms = now_ms;
-  this->Restore(std::move(departure));
+  this->Insert(std::move(departure));
   if (this->departures.size() > kMaxDepartures) {
     this->departures.erase(std::min_element(
         this->departures.begin(), this->departures.end(),
@@ -18,7 +18,7 @@
   return true;
 }
 
-void DepartureTable::Restore(Departure departure) {
+void DepartureTable::Insert(Departure departure) {
   std::string target = departure.target;
   this->departures.insert_or_assign(std::move(target), std::move(departure));
 }
--- a/state/departures.h
+++ b/state/departures.h
@@ -50,7 +50,7 @@
   // Returns true if the departure is new, or newer than the known one of its target.
   bool Record(int64_t now_ms, Departure departure);
   // Adds a departure of a snapshot.
-  void Restore(Departure departure);
+  void Restore(Departure departure) { this->Insert(std::move(departure)); }
 
   // Returns nullptr if no departure of the target is known.
   const Departure* Find(const std::string& target) const;
@@ -66,6 +66,7 @@
   bool operator==(const DepartureTable&) const = default;
 
  private:
+  void Insert(Departure departure);
   void Prune(int64_t now_ms);
 
   std::map<std::string, Departure> departures;  // at most kMaxDepartures
--- a/state/directory.cc
+++ b/state/directory.cc
@@ -178,8 +178,14 @@
 
 bool Directory::HasDeparted(const TargetRecord& record) const {
   if (this->departures != nullptr && this->departures->Supersedes(record)) return true;
-  const std::optional<Departure> departure = this->LastDeparture(record.target);
-  return departure && VersionKey(record) < departure->Key();
+  const auto found = this->entries.find(record.target);
+  return found != this->entries.end() && HasReportedDeparture(found->second) &&
+         VersionKey(record) < VersionKey(found->second.record);
+}
+
+bool Directory::HasReportedDeparture(const Entry& entry) {
+  return entry.record.state == TargetState::kDraining ||
+         (entry.gone_since && !entry.removed_by_directory);
 }
 
 bool Directory::ApplyDepartures(Time now) {
@@ -209,11 +215,9 @@
 std::optional<Departure> Directory::LastDeparture(const std::string& target) const {
   const auto found = this->entries.find(target);
   if (found == this->entries.end()) return std::nullopt;
-  const Entry& entry = found->second;
-  const bool reported = entry.record.state == TargetState::kDraining ||
-                        (entry.gone_since && !entry.removed_by_directory);
-  if (!reported) return std::nullopt;
-  return Departure{target, entry.record.incarnation, entry.record.sequence};
+  if (!HasReportedDeparture(found->second)) return std::nullopt;
+  const TargetRecord& record = found->second.record;
+  return Departure{target, record.incarnation, record.sequence};
 }
 
 bool Directory::Tick(Time now, const RouterMap& view) {
--- a/state/directory.h
+++ b/state/directory.h
@@ -132,6 +132,8 @@
     std::optional<Time> gone_since;      // time since which the record is gone
   };
   enum class Decision : uint8_t { kAccept, kSame, kStale, kConflict };
+  // Returns true if the target itself has said that it leaves.
+  static bool HasReportedDeparture(const Entry& entry);
   static Decision Classify(const Entry& entry, const TargetRecord& record);
   bool MergeRecord(Time now, const TargetRecord& record);
   bool FitsLimits(const Entry* known, const TargetRecord& record) const;
