Let trials of suspect requests go on when their caller leaves

Targets went on crashing under a suspect request whose caller leaves early: a trial that is cancelled ended without a crash, was not counted, and the next one was granted. A trial now goes on until its target answers, ends, or the deadline passes. Ruled out: to count cancelled trials as crashes, which would block a harmless request whose callers leave. Both interfaces.

--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -73,6 +73,11 @@
 
   void Abort() override {
     if (this->ended) return;
+    // A trial goes on: only its end shows whether the request crashes its target.
+    if (this->params.trial != 0) {
+      this->done = nullptr;
+      return;
+    }
     const Time now = SteadyNow();
     this->Apply(now, this->search.Abort());
     this->Finish(now, "abandoned", 0, this->search.Counts(), 0);
--- a/io/search_runner.cc
+++ b/io/search_runner.cc
@@ -45,6 +45,11 @@
 
   void Abort() override {
     if (this->ended) return;
+    // A trial goes on: only its end shows whether the search crashes its targets.
+    if (this->trial != 0) {
+      this->callback = nullptr;
+      return;
+    }
     this->Apply(SteadyNow(), this->search.Abort());
     this->End(SteadyNow(), false, Error{ErrorCode::kCancelled, "the caller has disconnected"});
   }
@@ -212,7 +217,7 @@
     if (!answer) error = answer.error();
     Callback done = std::move(this->callback);
     this->End(now, complete, error);
-    done(std::move(answer));
+    if (done) done(std::move(answer));
   }
 
   void End(Time now, bool complete, const std::optional<Error>& error) {
--- a/io/search_runner.h
+++ b/io/search_runner.h
@@ -27,7 +27,7 @@
   using Callback = std::function<void(Result<SearchResponse>)>;
 
   virtual ~SearchRun() = default;
-  // Cancels all sub-requests. The callback is not called afterwards.
+  // Cancels all sub-requests, except those of a trial. The callback is not called afterwards.
   virtual void Abort() = 0;
 
   // Starts a search. `request.request_id` must not be empty. Returns nullptr if the search was
--- a/testing/crashing_fleet.cc
+++ b/testing/crashing_fleet.cc
@@ -163,6 +163,16 @@
   }
 }
 
+void CrashingFleet::SendAndLeave(size_t router, const std::string& method, const std::string& path,
+                                 int count) {
+  for (int i = 0; i < count; ++i) {
+    Call(this->deployment.RouterAddress(router),
+         CallerRequest("impatient-" + std::to_string(++this->next_request), method, path, kTimeout),
+         kCrashTime / 2);
+    std::this_thread::sleep_for(Millis(150));
+  }
+}
+
 std::optional<HttpResponse> CrashingFleet::Send(size_t router, const std::string& method,
                                                 const std::string& path) {
   return Call(
--- a/testing/crashing_fleet.h
+++ b/testing/crashing_fleet.h
@@ -51,6 +51,9 @@
   explicit CrashingFleet(CrashingFleetOptions options);
   ~CrashingFleet();
 
+  // Sends the request `count` times at the router and leaves each time before the target has
+  // crashed.
+  void SendAndLeave(size_t router, const std::string& method, const std::string& path, int count);
   // Sends the request every 200 to 500 ms to some router, for `length`. Calls `disturb` between two
   // sends, with the number of sends so far.
   void Resend(const std::string& method, const std::string& path, Duration length,
--- a/testing/crashing_request_test.cc
+++ b/testing/crashing_request_test.cc
@@ -78,6 +78,18 @@
   CHECK(fleet.LateSends(path) <= kAllowedLateSends);
 }
 
+// Guards against trials that never count, because their caller leaves before the target ends.
+TEST_CASE("a crashing request whose caller leaves early is not tried without end",
+          "[crashing_request]") {
+  CrashingFleet fleet({.routers = kRouters});
+  const std::string path = "/u/crash";
+  while (fleet.Crashes(path) < 2) fleet.Resend("POST", path, Millis(1));
+  Sleep(kRestartDelay);
+  const size_t before = fleet.Crashes(path);
+  fleet.SendAndLeave(0, "POST", path, 15);
+  CHECK(fleet.Crashes(path) <= before + 2);
+}
+
 TEST_CASE("harmless requests are served after targets were lost under them", "[crashing_request]") {
   CrashingFleet fleet({.controllers = 3, .routers = kRouters});
   fleet.StartHarmless();
