--- a/testing/crashing_fleet.cc
+++ b/testing/crashing_fleet.cc
@@ -16,7 +16,7 @@
 namespace asio = boost::asio;
 
 constexpr Duration kHeartbeat = Millis(600);
-constexpr Duration kTimeout = Millis(1'000);
+constexpr Duration kTimeout = Seconds(4);
 constexpr Duration kCrashTime = Millis(20);  // from the arrival of a request to the crash
 constexpr Duration kWorkTime = Millis(5);
 constexpr Duration kSlowWorkTime = Millis(400);  // of paths that end with "slow"
