--- a/io/route_request.h
+++ b/io/route_request.h
@@ -106,8 +106,8 @@
                                              Callback done);
   // Answers now, as if the deadline had passed. Does nothing if the request has ended.
   virtual void Expire() = 0;
-  // Cancels all attempts, for example because the caller has disconnected. `done` is not called. The
-  // attempts of a trial go on until they end.
+  // Cancels all attempts, for example because the caller has disconnected. `done` is not called.
+  // The attempts of a trial go on until they end.
   virtual void Abort() = 0;
 };
 
