--- a/core/quarantine.cc
+++ b/core/quarantine.cc
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace peridotgauge {
@@ -18,10 +19,10 @@
 
 uint64_t RouteFingerprint(std::string_view host, const HttpRequest& request) {
   // Each hash seeds the next one, so that moving bytes between two parts changes the result.
+  const std::array<std::string_view, 5> parts = {host, request.method, request.path, request.query,
+                                                 request.body};
   uint64_t hash = 0;
-  for (const std::string_view part :
-       {host, std::string_view(request.method), std::string_view(request.path),
-        std::string_view(request.query), std::string_view(request.body)}) {
+  for (const std::string_view part : parts) {
     hash = XXH3_64bits_withSeed(part.data(), part.size(), hash);
   }
   return hash;
--- a/io/crash_guard.cc
+++ b/io/crash_guard.cc
@@ -127,7 +127,7 @@
 
   void EndTrial(uint64_t fingerprint, uint64_t trial, TrialRun run) {
     if (run.lost.empty()) {
-      return this->SendEnd(fingerprint, trial, std::move(run.answered), std::move(run.crashes));
+      return this->SendEnd(fingerprint, trial, std::move(run.answered), run.crashes);
     }
     auto timer = std::make_shared<asio::steady_timer>(this->context.io, kCrashCheckDelay);
     timer->async_wait([weak = this->weak_from_this(), timer, fingerprint, trial,
@@ -143,13 +143,12 @@
     auto open_checks = std::make_shared<size_t>(unchecked.size());
     auto checked_run = std::make_shared<TrialRun>(std::move(run));
     for (const TargetCrash& lost : unchecked) {
-      this->CheckTarget({lost.target, lost.incarnation},
-                        [this, checked_run, open_checks, lost, fingerprint, trial](bool ended) {
-                          if (ended) checked_run->crashes.push_back(lost);
-                          if (--*open_checks > 0) return;
-                          this->SendEnd(fingerprint, trial, std::move(checked_run->answered),
-                                        std::move(checked_run->crashes));
-                        });
+      this->CheckTarget({lost.target, lost.incarnation}, [this, checked_run, open_checks, lost,
+                                                          fingerprint, trial](bool ended) {
+        if (ended) checked_run->crashes.push_back(lost);
+        if (--*open_checks > 0) return;
+        this->SendEnd(fingerprint, trial, std::move(checked_run->answered), checked_run->crashes);
+      });
     }
   }
 
