Satisfy the linter in the state and its test

One statement without braces, one copied parameter, one use after a move in a check (the state was not affected).

--- a/state/control_state.cc
+++ b/state/control_state.cc
@@ -99,8 +99,9 @@
   if (const auto* leave = body.AsLeave()) return this->ApplyLeave(context, *leave);
   if (const auto* entry = body.AsQuarantine()) return this->ApplyQuarantine(context, *entry);
   if (const auto* offer = body.AsOfferRouters()) return this->ApplyOffer(*offer);
-  if (const auto* left = body.AsRecordDepartures())
+  if (const auto* left = body.AsRecordDepartures()) {
     return this->ApplyRecordDepartures(context, *left);
+  }
   if (const auto* crashed = body.AsRecordCrashes()) return this->ApplyCrashes(context, *crashed);
   if (const auto* begin = body.AsBeginTrial()) return this->ApplyBeginTrial(context, *begin);
   if (const auto* end = body.AsEndTrial()) return this->ApplyEndTrial(context, *end);
--- a/testing/control_state_test.cc
+++ b/testing/control_state_test.cc
@@ -192,7 +192,7 @@
     command.crashes.push_back(std::move(entry));
     return machine.Run(now_ms, std::move(command));
   };
-  const auto begin = [&](uint64_t trial, std::vector<TargetCrash> crashes = {}) {
+  const auto begin = [&](uint64_t trial, const std::vector<TargetCrash>& crashes = {}) {
     wire::BeginTrialT command;
     command.fingerprint = 7;
     command.trial = trial;
@@ -251,7 +251,8 @@
   SECTION("incomplete commands are rejected") {
     wire::RecordCrashesT command;
     command.crashes.push_back(std::make_unique<wire::RequestCrashT>());
-    CHECK(HasError(machine.Run(0, std::move(command)), ErrorCode::kBadRequest));
+    const wire::CommandReplyT reply = machine.Run(0, std::move(command));
+    CHECK(HasError(reply, ErrorCode::kBadRequest));
     CHECK(HasError(begin(0), ErrorCode::kBadRequest));
   }
 }
