--- a/core/routes.h
+++ b/core/routes.h
@@ -81,6 +81,7 @@
   // Returns nullptr for an unknown service.
   const ServiceSpec* FindService(std::string_view name) const;
   const std::vector<Route>& Routes() const { return this->routes; }
+  size_t ServiceCount() const { return this->services.size(); }
   const CallerLimits& Limits() const { return this->limits; }
   bool Empty() const { return this->routes.empty(); }
 
--- a/core/search.cc
+++ b/core/search.cc
@@ -151,13 +151,15 @@
   if (shard.state != ShardState::kUnsent) return false;
   const TargetRecord* target = this->ChooseTarget(now, index);
   if (target == nullptr) return false;
-  if (shard.last_attempt == 0) {
+  const bool first = shard.last_attempt == 0;
+  if (first) {
     this->policies.budget.CountNeeded(now, this->plan->FleetOf(index).name, 1);
   } else {
     ++shard.uncharged_retries;
     ++this->counts.retries;
   }
-  this->SendTo(now, index, *target, effects);
+  this->SendTo(now, index, *target, first ? AttemptKind::kFirst : AttemptKind::kUnchargedRetry,
+               effects);
   return true;
 }
 
@@ -198,7 +200,8 @@
   return this->policies.chooser.Choose(now, candidates, this->tried);
 }
 
-void Search::SendTo(Time now, uint32_t index, const TargetRecord& target, SearchEffects& effects) {
+void Search::SendTo(Time now, uint32_t index, const TargetRecord& target, AttemptKind kind,
+                    SearchEffects& effects) {
   Shard& shard = this->shards[index];
   this->attempts.push_back({.shard = index, .previous = shard.last_attempt, .target = &target});
   const auto id = static_cast<uint32_t>(this->attempts.size());
@@ -218,7 +221,7 @@
         this->policies.budget.HedgeDelay(now, this->plan->FleetOf(index).name);
     if (delay) shard.next_action = now + *delay;
   }
-  effects.sends.push_back({.attempt = id, .shard = index, .target = &target});
+  effects.sends.push_back({.attempt = id, .shard = index, .target = &target, .kind = kind});
 }
 
 std::optional<ErrorCode> Search::CheckReply(const AttemptReply& reply, uint32_t index) const {
@@ -279,7 +282,8 @@
   if (target != nullptr && (!charged || this->SpendRetry(now, index))) {
     ++shard.uncharged_retries;
     ++this->counts.retries;
-    this->SendTo(now, index, *target, effects);
+    this->SendTo(now, index, *target,
+                 charged ? AttemptKind::kRetry : AttemptKind::kUnchargedRetry, effects);
     return true;
   }
   if (this->canaries_done || shard.running > 0) return false;
@@ -313,7 +317,7 @@
   }
   if (target != nullptr && this->SpendRetry(now, index)) {
     ++this->counts.retries;
-    this->SendTo(now, index, *target, effects);
+    this->SendTo(now, index, *target, AttemptKind::kRetry, effects);
     return;
   }
   // Tries again later, when the budget may have grown or a canary may have been answered.
@@ -366,7 +370,7 @@
   if (this->policies.budget.Spend(now, fleet, ExtraAttemptKind::kHedge)) {
     ++shard.hedges;
     ++this->counts.hedges;
-    this->SendTo(now, index, *target, effects);
+    this->SendTo(now, index, *target, AttemptKind::kHedge, effects);
     return;
   }
   const std::optional<Duration> delay = this->policies.budget.HedgeDelay(now, fleet);
--- a/core/search.h
+++ b/core/search.h
@@ -86,11 +86,19 @@
   bool charge_refusals = false;
 };
 
+enum class AttemptKind : uint8_t {
+  kFirst,  // the needed one of its shard
+  kHedge,
+  kRetry,           // charged to the budget
+  kUnchargedRetry,  // after an attempt that did not reach its target
+};
+
 // An attempt that the router must send. `target` is valid as long as the plan.
 struct AttemptSend {
   uint32_t attempt = 0;  // unique within the search, from 1
   uint32_t shard = 0;    // index into Plan::shards
   const TargetRecord* target = nullptr;
+  AttemptKind kind = AttemptKind::kFirst;
 };
 
 // The result of one attempt. On success, `request_id`, `attempt` and `snapshot` are the values that
@@ -220,7 +228,8 @@
   bool SendFirst(Time now, uint32_t index, SearchEffects& effects);
   bool AttemptsLeft(uint32_t index) const;
   const TargetRecord* ChooseTarget(Time now, uint32_t index);
-  void SendTo(Time now, uint32_t index, const TargetRecord& target, SearchEffects& effects);
+  void SendTo(Time now, uint32_t index, const TargetRecord& target, AttemptKind kind,
+              SearchEffects& effects);
 
   // Returns the reason why a successful reply cannot be merged, or nullopt if it can.
   std::optional<ErrorCode> CheckReply(const AttemptReply& reply, uint32_t index) const;
--- a/io/event_log.cc
+++ b/io/event_log.cc
@@ -47,10 +47,14 @@
   return this->AddRaw(key, value ? "true" : "false");
 }
 
+Event& Event::Add(std::string_view key, double value) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f", value);
+  return this->AddRaw(key, text.data());
+}
+
 Event& Event::Add(std::string_view key, Duration value) {
-  std::array<char, 32> millis{};
-  std::snprintf(millis.data(), millis.size(), "%.3f", ToMillis(value));
-  return this->AddRaw(key, millis.data());
+  return this->Add(key, ToMillis(value));
 }
 
 Event& Event::AddRaw(std::string_view key, std::string_view value) {
--- a/io/event_log.h
+++ b/io/event_log.h
@@ -41,6 +41,8 @@
   Event& Add(std::string_view key, Number value) {
     return this->AddRaw(key, std::to_string(value));
   }
+  // Adds the number with three decimals.
+  Event& Add(std::string_view key, double value);
   // Adds the duration in milliseconds with three decimals.
   Event& Add(std::string_view key, Duration value);
 
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -330,7 +330,8 @@
     });
     this->Log(now, Event("config_in_force")
                        .Add("revision", this->config->Revision())
-                       .Add("routes", this->config->Routes().Routes().size()));
+                       .Add("routes", this->config->Routes().Routes().size())
+                       .Add("services", this->config->Routes().ServiceCount()));
   }
 
   // --- Limit on extra sub-requests ---
@@ -396,6 +397,9 @@
     const double equal_share = slack / static_cast<double>(this->active_routers.Get(now));
     const double highest_share = slack / static_cast<double>(this->offered_routers.Get(now));
     this->slack = std::min(std::max(equal_share, kLeastSlack), highest_share);
+    this->context.metrics.GaugeOf("peridotgauge_extra_slack").Set(this->slack);
+    this->context.metrics.GaugeOf("peridotgauge_extra_slack_routers")
+        .Set(static_cast<double>(this->active_routers.Get(now)));
   }
 
   // Computes this router's share of the connections to targets, which the routers that callers are
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -35,6 +35,20 @@
 constexpr Duration kMinRetryDelay = Millis(50);
 constexpr Duration kRetryDelaySpread = Millis(100);
 
+std::string_view NameOf(AttemptKind kind) {
+  switch (kind) {
+    case AttemptKind::kFirst:
+      return "first";
+    case AttemptKind::kHedge:
+      return "hedge";
+    case AttemptKind::kRetry:
+      return "retry";
+    case AttemptKind::kUnchargedRetry:
+      return "uncharged_retry";
+  }
+  return "unknown";
+}
+
 ErrorCode ErrorCodeOf(TargetReplyKind kind) {
   switch (kind) {
     case TargetReplyKind::kNotRun:
@@ -129,6 +143,12 @@
     attempt.service = &this->params.plan->FleetOf(send.shard).name;
     attempt.sent = now;
     attempt.open = true;
+    if (send.kind != AttemptKind::kFirst) {
+      this->context.metrics
+          .CounterOf("peridotgauge_extra_attempts_total",
+                     {{"service", *attempt.service}, {"kind", std::string(NameOf(send.kind))}})
+          .Add();
+    }
     const Duration typical = this->budget.TypicalLatency(now).value_or(
         this->params.route->objective / kMediansInObjective);
     attempt.replica_send = this->context.replica_choice.OnSend(now, *send.target, typical);
--- a/testing/event_log_test.cc
+++ b/testing/event_log_test.cc
@@ -42,12 +42,14 @@
               Event("request_end")
                   .Add("request", "a\"b\\\n\xff")
                   .Add("n", 3)
+                  .Add("share", 2.25)
                   .Add("ok", true)
                   .Add("elapsed_ms", Duration(1'500)));
     const auto line = boost::json::parse(pipe.ReadAll()).as_object();
     CHECK(line.at("time_ms") == 5);
     CHECK(line.at("event") == "request_end");
     CHECK(line.at("n") == 3);
+    CHECK(line.at("share") == 2.25);
     CHECK(line.at("ok") == true);
     CHECK(line.at("elapsed_ms") == 1.5);
   }
