--- a/testing/extra_attempts_test.cc
+++ b/testing/extra_attempts_test.cc
@@ -13,7 +13,7 @@
 namespace peridotgauge {
 namespace {
 
-constexpr size_t kRouters = 3;
+constexpr size_t route_textrs = 3;
 constexpr double kRatio = 0.2;
 constexpr double kSlack = 15;
 constexpr Duration kWindow = Seconds(10);
@@ -23,15 +23,12 @@
 class FailingFleet {
  public:
   FailingFleet() {
-    REQUIRE(this->deployment.Apply(
-        ConfigText(1, {RouteText("r", "/p/", "safe", WholeMillis(kTimeout), "s")}, {"s"})));
+    REQUIRE(this->deployment.Apply(ConfigText(1, {route_text}, {"s"})));
     for (size_t i = 0; i < 2; ++i) {
       this->targets.push_back(std::make_unique<RouteTarget>(
           this->deployment.NewAddress(), [](const HttpRequest&) { return Duration(0); }));
-      REQUIRE(this->deployment.Heartbeat(
-          0, "i-" + std::to_string(i),
-          HeartbeatText("s", this->targets.back()->address, "ready", 1)));
     }
+    this->Register();
     REQUIRE(this->deployment.AwaitRoute("/p/ready"));
   }
 
@@ -58,6 +55,33 @@
     REQUIRE(this->deployment.RestartRouter(router, "/p/ready"));
   }
 
+  // Ends all routers and the controller at once, and starts them again.
+  void LosePower() {
+    for (size_t router = 0; router < route_textrs; ++router) this->deployment.KillRouter(router);
+    this->deployment.KillController(0);
+    this->deployment.StartController(0);
+    while (!this->deployment.Leader()) std::this_thread::sleep_for(Millis(10));
+    this->Register();
+    for (size_t router = 0; router < route_textrs; ++router) {
+      REQUIRE(this->deployment.RestartRouter(router, "/p/ready"));
+    }
+  }
+  // Applies a configuration without the service, and then one that has it again.
+  void DropService() {
+    REQUIRE(this->deployment.Apply(ConfigText(
+        2, {RouteText("other", "/o/", "safe", WholeMillis(kTimeout), "other")}, {"other"})));
+    for (size_t router = 0; router < route_textrs; ++router) {
+      const auto dropped = [&] {
+        const auto answer = Call(this->deployment.RouterAddress(router),
+                                 CallerRequest("drop", "GET", "/p/ready", kTimeout), kTimeout);
+        return answer && answer->status == 404;
+      };
+      while (!dropped()) std::this_thread::sleep_for(Millis(10));
+    }
+    REQUIRE(this->deployment.Apply(ConfigText(3, {route_text}, {"s"})));
+    REQUIRE(this->deployment.AwaitRoute("/p/ready"));
+  }
+
   // Return when requests were sent and when they and their retries arrived at targets.
   const std::vector<Time>& Sent() const { return this->sent; }
   std::vector<Time> Arrivals() {
@@ -67,10 +91,33 @@
     }
     return arrivals;
   }
+  // The same without the requests that wait for a router to be ready, which are not in Sent().
+  std::vector<Time> FailedArrivals() {
+    std::vector<Time> arrivals;
+    for (const auto& target : this->targets) {
+      const std::vector<std::string> ids = target->Arrivals();
+      const std::vector<Time> times = target->ArrivalTimes();
+      for (size_t i = 0; i < ids.size(); ++i) {
+        if (ids[i].starts_with("fail-")) arrivals.push_back(times[i]);
+      }
+    }
+    return arrivals;
+  }
 
  private:
+  void Register() {
+    ++this->sequence;
+    for (size_t i = 0; i < this->targets.size(); ++i) {
+      REQUIRE(this->deployment.Heartbeat(
+          0, "i-" + std::to_string(i),
+          HeartbeatText("s", this->targets[i]->address, "ready", this->sequence)));
+    }
+  }
+
+  const std::string route_text = RouteText("r", "/p/", "safe", WholeMillis(kTimeout), "s");
+  uint64_t sequence = 0;
   RouteDeployment deployment{
-      {.routers = kRouters, .grace = Millis(500), .extra_ratio = kRatio, .extra_slack = kSlack}};
+      {.routers = route_textrs, .grace = Millis(500), .extra_ratio = kRatio, .extra_slack = kSlack}};
   std::vector<std::unique_ptr<RouteTarget>> targets;
   std::vector<Time> sent;
 };
@@ -97,13 +144,13 @@
 TEST_CASE("routers that restart while targets fail keep the limit on retries", "[extra_attempts]") {
   FailingFleet fleet;
   // The retries that the limit leaves open are used up.
-  for (size_t router = 0; router < kRouters; ++router) fleet.Send(router, 8);
+  for (size_t router = 0; router < route_textrs; ++router) fleet.Send(router, 8);
   SECTION("stopped in order, or killed") {
     const bool kill = GENERATE(false, true);
     CAPTURE(kill);
     for (size_t k = 0; k < 5; ++k) {
-      fleet.Restart(k % kRouters, kill);
-      fleet.Send(k % kRouters, 8);
+      fleet.Restart(k % route_textrs, kill);
+      fleet.Send(k % route_textrs, 8);
     }
   }
   SECTION("one leaves for good") {
@@ -116,6 +163,26 @@
   CheckLimit(fleet.Arrivals(), fleet.Sent());
 }
 
+// Guards against a limit that all processes forget when they lose power together.
+TEST_CASE("routers that lose power together with the controllers keep the limit on retries",
+          "[.][extra_attempts]") {
+  FailingFleet fleet;
+  for (size_t router = 0; router < route_textrs; ++router) fleet.Send(router, 8);
+  fleet.LosePower();
+  for (size_t router = 0; router < route_textrs; ++router) fleet.Send(router, 8);
+  CheckLimit(fleet.FailedArrivals(), fleet.Sent());
+}
+
+// Guards against a limit that starts anew with a service that comes back.
+TEST_CASE("a service that a configuration drops for a moment keeps the limit on its retries",
+          "[.][extra_attempts]") {
+  FailingFleet fleet;
+  for (size_t router = 0; router < route_textrs; ++router) fleet.Send(router, 8);
+  fleet.DropService();
+  for (size_t router = 0; router < route_textrs; ++router) fleet.Send(router, 8);
+  CheckLimit(fleet.FailedArrivals(), fleet.Sent());
+}
+
 // Guards against a limit that forbids a restarted router what nobody has spent.
 TEST_CASE("a router that starts in a calm fleet can retry at once", "[extra_attempts]") {
   FailingFleet fleet;
