Keep the limit of a service that a configuration drops for a moment

Callers saw nothing; targets of a service got more repeats than allowed when the service was left out by one configuration and named again by the next: HedgeBudget::SetShares() erased its window and began anew, and debts inherited for a service that is not configured yet were ignored.

Fleets that are left out now get nothing but keep their state for a minute, or for the window if that is longer.

After: the test holds.

--- a/bench/capacity_data.cc
+++ b/bench/capacity_data.cc
@@ -47,7 +47,7 @@
   const auto plan = *planner.PlanFor(SyntheticServiceName(shards - 1));
   auto replicas = std::move(*ReplicaChoice::Make("", {.seed = 1}));
   HedgeBudget hedges;
-  hedges.SetConfig(*config);
+  hedges.SetConfig(Time{}, *config);
   constexpr int kSearches = 2'000;
   const double start = ThreadCpuSeconds();
   for (int i = 0; i < kSearches; ++i) RunSearch(plan, *replicas, hedges, TimeAt(int64_t{5} * i));
--- a/core/hedge.cc
+++ b/core/hedge.cc
@@ -14,22 +14,34 @@
 
 }  // namespace
 
-void HedgeBudget::SetConfig(const Config& config) {
+void HedgeBudget::SetConfig(Time now, const Config& config) {
   std::map<std::string, double, std::less<>> shares;
   for (const auto& [name, fleet] : config.Fleets()) shares[name] = fleet.hedge_percent / 100.0;
-  this->SetShares(shares);
+  this->SetShares(now, shares);
 }
 
-void HedgeBudget::SetShares(const std::map<std::string, double, std::less<>>& shares) {
-  std::erase_if(this->fleets, [&](const auto& entry) { return !shares.contains(entry.first); });
+void HedgeBudget::SetShares(Time now, const std::map<std::string, double, std::less<>>& shares) {
+  for (auto& [name, state] : this->fleets) {
+    if (!state.left_out && !shares.contains(name)) state.left_out = now;
+  }
+  const Duration forget_after = std::max(kForgetFleetAfter, this->options.window);
+  std::erase_if(this->fleets, [&](const auto& entry) {
+    return entry.second.left_out && now - *entry.second.left_out > forget_after;
+  });
   for (const auto& [name, share] : shares) {
-    const auto [fleet, added] = this->fleets.try_emplace(name);
-    if (added) fleet->second.tokens = this->options.burst;
-    if (added && this->options.window > Duration(0)) {
-      fleet->second.window = SlidingWindowLimit(this->options.window);
-    }
-    fleet->second.share = share;
+    FleetState& state = this->FindOrAdd(name);
+    state.share = share;
+    state.left_out.reset();
+  }
+}
+
+HedgeBudget::FleetState& HedgeBudget::FindOrAdd(const std::string& fleet) {
+  const auto [entry, added] = this->fleets.try_emplace(fleet);
+  if (added) entry->second.tokens = this->options.burst;
+  if (added && this->options.window > Duration(0)) {
+    entry->second.window = SlidingWindowLimit(this->options.window);
   }
+  return entry->second;
 }
 
 void HedgeBudget::SetOptions(HedgeBudgetOptions new_options) {
@@ -96,7 +108,10 @@
 
 void HedgeBudget::Inherit(Time now, const ExtraDebts& debts) {
   for (const auto& [name, debt] : debts) {
-    if (FleetState* state = this->Find(name)) state->window.Inherit(now, debt);
+    const bool known = this->fleets.contains(name);
+    FleetState& state = this->FindOrAdd(name);
+    if (!known) state.left_out = now;
+    state.window.Inherit(now, debt);
   }
 }
 
@@ -118,12 +133,12 @@
 
 HedgeBudget::FleetState* HedgeBudget::Find(std::string_view fleet) {
   const auto found = this->fleets.find(fleet);
-  return found == this->fleets.end() ? nullptr : &found->second;
+  return found == this->fleets.end() || found->second.left_out ? nullptr : &found->second;
 }
 
 const HedgeBudget::FleetState* HedgeBudget::Find(std::string_view fleet) const {
   const auto found = this->fleets.find(fleet);
-  return found == this->fleets.end() ? nullptr : &found->second;
+  return found == this->fleets.end() || found->second.left_out ? nullptr : &found->second;
 }
 
 }  // namespace peridotgauge
--- a/core/hedge.h
+++ b/core/hedge.h
@@ -2,15 +2,17 @@
 //
 // Use:
 //   HedgeBudget budget;
-//   budget.SetConfig(config);                              // on every accepted revision
+//   budget.SetConfig(now, config);                         // on every accepted revision
 //   budget.OnReply(now, "verstas", {.latency = latency});  // for every attempt
 //   std::optional<Duration> delay = budget.HedgeDelay(now, "verstas");
 //   if (budget.Spend(now, "verstas", ExtraAttemptKind::kHedge)) SendHedge();
 //
-// Contract: for each fleet, hedges and retries granted from the budget never exceed hedge_percent
-// of the needed sub-requests counted so far plus kBudgetBurst. Nothing is granted while the fleet
-// is overloaded. An overdraft retry is granted on an empty budget and leaves a debt of at most
-// kMaxDebt, so that an outage does not disable hedges for long.
+// Contract: a fleet that a configuration leaves out gets nothing, but what was granted for it
+// counts if it comes back within kForgetFleetAfter. For each fleet, hedges and retries granted from
+// the budget never exceed hedge_percent of the needed sub-requests counted so far plus
+// kBudgetBurst. Nothing is granted while the fleet is overloaded. An overdraft retry is granted on
+// an empty budget and leaves a debt of at most kMaxDebt, so that an outage does not disable hedges
+// for long.
 #ifndef PERIDOTGAUGE_CORE_HEDGE_H_
 #define PERIDOTGAUGE_CORE_HEDGE_H_
 
@@ -46,6 +48,9 @@
 constexpr double kOverloadMinAttempts = 10;
 // Time constant of the exponential decay of the attempt counts.
 constexpr Duration kOverloadTimeConstant = Seconds(1);
+// A fleet that the configuration does not have is forgotten after this time, or after the window of
+// its limit if that is longer.
+constexpr Duration kForgetFleetAfter = Seconds(60);
 
 // Result of one finished attempt.
 struct AttemptReport {
@@ -78,16 +83,16 @@
   explicit HedgeBudget(HedgeBudgetOptions options) : options(options) {}
 
   // Sets the fleets and their percentages. Known fleets keep their budget and samples.
-  void SetConfig(const Config& config);
+  void SetConfig(Time now, const Config& config);
   // Sets the fleets and their shares (hedge_percent / 100) directly.
-  void SetShares(const std::map<std::string, double, std::less<>>& shares);
+  void SetShares(Time now, const std::map<std::string, double, std::less<>>& shares);
   // Changes the options, for example when the number of routers has changed.
   void SetOptions(HedgeBudgetOptions new_options);
   void OnReply(Time now, std::string_view fleet, const AttemptReport& report);
 
   // Return and take over what the grants of the sliding windows exceed the shares by. A process
   // that takes the place of another one takes over its debts, so that a restart grants nothing
-  // twice. Debts below `least` are left out. Fleets that are not known are ignored.
+  // twice. Debts below `least` are left out.
   ExtraDebts Debts(Time now, double least) const;
   void Inherit(Time now, const ExtraDebts& debts);
 
@@ -101,9 +106,10 @@
 
  private:
   struct FleetState {
-    double share = 0;           // hedge_percent / 100
-    double tokens = 0;          // between -max_debt and burst
-    SlidingWindowLimit window;  // used instead of the tokens if the options say so
+    double share = 0;              // hedge_percent / 100
+    std::optional<Time> left_out;  // since when the configuration does not have the fleet
+    double tokens = 0;             // between -max_debt and burst
+    SlidingWindowLimit window;     // used instead of the tokens if the options say so
     QuantileWindow latency{kHedgeWindow, kHedgeMinSamples};
     std::optional<Duration> delay;
     std::optional<Time> delay_computed;
@@ -113,8 +119,11 @@
     Time counted{};  // last update of the counts
   };
 
+  // Return null for a fleet that the configuration does not have.
   FleetState* Find(std::string_view fleet);
   const FleetState* Find(std::string_view fleet) const;
+  // Returns the fleet, which is added if it is not known.
+  FleetState& FindOrAdd(const std::string& fleet);
   static bool Overloaded(Time now, const FleetState& state);
 
   HedgeBudgetOptions options;
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -429,7 +429,7 @@
                              .max_debt = 0,
                              .retry_in_overload = true,
                              .window = this->settings.extra_requests.window});
-    this->budget.SetShares(shares);
+    this->budget.SetShares(now, shares);
   }
 
   void OnDirectory(Time now) {
--- a/io/router.cc
+++ b/io/router.cc
@@ -231,7 +231,7 @@
   void OnConfig() {
     const auto config = this->control.CurrentConfig();
     this->planner.SetConfig(config);
-    this->hedge_budget.SetConfig(*config);
+    this->hedge_budget.SetConfig(SteadyNow(), *config);
     LOG(INFO) << "router: configuration revision " << config->Revision()
               << " is active on this router";
   }
--- a/testing/extra_attempts_test.cc
+++ b/testing/extra_attempts_test.cc
@@ -13,7 +13,7 @@
 namespace peridotgauge {
 namespace {
 
-constexpr size_t route_textrs = 3;
+constexpr size_t kRouters = 3;
 constexpr double kRatio = 0.2;
 constexpr double kSlack = 15;
 constexpr Duration kWindow = Seconds(10);
@@ -57,12 +57,12 @@
 
   // Ends all routers and the controller at once, and starts them again.
   void LosePower() {
-    for (size_t router = 0; router < route_textrs; ++router) this->deployment.KillRouter(router);
+    for (size_t router = 0; router < kRouters; ++router) this->deployment.KillRouter(router);
     this->deployment.KillController(0);
     this->deployment.StartController(0);
     while (!this->deployment.Leader()) std::this_thread::sleep_for(Millis(10));
     this->Register();
-    for (size_t router = 0; router < route_textrs; ++router) {
+    for (size_t router = 0; router < kRouters; ++router) {
       REQUIRE(this->deployment.RestartRouter(router, "/p/ready"));
     }
   }
@@ -70,7 +70,7 @@
   void DropService() {
     REQUIRE(this->deployment.Apply(ConfigText(
         2, {RouteText("other", "/o/", "safe", WholeMillis(kTimeout), "other")}, {"other"})));
-    for (size_t router = 0; router < route_textrs; ++router) {
+    for (size_t router = 0; router < kRouters; ++router) {
       const auto dropped = [&] {
         const auto answer = Call(this->deployment.RouterAddress(router),
                                  CallerRequest("drop", "GET", "/p/ready", kTimeout), kTimeout);
@@ -117,7 +117,7 @@
   const std::string route_text = RouteText("r", "/p/", "safe", WholeMillis(kTimeout), "s");
   uint64_t sequence = 0;
   RouteDeployment deployment{
-      {.routers = route_textrs, .grace = Millis(500), .extra_ratio = kRatio, .extra_slack = kSlack}};
+      {.routers = kRouters, .grace = Millis(500), .extra_ratio = kRatio, .extra_slack = kSlack}};
   std::vector<std::unique_ptr<RouteTarget>> targets;
   std::vector<Time> sent;
 };
@@ -144,13 +144,13 @@
 TEST_CASE("routers that restart while targets fail keep the limit on retries", "[extra_attempts]") {
   FailingFleet fleet;
   // The retries that the limit leaves open are used up.
-  for (size_t router = 0; router < route_textrs; ++router) fleet.Send(router, 8);
+  for (size_t router = 0; router < kRouters; ++router) fleet.Send(router, 8);
   SECTION("stopped in order, or killed") {
     const bool kill = GENERATE(false, true);
     CAPTURE(kill);
     for (size_t k = 0; k < 5; ++k) {
-      fleet.Restart(k % route_textrs, kill);
-      fleet.Send(k % route_textrs, 8);
+      fleet.Restart(k % kRouters, kill);
+      fleet.Send(k % kRouters, 8);
     }
   }
   SECTION("one leaves for good") {
@@ -167,19 +167,19 @@
 TEST_CASE("routers that lose power together with the controllers keep the limit on retries",
           "[.][extra_attempts]") {
   FailingFleet fleet;
-  for (size_t router = 0; router < route_textrs; ++router) fleet.Send(router, 8);
+  for (size_t router = 0; router < kRouters; ++router) fleet.Send(router, 8);
   fleet.LosePower();
-  for (size_t router = 0; router < route_textrs; ++router) fleet.Send(router, 8);
+  for (size_t router = 0; router < kRouters; ++router) fleet.Send(router, 8);
   CheckLimit(fleet.FailedArrivals(), fleet.Sent());
 }
 
 // Guards against a limit that starts anew with a service that comes back.
 TEST_CASE("a service that a configuration drops for a moment keeps the limit on its retries",
-          "[.][extra_attempts]") {
+          "[extra_attempts]") {
   FailingFleet fleet;
-  for (size_t router = 0; router < route_textrs; ++router) fleet.Send(router, 8);
+  for (size_t router = 0; router < kRouters; ++router) fleet.Send(router, 8);
   fleet.DropService();
-  for (size_t router = 0; router < route_textrs; ++router) fleet.Send(router, 8);
+  for (size_t router = 0; router < kRouters; ++router) fleet.Send(router, 8);
   CheckLimit(fleet.FailedArrivals(), fleet.Sent());
 }
 
--- a/testing/hedge_test.cc
+++ b/testing/hedge_test.cc
@@ -22,7 +22,7 @@
   CHECK(rc::check("in any order of events", [] {
     const int percent = *rc::gen::inRange(0, 101);
     HedgeBudget budget;
-    budget.SetConfig(WithPercent(percent));
+    budget.SetConfig(kStart, WithPercent(percent));
     uint64_t needed = 0;
     uint64_t granted = 0;
     for (int i = *rc::gen::inRange(0, 200); i > 0; --i) {
@@ -45,7 +45,7 @@
 
 TEST_CASE("hedge budget", "[hedge]") {
   HedgeBudget budget;
-  budget.SetConfig(WithPercent(5));
+  budget.SetConfig(kStart, WithPercent(5));
   SECTION("an overdraft retry is granted on an empty budget and leaves a bounded debt") {
     while (budget.Spend(kStart, "f", ExtraAttemptKind::kRetry)) continue;
     for (int i = 0; i < 1'000; ++i) {
@@ -57,7 +57,7 @@
   }
   SECTION("max_debt 0 denies overdrafts, and retry_in_overload grants retries in overload") {
     HedgeBudget strict({.burst = 2, .max_debt = 0, .retry_in_overload = true});
-    strict.SetShares({{"f", 0.1}});
+    strict.SetShares(kStart, {{"f", 0.1}});
     for (int i = 0; i < 20; ++i) strict.OnReply(kStart, "f", {.refused = true});
     CHECK_FALSE(strict.Spend(kStart, "f", ExtraAttemptKind::kHedge));
     CHECK(strict.Spend(kStart, "f", ExtraAttemptKind::kRetry));
@@ -88,17 +88,45 @@
   }
   SECTION("a new configuration keeps budgets; unknown fleets get nothing") {
     while (budget.Spend(kStart, "f", ExtraAttemptKind::kRetry)) continue;
-    budget.SetConfig(WithPercent(50));
+    budget.SetConfig(kStart, WithPercent(50));
     CHECK(budget.Tokens("f") < 1);
     CHECK_FALSE(budget.Spend(kStart, "g", ExtraAttemptKind::kOverdraftRetry));
     CHECK_FALSE(budget.HedgeDelay(kStart, "g"));
   }
 }
 
+// Guards against a limit that starts anew with a fleet that comes back.
+TEST_CASE("a fleet that a configuration leaves out for a moment", "[hedge]") {
+  const Duration window = GENERATE(Duration(0), Seconds(10));
+  CAPTURE(window.count());
+  HedgeBudget budget({.burst = 5, .max_debt = 0, .window = window});
+  const auto retry = [&](Time now) { return budget.Spend(now, "f", ExtraAttemptKind::kRetry); };
+  budget.SetShares(kStart, {{"f", 0.1}});
+  while (retry(kStart)) continue;
+  budget.SetShares(kStart + Seconds(1), {{"g", 0.1}});
+  CHECK_FALSE(budget.Spend(kStart + Seconds(1), "f", ExtraAttemptKind::kOverdraftRetry));
+  SECTION("has what it had before") {
+    budget.SetShares(kStart + Seconds(2), {{"f", 0.1}});
+    CHECK_FALSE(retry(kStart + Seconds(2)));
+  }
+  SECTION("starts anew after a long time") {
+    budget.SetShares(kStart + Seconds(90), {{"g", 0.1}});
+    budget.SetShares(kStart + Seconds(91), {{"f", 0.1}});
+    CHECK(retry(kStart + Seconds(91)));
+  }
+  SECTION("has debts that are inherited meanwhile") {
+    HedgeBudget successor({.burst = 5, .max_debt = 0, .window = Seconds(10)});
+    successor.SetShares(kStart, {{"g", 0.1}});
+    successor.Inherit(kStart, {{"f", 5}});
+    successor.SetShares(kStart + Seconds(1), {{"f", 0.1}});
+    CHECK_FALSE(successor.Spend(kStart + Seconds(1), "f", ExtraAttemptKind::kRetry));
+  }
+}
+
 TEST_CASE("hedge delay", "[hedge]") {
   CHECK(rc::check("agrees with the sorted latencies", [] {
     HedgeBudget budget;
-    budget.SetConfig(WithPercent(5));
+    budget.SetConfig(kStart, WithPercent(5));
     std::vector<int64_t> sorted;
     const int count = *rc::gen::inRange(0, 300);
     for (int i = 0; i < count; ++i) {
--- a/testing/route_request_test.cc
+++ b/testing/route_request_test.cc
@@ -68,7 +68,7 @@
     std::map<std::string, double, std::less<>> shares;
     for (const std::string& shard : route.shards) shares[shard] = 1.0;
     for (const WeightedService& part : route.split) shares[part.service] = 1.0;
-    this->budget.SetShares(shares);
+    this->budget.SetShares(SteadyNow(), shares);
     for (const auto& [service, share] : shares) this->pool.SetConnectionLimit(service, 4);
     const Time now = SteadyNow();
     RouteRequestParams params{
