Grant nothing from the slack while a predecessor's grants are not known

Cause: a router that starts asks the leader for the debts of its predecessor; a leader that has just started too answers with none, and the router takes its full share of the slack although its predecessor may have spent it within the same window.

The leader now says whether it knows the debts, routers report whether theirs are complete, and a router that does not know grants only the ratio for one window. A leader in whose term the first configuration was accepted knows that nothing was granted before. The limit moves out of the gateway into core/extra_attempt_limit, so that a test can add up what all routers grant under random histories.

--- a/core/search.cc
+++ b/core/search.cc
@@ -282,8 +282,8 @@
   if (target != nullptr && (!charged || this->SpendRetry(now, index))) {
     ++shard.uncharged_retries;
     ++this->counts.retries;
-    this->SendTo(now, index, *target,
-                 charged ? AttemptKind::kRetry : AttemptKind::kUnchargedRetry, effects);
+    this->SendTo(now, index, *target, charged ? AttemptKind::kRetry : AttemptKind::kUnchargedRetry,
+                 effects);
     return true;
   }
   if (this->canaries_done || shard.running > 0) return false;
--- a/io/control_client.cc
+++ b/io/control_client.cc
@@ -159,7 +159,7 @@
   size_t active_routers = 0;
   size_t offered_routers = 0;
   std::function<RouterReport(Time now)> report;
-  ExtraDebts inherited_debts;
+  std::optional<ExtraDebts> inherited_debts;
   std::vector<QuarantineRecord> quarantine;
   uint64_t quarantine_index = 0;  // of a compact client
   DirectoryCopy directory;
@@ -220,6 +220,7 @@
       sync.load = static_cast<float>(report.load.sub_requests_per_s);
       sync.processor_share = static_cast<float>(report.load.processor_share);
       sync.extra_debts = ToWire(report.extra_debts);
+      sync.extra_history = report.extra_history;
       sync.extra_window_ms = static_cast<uint32_t>(WholeMillis(report.extra_window));
     }
     if (this->compact && !this->config_text.empty()) {
@@ -348,8 +349,8 @@
     this->ApplyDirectory(reply, change);
     // A reply to another request may be older than what this process has spent itself.
     if (!std::exchange(this->synced_once, true)) {
-      this->inherited_debts = FromWire(reply.inherited_debts);
-      change.inherited_debts = !this->inherited_debts.empty();
+      if (reply.extra_history) this->inherited_debts = FromWire(reply.inherited_debts);
+      change.inherited_debts = true;
     }
     this->failures = 0;
     this->timeouts = 0;
@@ -542,7 +543,9 @@
   this->impl->report = std::move(report);
 }
 void ControlClient::ReportNow() { this->impl->ReportChange(); }
-const ExtraDebts& ControlClient::InheritedDebts() const { return this->impl->inherited_debts; }
+const std::optional<ExtraDebts>& ControlClient::InheritedDebts() const {
+  return this->impl->inherited_debts;
+}
 uint64_t ControlClient::ViewIndex() const { return this->impl->view_index; }
 const std::vector<QuarantineRecord>& ControlClient::QuarantineList() const {
   return this->impl->quarantine;
--- a/io/control_client.h
+++ b/io/control_client.h
@@ -71,7 +71,8 @@
 struct RouterReport {
   RouterLoad load;
   ExtraDebts extra_debts;
-  Duration extra_window{0};  // window of the limits to which the debts belong; 0: none
+  bool extra_history = false;  // `extra_debts` include those of the router's predecessors
+  Duration extra_window{0};    // window of the limits to which the debts belong; 0: none
 };
 
 // Lists what a sync reply changed, or reports that the lease has expired.
@@ -126,8 +127,8 @@
   void SetReport(std::function<RouterReport(Time now)> report);
   // Reports now instead of with the next request.
   void ReportNow();
-  // Returns the debts of the router's predecessor; empty before the first sync.
-  const ExtraDebts& InheritedDebts() const;
+  // Returns the debts of the router's predecessor, or nothing if they are not known.
+  const std::optional<ExtraDebts>& InheritedDebts() const;
 
   // Adds controllers, see ControlChannel::AddControllers().
   void AddControllers(const std::vector<std::string>& controllers);
--- a/io/controller.cc
+++ b/io/controller.cc
@@ -119,7 +119,7 @@
     this->departures_since.clear();
     this->config_pacer.Reset();
     this->loads.clear();
-    this->debts.Clear();
+    this->debts.Reset(now);
     this->offer_policy.Reset(now);
     this->offer_pending = false;
     this->PublishConfig(now);
@@ -215,8 +215,10 @@
                                      .processor_share = request.processor_share};
     }
     if (request.extra_window_ms > 0) {
-      this->debts.Report(now, poll.Id(), FromWire(request.extra_debts),
-                         Millis(std::min(request.extra_window_ms, kMaxDebtWindowMs)));
+      this->debts.Report(now, poll.Id(),
+                         {.debts = FromWire(request.extra_debts),
+                          .complete = request.extra_history,
+                          .window = Millis(std::min(request.extra_window_ms, kMaxDebtWindowMs))});
     }
     const bool same_epoch = poll.directory_epoch == this->directory.Epoch();
     this->ack_tracker.RecordVersion(poll.router.id, same_epoch ? poll.directory_version : 0);
@@ -378,7 +380,9 @@
     reply.controllers = this->log.Status().members;
     reply.max_wait_ms = static_cast<uint32_t>(WholeMillis(MaxPollHold(this->RouterCount())));
     if (poll.state_index == 0) {
-      reply.inherited_debts = ToWire(this->debts.InheritedBy(now, poll.Id()));
+      const std::optional<ExtraDebts> inherited = this->debts.InheritedBy(now, poll.Id());
+      reply.extra_history = inherited.has_value();
+      if (inherited) reply.inherited_debts = ToWire(*inherited);
     }
     reply.resend_registrations = !this->directory.HasFullListFrom(poll.router.id);
     const size_t config_bytes = reply.config_text.size() + reply.config_package.size();
@@ -451,7 +455,9 @@
     this->proposals->Propose(std::move(body), [weak = this->weak_from_this(), revision,
                                                responder](const wire::BodyUnion& answer) {
       if (const auto self = weak.lock()) {
-        self->events.ConfigDecided(revision, *answer.AsCommandReply());
+        const wire::CommandReplyT& reply = *answer.AsCommandReply();
+        if (reply.first_revision) self->debts.OnFirstRevision();
+        self->events.ConfigDecided(revision, reply);
       }
       responder.reply(answer);
     });
--- a/io/event_log.cc
+++ b/io/event_log.cc
@@ -53,9 +53,7 @@
   return this->AddRaw(key, text.data());
 }
 
-Event& Event::Add(std::string_view key, Duration value) {
-  return this->Add(key, ToMillis(value));
-}
+Event& Event::Add(std::string_view key, Duration value) { return this->Add(key, ToMillis(value)); }
 
 Event& Event::AddRaw(std::string_view key, std::string_view value) {
   this->text.append(",\"").append(key).append("\":").append(value);
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -5,15 +5,16 @@
 #include <limits>
 #include <optional>
 #include <random>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
 
 #include "core/caller_wait.h"
 #include "core/drain_policy.h"
+#include "core/extra_attempt_limit.h"
 #include "core/plan.h"
 #include "core/quarantine.h"
-#include "core/recent_maximum.h"
 #include "core/replica_choice.h"
 #include "core/route_plan.h"
 #include "core/router_offer.h"
@@ -35,9 +36,6 @@
 // Share of a target's connection limit that all routers together use. The rest is a reserve for
 // connections that one side has closed and the other still counts.
 constexpr double kConnectionShare = 0.9;
-// Share of the platform's limit on extra sub-requests that is used. The rest is a reserve for
-// requests whose first sub-request this router counts but the target never receives.
-constexpr double kExtraShare = 0.8;
 // Callers retry after this time if the router has no configuration. A restarted router is
 // synchronized after an election, which takes 200 to 400 ms.
 constexpr Duration kSynchronizeDelay = Millis(400);
@@ -51,18 +49,8 @@
 // avoids one replica of each shard.
 constexpr size_t kScarceConnectionsThreshold = 2;
 constexpr std::string_view kRouteReplicaChoice = "least";
-// A router of a large fleet may send this many extra sub-requests that the ratio does not cover.
-constexpr double kLeastSlack = 1;
-// Debts of extra sub-requests below this share of the router's slack, or below one, are not
-// reported.
-constexpr double kLeastDebtShare = 0.25;
-constexpr double kLeastDebt = 1;
-// A debt that has grown by this share of the slack, or by this number, since the last report is
-// reported at once. In a calm fleet single hedges make small debts all the time.
-constexpr double kUrgentDebtShare = 0.5;
-constexpr double kUrgentDebt = 3;
-// Such reports are sent at most once in this many push intervals of the leader, so that those of
-// all routers together stay a small part of its work.
+// Reports of grown debts are sent at most once in this many push intervals of the leader, so that
+// those of all routers together stay a small part of its work.
 constexpr int kDebtReportPushIntervals = 4;
 
 }  // namespace
@@ -85,15 +73,14 @@
              .data_centre = settings.data_centre,
              .router = settings.id})),
         random(RandomSeed()),
-        offered_routers(settings.extra_requests.window + settings.shutdown_grace),
-        active_routers(settings.extra_requests.window + settings.shutdown_grace),
+        extra_limit(settings.extra_requests, settings.shutdown_grace, SteadyNow()),
         debt_timer(io),
         crash_guard({io, control, metrics, log}),
         context{io,
                 codec,
                 this->pool,
                 *this->replica_choice,
-                this->budget,
+                this->extra_limit.Budget(),
                 this->hedge_budgets,
                 metrics,
                 log,
@@ -116,7 +103,7 @@
 
   void Handle(HttpRequest http, const HttpResponder& responder) {
     const Time now = SteadyNow();
-    if (now >= this->shares_due) this->UpdateShares(now);
+    if (now >= this->extra_limit.NextUpdate()) this->UpdateSlack(now);
     Result<CallerRequestInfo> request_info = this->context.codec.ParseCallerRequest(http);
     if (!request_info) return this->Refuse(now, http, "", request_info.error(), responder);
     if (this->config->Revision() == 0) {
@@ -310,8 +297,7 @@
     if (change.directory) this->OnDirectory(now);
     this->crash_guard.OnControlChange(now, change);
     if (change.config || change.routers) this->UpdateShares(now);
-    if (change.inherited_debts) this->debts_to_inherit = this->control.InheritedDebts();
-    if (this->config->Revision() > 0) this->InheritDebts(now);
+    if (change.inherited_debts) this->InheritDebts(now, this->control.InheritedDebts());
     if (change.lease_acquired) {
       this->Log(now, Event("controllers_regained").Add("leader", this->control.Leader()));
     }
@@ -337,19 +323,15 @@
   // --- Limit on extra sub-requests ---
 
   RouterReport Report(Time now) {
-    this->reported_debts = this->budget.Debts(now, this->LeastDebt());
     return {.load = {.sub_requests_per_s = this->sub_request_rate.PerSecond(now),
                      .processor_share = this->settings.processor_share},
-            .extra_debts = this->reported_debts,
+            .extra_debts = this->extra_limit.Report(now),
+            .extra_history = this->extra_limit.HistoryComplete(now),
             .extra_window = this->settings.extra_requests.window};
   }
 
-  double LeastDebt() const { return std::max(kLeastDebt, kLeastDebtShare * this->slack); }
-
-  // Reports debts that have grown much since the last report, as this process may be killed before
-  // the next one.
   void ReportGrownDebts(Time now) {
-    if (this->debt_check_pending || !this->HasGrownDebt(now)) return;
+    if (this->debt_check_pending || !this->extra_limit.HasGrownDebt(now)) return;
     if (now >= this->next_debt_report) {
       this->next_debt_report =
           now + kDebtReportPushIntervals * PushInterval(this->control.ActiveRouters());
@@ -365,56 +347,39 @@
     });
   }
 
-  bool HasGrownDebt(Time now) const {
-    const double urgent = std::max(kUrgentDebt, kUrgentDebtShare * this->slack);
-    for (const auto& [service, debt] : this->budget.Debts(now, urgent)) {
-      const auto known = this->reported_debts.find(service);
-      if (debt >= (known == this->reported_debts.end() ? 0 : known->second) + urgent) return true;
-    }
-    return false;
-  }
-
-  void InheritDebts(Time now) {
-    if (this->debts_to_inherit.empty()) return;
+  void InheritDebts(Time now, const std::optional<ExtraDebts>& debts) {
     double sum = 0;
-    for (const auto& [service, debt] : this->debts_to_inherit) sum += debt;
+    for (const auto& [service, debt] : debts.value_or(ExtraDebts{})) sum += debt;
     this->Log(now, Event("extra_debts_inherited")
-                       .Add("services", this->debts_to_inherit.size())
+                       .Add("known", debts.has_value())
+                       .Add("services", debts ? debts->size() : 0)
                        .Add("sub_requests", sum));
-    this->budget.Inherit(now, std::exchange(this->debts_to_inherit, {}));
+    this->extra_limit.Inherit(now, debts);
+    this->ShowSlack(now);
   }
 
-  // All routers divide the slack, and each gets one sub-request at least as far as those that
-  // callers are told about do not exceed it together. A router that leaves still serves callers for
-  // its grace period, and what it has spent counts for a window longer, so the others take over its
-  // share only then.
-  void UpdateSlack(Time now, size_t offered) {
-    this->offered_routers.Set(now, offered);
-    this->active_routers.Set(now, std::max<size_t>(this->control.ActiveRouters(), 1));
-    this->shares_due = std::min(this->offered_routers.NextDecrease(now).value_or(Time::max()),
-                                this->active_routers.NextDecrease(now).value_or(Time::max()));
-    const double slack = this->settings.extra_requests.slack * kExtraShare;
-    const double equal_share = slack / static_cast<double>(this->active_routers.Get(now));
-    const double highest_share = slack / static_cast<double>(this->offered_routers.Get(now));
-    this->slack = std::min(std::max(equal_share, kLeastSlack), highest_share);
-    this->context.metrics.GaugeOf("peridotgauge_extra_slack").Set(this->slack);
+  void UpdateSlack(Time now) {
+    this->extra_limit.Update(now);
+    this->ShowSlack(now);
+  }
+
+  void ShowSlack(Time now) {
+    this->context.metrics.GaugeOf("peridotgauge_extra_slack").Set(this->extra_limit.Slack());
     this->context.metrics.GaugeOf("peridotgauge_extra_slack_routers")
-        .Set(static_cast<double>(this->active_routers.Get(now)));
+        .Set(static_cast<double>(this->extra_limit.Routers(now)));
   }
 
   // Computes this router's share of the connections to targets, which the routers that callers are
   // told about divide among them, and of the slack of the limit on extra sub-requests.
   void UpdateShares(Time now) {
     const size_t offered = std::max<size_t>(this->control.OfferedRouterCount(), 1);
-    this->UpdateSlack(now, offered);
-    std::map<std::string, double, std::less<>> shares;
+    this->extra_limit.SetRouters(now, offered, std::max<size_t>(this->control.ActiveRouters(), 1));
+    this->ShowSlack(now);
+    std::set<std::string, std::less<>> services;
     size_t fewest_connections = std::numeric_limits<size_t>::max();
     const auto add_service = [&](const std::string& service) {
       const ServiceSpec* service_spec = this->config->Routes().FindService(service);
-      if (service_spec == nullptr ||
-          !shares.emplace(service, this->settings.extra_requests.ratio * kExtraShare).second) {
-        return;
-      }
+      if (service_spec == nullptr || !services.insert(service).second) return;
       const size_t own_connections =
           static_cast<size_t>(service_spec->connections * kConnectionShare) / offered;
       fewest_connections = std::min(fewest_connections, own_connections);
@@ -425,11 +390,7 @@
       for (const std::string& shard : route.shards) add_service(shard);
     }
     this->replica_choice->AvoidOneReplica(fewest_connections < kScarceConnectionsThreshold);
-    this->budget.SetOptions({.burst = this->slack,
-                             .max_debt = 0,
-                             .retry_in_overload = true,
-                             .window = this->settings.extra_requests.window});
-    this->budget.SetShares(now, shares);
+    this->extra_limit.SetServices(now, services);
   }
 
   void OnDirectory(Time now) {
@@ -457,18 +418,12 @@
   RoutePlanner plans;
   TargetPool pool;
   std::unique_ptr<ReplicaChoice> replica_choice;
-  HedgeBudget budget;
   std::map<std::string, RouteHedgeBudget> hedge_budgets;
   SplitCounter split;
   std::map<std::string, CallerWaitEstimator> caller_wait_estimators;  // by route name
   std::mt19937_64 random;
-  RecentMaximum offered_routers;  // number of routers that callers are told about
-  RecentMaximum active_routers;   // number of routers that are not draining
-  Time shares_due = Time::max();  // when one of the two decreases
-  double slack = 0;               // this router's share, in sub-requests
-  ExtraDebts reported_debts;      // in the last sync request
-  ExtraDebts debts_to_inherit;    // wait for the first configuration
-  Time next_debt_report;          // not before this time, unless with a request for other reasons
+  ExtraAttemptLimit extra_limit;
+  Time next_debt_report;  // not before this time, unless with a request for other reasons
   asio::steady_timer debt_timer;
   bool debt_check_pending = false;  // `debt_timer` runs
   CrashGuard crash_guard;
--- a/state/control_state.cc
+++ b/state/control_state.cc
@@ -129,6 +129,7 @@
     Reply reply;
     reply.revision = command.revision;
     reply.digest = command.digest;
+    reply.first_revision = current == 0;
     return reply;
   }
   const AcceptedRevision* known = this->FindRevision(command.revision);
@@ -162,6 +163,7 @@
     reply.repeated = true;
     reply.index = this->config_index;
   } else {
+    reply.first_revision = !this->highest_config;
     this->highest_config = RevisionDetail{.revision = command.revision,
                                           .author = command.author,
                                           .accepted_at_ms = context.now_ms,
--- a/state/debt_table.cc
+++ b/state/debt_table.cc
@@ -18,32 +18,51 @@
 
 }  // namespace
 
+void DebtTable::Reset(Time now) {
+  this->entries.clear();
+  this->since = now;
+  this->first_revision_seen = false;
+}
+
 Time DebtTable::EndOf(const Entry& entry) {
   // The router may have ended as late as its session.
-  return entry.reported + kSessionLength + entry.window;
+  return entry.reported + kSessionLength + entry.report.window;
+}
+
+bool DebtTable::KnowsAll(Time now, Duration window) const {
+  return this->first_revision_seen || now >= this->since + kSessionLength + window;
 }
 
-void DebtTable::Report(Time now, const RouterId& router, const ExtraDebts& debts, Duration window) {
+void DebtTable::Report(Time now, const RouterId& router, DebtReport report) {
   Entry& entry = this->entries[router.id];
   if (router.incarnation < entry.incarnation) return;
   if (router.incarnation > entry.incarnation) {
-    if (now >= entry.inherited_until) entry.inherited.clear();
-    // An incarnation that ended before it took over the debts of its predecessor did not report
-    // them.
-    if (entry.incarnation != 0 && now < EndOf(entry)) TakeHigher(entry.debts, entry.inherited);
-    entry.inherited_until = now + window;
+    if (now >= entry.inherited_until) {
+      entry.inherited.clear();
+      entry.inherited_known = false;
+    }
+    if (entry.incarnation != 0 && now < EndOf(entry)) {
+      // An incarnation that ended before it took over the debts of its predecessor did not report
+      // them.
+      TakeHigher(entry.report.debts, entry.inherited);
+      entry.inherited_known = entry.inherited_known || entry.report.complete;
+    } else {
+      entry.inherited_known = this->KnowsAll(now, report.window);
+    }
+    entry.inherited_until = now + report.window;
     entry.incarnation = router.incarnation;
   }
-  entry.debts = debts;
-  entry.window = window;
+  entry.report = std::move(report);
   entry.reported = now;
 }
 
-ExtraDebts DebtTable::InheritedBy(Time now, const RouterId& router) const {
+std::optional<ExtraDebts> DebtTable::InheritedBy(Time now, const RouterId& router) const {
   const auto found = this->entries.find(router.id);
-  if (found == this->entries.end()) return {};
+  if (found == this->entries.end()) return std::nullopt;
   const Entry& entry = found->second;
-  if (entry.incarnation != router.incarnation || now >= entry.inherited_until) return {};
+  if (entry.incarnation != router.incarnation) return std::nullopt;
+  if (now >= entry.inherited_until) return ExtraDebts{};
+  if (!entry.inherited_known) return std::nullopt;
   ExtraDebts inherited = this->MeanOfOthers(now, router.id);
   TakeHigher(entry.inherited, inherited);
   return inherited;
@@ -55,7 +74,7 @@
   for (const auto& [id, entry] : this->entries) {
     if (id == router || now >= EndOf(entry)) continue;
     ++others;
-    for (const auto& [service, debt] : entry.debts) mean[service] += debt;
+    for (const auto& [service, debt] : entry.report.debts) mean[service] += debt;
   }
   for (auto& [service, debt] : mean) debt /= static_cast<double>(others);
   return mean;
--- a/state/debt_table.h
+++ b/state/debt_table.h
@@ -2,20 +2,27 @@
 // successor of a router that has ended takes over what still counts.
 //
 // Use:
-//   table.Report(now, router, debts, window);       // with each sync request
-//   ExtraDebts inherited = table.InheritedBy(now, router);  // for a router that has just started
+//   table.Reset(now);                               // when a term begins
+//   table.OnFirstRevision();                        // no router had a configuration until now
+//   table.Report(now, router, {.debts = debts, .complete = true, .window = window});
+//   std::optional<ExtraDebts> inherited = table.InheritedBy(now, router);
 //   table.Expire(now);                              // regularly
 //
 // Contract: InheritedBy() returns the last debts that an earlier incarnation of the router has
-// reported, for one window after the first report of the new one. A router whose earlier
-// incarnation is not known, since it is new or this leader is, inherits the mean of the other
-// routers: troubles of targets concern all of them, and in a calm fleet the mean is close to 0.
-// Entries are forgotten once nothing in them can count any more.
+// reported, for one window after the first report of the new one, but at least the mean of the
+// other routers: troubles of targets concern all of them, and in a calm fleet the mean is close to
+// 0. A router without an earlier incarnation inherits the mean.
+//
+// It returns nothing if an earlier incarnation may have granted what is not known here: none has
+// reported to this leader, which has not led for long enough to rule one out, or the last one did
+// not know all debts of its own predecessors. Entries are forgotten once nothing in them can count
+// any more.
 #ifndef PERIDOTGAUGE_STATE_DEBT_TABLE_H_
 #define PERIDOTGAUGE_STATE_DEBT_TABLE_H_
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "core/extra_debts.h"
@@ -24,30 +31,42 @@
 
 namespace peridotgauge {
 
+struct DebtReport {
+  ExtraDebts debts;
+  bool complete = false;  // `debts` include those of earlier incarnations
+  Duration window{0};     // of the router's limits
+};
+
 class DebtTable {
  public:
-  // `window` is that of the router's limits.
-  void Report(Time now, const RouterId& router, const ExtraDebts& debts, Duration window);
-  ExtraDebts InheritedBy(Time now, const RouterId& router) const;
+  void Reset(Time now);
+  // Declares that nothing has been granted before.
+  void OnFirstRevision() { this->first_revision_seen = true; }
+  void Report(Time now, const RouterId& router, DebtReport report);
+  std::optional<ExtraDebts> InheritedBy(Time now, const RouterId& router) const;
   void Expire(Time now);
-  void Clear() { this->entries.clear(); }
   size_t Size() const { return this->entries.size(); }
 
  private:
   struct Entry {
     uint64_t incarnation = 0;
-    ExtraDebts debts;  // of this incarnation
-    Duration window{0};
+    DebtReport report;  // of this incarnation
     Time reported;
-    ExtraDebts inherited;  // of earlier incarnations; empty from `inherited_until` on
-    Time inherited_until;
+    ExtraDebts inherited;  // of earlier incarnations, if they are known
+    bool inherited_known = false;
+    Time inherited_until;  // nothing that earlier incarnations did counts from then on
   };
 
   // Returns the time from which nothing that the entry's incarnation has done counts any more.
   static Time EndOf(const Entry& entry);
   ExtraDebts MeanOfOthers(Time now, const std::string& router) const;
 
+  // Returns true if a router without an entry has granted nothing that still counts.
+  bool KnowsAll(Time now, Duration window) const;
+
   std::map<std::string, Entry> entries;  // by router id
+  Time since;                            // when the term began
+  bool first_revision_seen = false;      // in this term, so that nothing was granted before it
 };
 
 }  // namespace peridotgauge
--- a/testing/extra_attempts_test.cc
+++ b/testing/extra_attempts_test.cc
@@ -165,7 +165,7 @@
 
 // Guards against a limit that all processes forget when they lose power together.
 TEST_CASE("routers that lose power together with the controllers keep the limit on retries",
-          "[.][extra_attempts]") {
+          "[extra_attempts]") {
   FailingFleet fleet;
   for (size_t router = 0; router < kRouters; ++router) fleet.Send(router, 8);
   fleet.LosePower();
