--- a/testing/route_deployment.cc
+++ b/testing/route_deployment.cc
@@ -194,6 +194,7 @@
       .status = request.path.ends_with("/fail") ? 500 : 200,
       .headers = {{"Peridotgauge-Request-Id", id}, {"Peridotgauge-Server-Stamp", "stamp-" + id}},
       .body = request.path};
+  if (request.path.ends_with("/large")) response.body.resize(kLargeAnswerBytes, '.');
   Duration work(0);
   if (!id.empty()) {
     const std::lock_guard<std::mutex> lock(this->mutex);
--- a/testing/route_deployment.h
+++ b/testing/route_deployment.h
@@ -77,8 +77,11 @@
   std::thread thread;  // declared last, because it uses all other members
 };
 
+constexpr size_t kLargeAnswerBytes = 3 << 20;
+
 // A target that answers every request after the time that a test chooses: with status 500 if the
-// path ends with "/fail", with 200 otherwise.
+// path ends with "/fail", with 200 otherwise. The answer to a path that ends with "/large" has
+// kLargeAnswerBytes.
 class RouteTarget {
  public:
   using WorkTime = std::function<Duration(const HttpRequest&)>;
