Bound the bytes that a process keeps for others together

A target that sends bytes without end fills the router that called it, and the requests of other callers end with the process: each exchange was bounded (4 MiB), their sum was not. The same held for answers that wait for slow callers and for bodies of requests.

Two budgets, from the new setting memory_mb: a quarter for responses and waiting answers, a sixteenth for bodies of requests. Above the first, exchanges end, those of unknown length of the target that holds the most first; above the second, requests are refused at once. Idle connections give large buffers back.

Ruled out: a limit for each target (a fair share of many targets is too little for one large answer), reading more slowly (waits for room), and a bound for each service (the sum over services is not bounded).

--- a/core/http_message.h
+++ b/core/http_message.h
@@ -9,11 +9,13 @@
 #ifndef PERIDOTGAUGE_CORE_HTTP_MESSAGE_H_
 #define PERIDOTGAUGE_CORE_HTTP_MESSAGE_H_
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "core/byte_budget.h"
 #include "core/error.h"
 #include "core/types.h"
 
@@ -46,7 +48,12 @@
   int status = 200;
   std::vector<HttpHeader> headers;
   std::string body;
-  bool operator==(const HttpResponse&) const = default;
+  // Accounts for the body in the process's budget; null for small ones.
+  std::shared_ptr<ByteBudget::Account> kept;
+  bool operator==(const HttpResponse& other) const {
+    return this->status == other.status && this->headers == other.headers &&
+           this->body == other.body;
+  }
 
   std::string_view Header(std::string_view name) const { return FindHeader(this->headers, name); }
 };
--- a/core/settings.cc
+++ b/core/settings.cc
@@ -138,6 +138,7 @@
   root.ReadMillis("heartbeat_ms", settings.heartbeat_interval, {.min = 10, .max = kLongestMillis});
   root.ReadMillis("grace_ms", settings.shutdown_grace, {.min = 100, .max = kLongestMillis});
   ReadFraction(errors, root, "processor_share", {0.001, 1'024}, settings.processor_share);
+  ReadFraction(errors, root, "memory_mb", {16, 1 << 24}, settings.memory_mb);
   ReadFraction(errors, root, "extra_slack", {0, 1'000'000}, settings.extra_requests.slack);
   ReadFraction(errors, root, "extra_ratio", {0, 10}, settings.extra_requests.ratio);
   double window_s = std::chrono::duration<double>(settings.extra_requests.window).count();
--- a/core/settings.h
+++ b/core/settings.h
@@ -61,6 +61,8 @@
   std::vector<std::string> seeds;
   // Share of a processor that this process may use, above 0.
   double processor_share = 1;
+  // Memory that this process may use, in MiB.
+  double memory_mb = 256;
   ExtraRequestLimit extra_requests;
   Duration heartbeat_interval = Seconds(1);    // interval at which targets register
   Duration shutdown_grace = Seconds(30);       // from SIGTERM to SIGKILL
--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -60,6 +60,10 @@
 constexpr Duration kDiscoveryRaftHeartbeat = Millis(40);
 constexpr Duration kDiscoveryElectionTimeout = Millis(200);
 constexpr size_t kMaxCallerHeaderBytes = 64 << 10;
+// Shares of the memory for responses of targets and answers that wait for callers, and for bodies
+// of requests. Each attempt of a request holds up to two more copies of its body.
+constexpr double kResponseMemoryShare = 1.0 / 4;
+constexpr double kRequestMemoryShare = 1.0 / 16;
 
 // Returns 0 for an address without a port, which validated settings do not contain.
 uint16_t PortOf(const Address& address) { return ParseAddress(address).value_or(Endpoint{}).port; }
@@ -73,6 +77,8 @@
         settings(std::move(settings)),
         external(external),
         log(external != nullptr ? STDOUT_FILENO : -1),
+        request_bytes(this->MemoryFor(kRequestMemoryShare)),
+        response_bytes(this->MemoryFor(kResponseMemoryShare)),
         tracer(this->settings.id, this->settings.span_file, RandomSeed()),
         peers(io),
         self{.id = this->settings.id,
@@ -98,11 +104,13 @@
     if (Result<void> listening = this->Listen(); !listening) return listening;
     if (this->settings.router && this->external != nullptr) {
       this->gateway = std::make_unique<Gateway>(this->io, this->settings, this->self, this->control,
-                                                this->external->Codec(), this->metrics, this->log);
+                                                this->external->Codec(), this->metrics, this->log,
+                                                this->response_bytes);
       this->gateway->Start();
     } else if (this->settings.router) {
-      this->router = std::make_unique<Router>(this->io, this->settings, this->self, this->control,
-                                              this->peers, this->metrics, this->tracer, this->log);
+      this->router =
+          std::make_unique<Router>(this->io, this->settings, this->self, this->control, this->peers,
+                                   this->metrics, this->tracer, this->log, this->response_bytes);
       this->router->Start();
     }
     this->FlushSpans();
@@ -203,10 +211,22 @@
     return {};
   }
 
+  std::shared_ptr<ByteBudget> MemoryFor(double share) const {
+    constexpr double kBytesInMegabyte = 1 << 20;
+    return std::make_shared<ByteBudget>(
+        static_cast<size_t>(share * this->settings.memory_mb * kBytesInMegabyte));
+  }
+
+  HttpServerLimits Limited(HttpServerLimits limits) const {
+    limits.request_bytes = this->request_bytes;
+    limits.response_bytes = this->response_bytes;
+    return limits;
+  }
+
   Result<void> ListenNative() {
-    return Open(
-        HttpServer::Listen(this->io, this->settings.http_address, this->BindHandler(&Impl::OnHttp)),
-        this->http);
+    return Open(HttpServer::Listen(this->io, this->settings.http_address,
+                                   this->BindHandler(&Impl::OnHttp), this->Limited({})),
+                this->http);
   }
 
   // Opens one listener for each group of callers. Empty addresses are skipped.
@@ -238,9 +258,9 @@
         {this->settings.metrics_address, this->BindHandler(&Impl::OnHttp), this->metrics_http, {}}};
     for (const Listener& listener : listeners) {
       if (listener.address.empty()) continue;
-      Result<void> opened =
-          Open(HttpServer::Listen(this->io, listener.address, listener.handler, listener.limits),
-               listener.server);
+      Result<void> opened = Open(HttpServer::Listen(this->io, listener.address, listener.handler,
+                                                    this->Limited(listener.limits)),
+                                 listener.server);
       if (!opened) return opened;
     }
     return {};
@@ -363,6 +383,16 @@
         .Set(static_cast<double>(this->tracer.Dropped()));
     this->metrics.GaugeOf("peridotgauge_config_revision")
         .Set(static_cast<double>(this->control.CurrentConfig()->Revision()));
+    const auto show = [this](const ByteBudget& budget, const std::string& of) {
+      this->metrics.GaugeOf("peridotgauge_kept_bytes", {{"of", of}})
+          .Set(static_cast<double>(budget.Used()));
+      this->metrics.GaugeOf("peridotgauge_kept_limit_bytes", {{"of", of}})
+          .Set(static_cast<double>(budget.Limit()));
+      this->metrics.GaugeOf("peridotgauge_kept_cuts", {{"of", of}})
+          .Set(static_cast<double>(budget.Cuts()));
+    };
+    show(*this->request_bytes, "requests");
+    show(*this->response_bytes, "responses");
     if (this->replica) {
       const ReplicaStatus replica_status = this->replica->Status();
       this->metrics.GaugeOf("peridotgauge_storage_available")
@@ -443,6 +473,8 @@
   Settings settings;
   const ExternalInterface* external;
   EventLog log;
+  const std::shared_ptr<ByteBudget> request_bytes;
+  const std::shared_ptr<ByteBudget> response_bytes;
   Metrics metrics;
   Tracer tracer;
   PeerPool peers;
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -58,14 +58,17 @@
 class Gateway::Impl : public std::enable_shared_from_this<Gateway::Impl> {
  public:
   Impl(asio::io_context& io, const Settings& settings, RouterRecord self, ControlClient& control,
-       const RouteCodec& codec, Metrics& metrics, EventLog& log)
+       const RouteCodec& codec, Metrics& metrics, EventLog& log,
+       std::shared_ptr<ByteBudget> response_bytes)
       : settings(settings),
         self(std::move(self)),
         control(control),
         plans(planner),
-        pool(io,
-             [this](const std::string& target, const HttpHeader& request_id_header,
-                    std::string_view value) { this->OnStray(target, request_id_header, value); }),
+        pool(
+            io,
+            [this](const std::string& target, const HttpHeader& request_id_header,
+                   std::string_view value) { this->OnStray(target, request_id_header, value); },
+            std::move(response_bytes)),
         replica_choice(ReplicaChoice::MustMake(
             settings.replica_choice.empty() ? kRouteReplicaChoice : settings.replica_choice,
             {.seed = RandomSeed(),
@@ -437,8 +440,10 @@
 };
 
 Gateway::Gateway(asio::io_context& io, const Settings& settings, const RouterRecord& self,
-                 ControlClient& control, const RouteCodec& codec, Metrics& metrics, EventLog& log)
-    : impl(std::make_shared<Impl>(io, settings, self, control, codec, metrics, log)) {}
+                 ControlClient& control, const RouteCodec& codec, Metrics& metrics, EventLog& log,
+                 std::shared_ptr<ByteBudget> response_bytes)
+    : impl(std::make_shared<Impl>(io, settings, self, control, codec, metrics, log,
+                                  std::move(response_bytes))) {}
 Gateway::~Gateway() = default;
 void Gateway::Start() { this->impl->Start(); }
 void Gateway::Handle(HttpRequest request, const HttpResponder& responder) {
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -18,6 +18,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 
+#include "core/byte_budget.h"
 #include "core/http_message.h"
 #include "core/metrics.h"
 #include "core/route_codec.h"
@@ -30,9 +31,10 @@
 
 class Gateway {
  public:
-  // All arguments outlive the gateway.
+  // All references outlive the gateway. `response_bytes`: see HttpClient.
   Gateway(boost::asio::io_context& io, const Settings& settings, const RouterRecord& self,
-          ControlClient& control, const RouteCodec& codec, Metrics& metrics, EventLog& log);
+          ControlClient& control, const RouteCodec& codec, Metrics& metrics, EventLog& log,
+          std::shared_ptr<ByteBudget> response_bytes);
   ~Gateway();
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
--- a/io/http_client.cc
+++ b/io/http_client.cc
@@ -34,9 +34,10 @@
 // --- Pool ---
 
 HttpClient::Impl::Impl(asio::io_context& io, Address address, HttpClientOptions options,
-                       StrayCallback on_stray)
+                       StrayCallback on_stray, std::shared_ptr<ByteBudget> budget)
     : io(io),
       address(std::move(address)),
+      budget(std::move(budget)),
       options(ClampOptions(options)),
       on_stray(std::move(on_stray)),
       reconnect_timer(io) {}
@@ -290,8 +291,9 @@
 // --- HttpClient ---
 
 HttpClient::HttpClient(asio::io_context& io, Address address, HttpClientOptions options,
-                       StrayCallback on_stray)
-    : impl(std::make_shared<Impl>(io, std::move(address), options, std::move(on_stray))) {
+                       StrayCallback on_stray, std::shared_ptr<ByteBudget> budget)
+    : impl(std::make_shared<Impl>(io, std::move(address), options, std::move(on_stray),
+                                  std::move(budget))) {
   this->impl->OpenMinConnections();
 }
 
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -23,6 +23,10 @@
 // that does not identify its request the connection is closed, since a copy of it could not be told
 // from a later response.
 //
+// The bytes of responses count against a budget that all clients of the process share. If that is
+// exceeded, exchanges are ended like those whose connection failed: first those of the peer whose
+// incomplete responses hold the most.
+//
 // The pool never holds more than `max_connections`. A connection that this side closes counts
 // until the peer has closed it too, for at most kCloseTimeout, because the peer counts it as well.
 // Calls above the limit are queued first in, first out.
@@ -38,6 +42,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/byte_budget.h"
 #include "core/error.h"
 #include "core/http_message.h"
 #include "core/types.h"
@@ -118,8 +123,9 @@
 
 class HttpClient {
  public:
+  // `budget`: for the bytes of responses; null: they are not bounded together.
   HttpClient(boost::asio::io_context& io, Address address, HttpClientOptions options,
-             StrayCallback on_stray = {});
+             StrayCallback on_stray = {}, std::shared_ptr<ByteBudget> budget = nullptr);
   // Closes all connections; no callback is called afterwards.
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
--- a/io/http_client_impl.h
+++ b/io/http_client_impl.h
@@ -21,7 +21,7 @@
 
 namespace peridotgauge {
 
-// Size of one read; most responses fit.
+// Size of one read; most responses fit. Smaller responses are not counted in the budget.
 constexpr size_t kReadBytes = 4'096;
 
 // Returns the failure of a call of which nothing was sent.
@@ -47,7 +47,7 @@
   using ExchangePtr = std::shared_ptr<Exchange>;
 
   Impl(boost::asio::io_context& io, Address address, HttpClientOptions options,
-       StrayCallback on_stray);
+       StrayCallback on_stray, std::shared_ptr<ByteBudget> budget);
 
   uint64_t Send(HttpCall call);
   void Cancel(uint64_t id);
@@ -79,6 +79,7 @@
 
   boost::asio::io_context& io;
   const Address address;
+  const std::shared_ptr<ByteBudget> budget;  // may be null
 
  private:
   // Assigns queued calls to idle connections, and opens connections for the rest.
@@ -148,6 +149,12 @@
   // Parses the received data. `error` is that of the read, for example the end of the stream.
   void Parse(boost::system::error_code error);
   void ResetParser();
+  // Counts the bytes of the incomplete response in the budget.
+  void CountBytes();
+  // Ends the running exchange because the budget is exceeded.
+  void Cut(const ExchangePtr& cut_exchange);
+  // Releases large buffers of the last exchange.
+  void ReleaseBuffers();
   // Returns true, and prepares the parser for the next response, if the complete response belongs
   // to another request and the next one may belong to the running exchange.
   bool DiscardStray();
@@ -156,7 +163,8 @@
   // Returns false if nothing shows that the complete response belongs to the running exchange.
   bool IsAttributable() const;
   void OnResponse();
-  void OnExchangeFailed(const boost::system::error_code& error);
+  // Ends the running exchange. `reading`: a read is outstanding.
+  void OnExchangeFailed(const boost::system::error_code& error, bool reading);
   void EndClose(bool by_peer);
 
   std::shared_ptr<Impl> impl;
@@ -173,6 +181,7 @@
   std::array<char, kReadBytes> read_buffer;
   boost::beast::flat_buffer buffer;  // received and not parsed yet
   std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
+  std::shared_ptr<ByteBudget::Account> kept;  // of the response in `parser`; null if it is small
   Time idle_since{};
   Duration idle_timeout{0};  // the peer closes connections idle for longer; 0: unknown
   std::function<void()> released;
--- a/io/http_connection.cc
+++ b/io/http_connection.cc
@@ -200,7 +200,8 @@
   if (!failed && this->parser->is_done() && !this->IsAttributable()) {
     failed = make_error_code(boost::system::errc::bad_message);
   }
-  if (failed) return this->OnExchangeFailed(failed);
+  if (failed) return this->OnExchangeFailed(failed, /*reading=*/false);
+  if (!this->parser->is_done()) this->CountBytes();
   this->Read();
   if (this->parser->is_done()) this->OnResponse();
 }
@@ -211,6 +212,38 @@
   this->parser->eager(true);
 }
 
+void HttpClient::Connection::CountBytes() {
+  const size_t bytes = this->parser->get().body().capacity() + this->buffer.capacity();
+  if (!this->impl->budget || (!this->kept && bytes <= 2 * kReadBytes)) return;
+  if (!this->kept) {
+    this->kept = std::make_shared<ByteBudget::Account>(this->impl->budget);
+    const bool length_known = this->parser->is_header_done() && this->parser->content_length();
+    this->kept->AllowCut(this->impl.get(),
+                         length_known ? ByteBudget::CutOrder::kLast : ByteBudget::CutOrder::kFirst,
+                         [weak = this->weak_from_this(), cut = std::weak_ptr(this->exchange)] {
+                           const auto self = weak.lock();
+                           if (!self) return;
+                           asio::post(self->impl->io, [self, cut] { self->Cut(cut.lock()); });
+                         });
+  }
+  this->kept->Set(bytes);
+}
+
+void HttpClient::Connection::Cut(const ExchangePtr& cut_exchange) {
+  if (this->phase != Phase::kBusy || this->exchange != cut_exchange) return;
+  this->OnExchangeFailed(asio::error::no_buffer_space, /*reading=*/true);
+}
+
+void HttpClient::Connection::ReleaseBuffers() {
+  constexpr size_t kKeptBytes = 4 * kReadBytes;
+  this->kept = nullptr;
+  this->parser.reset();
+  this->buffer.clear();
+  if (this->buffer.capacity() > kKeptBytes) this->buffer.shrink_to_fit();
+  // A write that has not ended still reads the request.
+  if (this->written && this->request.capacity() > kKeptBytes) std::string().swap(this->request);
+}
+
 bool HttpClient::Connection::DiscardStray() {
   const std::shared_ptr<EchoedRequest>& echo = this->exchange->call.echo;
   if (!echo || this->strays == kMaxStrays || !this->parser->keep_alive()) return false;
@@ -243,6 +276,13 @@
   const bool reusable = this->written && this->parser->get().keep_alive() && !interim &&
                         identified && this->buffer.size() == 0 && !pool->AboveLimit();
   HttpResponse response = ToResponse(this->parser->release());
+  if (this->impl->budget && response.body.capacity() > kReadBytes) {
+    response.kept = this->kept ? std::move(this->kept)
+                               : std::make_shared<ByteBudget::Account>(this->impl->budget);
+    response.kept->ForbidCut();
+    response.kept->Set(response.body.capacity());
+  }
+  this->ReleaseBuffers();
   this->phase = Phase::kIdle;
   if (reusable) {
     this->reused = true;
@@ -256,7 +296,7 @@
   pool->Notify(released);
 }
 
-void HttpClient::Connection::OnExchangeFailed(const error_code& error) {
+void HttpClient::Connection::OnExchangeFailed(const error_code& error, bool reading) {
   const auto self = this->shared_from_this();
   const auto pool = this->impl;
   const ExchangePtr ended = std::exchange(this->exchange, nullptr);
@@ -274,7 +314,7 @@
     return;
   }
   this->BeginClose(std::move(released));
-  this->Read();
+  if (!reading) this->Read();
   pool->Finish(ended, tl::unexpected<HttpFailure>(std::move(failure)));
 }
 
@@ -282,6 +322,7 @@
   this->phase = Phase::kClosing;
   this->exchange = nullptr;
   this->released = std::move(released);
+  this->ReleaseBuffers();
   error_code error;
   this->socket.shutdown(Tcp::socket::shutdown_send, error);
   this->timer.expires_after(kCloseTimeout);
@@ -301,6 +342,7 @@
 void HttpClient::Connection::Abort() {
   this->phase = Phase::kClosed;
   this->exchange = nullptr;
+  this->kept = nullptr;
   this->released = {};
   this->timer.cancel();
   error_code ignored;
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -3,6 +3,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -133,8 +134,12 @@
   void Receive();
   void OnHead(const error_code& error);
   void ReceiveBody();
+  // Counts the body in the budget. Returns false if it does not fit.
+  bool ReserveBody();
   void OnRequest(const error_code& error);
   void Run();
+  // Counts an answer that is to be written in the budget.
+  void KeepResponse(HttpResponse& answer);
   void Write(HttpResponse response, bool keep_alive);
   void OnWritten(const error_code& error, bool keep_alive);
   void Linger();
@@ -151,6 +156,8 @@
   std::optional<Parser> parser;
   std::weak_ptr<HttpResponder::State> responder;  // of the running request
   BeastResponse response;
+  std::shared_ptr<ByteBudget::Account> kept_request;   // of a body that is not small
+  std::shared_ptr<ByteBudget::Account> kept_response;  // of a large answer that is being written
   std::array<char, kReadBytes> discarded;
   uint64_t requests = 0;
   bool keep_alive = false;
@@ -308,6 +315,10 @@
     this->OnRequest(error);
     return;
   }
+  if (!this->ReserveBody()) {
+    this->Refuse({ErrorCode::kOverloaded, "too many bytes of request bodies are held"});
+    return;
+  }
   const auto expect = this->parser->get()[http::field::expect];
   if (!beast::iequals(expect, "100-continue")) {
     this->ReceiveBody();
@@ -325,6 +336,20 @@
                     });
 }
 
+bool HttpServer::Connection::ReserveBody() {
+  const std::shared_ptr<ByteBudget>& budget = this->impl->limits.request_bytes;
+  const size_t longest = this->impl->limits.max_body_bytes;
+  const auto announced = this->parser->content_length();
+  const size_t bytes = announced                 ? std::min<uint64_t>(*announced, longest)
+                       : this->parser->chunked() ? longest
+                                                 : 0;
+  if (!budget || bytes <= kReadBytes) return true;
+  if (!budget->Fits(bytes)) return false;
+  this->kept_request = std::make_shared<ByteBudget::Account>(budget);
+  this->kept_request->Set(bytes);
+  return true;
+}
+
 void HttpServer::Connection::ReceiveBody() {
   http::async_read(this->socket, this->buffer, *this->parser,
                    [self = this->shared_from_this()](const error_code& error, size_t) {
@@ -352,6 +377,7 @@
   this->keep_alive = this->parser->get().keep_alive();
   this->head_only = this->parser->get().method() == http::verb::head;
   HttpRequest request = ToRequest(this->parser->release());
+  if (this->kept_request) this->kept_request->Set(request.body.capacity());
   HttpResponder responder;
   responder.state = std::make_shared<HttpResponder::State>();
   responder.state->connection = this->weak_from_this();
@@ -385,6 +411,8 @@
 void HttpServer::Connection::Write(HttpResponse response, bool keep_alive) {
   this->phase = Phase::kWriting;
   this->StartTimer(this->impl->limits.write_timeout);
+  this->kept_request = nullptr;
+  this->KeepResponse(response);
   this->response = ToBeastResponse(std::move(response), keep_alive, this->head_only);
   http::async_write(this->socket, this->response,
                     [self = this->shared_from_this(), keep_alive](const error_code& error, size_t) {
@@ -392,7 +420,27 @@
                     });
 }
 
+void HttpServer::Connection::KeepResponse(HttpResponse& answer) {
+  const std::shared_ptr<ByteBudget>& budget = this->impl->limits.response_bytes;
+  this->kept_response = std::move(answer.kept);
+  if (!budget || answer.body.size() <= kReadBytes) return;
+  if (!this->kept_response) this->kept_response = std::make_shared<ByteBudget::Account>(budget);
+  this->kept_response->AllowCut(this, ByteBudget::CutOrder::kLast, [weak = this->weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self) return;
+    asio::post(self->impl->io, [self, requests = self->requests] {
+      if (self->phase != Phase::kWriting || self->requests != requests) return;
+      LOG(WARNING) << "http: closing a connection before its answer is complete: the answers that "
+                      "wait for their callers exceed the memory for them";
+      self->Close();
+    });
+  });
+  this->kept_response->Set(answer.body.capacity());
+}
+
 void HttpServer::Connection::OnWritten(const error_code& error, bool keep_alive) {
+  this->kept_response = nullptr;
+  this->response = {};
   if (error) {
     this->Close();
   } else if (keep_alive) {
@@ -444,6 +492,8 @@
   if (this->phase == Phase::kClosed) return;
   if (this->phase == Phase::kRunning) --this->impl->status.running;
   this->phase = Phase::kClosed;
+  this->kept_request = nullptr;
+  this->kept_response = nullptr;
   this->timer.cancel();
   error_code ignored;
   this->socket.close(ignored);
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -13,7 +13,8 @@
 //
 // Requests that exceed a limit never reach the handler. The server responds with the error body of
 // caller_api.h and closes the connection: kBadRequest for a malformed or incomplete request,
-// kTooLarge for a header or body above its limit, kOverloaded for a connection above the limit. No
+// kTooLarge for a header or body above its limit, kOverloaded for a connection above the limit or a
+// body that does not fit into the budget. No
 // input ends the process or keeps a connection open without a time limit.
 #ifndef PERIDOTGAUGE_IO_HTTP_SERVER_H_
 #define PERIDOTGAUGE_IO_HTTP_SERVER_H_
@@ -23,6 +24,7 @@
 #include <functional>
 #include <memory>
 
+#include "core/byte_budget.h"
 #include "core/error.h"
 #include "core/http_message.h"
 #include "core/types.h"
@@ -36,6 +38,10 @@
   Duration request_timeout = Seconds(10);  // from the first byte of a request to its last
   Duration write_timeout = Seconds(10);    // to write one response
   Duration idle_timeout = Seconds(60);     // between two requests on a connection
+  // Budgets for bodies of requests, which are refused if they do not fit, and for answers that wait
+  // for their callers, whose connections are closed if it is exceeded. Null: not bounded together.
+  std::shared_ptr<ByteBudget> request_bytes = nullptr;
+  std::shared_ptr<ByteBudget> response_bytes = nullptr;
 };
 
 // Gauges, and counters since the start, for metrics.
--- a/io/owner.cc
+++ b/io/owner.cc
@@ -220,7 +220,8 @@
     channel->second.client = std::make_unique<TargetClient>(
         this->context.io, record.address,
         HttpClientOptions{.max_connections = options.connections,
-                          .min_connections = channel->second.queue.WarmConnections()});
+                          .min_connections = channel->second.queue.WarmConnections()},
+        this->context.response_bytes);
     return channel->second;
   }
 
--- a/io/owner.h
+++ b/io/owner.h
@@ -20,6 +20,7 @@
 #include <memory>
 #include <string>
 
+#include "core/byte_budget.h"
 #include "core/metrics.h"
 #include "core/ownership.h"
 #include "core/settings.h"
@@ -39,6 +40,7 @@
   PeerPool& peers;
   Tracer& tracer;
   Metrics& metrics;
+  std::shared_ptr<ByteBudget> response_bytes;  // see HttpClient
 };
 
 class Owner {
--- a/io/router.cc
+++ b/io/router.cc
@@ -38,14 +38,16 @@
 class Router::Impl : public std::enable_shared_from_this<Router::Impl> {
  public:
   Impl(asio::io_context& io, const Settings& settings, const RouterRecord& self,
-       ControlClient& control, PeerPool& peers, Metrics& metrics, Tracer& tracer, EventLog& log)
+       ControlClient& control, PeerPool& peers, Metrics& metrics, Tracer& tracer, EventLog& log,
+       std::shared_ptr<ByteBudget> response_bytes)
       : self(self),
         control(control),
         peers(peers),
         replica_choice(ReplicaChoice::MustMake(
             settings.replica_choice, {.seed = RandomSeed(), .ejection = settings.ejection})),
         admission(settings.admission),
-        owner({io, settings, control, peers, tracer, metrics}, {self.id, self.incarnation}),
+        owner({io, settings, control, peers, tracer, metrics, std::move(response_bytes)},
+              {self.id, self.incarnation}),
         sender(self.id, this->owner, peers, *this->replica_choice, this->hedge_budget),
         registrations(self.id),
         crash_guard({io, control, metrics, log}),
@@ -312,8 +314,9 @@
 
 Router::Router(asio::io_context& io, const Settings& settings, const RouterRecord& self,
                ControlClient& control, PeerPool& peers, Metrics& metrics, Tracer& tracer,
-               EventLog& log)
-    : impl(std::make_shared<Impl>(io, settings, self, control, peers, metrics, tracer, log)) {}
+               EventLog& log, std::shared_ptr<ByteBudget> response_bytes)
+    : impl(std::make_shared<Impl>(io, settings, self, control, peers, metrics, tracer, log,
+                                  std::move(response_bytes))) {}
 Router::~Router() = default;
 void Router::Start() { this->impl->Start(); }
 bool Router::Handles(const HttpRequest& request) const { return this->impl->Handles(request); }
--- a/io/router.h
+++ b/io/router.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <memory>
 
+#include "core/byte_budget.h"
 #include "core/http_message.h"
 #include "core/metrics.h"
 #include "core/settings.h"
@@ -37,9 +38,10 @@
 
 class Router {
  public:
-  // All arguments outlive the router.
+  // All references outlive the router. `response_bytes`: see HttpClient.
   Router(boost::asio::io_context& io, const Settings& settings, const RouterRecord& self,
-         ControlClient& control, PeerPool& peers, Metrics& metrics, Tracer& tracer, EventLog& log);
+         ControlClient& control, PeerPool& peers, Metrics& metrics, Tracer& tracer, EventLog& log,
+         std::shared_ptr<ByteBudget> response_bytes);
   ~Router();
   Router(const Router&) = delete;
   Router& operator=(const Router&) = delete;
--- a/io/target_client.cc
+++ b/io/target_client.cc
@@ -121,8 +121,9 @@
   return reply;
 }
 
-TargetClient::TargetClient(boost::asio::io_context& io, Address address, HttpClientOptions options)
-    : client(io, std::move(address), options) {}
+TargetClient::TargetClient(boost::asio::io_context& io, Address address, HttpClientOptions options,
+                           std::shared_ptr<ByteBudget> budget)
+    : client(io, std::move(address), options, {}, std::move(budget)) {}
 
 uint64_t TargetClient::Send(const wire::SubRequestT& request, Callback done,
                             std::function<void()> released) {
--- a/io/target_client.h
+++ b/io/target_client.h
@@ -15,6 +15,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -37,7 +38,9 @@
  public:
   using Callback = std::function<void(wire::SubReplyT)>;
 
-  TargetClient(boost::asio::io_context& io, Address address, HttpClientOptions options);
+  // `budget`: see HttpClient.
+  TargetClient(boost::asio::io_context& io, Address address, HttpClientOptions options,
+               std::shared_ptr<ByteBudget> budget = nullptr);
 
   // Sends the sub-request; its deadline is `budget_us` from now. `released` is called once, when
   // the sub-request no longer occupies a slot of the target as far as this side can tell; see
--- a/io/target_pool.cc
+++ b/io/target_pool.cc
@@ -32,7 +32,8 @@
                  this->io, record.address, this->OptionsOf(record.service),
                  [this, target = record.target](const HttpHeader& echo, std::string_view value) {
                    if (this->on_stray) this->on_stray(target, echo, value);
-                 })};
+                 },
+                 this->budget)};
   }
   return *entry.client;
 }
--- a/io/target_pool.h
+++ b/io/target_pool.h
@@ -33,8 +33,10 @@
   using TargetStrayCallback = std::function<void(const std::string& target, const HttpHeader& echo,
                                                  std::string_view value)>;
 
-  TargetPool(boost::asio::io_context& io, TargetStrayCallback on_stray)
-      : io(io), on_stray(std::move(on_stray)) {}
+  // `budget`: see HttpClient.
+  TargetPool(boost::asio::io_context& io, TargetStrayCallback on_stray,
+             std::shared_ptr<ByteBudget> budget = nullptr)
+      : io(io), on_stray(std::move(on_stray)), budget(std::move(budget)) {}
 
   // Sets the limit on connections to each target of the service.
   void SetConnectionLimit(const std::string& service, size_t connections);
@@ -56,6 +58,7 @@
 
   boost::asio::io_context& io;
   TargetStrayCallback on_stray;
+  std::shared_ptr<ByteBudget> budget;               // may be null
   std::map<std::string, size_t> connection_limits;  // by service
   std::map<std::string, Entry> entries;             // by target
 };
--- a/testing/endless_response_test.cc
+++ b/testing/endless_response_test.cc
@@ -128,7 +128,7 @@
   std::thread thread;
 };
 
-TEST_CASE("targets that answer with bytes without end", "[.][endless_response]") {
+TEST_CASE("targets that answer with bytes without end", "[endless_response]") {
   constexpr size_t kFaultyTargets = 4;
   constexpr size_t kFaultyCallers = 128;
   constexpr size_t kSoundCallers = 2;
--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -206,6 +206,57 @@
   }));
 }
 
+// Guards against bodies and answers that each are within their limit, and together are not.
+TEST_CASE("http_server bounds the bytes of all connections together", "[http_server]") {
+  constexpr size_t kBudget = 16 << 20;
+  HttpServerLimits limits;
+  limits.request_bytes = std::make_shared<ByteBudget>(100'000);
+  limits.response_bytes = std::make_shared<ByteBudget>(kBudget);
+  Fixture fixture(limits);
+  RawSocket first = fixture.Connect();
+  RawSocket second = fixture.Connect();
+  SECTION("a body that does not fit is refused at once") {
+    const std::string body(80'000, 'x');
+    const std::string head = Post(body).substr(0, Post(body).size() - body.size());
+    first.Send(head);
+    REQUIRE(fixture.Until([&] { return limits.request_bytes->Used() == body.size(); }));
+    const bool chunked = GENERATE(false, true);
+    second.Send(chunked ? "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        : head);
+    REQUIRE(fixture.Until([&] { return second.Received("503 Service Unavailable"); }));
+    CHECK(second.Received("\"overloaded\""));
+    CHECK(fixture.requests.empty());
+    RawSocket small = fixture.Connect();
+    small.Send(Post("{}"));
+    REQUIRE(fixture.Until([&] { return small.Received("ok1"); }));
+    SECTION("and fits once the other request has ended") {
+      first.Send(body);
+      REQUIRE(fixture.Until([&] { return first.Received("ok2"); }));
+      CHECK(limits.request_bytes->Used() == 0);
+      RawSocket third = fixture.Connect();
+      third.Send(Post(body));
+      REQUIRE(fixture.Until([&] { return third.Received("ok3"); }));
+    }
+    SECTION("or its caller has left") {
+      first.Close();
+      REQUIRE(fixture.Until([&] { return limits.request_bytes->Used() == 0; }));
+    }
+  }
+  SECTION("the largest answer that waits for a slow caller is given up") {
+    fixture.automatic = false;
+    for (RawSocket* caller : {&first, &second}) caller->Send(kGet);
+    REQUIRE(fixture.Until([&] { return fixture.responders.size() == 2; }));
+    fixture.responders[0].Send(TextResponse(200, std::string(10 << 20, 'x')));
+    fixture.responders[1].Send(TextResponse(200, std::string(12 << 20, 'y')));
+    REQUIRE(fixture.Until([&] { return limits.response_bytes->Used() <= kBudget; }));
+    CHECK(limits.response_bytes->Cuts() == 1);
+    CHECK(limits.response_bytes->Used() == 10 << 20);
+    REQUIRE(fixture.Until([&] { return first.Received(std::string(10 << 20, 'x')); }));
+    REQUIRE(fixture.Until([&] { return second.Closed(); }));
+    CHECK(limits.response_bytes->Used() == 0);
+  }
+}
+
 TEST_CASE("http_server detects a disconnect while a request runs", "[http_server]") {
   Fixture fixture;
   fixture.automatic = false;
--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -58,6 +58,13 @@
         std::string::npos);
 }
 
+TEST_CASE("the memory of a process", "[settings]") {
+  CHECK(Settings::Parse(With("", ""), "c1.json")->memory_mb == 256);
+  CHECK(Settings::Parse(With("\"hedging\": false", "\"memory_mb\": 260"), "c1.json")->memory_mb ==
+        260);
+  CHECK_FALSE(Settings::Parse(With("\"hedging\": false", "\"memory_mb\": 0"), "c1.json"));
+}
+
 TEST_CASE("the limit on extra sub-requests", "[settings]") {
   const auto settings =
       Settings::Parse(With("\"hedging\": false",
