Tests of replicas: expect attempts with an unknown outcome

Group::Commit() proposed a command again after kUnknownOutcome, and expected it once although the first attempt had been committed, as that outcome allows.

Every attempt now has a text of its own, and an attempt may turn up only if its outcome was said to be unknown; one that was refused and turns up all the same fails the test, which it did not before. AllApplied() says what differs.

--- a/testing/replica_test.cc
+++ b/testing/replica_test.cc
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <optional>
 #include <vector>
 
@@ -145,23 +146,49 @@
     REQUIRE(this->RunUntil([&] { return answer.has_value(); }));
     return *answer;
   }
-  // Commits a command through the current leader.
+  // Commits a command through the current leader. An attempt with an unknown outcome is expected if
+  // it turns out to be committed; the next one has another text, so that both can be told apart.
   void Commit(const std::string& command) {
+    std::vector<std::string> uncertain;
     for (int attempt = 0; attempt < 10; ++attempt) {
       REQUIRE(this->RunUntil([&] { return this->Leader().has_value(); }));
-      if (this->Propose(*this->Leader(), command)) {
-        this->expected.push_back(command);
+      const size_t leader = *this->Leader();
+      const std::string text =
+          attempt == 0 ? command : command + " (attempt " + std::to_string(attempt) + ")";
+      const Result<Applied> applied = this->Propose(leader, text);
+      if (applied) {
+        // Whatever was committed before it is applied here.
+        const std::vector<std::string>& commands = this->nodes[leader].machine->commands;
+        std::copy_if(uncertain.begin(), uncertain.end(), std::back_inserter(this->expected),
+                     [&](const std::string& earlier) {
+                       return std::find(commands.begin(), commands.end(), earlier) !=
+                              commands.end();
+                     });
+        this->expected.push_back(text);
         return;
       }
+      if (applied.error().code == ErrorCode::kUnknownOutcome) uncertain.push_back(text);
     }
     FAIL("no leader committed the command in 10 attempts");
   }
   bool AllApplied() {
-    return this->RunUntil([&] {
+    const bool applied = this->RunUntil([&] {
       return std::all_of(this->nodes.begin(), this->nodes.end(), [&](const Node& node) {
         return !node.replica || node.machine->commands == this->expected;
       });
     });
+    for (const Node& node : this->nodes) {
+      if (applied || !node.replica || node.machine->commands == this->expected) continue;
+      const auto [actual, expected] =
+          std::mismatch(node.machine->commands.begin(), node.machine->commands.end(),
+                        this->expected.begin(), this->expected.end());
+      UNSCOPED_INFO(node.folder << " has applied " << node.machine->commands.size() << " of "
+                                << this->expected.size() << " commands, first difference: "
+                                << (actual == node.machine->commands.end() ? "end" : *actual)
+                                << " in place of "
+                                << (expected == this->expected.end() ? "end" : *expected));
+    }
+    return applied;
   }
 
   boost::asio::io_context io;
@@ -295,7 +322,7 @@
 
 // Guards against a replica that leaves the group for good once its disk has refused a write: after
 // as many such replicas as a majority the group accepts nothing although every disk has room.
-TEST_CASE("replicas whose disks were full take part again", "[.][replica]") {
+TEST_CASE("replicas whose disks were full take part again", "[replica]") {
   Group group(3);
   group.Commit("first");
   REQUIRE(group.AllApplied());
