Obey targets that say in an answer that they leave, or want a pause

Targets that leave say so in their answers (Server-Leaving: 1), and a target that refuses with 503 may name a pause (Retry-After, in seconds).

core/target_signals keeps what each incarnation has asked for, beyond changes of the directory; the choice of a target leaves those out, and requests that wait for a connection to one are placed anew. A request that no target accepts is refused at once, and its Retry-After follows from the end of the first pause, spread by a quarter. Values that cannot be read change nothing and are logged; a pause counts for at most 5 minutes. Signals in answers without the request's id, or of another target at the address, are ignored.

Not done: the same signals of the native interface, and telling the directory of them.

--- a/bench/route_cost_main.cc
+++ b/bench/route_cost_main.cc
@@ -167,7 +167,8 @@
   std::mt19937_64 random(1);
   ControlClient control(io, {.self = {}, .controllers = {{"c", "127.0.0.1:1"}}});
   CrashGuard crash_guard({io, control, metrics, log});
-  RouteContext context{io,      codec, pool,   *replicas,  budget, hedge_budgets,
+  TargetSignals signals;
+  RouteContext context{io,      codec, pool,   *replicas,  signals, budget, hedge_budgets,
                        metrics, log,   random, crash_guard};
   Route route{.name = "query",
               .host = "h",
--- a/core/route_codec.h
+++ b/core/route_codec.h
@@ -52,6 +52,10 @@
   TargetReplyKind kind = TargetReplyKind::kUnrelated;
   std::string server_stamp;  // proves to the caller that the response comes from a target
   std::optional<TargetLoad> load;
+  // The target refused the request and wants none for so long.
+  std::optional<Duration> pause;
+  bool malformed_pause = false;  // it named a pause that cannot be read
+  bool leaving = false;          // the target will end soon
   bool operator==(const TargetReply&) const = default;
 };
 
--- /dev/null
+++ b/core/target_signals.h
@@ -0,0 +1,82 @@
+// What targets have asked of this router, in their answers or through the directory: no requests
+// for some time, or none any more because they leave.
+//
+// Use:
+//   signals.OnPause(now, record, Seconds(2));   // the target has refused a request for so long
+//   signals.OnLeaving(now, record);             // it has said so in an answer
+//   signals.OnDirectory(now, record);           // on every change of its record
+//   if (signals.Accepts(now, record)) ...
+//   SignalChooser chooser(replica_choice, signals);   // chooses among targets that accept requests
+//
+// Contract: a signal belongs to the incarnation of a target that gave it; a new incarnation is not
+// bound by it. What a target says in an answer outlives changes of the directory, so that no late
+// registration brings back a target that leaves. What the directory says counts for requests whose
+// plan is older. A pause is at most kMaxPause. Signals are forgotten after kForgetSignalAfter.
+#ifndef PERIDOTGAUGE_CORE_TARGET_SIGNALS_H_
+#define PERIDOTGAUGE_CORE_TARGET_SIGNALS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/records.h"
+#include "core/search_policy.h"
+#include "core/types.h"
+
+namespace peridotgauge {
+
+constexpr Duration kMaxPause = Seconds(300);
+constexpr Duration kForgetSignalAfter = Seconds(600);
+
+class TargetSignals {
+ public:
+  // The target wants no requests for `pause`, or for kMaxPause if that is shorter.
+  void OnPause(Time now, const TargetRecord& target, Duration pause);
+  void OnLeaving(Time now, const TargetRecord& target);
+  void OnDirectory(Time now, const TargetRecord& target);
+  // Forgets old signals.
+  void Expire(Time now);
+
+  // Returns true if no target has asked for anything.
+  bool Empty() const { return this->signals.empty(); }
+  bool Accepts(Time now, const TargetRecord& target) const;
+  // Returns when the first of the targets accepts requests again, or nothing if one does or none
+  // will.
+  std::optional<Time> AcceptsAgain(Time now, Candidates targets) const;
+
+ private:
+  struct Signal {
+    uint64_t incarnation = 0;
+    Time paused_until;
+    bool leaving = false;   // it has said so in an answer
+    bool departed = false;  // according to the directory
+    Time given;
+  };
+  // Returns the signal of this incarnation, which is added if there is none.
+  Signal& SignalOf(Time now, const TargetRecord& target);
+  // Returns null if this incarnation has given no signal.
+  const Signal* Find(const TargetRecord& target) const;
+
+  std::unordered_map<std::string, Signal> signals;  // by target
+};
+
+// Leaves out the targets that do not accept requests.
+class SignalChooser : public ReplicaChooser {
+ public:
+  // Both outlive this object.
+  SignalChooser(ReplicaChooser& chooser, const TargetSignals& signals)
+      : chooser(chooser), signals(signals) {}
+
+  const TargetRecord* Choose(Time now, Candidates candidates, Candidates excluded) override;
+
+ private:
+  ReplicaChooser& chooser;
+  const TargetSignals& signals;
+  std::vector<const TargetRecord*> accepting;  // scratch space of Choose()
+};
+
+}  // namespace peridotgauge
+
+#endif  // PERIDOTGAUGE_CORE_TARGET_SIGNALS_H_
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -83,6 +83,7 @@
                 codec,
                 this->pool,
                 *this->replica_choice,
+                this->signals,
                 this->extra_limit.Budget(),
                 this->hedge_budgets,
                 metrics,
@@ -397,6 +398,7 @@
   }
 
   void OnDirectory(Time now) {
+    this->signals.Expire(now);
     UpdateKnownTargets(
         this->control.Directory().Targets(), this->known_targets,
         [&](const TargetRecord& record) {
@@ -421,6 +423,7 @@
   RoutePlanner plans;
   TargetPool pool;
   std::unique_ptr<ReplicaChoice> replica_choice;
+  TargetSignals signals;
   std::map<std::string, RouteHedgeBudget> hedge_budgets;
   SplitCounter split;
   std::map<std::string, CallerWaitEstimator> caller_wait_estimators;  // by route name
--- a/io/http_client.cc
+++ b/io/http_client.cc
@@ -303,6 +303,10 @@
 
 void HttpClient::Cancel(uint64_t id) { this->impl->Cancel(id); }
 
+void HttpClient::FailWaiting(const std::string& reason) {
+  asio::post(this->impl->io, [impl = this->impl, reason] { impl->FailQueued(reason); });
+}
+
 void HttpClient::SetOptions(HttpClientOptions options) { this->impl->SetOptions(options); }
 
 const Address& HttpClient::PeerAddress() const { return this->impl->address; }
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -136,6 +136,8 @@
   // Cancels the call and closes its connection if it has one. Does nothing for a call that has
   // ended.
   void Cancel(uint64_t id);
+  // Fails the calls that wait for a connection, soon after the call.
+  void FailWaiting(const std::string& reason);
   // Changes the limits. Connections above the new maximum are closed as they become idle.
   void SetOptions(HttpClientOptions options);
 
--- a/io/http_client_impl.h
+++ b/io/http_client_impl.h
@@ -52,6 +52,7 @@
   uint64_t Send(HttpCall call);
   void Cancel(uint64_t id);
   void SetOptions(HttpClientOptions options);
+  void FailQueued(const std::string& reason);
   void Shutdown();
   // Opens connections until there are `min_connections`.
   void OpenMinConnections();
@@ -94,7 +95,6 @@
   void Open();
   void OnDeadline(const ExchangePtr& exchange);
   void FailCall(const ExchangePtr& exchange, const std::string& reason);
-  void FailQueued(const std::string& reason);
   void ScheduleReconnect();
   void Release(const ExchangePtr& exchange);
 
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -34,6 +34,8 @@
 // of a few requests.
 constexpr Duration kMinRetryDelay = Millis(50);
 constexpr Duration kRetryDelaySpread = Millis(100);
+// Callers that wait for the end of a target's pause return within this share of it.
+constexpr double kPauseSpread = 0.25;
 
 std::string_view NameOf(AttemptKind kind) {
   switch (kind) {
@@ -71,7 +73,8 @@
         params(std::move(params)),
         budget(context.hedge_budgets.try_emplace(this->params.route->name, context.budget)
                    .first->second),
-        search(this->params.plan, ParamsOf(this->params), {context.replica_choice, this->budget}),
+        chooser(context.replica_choice, context.signals),
+        search(this->params.plan, ParamsOf(this->params), {this->chooser, this->budget}),
         timer(context.io),
         done(std::move(done)),
         echo(std::make_shared<EchoedRequest>(
@@ -221,12 +224,43 @@
       this->LogFailure(now, attempt, reply.error->ToString(), /*crashed=*/false);
     }
     if (answered || read.kind == TargetReplyKind::kFailed) this->OnTargetAnswered(now, attempt);
+    this->OnSignals(now, *attempt.target, read);
     if (!refused && read.kind != TargetReplyKind::kUnrelated) {
       attempt.server_stamp = std::move(read.server_stamp);
       attempt.response = std::move(response);
     }
   }
 
+  void OnSignals(Time now, const TargetRecord& target, const TargetReply& reply) {
+    if (!reply.pause && !reply.malformed_pause && !reply.leaving) return;
+    if (reply.pause) {
+      this->context.signals.OnPause(now, target, *reply.pause);
+      // It then begins with few requests, like a target that has just started.
+      this->context.replica_choice.Remove(target.target);
+    }
+    if (reply.leaving) this->context.signals.OnLeaving(now, target);
+    this->context.log.Write(now, UnixMillis(),
+                            Event("target_signal")
+                                .Add("request", this->params.request_info.request_id)
+                                .Add("target", target.target)
+                                .Add("incarnation", target.incarnation)
+                                .Add("leaving", reply.leaving)
+                                .Add("pause_ms", reply.pause.value_or(Duration(0)))
+                                .Add("malformed", reply.malformed_pause));
+    if (!this->context.signals.Accepts(now, target)) {
+      this->context.pool.FailWaiting(target, "the target wants no requests");
+    }
+  }
+
+  // Returns when the caller may send a request again of which nothing was run for lack of targets.
+  Duration RetryDelay(Time now, uint32_t shard) {
+    const Candidates candidates = this->params.plan->shards[shard].candidates;
+    const Duration pause = this->context.signals.AcceptsAgain(now, candidates).value_or(now) - now;
+    const auto spread = static_cast<int64_t>(kPauseSpread * static_cast<double>(pause.count()));
+    return pause + RandomRetryDelay(this->context.random) +
+           Duration(std::uniform_int_distribution<int64_t>(0, spread)(this->context.random));
+  }
+
   // The target has run the request without ending.
   void OnTargetAnswered(Time now, const Attempt& attempt) {
     this->context.crash_guard.OnAnswered(now, this->params.fingerprint, *attempt.service,
@@ -312,11 +346,12 @@
       }
     }
     const ErrorCode cause = outcome.missing.front().cause;
-    const std::string& service = this->params.plan->FleetOf(outcome.missing.front().shard).name;
+    const uint32_t shard = outcome.missing.front().shard;
+    const std::string& service = this->params.plan->FleetOf(shard).name;
     const bool not_run = !this->may_have_run;
     this->Answer(now, outcome,
                  this->context.codec.BuildErrorResponse({cause, service}, not_run,
-                                                        RandomRetryDelay(this->context.random)),
+                                                        this->RetryDelay(now, shard)),
                  InfoOf(cause).name);
   }
 
@@ -371,6 +406,7 @@
   RouteContext& context;
   RouteRequestParams params;
   RouteHedgeBudget& budget;
+  SignalChooser chooser;
   Search search;
   boost::asio::steady_timer timer;
   Callback done;
--- a/io/route_request.h
+++ b/io/route_request.h
@@ -26,6 +26,7 @@
 #include "core/replica_choice.h"
 #include "core/route_codec.h"
 #include "core/routes.h"
+#include "core/target_signals.h"
 #include "core/types.h"
 #include "io/crash_guard.h"
 #include "io/event_log.h"
@@ -72,6 +73,7 @@
   const RouteCodec& codec;
   TargetPool& pool;
   ReplicaChoice& replica_choice;
+  TargetSignals& signals;
   HedgeBudget& budget;
   std::map<std::string, RouteHedgeBudget>& hedge_budgets;  // by route name
   Metrics& metrics;
--- a/io/target_pool.cc
+++ b/io/target_pool.cc
@@ -47,6 +47,12 @@
   entry.client->Cancel(call);
 }
 
+void TargetPool::FailWaiting(const TargetRecord& record, const std::string& reason) {
+  const auto found = this->entries.find(record.target);
+  if (found == this->entries.end() || found->second.incarnation != record.incarnation) return;
+  if (found->second.client->Status().waiting > 0) found->second.client->FailWaiting(reason);
+}
+
 void TargetPool::RemoveIdleExcept(const std::map<std::string, TargetRecord>& targets) {
   std::erase_if(this->entries, [&](const auto& item) {
     return !targets.contains(item.first) && item.second.client->Status().running == 0;
--- a/io/target_pool.h
+++ b/io/target_pool.h
@@ -44,6 +44,8 @@
   HttpClient& ClientFor(const TargetRecord& record);
   // Cancels a call that ClientFor(record).Send() has started.
   void Cancel(const TargetRecord& record, uint64_t call);
+  // Fails the requests that wait for a connection to the target, so that they are placed anew.
+  void FailWaiting(const TargetRecord& record, const std::string& reason);
   // Destroys the clients of targets that are not in `targets` and have no running calls.
   void RemoveIdleExcept(const std::map<std::string, TargetRecord>& targets);
 
--- a/testing/platform_test.cc
+++ b/testing/platform_test.cc
@@ -157,6 +157,44 @@
   CHECK(reply.load == TargetLoad{3, 1, 8});
 }
 
+TEST_CASE("what targets ask for in their responses", "[platform]") {
+  const RouteFormat format;
+  const HttpHeader stamp{"Peridotgauge-Server-Stamp", "s1"};
+  const HttpHeader echo{"Peridotgauge-Request-Id", "r1"};
+  const auto parse = [&](int status, std::vector<HttpHeader> headers) {
+    return format.ParseTargetResponse({.status = status, .headers = std::move(headers)}, "r1");
+  };
+  SECTION("no requests for some time, whether the refused one has run or not") {
+    for (const HttpHeader& other : {stamp, HttpHeader{"Peridotgauge-Not-Executed", "1"}}) {
+      const TargetReply reply = parse(503, {echo, other, {"Retry-After", " 2 "}});
+      CHECK(reply.pause == Seconds(2));
+      CHECK_FALSE(reply.malformed_pause);
+    }
+    CHECK(parse(503, {echo, {"Retry-After", "99999999999999999"}}).pause == Seconds(86'400));
+    CHECK_FALSE(parse(500, {echo, stamp, {"Retry-After", "2"}}).pause);
+  }
+  SECTION("nothing that cannot be read, which does not change the answer") {
+    const auto value = GENERATE(as<std::string>(), "-1", "soon", "1.5", "99999999999999999999999",
+                                "Wed, 21 Oct 2026 07:28:00 GMT");
+    CAPTURE(value);
+    const TargetReply reply =
+        parse(503, {echo, {"Peridotgauge-Not-Executed", "1"}, {"Retry-After", value}});
+    CHECK(reply.kind == TargetReplyKind::kNotRun);
+    CHECK_FALSE(reply.pause);
+    CHECK(reply.malformed_pause);
+  }
+  SECTION("no requests any more") {
+    CHECK(parse(200, {echo, stamp, {"Server-Leaving", "1"}}).leaving);
+    CHECK_FALSE(parse(200, {echo, stamp}).leaving);
+  }
+  SECTION("only in the answer to this request, and of the target that was asked") {
+    const HttpHeader leaving{"Server-Leaving", "1"};
+    CHECK_FALSE(parse(200, {stamp, leaving}).leaving);
+    CHECK_FALSE(parse(200, {{"Peridotgauge-Request-Id", "r2"}, stamp, leaving}).leaving);
+    CHECK_FALSE(parse(421, {echo, leaving}).leaving);
+  }
+}
+
 TEST_CASE("a status promises that a request was not executed only if that is so", "[platform]") {
   const RouteFormat format;
   const auto status = [&](ErrorCode code, bool not_run) {
--- a/testing/route_deployment.cc
+++ b/testing/route_deployment.cc
@@ -171,8 +171,8 @@
 
 // --- RouteTarget ---
 
-RouteTarget::RouteTarget(Address address, WorkTime work_time)
-    : address(std::move(address)), work_time(std::move(work_time)) {
+RouteTarget::RouteTarget(Address address, WorkTime work_time, Edit edit)
+    : address(std::move(address)), work_time(std::move(work_time)), edit(std::move(edit)) {
   this->loop.Run([this] {
     auto listening =
         HttpServer::Listen(this->loop.io, this->address,
@@ -195,6 +195,7 @@
       .headers = {{"Peridotgauge-Request-Id", id}, {"Peridotgauge-Server-Stamp", "stamp-" + id}},
       .body = request.path};
   if (request.path.ends_with("/large")) response.body.resize(kLargeAnswerBytes, '.');
+  if (this->edit) this->edit(response);
   Duration work(0);
   if (!id.empty()) {
     const std::lock_guard<std::mutex> lock(this->mutex);
--- a/testing/route_deployment.h
+++ b/testing/route_deployment.h
@@ -85,7 +85,9 @@
 class RouteTarget {
  public:
   using WorkTime = std::function<Duration(const HttpRequest&)>;
-  RouteTarget(Address address, WorkTime work_time);
+  // Changes an answer before it is sent. Called on the target's thread.
+  using Edit = std::function<void(HttpResponse&)>;
+  RouteTarget(Address address, WorkTime work_time, Edit edit = {});
   ~RouteTarget();
 
   // Returns the ids of the requests that have arrived.
@@ -99,6 +101,7 @@
   void Handle(const HttpRequest& request, const HttpResponder& responder);
 
   WorkTime work_time;
+  Edit edit;
   std::mutex mutex;
   std::vector<std::string> arrivals;  // guarded by `mutex`
   std::vector<Time> arrival_times;    // guarded by `mutex`
--- /dev/null
+++ b/testing/target_signals_test.cc
@@ -0,0 +1,194 @@
+// Tests what targets ask of a router in their answers, and what happens to requests that wait for a
+// target that leaves. They guard against requests to targets that have asked for none.
+
+#include "core/target_signals.h"
+
+#include <algorithm>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "io/clock.h"
+#include "route_deployment.h"
+
+namespace peridotgauge {
+namespace {
+
+constexpr Duration kTimeout = Seconds(4);
+
+// A deployment with one route and service.
+struct Fixture {
+  Fixture() {
+    REQUIRE(this->deployment.Apply(
+        ConfigText(1, {RouteText("r", "/p/", "safe", WholeMillis(kTimeout), "s")}, {"s"})));
+  }
+  void Register(const std::string& id, const RouteTarget& target, uint64_t sequence = 1,
+                uint64_t born = 1'000, const std::string& state = "ready") {
+    const auto answer = this->deployment.Heartbeat(
+        0, id, HeartbeatText("s", target.address, state, sequence, born));
+    REQUIRE(answer);
+    REQUIRE(answer->status == 200);
+  }
+  std::optional<HttpResponse> Send() {
+    return Call(this->deployment.RouterAddress(0),
+                CallerRequest("c-" + std::to_string(++this->sent), "GET", "/p/x", kTimeout),
+                2 * kTimeout);
+  }
+
+  RouteDeployment deployment{{}};
+  std::atomic<int> sent = 0;
+};
+
+size_t CountIn(const std::vector<Time>& times, Time begin, Time end) {
+  return static_cast<size_t>(
+      std::count_if(times.begin(), times.end(), [&](Time t) { return t >= begin && t < end; }));
+}
+
+double RetryAfter(const HttpResponse& response) {
+  const std::string text(response.Header("Retry-After"));
+  return text.empty() ? 0 : std::stod(text);
+}
+
+TEST_CASE("signals of targets", "[target_signals]") {
+  TargetSignals signals;
+  const Time now = TimeAt(100'000);
+  const TargetRecord target{.target = "t", .incarnation = 1, .state = TargetState::kServing};
+  const TargetRecord other{.target = "u", .incarnation = 1, .state = TargetState::kServing};
+  const TargetRecord successor{.target = "t", .incarnation = 2, .state = TargetState::kServing};
+  const TargetRecord* const both[] = {&target, &other};
+  SECTION("a pause ends") {
+    signals.OnPause(now, target, Seconds(2));
+    CHECK_FALSE(signals.Accepts(now + Millis(1'999), target));
+    CHECK(signals.Accepts(now + Seconds(2), target));
+    SECTION("not earlier if a shorter one is named") {
+      signals.OnPause(now + Millis(100), target, Seconds(1));
+      CHECK_FALSE(signals.Accepts(now + Millis(1'999), target));
+    }
+    SECTION("and binds its incarnation only") {
+      CHECK(signals.Accepts(now, successor));
+      CHECK(signals.Accepts(now, other));
+    }
+    SECTION("and callers are told of the first end if no target accepts requests") {
+      CHECK_FALSE(signals.AcceptsAgain(now, both));
+      signals.OnPause(now, other, Seconds(1));
+      CHECK(signals.AcceptsAgain(now, both) == now + Seconds(1));
+      signals.OnLeaving(now, other);
+      CHECK(signals.AcceptsAgain(now, both) == now + Seconds(2));
+      CHECK_FALSE(signals.AcceptsAgain(now + Seconds(2), both));
+    }
+  }
+  SECTION("a pause has an upper bound") {
+    signals.OnPause(now, target, Seconds(86'400));
+    CHECK(signals.Accepts(now + kMaxPause, target));
+  }
+  SECTION("a target that leaves is not brought back by the directory") {
+    signals.OnLeaving(now, target);
+    signals.OnDirectory(now, target);
+    CHECK_FALSE(signals.Accepts(now + Seconds(60), target));
+    CHECK(signals.Accepts(now, successor));
+  }
+  SECTION("a target that drains accepts requests again if the directory says so") {
+    TargetRecord draining = target;
+    draining.state = TargetState::kDraining;
+    signals.OnDirectory(now, draining);
+    CHECK_FALSE(signals.Accepts(now, target));
+    signals.OnDirectory(now, target);
+    CHECK(signals.Accepts(now, target));
+  }
+  SECTION("a serving target leaves no record, and old ones are forgotten") {
+    signals.OnDirectory(now, target);
+    CHECK(signals.Empty());
+    signals.OnLeaving(now, target);
+    signals.Expire(now + kForgetSignalAfter);
+    CHECK(signals.Empty());
+  }
+}
+
+// Guards against retries and new requests that press a target that has named a pause.
+TEST_CASE("a target that refuses with Retry-After gets nothing for that time", "[target_signals]") {
+  constexpr Duration kPause = Seconds(2);
+  std::atomic<bool> refuses = false;
+  Fixture fixture;
+  RouteTarget target(
+      fixture.deployment.NewAddress(), [](const HttpRequest&) { return Duration(0); },
+      [&](HttpResponse& response) {
+        if (!refuses) return;
+        response.status = 503;
+        response.headers.push_back({"Peridotgauge-Not-Executed", "1"});
+        response.headers.push_back({"Retry-After", "2"});
+      });
+  fixture.Register("i-0", target);
+  REQUIRE(fixture.deployment.AwaitRoute("/p/ready"));
+  refuses = true;
+  const Time begin = SteadyNow();
+  std::atomic<int> not_refused = 0;
+  std::atomic<int> slow = 0;
+  std::atomic<int> too_early = 0;
+  std::vector<std::thread> callers;
+  while (SteadyNow() < begin + kPause - Millis(200)) {
+    callers.emplace_back([&] {
+      const Time sent = SteadyNow();
+      const auto answer = fixture.Send();
+      if (!answer || answer->status != 503) ++not_refused;
+      if (!answer || sent < begin + Millis(500)) return;
+      if (SteadyNow() - sent > kTimeout / 4) ++slow;
+      // The caller is told when the target wants requests again.
+      if (ToMillis(SteadyNow() - begin) / 1'000 + RetryAfter(*answer) < 2.0) ++too_early;
+    });
+    std::this_thread::sleep_for(Millis(20));
+  }
+  for (std::thread& caller : callers) caller.join();
+  CHECK(not_refused == 0);
+  CHECK(slow == 0);
+  CHECK(too_early == 0);
+  CHECK(CountIn(target.ArrivalTimes(), begin + Millis(500), begin + kPause) <= 2);
+  refuses = false;
+  REQUIRE(fixture.deployment.AwaitRoute("/p/ready"));
+}
+
+// Guards against a router that goes on sending to a target that has said in an answer that it
+// leaves, before the directory knows.
+TEST_CASE("a target that says in an answer that it leaves gets nothing more", "[target_signals]") {
+  std::atomic<bool> leaves = false;
+  Fixture fixture;
+  const auto at_once = [](const HttpRequest&) { return Duration(0); };
+  RouteTarget leaving(fixture.deployment.NewAddress(), at_once, [&](HttpResponse& response) {
+    if (leaves) response.headers.push_back({"Server-Leaving", "1"});
+  });
+  RouteTarget other(fixture.deployment.NewAddress(), at_once);
+  fixture.Register("i-0", leaving);
+  fixture.Register("i-1", other);
+  REQUIRE(fixture.deployment.AwaitRoute("/p/ready"));
+  const auto send = [&](int count) {
+    for (int i = 0; i < count; ++i) {
+      const auto answer = fixture.Send();
+      REQUIRE(answer);
+      CHECK(answer->status == 200);
+    }
+  };
+  leaves = true;
+  const size_t before = leaving.Arrivals().size();
+  for (int i = 0; i < 200 && leaving.Arrivals().size() == before; ++i) send(1);
+  const size_t told = leaving.Arrivals().size();
+  REQUIRE(told > before);
+  send(50);
+  CHECK(leaving.Arrivals().size() == told);
+  SECTION("also after a late heartbeat that says that it serves") {
+    fixture.Register("i-0", leaving, 2);
+    send(50);
+    CHECK(leaving.Arrivals().size() == told);
+  }
+  SECTION("until it starts again") {
+    leaves = false;
+    fixture.Register("i-0", leaving, 1, 2'000);
+    fixture.Register("i-1", other, 2, 1'000, "draining");
+    send(20);
+    CHECK(leaving.Arrivals().size() == told + 20);
+  }
+}
+
+}  // namespace
+}  // namespace peridotgauge
