Place requests anew that wait for a target that begins to drain

The directory's changes now reach the signals of targets, so that searches with an older plan leave the target out, and requests that wait for it fail as not sent, which places them anew.

--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -404,14 +404,26 @@
         [&](const TargetRecord& record) {
           this->planner.Upsert(record);
           this->LogTarget(now, record, record.state);
+          this->OnRecord(now, record);
         },
         [&](const TargetRecord& record) {
           this->LogTarget(now, record, TargetState::kGone);
+          TargetRecord gone = record;
+          gone.state = TargetState::kGone;
+          this->OnRecord(now, gone);
           this->planner.Remove(record.target);
           this->replica_choice->Remove(record.target);
         });
   }
 
+  // Requests that wait for a connection to a target that leaves are placed anew.
+  void OnRecord(Time now, const TargetRecord& record) {
+    this->signals.OnDirectory(now, record);
+    if (!this->signals.Accepts(now, record)) {
+      this->pool.FailWaiting(record, "the target leaves");
+    }
+  }
+
   void LogTarget(Time now, const TargetRecord& record, TargetState state) {
     this->Log(now, TargetEvent("target", record, state, this->control.Directory().Version()));
   }
--- a/testing/target_signals_test.cc
+++ b/testing/target_signals_test.cc
@@ -190,5 +190,37 @@
   }
 }
 
+// Guards against requests that wait for a connection to a target and are sent to it after it has
+// begun to drain.
+TEST_CASE("requests that wait for a target that begins to drain are placed anew",
+          "[target_signals]") {
+  constexpr size_t kCallers = 60;  // more than connections to a target
+  constexpr Duration kWork = Millis(1'500);
+  Fixture fixture;
+  RouteTarget draining(fixture.deployment.NewAddress(), [&](const HttpRequest& request) {
+    return request.path.ends_with("/ready") ? Duration(0) : kWork;
+  });
+  fixture.Register("i-0", draining);
+  REQUIRE(fixture.deployment.AwaitRoute("/p/ready"));
+  std::atomic<size_t> served = 0;
+  std::atomic<size_t> refused = 0;
+  std::vector<std::thread> callers;
+  for (size_t i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&] {
+      const auto answer = fixture.Send();
+      if (answer && answer->status == 200) ++served;
+      if (answer && answer->status == 503) ++refused;
+    });
+  }
+  std::this_thread::sleep_for(Millis(300));
+  fixture.Register("i-0", draining, 2, 1'000, "draining");
+  const Time acknowledged = SteadyNow();
+  for (std::thread& caller : callers) caller.join();
+  CHECK(CountIn(draining.ArrivalTimes(), acknowledged + Millis(100), acknowledged + Seconds(60)) ==
+        0);
+  CHECK(served + refused == kCallers);
+  CHECK(refused > 0);
+}
+
 }  // namespace
 }  // namespace peridotgauge
