--- a/core/quarantine.cc
+++ b/core/quarantine.cc
@@ -28,13 +28,6 @@
   return hash;
 }
 
-std::string FingerprintText(uint64_t fingerprint) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string text;
-  for (int shift = 60; shift >= 0; shift -= 4) text.push_back(kDigits[(fingerprint >> shift) & 15]);
-  return text;
-}
-
 void RecentSet::Insert(Time now, uint64_t value) {
   this->Rotate(now);
   if (this->current.size() >= this->generation_capacity) {
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -35,8 +35,6 @@
 // method, path, query and body) and on no header, as the request id and the deadline differ each
 // time. It does not depend on the service, to which a route may send it by weight.
 uint64_t RouteFingerprint(std::string_view host, const HttpRequest& request);
-// Returns the fingerprint as 16 hexadecimal digits, for logs.
-std::string FingerprintText(uint64_t fingerprint);
 
 constexpr Duration kQuarantineDuration = Seconds(600);
 // A fingerprint that succeeded within this time needs no canaries. It is kept for at least half of
--- a/core/recent_maximum.cc
+++ b/core/recent_maximum.cc
@@ -7,16 +7,12 @@
 
 void RecentMaximum::Set(Time now, size_t value) {
   std::erase_if(this->replaced, [&](const Replaced& old) { return old.until <= now; });
-  if (value < this->current) {
-    while (!this->replaced.empty() && this->replaced.back().value <= this->current) {
-      this->replaced.pop_back();
-    }
-    this->replaced.push_back({this->current, now + this->span});
-  }
-  this->current = value;
-  while (!this->replaced.empty() && this->replaced.back().value <= value) {
+  const size_t least = std::max(this->current, value);
+  while (!this->replaced.empty() && this->replaced.back().value <= least) {
     this->replaced.pop_back();
   }
+  if (value < this->current) this->replaced.push_back({this->current, now + this->span});
+  this->current = value;
 }
 
 size_t RecentMaximum::Get(Time now) const {
--- a/io/controller.cc
+++ b/io/controller.cc
@@ -77,6 +77,7 @@
     this->timer.cancel();
     this->state.SetObserver(nullptr);
     this->FailPolls(ErrorCode::kDraining, "the controller is shutting down");
+    this->ack_tracker.FailWaiters(DirectoryAck::kStopping);
     this->relay.Stop();
   }
 
@@ -104,7 +105,7 @@
     if (term == this->leader_term) return;
     this->leader_term = term;
     this->FailPolls(ErrorCode::kNotLeader, "leadership changed while the request was held");
-    this->ack_tracker.FailWaiters();
+    this->ack_tracker.FailWaiters(DirectoryAck::kLeadershipLost);
     this->pending_joins.clear();
     this->departed.clear();
     this->events.LeadershipChanged(leading, this->log.Term());
@@ -599,6 +600,10 @@
   void AwaitDeparture(Time now, Time since, const std::string& target, const Responder& responder) {
     const auto answer = [this, responder, since, target](DirectoryAck ack) {
       const bool left_out = ack == DirectoryAck::kTimedOut;
+      if (ack == DirectoryAck::kStopping) {
+        return responder.reply(MakeCommandError(
+            {ErrorCode::kDraining, "the controller is shutting down"}, this->log.Leader()));
+      }
       if (ack == DirectoryAck::kLeadershipLost) {
         return responder.reply(MakeCommandError({ErrorCode::kNotLeader, ""}, this->log.Leader()));
       }
--- a/io/crash_guard.cc
+++ b/io/crash_guard.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "core/crash_evidence.h"
+#include "core/digest_text.h"
 #include "core/quarantine.h"
 #include "io/clock.h"
 #include "io/random_seed.h"
@@ -118,8 +119,8 @@
       this->trial_requests[fingerprint] = now + kTrialRetryDelay;
     }
     this->Log(now, Event(granted ? "trial_granted" : "trial_refused")
-                       .Add("fingerprint", FingerprintText(fingerprint))
-                       .Add("trial", FingerprintText(trial))
+                       .Add("fingerprint", DigestToHex(fingerprint))
+                       .Add("trial", DigestToHex(trial))
                        .Add("error", granted ? "" : granted.error().ToString()));
     this->Count("peridotgauge_trials_total", granted ? "granted" : "refused");
     return granted;
@@ -155,8 +156,8 @@
   void SendEnd(uint64_t fingerprint, uint64_t trial, std::vector<std::string> answered,
                const std::vector<TargetCrash>& crashes) {
     this->Log(SteadyNow(), Event("trial_ended")
-                               .Add("fingerprint", FingerprintText(fingerprint))
-                               .Add("trial", FingerprintText(trial))
+                               .Add("fingerprint", DigestToHex(fingerprint))
+                               .Add("trial", DigestToHex(trial))
                                .Add("answered", answered.size())
                                .Add("crashes", crashes.size()));
     wire::EndTrialT command;
@@ -170,7 +171,7 @@
           const auto self = weak.lock();
           if (!self || (reply && reply->error < 0)) return;
           // The trial then counts as a crash.
-          self->Log(SteadyNow(), Event("trial_end_failed").Add("trial", FingerprintText(trial)));
+          self->Log(SteadyNow(), Event("trial_end_failed").Add("trial", DigestToHex(trial)));
         });
   }
 
@@ -274,7 +275,7 @@
 
   void AddCrash(Time now, uint64_t fingerprint, TargetCrash crash) {
     this->Log(now, Event("target_crashed")
-                       .Add("fingerprint", FingerprintText(fingerprint))
+                       .Add("fingerprint", DigestToHex(fingerprint))
                        .Add("target", crash.target)
                        .Add("incarnation", crash.incarnation)
                        .Add("service", crash.service));
@@ -354,9 +355,9 @@
     this->listed.clear();
     size_t blocked = 0;
     for (const QuarantineRecord& record : this->context.control.QuarantineList()) {
-      QuarantineRecord& known = this->listed[record.fingerprint];
+      const auto [known, added] = this->listed.try_emplace(record.fingerprint, record);
       // A request that routers have blocked themselves stays blocked.
-      if (known.fingerprint == 0 || !record.suspect) known = record;
+      if (!added && !record.suspect) known->second = record;
       this->local.erase(record.fingerprint);
       if (!record.suspect) ++blocked;
     }
@@ -388,16 +389,21 @@
   std::mt19937_64 random;
 };
 
+ErrorCode RefusalOfSuspect(const Result<uint64_t>& trial) {
+  const bool blocked = !trial && trial.error().code == ErrorCode::kQuarantined;
+  return blocked ? ErrorCode::kQuarantined : ErrorCode::kSuspect;
+}
+
 CrashGuard::CrashGuard(CrashGuardContext context) : impl(std::make_shared<Impl>(context)) {}
 CrashGuard::~CrashGuard() = default;
 
-Suspicion CrashGuard::Check(Time /*now*/, int64_t now_ms, uint64_t fingerprint) const {
+Suspicion CrashGuard::Check(int64_t now_ms, uint64_t fingerprint) const {
   return this->impl->Check(now_ms, fingerprint);
 }
 bool CrashGuard::RequestTrial(Time now, uint64_t fingerprint, Time deadline, TrialCallback done) {
   return this->impl->RequestTrial(now, fingerprint, deadline, std::move(done));
 }
-void CrashGuard::EndTrial(Time /*now*/, uint64_t fingerprint, uint64_t trial, TrialRun run) {
+void CrashGuard::EndTrial(uint64_t fingerprint, uint64_t trial, TrialRun run) {
   this->impl->EndTrial(fingerprint, trial, std::move(run));
 }
 void CrashGuard::OnLost(Time now, uint64_t fingerprint, const std::string& service,
--- a/io/crash_guard.h
+++ b/io/crash_guard.h
@@ -3,11 +3,11 @@
 //
 // Use:
 //   CrashGuard guard({io, control, metrics, log});
-//   if (guard.Check(now, UnixMillis(), fingerprint).status == SuspectStatus::kClear) Send();
+//   if (guard.Check(UnixMillis(), fingerprint).status == SuspectStatus::kClear) Send();
 //   else if (!guard.RequestTrial(now, fingerprint, deadline, [](Result<uint64_t> trial) { ... }))
 //   Refuse(); guard.OnLost(now, fingerprint, service, target);    // the connection was lost
 //   without a reply guard.OnAnswered(now, fingerprint, service, sent);  // a target of the service
-//   has answered guard.EndTrial(now, fingerprint, trial, {.answered = {"s"}, .lost = {}});
+//   has answered guard.EndTrial(fingerprint, trial, {.answered = {"s"}, .lost = {}});
 //   guard.OnControlChange(now, change);
 //
 // Contract: runs on the thread of the io_context. state/crash_table.h counts the crashes over all
@@ -65,6 +65,9 @@
   EventLog& log;
 };
 
+// Returns the reason for which a suspect request is refused that got no trial, or got one too late.
+ErrorCode RefusalOfSuspect(const Result<uint64_t>& trial);
+
 class CrashGuard {
  public:
   // Receives the id of the trial, kSuspect if another trial is open, kQuarantined if the request is
@@ -76,12 +79,13 @@
   CrashGuard(const CrashGuard&) = delete;
   CrashGuard& operator=(const CrashGuard&) = delete;
 
-  Suspicion Check(Time now, int64_t now_ms, uint64_t fingerprint) const;
+  // `now_ms` is Unix time.
+  Suspicion Check(int64_t now_ms, uint64_t fingerprint) const;
   // Returns false, and does not call `done`, if this router is waiting for an answer for this
   // request or was refused a moment ago. `deadline` is that of the request.
   bool RequestTrial(Time now, uint64_t fingerprint, Time deadline, TrialCallback done);
   // Must be called once for each trial that was granted.
-  void EndTrial(Time now, uint64_t fingerprint, uint64_t trial, TrialRun run);
+  void EndTrial(uint64_t fingerprint, uint64_t trial, TrialRun run);
 
   void OnLost(Time now, uint64_t fingerprint, const std::string& service,
               const TargetRecord& target);
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -153,7 +153,7 @@
         .arrived = now,
         .caller_wait = caller_wait,
         .deadline = deadline};
-    const Suspicion suspicion = this->crash_guard.Check(now, UnixMillis(), fingerprint);
+    const Suspicion suspicion = this->crash_guard.Check(UnixMillis(), fingerprint);
     if (suspicion.status == SuspectStatus::kClear) return this->Run(std::move(params), responder);
     this->HandleSuspect(std::move(params), suspicion, responder);
   }
@@ -225,7 +225,7 @@
     const Time now = SteadyNow();
     const bool in_time = responder.Connected() && now < params.deadline;
     if (trial && !in_time) {
-      this->crash_guard.EndTrial(now, params.fingerprint, *trial, {});
+      this->crash_guard.EndTrial(params.fingerprint, *trial, {});
     }
     if (!trial || !in_time) return this->RunWithoutTrial(std::move(params), suspicion, responder);
     params.trial = *trial;
--- a/io/order_runner.cc
+++ b/io/order_runner.cc
@@ -217,7 +217,7 @@
   void Answer(OrderOutcome outcome) {
     if (this->CanTryAnotherReplica(outcome)) return this->TryAnotherReplica();
     if (this->trial != 0) {
-      this->context.crash_guard.EndTrial(SteadyNow(), this->fingerprint, this->trial,
+      this->context.crash_guard.EndTrial(this->fingerprint, this->trial,
                                          std::exchange(this->trial_run, {}));
     }
     const std::string label = outcome.error ? std::string(outcome.error->Name()) : "done";
@@ -288,7 +288,7 @@
   const uint64_t fingerprint = Fingerprint(request.service, RequestKind::kOrder, request.body);
   const FingerprintStatus fingerprint_status =
       context.quarantine.Check(now, UnixMillis(), fingerprint);
-  const Suspicion suspicion = context.crash_guard.Check(now, UnixMillis(), fingerprint);
+  const Suspicion suspicion = context.crash_guard.Check(UnixMillis(), fingerprint);
   if (fingerprint_status == FingerprintStatus::kQuarantined ||
       fingerprint_status == FingerprintStatus::kCrashing ||
       suspicion.status == SuspectStatus::kBlocked) {
@@ -305,12 +305,6 @@
   ActiveSpan span = context.tracer.Begin(parent, "order", UnixNanos());
   span.AddAttribute("request_id", request.request_id);
   span.AddAttribute("service", request.service);
-  if (suspicion.status == SuspectStatus::kClear) {
-    auto run =
-        std::make_shared<OrderRun>(context, order_context, std::move(request), params, fingerprint,
-                                   /*trial=*/0, std::move(span), std::move(callback));
-    return run->Begin(now);
-  }
   const Time deadline = params.deadline;
   // Shared, because callbacks are copied.
   auto shared_span = std::make_shared<ActiveSpan>(std::move(span));
@@ -320,6 +314,7 @@
                                           trial, std::move(*shared_span), callback);
     run->Begin(at);
   };
+  if (suspicion.status == SuspectStatus::kClear) return begin(/*trial=*/0, now);
   const auto refuse_suspect = [&context, shared_span, callback](ErrorCode code) {
     context.tracer.End(std::move(*shared_span), UnixNanos(), Error{code, ""});
     callback({Fail(code), false});
@@ -329,9 +324,8 @@
       [begin, refuse_suspect, deadline, &context, fingerprint](const Result<uint64_t>& trial) {
         const Time at = SteadyNow();
         if (trial && at < deadline) return begin(*trial, at);
-        if (trial) context.crash_guard.EndTrial(at, fingerprint, *trial, {});
-        const bool blocked = !trial && trial.error().code == ErrorCode::kQuarantined;
-        refuse_suspect(blocked ? ErrorCode::kQuarantined : ErrorCode::kSuspect);
+        if (trial) context.crash_guard.EndTrial(fingerprint, *trial, {});
+        refuse_suspect(RefusalOfSuspect(trial));
       });
   if (!asked) refuse_suspect(ErrorCode::kSuspect);
 }
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/digest_text.h"
 #include "core/gather.h"
 #include "core/quarantine.h"
 #include "core/search.h"
@@ -303,7 +304,7 @@
                                 .Add("service", *attempt.service)
                                 .Add("address", attempt.target->address)
                                 .Add("incarnation", attempt.target->incarnation)
-                                .Add("fingerprint", FingerprintText(this->params.fingerprint))
+                                .Add("fingerprint", DigestToHex(this->params.fingerprint))
                                 .Add("elapsed_ms", now - attempt.sent)
                                 .Add("crashed", crashed)
                                 .Add("error", error));
@@ -367,7 +368,7 @@
     this->ended = true;
     this->timer.cancel();
     if (this->params.trial != 0) {
-      this->context.crash_guard.EndTrial(now, this->params.fingerprint, this->params.trial,
+      this->context.crash_guard.EndTrial(this->params.fingerprint, this->params.trial,
                                          std::move(this->trial_run));
     }
     const Labels labels = {{"route", this->params.route->name}, {"result", std::string(result)}};
--- a/io/search_runner.cc
+++ b/io/search_runner.cc
@@ -225,7 +225,7 @@
     this->timer.cancel();
     this->callback = nullptr;
     if (this->trial != 0) {
-      this->context.crash_guard.EndTrial(now, this->fingerprint, this->trial,
+      this->context.crash_guard.EndTrial(this->fingerprint, this->trial,
                                          std::move(this->trial_run));
     }
     const Duration latency = now - this->started;
@@ -293,7 +293,7 @@
   RequestContext& context = refuse.context;
   const std::string& service = start.request.service;
   if (Result<void> admitted = context.admission.Admit(now, service, start.deadline); !admitted) {
-    if (trial != 0) context.crash_guard.EndTrial(now, start.fingerprint, trial, {});
+    if (trial != 0) context.crash_guard.EndTrial(start.fingerprint, trial, {});
     return refuse(admitted.error());
   }
   SearchParams params{.request_id = start.request.request_id,
@@ -337,10 +337,9 @@
       this->run = BeginSearch(std::move(this->refuse), std::move(this->start), *trial, now);
       return;
     }
-    if (trial) this->refuse.context.crash_guard.EndTrial(now, this->start.fingerprint, *trial, {});
+    if (trial) this->refuse.context.crash_guard.EndTrial(this->start.fingerprint, *trial, {});
     if (this->aborted) return;
-    const bool blocked = !trial && trial.error().code == ErrorCode::kQuarantined;
-    this->refuse({blocked ? ErrorCode::kQuarantined : ErrorCode::kSuspect, ""});
+    this->refuse({RefusalOfSuspect(trial), ""});
   }
 
   Refusal refuse;
@@ -364,7 +363,7 @@
   const uint64_t fingerprint = Fingerprint(request.service, RequestKind::kSearch, request.query);
   const FingerprintStatus fingerprint_status =
       context.quarantine.Check(now, UnixMillis(), fingerprint);
-  const Suspicion suspicion = context.crash_guard.Check(now, UnixMillis(), fingerprint);
+  const Suspicion suspicion = context.crash_guard.Check(UnixMillis(), fingerprint);
   if (fingerprint_status == FingerprintStatus::kQuarantined ||
       fingerprint_status == FingerprintStatus::kCrashing ||
       suspicion.status == SuspectStatus::kBlocked) {
--- a/state/control_report.cc
+++ b/state/control_report.cc
@@ -4,6 +4,8 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "core/digest_text.h"
+
 namespace peridotgauge {
 namespace {
 
--- a/state/control_state.cc
+++ b/state/control_state.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/config.h"
+#include "core/digest_text.h"
 
 namespace peridotgauge {
 namespace {
@@ -54,13 +55,6 @@
 
 }  // namespace
 
-std::string DigestToHex(uint64_t digest) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string text;
-  for (int shift = 60; shift >= 0; shift -= 4) text.push_back(kDigits[(digest >> shift) & 0xf]);
-  return text;
-}
-
 std::string ControlState::Encode(int64_t now_ms, wire::CommandBodyUnion body) {
   wire::CommandT command;
   command.now_ms = now_ms;
--- a/state/control_state.h
+++ b/state/control_state.h
@@ -42,9 +42,6 @@
 constexpr size_t kMaxRevisionDetails = 1'000;
 constexpr size_t kMaxDetailBytes = 16 << 20;
 
-// Returns the digest as 16 hexadecimal digits, as shown to operators.
-std::string DigestToHex(uint64_t digest);
-
 // One accepted revision. Revisions are numbered from 1.
 struct AcceptedRevision {
   uint64_t digest = 0;
--- a/state/directory_ack_tracker.cc
+++ b/state/directory_ack_tracker.cc
@@ -26,9 +26,9 @@
   });
 }
 
-void DirectoryAckTracker::FailWaiters() {
+void DirectoryAckTracker::FailWaiters(DirectoryAck reason) {
   for (const Waiter& waiter : std::exchange(this->waiters, {})) {
-    waiter.callback(DirectoryAck::kLeadershipLost);
+    waiter.callback(reason);
   }
 }
 
--- a/state/directory_ack_tracker.h
+++ b/state/directory_ack_tracker.h
@@ -24,9 +24,10 @@
 
 // Why a wait has ended.
 enum class DirectoryAck : uint8_t {
-  kAllRouters,      // every router with a live session holds the version
-  kTimedOut,        // the deadline has passed
-  kLeadershipLost,  // FailWaiters() was called
+  kAllRouters,  // every router with a live session holds the version
+  kTimedOut,    // the deadline has passed
+  kLeadershipLost,
+  kStopping,  // the controller is shutting down
 };
 
 class DirectoryAckTracker {
@@ -48,7 +49,8 @@
   }
   // Calls the waiters for `acknowledged` or an older version, and those whose deadline has passed.
   void Notify(Time now, uint64_t acknowledged);
-  void FailWaiters();
+  // Calls all waiters, with the reason for which the leader waits no longer.
+  void FailWaiters(DirectoryAck reason);
   bool HasWaiters() const { return !this->waiters.empty(); }
 
  private:
--- a/testing/control_state_test.cc
+++ b/testing/control_state_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/config.h"
+#include "core/digest_text.h"
 
 namespace peridotgauge {
 namespace {
--- a/testing/directory_ack_tracker_test.cc
+++ b/testing/directory_ack_tracker_test.cc
@@ -40,9 +40,10 @@
     tracker.Notify(kStart + Millis(600), 0);
     CHECK(answer == DirectoryAck::kTimedOut);
   }
-  SECTION("fails the waiters when leadership is lost") {
-    tracker.FailWaiters();
-    CHECK(answer == DirectoryAck::kLeadershipLost);
+  SECTION("fails the waiters when leadership is lost or the controller stops") {
+    const auto reason = GENERATE(DirectoryAck::kLeadershipLost, DirectoryAck::kStopping);
+    tracker.FailWaiters(reason);
+    CHECK(answer == reason);
   }
 }
 
--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -71,6 +71,11 @@
   std::string_view identifying_header;  // as above
 };
 
+// Returns a response with a body of two bytes that echoes the id of a request.
+std::string EchoingResponse(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 2\r\n\r\n" + body;
+}
+
 TEST_CASE("http_client reuses a connection after a complete exchange", "[http_client]") {
   Fixture fixture;
   Outcome first;
@@ -97,25 +102,22 @@
   Fixture fixture({.max_connections = 1}, [&](const HttpHeader& echo, std::string_view value) {
     discarded.push_back(echo.value + " got " + std::string(value));
   });
-  const auto response = [](const std::string& id, const std::string& body) {
-    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 2\r\n\r\n" + body;
-  };
   Outcome outcome;
   fixture.echo = std::make_shared<EchoedRequest>(HttpHeader{"x-id", "q7"});
   fixture.Send(outcome);
   RawSocket& socket = fixture.WaitForRequest(1);
   SECTION("and accepts its own, which arrives together with it") {
-    socket.Send(response("q6", "no") + response("q7", "r1"));
+    socket.Send(EchoingResponse("q6", "no") + EchoingResponse("q7", "r1"));
     REQUIRE(fixture.Until([&] { return outcome.released == 1; }));
     CHECK((*outcome.result)->body == "r1");
     CHECK(discarded == std::vector<std::string>{"q7 got q6"});
     CHECK(fixture.client->Status().idle == 1);
   }
   SECTION("and accepts its own, which arrives later") {
-    socket.Send(response("q6", "no"));
+    socket.Send(EchoingResponse("q6", "no"));
     REQUIRE(fixture.Until([&] { return !discarded.empty(); }));
     CHECK_FALSE(outcome.result);
-    socket.Send(response("q7", "r1"));
+    socket.Send(EchoingResponse("q7", "r1"));
     REQUIRE(fixture.Until([&] { return outcome.released == 1; }));
     CHECK((*outcome.result)->body == "r1");
   }
@@ -126,14 +128,14 @@
   }
   SECTION("at most kMaxStrays times for one call") {
     std::string strays;
-    for (int i = 0; i <= kMaxStrays; ++i) strays += response("q" + std::to_string(i), "no");
-    socket.Send(strays + response("q7", "r1"));
+    for (int i = 0; i <= kMaxStrays; ++i) strays += EchoingResponse("q" + std::to_string(i), "no");
+    socket.Send(strays + EchoingResponse("q7", "r1"));
     REQUIRE(fixture.Until([&] { return outcome.released == 1; }));
     CHECK((*outcome.result)->Header("x-id") == "q4");
     CHECK(discarded.size() == kMaxStrays);
   }
   SECTION("and fails the call if the connection closes before its own") {
-    socket.Send(response("q6", "no"));
+    socket.Send(EchoingResponse("q6", "no"));
     REQUIRE(fixture.Until([&] { return !discarded.empty(); }));
     socket.Close();
     REQUIRE(fixture.Until([&] { return outcome.released == 1; }));
@@ -311,28 +313,25 @@
   Fixture fixture(
       {.max_connections = 1, .min_connections = 0},
       [&](const HttpHeader&, std::string_view value) { discarded.emplace_back(value); });
-  const auto response = [](const std::string& id, const std::string& body) {
-    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 2\r\n\r\n" + body;
-  };
   Outcome first;
   fixture.echo = std::make_shared<EchoedRequest>(HttpHeader{"x-id", "q1"});
   fixture.Send(first);
   RawSocket& socket = fixture.WaitForRequest(1);
   socket.Text().clear();
-  socket.Send(response("q1", "r1"));
+  socket.Send(EchoingResponse("q1", "r1"));
   REQUIRE(fixture.Until([&] { return first.released == 1; }));
   Outcome second;
   fixture.echo = std::make_shared<EchoedRequest>(HttpHeader{"x-id", "q2"});
   SECTION("that arrives while the next call runs on the connection") {
     fixture.Send(second);
     REQUIRE(fixture.Until([&] { return socket.Received(kHeaderEnd); }));
-    SECTION("whole") { socket.Send(response("q1", "r1") + response("q2", "r2")); }
+    SECTION("whole") { socket.Send(EchoingResponse("q1", "r1") + EchoingResponse("q2", "r2")); }
     SECTION("cut in the middle of its head") {
-      const std::string copy = response("q1", "r1");
+      const std::string copy = EchoingResponse("q1", "r1");
       socket.Send(copy.substr(0, 20));
       fixture.io.run_for(std::chrono::milliseconds(20));
       CHECK_FALSE(second.result);
-      socket.Send(copy.substr(20) + response("q2", "r2"));
+      socket.Send(copy.substr(20) + EchoingResponse("q2", "r2"));
     }
     REQUIRE(fixture.Until([&] { return second.released == 1; }));
     REQUIRE(*second.result);
@@ -343,19 +342,19 @@
     fixture.Send(second);
     REQUIRE(fixture.Until([&] { return socket.Received(kHeaderEnd); }));
     socket.Send("HTTP/1.1 200 OK\r\nX-Id: q1\r\nContent-Length: 9\r\n\r\nr1" +
-                response("q2", "r2"));
+                EchoingResponse("q2", "r2"));
     socket.Close();
     REQUIRE(fixture.Until([&] { return second.released == 1; }));
     const bool own = *second.result && (**second.result).body == "r2";
     CHECK((!*second.result || own));
   }
   SECTION("that arrives between two calls") {
-    socket.Send(response("q1", "r1"));
+    socket.Send(EchoingResponse("q1", "r1"));
     fixture.io.run_for(std::chrono::milliseconds(20));
     fixture.Send(second);
     // The connection with unexpected bytes is not used again.
     RawSocket& next = fixture.WaitForRequest(2);
-    next.Send(response("q2", "r2"));
+    next.Send(EchoingResponse("q2", "r2"));
     REQUIRE(fixture.Until([&] { return second.released == 1; }));
     REQUIRE(*second.result);
     CHECK((*second.result)->body == "r2");
@@ -462,9 +461,6 @@
 // Guards against a late second copy of a refusal that is taken for the answer to the next sending
 // of the same request: the request would be sent again although a target runs it.
 TEST_CASE("http_client sends a request at most once on a connection", "[http_client]") {
-  const auto response = [](const std::string& id, const std::string& body) {
-    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 2\r\n\r\n" + body;
-  };
   const size_t limit = GENERATE(1, 2);
   Fixture fixture({.max_connections = limit, .min_connections = 0});
   Outcome first;
@@ -472,7 +468,7 @@
   fixture.Send(first);
   RawSocket& socket = fixture.WaitForRequest(1);
   socket.Text().clear();
-  socket.Send(response("q1", "r1"));
+  socket.Send(EchoingResponse("q1", "r1"));
   REQUIRE(fixture.Until([&] { return first.released == 1; }));
 
   SECTION("but on another one, also if the limit allows only one") {
@@ -483,8 +479,8 @@
       return fixture.peer.sockets.size() == 2 && fixture.peer.sockets.back().Received(kHeaderEnd);
     }));
     // The copy arrives where nothing is expected any more.
-    if (limit == 2) socket.Send(response("q1", "r1"));
-    fixture.peer.sockets.back().Send(response("q1", "r2"));
+    if (limit == 2) socket.Send(EchoingResponse("q1", "r1"));
+    fixture.peer.sockets.back().Send(EchoingResponse("q1", "r2"));
     REQUIRE(fixture.Until([&] { return second.released == 1; }));
     REQUIRE(*second.result);
     CHECK((*second.result)->body == "r2");
@@ -499,10 +495,10 @@
     fixture.echo = std::make_shared<EchoedRequest>(HttpHeader{"x-id", "q2"});
     fixture.Send(other);
     REQUIRE(fixture.Until([&] { return socket.Received(kHeaderEnd); }));
-    socket.Send(response("q2", "r2"));
+    socket.Send(EchoingResponse("q2", "r2"));
     REQUIRE(fixture.Until([&] { return other.released == 1; }));
     CHECK((*other.result)->body == "r2");
-    fixture.WaitForRequest(2).Send(response("q1", "r1"));
+    fixture.WaitForRequest(2).Send(EchoingResponse("q1", "r1"));
     REQUIRE(fixture.Until([&] { return again.released == 1; }));
   }
   SECTION("and believes no response without an id on a used connection") {
