--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -62,7 +62,11 @@
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
  public:
   Impl(asio::io_context& io, Handler handler, HttpServerLimits limits)
-      : io(io), acceptor(io), accept_retry(io), handler(std::move(handler)), limits(limits) {}
+      : io(io),
+        acceptor(io),
+        accept_retry(io),
+        handler(std::move(handler)),
+        limits(std::move(limits)) {}
 
   Result<void> Bind(const Address& address);
   void Accept();
@@ -559,7 +563,7 @@
 
 Result<std::unique_ptr<HttpServer>> HttpServer::Listen(asio::io_context& io, const Address& address,
                                                        Handler handler, HttpServerLimits limits) {
-  auto impl = std::make_shared<Impl>(io, std::move(handler), limits);
+  auto impl = std::make_shared<Impl>(io, std::move(handler), std::move(limits));
   const Result<void> bound = impl->Bind(address);
   if (!bound) return tl::unexpected<Error>(bound.error());
   impl->Accept();
--- a/io/owner.cc
+++ b/io/owner.cc
@@ -413,7 +413,7 @@
 };
 
 Owner::Owner(OwnerContext context, RouterIdentity self)
-    : impl(std::make_shared<Impl>(context, std::move(self))) {}
+    : impl(std::make_shared<Impl>(std::move(context), std::move(self))) {}
 Owner::~Owner() = default;
 
 uint64_t Owner::Run(Time now, wire::SubRequestT request, Time deadline, Callback done) {
--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -36,7 +36,7 @@
             this->responders.push_back(std::move(responder));
           }
         },
-        limits);
+        std::move(limits));
     REQUIRE(listening);
     this->server = std::move(*listening);
   }
