Signals of targets: earlier incarnations, and pauses of no length

Found when reading the change: a late answer of an earlier incarnation replaced what a later one had asked for, and Retry-After: 0 made a router forget that the target fails.

--- a/core/target_signals.cc
+++ b/core/target_signals.cc
@@ -6,11 +6,12 @@
 
 namespace peridotgauge {
 
-TargetSignals::Signal& TargetSignals::SignalOf(Time now, const TargetRecord& target) {
+TargetSignals::Signal* TargetSignals::SignalOf(Time now, const TargetRecord& target) {
   Signal& signal = this->signals[target.target];
-  if (signal.incarnation != target.incarnation) signal = {.incarnation = target.incarnation};
+  if (signal.incarnation > target.incarnation) return nullptr;
+  if (signal.incarnation < target.incarnation) signal = {.incarnation = target.incarnation};
   signal.given = now;
-  return signal;
+  return &signal;
 }
 
 const TargetSignals::Signal* TargetSignals::Find(const TargetRecord& target) const {
@@ -21,18 +22,20 @@
 }
 
 void TargetSignals::OnPause(Time now, const TargetRecord& target, Duration pause) {
-  Signal& signal = this->SignalOf(now, target);
-  signal.paused_until = std::max(signal.paused_until, now + std::min(pause, kMaxPause));
+  Signal* signal = this->SignalOf(now, target);
+  if (signal == nullptr) return;
+  signal->paused_until = std::max(signal->paused_until, now + std::min(pause, kMaxPause));
 }
 
 void TargetSignals::OnLeaving(Time now, const TargetRecord& target) {
-  this->SignalOf(now, target).leaving = true;
+  if (Signal* signal = this->SignalOf(now, target)) signal->leaving = true;
 }
 
 void TargetSignals::OnDirectory(Time now, const TargetRecord& target) {
   const bool departed =
       target.state == TargetState::kDraining || target.state == TargetState::kGone;
-  if (departed || this->Find(target) != nullptr) this->SignalOf(now, target).departed = departed;
+  if (!departed && this->Find(target) == nullptr) return;
+  if (Signal* signal = this->SignalOf(now, target)) signal->departed = departed;
 }
 
 void TargetSignals::Expire(Time now) {
--- a/core/target_signals.h
+++ b/core/target_signals.h
@@ -54,8 +54,9 @@
     bool departed = false;  // according to the directory
     Time given;
   };
-  // Returns the signal of this incarnation, which is added if there is none.
-  Signal& SignalOf(Time now, const TargetRecord& target);
+  // Returns the signal of this incarnation, which is added if there is none, or null if a later
+  // incarnation has given one.
+  Signal* SignalOf(Time now, const TargetRecord& target);
   // Returns null if this incarnation has given no signal.
   const Signal* Find(const TargetRecord& target) const;
 
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -362,15 +362,15 @@
                        .Add("services", debts ? debts->size() : 0)
                        .Add("sub_requests", sum));
     this->extra_limit.Inherit(now, debts);
-    this->ShowSlack(now);
+    this->SetSlackMetrics(now);
   }
 
   void UpdateSlack(Time now) {
     this->extra_limit.Update(now);
-    this->ShowSlack(now);
+    this->SetSlackMetrics(now);
   }
 
-  void ShowSlack(Time now) {
+  void SetSlackMetrics(Time now) {
     this->context.metrics.GaugeOf("peridotgauge_extra_slack").Set(this->extra_limit.Slack());
     this->context.metrics.GaugeOf("peridotgauge_extra_slack_routers")
         .Set(static_cast<double>(this->extra_limit.Routers(now)));
@@ -382,7 +382,7 @@
   void UpdateShares(Time now) {
     const size_t offered = std::max<size_t>(this->control.OfferedRouterCount(), 1);
     this->extra_limit.SetRouters(now, offered, std::max<size_t>(this->control.ActiveRouters(), 1));
-    this->ShowSlack(now);
+    this->SetSlackMetrics(now);
     this->serving_routers.Set(now, offered);
     this->connection_shares_due = this->serving_routers.NextDecrease(now).value_or(Time::max());
     const size_t serving = this->serving_routers.Get(now);
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -234,7 +234,7 @@
 
   void OnSignals(Time now, const TargetRecord& target, const TargetReply& reply) {
     if (!reply.pause && !reply.malformed_pause && !reply.leaving) return;
-    if (reply.pause) {
+    if (reply.pause > Duration(0)) {
       this->context.signals.OnPause(now, target, *reply.pause);
       // It then begins with few requests, like a target that has just started.
       this->context.replica_choice.Remove(target.target);
--- a/testing/target_signals_test.cc
+++ b/testing/target_signals_test.cc
@@ -67,6 +67,11 @@
       signals.OnPause(now + Millis(100), target, Seconds(1));
       CHECK_FALSE(signals.Accepts(now + Millis(1'999), target));
     }
+    SECTION("and is not ended by an earlier incarnation that still answers") {
+      signals.OnPause(now, successor, Seconds(2));
+      signals.OnLeaving(now, target);
+      CHECK_FALSE(signals.Accepts(now, successor));
+    }
     SECTION("and binds its incarnation only") {
       CHECK(signals.Accepts(now, successor));
       CHECK(signals.Accepts(now, other));
