Reject responses whose head begins with a copy that was cut off

Cause: a copy that is cut off inside its status line or a header value, and the next response behind it, parse as one response with the status and the "not run" header of the copy and the request id of the next response. The id was the only thing that was checked.

Why it works: on a connection that has carried a response, a head that contains another status line is no answer. The exchange fails with an unknown outcome, which is true.

--- a/io/http_connection.cc
+++ b/io/http_connection.cc
@@ -41,6 +41,26 @@
   return Seconds(std::min(seconds, kMaxIdleTimeoutSeconds));
 }
 
+// Returns true if the text contains the beginning of a status line, such as "HTTP/1.1 200".
+bool ContainsStatusLine(std::string_view text) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  constexpr std::string_view kDigits = "0123456789";
+  const size_t found = text.find(kVersion);
+  if (found == std::string_view::npos) return false;
+  text.remove_prefix(found + kVersion.size());
+  return text.size() >= 3 && kDigits.find(text[0]) != std::string_view::npos && text[1] == ' ' &&
+         kDigits.find(text[2]) != std::string_view::npos;
+}
+
+// Returns true if the head consists of the heads of two responses: the beginning of one that was
+// cut off, and the next one. Its status and headers then belong to different requests.
+bool IsJoinedHead(const http::response<http::string_body>& response) {
+  return ContainsStatusLine({response.reason().data(), response.reason().size()}) ||
+         std::any_of(response.begin(), response.end(), [](const auto& field) {
+           return ContainsStatusLine({field.value().data(), field.value().size()});
+         });
+}
+
 bool IsCloseByPeer(const error_code& error) {
   return error == http::error::end_of_stream || error == http::error::partial_message ||
          error == asio::error::eof || error == asio::error::connection_reset ||
@@ -262,8 +282,9 @@
 }
 
 bool HttpClient::Connection::IsAttributable() const {
-  const bool unused = !this->reused && this->strays == 0;
-  return unused || !this->exchange->call.echo || this->IdentifiesRequest();
+  if (!this->reused && this->strays == 0) return true;
+  if (IsJoinedHead(this->parser->get())) return false;
+  return !this->exchange->call.echo || this->IdentifiesRequest();
 }
 
 void HttpClient::Connection::OnResponse() {
--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -348,6 +348,21 @@
     const bool own = *second.result && (**second.result).body == "r2";
     CHECK((!*second.result || own));
   }
+  // The rest of the copy's head and the head of the next response then parse as one, which may have
+  // the copy's status and headers and the next response's request id.
+  SECTION("cut off at any byte of its head, with the next response behind it") {
+    const std::string copy =
+        "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nX-Id: q1\r\nContent-Length: 0\r\n\r\n";
+    const size_t cut = GENERATE_COPY(range(size_t{1}, copy.find("X-Id")));
+    CAPTURE(cut);
+    fixture.Send(second);
+    REQUIRE(fixture.Until([&] { return socket.Received(kHeaderEnd); }));
+    socket.Send(copy.substr(0, cut) + EchoingResponse("q2", "r2"));
+    fixture.Until([&] { return second.released == 1; });
+    REQUIRE(second.result);
+    CHECK_FALSE((*second.result && (**second.result).status == 503));
+    CHECK_FALSE((*second.result && !(**second.result).Header("x-not-run").empty()));
+  }
   SECTION("that arrives between two calls") {
     socket.Send(EchoingResponse("q1", "r1"));
     fixture.io.run_for(std::chrono::milliseconds(20));
