--- a/core/records.cc
+++ b/core/records.cc
@@ -25,6 +25,7 @@
     out->holds.emplace_back(held.snapshot, held.shard, held.shards);
   }
   out->registrar = record.registrar;
+  out->warmup_ms = static_cast<uint32_t>(WholeMillis(record.warmup));
   return out;
 }
 
@@ -59,7 +60,8 @@
                    .slots = record.slots,
                    .connections = record.connections,
                    .holds = {},
-                   .registrar = record.registrar};
+                   .registrar = record.registrar,
+                   .warmup = Millis(record.warmup_ms)};
   for (const wire::Holding& held : record.holds) {
     out.holds.push_back({held.snapshot(), held.shard(), held.shards()});
   }
--- a/core/records.h
+++ b/core/records.h
@@ -44,6 +44,8 @@
   uint32_t connections = 0;  // connections that the target accepts
   std::vector<Holding> holds;
   std::string registrar;  // id of the router that holds the registration lease
+  // Time until the target is warm, counted from the registration; 0 if it is warm.
+  Duration warmup{0};
   bool operator==(const TargetRecord&) const = default;
 
   // Returns true if this record is newer than `other`, a record of the same target.
--- a/core/routes.cc
+++ b/core/routes.cc
@@ -56,7 +56,8 @@
 
 Result<RouteTable> RouteTable::Make(std::vector<Route> routes,
                                     std::map<std::string, ServiceSpec, std::less<>> services,
-                                    CallerLimits limits) {
+                                    CallerLimits limits,
+                                    std::optional<WorkspaceTable> workspaces) {
   RouteTable table;
   std::set<std::pair<std::string, std::string>> places;
   for (const Route& route : routes) {
@@ -72,6 +73,7 @@
   table.routes = std::move(routes);
   table.services = std::move(services);
   table.limits = limits;
+  table.workspaces = std::move(workspaces);
   for (size_t i = 0; i < table.routes.size(); ++i) {
     table.by_host[table.routes[i].host].push_back(i);
   }
--- a/core/routes.h
+++ b/core/routes.h
@@ -14,12 +14,14 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "core/error.h"
 #include "core/types.h"
+#include "core/workspaces.h"
 
 namespace peridotgauge {
 
@@ -45,6 +47,7 @@
   // For routes that gather.
   uint32_t top_records = 0;  // records in the answer
   double min_coverage = 0;   // minimum share of the shards in an answer, 0 to 1
+  bool needs_key = true;     // if the configuration has workspaces, callers must send a key
 
   bool Gathers() const { return !this->shards.empty(); }
   // Returns the minimum number of shards in an answer, at least 1.
@@ -56,6 +59,9 @@
 struct ServiceSpec {
   uint32_t connections = 1;  // accepted by one target from all routers together
   std::string health_path;
+  // Requests per second that a target tolerates from all routers together while it is cold; 0: no
+  // limit.
+  double warmup_rate = 0;
   auto operator<=>(const ServiceSpec&) const = default;
 };
 
@@ -74,7 +80,8 @@
   // Returns kInvalidConfig, with the route and the reason, if the contract would not hold.
   static Result<RouteTable> Make(std::vector<Route> routes,
                                  std::map<std::string, ServiceSpec, std::less<>> services,
-                                 CallerLimits limits);
+                                 CallerLimits limits,
+                                 std::optional<WorkspaceTable> workspaces = std::nullopt);
 
   // Returns nullptr if no route matches. A port in `host` is ignored.
   const Route* Match(std::string_view host, std::string_view path) const;
@@ -83,12 +90,17 @@
   const std::vector<Route>& Routes() const { return this->routes; }
   size_t ServiceCount() const { return this->services.size(); }
   const CallerLimits& Limits() const { return this->limits; }
+  // Returns nullptr if callers need no keys.
+  const WorkspaceTable* Workspaces() const {
+    return this->workspaces ? &*this->workspaces : nullptr;
+  }
   bool Empty() const { return this->routes.empty(); }
 
  private:
   std::vector<Route> routes;
   std::map<std::string, ServiceSpec, std::less<>> services;
   CallerLimits limits;
+  std::optional<WorkspaceTable> workspaces;
   // Indices into `routes`, longest prefix first.
   std::map<std::string, std::vector<size_t>, std::less<>> by_host;
 };
--- a/core/settings.cc
+++ b/core/settings.cc
@@ -144,6 +144,13 @@
   double window_s = std::chrono::duration<double>(settings.extra_requests.window).count();
   ReadFraction(errors, root, "extra_window_s", {0.1, 3'600}, window_s);
   settings.extra_requests.window = Duration(std::llround(window_s * Seconds(1).count()));
+  ReadFraction(errors, root, "quota_overage", {0, 10}, settings.quota.overage);
+  ReadFraction(errors, root, "quota_slack", {0, 1'000'000}, settings.quota.slack);
+  double quota_window_s = std::chrono::duration<double>(settings.quota.window).count();
+  ReadFraction(errors, root, "quota_window_s", {0.1, 3'600}, quota_window_s);
+  settings.quota.window = Duration(std::llround(quota_window_s * Seconds(1).count()));
+  ReadFraction(errors, root, "warmup_overage", {1, 1'000}, settings.warmup.overage);
+  ReadFraction(errors, root, "warmup_slack", {0, 1'000'000}, settings.warmup.slack);
 }
 
 // Returns the parsed address, whose syntax ReadAddress() has checked.
--- a/core/settings.h
+++ b/core/settings.h
@@ -44,6 +44,23 @@
   bool operator==(const ExtraRequestLimit&) const = default;
 };
 
+// Tolerance of the request quotas of workspaces. In any window, the requests of a workspace over
+// all routers may exceed (rate x window + burst) by `overage` (a share) plus `slack` (requests).
+struct QuotaTolerance {
+  Duration window = Seconds(5);
+  double overage = 0.1;
+  double slack = 20;
+  bool operator==(const QuotaTolerance&) const = default;
+};
+
+// Limit on requests per second to a cold target from all routers together: the rate that its
+// service is configured with, times `overage`, plus `slack`.
+struct WarmupTolerance {
+  double overage = 1.5;
+  double slack = 5;
+  bool operator==(const WarmupTolerance&) const = default;
+};
+
 struct Settings {
   std::string id;  // unique among all processes; letters, digits, '-', '_', '.'
   std::string data_centre;
@@ -64,6 +81,8 @@
   // Memory that this process may use, in MiB.
   double memory_mb = 256;
   ExtraRequestLimit extra_requests;
+  QuotaTolerance quota;
+  WarmupTolerance warmup;
   Duration heartbeat_interval = Seconds(1);    // interval at which targets register
   Duration shutdown_grace = Seconds(30);       // from SIGTERM to SIGKILL
   std::vector<ControllerAddress> controllers;  // all controllers: 1, 3, 5 or 7
