Check the keys of workspaces and name the workspace to targets

Cause: a deployment with workspaces needs the key of each request checked.

Change: a configuration may have workspaces; a request without a key of one of them gets 401 before anything is sent, unless its route is public. The priority of the workspace replaces that of the route (not used yet).

Ruled out: a check at the controllers (a round trip for each request); a comparison of plain keys in a hash map (its time depends on shared prefixes).

Tests: [workspaces], [platform] "a configuration with workspaces", "a key is read".

--- a/bench/route_cost_main.cc
+++ b/bench/route_cost_main.cc
@@ -53,7 +53,7 @@
     return CallerRequestInfo{.request_id = std::string(request.Header(kIdHeader))};
   }
   HttpRequest BuildTargetRequest(const HttpRequest& request, const TargetRecord& target,
-                                 Duration remaining) const override {
+                                 Duration remaining, const std::string&) const override {
     HttpRequest sent = request;
     sent.headers.push_back({"x-deadline-ms", std::to_string(remaining / Millis(1))});
     sent.headers.push_back({"x-expected-target", target.target});
--- a/core/error.cc
+++ b/core/error.cc
@@ -39,6 +39,8 @@
     {ErrorCode::kCorrupt, "corrupt", 500, false, 1, "stored data failed its checksum"},
     {ErrorCode::kInternal, "internal", 500, false, 1, "internal error"},
     {ErrorCode::kSuspect, "suspect", 503, true, 5, "the request has crashed targets; not sent"},
+    {ErrorCode::kUnknownKey, "unknown_key", 401, true, 2, "no workspace has the key"},
+    {ErrorCode::kQuotaExceeded, "quota_exceeded", 429, true, 5, "the request quota is used up"},
 }};
 
 }  // namespace
--- a/core/error.h
+++ b/core/error.h
@@ -46,9 +46,11 @@
   kCorrupt,           // stored data failed its checksum
   kInternal,          // a bug
   kSuspect,           // the request has crashed targets and was not sent; a trial of it may follow
+  kUnknownKey,        // the request carries no key of a workspace
+  kQuotaExceeded,     // the workspace has used up its request quota
 };
 
-constexpr int kErrorCodeCount = static_cast<int>(ErrorCode::kSuspect) + 1;
+constexpr int kErrorCodeCount = static_cast<int>(ErrorCode::kQuotaExceeded) + 1;
 
 // Properties of an error code.
 struct ErrorInfo {
--- a/core/route_codec.h
+++ b/core/route_codec.h
@@ -28,6 +28,7 @@
   std::string request_id;
   std::string host;
   std::optional<Duration> timeout;  // how long the caller waits; absent if it does not say
+  std::string key = {};             // of a workspace; empty if there is none, or more than one
   bool operator==(const CallerRequestInfo&) const = default;
 };
 
@@ -64,9 +65,11 @@
   virtual ~RouteCodec() = default;
   // Returns kBadRequest if the request has no request id or a malformed field.
   virtual Result<CallerRequestInfo> ParseCallerRequest(const HttpRequest& request) const = 0;
-  // Returns the request to send to `target`, which has `time_left` to respond.
+  // Returns the request to send to `target`, which has `time_left` to respond. It names
+  // `workspace`, unless that is empty, and contains no key.
   virtual HttpRequest BuildTargetRequest(const HttpRequest& request, const TargetRecord& target,
-                                         Duration time_left) const = 0;
+                                         Duration time_left,
+                                         const std::string& workspace) const = 0;
   // Replaces the time to respond in a request that BuildTargetRequest() has returned.
   virtual void SetTimeLeft(Duration time_left, HttpRequest& request) const = 0;
   // Returns the header with which a target's response identifies its request.
--- a/core/routes.cc
+++ b/core/routes.cc
@@ -56,8 +56,7 @@
 
 Result<RouteTable> RouteTable::Make(std::vector<Route> routes,
                                     std::map<std::string, ServiceSpec, std::less<>> services,
-                                    CallerLimits limits,
-                                    std::optional<WorkspaceTable> workspaces) {
+                                    CallerLimits limits, std::optional<WorkspaceTable> workspaces) {
   RouteTable table;
   std::set<std::pair<std::string, std::string>> places;
   for (const Route& route : routes) {
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -123,6 +123,16 @@
       return this->Refuse(now, http, request_info->request_id,
                           {ErrorCode::kNotFound, "no route matches the host and path"}, responder);
     }
+    const WorkspaceTable* workspaces = this->config->Routes().Workspaces();
+    const Workspace* workspace = nullptr;
+    if (workspaces != nullptr && route->needs_key) {
+      workspace = workspaces->FindByKey(request_info->key);
+      if (workspace == nullptr) {
+        return this->Refuse(now, http, request_info->request_id,
+                            {ErrorCode::kUnknownKey, "the request carries no key of a workspace"},
+                            responder);
+      }
+    }
     const Duration caller_wait =
         request_info->timeout
             ? this->caller_wait_estimators[route->name].Elapsed(now, *request_info->timeout)
@@ -148,6 +158,9 @@
         .http = std::move(http),
         .request_info = std::move(*request_info),
         .route = std::shared_ptr<const Route>(this->config, route),
+        .workspace = workspace != nullptr ? workspace->name : "",
+        .priority =
+            workspace != nullptr ? workspace->priority.value_or(route->priority) : route->priority,
         .plan = route->Gathers()
                     ? this->plans.ForShards(revision, *route)
                     : this->plans.ForService(revision, *route, this->split.Next(*route)),
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -159,7 +159,8 @@
     attempt.call =
         this->context.pool.ClientFor(*send.target)
             .Send({.request = this->context.codec.BuildTargetRequest(
-                       this->params.http, *send.target, this->params.deadline - now),
+                       this->params.http, *send.target, this->params.deadline - now,
+                       this->params.workspace),
                    .deadline = this->params.deadline,
                    .done = [self = this->shared_from_this(), number = send.attempt](
                                HttpResult result) { self->OnResult(number, std::move(result)); },
--- a/io/route_request.h
+++ b/io/route_request.h
@@ -88,6 +88,8 @@
   HttpRequest http;
   CallerRequestInfo request_info;
   std::shared_ptr<const Route> route;  // kept alive with its configuration
+  std::string workspace = {};          // of the caller; empty if there is none
+  uint32_t priority = 0;               // of the workspace or the route; 0 is the most urgent
   std::shared_ptr<const Plan> plan;
   uint64_t directory_version = 0;  // for the log
   uint64_t fingerprint = 0;        // RouteFingerprint() of `http`
--- a/testing/platform_test.cc
+++ b/testing/platform_test.cc
@@ -1,4 +1,5 @@
 // Tests of the platform's documents, headers and status codes.
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "platform/documents.h"
@@ -57,6 +58,48 @@
                        "\"weight\":0},{\"service\":\"b\",\"weight\":0}"));
 }
 
+TEST_CASE("a configuration with workspaces", "[platform]") {
+  std::string text(kText);
+  CHECK(ParseConfiguration(text)->Routes().Workspaces() == nullptr);
+  const auto with = [&](const std::string& workspaces) {
+    return ParseConfiguration(text.substr(0, text.rfind('}')) + ",\"tenants\":" + workspaces + "}");
+  };
+  const auto config = with(
+      R"([{"name":"w1","apiKeys":["k1","k2"],"priority":0,"ratePerS":43,"burst":21.5},{"name":"w2"}])");
+  REQUIRE(config);
+  const WorkspaceTable* table = config->Routes().Workspaces();
+  REQUIRE(table != nullptr);
+  REQUIRE(table->FindByKey("k2") != nullptr);
+  CHECK(*table->FindByKey("k2") ==
+        Workspace{.name = "w1", .keys = {"k1", "k2"}, .priority = 0, .quota = {43, 21.5}});
+  CHECK_FALSE(table->Find("w2")->quota.Limited());
+  CHECK_FALSE(table->Find("w2")->priority);
+  SECTION("routes need a key unless they are public") {
+    CHECK(config->Routes().Match("h", "/p/1")->needs_key);
+    text.replace(text.find("\"topK\""), 0, "\"public\":true,");
+    CHECK_FALSE(with("[]")->Routes().Match("h", "/p/1")->needs_key);
+    CHECK(with("[]")->Routes().Workspaces() != nullptr);
+  }
+  SECTION("is rejected if two of them share a key, without naming the key") {
+    const auto rejected =
+        with(R"([{"name":"w1","apiKeys":["k-1"]},{"name":"w2","apiKeys":["k-1"]}])");
+    REQUIRE_FALSE(rejected);
+    CHECK(rejected.error().detail.find("k-1") == std::string::npos);
+    CHECK(rejected.error().detail.find("w1") != std::string::npos);
+  }
+  SECTION("is rejected if one is malformed") {
+    for (const char* workspaces :
+         {"{}", "[1]", R"([{"apiKeys":[]}])", R"([{"name":""}])",
+          R"([{"name":"w","apiKeys":[""]}])", R"([{"name":"w","apiKeys":[1]}])",
+          R"([{"name":"w","apiKeys":"k"}])", R"([{"name":"w","ratePerS":-1}])",
+          R"([{"name":"w","burst":"1"}])", R"([{"name":"w","priority":-1}])",
+          R"([{"name":"w"},{"name":"w"}])"}) {
+      CAPTURE(workspaces);
+      CHECK_FALSE(with(workspaces));
+    }
+  }
+}
+
 // Guards against times that overflow when they are added to the present time.
 TEST_CASE("a configuration with very long times", "[platform]") {
   for (const char* millis : {"1e15", "1e300", "9223372036854775807"}) {
@@ -115,7 +158,7 @@
   const auto info = format.ParseCallerRequest(request);
   REQUIRE(info);
   CHECK(*info == CallerRequestInfo{"r1", "h", Millis(300)});
-  const HttpRequest sent = format.BuildTargetRequest(request, {.target = "i-1"}, Millis(250));
+  const HttpRequest sent = format.BuildTargetRequest(request, {.target = "i-1"}, Millis(250), "");
   CHECK(sent.path == "/p/1");
   CHECK(sent.query == "a=b");
   CHECK(sent.body == "body");
@@ -125,6 +168,25 @@
   CHECK(sent.Header("Peridotgauge-Expect-Instance") == "i-1");
   CHECK(sent.Header("x-other") == "1");
   CHECK(sent.Header("connection").empty());
+  SECTION("a key is read, and no target gets it or a name that the caller chose") {
+    CHECK(info->key.empty());
+    request.headers.push_back({"peridotgauge-key", " k1 "});
+    request.headers.push_back({"Peridotgauge-Tenant", "other"});
+    CHECK(format.ParseCallerRequest(request)->key == "k1");
+    const HttpRequest named = format.BuildTargetRequest(request, {}, Millis(250), "w1");
+    CHECK(named.Header("peridotgauge-key").empty());
+    CHECK(named.Header("peridotgauge-tenant") == "w1");
+    CHECK(std::count_if(named.headers.begin(), named.headers.end(), [](const HttpHeader& header) {
+            return header.name == "Peridotgauge-Tenant";
+          }) == 1);
+    const HttpRequest unnamed = format.BuildTargetRequest(request, {}, Millis(250), "");
+    CHECK(unnamed.Header("peridotgauge-key").empty());
+    CHECK(unnamed.Header("peridotgauge-tenant").empty());
+    SECTION("two keys are none") {
+      request.headers.push_back({"Peridotgauge-Key", "k2"});
+      CHECK(format.ParseCallerRequest(request)->key.empty());
+    }
+  }
   SECTION("a request without an id or with a malformed deadline is rejected") {
     request.headers[2].value = "soon";
     CHECK_FALSE(format.ParseCallerRequest(request));
