--- a/core/router_offer.cc
+++ b/core/router_offer.cc
@@ -50,6 +50,15 @@
   for (auto& [data_centre, list] : lists) list.resize(kept[data_centre]);
 }
 
+// Returns the offered routers, in the order of ActiveRouters().
+RouterLists OfferedLists(const RouterMap& routers, size_t count) {
+  RouterLists lists = ActiveRouters(routers);
+  size_t active = 0;
+  for (const auto& [name, list] : lists) active += list.size();
+  KeepInTurn(OfferedCount(count, active), lists);
+  return lists;
+}
+
 }  // namespace
 
 size_t OfferedCount(size_t count, size_t active) {
@@ -58,10 +67,7 @@
 
 std::vector<Address> OfferedRouters(const RouterMap& routers, size_t count,
                                     std::string_view data_centre) {
-  RouterLists lists = ActiveRouters(routers);
-  size_t active = 0;
-  for (const auto& [name, list] : lists) active += list.size();
-  KeepInTurn(OfferedCount(count, active), lists);
+  RouterLists lists = OfferedLists(routers, count);
   std::vector<Address> addresses;
   auto next = lists.find(data_centre);
   for (size_t i = 0; i < lists.size(); ++i) {
@@ -74,6 +80,14 @@
   return addresses;
 }
 
+std::set<std::string> OfferedRouterIds(const RouterMap& routers, size_t count) {
+  std::set<std::string> ids;
+  for (const auto& [data_centre, list] : OfferedLists(routers, count)) {
+    for (const RouterRecord* router : list) ids.insert(router->id);
+  }
+  return ids;
+}
+
 std::optional<size_t> RouterOfferPolicy::NextCount(Time now, size_t current, size_t active,
                                                    size_t data_centres,
                                                    const std::vector<RouterLoad>& loads) {
--- a/core/router_offer.h
+++ b/core/router_offer.h
@@ -20,6 +20,8 @@
 
 #include <cstddef>
 #include <optional>
+#include <set>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -51,6 +53,9 @@
 std::vector<Address> OfferedRouters(const RouterMap& routers, size_t count,
                                     std::string_view data_centre);
 
+// Returns the ids of all offered routers.
+std::set<std::string> OfferedRouterIds(const RouterMap& routers, size_t count);
+
 // What one router has reported.
 struct RouterLoad {
   double sub_requests_per_s = 0;
--- /dev/null
+++ b/testing/quota_fleet_test.cc
@@ -0,0 +1,230 @@
+// Tests of the request quotas of all routers and the leader together, on simulated time. They guard
+// against more requests than the quota allows in any window, in histories of restarts, lost
+// contact and new leaders, and against refusals of callers that stay below their limit.
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <string>
+#include <vector>
+
+#include "testing/quota_simulation.h"
+
+namespace peridotgauge {
+namespace {
+
+// Workspaces of the ticket search: 120 requests per second, the largest 30 of them. The limits are
+// 1.6 times the usual rate, and the burst is as large as the limit's rate.
+struct Usual {
+  std::vector<Workspace> workspaces;
+  std::vector<double> rates;
+};
+
+Usual TicketSearch() {
+  Usual usual;
+  double sum = 0;
+  for (int i = 1; i <= 86; ++i) {
+    usual.rates.push_back(std::pow(i, -1.15));
+    sum += usual.rates.back();
+  }
+  for (double& rate : usual.rates) {
+    rate *= 120 / sum;
+    usual.workspaces.push_back(
+        {.name = "w" + std::to_string(usual.workspaces.size()), .quota = {1.6 * rate, 1.6 * rate}});
+  }
+  return usual;
+}
+
+enum class Place { kAnyRouter, kOwnRouter, kOneRouter };
+
+void LoadAll(QuotaSimulation& fleet, const Usual& usual, Place place) {
+  for (size_t i = 0; i < usual.rates.size(); ++i) {
+    fleet.Load(usual.workspaces[i].name, usual.rates[i], [&fleet, place, i]() -> size_t {
+      if (place == Place::kAnyRouter) return fleet.RandomRouter();
+      return place == Place::kOwnRouter ? i % fleet.Routers() : 0;
+    });
+  }
+}
+
+double Refused(const QuotaSimulation::Counts& count) {
+  return count.sent == 0 ? 0 : static_cast<double>(count.refused) / static_cast<double>(count.sent);
+}
+
+TEST_CASE("callers below their limit are not refused", "[quota][quota_fleet]") {
+  const Usual usual = TicketSearch();
+  for (const size_t routers : {8, 12, 20}) {
+    for (const Place place : {Place::kAnyRouter, Place::kOwnRouter, Place::kOneRouter}) {
+      for (const bool started : {false, true}) {
+        QuotaSimulation fleet({.routers = routers}, 7 + routers);
+        fleet.SetWorkspaces(usual.workspaces);
+        fleet.Run(Seconds(30));
+        LoadAll(fleet, usual, place);
+        fleet.Run(Seconds(20));
+        if (started) {
+          for (size_t i = 0; i < fleet.Routers(); ++i) fleet.RestartRouter(i);
+          fleet.Run(Millis(100));  // no router has a configuration before
+        }
+        fleet.ResetCounts();
+        fleet.Run(Seconds(60));
+        const auto total = fleet.Total();
+        INFO(routers << " routers, place " << static_cast<int>(place) << ", started " << started
+                     << ": sent " << total.sent << ", refused " << total.refused << ", waited "
+                     << total.waited << ", longest " << ToMillis(total.longest_wait) << " ms, asks "
+                     << fleet.Asks());
+        CHECK(Refused(total) < 0.001);
+        CHECK(fleet.Count("w0").refused == 0);
+      }
+    }
+  }
+}
+
+TEST_CASE("a workspace at 12 times its rate takes nothing from the others",
+          "[quota][quota_fleet]") {
+  const Usual usual = TicketSearch();
+  for (const size_t routers : {8, 20}) {
+    for (const size_t loud : {0, 5, 40}) {
+      QuotaSimulation fleet({.routers = routers}, 11 + routers);
+      fleet.SetWorkspaces(usual.workspaces);
+      fleet.Run(Seconds(30));
+      LoadAll(fleet, usual, Place::kAnyRouter);
+      fleet.Run(Seconds(20));
+      fleet.ResetCounts();
+      const Workspace& workspace = usual.workspaces[loud];
+      fleet.Load(workspace.name, 12 * usual.rates[loud], [&] { return fleet.RandomRouter(); });
+      fleet.Run(Seconds(30));
+      const auto own = fleet.Count(workspace.name);
+      const auto total = fleet.Total();
+      const double others = static_cast<double>(total.refused - own.refused) /
+                            static_cast<double>(total.sent - own.sent);
+      INFO(routers << " routers, " << workspace.name << ": admitted " << own.admitted << " of "
+                   << own.sent << ", limit " << workspace.quota.rate_per_s * 30
+                   << ", others refused " << others << ", asks " << fleet.Asks());
+      CHECK(others < 0.002);
+      CHECK(fleet.Excess(workspace.name, workspace.quota) <= 0);
+      // Permits are not wasted: the loud workspace gets what it may have.
+      CHECK(static_cast<double>(own.admitted) > 0.9 * workspace.quota.rate_per_s * 30);
+    }
+  }
+}
+
+TEST_CASE("a restarted router and a new leader cost callers below their limit little",
+          "[quota][quota_fleet]") {
+  const Usual usual = TicketSearch();
+  QuotaSimulation fleet({.routers = 12}, 3);
+  fleet.SetWorkspaces(usual.workspaces);
+  fleet.Run(Seconds(30));
+  LoadAll(fleet, usual, Place::kAnyRouter);
+  fleet.Run(Seconds(20));
+  fleet.ResetCounts();
+  SECTION("a new leader after 300 ms") {
+    fleet.ChangeLeader(Millis(300));
+    fleet.Run(Seconds(10));
+    INFO("refused " << fleet.Total().refused << " of " << fleet.Total().sent);
+    CHECK(fleet.Total().refused < 120);  // one second's requests
+  }
+  SECTION("a third of the routers lose the controllers, and keep serving") {
+    for (size_t i = 0; i < 4; ++i) fleet.Disconnect(i);
+    fleet.Run(Seconds(30));
+    INFO("refused " << fleet.Total().refused << " of " << fleet.Total().sent << ", w0 "
+                    << Refused(fleet.Count("w0")) << ", w5 " << Refused(fleet.Count("w5"))
+                    << ", w50 " << Refused(fleet.Count("w50")));
+    CHECK(Refused(fleet.Total()) < 0.15);
+    CHECK(Refused(fleet.Count("w0")) < 0.1);
+  }
+  for (const Workspace& workspace : usual.workspaces) {
+    CHECK(fleet.Excess(workspace.name, workspace.quota) <= 0);
+  }
+}
+
+TEST_CASE("all routers together keep the quota in every window", "[quota][quota_fleet][property]") {
+  double most_used = 0;
+  CHECK(rc::check("drawn histories", [&] {
+    const size_t routers = *rc::gen::element<size_t>(1, 2, 3, 8, 12, 20);
+    const bool slow = *rc::gen::arbitrary<bool>();
+    QuotaSimulation fleet({.routers = routers,
+                           .min_delay = Millis(1),
+                           .max_delay = slow ? Millis(100) : Millis(5),
+                           .slow_delay = Millis(slow ? 400 : 90)},
+                          *rc::gen::arbitrary<uint64_t>());
+    std::vector<Workspace> workspaces = {{.name = "large", .quota = {43, 43}},
+                                         {.name = "middle", .quota = {8, 0}},
+                                         {.name = "small", .quota = {0.5, 0.5}},
+                                         {.name = "wide", .quota = {90, 9}}};
+    fleet.SetWorkspaces(workspaces);
+    fleet.Run(Seconds(1));
+    Time since = fleet.Now();  // the limits of `workspaces` are in force from here on
+    const auto check = [&](Time from) {
+      for (const Workspace& workspace : workspaces) {
+        const double excess = fleet.Excess(workspace.name, workspace.quota, from);
+        RC_LOG() << workspace.name << ": " << excess << " above the limit\n";
+        RC_ASSERT(excess <= 0);
+        most_used = std::max(most_used, 1 + excess / QuotaExcess(workspace.quota, {}));
+      }
+    };
+    for (const Workspace& workspace : workspaces) {
+      fleet.Load(workspace.name, workspace.quota.rate_per_s * *rc::gen::element(0.5, 3.0, 12.0),
+                 [&fleet] { return fleet.RandomRouter(); });
+    }
+    fleet.Run(*rc::gen::element<Duration>(Seconds(2), Seconds(13), Seconds(20)));
+    bool lowered = false;
+    const int steps = *rc::gen::inRange(3, 25);
+    for (int step = 0; step < steps; ++step) {
+      const size_t router = *rc::gen::inRange<size_t>(0, fleet.Routers());
+      const size_t which = *rc::gen::inRange<size_t>(0, workspaces.size());
+      const Workspace& workspace = workspaces[which];
+      const int event = *rc::gen::inRange(0, 10);
+      RC_LOG() << "at " << ToMillis(fleet.Now() - since) << " ms: event " << event << " router "
+               << router << " " << workspace.name << "\n";
+      switch (event) {
+        case 0:
+          fleet.RestartRouter(router);
+          break;
+        case 1:
+          for (size_t i = 0; i < fleet.Routers(); ++i) fleet.RestartRouter(i);
+          break;
+        case 2:
+          fleet.Disconnect(router);
+          break;
+        case 3:
+          for (size_t i = 0; i < fleet.Routers(); ++i) fleet.Reconnect(i);
+          break;
+        case 4:
+          fleet.ChangeLeader(*rc::gen::element<Duration>(Millis(0), Millis(300), Seconds(5)));
+          break;
+        case 5:
+          if (fleet.Routers() < 30) fleet.AddRouter();
+          break;
+        case 6:
+          fleet.Burst(workspace.name, 400, router);
+          break;
+        case 7:
+          fleet.Load(workspace.name, 0, {});
+          break;
+        default: {
+          const double rate = workspace.quota.rate_per_s * *rc::gen::element(1, 3, 12);
+          const bool anywhere = *rc::gen::arbitrary<bool>();
+          fleet.Load(workspace.name, rate, [&fleet, anywhere, router] {
+            return anywhere ? fleet.RandomRouter() : router;
+          });
+        }
+      }
+      fleet.Run(*rc::gen::element<Duration>(Millis(20), Millis(700), Seconds(2), Seconds(6),
+                                            Seconds(12)));
+      if (!lowered && *rc::gen::inRange(0, 8) == 0) {
+        check(since);
+        lowered = true;
+        for (Workspace& each : workspaces) each.quota = {each.quota.rate_per_s / 3, 0};
+        for (size_t i = 0; i < fleet.Routers(); ++i) fleet.Reconnect(i);
+        fleet.Run(Seconds(1));  // a leader, if one is being elected
+        fleet.SetWorkspaces(workspaces);
+        fleet.Run(Seconds(6));
+        since = fleet.Now();
+      }
+    }
+    check(since);
+  }));
+  WARN("largest part of the tolerance that was used: " << most_used);
+}
+
+}  // namespace
+}  // namespace peridotgauge
--- /dev/null
+++ b/testing/workspace_quota_test.cc
@@ -0,0 +1,180 @@
+// Tests of one router's part of the request quotas. They guard against requests that are counted
+// twice or never decided, permits used after their end, and waits without bound.
+#include "core/workspace_quota.h"
+
+#include <catch2/catch.hpp>
+
+namespace peridotgauge {
+namespace {
+
+const Workspace kLarge = {.name = "a", .quota = {43, 43}};  // E is 45.8
+const Workspace kSmall = {.name = "s", .quota = {0.5, 0.5}};
+
+QuotaGrants Permits(uint32_t count, double own_share = 0) {
+  return {.permits = {{"a", count}}, .valid = kPermitLifetime, .own_share = own_share};
+}
+
+TEST_CASE("a router without contact to the leader yet", "[workspace_quota]") {
+  WorkspaceQuota quota({});
+  quota.SetRouters(TimeAt(0), 4);
+  CHECK(quota.NextAction(TimeAt(0)) == Time::max());
+  const QuotaVerdict first = quota.Admit(TimeAt(0), kLarge, Millis(250));
+  REQUIRE(first.result == QuotaResult::kWaiting);
+  const auto ask = quota.NextAsk(TimeAt(0));
+  REQUIRE(ask);
+  CHECK(ask->demands == std::vector<QuotaDemand>{{"a", 1, 0}});
+  CHECK_FALSE(quota.NextAsk(TimeAt(1)));  // one in flight
+
+  SECTION("a permit admits the request that waits, and no other") {
+    const auto decisions = quota.OnGrants(TimeAt(5), Permits(1));
+    CHECK(decisions == std::vector<QuotaDecision>{{.ticket = first.ticket, .admitted = true}});
+    CHECK(quota.Admit(TimeAt(6), kLarge, Millis(250)).result == QuotaResult::kWaiting);
+    CHECK(quota.Waiting() == 1);
+  }
+  SECTION("permits end") {
+    quota.OnGrants(TimeAt(5), Permits(3));
+    CHECK(quota.Admit(TimeAt(399), kLarge, Millis(0)).result == QuotaResult::kAdmitted);
+    CHECK(quota.Admit(TimeAt(400), kLarge, Millis(0)).result == QuotaResult::kRefused);
+    CHECK(quota.PermitsExpired() == 1);
+  }
+  SECTION("a reply that comes after the end of its permits grants nothing") {
+    const auto decisions = quota.OnGrants(TimeAt(401), Permits(3));
+    REQUIRE(decisions.size() == 1);
+    CHECK_FALSE(decisions[0].admitted);
+  }
+  SECTION("without permits, the request is refused, and further ones at once") {
+    const auto decisions = quota.OnGrants(TimeAt(5), Permits(0));
+    REQUIRE(decisions.size() == 1);
+    CHECK_FALSE(decisions[0].admitted);
+    CHECK(decisions[0].retry.earliest >= kMinRefusal);
+    CHECK(quota.Admit(TimeAt(6), kLarge, Millis(250)).result == QuotaResult::kRefused);
+    CHECK(quota.Admit(TimeAt(56), kLarge, Millis(250)).result == QuotaResult::kWaiting);
+  }
+  SECTION("a request that came after the ask waits for the next one") {
+    CHECK(quota.Admit(TimeAt(2), kLarge, Millis(250)).result == QuotaResult::kWaiting);
+    CHECK(quota.OnGrants(TimeAt(5), Permits(1)).size() == 1);
+    CHECK(quota.Waiting() == 1);
+    CHECK(quota.NextAsk(TimeAt(15))->demands[0].wanted == 1);
+  }
+  SECTION("without a reply, it is refused when its time is over") {
+    CHECK(quota.OnNoReply(TimeAt(200)).empty());
+    CHECK(quota.NextAsk(TimeAt(250)));
+    CHECK(quota.NextAction(TimeAt(249)) <= TimeAt(250));
+    const auto decisions = quota.Expire(TimeAt(250));
+    REQUIRE(decisions.size() == 1);
+    CHECK_FALSE(decisions[0].admitted);
+    CHECK(quota.Waiting() == 0);
+  }
+  SECTION("a caller that leaves takes no permit") {
+    quota.Withdraw(first.ticket);
+    CHECK(quota.OnGrants(TimeAt(5), Permits(1)).empty());
+    CHECK(quota.Admit(TimeAt(6), kLarge, Millis(0)).result == QuotaResult::kAdmitted);
+  }
+}
+
+TEST_CASE("the base allowance of a router", "[workspace_quota]") {
+  WorkspaceQuota quota({});
+  quota.SetRouters(TimeAt(0), 4);
+  const auto admitted = [&](int64_t at, const Workspace& workspace) {
+    int count = 0;
+    while (quota.Admit(TimeAt(at), workspace, Millis(0)).result == QuotaResult::kAdmitted) ++count;
+    return count;
+  };
+  // What an earlier process of this router has used is not known.
+  CHECK(admitted(0, kLarge) == 0);
+  CHECK(admitted(4'000, kLarge) == 0);
+  CHECK(admitted(8'000, kLarge) == 0);
+  CHECK(admitted(11'000, kLarge) == 4);  // 0.4 x 45.8 / 4
+  CHECK(admitted(11'000, kSmall) == 2);
+  CHECK(admitted(15'900, kLarge) == 0);
+  CHECK(admitted(16'600, kLarge) == 4);
+  SECTION("is smaller with more routers, and larger with fewer only after two windows") {
+    quota.SetRouters(TimeAt(20'000), 12);
+    CHECK(admitted(20'000, kSmall) == 0);
+    CHECK(admitted(22'200, kLarge) == 1);
+    quota.SetRouters(TimeAt(22'200), 4);
+    CHECK(admitted(27'000, kSmall) == 0);
+    CHECK(admitted(27'800, kLarge) == 1);
+    CHECK(admitted(32'000, kSmall) == 0);
+    CHECK(admitted(33'400, kLarge) == 4);
+  }
+  SECTION("begins again after a time without callers") { CHECK(admitted(30'000, kLarge) == 0); }
+}
+
+TEST_CASE("a router that has lost its lease uses its share of the limit", "[workspace_quota]") {
+  WorkspaceQuota quota({});
+  quota.SetRouters(TimeAt(0), 4);
+  quota.Admit(TimeAt(0), kLarge, Millis(250));
+  REQUIRE(quota.NextAsk(TimeAt(0)));
+  quota.OnGrants(TimeAt(5), Permits(1, 0.25));
+  quota.OnLost(TimeAt(2'000));
+  // The leader may not know yet that the router has lost contact.
+  CHECK(quota.Admit(TimeAt(2'900), kLarge, Millis(250)).result == QuotaResult::kRefused);
+  int count = 0;
+  for (int64_t at = 3'000; at < 8'000; at += 5) {
+    const bool admitted =
+        quota.Admit(TimeAt(at), kLarge, Millis(0)).result == QuotaResult::kAdmitted;
+    count += admitted ? 1 : 0;
+  }
+  // 5 s at a quarter of 43 per second and of the filling share of E.
+  CHECK(count >= 53);
+  CHECK(count <= 55);
+  SECTION("for a limited time") {
+    CHECK(quota.Admit(TimeAt(61'900), kLarge, Millis(0)).result == QuotaResult::kAdmitted);
+    CHECK(quota.Admit(TimeAt(62'000), kLarge, Millis(0)).result == QuotaResult::kRefused);
+  }
+  SECTION("until it has the lease again") {
+    quota.OnRegained();
+    CHECK(quota.Admit(TimeAt(9'000), kLarge, Millis(0)).result == QuotaResult::kRefused);
+  }
+}
+
+TEST_CASE("a router asks early and in one message", "[workspace_quota]") {
+  WorkspaceQuota quota({});
+  quota.SetRouters(TimeAt(0), 20);
+  // 40 requests in a second, one each 25 ms, and a reply 5 ms after each ask.
+  int64_t asks = 0;
+  int waited = 0;
+  Time reply_at = Time::max();
+  uint32_t wanted = 0;
+  for (int64_t at = 0; at < 3'000; at += 5) {
+    const Time now = TimeAt(at);
+    if (now >= reply_at) {
+      quota.OnGrants(now, Permits(wanted));
+      reply_at = Time::max();
+    }
+    if (at % 25 == 0 && quota.Admit(now, kLarge, Millis(250)).result == QuotaResult::kWaiting &&
+        at > 1'000) {
+      ++waited;
+    }
+    if (const auto ask = quota.NextAsk(now)) {
+      CHECK(ask->demands.size() <= 1);
+      ++asks;
+      wanted = ask->demands.empty() ? 0 : ask->demands[0].wanted;
+      reply_at = now + Millis(5);
+    }
+  }
+  CHECK(waited == 0);
+  CHECK(asks <= 60);
+  CHECK(quota.PermitsExpired() == 0);
+}
+
+TEST_CASE("requests that wait are bounded", "[workspace_quota]") {
+  WorkspaceQuota quota({});
+  for (size_t i = 0; i < 2 * kMaxQuotaWaitingPerWorkspace; ++i) {
+    quota.Admit(TimeAt(0), kLarge, Millis(250));
+  }
+  CHECK(quota.Waiting() == kMaxQuotaWaitingPerWorkspace);
+  for (int i = 0; i < 1'000; ++i) {
+    quota.Admit(TimeAt(0), {.name = std::to_string(i), .quota = {1, 1}}, Millis(250));
+  }
+  CHECK(quota.Waiting() == kMaxQuotaWaiting);
+  CHECK(quota.Workspaces() == 1'001);
+  quota.Expire(TimeAt(250));
+  CHECK(quota.Waiting() == 0);
+  quota.Expire(TimeAt(100'000));
+  CHECK(quota.Workspaces() == 0);
+}
+
+}  // namespace
+}  // namespace peridotgauge
