Check request quotas at routers and grant permits at the leader

Cause: the classes of the quotas were not connected to the routers, the controllers and callers.

Change: io/quota_gate.h runs the router's part with a timer, metrics and events; io/gateway.cc asks it after the key check and refuses with 429 and Retry-After. io/quota_service.h answers the requests for permits at the leader after a quorum round, at most one round each 5 ms. QuotaRequest has a sequence number (a late request must not lower what counts as unspent) and the share that a router uses without contact; the fields are appended.

Ruled out: refusing at once without a permit (a workspace with 0.2 requests per second would have to hold permits at each of 20 routers, and they would expire); a quorum round for each request.

--- a/core/workspace_quota.h
+++ b/core/workspace_quota.h
@@ -63,7 +63,7 @@
 // Longest time that a request waits for a permit. Covers an election.
 constexpr Duration kMaxQuotaWait = Millis(500);
 // Requests that may wait at one router; each keeps its head and body.
-constexpr size_t kMaxQuotaWaiting = 512;
+constexpr size_t kMaxQuotaWaiting = 256;
 constexpr size_t kMaxQuotaWaitingPerWorkspace = 64;
 // Pace of asks for each offered router: all routers together send at most 500 asks per second
 // while requests wait and 200 otherwise, which is less than a tenth of a small controller.
--- a/io/control_channel.cc
+++ b/io/control_channel.cc
@@ -26,6 +26,7 @@
 ReplyStatus ReplyStatusOf(const wire::BodyUnion& body) {
   if (const auto* reply = body.AsCommandReply()) return {reply->error, reply->leader};
   if (const auto* reply = body.AsReadReply()) return {reply->error, reply->leader};
+  if (const auto* reply = body.AsQuotaReply()) return {reply->error, reply->leader};
   return {static_cast<int>(ErrorCode::kWrongReply), ""};
 }
 
--- a/io/control_client.cc
+++ b/io/control_client.cc
@@ -135,6 +135,35 @@
         });
   }
 
+  void AskForPermits(const QuotaAsk& ask, Time deadline, QuotaCallback callback) {
+    wire::QuotaRequestT request;
+    request.router = this->self.id;
+    request.incarnation = this->self.incarnation;
+    request.sequence = ask.sequence;
+    request.own_share = ask.own_share;
+    for (const QuotaDemand& demand : ask.demands) {
+      auto entry = std::make_unique<wire::QuotaDemandT>();
+      entry->workspace = demand.workspace;
+      entry->wanted = demand.wanted;
+      entry->held = demand.held;
+      request.demands.push_back(std::move(entry));
+    }
+    this->channel->Exchange(
+        ToBody(std::move(request)), deadline, Resend::kNever,
+        [callback = std::move(callback)](const Result<wire::BodyUnion>& reply) {
+          if (!reply) return callback(Fail(ErrorCode::kUnavailable, reply.error().detail));
+          const auto* message = reply->AsQuotaReply();
+          if (message == nullptr || message->error >= 0) {
+            return callback(Fail(ErrorCode::kUnavailable, "no permits were granted"));
+          }
+          QuotaGrants grants{.valid = Millis(message->valid_ms), .own_share = message->own_share};
+          for (const auto& grant : message->grants) {
+            if (grant) grants.permits[grant->workspace] = grant->permits;
+          }
+          callback(std::move(grants));
+        });
+  }
+
   // Reports a local change immediately, or after the next reply if kMaxPendingRequests are in
   // flight.
   void ReportChange() {
@@ -569,5 +598,8 @@
                          ReadCallback callback) {
   this->impl->Read(kind, revision, deadline, std::move(callback));
 }
+void ControlClient::AskForPermits(const QuotaAsk& ask, Time deadline, QuotaCallback callback) {
+  this->impl->AskForPermits(ask, deadline, std::move(callback));
+}
 
 }  // namespace peridotgauge
--- a/io/control_client.h
+++ b/io/control_client.h
@@ -34,6 +34,7 @@
 #include "core/router_offer.h"
 #include "core/settings.h"
 #include "core/types.h"
+#include "core/workspace_quota.h"
 #include "peer_generated.h"
 #include "state/commands.h"
 #include "state/directory_copy.h"
@@ -90,6 +91,7 @@
  public:
   using CommandCallback = std::function<void(Result<wire::CommandReplyT>)>;
   using ReadCallback = std::function<void(Result<std::string>)>;
+  using QuotaCallback = std::function<void(Result<QuotaGrants>)>;
   using ChangeCallback = std::function<void(const ControlChange&)>;
 
   ControlClient(boost::asio::io_context& io, ControlClientOptions options);
@@ -142,6 +144,9 @@
   // kDepartureCallTimeout. `remove`: the target leaves.
   void Heartbeat(const TargetRecord& record, bool remove, CommandCallback callback);
   void Read(wire::ReadKind kind, uint64_t revision, Time deadline, ReadCallback callback);
+  // Asks the leader for permits for requests of workspaces with a quota. It is not sent again once
+  // a controller may have received it. Any failure is reported as kUnavailable.
+  void AskForPermits(const QuotaAsk& ask, Time deadline, QuotaCallback callback);
 
  private:
   class Impl;
--- a/io/control_replies.cc
+++ b/io/control_replies.cc
@@ -36,6 +36,14 @@
   return ToBody(std::move(reply));
 }
 
+wire::BodyUnion MakeQuotaError(const Error& error, const std::string& leader) {
+  wire::QuotaReplyT reply;
+  reply.error = static_cast<int8_t>(error.code);
+  reply.detail = error.detail;
+  reply.leader = leader;
+  return ToBody(std::move(reply));
+}
+
 LogStatus ToLogStatus(const ReplicaStatus& status) {
   return {.id = status.id,
           .role = status.role,
@@ -110,6 +118,8 @@
       return MakeCommandError(error, leader);
     case wire::Body::ReadRequest:
       return MakeReadReply(tl::unexpected(error), leader);
+    case wire::Body::QuotaRequest:
+      return MakeQuotaError(error, leader);
     default:
       return std::nullopt;
   }
--- a/io/control_replies.h
+++ b/io/control_replies.h
@@ -27,6 +27,8 @@
 // Returns the reply to a ReadRequest with the result or the error.
 wire::BodyUnion MakeReadReply(const Result<std::string>& json, const std::string& leader);
 
+wire::BodyUnion MakeQuotaError(const Error& error, const std::string& leader);
+
 // Returns the consensus part of the status report.
 LogStatus ToLogStatus(const ReplicaStatus& status);
 
--- a/io/controller.cc
+++ b/io/controller.cc
@@ -20,6 +20,7 @@
 #include "io/leader_relay.h"
 #include "io/proposals.h"
 #include "io/quorum_round.h"
+#include "io/quota_service.h"
 #include "state/commands.h"
 #include "state/config_feed.h"
 #include "state/control_report.h"
@@ -60,6 +61,9 @@
         timer(io),
         heartbeat_handler(this->options.id, this->options.registration_lease, this->directory),
         rounds(std::make_shared<QuorumRounds>(io, log)),
+        quotas(std::make_shared<QuotaService>(
+            io, QuotaServiceContext{this->options.id, this->options.quota,
+                                    this->options.parse_config, log, state, *this->rounds})),
         proposals(std::make_shared<Proposals>(io, log, state)),
         relay(io, this->options.id, this->options.controllers, this->options.peer_port),
         events(this->options.events) {}
@@ -79,6 +83,7 @@
     this->FailPolls(ErrorCode::kDraining, "the controller is shutting down");
     this->ack_tracker.FailWaiters(DirectoryAck::kStopping);
     this->relay.Stop();
+    this->quotas->Stop();
   }
 
   void Handle(wire::BodyUnion body, const Responder& responder) {
@@ -96,10 +101,14 @@
     if (auto* sync = body.AsSyncRequest()) return this->OnSync(std::move(*sync), responder);
     if (auto* command = body.AsCommandRequest()) return this->OnCommand(*command, responder);
     if (auto* heartbeat = body.AsRegisterRequest()) return this->OnRegister(*heartbeat, responder);
+    if (const auto* quota = body.AsQuotaRequest()) {
+      return this->quotas->Handle(SteadyNow(), *quota, responder.reply);
+    }
     if (const auto* read = body.AsReadRequest()) this->OnRead(*read, responder);
   }
 
   void CheckLeadership() {
+    this->quotas->CheckLeadership(SteadyNow());
     const bool leading = this->log.Leading();
     const uint64_t term = leading ? this->log.Term() : 0;
     if (term == this->leader_term) return;
@@ -211,6 +220,7 @@
       if (record) poll.registrations.push_back(FromWire(*record));
     }
     this->sessions.Renew(now, poll.Id(), poll.state_index);
+    this->quotas->RecordContact(now, poll.router.id);
     if (request.processor_share > 0 && request.load >= 0) {
       this->loads[poll.router.id] = {.sub_requests_per_s = request.load,
                                      .processor_share = request.processor_share};
@@ -469,6 +479,7 @@
   void OnCleanLeave(const RouterId& router) {
     uint64_t& last = this->departed[router.id];
     last = std::max(last, router.incarnation);
+    this->quotas->ForgetRouter(router.id);
     for (const uint64_t id : this->PollsOf(router.id)) {
       if (this->polls.at(id).router.incarnation > router.incarnation) continue;
       this->Finish(id, MakeSyncError(ErrorCode::kDraining, "the router has left", ""));
@@ -688,6 +699,7 @@
   void OnTimer() {
     const Time now = SteadyNow();
     this->CheckLeadership();
+    this->quotas->OnTimer(now);
     if (this->Leading()) {
       if (now >= this->next_expiry_check) this->CheckExpiry(now);
       this->AcknowledgeDepartures(now);
@@ -807,6 +819,7 @@
   bool due_check_scheduled = false;
 
   std::shared_ptr<QuorumRounds> rounds;
+  std::shared_ptr<QuotaService> quotas;
   std::shared_ptr<Proposals> proposals;
   LeaderRelay relay;
   ControlEvents events;
--- a/io/controller.h
+++ b/io/controller.h
@@ -6,15 +6,16 @@
 //   auto log = MakeReplicatedLog(**replica);
 //   Controller controller(io, {.id = "c1", .controllers = settings.controllers}, *log, state);
 //   replica->OnLeadershipChange([&](bool) { controller.CheckLeadership(); });
-//   controller.Handle(std::move(body), request);     // SyncRequest, CommandRequest, ReadRequest
+//   controller.Handle(std::move(body), request);     // SyncRequest, CommandRequest, ReadRequest,
+//                                                    // RegisterRequest, QuotaRequest
 //
 // Contract: everything runs on the thread of the io_context. Every request gets exactly one reply,
 // which carries either the result or an error code in its `error` field. Only the leader serves
 // requests. A follower replies kNotLeader with the leader's id, except that it forwards a
 // SyncRequest with `relay` to the leader. The leader replies to a SyncRequest or ReadRequest only
-// after a quorum round that began after the request arrived; concurrent requests share a round. A
-// router receives a successful reply, and thereby a lease, only while it is in the committed router
-// list.
+// after a quorum round that began after the request arrived, and to a QuotaRequest too; concurrent
+// requests share a round. A router receives a successful reply, and thereby a lease, only while it
+// is in the committed router list.
 #ifndef PERIDOTGAUGE_IO_CONTROLLER_H_
 #define PERIDOTGAUGE_IO_CONTROLLER_H_
 
@@ -53,6 +54,7 @@
   // Accepts any revision above the current one; otherwise only the next revision is accepted.
   bool highest_revision_wins = false;
   Duration registration_lease = kRegistrationLease;  // for targets that register with controllers
+  QuotaTolerance quota;                              // of the request quotas of workspaces
   EventLog* events = nullptr;                        // may be null; must outlive the controller
 };
 
@@ -71,8 +73,8 @@
   Controller(const Controller&) = delete;
   Controller& operator=(const Controller&) = delete;
 
-  // Handles a SyncRequest, CommandRequest, ReadRequest or RegisterRequest. Any other message is
-  // ignored and gets no reply.
+  // Handles a SyncRequest, CommandRequest, ReadRequest, RegisterRequest or QuotaRequest. Any other
+  // message is ignored and gets no reply.
   void Handle(wire::BodyUnion body, const PeerRequest& request);
   void Handle(wire::BodyUnion body, const Responder& responder);
 
--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -175,6 +175,7 @@
             .parse_config = this->SelectConfigParser(),
             .highest_revision_wins = this->external != nullptr,
             .registration_lease = kMaxMissedHeartbeats * this->settings.heartbeat_interval,
+            .quota = this->settings.quota,
             .events = &this->log},
         *this->raft_log, this->state);
     this->replica->OnLeadershipChange([this](bool) { this->controller->CheckLeadership(); });
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -21,6 +21,7 @@
 #include "core/router_offer.h"
 #include "io/clock.h"
 #include "io/crash_guard.h"
+#include "io/quota_gate.h"
 #include "io/random_seed.h"
 #include "io/route_request.h"
 #include "io/target_event.h"
@@ -46,6 +47,8 @@
 // that it is harmless.
 constexpr Duration kTrialDelay = Millis(100);
 constexpr Duration kLeaveTimeout = Seconds(2);
+// A request waits for a permit for at most this part of the time that its caller allows.
+constexpr int kQuotaWaitDivisor = 4;
 // With fewer connections to a target of any service, connections count as scarce and the router
 // avoids one replica of each shard.
 constexpr size_t kScarceConnectionsThreshold = 2;
@@ -81,6 +84,7 @@
         serving_routers(settings.shutdown_grace),
         debt_timer(io),
         crash_guard({io, control, metrics, log}),
+        quota_gate(std::make_shared<QuotaGate>(io, control, settings.quota, metrics, log)),
         context{io,
                 codec,
                 this->pool,
@@ -133,14 +137,79 @@
                             responder);
       }
     }
+    Arrival arrival{.time = now,
+                    .http = std::move(http),
+                    .request_info = std::move(*request_info),
+                    .route = std::shared_ptr<const Route>(this->config, route),
+                    .workspace = std::shared_ptr<const Workspace>(this->config, workspace)};
+    // A router that must not accept any more refuses without using up a permit.
+    const bool past_drain = this->answer_by && now >= *this->answer_by;
+    if (workspace == nullptr || !workspace->quota.Limited() || past_drain) {
+      return this->Accept(std::move(arrival), responder);
+    }
+    this->CheckQuota(std::move(arrival), responder);
+  }
+
+  void AnswerRunning() {
+    const auto open_requests = this->running;
+    this->Log(SteadyNow(), Event("answer_running").Add("requests", open_requests.size()));
+    for (const auto& [id, weak] : open_requests) {
+      if (const auto request = weak.lock()) request->Expire();
+    }
+  }
+
+  void Drain(Time deadline) {
+    this->answer_by = deadline;
+    this->control.Command(LeaveCommand(this->self.id, this->self.incarnation, /*clean=*/false),
+                          SteadyNow() + kLeaveTimeout, [](const Result<wire::CommandReplyT>&) {});
+  }
+
+ private:
+  // --- Requests ---
+
+  // A request with a route whose caller is known.
+  struct Arrival {
+    Time time;
+    HttpRequest http;
+    CallerRequestInfo request_info;
+    std::shared_ptr<const Route> route;          // kept alive with its configuration
+    std::shared_ptr<const Workspace> workspace;  // null if the caller has none
+
+    Duration TimeLeft() const {
+      return std::min(this->request_info.timeout.value_or(this->route->timeout),
+                      this->route->timeout);
+    }
+  };
+
+  // Counts the request against the quota of its workspace, and accepts or refuses it.
+  void CheckQuota(Arrival arrival, const HttpResponder& responder) {
+    Duration max_wait = arrival.TimeLeft() / kQuotaWaitDivisor;
+    if (this->answer_by) max_wait = std::min(max_wait, *this->answer_by - arrival.time);
+    auto shared = std::make_shared<Arrival>(std::move(arrival));
+    this->quota_gate->Admit(
+        shared->time, *shared->workspace, max_wait, responder,
+        [this, shared, responder](std::optional<Duration> retry_after) {
+          if (!retry_after) return this->Accept(std::move(*shared), responder);
+          this->Refuse(SteadyNow(), shared->http, shared->request_info.request_id,
+                       {ErrorCode::kQuotaExceeded,
+                        "workspace " + shared->workspace->name + " has used up its request quota"},
+                       responder, retry_after);
+        });
+  }
+
+  void Accept(Arrival arrival, const HttpResponder& responder) {
+    const Time arrived = arrival.time;
+    HttpRequest& http = arrival.http;
+    CallerRequestInfo* request_info = &arrival.request_info;
+    const Route* route = arrival.route.get();
+    const Workspace* workspace = arrival.workspace.get();
     const Duration caller_wait =
         request_info->timeout
-            ? this->caller_wait_estimators[route->name].Elapsed(now, *request_info->timeout)
+            ? this->caller_wait_estimators[route->name].Elapsed(arrived, *request_info->timeout)
             : Duration(0);
-    const Duration time_left =
-        std::min(request_info->timeout.value_or(route->timeout), route->timeout);
-    Time deadline = now + std::max(time_left - kDeadlineMargin, kShortestDeadline);
+    Time deadline = arrived + std::max(arrival.TimeLeft() - kDeadlineMargin, kShortestDeadline);
     if (this->answer_by) {
+      const Time now = SteadyNow();
       const auto accepted = DrainDeadline(now, *this->answer_by,
                                           {.deadline = deadline,
                                            .idempotent = route->idempotent,
@@ -157,7 +226,7 @@
     RouteRequestParams params{
         .http = std::move(http),
         .request_info = std::move(*request_info),
-        .route = std::shared_ptr<const Route>(this->config, route),
+        .route = arrival.route,
         .workspace = workspace != nullptr ? workspace->name : "",
         .priority =
             workspace != nullptr ? workspace->priority.value_or(route->priority) : route->priority,
@@ -166,7 +235,7 @@
                     : this->plans.ForService(revision, *route, this->split.Next(*route)),
         .directory_version = this->control.Directory().Version(),
         .fingerprint = fingerprint,
-        .arrived = now,
+        .arrived = arrived,
         .caller_wait = caller_wait,
         .deadline = deadline};
     const Suspicion suspicion = this->crash_guard.Check(UnixMillis(), fingerprint);
@@ -174,23 +243,6 @@
     this->HandleSuspect(std::move(params), suspicion, responder);
   }
 
-  void AnswerRunning() {
-    const auto open_requests = this->running;
-    this->Log(SteadyNow(), Event("answer_running").Add("requests", open_requests.size()));
-    for (const auto& [id, weak] : open_requests) {
-      if (const auto request = weak.lock()) request->Expire();
-    }
-  }
-
-  void Drain(Time deadline) {
-    this->answer_by = deadline;
-    this->control.Command(LeaveCommand(this->self.id, this->self.incarnation, /*clean=*/false),
-                          SteadyNow() + kLeaveTimeout, [](const Result<wire::CommandReplyT>&) {});
-  }
-
- private:
-  // --- Requests ---
-
   void Run(RouteRequestParams params, const HttpResponder& responder) {
     this->sub_request_rate.Add(params.arrived, static_cast<double>(params.plan->shards.size()));
     const uint64_t id = ++this->last_running_id;
@@ -316,6 +368,7 @@
     if (change.config) this->OnConfig(now);
     if (change.directory) this->OnDirectory(now);
     this->crash_guard.OnControlChange(now, change);
+    this->quota_gate->OnControlChange(now, change);
     if (change.config || change.routers) this->UpdateShares(now);
     if (change.inherited_debts) this->InheritDebts(now, this->control.InheritedDebts());
     if (change.lease_acquired) {
@@ -467,6 +520,7 @@
   asio::steady_timer debt_timer;
   bool debt_check_pending = false;  // `debt_timer` runs
   CrashGuard crash_guard;
+  std::shared_ptr<QuotaGate> quota_gate;
   RouteContext context;
   std::shared_ptr<const Config> config = std::make_shared<const Config>();
   std::map<std::string, TargetRecord> known_targets;  // the targets that the planner has
--- a/testing/quota_fleet_test.cc
+++ b/testing/quota_fleet_test.cc
@@ -172,7 +172,7 @@
       const size_t router = *rc::gen::inRange<size_t>(0, fleet.Routers());
       const size_t which = *rc::gen::inRange<size_t>(0, workspaces.size());
       const Workspace& workspace = workspaces[which];
-      const int event = *rc::gen::inRange(0, 10);
+      const int event = *rc::gen::inRange(0, 12);
       RC_LOG() << "at " << ToMillis(fleet.Now() - since) << " ms: event " << event << " router "
                << router << " " << workspace.name << "\n";
       switch (event) {
@@ -197,6 +197,12 @@
         case 6:
           fleet.Burst(workspace.name, 400, router);
           break;
+        case 10:
+          // After a pause or under load: permits that are held everywhere are spent at once.
+          if (*rc::gen::arbitrary<bool>()) fleet.Load(workspace.name, 0, {});
+          fleet.Run(*rc::gen::element<Duration>(Millis(0), Millis(450), Seconds(2)));
+          for (size_t i = 0; i < fleet.Routers(); ++i) fleet.Burst(workspace.name, 60, i);
+          break;
         case 7:
           fleet.Load(workspace.name, 0, {});
           break;
