--- a/core/workspace_quota.cc
+++ b/core/workspace_quota.cc
@@ -55,7 +55,8 @@
   const bool known = this->sequence > 0 && now - this->own_share_at < kOpenTime;
   if (this->lost_at || !known || this->near_limit.contains(workspace)) return false;
   const double share = kOpenShare * QuotaExcess(state.quota, this->tolerance) / this->Routers(now);
-  if (state.unreported >= 1 + std::floor(share)) return false;
+  const double allowed = 1 + std::floor(share) + std::floor(kOpenSeconds * state.quota.rate_per_s);
+  if (state.unreported >= allowed) return false;
   ++state.unreported;
   return true;
 }
--- a/core/workspace_quota.h
+++ b/core/workspace_quota.h
@@ -82,9 +82,11 @@
 constexpr Duration kAskPace = Millis(5);
 constexpr Duration kMinAskInterval = Millis(50);
 constexpr Duration kMaxAskInterval = Millis(250);
-// Open requests of a workspace at one router between two reports: one, and an equal part of this
-// share of the excess.
+// Open requests of a workspace at one router between two reports: one, an equal part of this share
+// of the excess, and those of this time at the rate of the limit, for workspaces with all their
+// callers at one router.
 constexpr double kOpenShare = 0.5;
+constexpr double kOpenSeconds = 0.05;
 // What the leader has said of the workspaces near their limit counts for this time after the ask.
 constexpr Duration kOpenTime = Millis(2'500);
 // Pause after an ask without a reply.
@@ -114,14 +116,14 @@
   uint32_t wanted = 0;
   uint32_t held = 0;   // permits that the router has left
   uint32_t spent = 0;  // open requests since the last report
-  auto operator<=>(const QuotaDemand&) const = default;
+  bool operator==(const QuotaDemand&) const = default;
 };
 
 struct QuotaAsk {
   uint64_t sequence = 0;
   std::vector<QuotaDemand> demands;  // may be empty
   double own_share = 0;              // that the router would use without a lease
-  auto operator<=>(const QuotaAsk&) const = default;
+  bool operator==(const QuotaAsk&) const = default;
 };
 
 // Reply to a QuotaAsk: new permits by workspace. For each workspace in it, the permits that the ask
@@ -134,7 +136,7 @@
   double own_share = 0;
   // All workspaces that are near their limit.
   std::set<std::string, std::less<>> near_limit;
-  auto operator<=>(const QuotaGrants&) const = default;
+  bool operator==(const QuotaGrants&) const = default;
 };
 
 enum class QuotaResult : uint8_t { kAdmitted, kRefused, kWaiting };
@@ -143,14 +145,14 @@
 struct QuotaRetry {
   Duration earliest{0};
   Duration spread{0};
-  auto operator<=>(const QuotaRetry&) const = default;
+  bool operator==(const QuotaRetry&) const = default;
 };
 
 struct QuotaVerdict {
   QuotaResult result = QuotaResult::kRefused;
   uint64_t ticket = 0;  // if the request waits
   QuotaRetry retry;     // if it is refused
-  auto operator<=>(const QuotaVerdict&) const = default;
+  bool operator==(const QuotaVerdict&) const = default;
 };
 
 // The decision about a request that has waited.
@@ -158,7 +160,7 @@
   uint64_t ticket = 0;
   bool admitted = false;
   QuotaRetry retry;  // if it is refused
-  auto operator<=>(const QuotaDecision&) const = default;
+  bool operator==(const QuotaDecision&) const = default;
 };
 
 class WorkspaceQuota {
--- a/testing/workspace_quota_test.cc
+++ b/testing/workspace_quota_test.cc
@@ -10,8 +10,47 @@
 const Workspace kLarge = {.name = "a", .quota = {43, 43}};  // E is 45.8
 const Workspace kSmall = {.name = "s", .quota = {0.5, 0.5}};
 
+// The reply of a leader that says that both workspaces are near their limit.
 QuotaGrants Permits(uint32_t count, double own_share = 0) {
-  return {.permits = {{"a", count}}, .valid = kPermitLifetime, .own_share = own_share};
+  return {.permits = {{"a", count}},
+          .valid = kPermitLifetime,
+          .own_share = own_share,
+          .near_limit = {"a", "s"}};
+}
+
+// Guards against a wait for the leader of workspaces that are far from their limit, and against
+// requests that are admitted without being reported.
+TEST_CASE("requests of a workspace that is not near its limit", "[workspace_quota]") {
+  WorkspaceQuota quota({});
+  quota.SetRouters(TimeAt(0), 64);
+  CHECK(quota.Admit(TimeAt(0), kSmall, Millis(250)).result == QuotaResult::kWaiting);
+  REQUIRE(quota.NextAsk(TimeAt(0)));
+  quota.OnGrants(TimeAt(5), {.permits = {{"s", 1}}, .valid = kPermitLifetime, .near_limit = {"a"}});
+  CHECK(quota.Admit(TimeAt(10), kSmall, Millis(250)).result == QuotaResult::kAdmitted);
+  CHECK(quota.Admit(TimeAt(11), kLarge, Millis(0)).result == QuotaResult::kRefused);
+  SECTION("are admitted again once they were reported") {
+    CHECK(quota.Admit(TimeAt(12), kSmall, Millis(0)).result == QuotaResult::kRefused);
+    const auto ask = quota.NextAsk(TimeAt(300));
+    REQUIRE(ask);
+    REQUIRE(ask->demands.size() == 1);
+    CHECK(ask->demands[0].spent == 1);
+    SECTION("by a reply") {
+      quota.OnGrants(TimeAt(305), {.valid = kPermitLifetime});
+      CHECK(quota.Admit(TimeAt(306), kSmall, Millis(0)).result == QuotaResult::kAdmitted);
+    }
+    SECTION("and reported again without one") {
+      quota.OnNoReply(TimeAt(400));
+      const auto again = quota.NextAsk(TimeAt(700));
+      REQUIRE(again);
+      CHECK(again->demands[0].spent == 1);
+    }
+  }
+  SECTION("wait once the leader has said nothing for too long, or the lease is lost") {
+    const bool lost = GENERATE(false, true);
+    if (lost) quota.OnLost(TimeAt(20));
+    const Time later = lost ? TimeAt(30) : TimeAt(20) + kOpenTime;
+    CHECK(quota.Admit(later, kSmall, Millis(0)).result == QuotaResult::kRefused);
+  }
 }
 
 TEST_CASE("a router without contact to the leader yet", "[workspace_quota]") {
