Evacuate data centres

Cause: operators need a call after which no request reaches the targets of a data centre, and which no fault of the controllers undoes.

Every reply to a router carries the log index of the list, and the list if the router has an older one; a change is sent at once. A router keeps the newest list without contact. TargetSignals leaves the data centres out of every choice, for first attempts, retries and hedges, and requests that wait for a connection there are placed anew. POST and DELETE /evacuations/NAME set the list.

Ruled out: a reply that waits until all routers have the list. The command is committed, every later leader has it before it replies to a router, and routers in contact poll at least every 0.8 s, so that waiting would only delay the reply while a router is out of contact. Sending the list only to polls that are due: an earlier version of a router never confirms the index, so the same list is sent to it again only after the push interval.

--- a/core/target_signals.cc
+++ b/core/target_signals.cc
@@ -43,7 +43,13 @@
                 [&](const auto& item) { return now >= item.second.given + kForgetSignalAfter; });
 }
 
+bool TargetSignals::IsEvacuated(const TargetRecord& target) const {
+  return std::find(this->evacuated.begin(), this->evacuated.end(), target.data_centre) !=
+         this->evacuated.end();
+}
+
 bool TargetSignals::Accepts(Time now, const TargetRecord& target) const {
+  if (this->IsEvacuated(target)) return false;
   const Signal* signal = this->Find(target);
   return signal == nullptr ||
          (!signal->leaving && !signal->departed && now >= signal->paused_until);
@@ -52,6 +58,7 @@
 std::optional<Time> TargetSignals::AcceptsAgain(Time now, Candidates targets) const {
   std::optional<Time> first;
   for (const TargetRecord* target : targets) {
+    if (this->IsEvacuated(*target)) continue;
     const Signal* signal = this->Find(*target);
     if (signal != nullptr && (signal->leaving || signal->departed)) continue;
     if (signal == nullptr || now >= signal->paused_until) return std::nullopt;
--- a/core/target_signals.h
+++ b/core/target_signals.h
@@ -1,17 +1,19 @@
-// What targets have asked of this router, in their answers or through the directory: no requests
-// for some time, or none any more because they leave.
+// Which targets get no requests: those that have asked for none in their answers or through the
+// directory, for some time or because they leave, and those in evacuated data centres.
 //
 // Use:
 //   signals.OnPause(now, record, Seconds(2));   // the target has refused a request for so long
 //   signals.OnLeaving(now, record);             // it has said so in an answer
 //   signals.OnDirectory(now, record);           // on every change of its record
+//   signals.SetEvacuated({"dc-b"});             // the operators evacuate a data centre
 //   if (signals.Accepts(now, record)) ...
 //   SignalChooser chooser(replica_choice, signals);   // chooses among targets that accept requests
 //
 // Contract: a signal belongs to the incarnation of a target that gave it; a new incarnation is not
 // bound by it. What a target says in an answer outlives changes of the directory, so that no late
 // registration brings back a target that leaves. What the directory says counts for requests whose
-// plan is older. A pause is at most kMaxPause. Signals are forgotten after kForgetSignalAfter.
+// plan is older. Evacuated data centres are kept until the list is set again. A pause is at most
+// kMaxPause. Signals are forgotten after kForgetSignalAfter.
 #ifndef PERIDOTGAUGE_CORE_TARGET_SIGNALS_H_
 #define PERIDOTGAUGE_CORE_TARGET_SIGNALS_H_
 
@@ -19,6 +21,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/records.h"
@@ -36,11 +39,15 @@
   void OnPause(Time now, const TargetRecord& target, Duration pause);
   void OnLeaving(Time now, const TargetRecord& target);
   void OnDirectory(Time now, const TargetRecord& target);
+  // Sets the data centres whose targets get no requests.
+  void SetEvacuated(std::vector<std::string> data_centres) {
+    this->evacuated = std::move(data_centres);
+  }
   // Forgets old signals.
   void Expire(Time now);
 
-  // Returns true if no target has asked for anything.
-  bool Empty() const { return this->signals.empty(); }
+  // Returns true if all targets accept requests.
+  bool Empty() const { return this->signals.empty() && this->evacuated.empty(); }
   bool Accepts(Time now, const TargetRecord& target) const;
   // Returns when the first of the targets accepts requests again, or nothing if one does or none
   // will.
@@ -59,8 +66,10 @@
   Signal* SignalOf(Time now, const TargetRecord& target);
   // Returns null if this incarnation has given no signal.
   const Signal* Find(const TargetRecord& target) const;
+  bool IsEvacuated(const TargetRecord& target) const;
 
   std::unordered_map<std::string, Signal> signals;  // by target
+  std::vector<std::string> evacuated;               // data centres
 };
 
 // Leaves out the targets that do not accept requests.
--- a/io/control_client.cc
+++ b/io/control_client.cc
@@ -162,6 +162,8 @@
   std::optional<ExtraDebts> inherited_debts;
   std::vector<QuarantineRecord> quarantine;
   uint64_t quarantine_index = 0;  // of a compact client
+  std::vector<std::string> evacuated;
+  uint64_t evacuations_index = 0;  // log index of `evacuated`
   DirectoryCopy directory;
   uint64_t view_index = 0;
 
@@ -215,6 +217,7 @@
     sync.router_deltas = true;
     sync.compact = this->compact;
     sync.quarantine_index = this->quarantine_index;
+    sync.evacuations_index = this->evacuations_index;
     if (this->report) {
       const RouterReport report = this->report(request.sent);
       sync.load = static_cast<float>(report.load.sub_requests_per_s);
@@ -338,8 +341,14 @@
       return false;
     }
     ControlChange change;
+    this->ApplyEvacuations(reply, change);
     if (reply.state_index > this->state_index || reply.state_changed) {
-      if (!this->ApplyState(reply, change)) return false;
+      if (!this->ApplyState(reply, change)) {
+        // The list holds even if the rest of the reply cannot be used.
+        const ChangeCallback callback = change.evacuations ? this->on_change : nullptr;
+        if (callback) callback({.evacuations = true});
+        return false;
+      }
     }
     this->ApplyRouterCounts(reply, change);
     if (this->compact && reply.quarantine_index > this->quarantine_index) {
@@ -365,7 +374,8 @@
     change.lease_acquired = !was_valid && this->lease.Valid(now);
     if (change.lease_acquired) this->WatchLease();
     const bool has_changes = change.config || change.routers || change.quarantine ||
-                             change.directory || change.inherited_debts || change.lease_acquired;
+                             change.evacuations || change.directory || change.inherited_debts ||
+                             change.lease_acquired;
     // Copied, because the callback may stop this client and reset `on_change`.
     const ChangeCallback callback = has_changes ? this->on_change : nullptr;
     if (callback) callback(change);
@@ -477,6 +487,14 @@
     this->quarantine = std::move(records);
   }
 
+  // A leader of an earlier version sends no index, which leaves the list as it is.
+  void ApplyEvacuations(const wire::SyncReplyT& reply, ControlChange& change) {
+    if (reply.evacuations_index <= this->evacuations_index) return;
+    this->evacuations_index = reply.evacuations_index;
+    change.evacuations = reply.evacuated != this->evacuated;
+    this->evacuated = reply.evacuated;
+  }
+
   // The counts come with every reply to a compact request, also without a change of the state.
   void ApplyRouterCounts(const wire::SyncReplyT& reply, ControlChange& change) {
     if (reply.active_routers == 0) return;
@@ -550,6 +568,7 @@
 const std::vector<QuarantineRecord>& ControlClient::QuarantineList() const {
   return this->impl->quarantine;
 }
+const std::vector<std::string>& ControlClient::Evacuated() const { return this->impl->evacuated; }
 const DirectoryCopy& ControlClient::Directory() const { return this->impl->directory; }
 std::string ControlClient::Leader() const { return this->impl->channel->Leader(); }
 
--- a/io/control_client.h
+++ b/io/control_client.h
@@ -80,6 +80,7 @@
   bool config = false;
   bool routers = false;
   bool quarantine = false;
+  bool evacuations = false;
   bool directory = false;
   bool inherited_debts = false;  // reported once, with the first reply
   bool lease_acquired = false;   // the lease is valid and was not before
@@ -116,6 +117,9 @@
   size_t ActiveRouters() const;
   uint64_t ViewIndex() const;
   const std::vector<QuarantineRecord>& QuarantineList() const;
+  // Returns the newest known list of data centres whose targets get no requests, ordered by name.
+  // It stays in force without contact with the controllers.
+  const std::vector<std::string>& Evacuated() const;
   const DirectoryCopy& Directory() const;
   // Returns the id of the leader; empty if unknown.
   std::string Leader() const;
--- a/io/control_events.cc
+++ b/io/control_events.cc
@@ -74,6 +74,16 @@
                   .Add("waited_ms", waited));
 }
 
+void ControlEvents::EvacuationDecided(const wire::SetEvacuationT& command,
+                                      const wire::CommandReplyT& reply) {
+  const auto code = static_cast<ErrorCode>(reply.error);
+  this->Write(Event("evacuation_decided")
+                  .Add("data_centre", command.data_centre)
+                  .Add("evacuated", command.evacuated)
+                  .Add("index", reply.index)
+                  .Add("error", reply.error < 0 ? "" : Error{code, reply.detail}.ToString()));
+}
+
 void ControlEvents::ConfigRefused(const Error& error) {
   this->Write(Event("config_refused").Add("error", error.ToString()));
 }
--- a/io/control_events.h
+++ b/io/control_events.h
@@ -1,5 +1,6 @@
-// Writes the event log of the controllers: one line for each change of leadership, routers, targets
-// and configurations. The event and field names are listed in docs/OPERATIONS.md.
+// Writes the event log of the controllers: one line for each change of leadership, routers,
+// targets, evacuations and configurations. The event and field names are listed in
+// docs/OPERATIONS.md.
 //
 // Use:
 //   ControlEvents events(options.events);
@@ -43,6 +44,8 @@
   // `departure` is what later leaders know of it.
   void DepartureAcknowledged(const std::string& target, const std::optional<Departure>& departure,
                              Duration waited);
+  // Writes the outcome of a command that evacuates a data centre or ends that.
+  void EvacuationDecided(const wire::SetEvacuationT& command, const wire::CommandReplyT& reply);
   void ConfigRefused(const Error& error);
   // Writes the outcome of a proposed configuration.
   void ConfigDecided(uint64_t revision, const wire::CommandReplyT& reply);
--- a/io/control_replies.cc
+++ b/io/control_replies.cc
@@ -85,6 +85,12 @@
   }
 }
 
+void AddEvacuations(const ControlState& state, uint64_t known_index, wire::SyncReplyT& reply) {
+  reply.evacuations_index = state.EvacuationsIndex();
+  if (known_index >= reply.evacuations_index) return;
+  reply.evacuated.assign(state.Evacuated().begin(), state.Evacuated().end());
+}
+
 void AddConfigPackage(const ConfigPackage& package, wire::SyncReplyT& reply) {
   reply.config_package.assign(package.packed.begin(), package.packed.end());
   reply.config_base = package.base_revision;
--- a/io/control_replies.h
+++ b/io/control_replies.h
@@ -41,6 +41,9 @@
                                       uint64_t config_revision);
 // Fills the list of requests that crash targets.
 void AddQuarantine(const ControlState& state, wire::SyncReplyT& reply);
+// Fills the index of the list of evacuated data centres, and the list if it changed after
+// `known_index`.
+void AddEvacuations(const ControlState& state, uint64_t known_index, wire::SyncReplyT& reply);
 // Fills the configuration fields of the reply to a compact request.
 void AddConfigPackage(const ConfigPackage& package, wire::SyncReplyT& reply);
 // Fills the directory fields of the reply.
--- a/io/controller.cc
+++ b/io/controller.cc
@@ -116,6 +116,7 @@
     this->sessions.Tick(now, this->state.Routers());
     this->last_directory_push.clear();
     this->last_quarantine_push.clear();
+    this->last_evacuations_push.clear();
     this->ack_tracker.Reset();
     this->departures_since.clear();
     this->config_pacer.Reset();
@@ -137,6 +138,7 @@
     uint64_t config_revision = 0;
     uint64_t config_digest = 0;
     uint64_t quarantine_index = 0;
+    uint64_t evacuations_index = 0;
     uint64_t directory_epoch = 0;
     uint64_t directory_version = 0;
     std::vector<TargetRecord> registrations;
@@ -192,6 +194,7 @@
               .config_revision = request.config_revision,
               .config_digest = request.config_digest,
               .quarantine_index = request.quarantine_index,
+              .evacuations_index = request.evacuations_index,
               .directory_epoch = request.directory_epoch,
               .directory_version = request.directory_version,
               .full_registrations = request.full_registrations,
@@ -342,6 +345,17 @@
            now - last_push->second >= PushInterval(this->RouterCount());
   }
 
+  // Returns true if the router lacks a change of the list of evacuated data centres. A change is
+  // sent at once. The same list is sent again only after an interval, because routers of an earlier
+  // version never acknowledge it.
+  bool HasEvacuationsUpdate(Time now, const Poll& poll) const {
+    if (poll.evacuations_index >= this->state.EvacuationsIndex()) return false;
+    const auto last_push = this->last_evacuations_push.find(poll.router.id);
+    return last_push == this->last_evacuations_push.end() ||
+           last_push->second.index != this->state.EvacuationsIndex() ||
+           now - last_push->second.sent >= PushInterval(this->RouterCount());
+  }
+
   // Publishes the current configuration to compact polls if the last round began long enough ago.
   void PublishConfig(Time now) {
     if (this->config_feed.ConfigIndex() != this->state.ConfigIndex() &&
@@ -358,6 +372,7 @@
     return poll.confirmed &&
            (poll.superseded || now >= poll.hold_until || this->HasStateUpdate(poll) ||
             this->HasDirectoryUpdate(now, poll) || this->HasQuarantineUpdate(now, poll) ||
+            this->HasEvacuationsUpdate(now, poll) ||
             !this->directory.HasFullListFrom(poll.router.id));
   }
 
@@ -386,6 +401,10 @@
       if (inherited) reply.inherited_debts = ToWire(*inherited);
     }
     reply.resend_registrations = !this->directory.HasFullListFrom(poll.router.id);
+    if (poll.evacuations_index < this->state.EvacuationsIndex()) {
+      this->last_evacuations_push[poll.router.id] = {this->state.EvacuationsIndex(), now};
+    }
+    AddEvacuations(this->state, poll.evacuations_index, reply);
     const size_t config_bytes = reply.config_text.size() + reply.config_package.size();
     if (config_bytes <= kLargeConfigBytes) this->AddDirectory(now, poll, reply);
     return reply;
@@ -444,6 +463,9 @@
     if (const auto* change = request.body.AsChangeMembers()) {
       return this->ChangeMembers(*change, responder);
     }
+    if (const auto* evacuation = request.body.AsSetEvacuation()) {
+      return this->OnEvacuation(*evacuation, responder);
+    }
     if (const auto* leave = request.body.AsLeave()) {
       if (leave->clean) this->OnCleanLeave({leave->id, leave->incarnation});
     }
@@ -464,6 +486,17 @@
     });
   }
 
+  // Replies as soon as the command is committed. Routers in contact get the list with their next
+  // reply, from any leader, so that they need not be waited for.
+  void OnEvacuation(const wire::SetEvacuationT& command, const Responder& responder) {
+    this->proposals->Propose(ToCommand(command), [weak = this->weak_from_this(), command,
+                                                  responder](const wire::BodyUnion& answer) {
+      const auto self = weak.lock();
+      if (self) self->events.EvacuationDecided(command, *answer.AsCommandReply());
+      responder.reply(answer);
+    });
+  }
+
   // Records the departure, so that requests of the router that are still in flight do not make it
   // join again.
   void OnCleanLeave(const RouterId& router) {
@@ -791,6 +824,11 @@
   DirectoryAckTracker ack_tracker;
   std::map<std::string, Time> last_directory_push;   // by router id
   std::map<std::string, Time> last_quarantine_push;  // by router id
+  struct EvacuationsPush {
+    uint64_t index = 0;  // of the list that was sent
+    Time sent;
+  };
+  std::map<std::string, EvacuationsPush> last_evacuations_push;  // by router id
   // By target: when its departure was first reported. Cleared when it registers again.
   std::map<std::string, Time> departures_since;
   std::map<std::string, RouterLoad> loads;  // by id of the router
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -313,6 +313,7 @@
                          .Add("revision", this->config->Revision())
                          .Add("directory", this->control.Directory().Version()));
     }
+    if (change.evacuations) this->OnEvacuations(now);
     if (change.config) this->OnConfig(now);
     if (change.directory) this->OnDirectory(now);
     this->crash_guard.OnControlChange(now, change);
@@ -417,6 +418,18 @@
     this->extra_limit.SetServices(now, services);
   }
 
+  // Requests that wait for a connection to a target in an evacuated data centre are placed anew.
+  void OnEvacuations(Time now) {
+    const std::vector<std::string>& evacuated = this->control.Evacuated();
+    this->signals.SetEvacuated(evacuated);
+    this->pool.FailWaitingIn(evacuated, "the data centre is evacuated");
+    this->context.metrics.GaugeOf("peridotgauge_evacuated_data_centres")
+        .Set(static_cast<double>(evacuated.size()));
+    std::string names;
+    for (const std::string& name : evacuated) names += (names.empty() ? "" : ",") + name;
+    this->Log(now, Event("evacuations").Add("data_centres", names));
+  }
+
   void OnDirectory(Time now) {
     this->signals.Expire(now);
     UpdateKnownTargets(
--- a/io/target_pool.cc
+++ b/io/target_pool.cc
@@ -28,6 +28,7 @@
     entry = {.incarnation = record.incarnation,
              .address = record.address,
              .service = record.service,
+             .data_centre = record.data_centre,
              .client = std::make_unique<HttpClient>(
                  this->io, record.address, this->OptionsOf(record.service),
                  [this, target = record.target](const HttpHeader& echo, std::string_view value) {
@@ -53,6 +54,15 @@
   if (found->second.client->Status().waiting > 0) found->second.client->FailWaiting(reason);
 }
 
+void TargetPool::FailWaitingIn(const std::vector<std::string>& data_centres,
+                               const std::string& reason) {
+  for (auto& [target, entry] : this->entries) {
+    const bool affected = std::find(data_centres.begin(), data_centres.end(), entry.data_centre) !=
+                          data_centres.end();
+    if (affected && entry.client->Status().waiting > 0) entry.client->FailWaiting(reason);
+  }
+}
+
 void TargetPool::RemoveIdleExcept(const std::map<std::string, TargetRecord>& targets) {
   std::erase_if(this->entries, [&](const auto& item) {
     return !targets.contains(item.first) && item.second.client->Status().running == 0;
--- a/io/target_pool.h
+++ b/io/target_pool.h
@@ -20,6 +20,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "core/records.h"
 #include "io/http_client.h"
@@ -46,6 +47,9 @@
   void Cancel(const TargetRecord& record, uint64_t call);
   // Fails the requests that wait for a connection to the target, so that they are placed anew.
   void FailWaiting(const TargetRecord& record, const std::string& reason);
+  // Fails the requests that wait for a connection to a target in one of the data centres, including
+  // those to earlier incarnations of targets.
+  void FailWaitingIn(const std::vector<std::string>& data_centres, const std::string& reason);
   // Destroys the clients of targets that are not in `targets` and have no running calls.
   void RemoveIdleExcept(const std::map<std::string, TargetRecord>& targets);
 
@@ -54,6 +58,7 @@
     uint64_t incarnation = 0;
     Address address;
     std::string service;
+    std::string data_centre;
     std::unique_ptr<HttpClient> client;
   };
   HttpClientOptions OptionsOf(const std::string& service) const;
--- a/state/commands.h
+++ b/state/commands.h
@@ -32,6 +32,16 @@
   return ToCommand(std::move(leave));
 }
 
+// Maximum length of the name of an evacuated data centre.
+constexpr size_t kMaxDataCentreBytes = 255;
+
+// Returns kBadRequest if no data centre with this name can be evacuated.
+inline Result<void> CheckDataCentreName(const std::string& name) {
+  if (!name.empty() && name.size() <= kMaxDataCentreBytes) return {};
+  return Fail(ErrorCode::kBadRequest, "name of the data centre: must have 1 to " +
+                                          std::to_string(kMaxDataCentreBytes) + " bytes");
+}
+
 // Validates the configuration text of the command and sets its revision, digest and acceptance rule
 // (`highest_revision_wins`, see ControllerOptions). Errors are those of `read`.
 inline Result<void> PrepareConfig(ConfigParser read, bool highest_revision_wins,
--- a/state/control_snapshot.cc
+++ b/state/control_snapshot.cc
@@ -139,6 +139,10 @@
   for (const auto& [fingerprint, suspect] : this->crashes.All()) {
     packed_suspects.push_back(Pack(builder, fingerprint, suspect));
   }
+  std::vector<flatbuffers::Offset<flatbuffers::String>> packed_evacuated;
+  for (const std::string& data_centre : this->evacuated) {
+    packed_evacuated.push_back(builder.CreateString(data_centre));
+  }
   const auto packed_highest_config =
       this->highest_config ? Pack(builder, *this->highest_config) : 0;
   builder.Finish(fbs::CreateControlState(
@@ -147,7 +151,8 @@
       builder.CreateVector(packed_records), builder.CreateVector(packed_routers),
       builder.CreateVectorOfStructs(packed_quarantine), packed_highest_config,
       this->highest_config_digest, this->offered_routers, builder.CreateVector(packed_departures),
-      builder.CreateVector(packed_suspects), this->quarantine_index));
+      builder.CreateVector(packed_suspects), this->quarantine_index,
+      builder.CreateVector(packed_evacuated), this->evacuations_index));
   return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
 }
 
@@ -191,6 +196,10 @@
     restored.crashes.Restore(packed.fingerprint(), Unpack(packed));
   });
   restored.quarantine_index = table->quarantine_index();
+  ForEach(table->evacuated(), [&](const flatbuffers::String& data_centre) {
+    restored.evacuated.insert(data_centre.str());
+  });
+  restored.evacuations_index = table->evacuations_index();
   ForEach(table->departures(), [&](const fbs::Departure& departure) {
     restored.departures.Restore({.target = Text(departure.target()),
                                  .incarnation = departure.incarnation(),
--- a/state/control_state.cc
+++ b/state/control_state.cc
@@ -6,6 +6,7 @@
 
 #include "core/config.h"
 #include "core/digest_text.h"
+#include "state/commands.h"
 
 namespace peridotgauge {
 namespace {
@@ -99,6 +100,7 @@
   if (const auto* crashed = body.AsRecordCrashes()) return this->ApplyCrashes(context, *crashed);
   if (const auto* begin = body.AsBeginTrial()) return this->ApplyBeginTrial(context, *begin);
   if (const auto* end = body.AsEndTrial()) return this->ApplyEndTrial(context, *end);
+  if (const auto* set = body.AsSetEvacuation()) return this->ApplyEvacuation(context, *set);
   // Membership changes of the controllers are handled by the replicated log itself.
   return Reject(ErrorCode::kBadRequest, "command: not handled by the control state");
 }
@@ -367,6 +369,25 @@
   return records;
 }
 
+// --- Evacuation ---
+
+Reply ControlState::ApplyEvacuation(const CommandContext& context,
+                                    const wire::SetEvacuationT& command) {
+  const std::string& name = command.data_centre;
+  if (const auto checked = CheckDataCentreName(name); !checked) return Reject(checked.error());
+  if (command.evacuated == this->evacuated.contains(name)) return {};
+  if (!command.evacuated) {
+    this->evacuated.erase(name);
+  } else if (this->evacuated.size() >= kMaxEvacuated) {
+    return Reject(ErrorCode::kOverloaded, "the list of evacuated data centres is full");
+  } else {
+    this->evacuated.insert(name);
+  }
+  this->evacuations_index = context.index;
+  this->version = context.index;
+  return {};
+}
+
 Reply ControlState::ApplyOffer(const wire::OfferRoutersT& command) {
   this->offered_routers = command.count;
   return {};
@@ -395,7 +416,8 @@
          this->highest_config_digest == other.highest_config_digest &&
          this->ledger == other.ledger && this->routers == other.routers &&
          this->quarantine == other.quarantine && this->crashes == other.crashes &&
-         this->quarantine_index == other.quarantine_index &&
+         this->quarantine_index == other.quarantine_index && this->evacuated == other.evacuated &&
+         this->evacuations_index == other.evacuations_index &&
          this->offered_routers == other.offered_routers && this->departures == other.departures;
 }
 
--- a/state/control_state.h
+++ b/state/control_state.h
@@ -1,5 +1,5 @@
 // The replicated state of the controllers: configuration history, ledger, router list, quarantine,
-// departures of targets.
+// departures of targets, evacuated data centres.
 //
 // Use:
 //   ControlState state;
@@ -10,7 +10,7 @@
 // Contract: Apply() depends only on the command and earlier state. Its only clock is
 // Command.now_ms, which is replaced by the previous command's time if it is earlier than that.
 // Version() is the log index of the last change that is sent to routers (configuration, router
-// list, quarantine); ledger commands and departures do not change it.
+// list, quarantine, evacuated data centres); ledger commands and departures do not change it.
 #ifndef PERIDOTGAUGE_STATE_CONTROL_STATE_H_
 #define PERIDOTGAUGE_STATE_CONTROL_STATE_H_
 
@@ -19,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,7 @@
 constexpr size_t kMaxRouters = 1'024;
 constexpr size_t kMaxQuarantined = 1'000;
 constexpr int64_t kMaxQuarantineMs = 3'600'000;
+constexpr size_t kMaxEvacuated = 64;
 // Details (text, author, time) are stored for this many recent revisions and up to this total size;
 // digests are stored for all revisions.
 constexpr size_t kMaxRevisionDetails = 1'000;
@@ -111,6 +113,10 @@
   uint64_t QuarantineIndex() const { return this->quarantine_index; }
   // Returns the fingerprints that routers have quarantined and the Unix times at which that ends.
   const std::map<uint64_t, int64_t>& Quarantined() const { return this->quarantine; }
+  // Returns the data centres whose targets get no requests.
+  const std::set<std::string>& Evacuated() const { return this->evacuated; }
+  // Returns the log index of the last change of Evacuated(), or 0.
+  uint64_t EvacuationsIndex() const { return this->evacuations_index; }
   const Ledger& RequestLedger() const { return this->ledger; }
   // Returns the targets that have said that they leave.
   const DepartureTable& Departures() const { return this->departures; }
@@ -140,6 +146,8 @@
                                       const wire::BeginTrialT& command);
   wire::CommandReplyT ApplyEndTrial(const CommandContext& context, const wire::EndTrialT& command);
   void RecordQuarantineChange(const CommandContext& context, bool changed);
+  wire::CommandReplyT ApplyEvacuation(const CommandContext& context,
+                                      const wire::SetEvacuationT& command);
   wire::CommandReplyT ApplyOffer(const wire::OfferRoutersT& command);
   wire::CommandReplyT ApplyRecordDepartures(const CommandContext& context,
                                             const wire::RecordDeparturesT& command);
@@ -167,6 +175,8 @@
   std::map<uint64_t, int64_t> quarantine;  // requests that routers have blocked themselves
   CrashTable crashes;
   uint64_t quarantine_index = 0;
+  std::set<std::string> evacuated;
+  uint64_t evacuations_index = 0;
   uint32_t offered_routers = 0;  // not covered by `version`: no router waits for it
   DepartureTable departures;
   uint64_t departures_index = 0;   // not part of the state
--- a/testing/control_state_test.cc
+++ b/testing/control_state_test.cc
@@ -5,10 +5,12 @@
 
 #include <catch2/catch.hpp>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "core/config.h"
 #include "core/digest_text.h"
+#include "state/commands.h"
 
 namespace peridotgauge {
 namespace {
@@ -60,6 +62,12 @@
     command.duration_ms = duration_ms;
     return this->Run(now_ms, command);
   }
+  wire::CommandReplyT SetEvacuation(const std::string& data_centre, bool evacuated) {
+    wire::SetEvacuationT command;
+    command.data_centre = data_centre;
+    command.evacuated = evacuated;
+    return this->Run(0, std::move(command));
+  }
   void RestoreFromSnapshot() {
     ControlState restored;
     REQUIRE(restored.Restore(this->index, this->state.Snapshot()));
@@ -332,5 +340,73 @@
   }
 }
 
+// Guards against a resent command that is taken for a change, and against an unbounded list.
+TEST_CASE("data centres are evacuated", "[control_state][evacuation]") {
+  Machine machine;
+  REQUIRE(machine.SetEvacuation("dc-b", true).error < 0);
+  const uint64_t first = machine.index;
+  CHECK(machine.state.Evacuated() == std::set<std::string>{"dc-b"});
+  CHECK(machine.state.EvacuationsIndex() == first);
+  CHECK(machine.state.Version() == first);
+
+  SECTION("a resent command changes nothing") {
+    CHECK(machine.SetEvacuation("dc-b", true).error < 0);
+    CHECK(machine.SetEvacuation("dc-c", false).error < 0);
+    CHECK(machine.state.EvacuationsIndex() == first);
+    CHECK(machine.state.Version() == first);
+  }
+  SECTION("until it ends") {
+    CHECK(machine.SetEvacuation("dc-b", false).error < 0);
+    CHECK(machine.state.Evacuated().empty());
+    CHECK(machine.state.EvacuationsIndex() == machine.index);
+    machine.RestoreFromSnapshot();
+    CHECK(machine.state.EvacuationsIndex() == machine.index);
+  }
+  SECTION("names have a length limit") {
+    CHECK(HasError(machine.SetEvacuation("", true), ErrorCode::kBadRequest));
+    const std::string longest(kMaxDataCentreBytes, 'x');
+    CHECK(HasError(machine.SetEvacuation(longest + "x", true), ErrorCode::kBadRequest));
+    CHECK(machine.state.EvacuationsIndex() == first);
+    CHECK(machine.SetEvacuation(longest, true).error < 0);
+    machine.RestoreFromSnapshot();
+    CHECK(machine.state.Evacuated().contains(longest));
+  }
+  SECTION("their number has a limit, at which known ones are still confirmed") {
+    for (size_t i = 1; i < kMaxEvacuated; ++i) {
+      REQUIRE(machine.SetEvacuation("x" + std::to_string(i), true).error < 0);
+    }
+    CHECK(HasError(machine.SetEvacuation("other", true), ErrorCode::kOverloaded));
+    CHECK(machine.SetEvacuation("dc-b", true).error < 0);
+    CHECK(machine.SetEvacuation("dc-b", false).error < 0);
+    CHECK(machine.SetEvacuation("other", true).error < 0);
+  }
+}
+
+// Guards against a list that differs between a controller that applied the log and one that was
+// restored from a snapshot, and against a change without a new index, which routers would not get.
+TEST_CASE("evacuations follow the last command for each data centre",
+          "[control_state][evacuation][property]") {
+  REQUIRE(rc::check([] {
+    Machine machine;
+    Machine restored;
+    std::set<std::string> expected;
+    const int steps = *rc::gen::inRange(1, 60);
+    for (int step = 0; step < steps; ++step) {
+      const std::string name = "dc-" + std::to_string(*rc::gen::inRange(0, 4));
+      const bool evacuated = *rc::gen::arbitrary<bool>();
+      const bool changes = evacuated ? expected.insert(name).second : expected.erase(name) > 0;
+      const uint64_t index = machine.state.EvacuationsIndex();
+      const uint64_t version = machine.state.Version();
+      RC_ASSERT(machine.SetEvacuation(name, evacuated).error < 0);
+      RC_ASSERT(restored.SetEvacuation(name, evacuated).error < 0);
+      RC_ASSERT(machine.state.Evacuated() == expected);
+      RC_ASSERT(machine.state.EvacuationsIndex() == (changes ? machine.index : index));
+      RC_ASSERT(machine.state.Version() == (changes ? machine.index : version));
+      if (*rc::gen::inRange(0, 4) == 0) restored.RestoreFromSnapshot();
+      RC_ASSERT(restored.state == machine.state);
+    }
+  }));
+}
+
 }  // namespace
 }  // namespace peridotgauge
--- a/testing/route_deployment.cc
+++ b/testing/route_deployment.cc
@@ -134,9 +134,10 @@
 }
 
 std::string HeartbeatText(const std::string& service, const Address& address,
-                          const std::string& state, uint64_t sequence, uint64_t born) {
-  return R"({"service":)" + Quoted(service) + R"(,"address":)" + Quoted(address) +
-         R"(,"zone":"z-a","version":"v1","slots":4,"state":)" + Quoted(state) +
+                          const std::string& state, uint64_t sequence, uint64_t born,
+                          const std::string& data_centre) {
+  return R"({"service":)" + Quoted(service) + R"(,"address":)" + Quoted(address) + R"(,"zone":)" +
+         Quoted(data_centre) + R"(,"version":"v1","slots":4,"state":)" + Quoted(state) +
          R"(,"warmupLeftMs":0,"sequence":)" + std::to_string(sequence) + R"(,"born":)" +
          std::to_string(born) + "}";
 }
@@ -356,6 +357,13 @@
               kControlTimeout);
 }
 
+std::optional<HttpResponse> RouteDeployment::SetEvacuation(size_t controller,
+                                                           const std::string& method,
+                                                           const std::string& data_centre) {
+  return Call(this->ControllerAddress(controller),
+              {.method = method, .path = "/evacuations/" + data_centre}, kControlTimeout);
+}
+
 bool RouteDeployment::AwaitRouter(size_t number, const std::string& path) {
   return Await([&] {
     const auto answer = Call(this->RouterAddress(number),
--- a/testing/route_deployment.h
+++ b/testing/route_deployment.h
@@ -54,7 +54,8 @@
 std::string ConfigText(uint64_t version, const std::vector<std::string>& routes,
                        const std::vector<std::string>& services);
 std::string HeartbeatText(const std::string& service, const Address& address,
-                          const std::string& state, uint64_t sequence, uint64_t born = 1'000);
+                          const std::string& state, uint64_t sequence, uint64_t born = 1'000,
+                          const std::string& data_centre = "z-a");
 
 // An event loop with a thread.
 class LoopThread {
@@ -145,6 +146,9 @@
   std::optional<HttpResponse> Heartbeat(size_t controller, const std::string& id,
                                         const std::string& body);
   std::optional<HttpResponse> Deregister(size_t controller, const std::string& id);
+  // Evacuates a data centre with `method` POST, or ends that with DELETE.
+  std::optional<HttpResponse> SetEvacuation(size_t controller, const std::string& method,
+                                            const std::string& data_centre);
   // Waits until every router has answered a request for the path with 200.
   bool AwaitRoute(const std::string& path);
   bool AwaitRouter(size_t number, const std::string& path);
--- a/testing/target_signals_test.cc
+++ b/testing/target_signals_test.cc
@@ -52,6 +52,32 @@
   return text.empty() ? 0 : std::stod(text);
 }
 
+TEST_CASE("targets in evacuated data centres accept nothing", "[target_signals][evacuation]") {
+  TargetSignals signals;
+  const Time now = TimeAt(100'000);
+  const TargetRecord a{.target = "a", .data_centre = "dc-a", .incarnation = 1};
+  const TargetRecord b{.target = "b", .data_centre = "dc-b", .incarnation = 1};
+  const TargetRecord successor{.target = "b", .data_centre = "dc-b", .incarnation = 2};
+  signals.SetEvacuated({"dc-b", "dc-c"});
+  CHECK_FALSE(signals.Empty());
+  CHECK(signals.Accepts(now, a));
+  CHECK_FALSE(signals.Accepts(now, b));
+  CHECK_FALSE(signals.Accepts(now, successor));
+  // Signals are forgotten after some time; evacuations are not.
+  signals.Expire(now + 2 * kForgetSignalAfter);
+  CHECK_FALSE(signals.Accepts(now + 2 * kForgetSignalAfter, b));
+  // The end of a pause of an evacuated target is no time at which requests are accepted again.
+  signals.OnPause(now, b, Seconds(1));
+  const std::vector<const TargetRecord*> only_b = {&b};
+  CHECK(signals.AcceptsAgain(now, only_b) == std::nullopt);
+  signals.OnPause(now, a, Seconds(2));
+  const std::vector<const TargetRecord*> both = {&a, &b};
+  CHECK(signals.AcceptsAgain(now, both) == now + Seconds(2));
+  signals.SetEvacuated({});
+  CHECK(signals.Accepts(now, successor));
+  CHECK(signals.AcceptsAgain(now, both) == now + Seconds(1));
+}
+
 TEST_CASE("signals of targets", "[target_signals]") {
   TargetSignals signals;
   const Time now = TimeAt(100'000);
