Limit requests to cold targets

Cause: a target that has just started, or has turned cold again, survives only a limited number of requests a second from all routers together.

Change: heartbeats state how long a target is cold. The leader sends the record to routers when the target turns cold, stays cold for longer than reported, or is warm; routers count down in between. WarmupLimit holds one router's part of warmupPerS x 1.5 + 5 and leaves a target without room out of the choice. Half of the limit is planned; the other half covers routers that assume an earlier number of routers. Below one request a second and router, a hash chooses the routers that may send, few enough that more than allowed are chosen with a probability of at most 1e-6. Services without a rate are not limited.

Ruled out: the warm-up time in the digest of the directory, since old and new processes would disagree, and since the leader keeps the reported time while routers count down. A part for routers without contact: the number of routers that they know may be outdated by any factor. Requests that wait for a connection of a cold target: they could arrive together, so a target without a free connection is left out too.

--- a/bench/route_cost_main.cc
+++ b/bench/route_cost_main.cc
@@ -168,8 +168,9 @@
   ControlClient control(io, {.self = {}, .controllers = {{"c", "127.0.0.1:1"}}});
   CrashGuard crash_guard({io, control, metrics, log});
   TargetSignals signals;
-  RouteContext context{io,      codec, pool,   *replicas,  signals, budget, hedge_budgets,
-                       metrics, log,   random, crash_guard};
+  WarmupLimit warmup({}, "r1");
+  RouteContext context{io,      codec, pool,   *replicas,   signals, budget, hedge_budgets,
+                       metrics, log,   random, crash_guard, warmup};
   Route route{.name = "query",
               .host = "h",
               .prefix = "/p/",
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -19,6 +19,7 @@
 #include "core/replica_choice.h"
 #include "core/route_plan.h"
 #include "core/router_offer.h"
+#include "core/warmup_limit.h"
 #include "io/clock.h"
 #include "io/crash_guard.h"
 #include "io/random_seed.h"
@@ -81,6 +82,7 @@
         serving_routers(settings.shutdown_grace),
         debt_timer(io),
         crash_guard({io, control, metrics, log}),
+        warmup(settings.warmup, settings.id),
         context{io,
                 codec,
                 this->pool,
@@ -92,6 +94,7 @@
                 log,
                 this->random,
                 this->crash_guard,
+                this->warmup,
                 [this](Time now) { this->ReportGrownDebts(now); }} {}
 
   void Start() {
@@ -308,6 +311,7 @@
   void OnControlChange(const ControlChange& change) {
     const Time now = SteadyNow();
     if (change.lease_expired) {
+      this->warmup.OnContactLost();
       this->Log(now, Event("controllers_lost")
                          .Add("lease_ms", now - *this->control.CurrentLease().End() + kLeaseLength)
                          .Add("revision", this->config->Revision())
@@ -320,6 +324,7 @@
     if (change.config || change.routers) this->UpdateShares(now);
     if (change.inherited_debts) this->InheritDebts(now, this->control.InheritedDebts());
     if (change.lease_acquired) {
+      this->warmup.OnContact(now);
       this->Log(now, Event("controllers_regained").Add("leader", this->control.Leader()));
     }
     if (change.config || change.directory) {
@@ -401,6 +406,7 @@
     this->connection_shares_due = this->serving_routers.NextDecrease(now).value_or(Time::max());
     const size_t serving = this->serving_routers.Get(now);
     std::set<std::string, std::less<>> services;
+    std::map<std::string, double> warmup_rates;
     size_t fewest_connections = std::numeric_limits<size_t>::max();
     const auto add_service = [&](const std::string& service) {
       const ServiceSpec* service_spec = this->config->Routes().FindService(service);
@@ -409,6 +415,7 @@
           static_cast<size_t>(service_spec->connections * kConnectionShare) / serving;
       fewest_connections = std::min(fewest_connections, own_connections);
       this->pool.SetConnectionLimit(service, own_connections);
+      if (service_spec->warmup_rate > 0) warmup_rates[service] = service_spec->warmup_rate;
     };
     for (const Route& route : this->config->Routes().Routes()) {
       for (const WeightedService& part : route.split) add_service(part.service);
@@ -416,6 +423,8 @@
     }
     this->replica_choice->AvoidOneReplica(fewest_connections < kScarceConnectionsThreshold);
     this->extra_limit.SetServices(now, services);
+    this->warmup.SetRouters(serving);
+    this->warmup.SetServices(warmup_rates);
   }
 
   // Requests that wait for a connection to a target in an evacuated data centre are placed anew.
@@ -446,6 +455,7 @@
           this->OnRecord(now, gone);
           this->planner.Remove(record.target);
           this->replica_choice->Remove(record.target);
+          this->warmup.Remove(record.target);
         });
   }
 
@@ -455,6 +465,14 @@
     if (!this->signals.Accepts(now, record)) {
       this->pool.FailWaiting(record, "the target leaves");
     }
+    // Requests that wait for a target that is now cold are placed anew, within the limit.
+    if (this->warmup.OnRecord(now, record)) {
+      this->pool.FailWaiting(record, "the target is cold");
+      this->Log(now, Event("target_cold")
+                         .Add("target", record.target)
+                         .Add("incarnation", record.incarnation)
+                         .Add("warmup_ms", record.warmup));
+    }
   }
 
   void LogTarget(Time now, const TargetRecord& record, TargetState state) {
@@ -480,6 +498,7 @@
   asio::steady_timer debt_timer;
   bool debt_check_pending = false;  // `debt_timer` runs
   CrashGuard crash_guard;
+  WarmupLimit warmup;
   RouteContext context;
   std::shared_ptr<const Config> config = std::make_shared<const Config>();
   std::map<std::string, TargetRecord> known_targets;  // the targets that the planner has
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -12,6 +12,7 @@
 #include "core/quarantine.h"
 #include "core/search.h"
 #include "io/clock.h"
+#include "io/cold_target_chooser.h"
 
 namespace peridotgauge {
 namespace {
@@ -74,7 +75,8 @@
         params(std::move(params)),
         budget(context.hedge_budgets.try_emplace(this->params.route->name, context.budget)
                    .first->second),
-        chooser(context.replica_choice, context.signals),
+        cold_chooser(context.replica_choice, context.warmup, context.pool),
+        chooser(this->cold_chooser, context.signals),
         search(this->params.plan, ParamsOf(this->params), {this->chooser, this->budget}),
         timer(context.io),
         done(std::move(done)),
@@ -155,6 +157,7 @@
     }
     const Duration typical = this->budget.TypicalLatency(now).value_or(
         this->params.route->objective / kMediansInObjective);
+    this->context.warmup.OnSend(now, *send.target);
     attempt.replica_send = this->context.replica_choice.OnSend(now, *send.target, typical);
     attempt.call =
         this->context.pool.ClientFor(*send.target)
@@ -408,6 +411,7 @@
   RouteContext& context;
   RouteRequestParams params;
   RouteHedgeBudget& budget;
+  ColdTargetChooser cold_chooser;
   SignalChooser chooser;
   Search search;
   boost::asio::steady_timer timer;
--- a/io/route_request.h
+++ b/io/route_request.h
@@ -28,6 +28,7 @@
 #include "core/routes.h"
 #include "core/target_signals.h"
 #include "core/types.h"
+#include "core/warmup_limit.h"
 #include "io/crash_guard.h"
 #include "io/event_log.h"
 #include "io/target_pool.h"
@@ -80,6 +81,7 @@
   EventLog& log;
   std::mt19937_64& random;
   CrashGuard& crash_guard;
+  WarmupLimit& warmup;
   // Called after hedges or retries were sent.
   std::function<void(Time now)> on_extra_attempts = [](Time) {};
 };
--- a/io/target_pool.cc
+++ b/io/target_pool.cc
@@ -48,6 +48,14 @@
   entry.client->Cancel(call);
 }
 
+bool TargetPool::HasFreeConnection(const TargetRecord& record) const {
+  const auto found = this->entries.find(record.target);
+  if (found == this->entries.end() || found->second.incarnation != record.incarnation) return true;
+  const HttpClientStatus status = found->second.client->Status();
+  const size_t limit = this->OptionsOf(record.service).max_connections;
+  return status.waiting == 0 && (status.idle > 0 || status.connections < limit);
+}
+
 void TargetPool::FailWaiting(const TargetRecord& record, const std::string& reason) {
   const auto found = this->entries.find(record.target);
   if (found == this->entries.end() || found->second.incarnation != record.incarnation) return;
--- a/io/target_pool.h
+++ b/io/target_pool.h
@@ -45,6 +45,8 @@
   HttpClient& ClientFor(const TargetRecord& record);
   // Cancels a call that ClientFor(record).Send() has started.
   void Cancel(const TargetRecord& record, uint64_t call);
+  // Returns true if a request to the target would not wait for other requests to end.
+  bool HasFreeConnection(const TargetRecord& record) const;
   // Fails the requests that wait for a connection to the target, so that they are placed anew.
   void FailWaiting(const TargetRecord& record, const std::string& reason);
   // Fails the requests that wait for a connection to a target in one of the data centres, including
--- a/state/registration.cc
+++ b/state/registration.cc
@@ -5,6 +5,7 @@
 
 #include "core/address.h"
 #include "core/strict_json.h"
+#include "core/warmup_limit.h"
 #include "state/departures.h"
 
 namespace peridotgauge {
@@ -68,12 +69,25 @@
   return ValidateHoldings(record.holds);
 }
 
-// Returns true if at most the sequence differs.
+// Returns true if at most the sequence and the warm-up time differ.
 bool SameContent(const TargetRecord& one, TargetRecord other) {
   other.sequence = one.sequence;
+  other.warmup = one.warmup;
   return one == other;
 }
 
+std::optional<Time> WarmAt(Time now, const TargetRecord& record) {
+  return record.warmup > Duration(0) ? std::optional(now + record.warmup) : std::nullopt;
+}
+
+// Returns true if routers must learn how long a target stays cold. They count down the time that
+// they know, so only a later end counts, and the end itself: the record that is kept for routers
+// that join later must not say that the target is cold.
+bool WarmupChanged(std::optional<Time> reported, std::optional<Time> warm_at) {
+  if (!reported || !warm_at) return reported.has_value() != warm_at.has_value();
+  return *warm_at > *reported + kWarmupReportTolerance;
+}
+
 }  // namespace
 
 Result<RegistrationChange> Registrations::Register(Time now, TargetRecord& record) {
@@ -84,7 +98,8 @@
     if (this->entries.size() >= kMaxRegistrations) {
       return Fail(ErrorCode::kOverloaded, "this router has reached its limit of registrations");
     }
-    this->entries[record.target] = {.record = record, .lease_end = now + this->lease};
+    this->entries[record.target] = {
+        .record = record, .lease_end = now + this->lease, .warm_at = WarmAt(now, record)};
     return RegistrationChange::kChanged;
   }
   Entry& entry = found->second;
@@ -96,8 +111,11 @@
                                           " under the same incarnation");
   }
   if (!record.Supersedes(known)) return RegistrationChange::kStale;
-  const bool same = SameContent(known, record);
-  entry = {.record = record, .lease_end = now + this->lease};
+  const bool same =
+      SameContent(known, record) && !WarmupChanged(entry.warm_at, WarmAt(now, record));
+  entry = {.record = record,
+           .lease_end = now + this->lease,
+           .warm_at = same ? entry.warm_at : WarmAt(now, record)};
   return same ? RegistrationChange::kRenewed : RegistrationChange::kChanged;
 }
 
--- a/state/registration.h
+++ b/state/registration.h
@@ -31,7 +31,7 @@
 
 enum class RegistrationChange : uint8_t {
   kChanged,  // new target, incarnation, address, state, holdings or limits
-  kRenewed,  // only the lease was extended
+  kRenewed,  // only the lease was extended, and the target warms up as it was last reported
   kStale,    // not newer than the known registration; ignored
 };
 
@@ -62,6 +62,9 @@
   struct Entry {
     TargetRecord record;
     Time lease_end;
+    // When the target is warm, according to its last registration with the result kChanged; nothing
+    // if it was warm.
+    std::optional<Time> warm_at;
   };
 
   std::string router;
--- a/testing/platform_test.cc
+++ b/testing/platform_test.cc
@@ -130,6 +130,21 @@
   CHECK(record->incarnation == 1'780'000'000'000);
   CHECK(record->sequence == 4);
   CHECK(record->state == TargetState::kServing);
+  CHECK(record->warmup == Duration(0));
+  SECTION("of a cold target") {
+    const std::string member = R"("warmupLeftMs":0)";
+    const auto warmup_of = [&](const std::string& replacement) {
+      std::string text = heartbeat;
+      text.replace(text.find(member), member.size(), replacement);
+      const auto other = ParseHeartbeat("i-1", text);
+      return other ? std::optional(other->warmup) : std::nullopt;
+    };
+    CHECK(warmup_of(R"("warmupLeftMs":2500)") == Millis(2'500));
+    CHECK(warmup_of(R"("warmupLeftMs":0.5)") == Millis(1));
+    CHECK(warmup_of(R"("warmupLeftMs":1e300)") == Seconds(3'600));
+    CHECK(warmup_of(R"("other":1)") == Duration(0));
+    CHECK(warmup_of(R"("warmupLeftMs":-1)") == std::nullopt);
+  }
   SECTION("is rejected if it is malformed") {
     for (
         const std::string text :
--- a/testing/registration_test.cc
+++ b/testing/registration_test.cc
@@ -48,6 +48,39 @@
     CHECK(*registrations.Register(now, record) == RegistrationChange::kStale);
     CHECK(registrations.All()[0].state == TargetState::kDraining);
   }
+  SECTION("a time at which the target is warm is reported if it is later, or has come") {
+    record.warmup = Seconds(5);
+    CHECK(*registrations.Register(now, record) == RegistrationChange::kChanged);
+    // Heartbeats while it warms up, one of them late.
+    for (const int seconds : {1, 2, 3}) {
+      ++record.sequence;
+      record.warmup = Seconds(5 - seconds);
+      const Time arrived = now + Seconds(seconds) + Millis(seconds == 2 ? 200 : 0);
+      CHECK(*registrations.Register(arrived, record) == RegistrationChange::kRenewed);
+    }
+    SECTION("as later, it has turned cold again") {
+      ++record.sequence;
+      record.warmup = Seconds(3);
+      CHECK(*registrations.Register(now + Seconds(4), record) == RegistrationChange::kChanged);
+    }
+    SECTION("late by small steps") {
+      // Their sum counts, not each step.
+      RegistrationChange change = RegistrationChange::kRenewed;
+      for (int step = 1; step <= 3; ++step) {
+        ++record.sequence;
+        record.warmup = Seconds(2) + step * Millis(100);
+        change = *registrations.Register(now + Seconds(3), record);
+      }
+      CHECK(change == RegistrationChange::kChanged);
+    }
+    SECTION("as warm") {
+      ++record.sequence;
+      record.warmup = Duration(0);
+      CHECK(*registrations.Register(now + Seconds(5), record) == RegistrationChange::kChanged);
+      ++record.sequence;
+      CHECK(*registrations.Register(now + Seconds(6), record) == RegistrationChange::kRenewed);
+    }
+  }
   SECTION("another address under the same incarnation is rejected") {
     record.address = "127.0.0.1:9002";
     CHECK(registrations.Register(now, record).error().code == ErrorCode::kConflict);
--- a/testing/route_request_test.cc
+++ b/testing/route_request_test.cc
@@ -115,9 +115,10 @@
   ControlClient control{this->io, {.self = {}, .controllers = {{"c", "127.0.0.1:1"}}}};
   CrashGuard crash_guard{{this->io, this->control, this->metrics, this->log}};
   TargetSignals signals;
+  WarmupLimit warmup{{}, "r1"};
   RouteContext context{this->io,      this->codec,  this->pool,          *this->replicas,
                        this->signals, this->budget, this->hedge_budgets, this->metrics,
-                       this->log,     this->random, this->crash_guard};
+                       this->log,     this->random, this->crash_guard,   this->warmup};
 };
 
 Route Single(bool idempotent) {
