Reserve the callers of the evacuation test

Cause: ./lint reports a growing vector in a loop. Change: the capacity is reserved first. Tests: ./lint passes on testing/evacuation_test.cc.

--- a/testing/evacuation_test.cc
+++ b/testing/evacuation_test.cc
@@ -154,6 +154,7 @@
   REQUIRE(fixture.deployment.AwaitRoute("/p/ready"));
   constexpr int kCallers = 24;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   std::atomic<int> answered = 0;
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&, i] {
