Add tests of crowds of clients outside the limits

Ruled out: unit tests of one server, which see neither the memory nor the descriptors of a process; checks of times or shares, which depend on the machine.

Change: testing/hostile_clients_test.sh starts a controller and a router as processes with memory_mb 64 and 1,024 descriptors (256 where they are to run out), and lets crowds of 400 connections (100 with large answers, 60 at the peer port, 512 where descriptors run out) send to them. Checked are: the processes live, VmHWM is at most memory_mb, an eighth of the descriptors stays free, and ordinary requests are answered afterwards; where descriptors run out, also while the crowd stays.

--- /dev/null
+++ b/testing/hostile/hostile_clients_main.cc
@@ -0,0 +1,446 @@
+// Tests crowds of clients outside the limits against real processes. They guard against a process
+// that ends, exceeds the memory or the descriptors of its host, or serves ordinary callers no more.
+//
+// Started by testing/hostile_clients_test.sh one test case at a time, with the program of the
+// daemon in the environment variable PERIDOTGAUGED. They check no times and no share of served
+// requests.
+#define CATCH_CONFIG_MAIN
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "io/clock.h"
+#include "testing/hostile/hostile_crowd.h"
+#include "testing/route_deployment.h"
+
+namespace peridotgauge {
+namespace {
+
+constexpr int kHttpPort = 18'501;
+constexpr int kHealthPort = 18'502;
+constexpr int kDirectoryPort = 18'503;
+constexpr int kMetricsPort = 18'504;
+constexpr int kPeerPort = 18'505;
+constexpr int kTargetPort = 18'510;
+
+// The limits of each started process. A process must stay within its memory, and within its
+// descriptors less an eighth, which remains for its targets, peers and controllers.
+constexpr size_t kMemoryMb = 64;
+constexpr size_t kDescriptors = 1'024;
+constexpr size_t kScarceDescriptors = 256;
+
+constexpr size_t kMaxBodyBytes = 262'144;  // of the configuration's limits for callers
+constexpr size_t kMaxHeaderBytes = 16'384;
+constexpr Duration kCrowdTime = Seconds(2);
+// An ordinary caller waits this long. It only ends tests that fail: the router allows requests 10 s
+// to arrive, and a crowd must not keep a caller waiting for that.
+constexpr Duration kCallTimeout = Seconds(8);
+constexpr Duration kAwaitTimeout = Seconds(20);
+
+bool Await(const std::function<bool()>& condition) {
+  const Time end = SteadyNow() + kAwaitTimeout;
+  while (!condition()) {
+    if (SteadyNow() >= end) return false;
+    std::this_thread::sleep_for(Millis(50));
+  }
+  return true;
+}
+
+// A started daemon process.
+class HostProcess {
+ public:
+  HostProcess(const std::string& settings_file, const std::string& log, size_t descriptors)
+      : descriptors(descriptors) {
+    const char* configured = std::getenv("PERIDOTGAUGED");
+    const std::string program = configured != nullptr ? configured : "build/peridotgauged";
+    const std::string argument = "--settings=" + settings_file;
+    std::cout.flush();  // the child would write the buffered text a second time
+    std::fflush(nullptr);
+    this->pid = fork();
+    if (this->pid != 0) return;
+    const rlimit limit{.rlim_cur = descriptors, .rlim_max = descriptors};
+    setrlimit(RLIMIT_NOFILE, &limit);
+    if (freopen(log.c_str(), "a", stdout) == nullptr) _exit(126);
+    dup2(STDOUT_FILENO, STDERR_FILENO);
+    execl(program.c_str(), program.c_str(), argument.c_str(), nullptr);
+    _exit(127);
+  }
+  ~HostProcess() {
+    if (this->Running()) kill(this->pid, SIGKILL);
+    if (!this->ended) waitpid(this->pid, nullptr, 0);
+  }
+  HostProcess(const HostProcess&) = delete;
+  HostProcess& operator=(const HostProcess&) = delete;
+
+  bool Running() {
+    if (!this->ended) this->ended = waitpid(this->pid, nullptr, WNOHANG) != 0;
+    return !this->ended;
+  }
+  // Returns the highest resident memory since the start, in bytes.
+  size_t PeakMemory() const {
+    std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
+    std::string word;
+    size_t kilobytes = 0;
+    while (status >> word) {
+      if (word == "VmHWM:") status >> kilobytes;
+    }
+    return kilobytes << 10;
+  }
+  size_t OpenDescriptors() const {
+    std::error_code error;
+    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(this->pid) + "/fd",
+                                                      error);
+    return static_cast<size_t>(std::distance(begin(entries), end(entries)));
+  }
+
+  const size_t descriptors;
+
+ private:
+  pid_t pid = -1;
+  bool ended = false;
+};
+
+// A controller and a router as processes of their own, with one target.
+class HostileDeployment {
+ public:
+  explicit HostileDeployment(size_t descriptors = kDescriptors) {
+    const int number = getpid();
+    this->network = "127." + std::to_string(170 + number / 250 % 80) + "." +
+                    std::to_string(1 + number % 250) + ".";
+    std::string pattern = (std::filesystem::temp_directory_path() / "hostile_test_XXXXXX").string();
+    this->folder = mkdtemp(pattern.data());
+    this->controller = this->Start("controller", descriptors);
+    this->router = this->Start("router", descriptors);
+    this->target_loop.Run([this] { this->Listen(); });
+    REQUIRE(this->target);
+    REQUIRE(Await([this] { return this->Configure(); }));
+    REQUIRE(Await([this] { return this->Answers(); }));
+  }
+  ~HostileDeployment() {
+    this->target_loop.Run([this] { this->target.reset(); });
+    this->router.reset();
+    this->controller.reset();
+    std::error_code ignored;
+    std::filesystem::remove_all(this->folder, ignored);
+  }
+  HostileDeployment(const HostileDeployment&) = delete;
+  HostileDeployment& operator=(const HostileDeployment&) = delete;
+
+  Address At(const std::string& name, int port) const {
+    return this->network + (name == "router" ? "21" : "1") + ":" + std::to_string(port);
+  }
+  HostProcess& Process(const std::string& name) {
+    return name == "router" ? *this->router : *this->controller;
+  }
+  // Sends an ordinary request to the router. Returns true if it is answered with 200.
+  bool Answers() {
+    const std::string id = "ordinary-" + std::to_string(++this->requests);
+    const auto answer = Call(this->At("router", kHttpPort),
+                             CallerRequest(id, "GET", "/s/ordinary", kCallTimeout), kCallTimeout);
+    return answer && answer->status == 200;
+  }
+  // Asks the controller for the configuration, as operators do.
+  bool ControllerAnswers() const {
+    const auto answer =
+        Call(this->At("controller", kHttpPort), {.method = "GET", .path = "/config"}, kCallTimeout);
+    return answer && answer->status == 200;
+  }
+  // Checks both processes after a crowd.
+  void Check(const std::string& attacked) {
+    for (const std::string name : {"controller", "router"}) {
+      CAPTURE(name);
+      HostProcess& process = this->Process(name);
+      REQUIRE(process.Running());
+      if (name == attacked) {
+        std::cout << "  " << name << ": " << (process.PeakMemory() >> 10) << " KiB at most, "
+                  << process.OpenDescriptors() << " descriptors\n";
+      }
+      CHECK(process.PeakMemory() <= kMemoryMb << 20);
+      CHECK(process.OpenDescriptors() <= process.descriptors - process.descriptors / 8);
+    }
+    CHECK(Await([this] { return this->Answers(); }));
+    CHECK(Await([this] { return this->ControllerAnswers(); }));
+  }
+
+ private:
+  std::unique_ptr<HostProcess> Start(const std::string& name, size_t descriptors) const {
+    const auto at = [&](int port) { return "\"" + this->At(name, port) + "\""; };
+    const std::string ip = this->At(name, 0).substr(0, this->At(name, 0).size() - 2);
+    const std::string seed = this->At("controller", kHttpPort);
+    const std::string file = this->folder + "/" + name + ".json";
+    std::ofstream(file) << R"({"id":")" << ip
+                        << R"(","data_centre":"z-a","interface":"routes","roles":[")" << name
+                        << R"("],"http_address":)" << at(kHttpPort) << R"(,"metrics_address":)"
+                        << at(kMetricsPort) << R"(,"peer_address":)" << at(kPeerPort)
+                        << (name == "controller"
+                                ? R"(,"directory_address":)" + at(kDirectoryPort) +
+                                      R"(,"data_folder":")" + this->folder + R"(/data")"
+                                : R"(,"health_address":)" + at(kHealthPort))
+                        << R"(,"heartbeat_ms":60000,"memory_mb":)" << kMemoryMb
+                        << R"(,"extra_slack":10,"seeds":[")" << seed << R"("]})";
+    return std::make_unique<HostProcess>(file, this->folder + "/" + name + ".log", descriptors);
+  }
+  // Answers each request after a while, so that requests wait in the router. A path that ends with
+  // "/large" gets kLargeAnswerBytes.
+  void Listen() {
+    HttpServerLimits limits;
+    limits.max_header_bytes = 256 << 10;
+    auto listening = HttpServer::Listen(
+        this->target_loop.io, this->network + "100:" + std::to_string(kTargetPort),
+        [this](const HttpRequest& request, const HttpResponder& responder) {
+          HttpResponse response{.status = 200, .headers = {}, .body = "ok"};
+          response.headers.push_back(
+              {"Peridotgauge-Request-Id", std::string(request.Header("Peridotgauge-Request-Id"))});
+          response.headers.push_back({"Peridotgauge-Server-Stamp", "stamp"});
+          if (request.path.ends_with("/large")) response.body.resize(kLargeAnswerBytes, '.');
+          auto timer =
+              std::make_shared<boost::asio::steady_timer>(this->target_loop.io, Millis(100));
+          timer->async_wait([timer, responder, response](boost::system::error_code error) {
+            if (!error) responder.Send(response);
+          });
+        },
+        limits);
+    if (listening) this->target = std::move(*listening);
+  }
+  bool Configure() const {
+    const auto put = [this](const std::string& path, const std::string& body) {
+      const auto answer = Call(this->At("controller", kHttpPort),
+                               {.method = "PUT", .path = path, .body = body}, kCallTimeout);
+      return answer && answer->status == 200;
+    };
+    return put("/config", ConfigText(1, {RouteText("s", "/s/", "safe", 4'000, "s")}, {"s"})) &&
+           put("/instances/i-1",
+               HeartbeatText("s", this->network + "100:" + std::to_string(kTargetPort), "ready",
+                             1));
+  }
+
+  std::string network;  // the first three numbers of all addresses
+  std::string folder;
+  int requests = 0;
+  std::unique_ptr<HostProcess> controller;
+  std::unique_ptr<HostProcess> router;
+  LoopThread target_loop;
+  std::unique_ptr<HttpServer> target;
+};
+
+// Where a crowd sends to: a process, one of its ports, and a path.
+struct Place {
+  std::string process;
+  int port = kHttpPort;
+  std::string method;
+  std::string path;
+};
+
+const Place kRoute{"router", kHttpPort, "GET", "/s/crowd"};
+const Place kNoRoute{"router", kHttpPort, "GET", "/none"};
+const Place kReadiness{"router", kHealthPort, "GET", "/readiness"};
+const Place kGetConfig{"controller", kHttpPort, "GET", "/config"};
+const Place kPutConfig{"controller", kHttpPort, "PUT", "/config"};
+const Place kInstance{"controller", kHttpPort, "PUT", "/instances/i-crowd"};
+const Place kResolve{"controller", kDirectoryPort, "GET", "/resolve"};
+
+std::string Head(const Place& place, const std::string& fields = "") {
+  return place.method + " " + place.path +
+         " HTTP/1.1\r\nHost: test.example\r\nPeridotgauge-Request-Id: crowd\r\n" + fields + "\r\n";
+}
+
+std::string WithBody(const Place& place, const std::string& body, size_t missing = 0) {
+  return Head(place, "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+         body.substr(0, body.size() - missing);
+}
+
+std::string Chunk(const std::string& text) {
+  std::ostringstream out;
+  out << std::hex << text.size() << "\r\n" << text << "\r\n";
+  return out.str();
+}
+
+std::string Repeated(const std::string& text, size_t bytes) {
+  std::string out;
+  while (out.size() + text.size() <= bytes) out += text;
+  return out;
+}
+
+// A head of legal size that consists of fields of five bytes.
+std::string HeadOfShortFields(const Place& place) {
+  const std::string plain = Head(place);
+  return Head(place, Repeated("a:b\r\n", kMaxHeaderBytes - plain.size()));
+}
+
+// Lets the crowd send for a while, and checks the processes while it is there and after it.
+void Attack(const Place& place, size_t connections, HostilePlan plan,
+            Duration length = kCrowdTime) {
+  HostileDeployment deployment;
+  {
+    HostileCrowd crowd(deployment.At(place.process, place.port), connections, std::move(plan));
+    crowd.Run(length);
+    CHECK(crowd.SentBytes() > 0);
+    CHECK(deployment.Process(place.process).OpenDescriptors() <= kDescriptors - kDescriptors / 8);
+  }
+  deployment.Check(place.process);
+}
+
+Place Post(Place place) {
+  if (place.method == "GET") place.method = "POST";
+  return place;
+}
+
+constexpr size_t kCrowd = 400;
+
+TEST_CASE("bodies that lack their last byte in one piece", "[hostile_clients]") {
+  const Place place = Post(GENERATE(kRoute, kNoRoute, kReadiness, kPutConfig));
+  CAPTURE(place.path);
+  Attack(place, kCrowd, {.first = WithBody(place, std::string(kMaxBodyBytes, 'x'), 1)});
+}
+
+TEST_CASE("bodies that lack their last byte in small pieces", "[hostile_clients]") {
+  const Place place = Post(kRoute);
+  Attack(place, kCrowd,
+         {.first = WithBody(place, std::string(kMaxBodyBytes, 'x'), 1), .piece = 4'096},
+         2 * kCrowdTime);
+}
+
+TEST_CASE("bodies that lack their last byte in chunks", "[hostile_clients]") {
+  const Place place = Post(GENERATE(kRoute, kInstance));
+  CAPTURE(place.path);
+  Attack(place, kCrowd,
+         {.first = Head(place, "Transfer-Encoding: chunked\r\n") +
+                   Repeated(Chunk(std::string(1'000, 'x')), kMaxBodyBytes)});
+}
+
+TEST_CASE("bodies far over the limit", "[hostile_clients]") {
+  SECTION("announced") {
+    const Place place = Post(kRoute);
+    Attack(
+        place, kCrowd,
+        {.first = Head(place, "Content-Length: 99999999\r\n"), .repeat = std::string(65'536, 'x')});
+  }
+  SECTION("in chunks") {
+    Attack(kPutConfig, kCrowd,
+           {.first = Head(kPutConfig, "Transfer-Encoding: chunked\r\n"),
+            .repeat = Chunk(std::string(65'536, 'x'))});
+  }
+}
+
+TEST_CASE("heads of short fields at a route", "[hostile_clients]") {
+  Attack(kRoute, kCrowd, {.repeat = HeadOfShortFields(kRoute)});
+}
+TEST_CASE("heads of short fields at a path without a route", "[hostile_clients]") {
+  Attack(kNoRoute, kCrowd, {.repeat = HeadOfShortFields(kNoRoute)});
+}
+TEST_CASE("heads of short fields at the readiness path", "[hostile_clients]") {
+  Attack(kReadiness, kCrowd, {.repeat = HeadOfShortFields(kReadiness)});
+}
+TEST_CASE("heads of short fields at /config", "[hostile_clients]") {
+  Attack(kGetConfig, kCrowd, {.repeat = HeadOfShortFields(kGetConfig)});
+}
+TEST_CASE("heads of short fields at /instances", "[hostile_clients]") {
+  Attack(kInstance, kCrowd, {.repeat = HeadOfShortFields(kInstance)});
+}
+TEST_CASE("heads of short fields at /resolve", "[hostile_clients]") {
+  Attack(kResolve, kCrowd, {.repeat = HeadOfShortFields(kResolve)});
+}
+
+TEST_CASE("requests ahead without reading the answers", "[hostile_clients]") {
+  const Place place = GENERATE(kRoute, kReadiness, kGetConfig);
+  CAPTURE(place.path);
+  Attack(place, kCrowd, {.repeat = Head(place)});
+}
+
+TEST_CASE("large bodies ahead without reading the answers", "[hostile_clients]") {
+  const Place place = Post(kRoute);
+  Attack(place, kCrowd, {.repeat = WithBody(place, std::string(kMaxBodyBytes, 'x'))});
+}
+
+// The crowd is larger than the process may open descriptors. It stays while an ordinary caller
+// comes.
+TEST_CASE("endless heads on more connections than there are descriptors", "[hostile_clients]") {
+  const Place place = GENERATE(kRoute, kGetConfig);
+  CAPTURE(place.path);
+  HostileDeployment deployment(kScarceDescriptors);
+  {
+    HostileCrowd crowd(deployment.At(place.process, place.port), 2 * kScarceDescriptors,
+                       {.first = place.method + " " + place.path + " HTTP/1.1\r\n",
+                        .repeat = "x-header: value\r\n",
+                        .piece = 1});
+    crowd.Start();
+    std::this_thread::sleep_for(kCrowdTime);
+    CHECK(deployment.Process(place.process).OpenDescriptors() <=
+          kScarceDescriptors - kScarceDescriptors / 8);
+    CHECK((place.process == "router" ? deployment.Answers() : deployment.ControllerAnswers()));
+  }
+  deployment.Check(place.process);
+}
+
+TEST_CASE("connections that send nothing and take all descriptors", "[hostile_clients]") {
+  HostileDeployment deployment(kScarceDescriptors);
+  {
+    HostileCrowd crowd(deployment.At("router", kHealthPort), 2 * kScarceDescriptors, {.first = ""});
+    crowd.Start();
+    std::this_thread::sleep_for(kCrowdTime);
+    CHECK(deployment.Process("router").OpenDescriptors() <=
+          kScarceDescriptors - kScarceDescriptors / 8);
+    CHECK(deployment.Answers());
+  }
+  deployment.Check("router");
+}
+
+TEST_CASE("slow senders", "[hostile_clients]") {
+  const Place place = Post(kRoute);
+  Attack(place, kCrowd, {.first = WithBody(place, std::string(kMaxBodyBytes, 'x')), .piece = 1});
+}
+
+TEST_CASE("slow readers", "[hostile_clients]") {
+  Place place = kRoute;
+  SECTION("of small answers") { Attack(place, kCrowd, {.repeat = Head(place), .read_bytes = 1}); }
+  SECTION("of large answers") {
+    place.path = "/s/large";
+    Attack(place, 100, {.repeat = Head(place), .read_bytes = 100});
+  }
+}
+
+TEST_CASE("clients that reset half-way", "[hostile_clients]") {
+  const Place place = Post(kRoute);
+  Attack(place, kCrowd,
+         {.first = WithBody(place, std::string(kMaxBodyBytes, 'x')),
+          .reset_after = kMaxBodyBytes / 2});
+}
+
+TEST_CASE("bodies of many short JSON fields", "[hostile_clients]") {
+  const Place place = GENERATE(kPutConfig, kInstance);
+  CAPTURE(place.path);
+  std::string fields;
+  for (size_t i = 0; fields.size() + 16 < kMaxBodyBytes; ++i) {
+    fields += (fields.empty() ? "\"" : ",\"") + std::to_string(i) + "\":1";
+  }
+  Attack(place, kCrowd, {.repeat = WithBody(place, "{" + fields + "}")});
+}
+
+TEST_CASE("bytes without end at the peer port", "[hostile_clients]") {
+  const Place place =
+      GENERATE(Place{"router", kPeerPort, "", ""}, Place{"controller", kPeerPort, "", ""});
+  CAPTURE(place.process);
+  // Frames of 4 MiB less a little, which come piece by piece and of which the last byte is missing.
+  const std::string length{"\x00\x00\x3f\x00", 4};
+  Attack(place, 60, {.first = length + std::string((63 << 16) - 1, 'x')});
+}
+
+}  // namespace
+}  // namespace peridotgauge
