Budget for kept bytes: an answer that outlives its cut can be cut again

Cause: a response that is complete before its scheduled cut takes effect goes on to its caller, but its account stayed marked as ending. It counted against nothing for as long as it waited for a slow caller, and could not be cut.

Change: ForbidCut() ends the cut; AllowCut() cuts at once if the sum is above the limit.

Tests: [byte_budget] "cuts again what has forbidden it after a cut"; passes with the change; not run without it.

--- a/core/byte_budget.cc
+++ b/core/byte_budget.cc
@@ -9,7 +9,10 @@
 
 void ByteBudget::Change(size_t before, size_t after) {
   this->used = this->used - before + after;
-  if (after <= before) return;
+  if (after > before) this->CutDown();
+}
+
+void ByteBudget::CutDown() {
   while (this->used - this->being_cut > this->limit) {
     Account* const account = this->NextToCut();
     if (account == nullptr) return;
@@ -50,7 +53,16 @@
 void ByteBudget::Account::AllowCut(const void* owner, CutOrder order, std::function<void()> cut) {
   this->owner = owner;
   this->order = order;
-  if (!this->was_cut) this->cut = std::move(cut);
+  if (this->was_cut) return;
+  this->cut = std::move(cut);
+  this->budget->CutDown();
+}
+
+// Without this, an answer that is complete before its cut takes effect would count as ending for as
+// long as it waits for its caller, and others would be kept in its place.
+void ByteBudget::Account::ForbidCut() {
+  this->cut = nullptr;
+  if (std::exchange(this->was_cut, false)) this->budget->being_cut -= this->bytes;
 }
 
 void ByteBudget::Account::Set(size_t bytes) {
--- a/core/byte_budget.h
+++ b/core/byte_budget.h
@@ -11,8 +11,8 @@
 // Contract: when the sum exceeds the limit, accounts are cut until the rest fits: those whose size
 // is not known before those with a known one, and among them the largest one of the owner whose
 // accounts hold the most together. So a peer that sends without end loses its own exchanges first,
-// and a large response of another peer goes on. Each account is cut at most once. An account that
-// does not allow it is never cut, but counts. The callback only schedules the end of what the
+// and a large response of another peer goes on. Each account is cut at most once, unless it has
+// forbidden that in between. An account that does not allow it is never cut, but counts. The callback only schedules the end of what the
 // account belongs to; it must not use the budget. Not thread-safe.
 #ifndef PERIDOTGAUGE_CORE_BYTE_BUDGET_H_
 #define PERIDOTGAUGE_CORE_BYTE_BUDGET_H_
@@ -48,6 +48,7 @@
 
  private:
   void Change(size_t before, size_t after);
+  void CutDown();
   // Returns the account to cut next, or null if none allows it.
   Account* NextToCut() const;
 
@@ -68,7 +69,8 @@
 
   // Allows to cut the account. `owner` is only compared with other owners.
   void AllowCut(const void* owner, CutOrder order, std::function<void()> cut);
-  void ForbidCut() { this->cut = nullptr; }
+  // What the account belongs to no longer ends, also if it was cut.
+  void ForbidCut();
   void Set(size_t bytes);
   size_t Bytes() const { return this->bytes; }
 
--- a/testing/byte_budget_test.cc
+++ b/testing/byte_budget_test.cc
@@ -72,6 +72,16 @@
       CHECK(known.cuts == 1);
     }
   }
+  // Guards against answers that were complete before their cut took effect, and then waited for
+  // slow callers beyond the limit.
+  SECTION("cuts again what has forbidden it after a cut") {
+    first.account.Set(101);
+    CHECK(first.cuts == 1);
+    first.account.ForbidCut();
+    CHECK_FALSE(budget->Fits(0));
+    first.account.AllowCut(&faulty, Order::kLast, [&] { ++first.cuts; });
+    CHECK(first.cuts == 2);
+  }
   SECTION("never cuts what does not allow it") {
     first.account.ForbidCut();
     first.account.Set(200);
