Peer server: bound what all connections keep, and their number

Cause: each connection at the peer port may keep an incomplete frame of 4 MiB and its buffers, and any number of connections is accepted. 60 connections that stop before the last byte of a frame took 264 MiB of a router, 273 MiB of a controller.

Change: PeerServerLimits. Beyond the bytes, the connection that keeps the most is closed; beyond the number, the one without a complete frame for the longest time. Buffers above 64 KiB are released after the frame.

Tests: [peer] "a peer server bounds what its connections keep together" passes.

--- a/io/peer.cc
+++ b/io/peer.cc
@@ -31,6 +31,8 @@
 constexpr size_t kLengthBytes = 4;
 constexpr size_t kReadBytes = 16 << 10;
 constexpr Duration kReconnectDelay = Millis(20);
+// Capacity of buffers that a connection keeps between two frames.
+constexpr size_t kKeptBufferBytes = 64 << 10;
 
 uint32_t ReadLength(const char* data) {
   const auto byte = [data](size_t i) {
@@ -46,19 +48,31 @@
   std::function<void(wire::FrameT&)> on_frame;
   std::function<void()> on_close;
 
-  explicit PeerConnection(tcp::socket socket) : socket(std::move(socket)) {}
+  // `budget` bounds what the connections of a server keep together; null: not counted.
+  explicit PeerConnection(tcp::socket socket, const std::shared_ptr<ByteBudget>& budget = nullptr)
+      : socket(std::move(socket)) {
+    if (budget) this->kept = std::make_unique<ByteBudget::Account>(budget);
+  }
 
   void Start() {
     SetSocketOptions(this->socket);
+    if (this->kept) {
+      this->kept->AllowCut(this, ByteBudget::CutOrder::kFirst,
+                           [weak = this->weak_from_this()] { ScheduleCut(weak); });
+    }
     this->ReadNext();
   }
 
+  // Returns when the last complete frame was received, or when the connection was opened.
+  Time LastFrame() const { return this->last_frame; }
+
   // Queues a frame. Returns false without queueing it if the connection is closed or too many bytes
   // are queued.
   bool Write(std::string frame) {
     if (this->closed || this->unwritten_bytes + frame.size() > kMaxUnwrittenBytes) return false;
     this->unwritten_bytes += frame.size();
     this->queued_frames.push_back(std::move(frame));
+    this->Count();
     if (this->writing.empty()) this->WriteNext();
     return true;
   }
@@ -66,6 +80,7 @@
   void Close() {
     if (this->closed) return;
     this->closed = true;
+    this->kept = nullptr;
     error_code ignored;
     this->socket.close(ignored);
     // Moved out first, because the callback may destroy the owner of this connection.
@@ -76,6 +91,25 @@
   }
 
  private:
+  static void ScheduleCut(const std::weak_ptr<PeerConnection>& weak) {
+    const auto self = weak.lock();
+    if (!self) return;
+    asio::post(self->socket.get_executor(), [self] {
+      if (self->closed) return;
+      LOG_EVERY_N(WARNING, 100) << "peer: closing a connection: the incomplete frames and unread "
+                                   "replies of all peers exceed the memory for them";
+      self->Close();
+    });
+  }
+
+  // Counts what the connection keeps for its peer.
+  void Count() {
+    if (this->kept) {
+      this->kept->Set(this->received.capacity() + this->incoming.capacity() +
+                      this->unwritten_bytes);
+    }
+  }
+
   // Delivers all frames that have arrived in one pass of the event loop. With one pass for each
   // length and each body, frames were delayed by hundreds of milliseconds on a busy host.
   void ReadNext() {
@@ -96,6 +130,7 @@
         return this->Close();
       }
       if (this->received.size() - begin < kLengthBytes + size) break;
+      this->last_frame = SteadyNow();
       // Copied, because the verifier requires an aligned buffer.
       this->incoming.assign(this->received, begin + kLengthBytes, size);
       begin += kLengthBytes + size;
@@ -103,9 +138,19 @@
     }
     if (this->closed) return;
     this->received.erase(0, begin);
+    this->ReleaseLargeBuffers();
+    this->Count();
     this->ReadNext();
   }
 
+  // Large frames are rare. Without this each connection would keep the memory of its largest one.
+  void ReleaseLargeBuffers() {
+    if (this->incoming.capacity() > kKeptBufferBytes) std::string().swap(this->incoming);
+    if (this->received.empty() && this->received.capacity() > kKeptBufferBytes) {
+      std::string().swap(this->received);
+    }
+  }
+
   void Deliver() {
     auto frame = DecodeFrame(this->incoming);
     if (!frame) {
@@ -125,6 +170,7 @@
                       [self = this->shared_from_this()](error_code error, size_t written) {
                         if (error) return self->Close();
                         self->unwritten_bytes -= written;
+                        self->Count();
                         self->writing.clear();
                         if (!self->queued_frames.empty()) self->WriteNext();
                       });
@@ -138,6 +184,8 @@
   std::vector<std::string> writing;        // frames of the write in progress
   std::vector<asio::const_buffer> buffers;
   size_t unwritten_bytes = 0;  // of `queued_frames` and `writing`
+  std::unique_ptr<ByteBudget::Account> kept;
+  Time last_frame = SteadyNow();
   bool closed = false;
 };
 
@@ -463,8 +511,11 @@
 
 class PeerServer::Impl : public std::enable_shared_from_this<PeerServer::Impl> {
  public:
-  Impl(asio::io_context& io, const Address& address, Handler handler)
-      : handler(std::move(handler)), acceptor(io), accept_retry_timer(io) {
+  Impl(asio::io_context& io, const Address& address, Handler handler, PeerServerLimits limits)
+      : handler(std::move(handler)),
+        limits(std::move(limits)),
+        acceptor(io),
+        accept_retry_timer(io) {
     const auto endpoint = ParseListenAddress(address);
     if (!endpoint) {
       throw boost::system::system_error(asio::error::invalid_argument, endpoint.error().detail);
@@ -489,6 +540,7 @@
   }
 
   uint16_t Port() const { return this->acceptor.local_endpoint().port(); }
+  size_t Connections() const { return this->sessions.size(); }
 
  private:
   // The unanswered requests of one connection.
@@ -517,7 +569,8 @@
   }
 
   void OnAccepted(tcp::socket socket) {
-    auto connection = std::make_shared<PeerConnection>(std::move(socket));
+    if (this->sessions.size() >= this->limits.max_connections) this->CloseOldest();
+    auto connection = std::make_shared<PeerConnection>(std::move(socket), this->limits.bytes);
     PeerConnection* key = connection.get();
     this->sessions.emplace(connection, std::make_shared<Session>());
     connection->on_frame = [self = this->weak_from_this(), key](wire::FrameT& frame) {
@@ -529,6 +582,20 @@
     connection->Start();
   }
 
+  // Peers of this system send frames at least at every heartbeat or synchronisation; connections
+  // that send none are closed first.
+  void CloseOldest() {
+    const auto oldest = std::min_element(
+        this->sessions.begin(), this->sessions.end(),
+        [](const auto& a, const auto& b) { return a.first->LastFrame() < b.first->LastFrame(); });
+    if (oldest == this->sessions.end()) return;
+    LOG_EVERY_N(WARNING, 100) << "peer: closing the connection that was silent the longest: more "
+                                 "than "
+                              << this->limits.max_connections << " are open";
+    const std::shared_ptr<PeerConnection> connection = oldest->first;
+    connection->Close();
+  }
+
   void OnFrame(const std::shared_ptr<PeerConnection>& connection, wire::FrameT& frame) {
     auto found = this->sessions.find(connection);
     if (found == this->sessions.end() || frame.reply) return;
@@ -565,18 +632,21 @@
   }
 
   Handler handler;
+  const PeerServerLimits limits;
   tcp::acceptor acceptor;
   asio::steady_timer accept_retry_timer;
   std::map<std::shared_ptr<PeerConnection>, std::shared_ptr<Session>> sessions;
   bool closed = false;
 };
 
-PeerServer::PeerServer(asio::io_context& io, const Address& address, Handler handler)
-    : impl(std::make_shared<Impl>(io, address, std::move(handler))) {
+PeerServer::PeerServer(asio::io_context& io, const Address& address, Handler handler,
+                       PeerServerLimits limits)
+    : impl(std::make_shared<Impl>(io, address, std::move(handler), std::move(limits))) {
   this->impl->Start();
 }
 PeerServer::~PeerServer() { this->impl->Close(); }
 void PeerServer::Close() { this->impl->Close(); }
 uint16_t PeerServer::Port() const { return this->impl->Port(); }
+size_t PeerServer::Connections() const { return this->impl->Connections(); }
 
 }  // namespace peridotgauge
--- a/io/peer.h
+++ b/io/peer.h
@@ -17,6 +17,10 @@
 // if connecting fails. A frame above kMaxFrameBytes or one that fails verification closes the
 // connection. Both sides bound the bytes queued for writing: a client refuses calls with
 // kOverloaded, and a server closes a connection whose peer does not read its replies.
+//
+// A server also bounds, over all its connections, their number and the bytes of incomplete frames
+// and unread replies. Beyond the number it closes the connection whose last complete frame is the
+// oldest; beyond the bytes, the one that keeps the most.
 #ifndef PERIDOTGAUGE_IO_PEER_H_
 #define PERIDOTGAUGE_IO_PEER_H_
 
@@ -25,6 +29,7 @@
 #include <memory>
 #include <string>
 
+#include "core/byte_budget.h"
 #include "core/error.h"
 #include "core/types.h"
 #include "peer_generated.h"
@@ -94,12 +99,18 @@
   std::shared_ptr<State> state;
 };
 
+struct PeerServerLimits {
+  size_t max_connections = 1'024;
+  std::shared_ptr<ByteBudget> bytes = nullptr;  // null: not bounded together
+};
+
 class PeerServer {
  public:
   using Handler = std::function<void(wire::BodyUnion, PeerRequest)>;
 
   // Throws boost::system::system_error if the address cannot be bound.
-  PeerServer(boost::asio::io_context& io, const Address& address, Handler handler);
+  PeerServer(boost::asio::io_context& io, const Address& address, Handler handler,
+             PeerServerLimits limits = {});
   ~PeerServer();
   PeerServer(const PeerServer&) = delete;
   PeerServer& operator=(const PeerServer&) = delete;
@@ -108,6 +119,8 @@
   void Close();
   // Returns the bound port, also if the address had port 0.
   uint16_t Port() const;
+  // Returns the number of open connections.
+  size_t Connections() const;
 
  private:
   class Impl;
--- a/testing/peer_test.cc
+++ b/testing/peer_test.cc
@@ -55,6 +55,54 @@
   }
 };
 
+// Guards against connections without a complete frame that take the memory or the descriptors of
+// the process.
+TEST_CASE("a peer server bounds what its connections keep together", "[peer]") {
+  asio::io_context io;
+  const auto bytes = std::make_shared<ByteBudget>(1 << 20);
+  PeerServer server(
+      io, "127.0.0.1:0",
+      [](const wire::BodyUnion&, const PeerRequest& request) { request.Reply(MakeReply("r")); },
+      {.max_connections = 4, .bytes = bytes});
+  const auto until = [&](const std::function<bool()>& condition) {
+    const Time limit = SteadyNow() + Seconds(10);
+    while (!condition() && SteadyNow() < limit) io.run_one_for(std::chrono::milliseconds(10));
+    return condition();
+  };
+  const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), server.Port());
+  const std::string part = std::string("\x00\x00\x0c\x00", 4) + std::string(700'000, 'x');
+  PeerClient sound(io, "127.0.0.1:" + std::to_string(server.Port()));
+  int replies = 0;
+  const auto call = [&] {
+    sound.Call(MakeRequest("a"), SteadyNow() + Seconds(60),
+               [&](const Result<wire::BodyUnion>& reply) { replies += reply ? 1 : 0; });
+  };
+  call();
+  REQUIRE(until([&] { return replies == 1; }));
+  std::vector<tcp::socket> crowd;
+  for (int i = 0; i < 3; ++i) {
+    crowd.emplace_back(io);
+    crowd.back().connect(endpoint);
+    std::string_view rest = part;
+    crowd.back().non_blocking(true);
+    REQUIRE(until([&] {
+      boost::system::error_code error;
+      rest.remove_prefix(crowd.back().write_some(asio::buffer(rest), error));
+      return rest.empty() || (error && error != asio::error::would_block);
+    }));
+  }
+  REQUIRE(until([&] { return bytes->Cuts() >= 2 && bytes->Used() <= bytes->Limit(); }));
+  for (int i = 0; i < 6; ++i) {
+    crowd.emplace_back(io);
+    crowd.back().connect(endpoint);
+    call();
+    REQUIRE(until([&] { return replies == 2 + i; }));
+    CHECK(server.Connections() <= 4);
+  }
+  server.Close();
+  CHECK(bytes->Used() == 0);
+}
+
 TEST_CASE("peer calls", "[peer]") {
   Fixture f;
   PeerClient client(f.io, f.address);
