Bound what callers make a process keep, and reserve descriptors

Cause: parsed heads, read buffers, running requests and their copies were not counted; only bodies were. Heads were parsed in one step of the event loop and run in a later one, so that those of all connections were kept parsed, at a multiple of their size. Callers could take all descriptors. After an answer was written, its body's memory stayed with the connection, uncounted (assigning an empty std::string keeps the capacity).

Change: core/caller_room.h: one room per process for the connections and the memory of callers on all listeners (a quarter of memory_mb; three quarters of the descriptors). Without room, connections are closed in the order of their last progress, never one whose request runs; requests that do not fit get 503 with Retry-After. The HTTP server parses and runs a request in one step, counts at each read and before the handler, writes answers in steps, and refuses headers with more than max_header_fields fields with 431. Settings descriptors, reserved_descriptors, max_header_fields; metrics peridotgauge_caller_*. A connection that was accepted before Stop() and reported after it was closed unanswered; it is served now ([http_server] "completes running requests before it stops" showed it, because requests run earlier in the loop).

--- a/core/settings.cc
+++ b/core/settings.cc
@@ -127,6 +127,34 @@
   }
 }
 
+// Reads a whole number that is 0 or in a range.
+void ReadCount(JsonErrorCollector& errors, StrictJsonObject& root, const std::string& name,
+               std::pair<size_t, size_t> allowed, bool zero_allowed, size_t& value) {
+  const json::value* found = root.Find(name);
+  if (found == nullptr) return;
+  boost::system::error_code error;
+  const auto number = found->to_number<uint64_t>(error);
+  if (error ||
+      ((number < allowed.first || number > allowed.second) && !(zero_allowed && number == 0))) {
+    return errors.Add(name, AbbreviatedJson(*found) + "; allowed is " +
+                                (zero_allowed ? "0 or " : "") + std::to_string(allowed.first) +
+                                " to " + std::to_string(allowed.second));
+  }
+  value = number;
+}
+
+void ReadDescriptors(JsonErrorCollector& errors, StrictJsonObject& root, Settings& settings) {
+  constexpr size_t kMost = 1 << 24;
+  ReadCount(errors, root, "descriptors", {64, kMost}, true, settings.descriptors);
+  ReadCount(errors, root, "reserved_descriptors", {16, kMost}, true, settings.reserved_descriptors);
+  ReadCount(errors, root, "max_header_fields", {64, 65'536}, false, settings.max_header_fields);
+  if (settings.descriptors != 0 && settings.reserved_descriptors >= settings.descriptors) {
+    errors.Add("reserved_descriptors", std::to_string(settings.reserved_descriptors) +
+                                           "; allowed is less than descriptors, " +
+                                           std::to_string(settings.descriptors));
+  }
+}
+
 void ReadInterface(JsonErrorCollector& errors, StrictJsonObject& root, Settings& settings) {
   size_t interface = static_cast<size_t>(settings.interface);
   root.ReadChoice("interface", interface, {"native", "routes"});
@@ -139,6 +167,7 @@
   root.ReadMillis("grace_ms", settings.shutdown_grace, {.min = 100, .max = kLongestMillis});
   ReadFraction(errors, root, "processor_share", {0.001, 1'024}, settings.processor_share);
   ReadFraction(errors, root, "memory_mb", {16, 1 << 24}, settings.memory_mb);
+  ReadDescriptors(errors, root, settings);
   ReadFraction(errors, root, "extra_slack", {0, 1'000'000}, settings.extra_requests.slack);
   ReadFraction(errors, root, "extra_ratio", {0, 10}, settings.extra_requests.ratio);
   double window_s = std::chrono::duration<double>(settings.extra_requests.window).count();
--- a/core/settings.h
+++ b/core/settings.h
@@ -80,6 +80,13 @@
   double processor_share = 1;
   // Memory that this process may use, in MiB.
   double memory_mb = 256;
+  // File descriptors that this process may open. 0: the limit of the operating system.
+  size_t descriptors = 0;
+  // Descriptors that connections of callers leave free for targets, peers, controllers and files.
+  // 0: a quarter of all.
+  size_t reserved_descriptors = 0;
+  // Fields of the header and the trailer of a request. A header of 16,384 bytes has fewer.
+  size_t max_header_fields = 4'096;
   ExtraRequestLimit extra_requests;
   QuotaTolerance quota;
   WarmupTolerance warmup;
--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -2,8 +2,10 @@
 #include "io/daemon.h"
 
 #include <glog/logging.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <optional>
@@ -64,6 +66,16 @@
 // of requests. Each attempt of a request holds up to two more copies of its body.
 constexpr double kResponseMemoryShare = 1.0 / 4;
 constexpr double kRequestMemoryShare = 1.0 / 16;
+// Share of the memory for all that requests of callers make the process keep, counted as held: read
+// buffers, parsed headers, and bodies with the copies above.
+constexpr double kCallerMemoryShare = 1.0 / 4;
+// Share of the memory for incomplete frames of peers and replies that they have not read. The
+// smallest controllers, of 256 MiB, have room for eight of the longest frames.
+constexpr double kPeerMemoryShare = 1.0 / 8;
+// Share of the descriptors that connections of callers leave free, unless the settings name another
+// number, and the part of it that connections of peers may take.
+constexpr size_t kReservedDescriptorsDivisor = 4;
+constexpr size_t kPeerDescriptorsDivisor = 2;
 
 // Returns 0 for an address without a port, which validated settings do not contain.
 uint16_t PortOf(const Address& address) { return ParseAddress(address).value_or(Endpoint{}).port; }
@@ -79,6 +91,11 @@
         log(external != nullptr ? STDOUT_FILENO : -1),
         request_bytes(this->MemoryFor(kRequestMemoryShare)),
         response_bytes(this->MemoryFor(kResponseMemoryShare)),
+        peer_bytes(this->MemoryFor(kPeerMemoryShare)),
+        reserved_descriptors(this->ReservedDescriptors()),
+        room(std::make_shared<CallerRoom>(
+            CallerRoomLimits{.connections = this->Descriptors() - this->reserved_descriptors,
+                             .bytes = this->MemoryFor(kCallerMemoryShare)->Limit()})),
         tracer(this->settings.id, this->settings.span_file, RandomSeed()),
         peers(io),
         self{.id = this->settings.id,
@@ -187,7 +204,10 @@
           this->io, this->settings.peer_address,
           [weak = this->weak_from_this()](wire::BodyUnion body, const PeerRequest& request) {
             if (auto self = weak.lock()) self->OnPeerRequest(std::move(body), request);
-          });
+          },
+          PeerServerLimits{.max_connections = std::max<size_t>(
+                               this->reserved_descriptors / kPeerDescriptorsDivisor, 1),
+                           .bytes = this->peer_bytes});
     } catch (const boost::system::system_error& error) {
       return Fail(ErrorCode::kInvalidSettings, "peer_address " + this->settings.peer_address +
                                                    " cannot be used: " + error.what());
@@ -220,9 +240,31 @@
   HttpServerLimits Limited(HttpServerLimits limits) const {
     limits.request_bytes = this->request_bytes;
     limits.response_bytes = this->response_bytes;
+    limits.room = this->room;
+    limits.max_header_fields = this->settings.max_header_fields;
     return limits;
   }
 
+  size_t Descriptors() const {
+    rlimit limit{};
+    size_t most = std::numeric_limits<size_t>::max();
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) most = limit.rlim_cur;
+    // A process with more has memory for fewer connections than that.
+    constexpr size_t kMostDescriptors = 1 << 20;
+    most = std::min(most, kMostDescriptors);
+    return this->settings.descriptors == 0 ? most : std::min(most, this->settings.descriptors);
+  }
+
+  // Returns less than Descriptors(), whatever the limit of the operating system.
+  size_t ReservedDescriptors() const {
+    const size_t all = this->Descriptors();
+    const size_t chosen = this->settings.reserved_descriptors;
+    const size_t reserved = chosen == 0 ? all / kReservedDescriptorsDivisor : chosen;
+    LOG_IF(WARNING, reserved >= all) << "daemon: reserved_descriptors " << reserved
+                                     << " leaves none of the " << all << " descriptors";
+    return std::min(reserved, all - 1);
+  }
+
   Result<void> ListenNative() {
     return Open(HttpServer::Listen(this->io, this->settings.http_address,
                                    this->BindHandler(&Impl::OnHttp), this->Limited({})),
@@ -393,6 +435,17 @@
     };
     show(*this->request_bytes, "requests");
     show(*this->response_bytes, "responses");
+    show(*this->peer_bytes, "peers");
+    const auto set = [this](const std::string& name, size_t value) {
+      this->metrics.GaugeOf(name).Set(static_cast<double>(value));
+    };
+    set("peridotgauge_caller_connections", this->room->Connections());
+    set("peridotgauge_caller_connections_limit", this->room->Limits().connections);
+    set("peridotgauge_caller_bytes", this->room->UsedBytes());
+    set("peridotgauge_caller_bytes_limit", this->room->Limits().bytes);
+    set("peridotgauge_caller_closed_for_room", this->room->Closed());
+    set("peridotgauge_caller_refused_for_room", this->room->Refused());
+    set("peridotgauge_peer_connections", this->peer_server->Connections());
     if (this->replica) {
       const ReplicaStatus replica_status = this->replica->Status();
       this->metrics.GaugeOf("peridotgauge_storage_available")
@@ -475,6 +528,9 @@
   EventLog log;
   const std::shared_ptr<ByteBudget> request_bytes;
   const std::shared_ptr<ByteBudget> response_bytes;
+  const std::shared_ptr<ByteBudget> peer_bytes;
+  const size_t reserved_descriptors;
+  const std::shared_ptr<CallerRoom> room;
   Metrics metrics;
   Tracer tracer;
   PeerPool peers;
--- a/io/http_beast.cc
+++ b/io/http_beast.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/beast/http.hpp>
+#include <iterator>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -14,6 +15,8 @@
 template <typename Fields>
 std::vector<HttpHeader> ToHeaders(const Fields& fields) {
   std::vector<HttpHeader> headers;
+  // Messages of many short fields would otherwise keep up to twice the memory of their headers.
+  headers.reserve(static_cast<size_t>(std::distance(fields.begin(), fields.end())));
   for (const auto& field : fields) {
     headers.push_back({std::string(field.name_string()), std::string(field.value())});
   }
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -19,6 +19,7 @@
 
 #include "core/address.h"
 #include "core/caller_api.h"
+#include "io/clock.h"
 #include "io/http_beast.h"
 #include "io/socket_options.h"
 
@@ -44,6 +45,25 @@
 // ones are closed without one.
 constexpr size_t kMaxRefusedConnections = 64;
 
+// Bytes in one read of the rest of a request.
+constexpr size_t kReceiveBytes = 16'384;
+// What a connection keeps without a request: the socket, the timer, and a read ahead.
+constexpr size_t kConnectionBytes = 8'192;
+// What a request in the handler keeps for each field of its header, in addition to copies of its
+// text: the names and values of the request, and of a request to a target.
+constexpr size_t kFieldBytes = 2 * sizeof(HttpHeader);
+// Copies of the text of a header, and of a body, that a request in the handler may keep: its own,
+// and two of an attempt at a target.
+constexpr size_t kTextCopies = 3;
+// A field of a header that is being received costs this much in Beast's list, with its allocation.
+constexpr size_t kParsedFieldBytes = 96;
+// Time after which a request that was refused for want of room may come again, in seconds. Requests
+// in the handler take about as long.
+constexpr char kRetryAfter[] = "0.200";
+constexpr unsigned kFieldsTooLargeStatus = 431;
+// Time between two lines in the log about refusals and closed connections of the same kind.
+constexpr int kLogPeriod = 1'000;
+
 // Returns the error response to a request that could not be read.
 Error ErrorOf(const error_code& error, const HttpServerLimits& limits) {
   if (error == http::error::body_limit) {
@@ -78,6 +98,11 @@
   bool Closing() const { return this->draining || this->stopping; }
   // Returns the number of connections that count against the limit.
   size_t CountedConnections() const { return this->connections.size() - this->refused_open; }
+  // Connections that receive an error response take descriptors beyond those of the room.
+  size_t MaxRefusedConnections() const {
+    if (!this->limits.room) return kMaxRefusedConnections;
+    return std::min(kMaxRefusedConnections, this->limits.room->Limits().connections / 16);
+  }
 
   asio::io_context& io;
   Tcp::acceptor acceptor;
@@ -93,6 +118,8 @@
 
  private:
   void OnAccept(Tcp::socket socket);
+  // Closes the connections that are idle.
+  void StopIdle();
   void NotifyStopped();
 
   std::function<void()> on_stopped;
@@ -114,10 +141,13 @@
   Connection(std::shared_ptr<Impl> impl, Tcp::socket socket)
       : impl(std::move(impl)), socket(std::move(socket)), timer(this->impl->io) {}
 
+  // Takes a place in the room. Returns false if there is none.
+  bool Join();
   // Waits for the first or next request.
   void AwaitRequest();
   // Responds with an error and closes the connection.
   void Refuse(const Error& error);
+  void Refuse(HttpResponse answer);
   // Refuses a connection above the limit.
   void RefuseConnection();
   // Sends the response to the running request.
@@ -136,8 +166,20 @@
   void ReadAhead();
   void OnReadAhead(const error_code& error, size_t bytes);
   void Receive();
-  void OnHead(const error_code& error);
-  void ReceiveBody();
+  void ReceiveMore();
+  void OnReceived(error_code error, size_t bytes);
+  // Parses what has arrived, and reads more or runs the request.
+  void Parse();
+  // Returns false if the body does not follow yet, or the request was refused.
+  bool OnHead();
+  // Counts what the incomplete request keeps. Returns false if it was refused.
+  bool KeepPartialRequest();
+  // Counts what the request keeps in the handler. Returns false if it was refused.
+  bool KeepRunningRequest(const HttpRequest& request);
+  // Counts what is kept without a request. Keeps the connection in the order of closing.
+  void KeepIdle();
+  void RefuseForRoom(const std::string& detail);
+  size_t FieldCount() const;
   // Counts the body in the budget. Returns false if it does not fit.
   bool ReserveBody();
   void OnRequest(const error_code& error);
@@ -145,12 +187,15 @@
   // Counts an answer that is to be written in the budget.
   void KeepResponse(HttpResponse& answer);
   void Write(HttpResponse response, bool keep_alive);
+  void WriteMore(bool keep_alive);
   void OnWritten(const error_code& error, bool keep_alive);
   void Linger();
   void Discard();
   void StartTimer(Duration duration);
   void OnTimer();
 
+  using Serializer = http::response_serializer<http::string_body>;
+
   std::shared_ptr<Impl> impl;
   Tcp::socket socket;
   asio::steady_timer timer;
@@ -160,13 +205,16 @@
   std::optional<Parser> parser;
   std::weak_ptr<HttpResponder::State> responder;  // of the running request
   BeastResponse response;
+  std::optional<Serializer> serializer;                // of `response`, while it is being written
+  std::unique_ptr<CallerRoom::Member> member;          // null without a room
   std::shared_ptr<ByteBudget::Account> kept_request;   // of a body that is not small
   std::shared_ptr<ByteBudget::Account> kept_response;  // of a large answer that is being written
-  std::array<char, kReadBytes> discarded;
+  std::unique_ptr<std::array<char, kReadBytes>> discarded;  // set while lingering
   uint64_t requests = 0;
   bool keep_alive = false;
-  bool head_only = false;    // the running request is a HEAD request
-  bool peer_closed = false;  // the caller has shut down its sending side
+  bool head_complete = false;  // of the request that is being received
+  bool head_only = false;      // the running request is a HEAD request
+  bool peer_closed = false;    // the caller has shut down its sending side
 };
 
 // --- Impl ---
@@ -186,12 +234,15 @@
 void HttpServer::Impl::Accept() {
   this->acceptor.async_accept(
       [self = this->shared_from_this()](const error_code& error, Tcp::socket socket) {
-        if (self->closed || self->stopping) return;
-        if (!error) {
-          self->OnAccept(std::move(socket));
-          self->Accept();
+        if (self->closed) return;
+        if (!error) self->OnAccept(std::move(socket));
+        if (self->stopping) {
+          // A connection that was accepted before Stop() and is reported after it is served like
+          // those that Stop() accepts: its caller may have sent a request.
+          if (!error) self->StopIdle();
           return;
         }
+        if (!error) return self->Accept();
         LOG(WARNING) << "http: cannot accept a connection, retrying: " << error.message();
         self->accept_retry.expires_after(kAcceptRetryDelay);
         self->accept_retry.async_wait([self](const error_code& cancelled) {
@@ -201,18 +252,23 @@
 }
 
 void HttpServer::Impl::OnAccept(Tcp::socket socket) {
-  const bool refuse = this->CountedConnections() >= this->limits.max_connections;
+  const bool refuse =
+      !this->limits.room && this->CountedConnections() >= this->limits.max_connections;
   if (refuse) {
     ++this->status.refused_connections;
-    if (this->refused_open >= kMaxRefusedConnections) return;
+    if (this->refused_open >= this->MaxRefusedConnections()) return;
   }
   SetSocketOptions(socket);
   auto connection = std::make_shared<Connection>(this->shared_from_this(), std::move(socket));
   this->connections.insert(connection);
-  if (!refuse) {
+  if (!refuse && connection->Join()) {
     connection->AwaitRequest();
     return;
   }
+  if (!refuse) {
+    ++this->status.refused_connections;
+    if (this->refused_open >= this->MaxRefusedConnections()) return connection->Close();
+  }
   connection->refused = true;
   ++this->refused_open;
   connection->RefuseConnection();
@@ -232,14 +288,22 @@
     this->acceptor.close(error);
     this->accept_retry.cancel();
   }
+  this->StopIdle();
+  this->NotifyStopped();
+}
+
+void HttpServer::Impl::StopIdle() {
   const auto open_connections = this->connections;
   for (const auto& connection : open_connections) connection->BeginStop();
-  this->NotifyStopped();
 }
 
 void HttpServer::Impl::NotifyStopped() {
   if (!this->connections.empty() || !this->on_stopped) return;
-  asio::post(this->io, std::exchange(this->on_stopped, {}));
+  // The report of a connection that was accepted before may still be queued.
+  asio::post(this->io, [self = this->shared_from_this()] {
+    if (!self->connections.empty() || !self->on_stopped) return;
+    std::exchange(self->on_stopped, {})();
+  });
 }
 
 void HttpServer::Impl::Close() {
@@ -259,6 +323,29 @@
 
 // --- Connection ---
 
+bool HttpServer::Connection::Join() {
+  const std::shared_ptr<CallerRoom>& room = this->impl->limits.room;
+  if (!room) return true;
+  const Time now = SteadyNow();
+  this->member = std::make_unique<CallerRoom::Member>(room, now, [this] {
+    LOG_EVERY_N(WARNING, kLogPeriod)
+        << "http: closing connections that make no progress, because there is no room for more";
+    this->Close();
+  });
+  if (room->MakeRoom(*this->member) && this->member->Keep(now, kConnectionBytes)) return true;
+  this->member = nullptr;
+  return false;
+}
+
+void HttpServer::Connection::KeepIdle() {
+  if (!this->reading_ahead && this->buffer.capacity() > kReadBytes) this->buffer.shrink_to_fit();
+  if (!this->member) return;
+  const Time now = SteadyNow();
+  this->member->OnComplete(now);
+  this->member->AllowClose(true);
+  this->member->Keep(now, kConnectionBytes + this->buffer.capacity());
+}
+
 void HttpServer::Connection::AwaitRequest() {
   if (this->peer_closed) {
     this->Close();
@@ -289,6 +376,7 @@
   this->reading_ahead = false;
   if (this->phase == Phase::kClosed || this->phase == Phase::kLingering) return;
   this->buffer.commit(bytes);
+  if (this->member) this->member->OnProgress(SteadyNow(), bytes);
   if (!error) {
     if (this->phase == Phase::kIdle) this->Receive();
     return;
@@ -305,29 +393,105 @@
   this->phase = Phase::kReceiving;
   this->StartTimer(this->impl->limits.request_timeout);
   this->parser.emplace();
+  this->head_complete = false;
   this->buffer.max_size(this->impl->limits.max_header_bytes + kReadBytes);
   this->parser->header_limit(static_cast<uint32_t>(this->impl->limits.max_header_bytes));
   this->parser->body_limit(this->impl->limits.max_body_bytes);
-  http::async_read_header(
-      this->socket, this->buffer, *this->parser,
-      [self = this->shared_from_this()](const error_code& error, size_t) { self->OnHead(error); });
+  this->Parse();
+}
+
+// Each part is parsed as soon as it is received, and the request run in the same step: requests
+// that wait for their turn in the event loop would all be kept parsed, at a multiple of their size.
+void HttpServer::Connection::Parse() {
+  while (!this->parser->is_done()) {
+    if (this->buffer.size() == 0) break;
+    error_code error;
+    this->buffer.consume(this->parser->put(this->buffer.data(), error));
+    if (error == http::error::need_more) break;
+    if (error) return this->OnRequest(error);
+    if (!this->head_complete && this->parser->is_header_done() && !this->OnHead()) return;
+  }
+  if (!this->KeepPartialRequest()) return;
+  if (this->parser->is_done()) return this->Run();
+  this->ReceiveMore();
+}
+
+void HttpServer::Connection::ReceiveMore() {
+  const size_t size = std::min(kReceiveBytes, this->buffer.max_size() - this->buffer.size());
+  if (size == 0) return this->OnRequest(http::error::buffer_overflow);
+  this->socket.async_read_some(
+      this->buffer.prepare(std::min(size, this->head_complete ? kReceiveBytes : kReadBytes)),
+      [self = this->shared_from_this()](const error_code& error, size_t bytes) {
+        self->OnReceived(error, bytes);
+      });
 }
 
-void HttpServer::Connection::OnHead(const error_code& error) {
+void HttpServer::Connection::OnReceived(error_code error, size_t bytes) {
   if (this->phase != Phase::kReceiving) return;
-  if (error) {
-    this->OnRequest(error);
-    return;
+  this->buffer.commit(bytes);
+  if (this->member) this->member->OnProgress(SteadyNow(), bytes);
+  if (error == asio::error::eof) {
+    error = http::error::end_of_stream;
+    if (this->parser->got_some()) {
+      error = {};
+      this->parser->put_eof(error);
+    }
+  }
+  if (error) return this->OnRequest(error);
+  this->Parse();
+}
+
+size_t HttpServer::Connection::FieldCount() const {
+  const auto& head = this->parser->get();
+  return static_cast<size_t>(std::distance(head.begin(), head.end()));
+}
+
+bool HttpServer::Connection::KeepPartialRequest() {
+  const size_t fields = this->head_complete ? this->FieldCount() : 0;
+  if (fields > this->impl->limits.max_header_fields) {
+    HttpResponse response =
+        ErrorResponse({ErrorCode::kTooLarge,
+                       "request header has more than " +
+                           std::to_string(this->impl->limits.max_header_fields) + " fields"},
+                      "");
+    response.status = kFieldsTooLargeStatus;
+    this->Refuse(std::move(response));
+    return false;
+  }
+  if (!this->member) return true;
+  const size_t bytes = kConnectionBytes + this->buffer.capacity() + fields * kParsedFieldBytes +
+                       this->parser->get().body().capacity();
+  if (this->member->Keep(SteadyNow(), bytes)) return true;
+  this->RefuseForRoom("too many bytes of requests are held");
+  return false;
+}
+
+bool HttpServer::Connection::KeepRunningRequest(const HttpRequest& request) {
+  if (!this->member) return true;
+  size_t text = request.body.capacity();
+  for (const HttpHeader& header : request.headers) {
+    text += header.name.size() + header.value.size();
+  }
+  const size_t bytes = kConnectionBytes + this->buffer.capacity() +
+                       request.headers.size() * kFieldBytes + kTextCopies * text;
+  if (!this->member->Keep(SteadyNow(), bytes)) {
+    this->RefuseForRoom("too many bytes of requests are held");
+    return false;
   }
+  this->member->OnComplete(SteadyNow());
+  this->member->AllowClose(false);
+  return true;
+}
+
+bool HttpServer::Connection::OnHead() {
+  this->head_complete = true;
   if (!this->ReserveBody()) {
-    this->Refuse({ErrorCode::kOverloaded, "too many bytes of request bodies are held"});
-    return;
+    this->RefuseForRoom("too many bytes of request bodies are held");
+    return false;
   }
+  this->parser->eager(true);
   const auto expect = this->parser->get()[http::field::expect];
-  if (!beast::iequals(expect, "100-continue")) {
-    this->ReceiveBody();
-    return;
-  }
+  if (!beast::iequals(expect, "100-continue")) return true;
   static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
   asio::async_write(this->socket, asio::buffer(kContinue),
                     [self = this->shared_from_this()](const error_code& failed, size_t) {
@@ -335,9 +499,10 @@
                       if (failed) {
                         self->Close();
                       } else {
-                        self->ReceiveBody();
+                        self->Parse();
                       }
                     });
+  return false;
 }
 
 bool HttpServer::Connection::ReserveBody() {
@@ -354,18 +519,9 @@
   return true;
 }
 
-void HttpServer::Connection::ReceiveBody() {
-  http::async_read(this->socket, this->buffer, *this->parser,
-                   [self = this->shared_from_this()](const error_code& error, size_t) {
-                     if (self->phase == Phase::kReceiving) self->OnRequest(error);
-                   });
-}
-
 void HttpServer::Connection::OnRequest(const error_code& error) {
-  if (!error) {
-    this->Run();
-  } else if (error == http::error::end_of_stream || error == asio::error::connection_reset ||
-             error == asio::error::broken_pipe) {
+  if (error == http::error::end_of_stream || error == asio::error::connection_reset ||
+      error == asio::error::broken_pipe) {
     this->Close();
   } else {
     this->Refuse(ErrorOf(error, this->impl->limits));
@@ -373,14 +529,15 @@
 }
 
 void HttpServer::Connection::Run() {
+  this->keep_alive = this->parser->get().keep_alive();
+  this->head_only = this->parser->get().method() == http::verb::head;
+  HttpRequest request = ToRequest(this->parser->release());
+  if (!this->KeepRunningRequest(request)) return;
   this->phase = Phase::kRunning;
   this->timer.cancel();
   ++this->requests;
   ++this->impl->status.requests;
   ++this->impl->status.running;
-  this->keep_alive = this->parser->get().keep_alive();
-  this->head_only = this->parser->get().method() == http::verb::head;
-  HttpRequest request = ToRequest(this->parser->release());
   if (this->kept_request) this->kept_request->Set(request.body.capacity());
   HttpResponder responder;
   responder.state = std::make_shared<HttpResponder::State>();
@@ -400,28 +557,50 @@
   this->Write(std::move(response), this->keep_alive && !this->impl->Closing());
 }
 
-void HttpServer::Connection::Refuse(const Error& error) {
+void HttpServer::Connection::Refuse(const Error& error) { this->Refuse(ErrorResponse(error, "")); }
+
+void HttpServer::Connection::Refuse(HttpResponse answer) {
   if (!this->refused) ++this->impl->status.refused_requests;
+  this->parser.reset();
   this->head_only = false;
-  this->Write(ErrorResponse(error, ""), false);
+  this->Write(std::move(answer), false);
+}
+
+void HttpServer::Connection::RefuseForRoom(const std::string& detail) {
+  LOG_EVERY_N(WARNING, kLogPeriod) << "http: refusing requests: " << detail;
+  HttpResponse answer = ErrorResponse({ErrorCode::kOverloaded, detail}, "");
+  answer.headers.push_back({"Retry-After", kRetryAfter});
+  this->Refuse(std::move(answer));
 }
 
 void HttpServer::Connection::RefuseConnection() {
-  this->Refuse({ErrorCode::kOverloaded, "the server has reached its limit of " +
-                                            std::to_string(this->impl->limits.max_connections) +
-                                            " connections"});
+  const HttpServerLimits& limits = this->impl->limits;
+  const size_t most = limits.room ? limits.room->Limits().connections : limits.max_connections;
+  this->RefuseForRoom("the server has reached its limit of " + std::to_string(most) +
+                      " connections");
 }
 
 void HttpServer::Connection::Write(HttpResponse response, bool keep_alive) {
   this->phase = Phase::kWriting;
   this->StartTimer(this->impl->limits.write_timeout);
   this->kept_request = nullptr;
+  this->KeepIdle();
   this->KeepResponse(response);
   this->response = ToBeastResponse(std::move(response), keep_alive, this->head_only);
-  http::async_write(this->socket, this->response,
-                    [self = this->shared_from_this(), keep_alive](const error_code& error, size_t) {
-                      if (self->phase == Phase::kWriting) self->OnWritten(error, keep_alive);
-                    });
+  this->serializer.emplace(this->response);
+  this->WriteMore(keep_alive);
+}
+
+// Writes in steps, so that the room sees which callers read.
+void HttpServer::Connection::WriteMore(bool keep_alive) {
+  http::async_write_some(
+      this->socket, *this->serializer,
+      [self = this->shared_from_this(), keep_alive](const error_code& error, size_t bytes) {
+        if (self->phase != Phase::kWriting) return;
+        if (self->member) self->member->OnProgress(SteadyNow(), bytes);
+        if (!error && !self->serializer->is_done()) return self->WriteMore(keep_alive);
+        self->OnWritten(error, keep_alive);
+      });
 }
 
 void HttpServer::Connection::KeepResponse(HttpResponse& answer) {
@@ -444,10 +623,15 @@
 
 void HttpServer::Connection::OnWritten(const error_code& error, bool keep_alive) {
   this->kept_response = nullptr;
+  this->serializer.reset();
+  // The assignment of an empty string would keep the memory of the body, uncounted, until the next
+  // answer.
+  std::string().swap(this->response.body());
   this->response = {};
   if (error) {
     this->Close();
   } else if (keep_alive) {
+    if (this->member) this->member->OnComplete(SteadyNow());
     this->AwaitRequest();
     if (this->impl->stopping) this->BeginStop();
   } else {
@@ -466,11 +650,12 @@
     return;
   }
   this->StartTimer(kLingerTimeout);
+  this->discarded = std::make_unique<std::array<char, kReadBytes>>();
   this->Discard();
 }
 
 void HttpServer::Connection::Discard() {
-  this->socket.async_read_some(asio::buffer(this->discarded),
+  this->socket.async_read_some(asio::buffer(*this->discarded),
                                [self = this->shared_from_this()](const error_code& error, size_t) {
                                  if (self->phase != Phase::kLingering) return;
                                  if (error) {
@@ -498,6 +683,7 @@
   this->phase = Phase::kClosed;
   this->kept_request = nullptr;
   this->kept_response = nullptr;
+  this->member = nullptr;
   this->timer.cancel();
   error_code ignored;
   this->socket.close(ignored);
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -13,9 +13,12 @@
 //
 // Requests that exceed a limit never reach the handler. The server responds with the error body of
 // caller_api.h and closes the connection: kBadRequest for a malformed or incomplete request,
-// kTooLarge for a header or body above its limit, kOverloaded for a connection above the limit or a
-// body that does not fit into the budget. No
-// input ends the process or keeps a connection open without a time limit.
+// kTooLarge for a header or body above its limit or a header with too many fields (status 431),
+// kOverloaded, with Retry-After, for a connection above the limit or a request that does not fit
+// into a budget. When the room for callers ends, connections are closed without an answer, see
+// core/caller_room.h; never one whose request runs. A request is not parsed before the response to
+// the one before it is written. No input ends the process or keeps a connection open without a time
+// limit.
 #ifndef PERIDOTGAUGE_IO_HTTP_SERVER_H_
 #define PERIDOTGAUGE_IO_HTTP_SERVER_H_
 
@@ -25,6 +28,7 @@
 #include <memory>
 
 #include "core/byte_budget.h"
+#include "core/caller_room.h"
 #include "core/error.h"
 #include "core/http_message.h"
 #include "core/types.h"
@@ -33,8 +37,9 @@
 
 struct HttpServerLimits {
   size_t max_header_bytes = 8 << 10;
+  size_t max_header_fields = 4'096;  // of the header and the trailer together
   size_t max_body_bytes = 1 << 20;
-  size_t max_connections = 4'096;
+  size_t max_connections = 4'096;  // of this listener; not used with a room
   Duration request_timeout = Seconds(10);  // from the first byte of a request to its last
   Duration write_timeout = Seconds(10);    // to write one response
   Duration idle_timeout = Seconds(60);     // between two requests on a connection
@@ -42,6 +47,9 @@
   // for their callers, whose connections are closed if it is exceeded. Null: not bounded together.
   std::shared_ptr<ByteBudget> request_bytes = nullptr;
   std::shared_ptr<ByteBudget> response_bytes = nullptr;
+  // The room for the connections of all listeners, and for what their requests make the process
+  // keep. Null: not bounded together.
+  std::shared_ptr<CallerRoom> room = nullptr;
 };
 
 // Gauges, and counters since the start, for metrics.
--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -257,6 +257,82 @@
   }
 }
 
+// Guards against requests of legal size that keep a multiple of it, and against crowds that take
+// all connections.
+TEST_CASE("http_server bounds what callers make it keep", "[http_server]") {
+  HttpServerLimits limits;
+  limits.max_header_fields = 100;
+  limits.max_header_bytes = 16'384;
+  limits.room =
+      std::make_shared<CallerRoom>(CallerRoomLimits{.connections = 4, .bytes = 512 << 10});
+  Fixture fixture(limits);
+  RawSocket caller = fixture.Connect();
+  const auto head = [](int fields) {
+    std::string text = "GET / HTTP/1.1\r\n";
+    for (int i = 0; i < fields; ++i) text += "a:b\r\n";
+    return text + "\r\n";
+  };
+  SECTION("a header with too many fields is refused") {
+    caller.Send(head(100));
+    REQUIRE(fixture.Until([&] { return caller.Received("ok1"); }));
+    caller.Send(head(101));
+    REQUIRE(fixture.Until([&] { return caller.Received("HTTP/1.1 431 "); }));
+    CHECK(caller.Received("\"not_run\":true"));
+    CHECK(fixture.requests.size() == 1);
+  }
+  SECTION("a trailer counts too") {
+    std::string text = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    for (int i = 0; i < 200; ++i) text += "a:b\r\n";
+    caller.Send(text + "\r\n");
+    REQUIRE(fixture.Until([&] { return caller.Received("HTTP/1.1 431 "); }));
+  }
+  SECTION("requests in the handler are refused beyond the memory, and say when to retry") {
+    fixture.automatic = false;
+    const std::string body(100'000, 'x');
+    caller.Send(Post(body));
+    REQUIRE(fixture.Until([&] { return fixture.responders.size() == 1; }));
+    RawSocket second = fixture.Connect();
+    second.Send(Post(body));
+    REQUIRE(fixture.Until([&] { return second.Received("HTTP/1.1 503 "); }));
+    CHECK(second.Received("Retry-After: 0.2"));
+    CHECK(second.Received("\"not_run\":true"));
+    RawSocket small = fixture.Connect();
+    small.Send(kGet);
+    REQUIRE(fixture.Until([&] { return fixture.responders.size() == 2; }));
+    fixture.responders[0].Send(TextResponse(200, "first"));
+    REQUIRE(fixture.Until([&] { return caller.Received("first"); }));
+    second = fixture.Connect();
+    second.Send(Post(body));
+    REQUIRE(fixture.Until([&] { return fixture.responders.size() == 3; }));
+  }
+  SECTION("a new caller takes the place of one that sends byte by byte") {
+    std::vector<RawSocket> crowd;
+    for (int i = 0; i < 3; ++i) {
+      crowd.push_back(fixture.Connect());
+      crowd.back().Send("GET / HTTP/1.1\r\nx: ");
+    }
+    REQUIRE(fixture.Until([&] { return limits.room->Connections() == 4; }));
+    caller.Send(kGet);
+    REQUIRE(fixture.Until([&] { return caller.Received("ok1"); }));
+    RawSocket next = fixture.Connect();
+    next.Send(kGet);
+    REQUIRE(fixture.Until([&] { return next.Received("ok2"); }));
+    REQUIRE(fixture.Until([&] { return crowd[0].Closed(); }));
+    CHECK_FALSE(caller.Closed());
+    CHECK(limits.room->Connections() == 4);
+  }
+  SECTION("pipelined requests are run one after another, and each is answered") {
+    std::string text;
+    for (int i = 0; i < 50; ++i) text += i % 2 == 0 ? head(50) : Post("{}");
+    caller.Send(text);
+    REQUIRE(fixture.Until([&] { return caller.Received("ok50"); }));
+  }
+  fixture.server->Close();
+  fixture.responders.clear();
+  CHECK(limits.room->Connections() == 0);
+  CHECK(limits.room->UsedBytes() == 0);
+}
+
 TEST_CASE("http_server detects a disconnect while a request runs", "[http_server]") {
   Fixture fixture;
   fixture.automatic = false;
--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -65,6 +65,30 @@
   CHECK_FALSE(Settings::Parse(With("\"hedging\": false", "\"memory_mb\": 0"), "c1.json"));
 }
 
+// Guards against limits that callers inside the platform's limits would reach, or that leave no
+// descriptor for them.
+TEST_CASE("the limits for callers", "[settings]") {
+  const auto defaults = Settings::Parse(kText, "c1.json");
+  REQUIRE(defaults);
+  CHECK(defaults->max_header_fields >= 16'384 / std::string_view("a:\r\n").size());
+  const auto settings = Settings::Parse(
+      With("\"hedging\": false",
+           "\"descriptors\": 4100, \"reserved_descriptors\": 1000, \"max_header_fields\": 200"),
+      "c1.json");
+  REQUIRE(settings);
+  CHECK(settings->descriptors == 4'100);
+  CHECK(settings->reserved_descriptors == 1'000);
+  CHECK(settings->max_header_fields == 200);
+  const auto [text, message] = GENERATE(
+      std::pair("\"descriptors\": 10", "descriptors: 10; allowed is 0 or 64 to 16777216"),
+      std::pair("\"descriptors\": 100, \"reserved_descriptors\": 100",
+                "reserved_descriptors: 100; allowed is less than descriptors, 100"),
+      std::pair("\"max_header_fields\": 0", "max_header_fields: 0; allowed is 64 to 65536"));
+  const auto refused = Settings::Parse(With("\"hedging\": false", text), "c1.json");
+  REQUIRE_FALSE(refused);
+  CHECK_THAT(refused.error().detail, Catch::Matchers::Contains(message));
+}
+
 TEST_CASE("the limit on extra sub-requests", "[settings]") {
   const auto settings =
       Settings::Parse(With("\"hedging\": false",
