--- a/core/overload.cc
+++ b/core/overload.cc
@@ -169,6 +169,11 @@
   return true;
 }
 
+bool OverloadAdmission::ShareService(const LoadState& a, const LoadState& b) {
+  return std::any_of(a.services.begin(), a.services.end(),
+                     [&](const std::string& service) { return b.services.contains(service); });
+}
+
 double OverloadAdmission::LateShare(Time now, const LoadClass& load_class,
                                     const LoadState& state) const {
   double own_share = 0;  // of classes with the same priority
@@ -176,11 +181,7 @@
   bool most_urgent = true;
   for (const auto& [other, other_state] : this->classes) {
     const Duration unseen = now - other_state.last_seen;
-    const bool competes =
-        unseen <= kCompetes &&
-        std::any_of(state.services.begin(), state.services.end(), [&](const std::string& service) {
-          return other_state.services.contains(service);
-        });
+    const bool competes = unseen <= kCompetes && ShareService(state, other_state);
     if (!competes) continue;
     if (other.priority > load_class.priority) {
       // Less urgent classes are rejected first.
@@ -270,10 +271,7 @@
   std::optional<double> lowest;
   for (const auto& [other, other_state] : this->classes) {
     if (other.priority >= load_class.priority || now - other_state.last_seen > kCompetes) continue;
-    const bool competes = std::any_of(
-        state.services.begin(), state.services.end(),
-        [&](const std::string& service) { return other_state.services.contains(service); });
-    if (!competes) continue;
+    if (!ShareService(state, other_state)) continue;
     const double share = this->ServedShare(now, other_state);
     lowest = std::min(lowest.value_or(share), share);
   }
--- a/core/overload.h
+++ b/core/overload.h
@@ -162,7 +162,7 @@
 struct RequestEnd {
   bool served = false;
   Duration elapsed{};
-  auto operator<=>(const RequestEnd&) const = default;
+  bool operator==(const RequestEnd&) const = default;
 };
 
 class OverloadAdmission {
@@ -226,6 +226,7 @@
   std::optional<double> MoreUrgentShare(Time now, const LoadClass& load_class,
                                         const LoadState& state) const;
   double ServedShare(Time now, const LoadState& state) const;
+  static bool ShareService(const LoadState& a, const LoadState& b);
   // Returns true if the class is served less than kLeastShare times as often as all.
   bool ServedLittle(Time now, const LoadState& state) const;
 
--- a/testing/overload_test.cc
+++ b/testing/overload_test.cc
@@ -51,7 +51,10 @@
   int in_time = 0;
   int late = 0;
   int rejections = 0;
-  int retries = 0;   // of sub-requests
+  int retries = 0;  // of sub-requests
+  // Attempts at shards of which only some targets refuse, and those of them at such targets.
+  int choices = 0;
+  int bad_choices = 0;
   int refusals = 0;  // of sub-requests
   bool operator==(const Counts&) const = default;
   double Share() const { return (this->in_time + this->late) / std::max(1.0, 1.0 * this->calls); }
@@ -198,6 +201,14 @@
     return Duration(static_cast<int64_t>(
         std::exponential_distribution<>(1.0 / static_cast<double>(mean.count()))(random)));
   }
+  // Returns true if some but not all targets of the service refuse requests during the fault.
+  bool HasGoodTarget(const std::string& service) const {
+    int refusing_targets = 0;
+    for (const char* replica : {"-0", "-1", "-2"}) {
+      refusing_targets += this->refusing.at(service + replica) ? 1 : 0;
+    }
+    return refusing_targets > 0 && refusing_targets < 3;
+  }
   Counts& ResultOf(const Call& call) {
     return this->results[call.kind->kind.route][PhaseOf(call.called)];
   }
@@ -291,6 +302,10 @@
                              budget.TypicalLatency(now).value_or(run->call.kind->objective / 6)),
         now};
     const bool fault = PhaseOf(now) == kFault && this->refusing.at(send.target->target);
+    if (PhaseOf(now) == kFault && this->HasGoodTarget(service)) {
+      ++this->ResultOf(run->call).choices;
+      if (fault) ++this->ResultOf(run->call).bad_choices;
+    }
     const bool refused =
         this->world.load.refusals && fault && std::bernoulli_distribution(0.6)(this->random);
     const Duration usual = run->call.kind->work;
@@ -388,7 +403,8 @@
       const Counts& r = phases[phase];
       out << name << " " << route << " phase " << phase << ": calls " << r.calls << " in time "
           << r.in_time << " late " << r.late << " rejections " << r.rejections << " retries "
-          << r.retries << " refusals " << r.refusals << "\n";
+          << r.retries << " refusals " << r.refusals << " choices " << r.choices << " bad "
+          << r.bad_choices << "\n";
     }
   }
   out << "value in fault " << Value(results, kFault) << "\n";
@@ -410,6 +426,9 @@
   const double seat = with.at("seat")[kFault].Share();
   CHECK(seat < 1.5 * merit);
   CHECK(seat > 0.25 * merit);
+  // A random choice would take a refusing target in more than half of the cases.
+  const Counts& merit_counts = with.at("merit")[kFault];
+  CHECK(merit_counts.bad_choices < 0.25 * merit_counts.choices);
   // Nothing is lost before, nor within a second of the last refusal.
   for (const auto& [route, phases] : with) {
     for (const Phase phase : {kCalm, kRecovery, kAfter}) {
