--- a/core/overload.h
+++ b/core/overload.h
@@ -48,7 +48,6 @@
 #ifndef PERIDOTGAUGE_CORE_OVERLOAD_H_
 #define PERIDOTGAUGE_CORE_OVERLOAD_H_
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -57,6 +56,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -123,7 +123,10 @@
 struct LoadClass {
   std::string route;
   uint32_t priority = 0;  // 0 is the most urgent
-  auto operator<=>(const LoadClass&) const = default;
+  bool operator==(const LoadClass&) const = default;
+  bool operator<(const LoadClass& other) const {
+    return std::tie(this->route, this->priority) < std::tie(other.route, other.priority);
+  }
 };
 
 // The request to decide about.
