--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -22,6 +22,7 @@
 #include "core/warmup_limit.h"
 #include "io/clock.h"
 #include "io/crash_guard.h"
+#include "io/overload_guard.h"
 #include "io/quota_gate.h"
 #include "io/random_seed.h"
 #include "io/route_request.h"
@@ -87,6 +88,7 @@
         crash_guard({io, control, metrics, log}),
         quota_gate(std::make_shared<QuotaGate>(io, control, settings.quota, metrics, log)),
         warmup(settings.warmup, settings.id),
+        overload_guard(this->extra_limit.Budget(), metrics, log, this->random),
         context{io,
                 codec,
                 this->pool,
@@ -99,6 +101,7 @@
                 this->random,
                 this->crash_guard,
                 this->warmup,
+                this->overload_guard.Admission(),
                 [this](Time now) { this->ReportGrownDebts(now); }} {}
 
   void Start() {
@@ -249,6 +252,10 @@
   }
 
   void Run(RouteRequestParams params, const HttpResponder& responder) {
+    if (const auto rejection = this->overload_guard.Check(SteadyNow(), params)) {
+      return responder.Send(
+          this->context.codec.BuildErrorResponse(rejection->error, true, rejection->retry_after));
+    }
     this->sub_request_rate.Add(params.arrived, static_cast<double>(params.plan->shards.size()));
     const uint64_t id = ++this->last_running_id;
     this->running.emplace(id, std::weak_ptr<RouteRequest>());
@@ -555,6 +562,7 @@
   CrashGuard crash_guard;
   std::shared_ptr<QuotaGate> quota_gate;
   WarmupLimit warmup;
+  OverloadGuard overload_guard;
   RouteContext context;
   std::shared_ptr<const Config> config = std::make_shared<const Config>();
   std::map<std::string, TargetRecord> known_targets;  // the targets that the planner has
