Order routers of the quota table without a compared literal

Cause: clang-tidy reports modernize-use-nullptr for a map ordered by the defaulted comparison of RouterId. Change: a comparator with std::tie. Ruled out: an exception for the check. Tests: clang-tidy on quota_table.cc is clean; [quota_table] and [workspace_quota] pass (262).

--- a/state/quota_table.h
+++ b/state/quota_table.h
@@ -30,6 +30,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "core/settings.h"
@@ -67,6 +68,11 @@
   uint64_t PermitsGranted() const { return this->granted; }
 
  private:
+  struct ByIncarnation {
+    bool operator()(const RouterId& a, const RouterId& b) const {
+      return std::tie(a.id, a.incarnation) < std::tie(b.id, b.incarnation);
+    }
+  };
   struct Held {
     uint32_t permits = 0;
     Time until;
@@ -76,7 +82,7 @@
     double tokens = 0;
     Time updated;
     uint64_t unspent = 0;  // sum of `held`
-    std::map<RouterId, Held> held;
+    std::map<RouterId, Held, ByIncarnation> held;
   };
   struct LastAsk {
     uint64_t sequence = 0;
@@ -92,7 +98,7 @@
 
   QuotaTolerance tolerance;
   std::map<std::string, Bucket, std::less<>> buckets;
-  std::map<RouterId, LastAsk> last_asks;
+  std::map<RouterId, LastAsk, ByIncarnation> last_asks;
   double served_share = 0;
   bool calm = false;
   Time term_settled;  // permits of earlier terms have expired
