--- a/core/search.cc
+++ b/core/search.cc
@@ -277,7 +277,7 @@
 
 bool Search::RetryUncharged(Time now, uint32_t index, SearchEffects& effects) {
   Shard& shard = this->shards[index];
-  if (this->suspect || shard.uncharged_retries >= this->MaxRefusalRetries()) return false;
+  if (this->suspect || shard.uncharged_retries >= this->params.max_refusal_retries) return false;
   const TargetRecord* target = this->CanarySlotFree() ? this->ChooseTarget(now, index) : nullptr;
   const bool charged = this->params.charge_refusals && !shard.refused_unsent;
   if (charged && shard.running == 0) {
@@ -304,7 +304,7 @@
 void Search::ScheduleRefusedRetry(Time now, uint32_t index) {
   Shard& shard = this->shards[index];
   if (this->ChooseTarget(now, index) == nullptr ||
-      shard.uncharged_retries >= this->MaxRefusalRetries()) {
+      shard.uncharged_retries >= this->params.max_refusal_retries) {
     return this->MarkMissing(index, shard.cause);
   }
   shard.next_action = now + kBudgetRetryInterval;
--- a/core/search.h
+++ b/core/search.h
@@ -53,7 +53,7 @@
 namespace peridotgauge {
 
 constexpr uint32_t kMaxUnchargedRetries = 3;
-// Limit on the retries of a shard after refusals if they are charged, which the budget bounds. With
+// Limit on the retries of a shard after refusals if an overload policy decides on them. With
 // three targets that refuse 60 % of their requests each, a shard fails with 3 retries in 13 % of
 // the cases, and a search with 18 such shards of which it may miss one in 70 %; with 8 retries in 1
 // %.
@@ -89,6 +89,7 @@
   // Retries after a refusal are charged to the budget like other retries, wait while it is empty,
   // and may go to a target that has refused the request before.
   bool charge_refusals = false;
+  uint32_t max_refusal_retries = kMaxUnchargedRetries;  // of a shard
 };
 
 enum class AttemptKind : uint8_t {
@@ -243,9 +244,6 @@
   void OnFailure(Time now, uint32_t attempt, ErrorCode code, bool crashed, SearchEffects& effects);
   void RecordCrash(const TargetRecord* target);
   bool RetryUncharged(Time now, uint32_t index, SearchEffects& effects);
-  uint32_t MaxRefusalRetries() const {
-    return this->params.charge_refusals ? kMaxChargedRefusalRetries : kMaxUnchargedRetries;
-  }
   void ScheduleRefusedRetry(Time now, uint32_t index);
   void RetryCharged(Time now, uint32_t index, SearchEffects& effects);
   bool SpendRetry(Time now, uint32_t index);
--- a/core/settings.cc
+++ b/core/settings.cc
@@ -102,7 +102,8 @@
                                   {"canaries", &Settings::canaries},
                                   {"ejection", &Settings::ejection},
                                   {"admission", &Settings::admission},
-                                  {"adaptive_limit", &Settings::adaptive_limit}};
+                                  {"adaptive_limit", &Settings::adaptive_limit},
+                                  {"overload_admission", &Settings::overload_admission}};
   for (const Switch& entry : kSwitches) root.Read(entry.key, settings.*entry.member);
 }
 
--- a/core/settings.h
+++ b/core/settings.h
@@ -104,6 +104,9 @@
   bool ejection = true;
   bool admission = true;
   bool adaptive_limit = true;
+  // Rejects requests of routes, or ends their retries, by what costs callers least; see
+  // core/overload.h.
+  bool overload_admission = false;
   bool operator==(const Settings&) const = default;
 
   // `source` is the file name for error messages.
--- a/core/workspace_quota.cc
+++ b/core/workspace_quota.cc
@@ -40,7 +40,8 @@
     : tolerance(tolerance), offered(2 * tolerance.window) {}
 
 void WorkspaceQuota::SetRouters(Time now, size_t offered) {
-  this->offered.Set(now, std::max<size_t>(offered, 1));
+  this->offered_now = std::max<size_t>(offered, 1);
+  this->offered.Set(now, this->offered_now);
 }
 
 double WorkspaceQuota::Routers(Time now) const {
@@ -55,7 +56,8 @@
   const bool known = this->sequence > 0 && now - this->own_share_at < kOpenTime;
   if (this->lost_at || !known || this->near_limit.contains(workspace)) return false;
   const double share = kOpenShare * QuotaExcess(state.quota, this->tolerance) / this->Routers(now);
-  const double allowed = 1 + std::floor(share) + std::floor(kOpenSeconds * state.quota.rate_per_s);
+  const double allowed =
+      kOpenRequests + std::floor(share) + std::floor(kOpenSeconds * state.quota.rate_per_s);
   if (state.unreported >= allowed) return false;
   ++state.unreported;
   return true;
@@ -171,21 +173,21 @@
   return now - this->own_share_at < kOwnShareTime ? this->own_share : 0;
 }
 
-Duration WorkspaceQuota::AskInterval(Time now, bool urgent) const {
-  const int64_t routers = std::llround(this->Routers(now));
+Duration WorkspaceQuota::AskInterval(bool urgent) const {
+  const auto routers = static_cast<int64_t>(this->offered_now);
   return urgent ? std::clamp<Duration>(routers * kUrgentAskPace, kMinUrgentAskInterval,
                                        kMaxUrgentAskInterval)
                 : std::clamp<Duration>(routers * kAskPace, kMinAskInterval, kMaxAskInterval);
 }
 
-Time WorkspaceQuota::NextAction(Time now) const {
+Time WorkspaceQuota::NextAction() const {
   Time next = this->next_check;
   if (this->waiting == 0) return next;
   for (const auto& [name, state] : this->states) {
     for (const Waiter& waiter : state.waiters) next = std::min(next, waiter.until);
   }
   if (!this->in_flight) {
-    next = std::min(next, std::max(this->next_ask, this->asked_at + this->AskInterval(now, true)));
+    next = std::min(next, std::max(this->next_ask, this->asked_at + this->AskInterval(true)));
   }
   return next;
 }
@@ -193,8 +195,7 @@
 std::optional<QuotaAsk> WorkspaceQuota::NextAsk(Time now) {
   if (now >= this->next_check) this->next_check = Time::max();
   if (this->in_flight) return std::nullopt;
-  const Time due =
-      std::max(this->next_ask, this->asked_at + this->AskInterval(now, this->waiting > 0));
+  const Time due = std::max(this->next_ask, this->asked_at + this->AskInterval(this->waiting > 0));
   if (now < due) {
     this->next_check = std::min(this->next_check, due);
     return std::nullopt;
@@ -217,7 +218,7 @@
   }
   if (ask.demands.empty() && !this->NeedsShare(now)) {
     if (active) {
-      this->next_check = now + this->AskInterval(now, false);
+      this->next_check = now + this->AskInterval(false);
     } else if (now - this->last_use < this->tolerance.window) {
       this->next_check = this->asked_at + kMaxAskPause;
     }
@@ -233,7 +234,7 @@
 std::vector<QuotaDecision> WorkspaceQuota::OnGrants(Time now, const QuotaGrants& grants) {
   std::vector<QuotaDecision> decisions;
   this->in_flight = false;
-  this->next_check = std::min(this->next_check, now + this->AskInterval(now, false));
+  this->next_check = std::min(this->next_check, now + this->AskInterval(false));
   this->near_limit = grants.near_limit;
   this->own_share = grants.own_share;
   this->own_share_at = this->asked_at;
--- a/core/workspace_quota.h
+++ b/core/workspace_quota.h
@@ -30,7 +30,7 @@
 // - A new leader starts with at most kTermShare x E.
 // - The rest covers the return of routers that had lost the lease, until they learn of it, and open
 //   requests: the leader takes each from its bucket once it is reported, and a workspace counts as
-//   near its limit while half of the bucket is left.
+//   near its limit before its bucket is empty.
 //
 // Load pattern of open requests: 86 workspaces, most with less than one request per second, at up
 // to 64 routers. No router can hold permits for them, and a wait of 10 to 20 ms for the leader with
@@ -74,9 +74,9 @@
 // Requests that may wait at one router; each keeps its head and body.
 constexpr size_t kMaxQuotaWaiting = 256;
 constexpr size_t kMaxQuotaWaitingPerWorkspace = 64;
-// Pace of asks for each offered router: all routers together send at most 500 asks per second
+// Pace of asks for each offered router: all routers together send at most 1,000 asks per second
 // while requests wait and 200 otherwise, which is less than a tenth of a small controller.
-constexpr Duration kUrgentAskPace = Millis(2);
+constexpr Duration kUrgentAskPace = Millis(1);
 constexpr Duration kMinUrgentAskInterval = Millis(10);
 constexpr Duration kMaxUrgentAskInterval = Millis(200);
 constexpr Duration kAskPace = Millis(5);
@@ -84,7 +84,9 @@
 constexpr Duration kMaxAskInterval = Millis(250);
 // Open requests of a workspace at one router between two reports: one, an equal part of this share
 // of the excess, and those of this time at the rate of the limit, for workspaces with all their
-// callers at one router.
+// callers at one router. With four in place of one, a burst of a small workspace at all routers at
+// the same moment exceeds the limit.
+constexpr double kOpenRequests = 1;
 constexpr double kOpenShare = 0.5;
 constexpr double kOpenSeconds = 0.05;
 // What the leader has said of the workspaces near their limit counts for this time after the ask.
@@ -182,7 +184,7 @@
   // Refuses the requests that have waited for their longest time, and forgets idle workspaces.
   std::vector<QuotaDecision> Expire(Time now);
   // Returns when to call NextAsk() and Expire() next; Time::max() if never.
-  Time NextAction(Time now) const;
+  Time NextAction() const;
 
   // The lease has ended; `lease_end` is its end.
   void OnLost(Time lease_end);
@@ -246,11 +248,12 @@
   // The ask is due although no permits are needed.
   bool NeedsShare(Time now) const;
   double OwnShare(Time now) const;
-  Duration AskInterval(Time now, bool urgent) const;
+  Duration AskInterval(bool urgent) const;
   void RefuseExpired(Time now, State& state, std::vector<QuotaDecision>& decisions);
 
   QuotaTolerance tolerance;
   RecentMaximum offered;
+  size_t offered_now = 1;
   std::map<std::string, State, std::less<>> states;
   uint64_t last_ticket = 0;
   size_t waiting = 0;  // in all `waiters`
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -102,6 +102,7 @@
                 this->crash_guard,
                 this->warmup,
                 this->overload_guard.Admission(),
+                settings.overload_admission,
                 [this](Time now) { this->ReportGrownDebts(now); }} {}
 
   void Start() {
@@ -252,9 +253,11 @@
   }
 
   void Run(RouteRequestParams params, const HttpResponder& responder) {
-    if (const auto rejection = this->overload_guard.Check(SteadyNow(), params)) {
-      return responder.Send(
-          this->context.codec.BuildErrorResponse(rejection->error, true, rejection->retry_after));
+    if (this->settings.overload_admission) {
+      if (const auto rejection = this->overload_guard.Check(SteadyNow(), params)) {
+        return responder.Send(
+            this->context.codec.BuildErrorResponse(rejection->error, true, rejection->retry_after));
+      }
     }
     this->sub_request_rate.Add(params.arrived, static_cast<double>(params.plan->shards.size()));
     const uint64_t id = ++this->last_running_id;
--- a/io/quota_gate.cc
+++ b/io/quota_gate.cc
@@ -33,7 +33,7 @@
     });
   }
   this->SendAskIfDue(now);
-  this->SetTimer(now);
+  this->SetTimer();
 }
 
 void QuotaGate::Finish(Time now, const std::string& workspace, std::optional<QuotaRetry> refusal,
@@ -89,11 +89,11 @@
   }
   this->SendAskIfDue(now);
   this->UpdateMetrics();
-  this->SetTimer(now);
+  this->SetTimer();
 }
 
-void QuotaGate::SetTimer(Time now) {
-  const Time next = this->quota.NextAction(now);
+void QuotaGate::SetTimer() {
+  const Time next = this->quota.NextAction();
   if (next >= this->timer_due || next == Time::max()) return;
   this->timer_due = next;
   this->timer.expires_at(next);
@@ -105,7 +105,7 @@
     self->Apply(now, self->quota.Expire(now));
     self->SendAskIfDue(now);
     self->UpdateMetrics();
-    self->SetTimer(now);
+    self->SetTimer();
   });
 }
 
--- a/io/quota_gate.h
+++ b/io/quota_gate.h
@@ -68,7 +68,7 @@
   void Apply(Time now, const std::vector<QuotaDecision>& decisions);
   void SendAskIfDue(Time now);
   void OnReply(const Result<QuotaGrants>& grants);
-  void SetTimer(Time now);
+  void SetTimer();
   void UpdateMetrics();
   Counter& RequestsOf(const std::string& workspace, bool admitted);
 
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -79,7 +79,8 @@
         chooser(this->cold_chooser, context.signals),
         overload_budget(this->budget, context.budget, context.overload, *this->params.plan,
                         QueryOf(this->params).load_class),
-        search(this->params.plan, ParamsOf(this->params), {this->chooser, this->overload_budget}),
+        search(this->params.plan, ParamsOf(this->params, context.overload_admission),
+               {this->chooser, this->Budget()}),
         timer(context.io),
         done(std::move(done)),
         echo(std::make_shared<EchoedRequest>(
@@ -117,7 +118,12 @@
     HttpResponse response;
   };
 
-  static SearchParams ParamsOf(const RouteRequestParams& params) {
+  ExtraAttemptBudget& Budget() {
+    if (this->context.overload_admission) return this->overload_budget;
+    return this->budget;
+  }
+
+  static SearchParams ParamsOf(const RouteRequestParams& params, bool overload_admission) {
     const Route& route = *params.route;
     return {.request_id = params.request_info.request_id,
             .deadline = params.deadline,
@@ -131,7 +137,9 @@
             .suspect_on_crash = params.trial != 0,
             .straggler_share = kStragglerShare,
             .excluded_services = params.excluded_services,
-            .charge_refusals = true};
+            .charge_refusals = true,
+            .max_refusal_retries =
+                overload_admission ? kMaxChargedRefusalRetries : kMaxUnchargedRetries};
   }
 
   void Apply(Time now, SearchEffects effects) {
--- a/io/route_request.h
+++ b/io/route_request.h
@@ -84,6 +84,7 @@
   CrashGuard& crash_guard;
   WarmupLimit& warmup;
   OverloadAdmission& overload;
+  bool overload_admission = false;  // `overload` decides on retries
   // Called after hedges or retries were sent.
   std::function<void(Time now)> on_extra_attempts = [](Time) {};
 };
--- a/state/quota_table.h
+++ b/state/quota_table.h
@@ -47,9 +47,10 @@
 
 // Covers the difference between the clock rates of two hosts.
 constexpr Duration kPermitMargin = Millis(100);
-// With half of the bucket left, the usual requests of the time until all routers know still fit.
-constexpr double kNearLimitShare = 0.5;
-constexpr double kFarFromLimitShare = 0.75;
+// With a quarter of the bucket left, the requests of the time until all routers know overdraw it
+// for less than a window.
+constexpr double kNearLimitShare = 0.25;
+constexpr double kFarFromLimitShare = 0.4;
 // Sequence numbers of routers are kept for this time; later, nothing that an older request could
 // name as held is left.
 constexpr Duration kAskMemory = Seconds(10);
--- a/testing/overload_test.cc
+++ b/testing/overload_test.cc
@@ -257,7 +257,8 @@
                      .max_attempts = route.max_attempts,
                      .suspect_on_crash = false,
                      .straggler_share = 0.125,
-                     .charge_refusals = true},
+                     .charge_refusals = true,
+                     .max_refusal_retries = kMaxChargedRefusalRetries},
         SearchPolicies{*this->choice, this->decisions.budget ? *run->budget : budget});
     this->Apply(now, run, run->search->Start(now));
   }
--- a/testing/quota_simulation.cc
+++ b/testing/quota_simulation.cc
@@ -111,7 +111,7 @@
 void QuotaSimulation::Poll(size_t number) {
   Router& router = *this->routers[number];
   if (const auto ask = router.quota->NextAsk(this->now)) this->Ask(number, *ask);
-  const Time next = std::max(router.quota->NextAction(this->now), this->now + Duration(1));
+  const Time next = std::max(router.quota->NextAction(), this->now + Duration(1));
   if (next >= router.timer) return;
   router.timer = next;
   this->At(next, [this, number, incarnation = router.id.incarnation] {
--- a/testing/workspace_quota_test.cc
+++ b/testing/workspace_quota_test.cc
@@ -56,7 +56,7 @@
 TEST_CASE("a router without contact to the leader yet", "[workspace_quota]") {
   WorkspaceQuota quota({});
   quota.SetRouters(TimeAt(0), 4);
-  CHECK(quota.NextAction(TimeAt(0)) == Time::max());
+  CHECK(quota.NextAction() == Time::max());
   const QuotaVerdict first = quota.Admit(TimeAt(0), kLarge, Millis(250));
   REQUIRE(first.result == QuotaResult::kWaiting);
   const auto ask = quota.NextAsk(TimeAt(0));
@@ -98,7 +98,7 @@
   SECTION("without a reply, it is refused when its time is over") {
     CHECK(quota.OnNoReply(TimeAt(200)).empty());
     CHECK(quota.NextAsk(TimeAt(250)));
-    CHECK(quota.NextAction(TimeAt(249)) <= TimeAt(250));
+    CHECK(quota.NextAction() <= TimeAt(250));
     const auto decisions = quota.Expire(TimeAt(250));
     REQUIRE(decisions.size() == 1);
     CHECK_FALSE(decisions[0].admitted);
