--- a/testing/target_signals_test.cc
+++ b/testing/target_signals_test.cc
@@ -189,7 +189,12 @@
   RouteTarget leaving(fixture.deployment.NewAddress(), at_once, [&](HttpResponse& response) {
     if (leaves) response.headers.push_back({"Server-Leaving", "1"});
   });
-  RouteTarget other(fixture.deployment.NewAddress(), at_once);
+  // Until the first one has said that it leaves, the other target is slower, so that the router
+  // does not use that one alone.
+  std::atomic<bool> other_slow = true;
+  RouteTarget other(fixture.deployment.NewAddress(), [&](const HttpRequest&) {
+    return other_slow ? Duration(Millis(20)) : Duration(0);
+  });
   fixture.Register("i-0", leaving);
   fixture.Register("i-1", other);
   REQUIRE(fixture.deployment.AwaitRoute("/p/ready"));
@@ -205,6 +210,7 @@
   for (int i = 0; i < 200 && leaving.Arrivals().size() == before; ++i) send(1);
   const size_t told = leaving.Arrivals().size();
   REQUIRE(told > before);
+  other_slow = false;
   send(50);
   CHECK(leaving.Arrivals().size() == told);
   SECTION("also after a late heartbeat that says that it serves") {
