--- a/testing/target_signals_test.cc
+++ b/testing/target_signals_test.cc
@@ -192,9 +192,8 @@
   // Until the first one has said that it leaves, the other target is slower, so that the router
   // does not use that one alone.
   std::atomic<bool> other_slow = true;
-  RouteTarget other(fixture.deployment.NewAddress(), [&](const HttpRequest&) {
-    return other_slow ? Duration(Millis(20)) : Duration(0);
-  });
+  RouteTarget other(fixture.deployment.NewAddress(),
+                    [&](const HttpRequest&) { return other_slow ? Millis(20) : Duration(0); });
   fixture.Register("i-0", leaving);
   fixture.Register("i-1", other);
   REQUIRE(fixture.deployment.AwaitRoute("/p/ready"));
--- a/testing/workspaces_test.cc
+++ b/testing/workspaces_test.cc
@@ -6,7 +6,7 @@
 
 #include <catch2/catch.hpp>
 #include <map>
-#include <set>
+#include <utility>
 
 namespace peridotgauge {
 namespace {
@@ -22,9 +22,10 @@
   CHECK(table->FindByKey("") == nullptr);
   CHECK(table->Find("a")->quota.Limited());
   CHECK(table->Find("c") == nullptr);
-  SECTION("a copy of the table finds them too") {
-    const WorkspaceTable copy = *table;
-    CHECK(copy.FindByKey("a1") == &copy.All()[0]);
+  SECTION("a copy of the table finds them too, also once it was moved") {
+    WorkspaceTable copy = *table;
+    const WorkspaceTable moved = std::move(copy);
+    CHECK(moved.FindByKey("a1") == &moved.All()[0]);
   }
   SECTION("a workspace may list a key twice, and have no key") {
     CHECK(WorkspaceTable::Make({{.name = "a", .keys = {"a1", "a1"}}, {.name = "b"}}));
