Look up route and workspace again after a wait for a permit

Cause: a request that waited for a permit kept the route of its arrival, while the plan was made from the configuration that came into force during the wait. The reshard at 9 s has 54 shards in place of 36, and the least coverage was taken from the old route. A key that was withdrawn during the wait would have been used as well.

Change: after the wait, the route, the key and the workspace are looked up in the configuration that the plan is made from.

--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -129,29 +129,13 @@
                           {ErrorCode::kNotSynchronized, "no configuration is known yet"},
                           responder);
     }
-    const Route* route = this->config->Routes().Match(request_info->host, http.path);
-    if (route == nullptr) {
-      return this->Refuse(now, http, request_info->request_id,
-                          {ErrorCode::kNotFound, "no route matches the host and path"}, responder);
-    }
-    const WorkspaceTable* workspaces = this->config->Routes().Workspaces();
-    const Workspace* workspace = nullptr;
-    if (workspaces != nullptr && route->needs_key) {
-      workspace = workspaces->FindByKey(request_info->key);
-      if (workspace == nullptr) {
-        return this->Refuse(now, http, request_info->request_id,
-                            {ErrorCode::kUnknownKey, "the request carries no key of a workspace"},
-                            responder);
-      }
+    Arrival arrival{.time = now, .http = std::move(http), .request_info = std::move(*request_info)};
+    if (const auto error = this->Resolve(arrival)) {
+      return this->Refuse(now, arrival.http, arrival.request_info.request_id, *error, responder);
     }
-    Arrival arrival{.time = now,
-                    .http = std::move(http),
-                    .request_info = std::move(*request_info),
-                    .route = std::shared_ptr<const Route>(this->config, route),
-                    .workspace = std::shared_ptr<const Workspace>(this->config, workspace)};
     // A router that must not accept any more refuses without using up a permit.
     const bool past_drain = this->answer_by && now >= *this->answer_by;
-    if (workspace == nullptr || !workspace->quota.Limited() || past_drain) {
+    if (!arrival.workspace || !arrival.workspace->quota.Limited() || past_drain) {
       return this->Accept(std::move(arrival), responder);
     }
     this->CheckQuota(std::move(arrival), responder);
@@ -174,11 +158,12 @@
  private:
   // --- Requests ---
 
-  // A request with a route whose caller is known.
+  // A request whose route and caller are looked up in one configuration.
   struct Arrival {
     Time time;
     HttpRequest http;
     CallerRequestInfo request_info;
+    std::shared_ptr<const Config> config;
     std::shared_ptr<const Route> route;          // kept alive with its configuration
     std::shared_ptr<const Workspace> workspace;  // null if the caller has none
 
@@ -188,6 +173,30 @@
     }
   };
 
+  // Looks up the route and the workspace in the current configuration. Returns why the request is
+  // refused, or nothing.
+  std::optional<Error> Resolve(Arrival& arrival) const {
+    const Route* route = this->config->Routes().Match(arrival.request_info.host, arrival.http.path);
+    if (route == nullptr) {
+      return Error{ErrorCode::kNotFound, "no route matches the host and path"};
+    }
+    const WorkspaceTable* workspaces = this->config->Routes().Workspaces();
+    const Workspace* workspace = nullptr;
+    if (workspaces != nullptr && route->needs_key) {
+      workspace = workspaces->FindByKey(arrival.request_info.key);
+      if (workspace == nullptr) {
+        return Error{ErrorCode::kUnknownKey, "the request carries no key of a workspace"};
+      }
+    }
+    arrival.config = this->config;
+    arrival.route = std::shared_ptr<const Route>(this->config, route);
+    arrival.workspace = nullptr;
+    if (workspace != nullptr) {
+      arrival.workspace = std::shared_ptr<const Workspace>(this->config, workspace);
+    }
+    return std::nullopt;
+  }
+
   // Counts the request against the quota of its workspace, and accepts or refuses it.
   void CheckQuota(Arrival arrival, const HttpResponder& responder) {
     Duration max_wait = arrival.TimeLeft() / kQuotaWaitDivisor;
@@ -208,6 +217,13 @@
     // Latencies of targets count from the end of the wait for a permit.
     const Time now = SteadyNow();
     const Duration quota_wait = now - arrival.time;
+    // The plan is that of the current configuration, and a route or key may have been removed
+    // during the wait.
+    if (arrival.config != this->config) {
+      if (const auto error = this->Resolve(arrival)) {
+        return this->Refuse(now, arrival.http, arrival.request_info.request_id, *error, responder);
+      }
+    }
     HttpRequest& http = arrival.http;
     CallerRequestInfo* request_info = &arrival.request_info;
     const Route* route = arrival.route.get();
