Overload: put the comment on forgotten classes at its constant

It stood above kClearDecrease, so that both constants read as if they had the other's reason. Comments only; the formatter and layout_test.sh pass, nothing was built.

--- a/core/overload.cc
+++ b/core/overload.cc
@@ -17,10 +17,10 @@
 constexpr Duration kCompetes = 2 * kServedTime;
 // A less urgent class that has sent nothing for this time has nothing to reject.
 constexpr Duration kRejectedFirst = Seconds(1);
-// Classes that have not been seen for this time are forgotten when there are too many.
 // A recent refusal share below half of the long-term one is a clear decrease. Smaller differences
 // are normal in the few attempts of half a second.
 constexpr double kClearDecrease = 2;
+// Classes that have not been seen for this time are forgotten when there are too many.
 constexpr Duration kForgetClassAfter = Seconds(60);
 
 }  // namespace
