Leave a controller that answers no short calls

What callers saw: while a leader hung and another one led already, new targets were not known for seconds.

Cause: a heartbeat waits 300 ms for the leader, and ControlChannel took the time-out of a call with less than 700 ms for no sign of a failure. A controller without other calls then sent every heartbeat to the old leader for as long as that hung. Ruled out: the pace of registrations at the new leader (it accepted those that reached it at once) and the election (200 ms).

Change: a controller that has answered nothing for 700 ms counts as failed, whatever the deadlines of the single calls. A controller process also tries the leader that its replicated log names when that changes.

--- a/io/control_channel.cc
+++ b/io/control_channel.cc
@@ -111,6 +111,7 @@
 
 void ControlChannel::RecordFailure(Time now, const std::string& controller) {
   this->last_failures[controller] = now;
+  this->silent_since.erase(controller);
   if (this->leader == controller) this->leader.clear();
   this->AdvanceFrom(controller);
 }
@@ -120,6 +121,18 @@
   return found != this->last_failures.end() && now - found->second < kUnreachableBackoff;
 }
 
+// Only a change is followed, so that a name that is out of date does not undo what replies say.
+void ControlChannel::FollowLeaderSource(Time now) {
+  if (!this->leader_source) return;
+  const std::string named = this->leader_source();
+  if (named == this->named_leader) return;
+  this->named_leader = named;
+  this->AddControllers({named});
+  if (!this->IsKnown(named) || this->RecentlyUnreachable(now, named)) return;
+  this->current = named;
+  this->leader = named;
+}
+
 // Does nothing unless `from` is current, so that several failures of one controller advance only
 // once.
 void ControlChannel::AdvanceFrom(const std::string& from) {
@@ -156,7 +169,9 @@
   const Time attempt_deadline = call->resend == Resend::kNever
                                     ? call->deadline
                                     : std::min(call->deadline, now + kCommandAttemptTimeout);
+  this->FollowLeaderSource(now);
   call->attempt_peer = this->current;
+  this->silent_since.try_emplace(call->attempt_peer, now);
   call->attempt_start = now;
   call->peer_call_id = this->ClientFor(call->attempt_peer)
                            .Call(call->body, attempt_deadline,
@@ -172,6 +187,7 @@
 void ControlChannel::OnReply(const std::shared_ptr<Call>& call, const std::string& controller,
                              Result<wire::BodyUnion> reply) {
   if (!reply) return this->OnAttemptFailed(call, controller, reply.error());
+  this->silent_since.erase(controller);
   const ReplyStatus status = ReplyStatusOf(*reply);
   if (HasCode(status, ErrorCode::kNotLeader)) {
     return this->OnNotLeader(call, controller, status.leader);
@@ -194,10 +210,13 @@
 
 void ControlChannel::OnAttemptFailed(const std::shared_ptr<Call>& call,
                                      const std::string& controller, const Error& error) {
-  // A short call deadline or a full send buffer does not mean that the controller has failed.
+  // A single call with a short deadline or a full send buffer does not mean that the controller has
+  // failed.
   const Time now = SteadyNow();
-  const bool short_deadline =
-      now >= call->deadline && now - call->attempt_start < kCommandAttemptTimeout;
+  const auto silent = this->silent_since.find(controller);
+  const Time waiting_since =
+      silent == this->silent_since.end() ? call->attempt_start : silent->second;
+  const bool short_deadline = now >= call->deadline && now - waiting_since < kCommandAttemptTimeout;
   if (error.code != ErrorCode::kOverloaded && !short_deadline) this->RecordFailure(now, controller);
   const bool sent = error.code != ErrorCode::kUnavailable && error.code != ErrorCode::kOverloaded;
   if (sent) call->maybe_executed = true;
--- a/io/control_channel.h
+++ b/io/control_channel.h
@@ -9,6 +9,10 @@
 // controllers until its deadline. It fails with kUnavailable only if no controller can have
 // received it, otherwise with kUnknownOutcome. With Resend::kNever it is not sent again once a
 // controller may have executed it.
+//
+// A controller counts as unreachable if an attempt at it took kCommandAttemptTimeout without a
+// reply, or if it has replied to none of the shorter attempts of that time. A leader that hangs
+// would otherwise get all heartbeats of targets until another call takes longer.
 #ifndef PERIDOTGAUGE_IO_CONTROL_CHANNEL_H_
 #define PERIDOTGAUGE_IO_CONTROL_CHANNEL_H_
 
@@ -17,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/error.h"
@@ -60,6 +65,11 @@
   void RecordLeader(const std::string& controller);
   // Adds the controllers that are not known yet; does nothing without a `peer_port`.
   void AddControllers(const std::vector<std::string>& ids);
+  // Sets a function that returns the leader that this process knows from the replicated log, or
+  // nothing. A controller that it names anew is tried first.
+  void SetLeaderSource(std::function<std::string()> source) {
+    this->leader_source = std::move(source);
+  }
   // Records that `from` replied kNotLeader and named `hint`, which may be empty, as the leader.
   // Returns true if the hint is a reachable controller, so that it can be tried immediately.
   bool RecordNotLeader(Time now, const std::string& from, const std::string& hint);
@@ -79,6 +89,7 @@
   void RetryLater(const std::shared_ptr<Call>& call);
   void Finish(const std::shared_ptr<Call>& call, Result<wire::BodyUnion> result);
   void AdvanceFrom(const std::string& from);
+  void FollowLeaderSource(Time now);
   bool IsKnown(const std::string& controller) const;
 
   boost::asio::io_context& io;
@@ -86,6 +97,10 @@
   uint16_t peer_port;
   std::map<std::string, std::unique_ptr<PeerClient>> clients;  // by controller id
   std::map<std::string, Time> last_failures;  // time of the last failure, by controller id
+  // Start of the first attempt since the last reply, by controller.
+  std::map<std::string, Time> silent_since;
+  std::function<std::string()> leader_source;
+  std::string named_leader;  // the last name that `leader_source` has returned
   std::string current;
   std::string leader;
   std::map<uint64_t, std::shared_ptr<Call>> calls;
--- a/io/control_client.cc
+++ b/io/control_client.cc
@@ -606,6 +606,9 @@
 void ControlClient::AddControllers(const std::vector<std::string>& controllers) {
   this->impl->channel->AddControllers(controllers);
 }
+void ControlClient::SetLeaderSource(std::function<std::string()> source) {
+  this->impl->channel->SetLeaderSource(std::move(source));
+}
 void ControlClient::Register(TargetRecord record) { this->impl->Register(std::move(record)); }
 
 void ControlClient::Command(wire::CommandBodyUnion body, Time deadline, CommandCallback callback) {
--- a/io/control_client.h
+++ b/io/control_client.h
@@ -138,6 +138,8 @@
 
   // Adds controllers, see ControlChannel::AddControllers().
   void AddControllers(const std::vector<std::string>& controllers);
+  // Sets the source of the leader's id, see ControlChannel::SetLeaderSource().
+  void SetLeaderSource(std::function<std::string()> source);
 
   // Reports a registration, its renewal or its expiry (state kGone) to the leader.
   void Register(TargetRecord record);
--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -183,6 +183,7 @@
     if (!opened) return tl::unexpected(opened.error());
     this->replica = std::move(*opened);
     this->raft_log = MakeReplicatedLog(*this->replica);
+    this->control.SetLeaderSource([this] { return this->raft_log->Leader(); });
     this->controller = std::make_unique<Controller>(
         this->io,
         ControllerOptions{
