--- a/testing/control_cluster.h
+++ b/testing/control_cluster.h
@@ -110,15 +110,18 @@
   Group group;
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<ControllerAddress> controllers;
+  // Keeps a request away from its controller if it returns true. May be empty.
+  std::function<bool(const wire::BodyUnion&, const PeerRequest&)> intercept;
 
-  explicit Cluster(EventLog* events = nullptr) {
+  explicit Cluster(EventLog* events = nullptr, const ConfigParser& parse_config = &Config::Parse) {
     for (size_t i = 0; i < 3; ++i) {
       auto node = std::make_unique<Node>();
       node->log = std::make_unique<FakeLog>(this->io, this->group, i);
       this->group.states.push_back(&node->state);
       node->server = std::make_unique<PeerServer>(
           this->io, "127.0.0.1:0",
-          [raw = node.get()](wire::BodyUnion body, const PeerRequest& request) {
+          [this, raw = node.get()](wire::BodyUnion body, const PeerRequest& request) {
+            if (this->intercept && this->intercept(body, request)) return;
             raw->controller->Handle(std::move(body), request);
           });
       this->controllers.push_back(
@@ -127,11 +130,13 @@
     }
     for (size_t i = 0; i < 3; ++i) {
       Node& node = *this->nodes[i];
-      node.controller = std::make_unique<Controller>(
-          this->io,
-          ControllerOptions{
-              .id = this->controllers[i].id, .controllers = this->controllers, .events = events},
-          *node.log, node.state);
+      node.controller =
+          std::make_unique<Controller>(this->io,
+                                       ControllerOptions{.id = this->controllers[i].id,
+                                                         .controllers = this->controllers,
+                                                         .parse_config = parse_config,
+                                                         .events = events},
+                                       *node.log, node.state);
     }
   }
 
