Count replies to syncs as signs that a controller works

What callers would see: a router that lost two single short calls (permits, trials) counted its leader as failed, however long the time between them and although the leader replied to syncs throughout. It then had no leader to name, and syncs could go through another controller for up to 3 s.

Cause: since a controller that has answered nothing for 700 ms counts as failed, but only replies to calls ended that time, not those to syncs, which RecordLeader() and RecordNotLeader() report.

Evidence: found by reading, not seen in a deployment. The new test failed before in 2 assertions (c0 was unreachable, no leader was known); after the change 5 of 5 runs of [control_channel] passed (21 assertions), among them the tests of a leader that hangs, which replies to no syncs either. Other tags were not run with this commit.

--- a/io/control_channel.cc
+++ b/io/control_channel.cc
@@ -93,10 +93,12 @@
   this->leader = controller;
   this->current = controller;
   this->last_failures.erase(controller);
+  this->silent_since.erase(controller);
 }
 
 bool ControlChannel::RecordNotLeader(Time now, const std::string& from, const std::string& hint) {
   this->last_failures.erase(from);
+  this->silent_since.erase(from);
   this->AddControllers({hint});
   const bool usable = this->IsKnown(hint) && hint != from && !this->RecentlyUnreachable(now, hint);
   if (usable) {
--- a/io/control_channel.h
+++ b/io/control_channel.h
@@ -11,8 +11,8 @@
 // controller may have executed it.
 //
 // A controller counts as unreachable if an attempt at it took kCommandAttemptTimeout without a
-// reply, or if it has replied to none of the shorter attempts of that time. A leader that hangs
-// would otherwise get all heartbeats of targets until another call takes longer.
+// reply, or if it has replied to neither the shorter attempts nor the syncs of that time. A leader
+// that hangs would otherwise get all heartbeats of targets until another call takes longer.
 #ifndef PERIDOTGAUGE_IO_CONTROL_CHANNEL_H_
 #define PERIDOTGAUGE_IO_CONTROL_CHANNEL_H_
 
--- a/testing/control_channel_test.cc
+++ b/testing/control_channel_test.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -90,5 +91,43 @@
   }
 }
 
+// Guards against a leader that is avoided for seconds, and routers that sync through another
+// controller meanwhile, because of single calls that were lost with replies to syncs between them.
+TEST_CASE("replies to syncs show that a controller has not failed", "[control_channel]") {
+  boost::asio::io_context io;
+  StandInController busy(io, "c0", /*hangs=*/true);
+  StandInController other(io, "c1", /*hangs=*/false);
+  const auto channel = std::make_shared<ControlChannel>(
+      io, std::vector<ControllerAddress>{busy.Address(), other.Address()});
+  // Sends a call that gets no reply, and returns how long it took.
+  const auto lose_call = [&] {
+    const Time begin = SteadyNow();
+    bool ended = false;
+    channel->Exchange(ToBody(wire::CommandRequestT{}), begin + Millis(50), Resend::kNever,
+                      [&](const Result<wire::BodyUnion>&) { ended = true; });
+    while (!ended) io.run_one_for(std::chrono::milliseconds(20));
+    return SteadyNow() - begin;
+  };
+  const Time first = SteadyNow();
+  lose_call();
+  while (SteadyNow() < first + kCommandAttemptTimeout) {
+    io.run_one_for(std::chrono::milliseconds(20));
+  }
+  SECTION("to a later call") {
+    // On a busy host a call may take as long as a controller may take for a reply.
+    do {
+      channel->RecordLeader("c0");  // as for the reply to a sync
+    } while (lose_call() >= kCommandAttemptTimeout);
+    CHECK_FALSE(channel->RecentlyUnreachable(SteadyNow(), "c0"));
+    CHECK(channel->Leader() == "c0");
+  }
+  SECTION("and without them it has") {
+    lose_call();
+    CHECK(channel->RecentlyUnreachable(SteadyNow(), "c0"));
+    CHECK(channel->Current() == "c1");
+  }
+  channel->Stop();
+}
+
 }  // namespace
 }  // namespace peridotgauge
