--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -2,6 +2,9 @@
 #include "io/http_server.h"
 
 #include <glog/logging.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -156,6 +159,8 @@
   // first request.
   void BeginStop();
   void Close();
+  // Returns the time since the last bytes were received, read or not; 0 if it is not known.
+  Duration SinceReceived();
 
   bool refused = false;  // above the limit, and not counted against it
 
@@ -697,6 +702,14 @@
   if (const auto state = this->responder.lock()) state->Disconnect();
 }
 
+Duration HttpServer::Connection::SinceReceived() {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  const int failed =
+      ::getsockopt(this->socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+  return failed != 0 ? Duration(0) : Millis(info.tcpi_last_data_recv);
+}
+
 void HttpServer::Connection::StartTimer(Duration duration) {
   this->timer.expires_after(duration);
   this->timer.async_wait([self = this->shared_from_this()](const error_code& cancelled) {
@@ -746,6 +759,11 @@
 
 bool HttpResponder::Connected() const { return this->state && !this->state->disconnected; }
 
+Duration HttpResponder::SinceReceived() const {
+  const auto open = this->state ? this->state->connection.lock() : nullptr;
+  return open ? open->SinceReceived() : Duration(0);
+}
+
 // --- HttpServer ---
 
 HttpServer::HttpServer(std::shared_ptr<Impl> impl) : impl(std::move(impl)) {}
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -73,6 +73,9 @@
   void OnDisconnect(std::function<void()> callback) const;
   // Returns false once the caller has disconnected.
   bool Connected() const;
+  // Returns how long ago the host received the last bytes from the caller. That is long if this
+  // process was frozen in between. 0 if it is not known.
+  Duration SinceReceived() const;
 
  private:
   friend class HttpServer;
--- a/testing/evacuation_test.cc
+++ b/testing/evacuation_test.cc
@@ -43,6 +43,17 @@
     const std::string text = ConfigText(1, {RouteText("r", "/p/", "safe", 20'000, "s")}, {"s"});
     REQUIRE(this->deployment.Apply(one_connection ? WithOneConnection(text) : text));
   }
+  // Returns true if the leader lists the data centre as evacuated.
+  bool Evacuated(const std::string& data_centre) {
+    REQUIRE(this->deployment.Leader());
+    const Address address = this->deployment.ControllerMetricsAddress(*this->deployment.Leader());
+    const auto status = Call(address, {.method = "GET", .path = "/v1/status"}, Seconds(5));
+    REQUIRE(status);
+    const size_t list = status->body.find(R"("evacuated":[)");
+    REQUIRE(list != std::string::npos);
+    return status->body.substr(list, status->body.find(']', list) - list).find(data_centre) !=
+           std::string::npos;
+  }
   bool Register(const std::string& id, RouteTarget& target, const std::string& data_centre) {
     const std::string body =
         HeartbeatText("s", target.address, "ready", ++this->sequence, 1'000, data_centre);
@@ -178,6 +189,30 @@
   CHECK(answered > 0);
 }
 
+// Guards against a call that a controller reads late, after its operator has given it up, and that
+// undoes a change that was acknowledged in the meantime.
+TEST_CASE("a controller that was frozen does not execute calls without a caller", "[evacuation]") {
+  Fixture fixture([](const HttpRequest&) { return Millis(1); });
+  RouteDeployment& deployment = fixture.deployment;
+  const bool evacuate = GENERATE(true, false);
+  const std::string stale = evacuate ? "POST" : "DELETE";
+  const std::string later = evacuate ? "DELETE" : "POST";
+  REQUIRE(fixture.SetEvacuation(later, "z-a"));
+  const std::optional<size_t> leader = deployment.Leader();
+  REQUIRE(leader);
+  const size_t frozen = (*leader + 1) % 3;
+  const Time end = SteadyNow() + Seconds(3);
+  deployment.FreezeController(frozen, Seconds(3));
+  std::this_thread::sleep_for(Millis(100));
+  const HttpRequest call{.method = stale, .path = "/evacuations/z-a"};
+  CHECK_FALSE(Call(deployment.ControllerAddress(frozen), call, Seconds(1)));
+  const auto answer = deployment.SetEvacuation(*leader, later, "z-a");
+  REQUIRE(answer);
+  REQUIRE(answer->status == 200);
+  std::this_thread::sleep_until(end + Seconds(2));
+  CHECK(fixture.Evacuated("z-a") == !evacuate);
+}
+
 // Guards against requests that wait for a data centre that holds all targets of their service.
 TEST_CASE("requests of a service without targets elsewhere are refused at once", "[evacuation]") {
   Fixture fixture([](const HttpRequest&) { return Millis(1); });
--- a/testing/route_deployment.cc
+++ b/testing/route_deployment.cc
@@ -318,11 +318,16 @@
   this->End("controller-" + std::to_string(number));
 }
 
+void RouteDeployment::FreezeController(size_t number, Duration duration) {
+  this->processes.at("controller-" + std::to_string(number)).loop->Post([duration] {
+    std::this_thread::sleep_for(duration);
+  });
+}
+
 std::optional<size_t> RouteDeployment::Leader() {
   for (size_t i = 0; i < this->options.controllers; ++i) {
-    const Address metrics =
-        this->IpOf("controller-" + std::to_string(i)) + ":" + std::to_string(kMetricsPort);
-    const auto health = Call(metrics, {.method = "GET", .path = "/healthz"}, kControlTimeout);
+    const auto health = Call(this->ControllerMetricsAddress(i),
+                             {.method = "GET", .path = "/healthz"}, kControlTimeout);
     if (health && health->body.find(R"("role":"leader")") != std::string::npos) return i;
   }
   return std::nullopt;
@@ -392,6 +397,10 @@
   return this->IpOf("controller-" + std::to_string(number)) + ":" + std::to_string(kHttpPort);
 }
 
+Address RouteDeployment::ControllerMetricsAddress(size_t number) const {
+  return this->IpOf("controller-" + std::to_string(number)) + ":" + std::to_string(kMetricsPort);
+}
+
 Address RouteDeployment::RouterAddress(size_t number) const {
   return this->IpOf("router-" + std::to_string(number)) + ":" + std::to_string(kHttpPort);
 }
--- a/testing/route_deployment.h
+++ b/testing/route_deployment.h
@@ -132,6 +132,8 @@
   bool StopController(size_t number);
   // Ends a controller without a graceful shutdown.
   void KillController(size_t number);
+  // Makes a controller do nothing for `duration`, as a suspended process. Does not wait.
+  void FreezeController(size_t number, Duration duration);
   std::optional<size_t> Leader();
   // Stops a router as SIGTERM does, without waiting.
   void BeginStopRouter(size_t number);
@@ -154,6 +156,7 @@
   bool AwaitRouter(size_t number, const std::string& path);
 
   Address ControllerAddress(size_t number) const;
+  Address ControllerMetricsAddress(size_t number) const;
   Address RouterAddress(size_t number) const;
   Address NewAddress();
 
