Evacuations: requests leave a target that registers in another data centre

Cause: a plan keeps the data centre of the record with which it was made, and a connection pool that of the first use of a target's incarnation. When a target registered again under the same address in a data centre that was evacuated, before or after that, requests that waited for a connection to the earlier incarnation were sent there, also later than 5 s after the acknowledgement, and retries went by the data centre of the old record.

Ruled out: a move within one incarnation. The directory does not accept it.

--- a/core/target_signals.cc
+++ b/core/target_signals.cc
@@ -32,6 +32,11 @@
 }
 
 void TargetSignals::OnDirectory(Time now, const TargetRecord& target) {
+  if (target.state == TargetState::kGone) {
+    this->data_centres.erase(target.target);
+  } else {
+    this->data_centres[target.target] = target.data_centre;
+  }
   const bool departed =
       target.state == TargetState::kDraining || target.state == TargetState::kGone;
   if (!departed && this->Find(target) == nullptr) return;
@@ -44,8 +49,14 @@
 }
 
 bool TargetSignals::IsEvacuated(const TargetRecord& target) const {
-  return std::find(this->evacuated.begin(), this->evacuated.end(), target.data_centre) !=
-         this->evacuated.end();
+  const auto listed = [&](const std::string& data_centre) {
+    return std::find(this->evacuated.begin(), this->evacuated.end(), data_centre) !=
+           this->evacuated.end();
+  };
+  if (this->evacuated.empty()) return false;
+  if (listed(target.data_centre)) return true;
+  const auto newest = this->data_centres.find(target.target);
+  return newest != this->data_centres.end() && listed(newest->second);
 }
 
 bool TargetSignals::Accepts(Time now, const TargetRecord& target) const {
--- a/core/target_signals.h
+++ b/core/target_signals.h
@@ -12,7 +12,9 @@
 // Contract: a signal belongs to the incarnation of a target that gave it; a new incarnation is not
 // bound by it. What a target says in an answer outlives changes of the directory, so that no late
 // registration brings back a target that leaves. What the directory says counts for requests whose
-// plan is older. Evacuated data centres are kept until the list is set again. A pause is at most
+// plan is older, its data centre included: a target is evacuated with the data centre of its record
+// and with that of its newest one. Evacuated data centres are kept until the list is set again. A
+// pause is at most
 // kMaxPause. Signals are forgotten after kForgetSignalAfter.
 #ifndef PERIDOTGAUGE_CORE_TARGET_SIGNALS_H_
 #define PERIDOTGAUGE_CORE_TARGET_SIGNALS_H_
@@ -70,6 +72,8 @@
 
   std::unordered_map<std::string, Signal> signals;  // by target
   std::vector<std::string> evacuated;               // data centres
+  // The data centres of the targets in the directory, by target.
+  std::unordered_map<std::string, std::string> data_centres;
 };
 
 // Leaves out the targets that do not accept requests.
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -513,6 +513,12 @@
     const std::vector<std::string>& evacuated = this->control.Evacuated();
     this->signals.SetEvacuated(evacuated);
     this->pool.FailWaitingIn(evacuated, "the data centre is evacuated");
+    // Earlier incarnations of these targets may have been in other data centres.
+    for (const auto& [name, record] : this->known_targets) {
+      if (!this->signals.Accepts(now, record)) {
+        this->pool.FailWaiting(record, "the data centre is evacuated");
+      }
+    }
     this->context.metrics.GaugeOf("peridotgauge_evacuated_data_centres")
         .Set(static_cast<double>(evacuated.size()));
     std::string names;
--- a/io/target_pool.cc
+++ b/io/target_pool.cc
@@ -58,7 +58,7 @@
 
 void TargetPool::FailWaiting(const TargetRecord& record, const std::string& reason) {
   const auto found = this->entries.find(record.target);
-  if (found == this->entries.end() || found->second.incarnation != record.incarnation) return;
+  if (found == this->entries.end() || found->second.incarnation > record.incarnation) return;
   if (found->second.client->Status().waiting > 0) found->second.client->FailWaiting(reason);
 }
 
--- a/io/target_pool.h
+++ b/io/target_pool.h
@@ -47,7 +47,8 @@
   void Cancel(const TargetRecord& record, uint64_t call);
   // Returns true if a request to the target would not wait for other requests to end.
   bool HasFreeConnection(const TargetRecord& record) const;
-  // Fails the requests that wait for a connection to the target, so that they are placed anew.
+  // Fails the requests that wait for a connection to this or an earlier incarnation of the target,
+  // so that they are placed anew. The address of an earlier one may be that of this one.
   void FailWaiting(const TargetRecord& record, const std::string& reason);
   // Fails the requests that wait for a connection to a target in one of the data centres, including
   // those to earlier incarnations of targets.
--- a/testing/evacuation_test.cc
+++ b/testing/evacuation_test.cc
@@ -54,9 +54,10 @@
     return status->body.substr(list, status->body.find(']', list) - list).find(data_centre) !=
            std::string::npos;
   }
-  bool Register(const std::string& id, RouteTarget& target, const std::string& data_centre) {
+  bool Register(const std::string& id, RouteTarget& target, const std::string& data_centre,
+                uint64_t born = 1'000) {
     const std::string body =
-        HeartbeatText("s", target.address, "ready", ++this->sequence, 1'000, data_centre);
+        HeartbeatText("s", target.address, "ready", ++this->sequence, born, data_centre);
     return this->Confirmed(
         [&](size_t controller) { return this->deployment.Heartbeat(controller, id, body); });
   }
@@ -189,6 +190,35 @@
   CHECK(answered > 0);
 }
 
+// Guards against requests that are sent to a target in an evacuated data centre because they were
+// placed before it registered there, under the same address.
+TEST_CASE("placed requests leave a target that moves to another data centre", "[evacuation]") {
+  Fixture fixture([](const HttpRequest&) { return Millis(1'500); }, /*one_connection=*/true);
+  REQUIRE(fixture.Register("near", fixture.near, "z-c"));
+  REQUIRE(fixture.deployment.AwaitRoute("/p/ready"));
+  constexpr int kCallers = 16;
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&, i] { fixture.Send(static_cast<size_t>(i % 2), Seconds(12)); });
+  }
+  std::this_thread::sleep_for(Millis(500));
+  SECTION("that is evacuated afterwards") {
+    REQUIRE(fixture.Register("near", fixture.near, "z-a", 2'000));
+    std::this_thread::sleep_for(Millis(500));
+    REQUIRE(fixture.SetEvacuation("POST", "z-a"));
+  }
+  SECTION("that is evacuated already") {
+    REQUIRE(fixture.SetEvacuation("POST", "z-a"));
+    REQUIRE(fixture.Register("near", fixture.near, "z-a", 2'000));
+  }
+  const Time in_force = SteadyNow() + kInForce;
+  for (std::thread& caller : callers) caller.join();
+  std::this_thread::sleep_until(in_force + Seconds(2));
+  CHECK_FALSE(ArrivedBetween(fixture.near, in_force, SteadyNow()));
+  CHECK(fixture.near.Arrivals().size() < kCallers);
+}
+
 // Guards against a call that a controller reads late, after its operator has given it up, and that
 // undoes a change that was acknowledged in the meantime.
 TEST_CASE("a controller that was frozen does not execute calls without a caller", "[evacuation]") {
