Soak: end the targets before their event loop

The fault was in the cancellation of a timer from HttpServer::Connection, on the main thread. Cause: the servers of targets, and those of crashed targets that were still queued for destruction, were destroyed after or with the event loop whose timers they cancel. Connections that were still open then have such timers.

Change: targets and crashed targets are destroyed before the event loop.

There is no test of its own, since the fault depends on connections that are open at that moment.

--- a/testing/soak/soak_targets.cc
+++ b/testing/soak/soak_targets.cc
@@ -39,6 +39,9 @@
 SoakTargets::~SoakTargets() {
   this->io.stop();
   this->thread.join();
+  // Servers close connections and timers of the event loop, which is destroyed before `targets`.
+  this->targets.clear();
+  this->ended.clear();
 }
 
 std::vector<SoakTargets::Registration> SoakTargets::Running() {
@@ -71,8 +74,8 @@
     const std::lock_guard<std::mutex> lock(this->mutex);
     if (!target.server) return;
     target.server->Close();
-    // Destroyed later, as this may run inside one of its callbacks.
-    asio::post(this->io, [server = std::shared_ptr<HttpServer>(std::move(target.server))] {});
+    // Destroyed at the end, as this may run inside one of its callbacks.
+    this->ended.push_back(std::move(target.server));
   }
   this->record.Count("crashes of targets");
   auto timer = std::make_shared<asio::steady_timer>(this->io, kSoakRestartDelay);
--- a/testing/soak/soak_targets.h
+++ b/testing/soak/soak_targets.h
@@ -59,6 +59,7 @@
   std::mt19937_64 random;  // used on the event loop only
   std::mutex mutex;        // guards the members of `targets`
   std::vector<std::unique_ptr<Target>> targets;
+  std::vector<std::unique_ptr<HttpServer>> ended;  // closed, used on the event loop only
   boost::asio::io_context io{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
   std::thread thread;
