Soak: workspaces, evacuations and cold targets

The soak had none of them. New violations are: a workspace that exceeds its quota in a window of 5 s over all targets (distinct requests), a key or a wrong name of a workspace at a target, a revoked key that is served 4 s after the confirmation or a valid one that is refused, a request in a data centre 5 s after its evacuation was acknowledged, a data centre without requests after the withdrawal, and more than warmupPerS x 1.5 + 5 requests in a second at a cold target.

Targets are in three data centres and refuse requests for an earlier start with 421, as real ones do. A 421 does not count for a cold target.

The limit of a target that turns cold is checked from 2 s after the confirmed heartbeat, the length of a lease; the requirement does not cover the time before.

--- a/testing/soak/soak_targets.cc
+++ b/testing/soak/soak_targets.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
@@ -19,16 +20,19 @@
 }  // namespace
 
 SoakTargets::SoakTargets(const std::string& network, int port, int count, uint64_t seed,
-                         SoakRecord& record)
-    : record(record), random(seed), work(asio::make_work_guard(this->io)) {
-  for (const char* service : {"s", "u"}) {
+                         SoakRecord& record, SoakLimits& limits)
+    : record(record), limits(limits), random(seed), work(asio::make_work_guard(this->io)) {
+  for (const char* service : {"s", "u", "c"}) {
     for (int i = 0; i < count; ++i) {
-      const int host = (*service == 's' ? 100 : 120) + i;
+      const int host = (*service == 's' ? 100 : *service == 'u' ? 120 : 140) + i;
       this->targets.push_back(std::make_unique<Target>(
           Target{.name = std::string(service) + "-" + std::to_string(i),
                  .service = service,
                  .address = network + std::to_string(host) + ":" + std::to_string(port),
-                 .server = nullptr}));
+                 .data_centre = std::string("z-") + static_cast<char>('a' + i),
+                 .server = nullptr,
+                 .limited_from = {},
+                 .cold_arrivals = {}}));
       this->Listen(*this->targets.back());
       CHECK(this->targets.back()->server) << this->targets.back()->address;
     }
@@ -49,14 +53,58 @@
   std::vector<Registration> running;
   for (const auto& target : this->targets) {
     if (!target->server) continue;
-    running.push_back({.id = target->name + "-" + std::to_string(target->start),
+    running.push_back({.id = IdOf(*target),
                        .service = target->service,
                        .address = target->address,
-                       .born = kBornStep * target->start});
+                       .data_centre = target->data_centre,
+                       .born = kBornStep * target->start,
+                       .warmup_left = std::max(target->cold_until - SteadyNow(), Duration(0))});
   }
   return running;
 }
 
+void SoakTargets::OnRegistered(const Registration& registration) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  for (const auto& target : this->targets) {
+    if (IdOf(*target) != registration.id || registration.warmup_left == Duration(0)) continue;
+    if (!target->limited_from) target->limited_from = SteadyNow() + kSoakColdKnown;
+  }
+}
+
+SoakTargets::Target& SoakTargets::ColdTarget(size_t number) {
+  for (const auto& target : this->targets) {
+    if (target->name == "c-" + std::to_string(number)) return *target;
+  }
+  LOG(FATAL) << "no target c-" << number;
+}
+
+void SoakTargets::Cool(size_t number) {
+  Target& target = this->ColdTarget(number);
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (!target.server || target.cold_until > SteadyNow()) return;
+  target.cold_until = SteadyNow() + kSoakColdTime;
+  target.limited_from.reset();
+  target.cold_arrivals.Clear();
+}
+
+void SoakTargets::Restart(size_t number) {
+  asio::post(this->io, [this, number] { this->Crash(this->ColdTarget(number)); });
+}
+
+// The limit is that of the requirements: rate * 1.5 + 5 in any second.
+void SoakTargets::CheckCold(Target& target, const std::string& id) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const Time now = SteadyNow();
+  if (!target.limited_from || now < *target.limited_from || now >= target.cold_until) return;
+  this->record.Count("arrivals at cold targets");
+  const size_t count = target.cold_arrivals.Add(now, Seconds(1));
+  if (static_cast<double>(count) <= kSoakWarmupPerS * 1.5 + 5) return;
+  this->record.Violation("cold", IdOf(target) + " got " + std::to_string(count) +
+                                     " requests in a second, last " + id + ", cold for " +
+                                     std::to_string(WholeMillis(target.cold_until - now)) +
+                                     " ms more");
+}
+
 void SoakTargets::Listen(Target& target) {
   auto server = HttpServer::Listen(
       this->io, target.address,
@@ -67,6 +115,11 @@
   if (!server) return;
   target.server = std::move(*server);
   ++target.start;
+  if (target.service != "c") return;
+  // Routers learn of this start and that it is cold at once.
+  target.cold_until = SteadyNow() + kSoakColdTime;
+  target.limited_from = SteadyNow();
+  target.cold_arrivals.Clear();
 }
 
 void SoakTargets::Crash(Target& target) {
@@ -91,7 +144,21 @@
       .status = 200,
       .headers = {{"Peridotgauge-Request-Id", id}, {"Peridotgauge-Server-Stamp", "stamp-" + id}},
       .body = std::string(200, 'x')};
-  if (!id.empty()) this->record.Arrived(id);
+  // Routers that have not learned of this start yet still send to the start before.
+  const std::string expected(request.Header("Peridotgauge-Expect-Instance"));
+  if (!expected.empty() && expected != IdOf(target)) {
+    this->record.Count("requests for an earlier start");
+    this->limits.Reached(SteadyNow(), id, target.data_centre);
+    response.status = 421;
+    response.headers.push_back({"Peridotgauge-Not-Executed", "1"});
+    return responder.Send(response);
+  }
+  if (!id.empty()) {
+    this->record.Arrived(id);
+    this->limits.Reached(SteadyNow(), id, target.data_centre);
+    this->limits.Run(SteadyNow(), request);
+    if (target.service == "c") this->CheckCold(target, id);
+  }
   const bool crash = request.path.find("crash") != std::string::npos;
   if (crash) this->record.CrashArrived(request.path, SteadyNow());
   const auto draw = std::uniform_int_distribution<int>(0, 999)(this->random);
