Queries that say what a router would decide now

For the command `peridotgauge explain`, which says where a request would go without sending it (docs/design/overload-quota-latency-and-explain.md, part 5). Each class that decides can now be asked, and none changes by it: ReplicaChoice::Explain() and Clone(), TargetSignals::StatusOf(), WarmupLimit::StatusOf(), WorkspaceQuota::Preview(), OverloadAdmission::Preview(), TargetPool::ConnectionsTo().

Weighed: decisions written a second time without side effects, or the same code on a copy. A copy cannot disagree with what a request gets, and its random numbers are those that the next request would draw, so Clone() and both previews copy. They copy the tables of all targets, workspaces or classes; that is paid by a command of an operator, not by requests.

--- a/core/extra_attempt_limit.h
+++ b/core/extra_attempt_limit.h
@@ -51,6 +51,7 @@
   ExtraAttemptLimit(ExtraRequestLimit limit, Duration grace, Time started);
 
   HedgeBudget& Budget() { return this->budget; }
+  const HedgeBudget& Budget() const { return this->budget; }
 
   void SetServices(Time now, const std::set<std::string, std::less<>>& services);
   // `offered`: number of routers that callers are told about. `active`: number of routers that are
--- a/core/overload.h
+++ b/core/overload.h
@@ -174,6 +174,10 @@
   explicit OverloadAdmission(const HedgeBudget& budget) : budget(budget) {}
 
   AdmissionVerdict Admit(Time now, const AdmissionQuery& query);
+  // Returns what Admit() would decide. Changes nothing: a copy decides.
+  AdmissionVerdict Preview(Time now, const AdmissionQuery& query) const {
+    return OverloadAdmission(*this).Admit(now, query);
+  }
   void OnAttempt(Time now, std::string_view service, bool refused);
   // Must be called for admitted requests only.
   void OnEnded(Time now, const LoadClass& load_class, const RequestEnd& end);
--- a/core/replica_choice.cc
+++ b/core/replica_choice.cc
@@ -111,17 +111,22 @@
   return usable[second_score < first_score ? second : first];
 }
 
+std::optional<uint64_t> ReplicaChoice::AvoidedRank(Time now,
+                                                   const std::vector<const TargetRecord*>& usable) {
+  std::optional<uint64_t> rank;
+  if (!this->avoids_one_replica) return rank;
+  for (const TargetRecord* target : usable) {
+    rank = std::max(rank, std::optional(this->StateOf(now, *target).rank));
+  }
+  return rank;
+}
+
 const TargetRecord* ReplicaChoice::ChooseLeast(Time now,
                                                const std::vector<const TargetRecord*>& usable) {
   const double latency = this->DefaultLatency(now, usable);
   const TargetRecord* best = nullptr;
   double best_score = 0;
-  std::optional<uint64_t> avoided_rank;  // rank
-  if (this->avoids_one_replica) {
-    for (const TargetRecord* target : usable) {
-      avoided_rank = std::max(avoided_rank, std::optional(this->StateOf(now, *target).rank));
-    }
-  }
+  const std::optional<uint64_t> avoided_rank = this->AvoidedRank(now, usable);
   // Starts at a random index, so that targets with equal scores share the load.
   const size_t first = std::uniform_int_distribution<size_t>(0, usable.size() - 1)(this->random);
   for (size_t i = 0; i < usable.size(); ++i) {
@@ -241,6 +246,40 @@
 
 void ReplicaChoice::Remove(const std::string& target) { this->states.erase(target); }
 
+std::vector<ReplicaStatus> ReplicaChoice::Explain(Time now, Candidates candidates) const {
+  // A choice adds the targets that it does not know, so it runs on a copy of the states it needs.
+  ReplicaChoice copy(this->strategy, this->options);
+  copy.avoids_one_replica = this->avoids_one_replica;
+  for (const TargetRecord* target : candidates) {
+    const auto found = this->states.find(target->target);
+    if (found != this->states.end()) copy.states.insert(*found);
+  }
+  const std::vector<const TargetRecord*> list(candidates.begin(), candidates.end());
+  const double default_latency = copy.DefaultLatency(now, list);
+  // Only this strategy avoids a replica.
+  const bool least = this->strategy.choose == &ReplicaChoice::ChooseLeast;
+  const auto avoided_rank = least ? copy.AvoidedRank(now, list) : std::nullopt;
+  std::vector<ReplicaStatus> out;
+  out.reserve(list.size());
+  for (const TargetRecord* target : list) {
+    const State& state = copy.StateOf(now, *target);
+    const double latency = LatencyOf(now, state);
+    ReplicaStatus status{.in_flight = static_cast<uint32_t>(state.outstanding.size()),
+                         .failure_share = FailureShare(now, state),
+                         .ejected = copy.Ejected(now, state),
+                         .remote = state.remote,
+                         .score = copy.Score(now, state, default_latency) *
+                                  (state.rank == avoided_rank ? kAvoidedReplicaFactor : 1)};
+    if (latency > 0) status.latency = Duration(static_cast<int64_t>(latency));
+    if (status.ejected) status.ejected_for = std::max(state.ejected_until - now, Duration(0));
+    if (this->strategy.avoids_refusals) {
+      status.avoided_for = std::max(state.avoid_until - now, Duration(0));
+    }
+    out.push_back(status);
+  }
+  return out;
+}
+
 bool ReplicaChoice::Ejected(Time now, std::string_view target) const {
   const auto found = this->states.find(std::string(target));
   return found != this->states.end() && this->Ejected(now, found->second);
--- a/core/replica_choice.h
+++ b/core/replica_choice.h
@@ -42,6 +42,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -126,6 +127,19 @@
   int32_t owner_in_flight = -1;
 };
 
+// What a choice is based on, for one target. See the score above.
+struct ReplicaStatus {
+  uint32_t in_flight = 0;           // requests of this router
+  std::optional<Duration> latency;  // scaled, see kReferenceLatency; nothing if not measured
+  double failure_share = 0;         // of recent requests
+  bool ejected = false;
+  Duration ejected_for{0};  // 0 for an ejected target that is tried with one request at a time
+  Duration avoided_for{0};  // after a refusal, or a failure to connect
+  bool remote = false;      // in another data centre
+  double score = 0;         // with the other candidates; lower is better
+  bool operator==(const ReplicaStatus&) const = default;
+};
+
 class ReplicaChoice : public ReplicaChooser {
  public:
   // An empty name selects the default strategy. For an unknown name, returns kInvalidSettings with
@@ -150,6 +164,14 @@
   // kAvoidedReplicaFactor.
   void AvoidOneReplica(bool scarce) { this->avoids_one_replica = scarce; }
 
+  // Returns a copy that chooses as this object would, including at random. For explanations: its
+  // choices change nothing here.
+  std::unique_ptr<ReplicaChoice> Clone() const {
+    return std::unique_ptr<ReplicaChoice>(new ReplicaChoice(*this));
+  }
+  // Returns the status of each candidate. Records nothing about targets that are not known yet.
+  std::vector<ReplicaStatus> Explain(Time now, Candidates candidates) const;
+
   // For the status page and tests.
   bool Ejected(Time now, std::string_view target) const;
   uint32_t InFlight(std::string_view target) const;
@@ -202,11 +224,15 @@
   ReplicaChoice(const Strategy& strategy, const ReplicaChoiceOptions& options)
       : strategy(strategy), options(options), random(options.seed) {}
 
+  ReplicaChoice(const ReplicaChoice&) = default;
+
   static const std::vector<Strategy>& Strategies();
   const TargetRecord* ChooseRandom(Time now, const std::vector<const TargetRecord*>& usable);
   const TargetRecord* ChooseOfTwo(Time now, const std::vector<const TargetRecord*>& usable);
   const TargetRecord* ChooseLeast(Time now, const std::vector<const TargetRecord*>& usable);
   const TargetRecord* ChooseProbe(Time now, const std::vector<const TargetRecord*>& usable);
+  // Returns the rank of the replica that is avoided if connections are scarce, or nothing.
+  std::optional<uint64_t> AvoidedRank(Time now, const std::vector<const TargetRecord*>& usable);
   // Removes at most half of the candidates.
   std::vector<const TargetRecord*> WithoutEjected(Time now, Candidates candidates);
 
--- a/core/target_signals.cc
+++ b/core/target_signals.cc
@@ -55,6 +55,16 @@
          (!signal->leaving && !signal->departed && now >= signal->paused_until);
 }
 
+SignalStatus TargetSignals::StatusOf(Time now, const TargetRecord& target) const {
+  SignalStatus status{.evacuated = this->IsEvacuated(target)};
+  const Signal* signal = this->Find(target);
+  if (signal == nullptr) return status;
+  status.leaving = signal->leaving;
+  status.departed = signal->departed;
+  if (now < signal->paused_until) status.paused_for = signal->paused_until - now;
+  return status;
+}
+
 std::optional<Time> TargetSignals::AcceptsAgain(Time now, Candidates targets) const {
   std::optional<Time> first;
   for (const TargetRecord* target : targets) {
--- a/core/target_signals.h
+++ b/core/target_signals.h
@@ -33,6 +33,15 @@
 constexpr Duration kMaxPause = Seconds(300);
 constexpr Duration kForgetSignalAfter = Seconds(600);
 
+// Why a target gets no requests.
+struct SignalStatus {
+  bool evacuated = false;
+  bool leaving = false;   // it has said so in an answer
+  bool departed = false;  // according to the directory
+  std::optional<Duration> paused_for;
+  bool operator==(const SignalStatus&) const = default;
+};
+
 class TargetSignals {
  public:
   // The target wants no requests for `pause`, or for kMaxPause if that is shorter.
@@ -49,6 +58,7 @@
   // Returns true if all targets accept requests.
   bool Empty() const { return this->signals.empty() && this->evacuated.empty(); }
   bool Accepts(Time now, const TargetRecord& target) const;
+  SignalStatus StatusOf(Time now, const TargetRecord& target) const;
   // Returns when the first of the targets accepts requests again, or nothing if one does or none
   // will.
   std::optional<Time> AcceptsAgain(Time now, Candidates targets) const;
--- a/core/warmup_limit.cc
+++ b/core/warmup_limit.cc
@@ -98,6 +98,17 @@
   return part > 0 && (sent.size() < part || now >= sent[sent.size() - part] + kWarmupWindow);
 }
 
+std::optional<WarmupStatus> WarmupLimit::StatusOf(Time now, const TargetRecord& target) const {
+  if (!this->IsLimited(now, target)) return std::nullopt;
+  const Target& known = this->targets.at(target.target);
+  const bool settled = this->settled_at && now >= *this->settled_at;
+  const auto recent = std::count_if(known.sent.begin(), known.sent.end(),
+                                    [&](Time sent) { return now < sent + kWarmupWindow; });
+  return WarmupStatus{.left = known.cold_until - now,
+                      .allowed = settled ? this->PartOf(*this->FindService(target), target) : 0,
+                      .sent = static_cast<size_t>(recent)};
+}
+
 void WarmupLimit::OnSend(Time now, const TargetRecord& target) {
   const Service* service = this->FindService(target);
   if (service == nullptr) return;
--- a/core/warmup_limit.h
+++ b/core/warmup_limit.h
@@ -57,6 +57,14 @@
 // kWarmupShare of it.
 double PlannedSenders(double limit);
 
+// The limit on requests of this router to a cold target.
+struct WarmupStatus {
+  Duration left{0};    // until the target is warm
+  size_t allowed = 0;  // requests in a second; 0 without contact with the controllers
+  size_t sent = 0;     // in the last second
+  bool operator==(const WarmupStatus&) const = default;
+};
+
 class WarmupLimit {
  public:
   WarmupLimit(WarmupTolerance tolerance, std::string router)
@@ -80,6 +88,8 @@
   bool IsLimited(Time now, const TargetRecord& target) const;
   // Returns true if a request may be sent to the target now.
   bool HasRoom(Time now, const TargetRecord& target) const;
+  // Returns nothing if requests to the target are not limited.
+  std::optional<WarmupStatus> StatusOf(Time now, const TargetRecord& target) const;
   void OnSend(Time now, const TargetRecord& target);
 
  private:
--- a/core/workspace_quota.h
+++ b/core/workspace_quota.h
@@ -157,6 +157,15 @@
   bool operator==(const QuotaVerdict&) const = default;
 };
 
+// What a request of a workspace would get now, and what that is based on.
+struct QuotaPreview {
+  QuotaVerdict verdict;
+  uint32_t permits = 0;            // that this router holds
+  uint32_t waiting = 0;            // requests of the workspace that wait for permits
+  std::optional<bool> near_limit;  // nothing if the leader has not said so recently
+  bool operator==(const QuotaPreview&) const = default;
+};
+
 // The decision about a request that has waited.
 struct QuotaDecision {
   uint64_t ticket = 0;
@@ -174,6 +183,8 @@
   // Admits, refuses or queues a request of a workspace with a limit. The quota of the last call
   // counts.
   QuotaVerdict Admit(Time now, const Workspace& workspace, Duration max_wait);
+  // Returns what Admit() would decide. Changes nothing.
+  QuotaPreview Preview(Time now, const Workspace& workspace, Duration max_wait) const;
   // Drops a request that waits, because its caller has left.
   void Withdraw(uint64_t ticket);
 
--- a/io/quota_gate.h
+++ b/io/quota_gate.h
@@ -55,6 +55,9 @@
   void Admit(Time now, const Workspace& workspace, Duration max_wait,
              const HttpResponder& responder, Callback callback);
   void OnControlChange(Time now, const ControlChange& change);
+  QuotaPreview Preview(Time now, const Workspace& workspace, Duration max_wait) const {
+    return this->quota.Preview(now, workspace, max_wait);
+  }
 
  private:
   struct Waiting {
--- a/io/target_pool.cc
+++ b/io/target_pool.cc
@@ -56,6 +56,18 @@
   return status.waiting == 0 && (status.idle > 0 || status.connections < limit);
 }
 
+TargetConnections TargetPool::ConnectionsTo(const TargetRecord& record) const {
+  TargetConnections connections{.allowed = this->OptionsOf(record.service).max_connections};
+  const auto found = this->entries.find(record.target);
+  if (found == this->entries.end() || found->second.incarnation != record.incarnation) {
+    return connections;
+  }
+  const HttpClientStatus status = found->second.client->Status();
+  connections.used = status.connections;
+  connections.waiting = status.waiting;
+  return connections;
+}
+
 void TargetPool::FailWaiting(const TargetRecord& record, const std::string& reason) {
   const auto found = this->entries.find(record.target);
   if (found == this->entries.end() || found->second.incarnation != record.incarnation) return;
--- a/io/target_pool.h
+++ b/io/target_pool.h
@@ -27,6 +27,14 @@
 
 namespace peridotgauge {
 
+// Connections of this router to one target.
+struct TargetConnections {
+  size_t used = 0;
+  size_t allowed = 0;
+  size_t waiting = 0;  // requests that wait for one
+  bool operator==(const TargetConnections&) const = default;
+};
+
 class TargetPool {
  public:
   // Called when a response of a target was discarded because it belongs to another request. `echo`
@@ -47,6 +55,7 @@
   void Cancel(const TargetRecord& record, uint64_t call);
   // Returns true if a request to the target would not wait for other requests to end.
   bool HasFreeConnection(const TargetRecord& record) const;
+  TargetConnections ConnectionsTo(const TargetRecord& record) const;
   // Fails the requests that wait for a connection to the target, so that they are placed anew.
   void FailWaiting(const TargetRecord& record, const std::string& reason);
   // Fails the requests that wait for a connection to a target in one of the data centres, including
