--- a/core/cli_format.h
+++ b/core/cli_format.h
@@ -13,6 +13,8 @@
 std::string FormatHistoryTable(const std::string& json);
 std::string FormatStatusReport(const std::string& json);
 std::string FormatTargetTable(const std::string& json);
+// The text of FormatExplanation(), see core/explain.h.
+std::string FormatExplanationReport(const std::string& json);
 std::string FormatSearchReport(const SearchResponse& response);
 
 }  // namespace peridotgauge
