Routers answer POST /v1/explain

Where a request on a route would go now, and why, at the metrics address of a router (docs/design/overload-quota-latency-and-explain.md, part 5). io/explain_routes.* follows the gateway's decisions in their order on copies of what decides; the gateway only passes references. The constants by which a request's time is divided move to io/request_times.h, as both use them.

Decided, as the page leaves it open: - Status 200 with the decision `refuse` for every well-formed question, also for an unknown workspace name (401 for a caller). - The fingerprint that suspicion depends on is that of a request without a body. - A suspect request gets the decision `trial`: whether the controllers grant one cannot be known without asking them. - Latencies are scaled to requests of the route. - A body has at most 128 KiB; connections and memory are bounded by the limits of the listener, as for the other operator endpoints. The rate is not limited. - Looking up a plan may fill the plan cache, which the next request would.

--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -406,6 +406,9 @@
     if (this->operators.Handles(request)) {
       return this->operators.Handle(request, responder);
     }
+    if (this->gateway && request.method == "POST" && request.path == "/v1/explain") {
+      return responder.Send(this->gateway->Explain(request));
+    }
     if (request.method == "GET" && request.path == "/metrics") {
       return responder.Send(TextResponse(200, this->MetricsText()));
     }
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -22,9 +22,11 @@
 #include "core/warmup_limit.h"
 #include "io/clock.h"
 #include "io/crash_guard.h"
+#include "io/explain_routes.h"
 #include "io/overload_guard.h"
 #include "io/quota_gate.h"
 #include "io/random_seed.h"
+#include "io/request_times.h"
 #include "io/route_request.h"
 #include "io/target_event.h"
 #include "state/push_pacing.h"
@@ -34,9 +36,6 @@
 
 namespace asio = boost::asio;
 
-// Time kept before the caller's deadline for sending the response.
-constexpr Duration kDeadlineMargin = Millis(20);
-constexpr Duration kShortestDeadline = Millis(1);
 // Share of a target's connection limit that all routers together use. The rest is a reserve for
 // connections that one side has closed and the other still counts.
 constexpr double kConnectionShare = 0.9;
@@ -49,8 +48,6 @@
 // that it is harmless.
 constexpr Duration kTrialDelay = Millis(100);
 constexpr Duration kLeaveTimeout = Seconds(2);
-// A request waits for a permit for at most this part of the time that its caller allows.
-constexpr int kQuotaWaitDivisor = 4;
 // With fewer connections to a target of any service, connections count as scarce and the router
 // avoids one replica of each shard.
 constexpr size_t kScarceConnectionsThreshold = 2;
@@ -141,6 +138,28 @@
     this->CheckQuota(std::move(arrival), responder);
   }
 
+  HttpResponse Explain(const HttpRequest& request) {
+    return RespondToExplain(SteadyNow(), UnixMillis(), request,
+                            {.self = this->self,
+                             .control = this->control,
+                             .codec = this->context.codec,
+                             .config = this->config,
+                             .plans = this->plans,
+                             .targets = this->known_targets,
+                             .replica_choice = *this->replica_choice,
+                             .signals = this->signals,
+                             .warmup = this->warmup,
+                             .pool = this->pool,
+                             .quota = *this->quota_gate,
+                             .overload = this->overload_guard.Admission(),
+                             .overload_admission = this->settings.overload_admission,
+                             .crash_guard = this->crash_guard,
+                             .extra_limit = this->extra_limit,
+                             .hedge_budgets = this->hedge_budgets,
+                             .split = this->split,
+                             .answer_by = this->answer_by});
+  }
+
   void AnswerRunning() {
     const auto open_requests = this->running;
     this->Log(SteadyNow(), Event("answer_running").Add("requests", open_requests.size()));
@@ -601,6 +620,7 @@
 void Gateway::Handle(HttpRequest request, const HttpResponder& responder) {
   this->impl->Handle(std::move(request), responder);
 }
+HttpResponse Gateway::Explain(const HttpRequest& request) { return this->impl->Explain(request); }
 void Gateway::Drain(Time answer_by) { this->impl->Drain(answer_by); }
 void Gateway::AnswerRunning() { this->impl->AnswerRunning(); }
 bool Gateway::Ready() const { return this->impl->Ready(); }
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -4,6 +4,7 @@
 //   Gateway gateway(io, settings, self, control, codec, metrics, log);
 //   gateway.Start();
 //   gateway.Handle(http_request, responder);
+//   responder.Send(gateway.Explain(operator_request));
 //   gateway.Drain(answer_by);                     // leaves the address list, continues to serve
 //   gateway.AnswerRunning();                      // at `answer_by`
 //
@@ -46,6 +47,8 @@
   void Drain(Time answer_by);
   // Answers all running requests now, as if their deadlines had passed.
   void AnswerRunning();
+  // Answers POST /v1/explain: where a request would go now. See explain_routes.h.
+  HttpResponse Explain(const HttpRequest& request);
   // Returns true if the gateway can take callers: it has a configuration with routes and is not
   // draining.
   bool Ready() const;
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -13,6 +13,7 @@
 #include "core/search.h"
 #include "io/clock.h"
 #include "io/cold_target_chooser.h"
+#include "io/request_times.h"
 
 namespace peridotgauge {
 namespace {
@@ -26,9 +27,6 @@
 // 3 % of the targets paused, one or two of 36 shards lag. Together with hedges of the latency tail
 // this stays below the extra sub-requests that the platform allows, 0.2 of the needed ones.
 constexpr double kStragglerShare = 0.125;
-// Until enough latencies are known, the median is assumed to be the route's objective divided by
-// this.
-constexpr int kMediansInObjective = 6;
 // The hedge delay until enough latencies are known.
 constexpr Duration kInitialHedgeDelay = Millis(60);
 constexpr Duration kMinRouteHedgeDelay = Millis(4);
--- a/testing/route_deployment.cc
+++ b/testing/route_deployment.cc
@@ -396,6 +396,10 @@
   return this->IpOf("router-" + std::to_string(number)) + ":" + std::to_string(kHttpPort);
 }
 
+Address RouteDeployment::MetricsAddress(size_t number) const {
+  return this->IpOf("router-" + std::to_string(number)) + ":" + std::to_string(kMetricsPort);
+}
+
 Address RouteDeployment::NewAddress() {
   return this->network + std::to_string(this->next_host++) + ":" + std::to_string(kTargetPort);
 }
--- a/testing/route_deployment.h
+++ b/testing/route_deployment.h
@@ -155,6 +155,8 @@
 
   Address ControllerAddress(size_t number) const;
   Address RouterAddress(size_t number) const;
+  // The metrics address of a router, where operators ask it.
+  Address MetricsAddress(size_t number) const;
   Address NewAddress();
 
  private:
