peridotgauge explain

The command asks a router's metrics address where a request would go now. The key is read from a file, so that it is neither in the list of processes nor in the history of a shell, and is sent in the body. Malformed input is refused with exit status 2 before anything is sent.

--- a/programs/peridotgauge.cc
+++ b/programs/peridotgauge.cc
@@ -17,6 +17,7 @@
 #include "core/caller_api.h"
 #include "core/cli_format.h"
 #include "core/config.h"
+#include "core/explain.h"
 #include "core/json_text.h"
 #include "core/operator_api.h"
 #include "core/span.h"
@@ -33,7 +34,10 @@
 DEFINE_uint32(timeout_ms, 10000, "timeout for a response from one address");
 DEFINE_string(request_id, "", "order, search: the request id; a random one by default");
 DEFINE_int64(issued_at_ms, 0, "order: issue time in Unix milliseconds; now by default");
-DEFINE_uint32(deadline_ms, 0, "order, search: deadline; that of the service by default");
+DEFINE_uint32(deadline_ms, 0,
+              "order, search, explain: deadline; that of the service or route by default");
+DEFINE_string(key_file, "", "explain: file with the key of a workspace, which the caller sends");
+DEFINE_string(workspace, "", "explain: the caller's workspace, in place of a key");
 DEFINE_string(span_files, "", "trace: span files, separated by commas");
 DEFINE_string(author, "", "apply: name for the history; the login name by default");
 
@@ -241,6 +245,37 @@
   return kExitOk;
 }
 
+// Reads a key without the line break at its end.
+Result<std::string> ReadKey(const std::string& path) {
+  Result<std::string> key = ReadFile(path);
+  if (!key) return key;
+  const size_t end = key->find_last_not_of(" \t\r\n");
+  key->resize(end == std::string::npos ? 0 : end + 1);
+  if (key->empty()) return Fail(ErrorCode::kBadRequest, path + ": the file has no key");
+  return key;
+}
+
+int Explain(const Arguments& arguments) {
+  ExplainRequest request{.method = arguments[0], .host = arguments[1], .path = arguments[2]};
+  if (!FLAGS_workspace.empty()) request.workspace = FLAGS_workspace;
+  if (!FLAGS_key_file.empty()) {
+    const Result<std::string> key = ReadKey(FLAGS_key_file);
+    if (!key) return Report(key.error());
+    request.key = *key;
+  }
+  request.deadline = DeadlineFlag();
+  const std::string body = FormatExplainRequest(request);
+  if (const auto valid = ParseExplainRequest(body); !valid) return Report(valid.error());
+  Result<CliClient> client = MakeClient();
+  if (!client) return Report(client.error());
+  const Result<HttpResponse> response =
+      client->Call({.method = "POST", .path = "/v1/explain", .body = body});
+  if (!response) return Report(response.error());
+  if (response->status != 200) return ReportResponse(*response);
+  std::cout << (FLAGS_json ? response->body + "\n" : FormatExplanationReport(response->body));
+  return kExitOk;
+}
+
 std::string RandomRequestId() {
   std::mt19937_64 random(RandomSeed());
   return ToHex(TraceId{random(), random()});
@@ -327,6 +362,10 @@
     {"targets", 0, 0, "targets                list the registered targets", Targets},
     {"search", 2, 2, "search SERVICE JSON    send a search", Search},
     {"order", 2, 2, "order SERVICE JSON     send an order, which is executed at most once", Order},
+    {"explain", 3, 3,
+     "explain METHOD HOST PATH\n                         "
+     "say where a request would go now, and why; asks a router's metrics address",
+     Explain},
     {"trace", 1, 1, "trace ID               show the spans of a trace or request id", Trace},
 };
 
