Explain: tests of suspicion, shutdown and targets that are not known

Added too: a router that drains, and a request that has crashed targets, of which explanations cost no target.

--- a/testing/explain_routes_test.cc
+++ b/testing/explain_routes_test.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/explain.h"
+#include "crashing_fleet.h"
 #include "io/clock.h"
 #include "route_deployment.h"
 
@@ -194,6 +195,10 @@
     CHECK(fixture.near.Arrivals().size() == near);
     CHECK(fixture.far.Arrivals().size() == far);
   }
+  SECTION("and that it drains") {
+    fixture.deployment.BeginStopRouter(0);
+    CHECK(Text(fixture.Explain(), "/draining") == "true");
+  }
   SECTION("but not if the question is malformed") {
     const auto status = [&](const std::string& body) {
       const auto answer = fixture.Post(body);
@@ -283,5 +288,36 @@
   }
 }
 
+// Guards against a suspicion that the command cannot find, for example because of another
+// fingerprint, and against trials that explanations use up.
+TEST_CASE("a router explains that a request has crashed targets", "[explain][explain_routes]") {
+  CrashingFleet fleet({.routers = 1});
+  const auto explain = [&](const std::string& path) {
+    const auto answer = Call(
+        fleet.Deployment().MetricsAddress(0),
+        {.method = "POST",
+         .path = "/v1/explain",
+         .body = FormatExplainRequest({.method = "GET", .host = "test.example", .path = path})},
+        kTimeout);
+    REQUIRE(answer);
+    return json::parse(answer->body);
+  };
+  CHECK(Text(explain("/s/crash"), "/suspicion/status") == "clear");
+  const Time end = SteadyNow() + kDeploymentTimeout;
+  json::value suspected = explain("/s/crash");
+  while (Text(suspected, "/suspicion/status") == "clear" && SteadyNow() < end) {
+    fleet.Send(0, "GET", "/s/crash");
+    suspected = explain("/s/crash");
+  }
+  // It gets trials until it is blocked.
+  const std::string status = Text(suspected, "/suspicion/status");
+  CHECK((status == "suspect" || status == "blocked"));
+  CHECK(Text(suspected, "/outcome/decision") == (status == "suspect" ? "trial" : "refuse"));
+  const size_t crashes = fleet.Crashes("/s/crash");
+  for (int i = 0; i < kTimes; ++i) explain("/s/crash");
+  CHECK(fleet.Crashes("/s/crash") == crashes);
+  CHECK(Text(explain("/s/other"), "/suspicion/status") == "clear");
+}
+
 }  // namespace
 }  // namespace peridotgauge
--- a/testing/explain_test.cc
+++ b/testing/explain_test.cc
@@ -278,6 +278,8 @@
   const auto status = [&](Time now) { return choice->Explain(now, candidates); };
   CHECK(!status(kStart)[0].latency);
   CHECK(!status(kStart)[0].remote);
+  // A target is new until the first choice, however often it was explained before.
+  CHECK(status(kStart + 2 * kReplicaWarmUp)[0].score == status(kStart)[0].score);
   CHECK(status(kStart)[1].remote);
   CHECK(status(kStart)[1].score == Approx(kRemoteFactor * status(kStart)[0].score));
   const uint64_t send = choice->OnSend(kStart, records[0]);
