--- a/testing/hostile/hostile_clients_main.cc
+++ b/testing/hostile/hostile_clients_main.cc
@@ -4,7 +4,11 @@
 // Started by testing/hostile_clients_test.sh one test case at a time, with the program of the
 // daemon in the environment variable PERIDOTGAUGED. They check no times and no share of served
 // requests.
-#define CATCH_CONFIG_MAIN
+//
+// With --kind, sends one attack of a chosen size instead and prints what it made the process keep:
+//   hostile_clients --kind=fields --process=router --port=http --method=GET --path=/s/crowd
+//       --connections=5000 --memory=160 --descriptors=4100 --seconds=5
+#define CATCH_CONFIG_RUNNER
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -18,6 +22,7 @@
 #include <fstream>
 #include <functional>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <optional>
 #include <sstream>
@@ -63,6 +68,12 @@
   return true;
 }
 
+// The memory and descriptors of each started process.
+struct HostSize {
+  size_t memory_mb = kMemoryMb;
+  size_t descriptors = kDescriptors;
+};
+
 // A started daemon process.
 class HostProcess {
  public:
@@ -120,14 +131,15 @@
 // A controller and a router as processes of their own, with one target.
 class HostileDeployment {
  public:
-  explicit HostileDeployment(size_t descriptors = kDescriptors) {
+  explicit HostileDeployment(HostSize router_size = {}, HostSize controller_size = {})
+      : router_size(router_size), controller_size(controller_size) {
     const int number = getpid();
     this->network = "127." + std::to_string(170 + number / 250 % 80) + "." +
                     std::to_string(1 + number % 250) + ".";
     std::string pattern = (std::filesystem::temp_directory_path() / "hostile_test_XXXXXX").string();
     this->folder = mkdtemp(pattern.data());
-    this->controller = this->Start("controller", descriptors);
-    this->router = this->Start("router", descriptors);
+    this->controller = this->Start("controller", controller_size);
+    this->router = this->Start("router", router_size);
     this->target_loop.Run([this] { this->Listen(); });
     REQUIRE(this->target);
     REQUIRE(Await([this] { return this->Configure(); }));
@@ -172,7 +184,8 @@
         std::cout << "  " << name << ": " << (process.PeakMemory() >> 10) << " KiB at most, "
                   << process.OpenDescriptors() << " descriptors\n";
       }
-      CHECK(process.PeakMemory() <= kMemoryMb << 20);
+      const HostSize& size = name == "router" ? this->router_size : this->controller_size;
+      CHECK(process.PeakMemory() <= size.memory_mb << 20);
       CHECK(process.OpenDescriptors() <= process.descriptors - process.descriptors / 8);
     }
     CHECK(Await([this] { return this->Answers(); }));
@@ -180,7 +193,7 @@
   }
 
  private:
-  std::unique_ptr<HostProcess> Start(const std::string& name, size_t descriptors) const {
+  std::unique_ptr<HostProcess> Start(const std::string& name, const HostSize& size) const {
     const auto at = [&](int port) { return "\"" + this->At(name, port) + "\""; };
     const std::string ip = this->At(name, 0).substr(0, this->At(name, 0).size() - 2);
     const std::string seed = this->At("controller", kHttpPort);
@@ -193,9 +206,10 @@
                                 ? R"(,"directory_address":)" + at(kDirectoryPort) +
                                       R"(,"data_folder":")" + this->folder + R"(/data")"
                                 : R"(,"health_address":)" + at(kHealthPort))
-                        << R"(,"heartbeat_ms":60000,"memory_mb":)" << kMemoryMb
+                        << R"(,"heartbeat_ms":60000,"memory_mb":)" << size.memory_mb
                         << R"(,"extra_slack":10,"seeds":[")" << seed << R"("]})";
-    return std::make_unique<HostProcess>(file, this->folder + "/" + name + ".log", descriptors);
+    return std::make_unique<HostProcess>(file, this->folder + "/" + name + ".log",
+                                         size.descriptors);
   }
   // Answers each request after a while, so that requests wait in the router. A path that ends with
   // "/large" gets kLargeAnswerBytes.
@@ -231,6 +245,8 @@
                              1));
   }
 
+  const HostSize router_size;
+  const HostSize controller_size;
   std::string network;  // the first three numbers of all addresses
   std::string folder;
   int requests = 0;
@@ -398,7 +414,8 @@
 TEST_CASE("endless heads on more connections than there are descriptors", "[hostile_clients]") {
   const Place place = GENERATE(kRoute, kGetConfig);
   CAPTURE(place.path);
-  HostileDeployment deployment(kScarceDescriptors);
+  const HostSize scarce{.descriptors = kScarceDescriptors};
+  HostileDeployment deployment(scarce, scarce);
   {
     HostileCrowd crowd(deployment.At(place.process, place.port), 2 * kScarceDescriptors,
                        {.first = place.method + " " + place.path + " HTTP/1.1\r\n",
@@ -414,7 +431,8 @@
 }
 
 TEST_CASE("connections that send nothing and take all descriptors", "[hostile_clients]") {
-  HostileDeployment deployment(kScarceDescriptors);
+  const HostSize scarce{.descriptors = kScarceDescriptors};
+  HostileDeployment deployment(scarce, scarce);
   {
     HostileCrowd crowd(deployment.At("router", kHealthPort), 2 * kScarceDescriptors, {.first = ""});
     crowd.Start();
@@ -466,5 +484,164 @@
   Attack(place, 60, {.first = length + std::string((63 << 16) - 1, 'x')});
 }
 
+// Time after a chosen attack for an ordinary request to be answered. Only ends attacks that fail: a
+// full backlog of connections takes 20 s and more on a busy machine.
+constexpr Duration kChosenTimeout = Seconds(60);
+
+// An attack of a chosen size, started by hand.
+struct ChosenAttack {
+  std::string kind;
+  std::string process = "router";
+  std::string port = "http";
+  std::string method = "GET";
+  std::string path = "/s/crowd";
+  size_t connections = kCrowd;
+  size_t seconds = 5;
+  HostSize size;
+};
+
+std::string JsonOfShortFields() {
+  std::string fields;
+  for (size_t i = 0; fields.size() + 16 < kMaxBodyBytes; ++i) {
+    fields += (fields.empty() ? "\"" : ",\"") + std::to_string(i) + "\":1";
+  }
+  return "{" + fields + "}";
+}
+
+// Returns the plan of a kind of sending, or nothing for an unknown kind.
+std::optional<HostilePlan> PlanOf(const std::string& kind, const Place& place) {
+  const Place post = Post(place);
+  const std::string body(kMaxBodyBytes, 'x');
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::string chunks = Repeated(Chunk(std::string(1'000, 'x')), kMaxBodyBytes);
+  if (kind == "body_short") return HostilePlan{.first = WithBody(post, body, 1)};
+  if (kind == "body_pieces") {
+    return HostilePlan{.first = WithBody(post, body, 1), .piece = 4'096};
+  }
+  if (kind == "body_chunks") return HostilePlan{.first = Head(post, chunked) + chunks};
+  if (kind == "body_over") {
+    return HostilePlan{.first = Head(post, "Content-Length: 99999999\r\n"),
+                       .repeat = std::string(65'536, 'x')};
+  }
+  if (kind == "chunks_over") {
+    return HostilePlan{.first = Head(post, chunked), .repeat = Chunk(std::string(65'536, 'x'))};
+  }
+  if (kind == "trailers") {
+    return HostilePlan{.repeat = Head(post, chunked) + Chunk("x") + "0\r\n" +
+                                 Repeated("a:b\r\n", kMaxHeaderBytes) + "\r\n"};
+  }
+  if (kind == "fields") return HostilePlan{.repeat = HeadOfShortFields(place)};
+  if (kind == "fields_stop") {
+    std::string head = HeadOfShortFields(place);
+    head.pop_back();
+    return HostilePlan{.first = head};
+  }
+  if (kind == "json") return HostilePlan{.repeat = WithBody(post, JsonOfShortFields())};
+  if (kind == "ahead") return HostilePlan{.repeat = Head(place)};
+  if (kind == "bodies_ahead") return HostilePlan{.repeat = WithBody(post, body)};
+  if (kind == "slow_send") return HostilePlan{.first = WithBody(post, body), .piece = 1};
+  if (kind == "slow_read") return HostilePlan{.repeat = Head(place), .read_bytes = 100};
+  if (kind == "reads") return HostilePlan{.repeat = Head(place), .read = true};
+  if (kind == "reset") {
+    return HostilePlan{.first = WithBody(post, body), .reset_after = kMaxBodyBytes / 2};
+  }
+  if (kind == "endless_head") {
+    return HostilePlan{.first = place.method + " " + place.path + " HTTP/1.1\r\n",
+                       .repeat = "x-header: value\r\n",
+                       .piece = 17};
+  }
+  if (kind == "silent") return HostilePlan{};
+  if (kind == "frame_short") {
+    return HostilePlan{.first =
+                           std::string{"\x00\x00\x3f\x00", 4} + std::string((63 << 16) - 1, 'x')};
+  }
+  return std::nullopt;
+}
+
+ChosenAttack chosen;  // set by main()
+
+// Prints the highest memory and descriptors of the attacked process, and whether ordinary requests
+// were answered beside the crowd and after it. Hidden: it runs only with --kind.
+TEST_CASE("an attack of a chosen size", "[.chosen]") {
+  const std::map<std::string, int> ports{{"http", kHttpPort},
+                                         {"health", kHealthPort},
+                                         {"directory", kDirectoryPort},
+                                         {"metrics", kMetricsPort},
+                                         {"peer", kPeerPort}};
+  const auto port = ports.find(chosen.port);
+  REQUIRE(port != ports.end());
+  const Place place{chosen.process, port->second, chosen.method, chosen.path};
+  const std::optional<HostilePlan> plan = PlanOf(chosen.kind, place);
+  REQUIRE(plan);
+  const HostSize usual{.memory_mb = 256, .descriptors = 4'096};
+  HostileDeployment deployment(chosen.process == "router" ? chosen.size : usual,
+                               chosen.process == "router" ? usual : chosen.size);
+  HostProcess& attacked = deployment.Process(chosen.process);
+  const auto served = [&] {
+    return chosen.process == "router" ? deployment.Answers() : deployment.ControllerAnswers();
+  };
+  size_t descriptors = 0;
+  size_t asked = 0;
+  size_t answered = 0;
+  size_t sent = 0;
+  {
+    HostileCrowd crowd(deployment.At(place.process, place.port), chosen.connections, *plan);
+    crowd.Start();
+    const Time end = SteadyNow() + Seconds(static_cast<int64_t>(chosen.seconds));
+    std::thread caller([&] {
+      while (SteadyNow() < end) {
+        ++asked;
+        if (served()) ++answered;
+        std::this_thread::sleep_for(Millis(200));
+      }
+    });
+    while (SteadyNow() < end && attacked.Running()) {
+      std::this_thread::sleep_for(Millis(100));
+      descriptors = std::max(descriptors, attacked.OpenDescriptors());
+    }
+    crowd.Stop();
+    sent = crowd.SentBytes();
+    caller.join();
+  }
+  const Time left = SteadyNow();
+  bool afterwards = false;
+  while (!afterwards && attacked.Running() && SteadyNow() < left + kChosenTimeout) {
+    afterwards = served();
+  }
+  const bool alive = attacked.Running();
+  std::cout << "| " << chosen.kind << " | " << place.process << " " << chosen.port << " "
+            << place.method << " " << place.path << " | " << chosen.connections << " | "
+            << (sent >> 20) << " | " << (alive ? attacked.PeakMemory() >> 20 : 0) << " | "
+            << descriptors << " | " << answered << " of " << asked << " | "
+            << (!alive ? "process ended"
+                : afterwards
+                    ? "after " +
+                          std::to_string(static_cast<int64_t>(ToMillis(SteadyNow() - left))) + " ms"
+                    : "no")
+            << " |" << std::endl;
+  CHECK(alive);
+  CHECK(afterwards);
+  CHECK(attacked.PeakMemory() <= chosen.size.memory_mb << 20);
+}
+
 }  // namespace
 }  // namespace peridotgauge
+
+int main(int argc, char** argv) {
+  using Catch::clara::Opt;
+  auto& chosen = peridotgauge::chosen;
+  Catch::Session session;
+  session.cli(session.cli() | Opt(chosen.kind, "kind")["--kind"]("sends one attack of this kind") |
+              Opt(chosen.process, "name")["--process"]("router or controller") |
+              Opt(chosen.port, "name")["--port"]("http, health, directory, metrics or peer") |
+              Opt(chosen.method, "method")["--method"]("of the requests") |
+              Opt(chosen.path, "path")["--path"]("of the requests") |
+              Opt(chosen.connections, "count")["--connections"]("size of the crowd") |
+              Opt(chosen.seconds, "seconds")["--seconds"]("for which the crowd sends") |
+              Opt(chosen.size.memory_mb, "MiB")["--memory"]("memory_mb of the attacked process") |
+              Opt(chosen.size.descriptors, "count")["--descriptors"]("of the attacked process"));
+  const int error = session.applyCommandLine(argc, argv);
+  if (error != 0) return error;
+  if (!chosen.kind.empty()) session.configData().testsOrTags = {"[.chosen]"};
+  return session.run();
+}
