HTTP server: accept callers that wait in batches

Callers and operators saw: after, and beside, a crowd of 5,000 connections with bodies of many short JSON fields at a controller's /config, an ordinary GET /config was not answered for over 30 s; at a router with heads of short fields, for over 20 s.

Cause: one connection was accepted in a pass of the event loop, and its request ran before the next accept. An ordinary caller waited until the requests of up to 4,096 connections in the backlog had run one after the other, and the budgets for bodies, which refuse a crowd early, saw a few connections at a time.

Ruled out: a hang (the backlog shrank steadily, by one connection for each 2 ms of processor time at the router and 7 ms at the controller) and JSON parsing that is not linear.

Change: up to 32 connections are accepted in one pass.

The new test counts the connections that are open when the first of 20 requests runs: 1 before, 20 after. unit_tests "[http_server]" passes.

--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -12,6 +12,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <exception>
+#include <limits>
 #include <optional>
 #include <string>
 #include <unordered_set>
@@ -41,6 +42,10 @@
 constexpr Duration kFirstRequestTimeout = Seconds(1);
 // Delay after a failed accept, for example when the process is out of file descriptors.
 constexpr Duration kAcceptRetryDelay = Millis(100);
+// Connections accepted in one pass of the event loop. With one, a pass runs more requests of a
+// crowd than it accepts, and an ordinary caller waits until all that connected before it were
+// served.
+constexpr size_t kAcceptBatch = 32;
 // Number of connections above the limit that receive an error response at the same time. Further
 // ones are closed without one.
 constexpr size_t kMaxRefusedConnections = 64;
@@ -121,6 +126,8 @@
 
  private:
   void OnAccept(Tcp::socket socket);
+  // Accepts up to `most` connections that wait, without waiting for one.
+  void AcceptPending(size_t most);
   // Closes the connections that are idle.
   void StopIdle();
   void NotifyStopped();
@@ -247,7 +254,10 @@
           if (!error) self->StopIdle();
           return;
         }
-        if (!error) return self->Accept();
+        if (!error) {
+          self->AcceptPending(kAcceptBatch - 1);
+          return self->Accept();
+        }
         LOG(WARNING) << "http: cannot accept a connection, retrying: " << error.message();
         self->accept_retry.expires_after(kAcceptRetryDelay);
         self->accept_retry.async_wait([self](const error_code& cancelled) {
@@ -279,17 +289,24 @@
   connection->RefuseConnection();
 }
 
+void HttpServer::Impl::AcceptPending(size_t most) {
+  for (size_t accepted = 0; accepted < most; ++accepted) {
+    error_code error;
+    Tcp::socket socket(this->io);
+    this->acceptor.accept(socket, error);
+    // async_accept() reports other errors than that no connection waits.
+    if (error) return;
+    this->OnAccept(std::move(socket));
+  }
+}
+
 void HttpServer::Impl::Stop(std::function<void()> callback) {
   this->on_stopped = std::move(callback);
   if (!this->stopping && !this->closed) {
     // Accepts the connections in the backlog, whose callers may already have sent a request.
-    error_code error;
-    while (!error) {
-      Tcp::socket socket(this->io);
-      this->acceptor.accept(socket, error);
-      if (!error) this->OnAccept(std::move(socket));
-    }
+    this->AcceptPending(std::numeric_limits<size_t>::max());
     this->stopping = true;
+    error_code error;
     this->acceptor.close(error);
     this->accept_retry.cancel();
   }
--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -103,6 +103,29 @@
   }
 }
 
+// A caller that connects behind a crowd would wait until the requests of the whole crowd have run.
+TEST_CASE("http_server accepts waiting callers before it runs the requests of all before them",
+          "[http_server]") {
+  boost::asio::io_context io;
+  std::unique_ptr<HttpServer> server;
+  size_t open_at_first = 0;
+  size_t handled = 0;
+  auto listening = HttpServer::Listen(io, "127.0.0.1:0", [&](HttpRequest, HttpResponder responder) {
+    if (handled++ == 0) open_at_first = server->Status().connections;
+    responder.Send(TextResponse(200, "ok"));
+  });
+  REQUIRE(listening);
+  server = std::move(*listening);
+  constexpr size_t kCallers = 20;
+  std::vector<RawSocket> callers;
+  for (size_t i = 0; i < kCallers; ++i) {
+    callers.push_back(RawSocket::Connect(server->Port()));
+    callers.back().Send(kGet);
+  }
+  REQUIRE(RunUntil(io, [&] { return handled == kCallers; }));
+  CHECK(open_at_first == kCallers);
+}
+
 TEST_CASE("http_server refuses requests and connections above a limit", "[http_server]") {
   HttpServerLimits limits;
   limits.request_timeout = Millis(100);
