--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -15,6 +15,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <exception>
+#include <limits>
 #include <optional>
 #include <string>
 #include <unordered_set>
@@ -44,6 +45,10 @@
 constexpr Duration kFirstRequestTimeout = Seconds(1);
 // Delay after a failed accept, for example when the process is out of file descriptors.
 constexpr Duration kAcceptRetryDelay = Millis(100);
+// Connections accepted in one pass of the event loop. With one, a pass runs more requests of a
+// crowd than it accepts, and an ordinary caller waits until all that connected before it were
+// served.
+constexpr size_t kAcceptBatch = 32;
 // Number of connections above the limit that receive an error response at the same time. Further
 // ones are closed without one.
 constexpr size_t kMaxRefusedConnections = 64;
@@ -60,6 +65,9 @@
 constexpr size_t kTextCopies = 3;
 // A field of a header that is being received costs this much in Beast's list, with its allocation.
 constexpr size_t kParsedFieldBytes = 96;
+// Received bytes of an incomplete header after which its fields are counted again. Counting at each
+// read would take long for headers that arrive byte by byte.
+constexpr size_t kRecountBytes = 512;
 // Time after which a request that was refused for want of room may come again, in seconds. Requests
 // in the handler take about as long.
 constexpr char kRetryAfter[] = "0.200";
@@ -121,6 +129,8 @@
 
  private:
   void OnAccept(Tcp::socket socket);
+  // Accepts up to `most` connections that wait, without waiting for one.
+  void AcceptPending(size_t most);
   // Closes the connections that are idle.
   void StopIdle();
   void NotifyStopped();
@@ -216,7 +226,8 @@
   std::shared_ptr<ByteBudget::Account> kept_response;  // of a large answer that is being written
   std::unique_ptr<std::array<char, kReadBytes>> discarded;  // set while lingering
   uint64_t requests = 0;
-  size_t fields = 0;  // of the request that is being received
+  size_t fields = 0;           // of the request that is being received
+  size_t uncounted_bytes = 0;  // of its header, parsed since its fields were counted
   bool keep_alive = false;
   bool head_complete = false;  // of the request that is being received
   bool head_only = false;      // the running request is a HEAD request
@@ -248,7 +259,10 @@
           if (!error) self->StopIdle();
           return;
         }
-        if (!error) return self->Accept();
+        if (!error) {
+          self->AcceptPending(kAcceptBatch - 1);
+          return self->Accept();
+        }
         LOG(WARNING) << "http: cannot accept a connection, retrying: " << error.message();
         self->accept_retry.expires_after(kAcceptRetryDelay);
         self->accept_retry.async_wait([self](const error_code& cancelled) {
@@ -280,17 +294,24 @@
   connection->RefuseConnection();
 }
 
+void HttpServer::Impl::AcceptPending(size_t most) {
+  for (size_t accepted = 0; accepted < most; ++accepted) {
+    error_code error;
+    Tcp::socket socket(this->io);
+    this->acceptor.accept(socket, error);
+    // async_accept() reports other errors than that no connection waits.
+    if (error) return;
+    this->OnAccept(std::move(socket));
+  }
+}
+
 void HttpServer::Impl::Stop(std::function<void()> callback) {
   this->on_stopped = std::move(callback);
   if (!this->stopping && !this->closed) {
     // Accepts the connections in the backlog, whose callers may already have sent a request.
-    error_code error;
-    while (!error) {
-      Tcp::socket socket(this->io);
-      this->acceptor.accept(socket, error);
-      if (!error) this->OnAccept(std::move(socket));
-    }
+    this->AcceptPending(std::numeric_limits<size_t>::max());
     this->stopping = true;
+    error_code error;
     this->acceptor.close(error);
     this->accept_retry.cancel();
   }
@@ -401,6 +422,7 @@
   this->parser.emplace();
   this->head_complete = false;
   this->fields = 0;
+  this->uncounted_bytes = 0;
   this->buffer.max_size(this->impl->limits.max_header_bytes + kReadBytes);
   this->parser->header_limit(static_cast<uint32_t>(this->impl->limits.max_header_bytes));
   this->parser->body_limit(this->impl->limits.max_body_bytes);
@@ -413,7 +435,9 @@
   while (!this->parser->is_done()) {
     if (this->buffer.size() == 0) break;
     error_code error;
-    this->buffer.consume(this->parser->put(this->buffer.data(), error));
+    const size_t parsed = this->parser->put(this->buffer.data(), error);
+    this->buffer.consume(parsed);
+    this->uncounted_bytes += parsed;
     if (error == http::error::need_more) break;
     if (error) return this->OnRequest(error);
     if (!this->head_complete && this->parser->is_header_done() && !this->OnHead()) return;
@@ -454,9 +478,13 @@
 }
 
 bool HttpServer::Connection::KeepPartialRequest() {
-  // Counted once more at the end, because a trailer adds fields. Counting at each read would take
-  // long for bodies that arrive byte by byte after thousands of fields.
-  if (this->parser->is_done()) this->fields = this->FieldCount();
+  // Counted while the header arrives, because the parser keeps the fields of an incomplete one, and
+  // once more at the end, because a trailer adds fields. Counting at each read would take long for
+  // bodies that arrive byte by byte after thousands of fields.
+  if (this->parser->is_done() || (!this->head_complete && this->uncounted_bytes >= kRecountBytes)) {
+    this->fields = this->FieldCount();
+    this->uncounted_bytes = 0;
+  }
   if (this->fields > this->impl->limits.max_header_fields) {
     HttpResponse response =
         ErrorResponse({ErrorCode::kTooLarge,
