Quotas: no open requests of a workspace above its limit after a change of the leader

Cause: a workspace counted as near its limit in relation to the capacity of the moment. In the first 500 ms of a term that is 0.1 E, and the bucket holds just that, so a new leader told routers that a workspace at 36 times its limit was far from it. A router then admitted 14 open requests (floor(0.5 E / n) + 1) at once. Their share of 0.5 E is not part of the sum of the excess in any case: base allowances (0.4), bucket (0.3) and filling (0.1) leave 0.2.

Ruled out: base allowances (the one of the window before had left it), the returning lease and the lowered limit (no admitted request in the window belongs to them).

Change: nearness is measured against the full capacity of all routers in contact; kOpenShare is 0.2; the open request that each router may always admit is left out where the base allowance is at least one.

--- a/core/workspace_quota.cc
+++ b/core/workspace_quota.cc
@@ -56,8 +56,11 @@
   const bool known = this->sequence > 0 && now - this->own_share_at < kOpenTime;
   if (this->lost_at || !known || this->near_limit.contains(workspace)) return false;
   const double share = kOpenShare * QuotaExcess(state.quota, this->tolerance) / this->Routers(now);
+  // A base allowance of one request at each router takes the part of the excess that another open
+  // request at each would need: 8 routers admitted 21 requests of 20.9 allowed.
+  const double one = this->BaseAllowance(now, state) < 1 ? kOpenRequests : 0;
   const double allowed =
-      kOpenRequests + std::floor(share) + std::floor(kOpenSeconds * state.quota.rate_per_s);
+      one + std::floor(share) + std::floor(kOpenSeconds * state.quota.rate_per_s);
   if (state.unreported >= allowed) return false;
   ++state.unreported;
   return true;
--- a/core/workspace_quota.h
+++ b/core/workspace_quota.h
@@ -85,9 +85,10 @@
 // Open requests of a workspace at one router between two reports: one, an equal part of this share
 // of the excess, and those of this time at the rate of the limit, for workspaces with all their
 // callers at one router. With four in place of one, a burst of a small workspace at all routers at
-// the same moment exceeds the limit.
+// the same moment exceeds the limit. The share is what base allowances, bucket and filling leave: a
+// burst of open requests at the end of a window adds to these parts.
 constexpr double kOpenRequests = 1;
-constexpr double kOpenShare = 0.5;
+constexpr double kOpenShare = 0.2;
 constexpr double kOpenSeconds = 0.05;
 // What the leader has said of the workspaces near their limit counts for this time after the ask.
 constexpr Duration kOpenTime = Millis(2'500);
--- a/state/quota_table.cc
+++ b/state/quota_table.cc
@@ -23,9 +23,12 @@
 }
 
 double QuotaTable::Capacity(Time now, const RequestQuota& quota) const {
-  const double excess = QuotaExcess(quota, this->tolerance);
-  if (now < this->term_settled) return kTermShare * excess;
-  return (quota.burst + kBucketShare * excess) * this->served_share;
+  if (now < this->term_settled) return kTermShare * QuotaExcess(quota, this->tolerance);
+  return this->FullCapacity(quota) * this->served_share;
+}
+
+double QuotaTable::FullCapacity(const RequestQuota& quota) const {
+  return quota.burst + kBucketShare * QuotaExcess(quota, this->tolerance);
 }
 
 double QuotaTable::FillRate(const RequestQuota& quota) const {
@@ -65,13 +68,13 @@
 void QuotaTable::AdvanceAll(Time now) {
   for (auto& [name, bucket] : this->buckets) {
     this->Advance(now, bucket);
-    this->UpdateNearLimit(now, name, bucket);
+    this->UpdateNearLimit(name, bucket);
   }
 }
 
-void QuotaTable::UpdateNearLimit(Time now, const std::string& workspace, Bucket& bucket) {
+void QuotaTable::UpdateNearLimit(const std::string& workspace, Bucket& bucket) {
   const double share = bucket.near_limit ? kFarFromLimitShare : kNearLimitShare;
-  bucket.near_limit = bucket.tokens <= share * this->Capacity(now, bucket.quota);
+  bucket.near_limit = bucket.tokens <= share * this->FullCapacity(bucket.quota);
   if (bucket.near_limit) {
     this->near_limit.insert(workspace);
   } else {
@@ -99,7 +102,7 @@
         bucket.tokens = this->Capacity(now, bucket.quota);
       }
     }
-    this->UpdateNearLimit(now, workspace.name, bucket);
+    this->UpdateNearLimit(workspace.name, bucket);
   }
 }
 
@@ -134,7 +137,7 @@
                                               std::max(bucket.tokens + kTokenRounding, 0.0))))
                 : 0;
     bucket.tokens -= granted;
-    this->UpdateNearLimit(now, demand.workspace, bucket);
+    this->UpdateNearLimit(demand.workspace, bucket);
     bucket.unspent += granted;
     this->granted += granted;
     if (kept + granted == 0) {
--- a/state/quota_table.h
+++ b/state/quota_table.h
@@ -22,7 +22,9 @@
 //
 // Open requests, which routers admit without a permit, are taken from the bucket when they are
 // reported; its tokens may fall below zero by them. A workspace is near its limit from when its
-// tokens are below kNearLimitShare of the capacity until they are above kFarFromLimitShare.
+// tokens are below kNearLimitShare of the full capacity until they are above kFarFromLimitShare.
+// The full capacity counts, since the lower ones of a new term and of lost routers are not enough
+// for the open requests of all routers.
 //
 // Permits count as unspent until the router reports fewer as held, or they have expired. Memory is
 // bounded: each entry of a router has at least one permit.
@@ -100,11 +102,13 @@
 
   double FillRate(const RequestQuota& quota) const;
   double Capacity(Time now, const RequestQuota& quota) const;
+  // Capacity after the first moments of a term, with all routers in contact.
+  double FullCapacity(const RequestQuota& quota) const;
   void Fill(Time until, Bucket& bucket) const;
   // Fills the bucket up to `now`, and removes expired permits on the way.
   void Advance(Time now, Bucket& bucket) const;
   void AdvanceAll(Time now);
-  void UpdateNearLimit(Time now, const std::string& workspace, Bucket& bucket);
+  void UpdateNearLimit(const std::string& workspace, Bucket& bucket);
 
   QuotaTolerance tolerance;
   std::map<std::string, Bucket, std::less<>> buckets;
