Quota tests: the history of an early open request, bursts at all routers

The simulation did not advance the leader's buckets between asks as the product does, so it hardly drew open requests; its option advance_buckets does so.

--- a/testing/quota_fleet_test.cc
+++ b/testing/quota_fleet_test.cc
@@ -136,6 +136,83 @@
   }
 }
 
+// Guards against a new leader that counts a workspace above its limit as far from it, because its
+// bucket holds what a new term begins with: the router then admitted 14 requests at once without a
+// permit, in addition to its base allowance. Shrunk from a drawn history.
+TEST_CASE("a new leader of a workspace above its limit admits no open requests",
+          "[quota][quota_fleet]") {
+  QuotaSimulation fleet({.routers = 1}, 0);
+  std::vector<Workspace> workspaces = {{.name = "large", .quota = {43, 43}},
+                                       {.name = "middle", .quota = {8, 0}},
+                                       {.name = "small", .quota = {0.5, 0.5}},
+                                       {.name = "wide", .quota = {90, 9}}};
+  fleet.SetWorkspaces(workspaces);
+  fleet.Run(Seconds(1));
+  const auto any = [&fleet] { return fleet.RandomRouter(); };
+  fleet.Load("large", 12 * 43, any);
+  fleet.Load("middle", 3 * 8, any);
+  fleet.Load("small", 12 * 0.5, any);
+  fleet.Load("wide", 0.5 * 90, any);
+  fleet.Run(Millis(20'700));
+  fleet.Load("middle", 0, {});
+  fleet.Run(Millis(20));
+  fleet.RestartRouter(0);
+  fleet.Run(Seconds(18));
+  fleet.RestartRouter(0);
+  fleet.Run(Seconds(6));
+  fleet.Disconnect(0);
+  fleet.Run(Seconds(6));
+  for (Workspace& each : workspaces) each.quota = {each.quota.rate_per_s / 3, 0};
+  fleet.Reconnect(0);
+  fleet.Run(Seconds(1));
+  fleet.SetWorkspaces(workspaces);
+  fleet.Run(Seconds(6));
+  const Time since = fleet.Now();
+  fleet.RestartRouter(0);
+  fleet.Run(Seconds(12));
+  fleet.RestartRouter(0);
+  fleet.Run(Seconds(18));
+  fleet.ChangeLeader(Seconds(5));
+  fleet.Run(Seconds(12));
+  fleet.ChangeLeader(Duration(0));
+  fleet.Run(Seconds(2));
+  for (const Workspace& workspace : workspaces) {
+    INFO(workspace.name);
+    CHECK(fleet.Excess(workspace.name, workspace.quota, since) <= 0);
+  }
+}
+
+// Guards against open requests above the limit: a burst of a workspace with a small limit at all
+// routers at the same moment, while none of them knows that it is near its limit.
+void CheckBurstEverywhere(size_t routers) {
+  for (const bool slow : {false, true}) {
+    for (const RequestQuota& quota : {RequestQuota{0.5, 0.5}, RequestQuota{0.5 / 3, 0}}) {
+      QuotaSimulation fleet({.routers = routers,
+                             .max_delay = Millis(slow ? 100 : 5),
+                             .slow_delay = Millis(slow ? 400 : 90),
+                             .advance_buckets = true},
+                            5);
+      fleet.SetWorkspaces({{.name = "small", .quota = quota}, {.name = "wide", .quota = {90, 9}}});
+      fleet.Run(Seconds(1));
+      // Keeps all routers asking, so that they know which workspaces are near their limit.
+      fleet.Load("wide", 60, [&fleet] { return fleet.RandomRouter(); });
+      fleet.Run(Seconds(20));
+      for (size_t i = 0; i < fleet.Routers(); ++i) fleet.Burst("small", 60, i);
+      fleet.Run(Seconds(6));
+      INFO(routers << " routers, slow " << slow << ", rate " << quota.rate_per_s);
+      CHECK(fleet.Excess("small", quota) <= 0);
+    }
+  }
+}
+
+TEST_CASE("a burst of a small workspace at all of a few routers", "[quota][quota_fleet]") {
+  for (const size_t routers : {1, 2, 3, 7, 8, 9, 12, 14}) CheckBurstEverywhere(routers);
+}
+
+TEST_CASE("a burst of a small workspace at all of many routers", "[quota_fleet][.known_red]") {
+  for (const size_t routers : {20, 30, 83}) CheckBurstEverywhere(routers);
+}
+
 TEST_CASE("all routers together keep the quota in every window", "[quota][quota_fleet][property]") {
   double most_used = 0;
   CHECK(rc::check("drawn histories", [&] {
--- a/testing/quota_simulation.cc
+++ b/testing/quota_simulation.cc
@@ -246,6 +246,10 @@
   std::set<std::string> offered;
   for (const auto& [id, last] : this->view) offered.insert(id);
   for (Controller& controller : this->controllers) controller.contacts.Observe(this->now, offered);
+  if (this->leader && this->options.advance_buckets) {
+    this->UpdateTable(this->now, this->Leader());
+    this->Leader().table.Expire(this->now);
+  }
   for (size_t i = 0; i < this->routers.size(); ++i) {
     Router& router = *this->routers[i];
     if (router.lost || !router.lease.End() || router.lease.Valid(this->now)) continue;
--- a/testing/quota_simulation.h
+++ b/testing/quota_simulation.h
@@ -44,6 +44,9 @@
   Duration slow_delay = Millis(90);
   Duration max_wait = Millis(250);
   QuotaTolerance tolerance = {};
+  // The leader advances its buckets regularly, as the product does. Without it, it notices only
+  // with the next ask for a workspace that this is no longer near its limit.
+  bool advance_buckets = false;
 };
 
 class QuotaSimulation {
