Overload: end only dear searches of classes that are served more often

While half of the targets refuse 60 %, seat checks need few retries, at services where merit lists lack none, so that giving them up gained nothing.

Change: such a class still gets retries for searches that need at most two. Attempts and ends are reported to the decisions only if they are on, and a search builds no list of open shards if nobody advises it.

--- a/core/overload.h
+++ b/core/overload.h
@@ -31,12 +31,11 @@
 //   those with the fewest refusals need the fewest retries.
 // - Hedges, and retries of shards that the answer does not need, are not granted.
 // - Urgency: a class leaves kReservedRetries of each service to more urgent classes that share a
-//   service with it, and gets no retries while it is served more often than one of them. Neither
-//   applies to a class that is served less than kLeastShare times as often as all.
+//   service with it, and gets only cheap retries while it is served more often than one of them.
+//   Neither applies to a class that is served less than kLeastShare times as often as all.
 // - Recovery: the estimates follow the last second. One search of 36 shards shows that refusals
 //   have stopped.
-// - Late answers: if answers of a class end after its objective, because requests wait at targets,
-// a
+// - Late answers: if answers of a class end after its objective, because requests wait at targets, a
 //   growing share of the least urgent class that shares a service with it is rejected at arrival,
 //   then of the next one and at last of itself, but never more than kMaxShed of a class. Lateness
 //   of a class that has a more urgent one beside it rejects nothing: its objective may be too short
@@ -267,6 +266,7 @@
     this->budget.CountNeeded(now, service, count);
   }
   bool Spend(Time now, std::string_view service, ExtraAttemptKind kind) override;
+  bool GivesAdvice() const override { return true; }
   RetryAdvice AdviseRetry(Time now, std::span<const OpenShard> open, uint32_t needed) override;
   // Returns why the search got no more retries, or nothing if it got all that it asked for.
   const std::optional<AdmissionVerdict>& GivenUp() const { return this->given_up; }
--- a/core/search.cc
+++ b/core/search.cc
@@ -282,8 +282,10 @@
   const bool charged = this->params.charge_refusals && !shard.refused_unsent;
   if (charged && shard.running == 0) {
     const RetryAdvice advice = this->AdviseRetry(now);
-    if (advice == RetryAdvice::kGiveUp) this->MarkMissing(index, shard.cause);
-    if (advice == RetryAdvice::kGiveUp) return true;
+    if (advice == RetryAdvice::kGiveUp) {
+      this->MarkMissing(index, shard.cause);
+      return true;
+    }
     if (advice == RetryAdvice::kWait) return false;
   }
   if (target != nullptr && (!charged || this->SpendRetry(now, index))) {
@@ -355,6 +357,7 @@
   // Other shards may have been given up in the same event.
   if (this->CannotReachMinimum()) return RetryAdvice::kGiveUp;
   if (this->covered >= this->params.min_covered) return RetryAdvice::kRetry;
+  if (!this->policies.budget.GivesAdvice()) return RetryAdvice::kRetry;
   std::vector<OpenShard> open_shards;
   open_shards.reserve(this->open);
   for (uint32_t i = 0; i < this->shards.size(); ++i) {
--- a/core/search_policy.h
+++ b/core/search_policy.h
@@ -69,6 +69,8 @@
   // Returns false if the fleet is overloaded. Otherwise kOverdraftRetry is granted even if the
   // budget is empty; it is still charged, so that the debt delays later hedges and retries.
   virtual bool Spend(Time now, std::string_view fleet, ExtraAttemptKind kind) = 0;
+  // Returns true if AdviseRetry() may return anything but kRetry.
+  virtual bool GivesAdvice() const { return false; }
   // Advises a search of which a shard was refused, and which needs `needed` of its open shards.
   virtual RetryAdvice AdviseRetry(Time /*now*/, std::span<const OpenShard> /*open*/,
                                   uint32_t /*needed*/) {
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -196,9 +196,7 @@
     // delay, so that nearly all attempts were hedged afterwards.
     if (!this->overload_budget.GivenUp()) this->budget.AddLatency(now, now - attempt.sent);
     // Without these, refusals would be over-represented, as they come sooner than answers.
-    if (now - attempt.sent >= kSettleTime) {
-      this->context.overload.OnAttempt(now, *attempt.service, /*refused=*/false);
-    }
+    if (now - attempt.sent >= kSettleTime) this->ObserveAttempt(now, attempt, /*refused=*/false);
   }
 
   void OnResult(uint32_t number, HttpResult result) {
@@ -236,7 +234,7 @@
     this->context.replica_choice.OnReply(now, attempt.replica_send, report);
     this->context.budget.OnReply(now, *attempt.service,
                                  {.refused = read.kind == TargetReplyKind::kNotRun});
-    this->context.overload.OnAttempt(now, *attempt.service, read.kind == TargetReplyKind::kNotRun);
+    this->ObserveAttempt(now, attempt, read.kind == TargetReplyKind::kNotRun);
     if (answered) {
       this->budget.AddLatency(now, now - attempt.sent);
     } else {
@@ -308,7 +306,7 @@
                                          : ReplyKind::kFailed;
     this->context.replica_choice.OnReply(now, attempt.replica_send, {.kind = kind});
     this->context.budget.OnReply(now, *attempt.service, {});
-    if (failure.sent) this->context.overload.OnAttempt(now, *attempt.service, /*refused=*/false);
+    if (failure.sent) this->ObserveAttempt(now, attempt, /*refused=*/false);
     reply.error = failure.error;
     reply.crashed = failure.crashed;
     if (failure.crashed) this->OnTargetLost(now, attempt);
@@ -391,12 +389,7 @@
       this->context.crash_guard.EndTrial(this->params.fingerprint, this->params.trial,
                                          std::move(this->trial_run));
     }
-    const bool served = covered >= QueryOf(this->params).needed;
-    this->context.overload.OnEnded(now, QueryOf(this->params).load_class,
-                                   {.served = served, .elapsed = now - this->params.arrived});
-    if (!served && this->overload_budget.GivenUp()) {
-      this->ReportGivenUp(now, *this->overload_budget.GivenUp());
-    }
+    this->ObserveEnd(now, covered);
     const Labels labels = {{"route", this->params.route->name}, {"result", std::string(result)}};
     this->context.metrics.CounterOf("peridotgauge_requests_total", labels).Add();
     this->context.metrics
@@ -420,6 +413,24 @@
                                 .Add("directory", this->params.directory_version));
   }
 
+  // --- Decisions under overload ---
+
+  void ObserveAttempt(Time now, const Attempt& attempt, bool refused) {
+    if (!this->context.overload_admission) return;
+    this->context.overload.OnAttempt(now, *attempt.service, refused);
+  }
+
+  void ObserveEnd(Time now, uint32_t covered) {
+    if (!this->context.overload_admission) return;
+    const AdmissionQuery query = QueryOf(this->params);
+    const bool served = covered >= query.needed;
+    this->context.overload.OnEnded(now, query.load_class,
+                                   {.served = served, .elapsed = now - this->params.arrived});
+    if (!served && this->overload_budget.GivenUp()) {
+      this->ReportGivenUp(now, *this->overload_budget.GivenUp());
+    }
+  }
+
   // The search got no more retries because they go to other requests.
   void ReportGivenUp(Time now, const AdmissionVerdict& verdict) {
     const std::string reason(NameOf(verdict.reason));
--- a/testing/overload_test.cc
+++ b/testing/overload_test.cc
@@ -78,8 +78,9 @@
 // What happens from the end of the calm phase.
 struct Load {
   bool refusals = false;
-  int slowness = 1;  // multiple of the usual work
-  double burst = 1;  // multiple of the usual rate
+  int slowness = 1;             // multiple of the usual work
+  double burst = 1;             // multiple of the usual rate
+  double refusing_share = 0.8;  // of the targets
 };
 
 // A sub-request at a target.
@@ -156,7 +157,7 @@
       for (int replica = 0; replica < 3; ++replica) {
         const std::string name = service + "-" + std::to_string(replica);
         targets.push_back(MakeTarget(name, service, {{.snapshot = 0, .shard = 0, .shards = 1}}));
-        this->refusing[name] = std::bernoulli_distribution(0.8)(fault_random);
+        this->refusing[name] = std::bernoulli_distribution(world.load.refusing_share)(fault_random);
       }
     }
     this->planner.SetTargets(targets);
@@ -439,6 +440,23 @@
   }
 }
 
+// Guards against searches that hold what they have got until their deadline while the retries that
+// they wait for go to others: their callers, told at once, can still be served.
+TEST_CASE("half of the targets refuse most requests", "[overload]") {
+  const Load load{.refusals = true, .refusing_share = 0.52};
+  const Results without = RunReplay(kNoDecisions, load);
+  const Results with = RunReplay({}, load);
+  INFO(Print("without", without) << Print("with", with));
+  CHECK(Value(with, kFault) > 1.2 * Value(without, kFault));
+  CHECK(with.at("merit")[kFault].Share() > without.at("merit")[kFault].Share());
+  for (const auto& [route, phases] : with) {
+    for (const Phase phase : {kCalm, kRecovery, kAfter}) {
+      CHECK(phases[phase].in_time + phases[phase].late == phases[phase].calls);
+      CHECK(phases[phase].rejections == 0);
+    }
+  }
+}
+
 // Guards against changes for deployments that have room.
 TEST_CASE("no decision changes calm operation", "[overload]") {
   const Results without = RunReplay(kNoDecisions, {});
