--- a/core/overload.h
+++ b/core/overload.h
@@ -35,8 +35,8 @@
 //   Neither applies to a class that is served less than kLeastShare times as often as all.
 // - Recovery: the estimates follow the last second. One search of 36 shards shows that refusals
 //   have stopped.
-// - Late answers: if answers of a class end after its objective, because requests wait at targets, a
-//   growing share of the least urgent class that shares a service with it is rejected at arrival,
+// - Late answers: if answers of a class end after its objective, because requests wait at targets,
+//   a growing share of the least urgent class that shares a service with it is rejected at arrival,
 //   then of the next one and at last of itself, but never more than kMaxShed of a class. Lateness
 //   of a class that has a more urgent one beside it rejects nothing: its objective may be too short
 //   for targets that are slow but not overloaded. Requests for one target are never rejected for
