--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -110,10 +110,13 @@
   std::unique_ptr<HttpServer> server;
   size_t open_at_first = 0;
   size_t handled = 0;
-  auto listening = HttpServer::Listen(io, "127.0.0.1:0", [&](HttpRequest, HttpResponder responder) {
-    if (handled++ == 0) open_at_first = server->Status().connections;
-    responder.Send(TextResponse(200, "ok"));
-  });
+  auto listening = HttpServer::Listen(io, "127.0.0.1:0",
+                                      [&](const HttpRequest&, const HttpResponder& responder) {
+                                        if (handled++ == 0) {
+                                          open_at_first = server->Status().connections;
+                                        }
+                                        responder.Send(TextResponse(200, "ok"));
+                                      });
   REQUIRE(listening);
   server = std::move(*listening);
   constexpr size_t kCallers = 20;
