Leader: heartbeats in batches, and one serialized directory for all routers

Routers answer with a configuration that was replaced seconds before, departures are acknowledged after 5 to 9 s.

Cause: the leader's processor.

Change: heartbeats that arrive within 20 ms are sent to the leader in one message, with a result for each; a leader of an earlier version, which handles the first one only, gets the others again one by one. With more than 400 targets, the others are asked to call another controller. Changes of the directory are published in rounds, as configurations are, and serialized and compressed once for all routers that read packages; other routers get deltas as before.

--- a/io/control_client.cc
+++ b/io/control_client.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <iterator>
 #include <optional>
 #include <random>
 #include <utility>
@@ -13,6 +14,8 @@
 #include "core/packed_text.h"
 #include "io/clock.h"
 #include "io/control_channel.h"
+#include "io/directory_feed.h"
+#include "io/heartbeat_sender.h"
 #include "io/random_seed.h"
 #include "state/config_feed.h"
 #include "state/push_pacing.h"
@@ -31,12 +34,23 @@
   return body.type != wire::CommandBody::ChangeMembers;
 }
 
-DirectoryDelta DeltaOf(const wire::SyncReplyT& reply) {
+// Returns the update of the directory in a reply, or kCorrupt.
+Result<DirectoryDelta> DeltaOf(const wire::SyncReplyT& reply) {
   DirectoryDelta delta{.epoch = reply.directory_epoch,
                        .version = reply.directory_version,
                        .digest = reply.directory_digest,
                        .full = reply.directory_full,
                        .collecting = reply.directory_collecting};
+  if (reply.directory_packages.size() > kMaxFeedPackages + 1) {
+    return Fail(ErrorCode::kCorrupt, "directory: too many packages in one reply");
+  }
+  for (const auto& package : reply.directory_packages) {
+    if (!package) continue;
+    Result<std::vector<TargetRecord>> targets =
+        OpenDirectoryPackage({package->packed.begin(), package->packed.end()});
+    if (!targets) return tl::unexpected(targets.error());
+    std::move(targets->begin(), targets->end(), std::back_inserter(delta.targets));
+  }
   for (const auto& record : reply.targets) {
     if (record) delta.targets.push_back(FromWire(*record));
   }
@@ -54,6 +68,7 @@
                                                  options.peer_port)),
         parse_config(options.parse_config),
         compact(options.compact),
+        heartbeats(std::make_shared<HeartbeatSender>(io, this->channel)),
         retry_timer(io),
         lease_timer(io),
         config(std::make_shared<const Config>()),
@@ -76,6 +91,7 @@
   void Stop() {
     this->StopSync();
     this->on_change = nullptr;
+    this->heartbeats->Stop();
     this->channel->Stop();
   }
 
@@ -97,13 +113,23 @@
   }
 
   void Heartbeat(const TargetRecord& record, bool remove, CommandCallback callback) {
-    wire::RegisterRequestT request;
-    request.target = ToWire(record);
-    request.remove = remove;
-    const bool leaving = remove || record.state == TargetState::kDraining;
-    this->Exchange(ToBody(std::move(request)),
-                   SteadyNow() + (leaving ? kDepartureCallTimeout : kHeartbeatCallTimeout),
-                   Resend::kAllowed, std::move(callback));
+    const Time now = SteadyNow();
+    if (remove || record.state == TargetState::kDraining) {
+      wire::RegisterRequestT request;
+      request.target = ToWire(record);
+      request.remove = remove;
+      return this->Exchange(ToBody(std::move(request)), now + kDepartureCallTimeout,
+                            Resend::kAllowed, std::move(callback));
+    }
+    this->heartbeats->Send(now, record,
+                           [weak = this->weak_from_this(),
+                            callback = std::move(callback)](Result<wire::CommandReplyT> reply) {
+                             const auto self = weak.lock();
+                             if (self && reply && reply->registered_targets > 0) {
+                               self->registered_targets = reply->registered_targets;
+                             }
+                             callback(std::move(reply));
+                           });
   }
 
   void Exchange(wire::BodyUnion body, Time deadline, Resend resend, CommandCallback callback) {
@@ -179,6 +205,7 @@
   std::shared_ptr<ControlChannel> channel;
   ConfigParser parse_config;
   bool compact;
+  std::shared_ptr<HeartbeatSender> heartbeats;
   asio::steady_timer retry_timer;
   asio::steady_timer lease_timer;  // runs while the lease is valid
   ChangeCallback on_change;
@@ -189,6 +216,7 @@
   RouterMap routers;
   size_t active_routers = 0;
   size_t offered_routers = 0;
+  size_t registered_targets = 0;
   std::function<RouterReport(Time now)> report;
   std::optional<ExtraDebts> inherited_debts;
   std::vector<QuarantineRecord> quarantine;
@@ -247,6 +275,7 @@
     sync.relay = this->relay;
     sync.router_deltas = true;
     sync.compact = this->compact;
+    sync.packed_directory = true;
     sync.quarantine_index = this->quarantine_index;
     sync.evacuations_index = this->evacuations_index;
     if (this->report) {
@@ -538,9 +567,14 @@
 
   void ApplyDirectory(const wire::SyncReplyT& reply, ControlChange& change) {
     if (reply.directory_epoch == 0) return;  // the reply has no directory update
-    const DirectoryDelta delta = DeltaOf(reply);
-    change.directory = this->directory.Apply(delta);
-    this->outbox.RemoveSuperseded(delta.targets);
+    const Result<DirectoryDelta> delta = DeltaOf(reply);
+    if (!delta) {
+      LOG(ERROR) << "control: requesting the whole directory: " << delta.error().ToString();
+      this->directory.RequestAll();
+      return;
+    }
+    change.directory = this->directory.Apply(*delta);
+    this->outbox.RemoveSuperseded(delta->targets);
   }
 
   // Redirects to follow without a delay: two controllers that name each other must not cause a busy
@@ -587,6 +621,7 @@
 std::shared_ptr<const Config> ControlClient::CurrentConfig() const { return this->impl->config; }
 const RouterMap& ControlClient::Routers() const { return this->impl->routers; }
 size_t ControlClient::ActiveRouters() const { return this->impl->active_routers; }
+size_t ControlClient::RegisteredTargets() const { return this->impl->registered_targets; }
 size_t ControlClient::OfferedRouterCount() const { return this->impl->offered_routers; }
 void ControlClient::SetReport(std::function<RouterReport(Time now)> report) {
   this->impl->report = std::move(report);
--- a/io/control_client.h
+++ b/io/control_client.h
@@ -52,11 +52,8 @@
 // consecutive failure up to the limit.
 constexpr Duration kSyncRetryDelay = Millis(50);
 constexpr Duration kMaxSyncRetryDelay = Millis(400);
-// Targets wait one second for the reply to a heartbeat and then call another controller. The reply
-// to a departure may be delayed by kDepartureAckTimeout until all routers have received it. Any
-// other heartbeat fails as soon as an election would have ended, so that a target leaves a
-// partitioned controller without missing heartbeats.
-constexpr Duration kHeartbeatCallTimeout = Millis(300);
+// The reply to a departure may be delayed by kDepartureAckTimeout until all routers have received
+// it. Targets wait one second.
 constexpr Duration kDepartureCallTimeout = Millis(900);
 
 struct ControlClientOptions {
@@ -146,9 +143,12 @@
 
   // Sends a command. The `claim_id` of a Claim must be above all that this process has used before.
   void Command(wire::CommandBodyUnion body, Time deadline, CommandCallback callback);
-  // Sends a target's heartbeat to the leader with kHeartbeatCallTimeout, or its departure with
-  // kDepartureCallTimeout. `remove`: the target leaves.
+  // Sends a target's heartbeat to the leader with kHeartbeatCallTimeout, together with others, or
+  // its departure with kDepartureCallTimeout. `remove`: the target leaves.
   void Heartbeat(const TargetRecord& record, bool remove, CommandCallback callback);
+  // Returns the number of targets that send heartbeats, as the leader said with the last reply to
+  // one; 0 before that.
+  size_t RegisteredTargets() const;
   void Read(wire::ReadKind kind, uint64_t revision, Time deadline, ReadCallback callback);
   // Asks the leader for permits for requests of workspaces with a quota. It is not sent again once
   // a controller may have received it. Any failure is reported as kUnavailable.
--- a/io/control_replies.cc
+++ b/io/control_replies.cc
@@ -1,6 +1,7 @@
 // Builds the replies of a controller from its state.
 #include "io/control_replies.h"
 
+#include <memory>
 #include <utility>
 
 #include "io/peer.h"
@@ -114,6 +115,20 @@
   for (const TargetRecord& record : delta.targets) reply.targets.push_back(ToWire(record));
 }
 
+void AddDirectoryUpdate(const Directory& directory, const DirectoryUpdate& update,
+                        wire::SyncReplyT& reply) {
+  reply.directory_epoch = directory.Epoch();
+  reply.directory_version = update.version;
+  reply.directory_digest = update.digest;
+  reply.directory_full = update.full;
+  reply.directory_collecting = directory.Collecting();
+  for (const auto& packed : update.packages) {
+    auto package = std::make_unique<wire::DirectoryPackageT>();
+    package->packed.assign(packed->begin(), packed->end());
+    reply.directory_packages.push_back(std::move(package));
+  }
+}
+
 std::optional<wire::BodyUnion> MakeErrorReply(wire::Body type, const Error& error,
                                               const std::string& leader) {
   switch (type) {
--- a/io/control_replies.h
+++ b/io/control_replies.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "core/error.h"
+#include "io/directory_feed.h"
 #include "io/replica.h"
 #include "peer_generated.h"
 #include "state/config_feed.h"
@@ -50,6 +51,9 @@
 void AddConfigPackage(const ConfigPackage& package, wire::SyncReplyT& reply);
 // Fills the directory fields of the reply.
 void AddDirectoryDelta(const DirectoryDelta& delta, wire::SyncReplyT& reply);
+// The same for a reply to a router that reads packages.
+void AddDirectoryUpdate(const Directory& directory, const DirectoryUpdate& update,
+                        wire::SyncReplyT& reply);
 
 // Returns the error reply to a request of this type, or nothing for a type that gets no reply.
 std::optional<wire::BodyUnion> MakeErrorReply(wire::Body type, const Error& error,
--- a/io/controller.cc
+++ b/io/controller.cc
@@ -17,6 +17,7 @@
 #include "io/clock.h"
 #include "io/control_events.h"
 #include "io/control_replies.h"
+#include "io/directory_feed.h"
 #include "io/leader_relay.h"
 #include "io/proposals.h"
 #include "io/quorum_round.h"
@@ -142,6 +143,8 @@
     this->offer_pending = false;
     this->PublishConfig(now);
     this->heartbeat_handler.StartTerm(now, term);
+    this->directory_feed.Reset();
+    this->directory_pacer.Reset();
   }
 
  private:
@@ -151,6 +154,7 @@
     uint64_t state_index = 0;
     bool router_deltas = false;
     bool compact = false;
+    bool packed_directory = false;
     uint64_t config_revision = 0;
     uint64_t config_digest = 0;
     uint64_t quarantine_index = 0;
@@ -207,6 +211,7 @@
               .state_index = request.state_index,
               .router_deltas = request.router_deltas,
               .compact = request.compact,
+              .packed_directory = request.packed_directory,
               .config_revision = request.config_revision,
               .config_digest = request.config_digest,
               .quarantine_index = request.quarantine_index,
@@ -342,6 +347,7 @@
 
   bool HasDirectoryUpdate(Time now, const Poll& poll) const {
     if (poll.directory_epoch != this->directory.Epoch()) return true;
+    if (poll.packed_directory) return poll.directory_version < this->directory_feed.Version();
     if (poll.directory_version == this->directory.Version()) return false;
     const auto last_push = this->last_directory_push.find(poll.router.id);
     return last_push == this->last_directory_push.end() ||
@@ -446,7 +452,21 @@
     return reply;
   }
 
+  // Publishes the changes of the directory to polls that read packages if the last round began
+  // long enough ago.
+  void PublishDirectory(Time now) {
+    if (this->directory_feed.Version() != this->directory.Version() &&
+        this->directory_pacer.TryStart(now, this->RouterCount())) {
+      this->directory_feed.Publish(this->directory);
+    }
+  }
+
   void AddDirectory(Time now, const Poll& poll, wire::SyncReplyT& reply) {
+    if (poll.packed_directory) {
+      const auto update = this->directory_feed.UpdateFor(this->directory, poll.directory_epoch,
+                                                         poll.directory_version);
+      if (update) return AddDirectoryUpdate(this->directory, *update, reply);
+    }
     const DirectoryDelta delta =
         this->directory.DeltaSince(poll.directory_epoch, poll.directory_version);
     AddDirectoryDelta(delta, reply);
@@ -574,25 +594,53 @@
     return this->heartbeat_handler.Handle(now, record, remove);
   }
 
-  void OnRegister(const wire::RegisterRequestT& request, const Responder& responder) {
-    if (!request.target) return responder.reply(MakeCommandError({ErrorCode::kBadRequest, ""}, ""));
-    const Time now = SteadyNow();
-    const TargetRecord record = FromWire(*request.target);
-    const Result<HeartbeatResult> accepted = this->HandleHeartbeat(now, record, request.remove);
+  // Handles a heartbeat and logs the outcome.
+  Result<HeartbeatResult> AcceptHeartbeat(Time now, const TargetRecord& record, bool remove) {
+    Result<HeartbeatResult> accepted = this->HandleHeartbeat(now, record, remove);
     if (!accepted) {
       this->events.HeartbeatRefused(record, accepted.error());
-      return responder.reply(MakeCommandError(accepted.error(), ""));
+      return accepted;
     }
     if (accepted->directory_changed) {
       const uint64_t version = this->directory.Version();
-      request.remove ? this->events.TargetRemoved(record, version)
-                     : this->events.TargetRegistered(record, version);
+      remove ? this->events.TargetRemoved(record, version)
+             : this->events.TargetRegistered(record, version);
       this->ScheduleDueCheck();
     }
     if (accepted->stale) this->events.HeartbeatStale(record);
+    if (!accepted->leaving && !accepted->stale) this->departures_since.erase(record.target);
+    return accepted;
+  }
+
+  // Handles one of several heartbeats in a message and returns its error, or -1. Departures are not
+  // accepted, as their acknowledgement takes longer.
+  int8_t OnHeartbeatOfBatch(Time now, const wire::TargetRecordT* target) {
+    if (target == nullptr) return static_cast<int8_t>(ErrorCode::kBadRequest);
+    const TargetRecord record = FromWire(*target);
+    if (record.state != TargetState::kServing) return static_cast<int8_t>(ErrorCode::kBadRequest);
+    const Result<HeartbeatResult> accepted = this->AcceptHeartbeat(now, record, /*remove=*/false);
+    return accepted ? int8_t{-1} : static_cast<int8_t>(accepted.error().code);
+  }
+
+  void OnRegister(const wire::RegisterRequestT& request, const Responder& responder) {
+    if (!request.target) return responder.reply(MakeCommandError({ErrorCode::kBadRequest, ""}, ""));
+    const Time now = SteadyNow();
+    if (!request.more.empty()) {
+      wire::CommandReplyT reply;
+      reply.error = this->OnHeartbeatOfBatch(now, request.target.get());
+      for (const auto& target : request.more) {
+        reply.more_errors.push_back(this->OnHeartbeatOfBatch(now, target.get()));
+      }
+      reply.registered_targets = static_cast<uint32_t>(this->heartbeat_handler.Targets());
+      return responder.reply(ToBody(std::move(reply)));
+    }
+    const TargetRecord record = FromWire(*request.target);
+    const Result<HeartbeatResult> accepted = this->AcceptHeartbeat(now, record, request.remove);
+    if (!accepted) return responder.reply(MakeCommandError(accepted.error(), ""));
     if (!accepted->leaving) {
-      if (!accepted->stale) this->departures_since.erase(record.target);
-      return responder.reply(ToBody(wire::CommandReplyT{}));
+      wire::CommandReplyT reply;
+      reply.registered_targets = static_cast<uint32_t>(this->heartbeat_handler.Targets());
+      return responder.reply(ToBody(std::move(reply)));
     }
     const Time since = this->departures_since.try_emplace(record.target, now).first->second;
     const auto departure = this->directory.LastDeparture(record.target);
@@ -703,6 +751,7 @@
   void EnqueueDuePolls(Time now) {
     this->PublishConfig(now);
     this->TakeOverDepartures(now);
+    this->PublishDirectory(now);
     for (auto& [id, poll] : this->polls) {
       if (this->IsDue(now, poll)) this->Enqueue(id, poll);
     }
@@ -859,6 +908,8 @@
   bool offer_pending = false;  // a command with a new number is on its way into the log
   ConfigFeed config_feed;      // what compact polls receive
   PushPacer config_pacer;
+  DirectoryFeed directory_feed;  // what polls that read packages receive
+  PushPacer directory_pacer;
   // State version that a compact reply brings a router to; below the log index of a configuration
   // that is not published yet.
   uint64_t published_version = 0;
--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -13,6 +13,7 @@
 
 #include "core/address.h"
 #include "core/caller_api.h"
+#include "core/heartbeat_address.h"
 #include "core/metrics.h"
 #include "core/router_offer.h"
 #include "io/clock.h"
@@ -279,7 +280,8 @@
         {.control = this->control,
          .routers =
              [this](const std::string& data_centre) { return this->RouterAddresses(data_centre); },
-         .leader_address = [this] { return this->LeaderAddress(); },
+         .heartbeat_address =
+             [this](const std::string& target) { return this->HeartbeatAddress(target); },
          .unavailable = [this] { return this->ControlUnavailable(); },
          .config_refused =
              [this](const Error& error) { ControlEvents(&this->log).ConfigRefused(error); }});
@@ -329,13 +331,15 @@
     return addresses;
   }
 
-  // Returns an empty address if the leader is unknown. All controllers use the same port, and their
-  // ids are their IP addresses.
-  Address LeaderAddress() const {
+  // Returns the address for the next heartbeats of a target, or an empty one if the leader is
+  // unknown. All controllers use the same port, and their ids are their IP addresses.
+  Address HeartbeatAddress(const std::string& target) const {
     if (!this->raft_log) return {};
-    const std::string leader = this->raft_log->Leader();
-    if (leader.empty()) return {};
-    return JoinAddress(leader, PortOf(this->settings.http_address));
+    const std::string controller =
+        HeartbeatController(target, this->settings.id, this->raft_log->Leader(),
+                            this->raft_log->Status().members, this->control.RegisteredTargets());
+    if (controller.empty()) return {};
+    return JoinAddress(controller, PortOf(this->settings.http_address));
   }
 
   // A controller that cannot store passes requests on to the leader. If it knows none, it would
--- a/io/external_interface.h
+++ b/io/external_interface.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "core/config.h"
@@ -24,8 +25,8 @@
   // Returns the routers that a caller in this data centre may use now, or an error if this process
   // does not know them.
   std::function<Result<std::vector<Address>>(const std::string& data_centre)> routers;
-  // Returns the address at which the leader accepts heartbeats; empty if unknown.
-  std::function<Address()> leader_address;
+  // Returns the address that a target should send its next heartbeats to; empty if unknown.
+  std::function<Address(const std::string& target)> heartbeat_address;
   // Returns why this controller can neither decide on requests nor pass them on, or nothing. A
   // caller should then use another controller.
   std::function<std::optional<Error>()> unavailable;
--- a/state/directory.cc
+++ b/state/directory.cc
@@ -261,13 +261,18 @@
   return found->second.record;
 }
 
+bool Directory::NeedsAll(uint64_t copy_epoch, uint64_t copy_version) const {
+  if (copy_epoch != this->epoch || copy_version == 0) return true;
+  return !this->collecting && copy_version < this->min_delta_version;
+}
+
 DirectoryDelta Directory::DeltaSince(uint64_t copy_epoch, uint64_t copy_version) const {
   DirectoryDelta delta{.epoch = this->epoch,
                        .version = this->version,
                        .digest = this->digest,
                        .collecting = this->collecting};
   const uint64_t base = copy_epoch == this->epoch ? copy_version : 0;
-  delta.full = !this->collecting && (base == 0 || base < this->min_delta_version);
+  delta.full = !this->collecting && this->NeedsAll(copy_epoch, copy_version);
   if (delta.full) {
     delta.targets = this->Targets();
     return delta;
--- a/state/directory.h
+++ b/state/directory.h
@@ -102,8 +102,9 @@
   // tombstones and ends the collecting phase. Returns true if the directory changed.
   bool Tick(Time now, const RouterMap& view);
 
-  // Returns the changes after `version`, or all records if the epoch differs or the version is too
-  // old.
+  // Returns true if a copy of this epoch and version needs all records.
+  bool NeedsAll(uint64_t copy_epoch, uint64_t copy_version) const;
+  // Returns the changes after `version`, or all records if the copy needs them.
   DirectoryDelta DeltaSince(uint64_t epoch, uint64_t version) const;
 
   uint64_t Epoch() const { return this->epoch; }
--- a/state/directory_copy.h
+++ b/state/directory_copy.h
@@ -26,6 +26,9 @@
   // state of it. Returns true if the set of targets changed.
   bool Apply(const DirectoryDelta& delta);
 
+  // Makes the next request ask for all records, because a delta could not be read.
+  void RequestAll() { this->version = 0; }
+
   uint64_t Epoch() const { return this->epoch; }
   // Returns the version, or 0 if the copy needs all records.
   uint64_t Version() const { return this->version; }
--- a/state/target_heartbeat_handler.h
+++ b/state/target_heartbeat_handler.h
@@ -53,6 +53,8 @@
   Result<HeartbeatResult> Handle(Time now, TargetRecord record, bool remove);
   // Removes the targets whose heartbeats are overdue and returns them.
   std::vector<TargetRecord> Expire(Time now);
+  // Returns the number of targets whose heartbeats are not overdue.
+  size_t Targets() const { return this->registrations.Size(); }
 
  private:
   Result<HeartbeatResult> Remove(Time now, const TargetRecord& removal);
