Tests: a free loopback network per run

Two runs of the test command on one machine failed with "bind: Address already in use": the process tests used fixed ports of 127.0.0.1, and the networks of the other tests were derived from process ids in overlapping ranges, which can coincide. Each test now claims a network with a lock on a file in the folder for temporary files, which the kernel releases with the process. The stand-in targets of the process tests listen on free ports.

--- a/testing/cluster.sh
+++ b/testing/cluster.sh
@@ -1,12 +1,12 @@
 # Functions for end-to-end tests with real processes; sourced by testing/*_test.sh.
 #
 # A test calls `cluster_init "$1"` with the build folder, then starts processes by name. All
-# processes listen on loopback and are terminated by process id when the test exits. `check` counts
-# passed and failed checks; `finish` prints the result and sets the exit status.
+# processes listen on a loopback network that no other test uses at the same time, and are terminated
+# by process id when the test exits. `check` counts passed and failed checks; `finish` prints the
+# result and sets the exit status.
 set -uo pipefail
 
 declare -A PIDS=()
-SLOT=${CLUSTER_SLOT:-0}  # 0 to 8; selects the ports, which must differ between concurrent tests
 PASSED=0
 FAILED=0
 CONTROLLERS=3
@@ -14,8 +14,30 @@
 DATA_CENTRES=(tre-a tre-b tre-c)
 EXAMPLES=$(cd "$(dirname "${BASH_SOURCE[0]}")/../examples/local" && pwd)
 
+# Sets NETWORK to the first three numbers of a loopback network, such as 127.16.1, which this test
+# has for itself until it and the processes that it started have ended. The lock files, numbers and
+# networks are those of testing/loopback_network.cc.
+claim_network() {
+  local folder=${TMPDIR:-/tmp}/peridotgauge_test_networks networks=2000 first=$RANDOM i number
+  mkdir -p -m 1777 "$folder"
+  for ((i = 0; i < networks; ++i)); do
+    number=$(((first + i) % networks))
+    if exec {NETWORK_LOCK}>>"$folder/$number"; then
+      if flock -n "$NETWORK_LOCK"; then
+        NETWORK=127.$((16 + number / 250)).$((1 + number % 250))
+        return 0
+      fi
+      exec {NETWORK_LOCK}>&-
+    fi
+  done 2>/dev/null
+  echo "no loopback network is free" >&2
+  exit 1
+}
+
 cluster_init() { # cluster_init BUILD
   BUILD=$(cd "$1" && pwd)
+  claim_network
+  TARGETS_ADMIN=$NETWORK.1:19900
   CLI=$BUILD/peridotgauge
   DIR=$(mktemp -d)
   mkdir -p "$DIR/logs" "$DIR/spans" "$DIR/data"
@@ -40,16 +62,16 @@
 http_of() { # http_of router-1 -> address
   local name=$1 number=${1##*-}
   case $name in
-    router-*) echo "127.0.0.1:$((17000 + 10 * SLOT + number))" ;;
-    controller-*) echo "127.0.0.1:$((17100 + 10 * SLOT + number))" ;;
+    router-*) echo "$NETWORK.1:$((17000 + number))" ;;
+    controller-*) echo "$NETWORK.1:$((17100 + number))" ;;
   esac
 }
 
 peer_of() {
   local name=$1 number=${1##*-}
   case $name in
-    router-*) echo "127.0.0.1:$((17300 + 10 * SLOT + number))" ;;
-    controller-*) echo "127.0.0.1:$((17200 + 10 * SLOT + number))" ;;
+    router-*) echo "$NETWORK.1:$((17300 + number))" ;;
+    controller-*) echo "$NETWORK.1:$((17200 + number))" ;;
   esac
 }
 
@@ -86,16 +108,13 @@
   PIDS[$name]=$!
 }
 
-TARGETS_ADMIN=127.0.0.1:$((19900 + SLOT))
-
 # Starts the stand-in targets of the example configuration in one process: two replicas of each
-# shard in different data centres.
+# shard in different data centres. Each listens on a free port.
 start_targets() { # start_targets [JQ...]: assignments to the description of the targets
   local expression='.' i
   for i in "$@"; do expression="$expression | $i"; done
   jq --arg routers "$(addresses)" \
-    ".routers = (\$routers | split(\",\")) | .groups[0].first_port = $((19001 + 100 * SLOT))
-     | .groups[1].first_port = $((19021 + 100 * SLOT)) | $expression" \
+    ".routers = (\$routers | split(\",\")) | del(.groups[].first_port) | $expression" \
     "$EXAMPLES/targets.json" >"$DIR/targets.json"
   start_program targets "$BUILD/standin_target" --targets="$DIR/targets.json" \
     --admin="$TARGETS_ADMIN"
--- a/testing/explain_test.sh
+++ b/testing/explain_test.sh
@@ -6,7 +6,6 @@
 cluster_init "$1"
 
 KEY=key-that-nobody-may-see
-NETWORK=127.$((110 + $$ / 250 % 100)).$((1 + $$ % 250))
 CONTROLLER=$NETWORK.1
 ROUTER=$NETWORK.2
 
--- a/testing/hostile/hostile_clients_main.cc
+++ b/testing/hostile/hostile_clients_main.cc
@@ -33,6 +33,7 @@
 
 #include "io/clock.h"
 #include "testing/hostile/hostile_crowd.h"
+#include "testing/loopback_network.h"
 #include "testing/route_deployment.h"
 
 namespace peridotgauge {
@@ -133,9 +134,7 @@
  public:
   explicit HostileDeployment(HostSize router_size = {}, HostSize controller_size = {})
       : router_size(router_size), controller_size(controller_size) {
-    const int number = getpid();
-    this->network = "127." + std::to_string(170 + number / 250 % 80) + "." +
-                    std::to_string(1 + number % 250) + ".";
+    this->network = ClaimLoopbackNetwork();
     std::string pattern = (std::filesystem::temp_directory_path() / "hostile_test_XXXXXX").string();
     this->folder = mkdtemp(pattern.data());
     this->controller = this->Start("controller", controller_size);
--- a/testing/reload_test.sh
+++ b/testing/reload_test.sh
@@ -10,11 +10,11 @@
 alive() { kill -0 "${PIDS[router-1]}"; }
 with_seeds() { jq -c ".seeds = $1" "$SETTINGS" >"$DIR/next" && mv "$DIR/next" "$SETTINGS"; }
 
-start router-1 'del(.controllers)' 'del(.span_file)' '.interface = "routes"' '.seeds = ["127.0.0.2"]'
+start router-1 'del(.controllers)' 'del(.span_file)' '.interface = "routes"' ".seeds = [\"$NETWORK.2\"]"
 wait_until 20 grep -q '"event":"start"' "$LOG"
 check "the process has started" grep -q '"event":"start"' "$LOG"
 
-with_seeds '["127.0.0.3", "127.0.0.4"]'
+with_seeds "[\"$NETWORK.3\", \"$NETWORK.4\"]"
 check "a change without a signal is taken over" wait_until 20 grep -q '"event":"reload".*"seeds":2' "$LOG"
 
 echo '{"id": "rou' >"$SETTINGS"
@@ -23,7 +23,7 @@
 check "the process goes on" alive
 
 settings_of router-1 'del(.controllers)' 'del(.span_file)' '.interface = "routes"' \
-  '.seeds = ["127.0.0.5"]'
+  ".seeds = [\"$NETWORK.5\"]"
 check "the next good file is taken over" wait_until 20 grep -q '"event":"reload".*"seeds":1' "$LOG"
 
 before=$(grep -c '"event":"reload"' "$LOG")
--- a/testing/route_deployment.cc
+++ b/testing/route_deployment.cc
@@ -1,8 +1,6 @@
 // Implements the deployment of routers, controllers and targets in one process.
 #include "route_deployment.h"
 
-#include <unistd.h>
-
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -18,6 +16,7 @@
 #include "core/address.h"
 #include "core/settings.h"
 #include "io/clock.h"
+#include "testing/loopback_network.h"
 
 namespace peridotgauge {
 namespace {
@@ -230,10 +229,7 @@
 
 RouteDeployment::RouteDeployment(RouteDeploymentOptions options) : options(options) {
   // Tests that run at the same time, and deployments of one test, do not share addresses.
-  static int deployments = 0;
-  const int number = getpid() + 1'000 * deployments++;
-  this->network = "127." + std::to_string(64 + number / 250 % 100) + "." +
-                  std::to_string(1 + number % 250) + ".";
+  this->network = ClaimLoopbackNetwork();
   std::string pattern = (std::filesystem::temp_directory_path() / "routes_test_XXXXXX").string();
   this->folder = mkdtemp(pattern.data());
   for (size_t i = 0; i < options.controllers; ++i) this->StartController(i);
--- a/testing/soak/route_soak_main.cc
+++ b/testing/soak/route_soak_main.cc
@@ -49,6 +49,7 @@
 #include <vector>
 
 #include "io/clock.h"
+#include "testing/loopback_network.h"
 #include "testing/soak/soak_caller.h"
 #include "testing/soak/soak_limits.h"
 #include "testing/soak/soak_process.h"
@@ -108,8 +109,7 @@
   explicit Soak(uint64_t seed) : random(seed) {
     std::string pattern = (fs::temp_directory_path() / "route_soak_XXXXXX").string();
     this->folder = mkdtemp(pattern.data());
-    this->network = "127." + std::to_string(170 + getpid() / 250 % 80) + "." +
-                    std::to_string(1 + getpid() % 250) + ".";
+    this->network = ClaimLoopbackNetwork();
     for (uint32_t i = 0; i < FLAGS_controllers; ++i) this->Add("controller", i, this->controllers);
     for (uint32_t i = 0; i < FLAGS_routers; ++i) this->Add("router", i, this->routers);
     this->targets = std::make_unique<SoakTargets>(this->network, kTargetPort, kTargets, seed + 1,
