Routes: one function for each decision that the gateway and explain share

Waits for permits, deadlines and the exclusion of a service whose targets a request has crashed were computed twice, in io/gateway.cc and io/explain_routes.cc, and the number of services that must answer in four places. They are now MaxQuotaWait() and RequestDeadline() in core/request_times.h (moved from io/), Route::CanExclude() and Route::NeededShards(). No change of behaviour.

--- a/core/routes.cc
+++ b/core/routes.cc
@@ -54,6 +54,10 @@
   return std::max(1U, static_cast<uint32_t>(std::ceil(exact - kCoverageTolerance)));
 }
 
+bool Route::CanExclude(const std::vector<std::string>& crashed_services) const {
+  return this->Gathers() && crashed_services.size() == 1 && this->shards.size() > this->MinShards();
+}
+
 Result<RouteTable> RouteTable::Make(std::vector<Route> routes,
                                     std::map<std::string, ServiceSpec, std::less<>> services,
                                     CallerLimits limits, std::optional<WorkspaceTable> workspaces) {
--- a/core/routes.h
+++ b/core/routes.h
@@ -50,8 +50,14 @@
   bool needs_key = true;     // if the configuration has workspaces, callers must send a key
 
   bool Gathers() const { return !this->shards.empty(); }
-  // Returns the minimum number of shards in an answer, at least 1.
+  // Returns the minimum number of shards in an answer, at least 1. For routes that gather.
   uint32_t MinShards() const;
+  // Returns the minimum number of services that must answer a request.
+  uint32_t NeededShards() const { return this->Gathers() ? this->MinShards() : 1; }
+  // Returns true if a request that has crashed targets of these services can be answered by the
+  // other services alone. A request that has crashed targets of several services may crash those of
+  // any.
+  bool CanExclude(const std::vector<std::string>& crashed_services) const;
   bool operator==(const Route&) const = default;
 };
 
--- a/io/explain_routes.cc
+++ b/io/explain_routes.cc
@@ -7,11 +7,10 @@
 #include <vector>
 
 #include "core/caller_api.h"
-#include "core/drain_policy.h"
 #include "core/explain.h"
 #include "core/quarantine.h"
+#include "core/request_times.h"
 #include "io/cold_target_chooser.h"
-#include "io/request_times.h"
 
 namespace peridotgauge {
 namespace {
@@ -143,9 +142,8 @@
   void ExplainQuota(const Workspace* workspace, Duration time_left) {
     const std::optional<Time>& answer_by = this->context.answer_by;
     if (workspace == nullptr || !workspace->quota.Limited()) return;
-    Duration max_wait = time_left / kQuotaWaitDivisor;
-    if (answer_by) max_wait = std::min(max_wait, *answer_by - this->now);
-    const QuotaPreview preview = this->context.quota.Preview(this->now, *workspace, max_wait);
+    const QuotaPreview preview = this->context.quota.Preview(
+        this->now, *workspace, MaxQuotaWait(this->now, time_left, answer_by));
     this->explanation.workspace->preview = preview;
     // A router that must not accept any more refuses without asking for a permit.
     if (answer_by && this->now >= *answer_by) return;
@@ -158,16 +156,14 @@
   }
 
   Time DeadlineOf(const Route& route, Duration time_left) {
-    const Time deadline =
-        std::max(this->now + time_left - kDeadlineMargin, this->now + kShortestDeadline);
-    if (!this->context.answer_by) return deadline;
-    std::optional<Duration> slow_latency;
-    if (auto budget = this->BudgetOf(route)) slow_latency = budget->SlowLatency(this->now);
-    const auto accepted = DrainDeadline(
-        this->now, *this->context.answer_by,
-        {.deadline = deadline, .idempotent = route.idempotent, .slow_latency = slow_latency});
-    if (!accepted) this->Refuse(ErrorCode::kDraining, "the request may outlast this process");
-    return accepted.value_or(deadline);
+    RequestTimes times{
+        .arrived = this->now, .time_left = time_left, .idempotent = route.idempotent};
+    if (this->context.answer_by) {
+      if (auto budget = this->BudgetOf(route)) times.slow_latency = budget->SlowLatency(this->now);
+    }
+    const auto deadline = RequestDeadline(this->now, times, this->context.answer_by);
+    if (!deadline) this->Refuse(ErrorCode::kDraining, "the request may outlast this process");
+    return deadline.value_or(LatestDeadline(this->now, times));
   }
 
   // Returns a copy, because reading the quantiles changes a budget.
@@ -192,25 +188,21 @@
 
   // Returns the services that get nothing if the request is not sent in a trial.
   static std::vector<std::string> ExcludedServices(const Route& route, const Suspicion& suspicion) {
-    const bool partial = suspicion.status == SuspectStatus::kBlocked && IsPartial(route, suspicion);
+    const bool partial =
+        suspicion.status == SuspectStatus::kBlocked && route.CanExclude(suspicion.services);
     return partial ? suspicion.services : std::vector<std::string>();
   }
 
-  static bool IsPartial(const Route& route, const Suspicion& suspicion) {
-    return route.Gathers() && suspicion.services.size() == 1 &&
-           route.shards.size() > route.MinShards();
-  }
-
   void DecideOnSuspect(const Route& route, const Suspicion& suspicion) {
     if (suspicion.status == SuspectStatus::kSuspect) {
       this->Delay(ExplainedDecision::kTrial,
-                  IsPartial(route, suspicion)
+                  route.CanExclude(suspicion.services)
                       ? "has crashed targets: sent in a trial if the controllers grant one, and "
                         "otherwise only to the other services"
                       : "has crashed targets: sent in a trial if the controllers grant one, and "
                         "otherwise refused");
     }
-    if (suspicion.status == SuspectStatus::kBlocked && !IsPartial(route, suspicion)) {
+    if (suspicion.status == SuspectStatus::kBlocked && !route.CanExclude(suspicion.services)) {
       this->Refuse(ErrorCode::kSuspect, "the request crashes targets and is blocked");
     }
   }
@@ -319,7 +311,7 @@
     for (const ExplainedService& service : this->explanation.services) {
       if (service.next && service.Chosen() != nullptr) ++covered;
     }
-    const size_t needed = route.Gathers() ? route.MinShards() : 1;
+    const size_t needed = route.NeededShards();
     if (covered >= needed) return;
     this->Refuse(ErrorCode::kNoTarget, std::to_string(covered) + " of " + std::to_string(needed) +
                                            " needed services have a target that accepts requests");
@@ -331,12 +323,12 @@
     if (!this->context.overload_admission) return;
     const uint32_t priority =
         workspace != nullptr ? workspace->priority.value_or(route.priority) : route.priority;
-    this->explanation.overload = this->context.overload.Preview(
-        this->now, {.load_class = {route.name, priority},
-                    .plan = *this->plan,
-                    .needed = route.Gathers() ? route.MinShards() : 1,
-                    .time_left = deadline - this->now,
-                    .objective = route.objective});
+    this->explanation.overload =
+        this->context.overload.Preview(this->now, {.load_class = {route.name, priority},
+                                                   .plan = *this->plan,
+                                                   .needed = route.NeededShards(),
+                                                   .time_left = deadline - this->now,
+                                                   .objective = route.objective});
   }
 
   void DecideOnOverload(const Suspicion& suspicion) {
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -11,12 +11,12 @@
 #include <utility>
 
 #include "core/caller_wait.h"
-#include "core/drain_policy.h"
 #include "core/extra_attempt_limit.h"
 #include "core/plan.h"
 #include "core/quarantine.h"
 #include "core/recent_maximum.h"
 #include "core/replica_choice.h"
+#include "core/request_times.h"
 #include "core/route_plan.h"
 #include "core/router_offer.h"
 #include "core/warmup_limit.h"
@@ -26,7 +26,6 @@
 #include "io/overload_guard.h"
 #include "io/quota_gate.h"
 #include "io/random_seed.h"
-#include "io/request_times.h"
 #include "io/route_request.h"
 #include "io/target_event.h"
 #include "state/push_pacing.h"
@@ -218,8 +217,7 @@
 
   // Counts the request against the quota of its workspace, and accepts or refuses it.
   void CheckQuota(Arrival arrival, const HttpResponder& responder) {
-    Duration max_wait = arrival.TimeLeft() / kQuotaWaitDivisor;
-    if (this->answer_by) max_wait = std::min(max_wait, *this->answer_by - arrival.time);
+    const Duration max_wait = MaxQuotaWait(arrival.time, arrival.TimeLeft(), this->answer_by);
     auto shared = std::make_shared<Arrival>(std::move(arrival));
     this->quota_gate->Admit(
         shared->time, *shared->workspace, max_wait, responder,
@@ -251,19 +249,14 @@
                                      ? this->caller_wait_estimators[route->name].Elapsed(
                                            arrival.time, *request_info->timeout)
                                      : Duration(0);
-    Time deadline =
-        std::max(arrival.time + arrival.TimeLeft() - kDeadlineMargin, now + kShortestDeadline);
-    if (this->answer_by) {
-      const auto accepted = DrainDeadline(now, *this->answer_by,
-                                          {.deadline = deadline,
-                                           .idempotent = route->idempotent,
-                                           .slow_latency = this->SlowLatency(now, *route)});
-      if (!accepted) {
-        return this->Refuse(now, http, request_info->request_id,
-                            {ErrorCode::kDraining, "the request may outlast this process"},
-                            responder);
-      }
-      deadline = *accepted;
+    RequestTimes times{
+        .arrived = arrival.time, .time_left = arrival.TimeLeft(), .idempotent = route->idempotent};
+    if (this->answer_by) times.slow_latency = this->SlowLatency(now, *route);
+    const std::optional<Time> deadline = RequestDeadline(now, times, this->answer_by);
+    if (!deadline) {
+      return this->Refuse(now, http, request_info->request_id,
+                          {ErrorCode::kDraining, "the request may outlast this process"},
+                          responder);
     }
     const uint64_t revision = this->config->Revision();
     const uint64_t fingerprint = RouteFingerprint(request_info->host, http);
@@ -281,7 +274,7 @@
         .fingerprint = fingerprint,
         .arrived = now,
         .caller_wait = caller_wait + quota_wait,
-        .deadline = deadline};
+        .deadline = *deadline};
     const Suspicion suspicion = this->crash_guard.Check(UnixMillis(), fingerprint);
     if (suspicion.status == SuspectStatus::kClear) return this->Run(std::move(params), responder);
     this->HandleSuspect(std::move(params), suspicion, responder);
@@ -352,10 +345,7 @@
 
   void RunWithoutTrial(RouteRequestParams params, const Suspicion& suspicion,
                        const HttpResponder& responder) {
-    // A request that has crashed targets of several services may crash those of any.
-    const bool partial = params.route->Gathers() && suspicion.services.size() == 1 &&
-                         params.route->shards.size() > params.route->MinShards();
-    if (partial) {
+    if (params.route->CanExclude(suspicion.services)) {
       params.excluded_services = suspicion.services;
       return this->Run(std::move(params), responder);
     }
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -10,10 +10,10 @@
 #include "core/digest_text.h"
 #include "core/gather.h"
 #include "core/quarantine.h"
+#include "core/request_times.h"
 #include "core/search.h"
 #include "io/clock.h"
 #include "io/cold_target_chooser.h"
-#include "io/request_times.h"
 
 namespace peridotgauge {
 namespace {
@@ -129,7 +129,7 @@
             .suspect = params.trial != 0,
             .canaries = params.trial != 0,
             .hedging = route.idempotent,
-            .min_covered = route.Gathers() ? route.MinShards() : 1,
+            .min_covered = route.NeededShards(),
             .max_attempts = route.max_attempts,
             .idempotent = route.idempotent,
             .suspect_on_crash = params.trial != 0,
@@ -332,9 +332,7 @@
 
   void OnOutcome(Time now, SearchOutcome outcome) {
     const Route& route = *this->params.route;
-    if (outcome.covered.size() < (route.Gathers() ? route.MinShards() : 1U)) {
-      return this->Fail(now, outcome);
-    }
+    if (outcome.covered.size() < route.NeededShards()) return this->Fail(now, outcome);
     if (!route.Gathers()) {
       HttpResponse response = std::move(this->attempts[outcome.covered[0].attempt - 1].response);
       return this->Answer(now, outcome,
@@ -481,7 +479,7 @@
 AdmissionQuery QueryOf(const RouteRequestParams& params) {
   return {.load_class = {params.route->name, params.priority},
           .plan = *params.plan,
-          .needed = params.route->Gathers() ? params.route->MinShards() : 1,
+          .needed = params.route->NeededShards(),
           .time_left = params.deadline - params.arrived,
           .objective = params.route->objective};
 }
