Core: one DecayWeight(), and one constant for few retries

DecayWeight() was defined three times. kCheapRetries and kFewRetries had the same value, and both say which searches are not given up because their retries cost little. No change of behaviour.

--- a/core/hedge.cc
+++ b/core/hedge.cc
@@ -2,17 +2,10 @@
 #include "core/hedge.h"
 
 #include <algorithm>
-#include <cmath>
 
-namespace peridotgauge {
-namespace {
-
-// Returns the weight of attempts that were counted `age` ago.
-double DecayWeight(Duration age) {
-  return std::exp(-std::chrono::duration<double>(age) / kOverloadTimeConstant);
-}
+#include "core/decay.h"
 
-}  // namespace
+namespace peridotgauge {
 
 void HedgeBudget::SetConfig(Time now, const Config& config) {
   std::map<std::string, double, std::less<>> shares;
@@ -55,7 +48,7 @@
   FleetState* state = this->Find(fleet);
   if (state == nullptr) return;
   if (report.latency) state->latency.Add(now, *report.latency);
-  const double weight = DecayWeight(now - state->counted);
+  const double weight = DecayWeight(now - state->counted, kOverloadTimeConstant);
   const bool overload = report.refused || report.queue_time > report.service_time;
   state->attempts = state->attempts * weight + 1;
   state->overloads = state->overloads * weight + (overload ? 1 : 0);
@@ -122,7 +115,7 @@
 }
 
 bool HedgeBudget::Overloaded(Time now, const FleetState& state) {
-  const double weight = DecayWeight(now - state.counted);
+  const double weight = DecayWeight(now - state.counted, kOverloadTimeConstant);
   return state.attempts * weight >= kOverloadMinAttempts &&
          state.overloads >= kOverloadShare * state.attempts;
 }
--- a/core/overload.cc
+++ b/core/overload.cc
@@ -4,19 +4,12 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/decay.h"
 #include "core/search.h"
 
 namespace peridotgauge {
 namespace {
 
-double DecayWeight(Duration age, Duration time_constant) {
-  return std::exp(-std::chrono::duration<double>(age) / time_constant);
-}
-
-// A class that is served more often than a more urgent one goes on to get retries for searches that
-// need at most this many. While half of the targets refuse, seat checks need few retries, and
-// giving them up gains nothing for merit lists, which wait for the retries of a few services.
-constexpr size_t kCheapRetries = 2;
 // A class competes with others for this time after its last request.
 constexpr Duration kCompetes = 2 * kServedTime;
 // A less urgent class that has sent nothing for this time has nothing to reject.
@@ -319,7 +312,7 @@
                                      [](const OpenShard& shard) { return !shard.running_for; });
   if (static_cast<size_t>(waiting) <= kFewRetries) return RetryAdvice::kRetry;
   const auto running = open.size() - static_cast<size_t>(waiting);
-  if (needed > running + kCheapRetries && this->admission.TooOften(now, this->load_class)) {
+  if (needed > running + kFewRetries && this->admission.TooOften(now, this->load_class)) {
     return this->GiveUp(RejectReason::kUrgency,
                         {.refused_share = this->admission.RefusedShare(now, this->plan)});
   }
--- a/core/overload.h
+++ b/core/overload.h
@@ -77,7 +77,10 @@
 // for the first one wastes retries on searches that fail: 0.3 serves two thirds as much as 0.8.
 constexpr double kUsefulChance = 0.9;
 constexpr double kKeepChance = 0.2;
-// A search that waits for at most this many retries is not given up, because it costs little.
+// A search that waits for at most this many retries is not given up, because it costs little. Nor
+// is one that needs at most this many given up in favour of a more urgent class: while half of the
+// targets refuse, seat checks need few retries, and giving them up gains nothing for merit lists,
+// which wait for the retries of a few services.
 constexpr size_t kFewRetries = 2;
 // A class is served at least this many times as often as all classes together.
 constexpr double kLeastShare = 0.25;
--- a/core/replica_choice.cc
+++ b/core/replica_choice.cc
@@ -5,10 +5,11 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <utility>
 
+#include "core/decay.h"
+
 namespace peridotgauge {
 namespace {
 
@@ -16,11 +17,6 @@
 constexpr double kUnmeasuredLatencyUs = 1'000;
 constexpr double kMaxLatencyUs = 10e6;
 
-// Returns the exponentially decayed weight of a value of that age.
-double DecayWeight(Duration age, Duration time_constant) {
-  return std::exp(-std::chrono::duration<double>(age) / time_constant);
-}
-
 bool Contains(Candidates list, const TargetRecord& target) {
   return std::any_of(list.begin(), list.end(),
                      [&](const TargetRecord* other) { return other->target == target.target; });
