Daemon: the longest pause of the event loop as a metric and in the log

The soak once reported a router that ran longer than its grace period. Nothing recorded whether the process had no processor, computed, or was blocked in a system call. The event loop_paused gives the length of a pause with the processor time and the wait for a processor within it, at a bounded rate. The soak adds the same times and the last signs of the log to a violation "outlived".

--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -13,6 +13,7 @@
 
 #include "core/address.h"
 #include "core/caller_api.h"
+#include "core/loop_pauses.h"
 #include "core/metrics.h"
 #include "core/router_offer.h"
 #include "io/clock.h"
@@ -29,6 +30,7 @@
 #include "io/replica.h"
 #include "io/replicated_log.h"
 #include "io/router.h"
+#include "io/thread_times.h"
 #include "io/tracer.h"
 #include "state/control_state.h"
 
@@ -112,6 +114,7 @@
                      .compact = external != nullptr && this->settings.directory_address.empty()}),
         operators(this->control),
         flush_timer(io),
+        pause_timer(io),
         close_timer(io) {}
 
   Result<void> Open() {
@@ -131,6 +134,7 @@
       this->router->Start();
     }
     this->FlushSpans();
+    this->CheckLoop();
     this->log.Write(SteadyNow(), UnixMillis(),
                     Event("start")
                         .Add("id", this->settings.id)
@@ -451,6 +455,8 @@
     set("peridotgauge_caller_closed_for_room", this->room->Closed());
     set("peridotgauge_caller_refused_for_room", this->room->Refused());
     set("peridotgauge_peer_connections", this->peer_server->Connections());
+    this->metrics.GaugeOf("peridotgauge_loop_longest_pause_seconds")
+        .Set(std::chrono::duration<double>(this->loop_pauses.Longest(SteadyNow())).count());
     if (this->replica) {
       const ReplicaStatus replica_status = this->replica->Status();
       this->metrics.GaugeOf("peridotgauge_storage_available")
@@ -494,6 +500,24 @@
     });
   }
 
+  // Measures pauses of the event loop, and logs long ones.
+  void CheckLoop() {
+    const Time now = SteadyNow();
+    const auto pause = this->loop_pauses.Check(
+        {.now = now, .cpu = ThreadTimes::Cpu(), .queued = this->thread_times.Queued()});
+    if (pause) {
+      Event event("loop_paused");
+      event.Add("paused_ms", pause->length).Add("cpu_ms", pause->cpu);
+      if (pause->queued) event.Add("queued_ms", *pause->queued);
+      this->log.Write(now, UnixMillis(), event.Add("not_logged", pause->left_out));
+    }
+    this->pause_timer.expires_after(kLoopCheckInterval);
+    this->pause_timer.async_wait([weak = this->weak_from_this()](boost::system::error_code error) {
+      auto self = weak.lock();
+      if (!error && self) self->CheckLoop();
+    });
+  }
+
   // --- Shutdown after the router has drained ---
 
   void CloseHttp() {
@@ -557,6 +581,9 @@
   std::unique_ptr<HttpServer> health_http;
   std::unique_ptr<HttpServer> metrics_http;
   asio::steady_timer flush_timer;
+  LoopPauses loop_pauses;
+  ThreadTimes thread_times;
+  asio::steady_timer pause_timer;
   asio::steady_timer close_timer;
   bool stopping = false;
   bool transferring = false;
--- a/testing/soak/route_soak_main.cc
+++ b/testing/soak/route_soak_main.cc
@@ -32,7 +32,6 @@
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 #include <sys/resource.h>
-#include <unistd.h>
 
 #include <atomic>
 #include <csignal>
@@ -692,6 +691,7 @@
 
   void Stop(Process& process, bool again, Duration between, Duration pause) {
     this->record.Count(again ? "stops with a second signal" : "stops");
+    const SoakProcessState before = process.State();
     const Time began = SteadyNow();
     process.Signal(SIGTERM);
     if (again) {
@@ -699,7 +699,14 @@
       process.Signal(SIGTERM);
     }
     if (!process.AwaitEnd(Millis(kGraceMs) - (SteadyNow() - began))) {
-      this->record.Violation("outlived", process.name);
+      const SoakProcessState after = process.State();
+      this->record.Violation(
+          "outlived", process.name + ", state " + after.state + " after " +
+                          std::to_string(WholeMillis(SteadyNow() - began)) + " ms, of which " +
+                          std::to_string(WholeMillis(after.cpu - before.cpu)) +
+                          " ms on a processor and " +
+                          std::to_string(WholeMillis(after.queued - before.queued)) +
+                          " ms in the queue for one" + process.LastSigns());
       process.Kill();
     }
     std::this_thread::sleep_for(pause);
--- a/testing/soak/soak_process.cc
+++ b/testing/soak/soak_process.cc
@@ -10,6 +10,10 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <deque>
+#include <fstream>
+#include <iterator>
+#include <string_view>
 #include <thread>
 #include <utility>
 
@@ -19,6 +23,7 @@
 namespace {
 
 constexpr Duration kPollInterval = Millis(5);
+constexpr size_t kLastSigns = 8;
 
 }  // namespace
 
@@ -90,6 +95,46 @@
   return this->pid > 0;
 }
 
+SoakProcessState SoakProcess::State() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  SoakProcessState out;
+  if (this->pid <= 0) return out;
+  const std::string folder = "/proc/" + std::to_string(this->pid);
+  std::ifstream times(folder + "/schedstat");
+  int64_t cpu_ns = 0;
+  int64_t queued_ns = 0;
+  if (times >> cpu_ns >> queued_ns) {
+    out.cpu = std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(cpu_ns));
+    out.queued = std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(queued_ns));
+  }
+  std::ifstream status(folder + "/status");
+  for (std::string word; status >> word;) {
+    if (word != "State:") continue;
+    status >> out.state;
+    break;
+  }
+  return out;
+}
+
+std::string SoakProcess::LastSigns() const {
+  constexpr std::string_view kSigns[] = {R"("event":"start")", R"("event":"stop")",
+                                         R"("event":"answer_running")", R"("event":"loop_paused")",
+                                         "daemon:"};
+  std::deque<std::string> lines;
+  std::ifstream file(this->log);
+  for (std::string line; std::getline(file, line);) {
+    const bool sign = std::any_of(std::begin(kSigns), std::end(kSigns), [&](std::string_view text) {
+      return line.find(text) != std::string::npos;
+    });
+    if (!sign) continue;
+    lines.push_back(line);
+    if (lines.size() > kLastSigns) lines.pop_front();
+  }
+  std::string out;
+  for (const std::string& line : lines) out += "\n  " + line;
+  return out;
+}
+
 void SoakProcess::Reap() {
   if (this->pid <= 0 || waitpid(this->pid, nullptr, WNOHANG) != this->pid) return;
   this->pid = -1;
--- a/testing/soak/soak_process.h
+++ b/testing/soak/soak_process.h
@@ -18,6 +18,13 @@
 
 namespace peridotgauge {
 
+// What the kernel shows of the main thread of a process, on which a daemon handles everything.
+struct SoakProcessState {
+  std::string state;  // such as "R" (ready or running), "S" (waits) or "D" (waits for a disk)
+  Duration cpu{};     // time on a processor since the start
+  Duration queued{};  // time in the queue for a processor since the start
+};
+
 class SoakProcess {
  public:
   SoakProcess(std::string name, std::string ip, std::vector<std::string> command, std::string log);
@@ -34,6 +41,10 @@
   // Makes all writes of the process to files fail, as on a full disk, or no longer.
   void SetDiskFull(bool full);
   bool Running();
+  // Returns zeros and an empty text for what the kernel does not show.
+  SoakProcessState State();
+  // Returns the last lines of the log that tell of the start, the shutdown and pauses.
+  std::string LastSigns() const;
   // Returns the last disturbance: a start, a signal or an end.
   Time LastDisturbance();
   // Returns true if the process was killed or frozen between the two times.
