Soak: a process counts as outlived only if it was seen after its time

The time was read after the state of the process. On a busy machine the soak can be suspended between the two, and then reported a process that had ended in time.

--- a/testing/soak/soak_process.cc
+++ b/testing/soak/soak_process.cc
@@ -68,11 +68,13 @@
 
 bool SoakProcess::AwaitEnd(Duration limit) {
   const Time end = SteadyNow() + limit;
-  while (this->Running()) {
-    if (SteadyNow() >= end) return false;
+  while (true) {
+    // Read first: the process may end in time while this thread is suspended between the calls.
+    const Time now = SteadyNow();
+    if (!this->Running()) return true;
+    if (now >= end) return false;
     std::this_thread::sleep_for(kPollInterval);
   }
-  return true;
 }
 
 void SoakProcess::Kill() {
