--- a/testing/soak/route_soak_main.cc
+++ b/testing/soak/route_soak_main.cc
@@ -32,7 +32,6 @@
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 #include <sys/resource.h>
-#include <unistd.h>
 
 #include <atomic>
 #include <csignal>
@@ -49,6 +48,7 @@
 #include <vector>
 
 #include "io/clock.h"
+#include "testing/loopback_network.h"
 #include "testing/soak/soak_caller.h"
 #include "testing/soak/soak_limits.h"
 #include "testing/soak/soak_process.h"
@@ -108,8 +108,7 @@
   explicit Soak(uint64_t seed) : random(seed) {
     std::string pattern = (fs::temp_directory_path() / "route_soak_XXXXXX").string();
     this->folder = mkdtemp(pattern.data());
-    this->network = "127." + std::to_string(170 + getpid() / 250 % 80) + "." +
-                    std::to_string(1 + getpid() % 250) + ".";
+    this->network = ClaimLoopbackNetwork();
     for (uint32_t i = 0; i < FLAGS_controllers; ++i) this->Add("controller", i, this->controllers);
     for (uint32_t i = 0; i < FLAGS_routers; ++i) this->Add("router", i, this->routers);
     this->targets = std::make_unique<SoakTargets>(this->network, kTargetPort, kTargets, seed + 1,
@@ -692,6 +691,7 @@
 
   void Stop(Process& process, bool again, Duration between, Duration pause) {
     this->record.Count(again ? "stops with a second signal" : "stops");
+    const SoakProcessState before = process.State();
     const Time began = SteadyNow();
     process.Signal(SIGTERM);
     if (again) {
@@ -699,7 +699,14 @@
       process.Signal(SIGTERM);
     }
     if (!process.AwaitEnd(Millis(kGraceMs) - (SteadyNow() - began))) {
-      this->record.Violation("outlived", process.name);
+      const SoakProcessState after = process.State();
+      this->record.Violation(
+          "outlived", process.name + ", state " + after.state + " after " +
+                          std::to_string(WholeMillis(SteadyNow() - began)) + " ms, of which " +
+                          std::to_string(WholeMillis(after.cpu - before.cpu)) +
+                          " ms on a processor and " +
+                          std::to_string(WholeMillis(after.queued - before.queued)) +
+                          " ms in the queue for one" + process.LastSigns());
       process.Kill();
     }
     std::this_thread::sleep_for(pause);
