An evacuation no longer fails requests for other targets

Callers could have a request that waited for a connection placed anew, or refused, and operators could read "the data centre is evacuated" for a target whose data centre is not evacuated: on every change of the list of evacuated data centres, its end included, the router failed the calls that waited for any known target that drained or paused.

Cause: Gateway::OnEvacuations() asked TargetSignals::Accepts(), which is also false for targets that drain, leave or pause.

The handling of a change is now in io/evacuations.*, which can be tested without a gateway, and asks TargetSignals::IsEvacuated(). The router has already failed the calls that waited for a target when it learned that it leaves or pauses, so nothing else depended on the wider condition.

Test: "an evacuation fails only what waits for evacuated targets".

--- a/core/target_signals.h
+++ b/core/target_signals.h
@@ -60,6 +60,8 @@
   // Returns true if all targets accept requests.
   bool Empty() const { return this->signals.empty() && this->evacuated.empty(); }
   bool Accepts(Time now, const TargetRecord& target) const;
+  // Returns true if the target's data centre is evacuated, whatever else the target has signalled.
+  bool IsEvacuated(const TargetRecord& target) const;
   SignalStatus StatusOf(Time now, const TargetRecord& target) const;
   // Returns when the first of the targets accepts requests again, or nothing if one does or none
   // will.
@@ -78,7 +80,6 @@
   Signal* SignalOf(Time now, const TargetRecord& target);
   // Returns null if this incarnation has given no signal.
   const Signal* Find(const TargetRecord& target) const;
-  bool IsEvacuated(const TargetRecord& target) const;
 
   std::unordered_map<std::string, Signal> signals;  // by target
   std::vector<std::string> evacuated;               // data centres
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -22,6 +22,7 @@
 #include "core/warmup_limit.h"
 #include "io/clock.h"
 #include "io/crash_guard.h"
+#include "io/evacuations.h"
 #include "io/explain_routes.h"
 #include "io/overload_guard.h"
 #include "io/quota_gate.h"
@@ -78,6 +79,7 @@
              .ejection = settings.ejection,
              .data_centre = settings.data_centre,
              .router = settings.id})),
+        evacuations({this->pool, this->signals, metrics, log}),
         random(RandomSeed()),
         extra_limit(settings.extra_requests, settings.shutdown_grace, SteadyNow()),
         serving_routers(settings.shutdown_grace),
@@ -416,7 +418,9 @@
                          .Add("revision", this->config->Revision())
                          .Add("directory", this->control.Directory().Version()));
     }
-    if (change.evacuations) this->OnEvacuations(now);
+    if (change.evacuations) {
+      this->evacuations.OnChange(now, this->control.Evacuated(), this->known_targets);
+    }
     if (change.config) this->OnConfig(now);
     if (change.directory) this->OnDirectory(now);
     this->crash_guard.OnControlChange(now, change);
@@ -527,24 +531,6 @@
     this->warmup.SetServices(warmup_rates);
   }
 
-  // Requests that wait for a connection to a target in an evacuated data centre are placed anew.
-  void OnEvacuations(Time now) {
-    const std::vector<std::string>& evacuated = this->control.Evacuated();
-    this->signals.SetEvacuated(evacuated);
-    this->pool.FailWaitingIn(evacuated, "the data centre is evacuated");
-    // Earlier incarnations of these targets may have been in other data centres.
-    for (const auto& [name, record] : this->known_targets) {
-      if (!this->signals.Accepts(now, record)) {
-        this->pool.FailWaiting(record, "the data centre is evacuated");
-      }
-    }
-    this->context.metrics.GaugeOf("peridotgauge_evacuated_data_centres")
-        .Set(static_cast<double>(evacuated.size()));
-    std::string names;
-    for (const std::string& name : evacuated) names += (names.empty() ? "" : ",") + name;
-    this->Log(now, Event("evacuations").Add("data_centres", names));
-  }
-
   void OnDirectory(Time now) {
     this->signals.Expire(now);
     UpdateKnownTargets(
@@ -593,6 +579,7 @@
   TargetPool pool;
   std::unique_ptr<ReplicaChoice> replica_choice;
   TargetSignals signals;
+  Evacuations evacuations;
   std::map<std::string, RouteHedgeBudget> hedge_budgets;
   SplitCounter split;
   std::map<std::string, CallerWaitEstimator> caller_wait_estimators;  // by route name
--- a/testing/target_signals_test.cc
+++ b/testing/target_signals_test.cc
@@ -12,6 +12,10 @@
 #include <vector>
 
 #include "io/clock.h"
+#include "io/evacuations.h"
+#include "io/event_log.h"
+#include "io/target_pool.h"
+#include "raw_socket.h"
 #include "route_deployment.h"
 
 namespace peridotgauge {
@@ -138,6 +142,74 @@
   }
 }
 
+// Guards against requests that fail with "the data centre is evacuated" although their target is in
+// another one.
+TEST_CASE("an evacuation fails only what waits for evacuated targets",
+          "[target_signals][evacuation]") {
+  boost::asio::io_context io;
+  RawListener listener;
+  TargetPool pool(io, {});
+  TargetSignals signals;
+  Metrics metrics;
+  EventLog log(-1);
+  Evacuations evacuations({pool, signals, metrics, log});
+  const Time now = SteadyNow();
+  TargetRecord target{.target = "t",
+                      .address = listener.AddressText(),
+                      .service = "s",
+                      .data_centre = "dc-a",
+                      .incarnation = 1,
+                      .state = TargetState::kServing};
+  std::vector<std::string> failures;
+  const auto send = [&] {
+    pool.ClientFor(target).Send({.request = {.method = "GET", .path = "/"},
+                                 .deadline = now + Seconds(60),
+                                 .done =
+                                     [&](const HttpResult& result) {
+                                       if (!result) failures.push_back(result.error().error.detail);
+                                     },
+                                 .released = {},
+                                 .echo = {},
+                                 .identifying_header = {},
+                                 .before_sending = {}});
+  };
+  pool.SetConnectionLimit("s", 1);
+  send();  // runs without an end
+  REQUIRE(RunUntil(io, [&] { return listener.Accept(); }));
+  RawSocket& connection = listener.sockets.front();
+  REQUIRE(RunUntil(io, [&] { return connection.Received("\r\n\r\n"); }));
+  send();  // waits for the only connection
+  const auto evacuate = [&](const std::vector<std::string>& data_centres) {
+    evacuations.OnChange(now, data_centres, {{target.target, target}});
+    io.restart();
+    io.poll();
+  };
+  SECTION("of a target that pauses") {
+    signals.OnPause(now, target, Seconds(60));
+    evacuate({"dc-b"});
+    CHECK(failures.empty());
+    CHECK(pool.ConnectionsTo(target).waiting == 1);
+  }
+  SECTION("of a target that drains") {
+    target.state = TargetState::kDraining;
+    signals.OnDirectory(now, target);
+    evacuate({"dc-b"});
+    CHECK(failures.empty());
+    evacuate({});
+    CHECK(failures.empty());
+  }
+  SECTION("in its own data centre") {
+    evacuate({"dc-a"});
+    CHECK(failures == std::vector<std::string>{"the data centre is evacuated"});
+  }
+  SECTION("in the data centre in which it has started again") {
+    target.incarnation = 2;
+    target.data_centre = "dc-b";
+    evacuate({"dc-b"});
+    CHECK(failures == std::vector<std::string>{"the data centre is evacuated"});
+  }
+}
+
 // Guards against retries and new requests that press a target that has named a pause.
 TEST_CASE("a target that refuses with Retry-After gets nothing for that time", "[target_signals]") {
   constexpr Duration kPause = Seconds(2);
