Routers read from a target's health that it has turned cold

A target of a service with warmupPerS that turned cold got requests like a warm one until its next heartbeat had reached the routers, although its health responses already stated it in Peridotgauge-Warmup-Ms; a router without contact with the controllers went on so without a bound.

Cause: nothing asked targets for their health, and only warmupLeftMs of heartbeats was read.

A router now asks a target of such a service for its health, at the healthPath of the configuration, after it has sent it a request: every 0.5 s, or less often, so that the health requests of all routers stay within a quarter of the cold limit, and not while the target is known to be cold. They count as requests to it. What a health response states is kept apart from the record and can only add to it, since health endpoints may report old values. The exchange uses a free connection of the target's pool, which is closed afterwards (HttpCall::close_after), so that a late copy of the response is not taken for one to a caller's request. Services without warmupPerS or healthPath are served as before.

"a target that states in its health that it is cold", "targets are asked for their health seldom" and "health of targets" cover the decisions and the format.

--- a/bench/route_cost_main.cc
+++ b/bench/route_cost_main.cc
@@ -70,6 +70,13 @@
             .server_stamp = std::string(response.Header(kStampHeader)),
             .load = TargetLoad{.running = 1, .waiting = 0, .slots = 4}};
   }
+  HttpRequest BuildHealthRequest(const std::string& path, const TargetRecord&,
+                                 Duration) const override {
+    return {.method = "GET", .path = path};
+  }
+  std::optional<Duration> ParseHealthResponse(const HttpResponse&) const override {
+    return std::nullopt;
+  }
   HttpResponse BuildForwardedResponse(HttpResponse response) const override { return response; }
   HttpResponse BuildGatherResponse(const std::vector<std::string>& stamps, uint32_t missing,
                                    std::string body) const override {
--- a/core/route_codec.h
+++ b/core/route_codec.h
@@ -76,6 +76,12 @@
   virtual HttpHeader RequestIdHeader(const std::string& request_id) const = 0;
   virtual TargetReply ParseTargetResponse(const HttpResponse& response,
                                           const std::string& request_id) const = 0;
+  // Returns the request that asks `target` for its health, which has `time_left` to respond.
+  virtual HttpRequest BuildHealthRequest(const std::string& path, const TargetRecord& target,
+                                         Duration time_left) const = 0;
+  // Returns for how long the target that sent this response to a health request stays cold; 0 if it
+  // is warm. Returns nothing if the response does not say it, or comes from another target.
+  virtual std::optional<Duration> ParseHealthResponse(const HttpResponse& response) const = 0;
   // Returns the response to send to the caller for a response of a target.
   virtual HttpResponse BuildForwardedResponse(HttpResponse response) const = 0;
   // Returns the response for a request that was sent to several shards. `server_stamps` are those
--- a/core/warmup_limit.cc
+++ b/core/warmup_limit.cc
@@ -69,6 +69,46 @@
   return this->IsLimited(now, record);
 }
 
+bool WarmupLimit::OnHealth(Time now, const TargetRecord& target, Duration warmup) {
+  if (this->FindService(target) == nullptr) return false;
+  const bool limited = this->IsLimited(now, target);
+  Target& known = this->targets[target.target];
+  if (target.incarnation < known.health_incarnation) return false;
+  known.health_incarnation = target.incarnation;
+  known.health_cold_until = now + warmup;
+  return !limited && this->IsLimited(now, target);
+}
+
+Duration WarmupLimit::HealthInterval(const Service& service) const {
+  const double seconds = static_cast<double>(this->routers) / (kHealthShare * service.limit);
+  return std::max(kMinHealthInterval,
+                  std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)));
+}
+
+bool WarmupLimit::ShouldAsk(Time now, const TargetRecord& target) const {
+  const Service* service = this->FindService(target);
+  if (service == nullptr) return false;
+  const Target* known = this->FindTarget(target);
+  if (known == nullptr) return true;
+  return now >= ColdUntil(*known, target) &&
+         (!known->asked || now >= *known->asked + this->HealthInterval(*service));
+}
+
+void WarmupLimit::OnAsk(Time now, const TargetRecord& target) {
+  this->targets[target.target].asked = now;
+  this->OnSend(now, target);
+}
+
+const WarmupLimit::Target* WarmupLimit::FindTarget(const TargetRecord& target) const {
+  const auto found = this->targets.find(target.target);
+  return found == this->targets.end() ? nullptr : &found->second;
+}
+
+Time WarmupLimit::ColdUntil(const Target& known, const TargetRecord& target) {
+  if (known.health_incarnation != target.incarnation) return known.cold_until;
+  return std::max(known.cold_until, known.health_cold_until);
+}
+
 const WarmupLimit::Service* WarmupLimit::FindService(const TargetRecord& target) const {
   const auto found = this->services.find(target.service);
   return found == this->services.end() ? nullptr : &found->second;
@@ -76,8 +116,8 @@
 
 bool WarmupLimit::IsLimited(Time now, const TargetRecord& target) const {
   if (this->FindService(target) == nullptr) return false;
-  const auto found = this->targets.find(target.target);
-  return found != this->targets.end() && now < found->second.cold_until;
+  const Target* known = this->FindTarget(target);
+  return known != nullptr && now < ColdUntil(*known, target);
 }
 
 size_t WarmupLimit::PartOf(const Service& service, const TargetRecord& target) const {
@@ -90,11 +130,11 @@
 bool WarmupLimit::HasRoom(Time now, const TargetRecord& target) const {
   const Service* service = this->FindService(target);
   if (service == nullptr) return true;
-  const auto found = this->targets.find(target.target);
-  if (found == this->targets.end() || now >= found->second.cold_until) return true;
+  const Target* known = this->FindTarget(target);
+  if (known == nullptr || now >= ColdUntil(*known, target)) return true;
   if (!this->settled_at || now < *this->settled_at) return false;
   const size_t part = this->PartOf(*service, target);
-  const std::deque<Time>& sent = found->second.sent;
+  const std::deque<Time>& sent = known->sent;
   return part > 0 && (sent.size() < part || now >= sent[sent.size() - part] + kWarmupWindow);
 }
 
@@ -104,7 +144,7 @@
   const bool settled = this->settled_at && now >= *this->settled_at;
   const auto recent = std::count_if(known.sent.begin(), known.sent.end(),
                                     [&](Time sent) { return now < sent + kWarmupWindow; });
-  return WarmupStatus{.left = known.cold_until - now,
+  return WarmupStatus{.left = ColdUntil(known, target) - now,
                       .allowed = settled ? this->PartOf(*this->FindService(target), target) : 0,
                       .sent = static_cast<size_t>(recent)};
 }
--- a/core/warmup_limit.h
+++ b/core/warmup_limit.h
@@ -8,6 +8,8 @@
 //   limit.OnContact(now);                             // the controllers can be reached
 //   if (limit.OnRecord(now, record)) ...              // on every change of a target's record
 //   if (limit.HasRoom(now, record)) { limit.OnSend(now, record); ... }
+//   if (limit.ShouldAsk(now, record)) { limit.OnAsk(now, record); ... }   // for its health
+//   limit.OnHealth(now, record, Millis(4'000));       // what the target has answered
 //
 // Contract: a target of a service with a rate gets at most rate * overage + slack requests in any
 // second of the time in which it is cold, summed over all routers. In a steady fleet the routers
@@ -20,8 +22,13 @@
 // kWarmupExcessProbability. Requests that were sent shortly before the target turned cold count.
 // Services without a rate are not limited.
 //
+// A target is cold if its record or its answer to a health request says so. An answer can only add
+// to what the record says, because health endpoints may report old values. Requests for the health
+// of a target count as requests to it; all routers together send at most kHealthShare of the limit
+// in a second.
+//
 // Not covered: requests between the moment at which a warm target turns cold and the arrival of its
-// record.
+// record or of its next answer to a health request.
 #ifndef PERIDOTGAUGE_CORE_WARMUP_LIMIT_H_
 #define PERIDOTGAUGE_CORE_WARMUP_LIMIT_H_
 
@@ -47,6 +54,11 @@
 constexpr Duration kWarmupReportTolerance = Millis(250);
 // Share of the limit that the routers plan to use.
 constexpr double kWarmupShare = 0.5;
+// Share of the limit that requests for the health of a target may use. Together with kWarmupShare
+// it leaves a reserve.
+constexpr double kHealthShare = 0.25;
+// Interval at which a router asks for the health of one target, if the share allows it.
+constexpr Duration kMinHealthInterval = Millis(500);
 // The length of a lease, within which every router in contact learns of one that has joined, and
 // one window for what was sent before.
 constexpr Duration kWarmupSettleTime = Seconds(3);
@@ -80,6 +92,13 @@
   // Takes the warm-up time of a new or changed record, which begins now. Returns true if requests
   // to the target are limited from now on.
   bool OnRecord(Time now, const TargetRecord& record);
+  // Takes the warm-up time that the target has stated now in answer to a health request; 0: it is
+  // warm. Returns true if requests to the target are limited from now on and were not before.
+  bool OnHealth(Time now, const TargetRecord& target, Duration warmup);
+  // Returns true if the target should be asked for its health: its service has a rate, it is not
+  // known to be cold, and this router has not asked it for the interval of health requests.
+  bool ShouldAsk(Time now, const TargetRecord& target) const;
+  void OnAsk(Time now, const TargetRecord& target);
   void Remove(const std::string& target) { this->targets.erase(target); }
 
   // Returns true if no requests are limited, whatever their target.
@@ -98,12 +117,22 @@
     double senders = 0;  // PlannedSenders()
   };
   struct Target {
-    Time cold_until;
-    std::deque<Time> sent;  // the last requests within a window
+    Time cold_until;  // according to its record
+    // According to its answer to a health request, of this incarnation.
+    Time health_cold_until;
+    uint64_t health_incarnation = 0;
+    std::optional<Time> asked;  // when this router asked for its health last
+    std::deque<Time> sent;      // the last requests within a window
   };
   // Returns the number of requests that this router may send to the target in a window.
   size_t PartOf(const Service& service, const TargetRecord& target) const;
   const Service* FindService(const TargetRecord& target) const;
+  // Returns null if nothing is known of the target.
+  const Target* FindTarget(const TargetRecord& target) const;
+  // Returns the time at which the target is warm; in the past if it is.
+  static Time ColdUntil(const Target& known, const TargetRecord& target);
+  // Returns the interval at which this router asks a target of the service for its health.
+  Duration HealthInterval(const Service& service) const;
 
   WarmupTolerance tolerance;
   std::string router;
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -30,6 +30,7 @@
 #include "io/request_times.h"
 #include "io/route_request.h"
 #include "io/target_event.h"
+#include "io/target_health.h"
 #include "state/push_pacing.h"
 
 namespace peridotgauge {
@@ -102,7 +103,11 @@
                 this->warmup,
                 this->overload_guard.Admission(),
                 settings.overload_admission,
-                [this](Time now) { this->ReportGrownDebts(now); }} {}
+                [this](Time now) { this->ReportGrownDebts(now); },
+                [this](Time now, const TargetRecord& target) {
+                  this->target_health.OnSend(now, target);
+                }},
+        target_health({this->pool, codec, this->warmup, log}) {}
 
   void Start() {
     this->control.OnChange([weak = this->weak_from_this()](const ControlChange& change) {
@@ -511,6 +516,7 @@
     const size_t serving = this->serving_routers.Get(now);
     std::set<std::string, std::less<>> services;
     std::map<std::string, double> warmup_rates;
+    std::map<std::string, std::string> health_paths;
     size_t fewest_connections = std::numeric_limits<size_t>::max();
     const auto add_service = [&](const std::string& service) {
       const ServiceSpec* service_spec = this->config->Routes().FindService(service);
@@ -519,7 +525,9 @@
           static_cast<size_t>(service_spec->connections * kConnectionShare) / serving;
       fewest_connections = std::min(fewest_connections, own_connections);
       this->pool.SetConnectionLimit(service, own_connections);
-      if (service_spec->warmup_rate > 0) warmup_rates[service] = service_spec->warmup_rate;
+      if (service_spec->warmup_rate <= 0) return;
+      warmup_rates[service] = service_spec->warmup_rate;
+      if (!service_spec->health_path.empty()) health_paths[service] = service_spec->health_path;
     };
     for (const Route& route : this->config->Routes().Routes()) {
       for (const WeightedService& part : route.split) add_service(part.service);
@@ -529,6 +537,7 @@
     this->extra_limit.SetServices(now, services);
     this->warmup.SetRouters(serving);
     this->warmup.SetServices(warmup_rates);
+    this->target_health.SetPaths(std::move(health_paths));
   }
 
   void OnDirectory(Time now) {
@@ -563,7 +572,8 @@
       this->Log(now, Event("target_cold")
                          .Add("target", record.target)
                          .Add("incarnation", record.incarnation)
-                         .Add("warmup_ms", record.warmup));
+                         .Add("warmup_ms", record.warmup)
+                         .Add("source", "record"));
     }
   }
 
@@ -595,6 +605,7 @@
   WarmupLimit warmup;
   OverloadGuard overload_guard;
   RouteContext context;
+  TargetHealth target_health;
   std::shared_ptr<const Config> config = std::make_shared<const Config>();
   std::map<std::string, TargetRecord> known_targets;  // the targets that the planner has
   RateMeter sub_request_rate;  // sub-requests that requests need, without hedges and retries
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -104,6 +104,9 @@
   // Without `echo`: the header with which a response identifies its request; empty if there is
   // none.
   std::string_view identifying_header;
+  // The connection is closed after the response: a late copy of it could not be told from a later
+  // response.
+  bool close_after = false;
   // Called with the request each time before it is written, for fields that depend on the time that
   // the call has waited for a connection. May be empty.
   std::function<void(HttpRequest& request)> before_sending;
--- a/io/http_connection.cc
+++ b/io/http_connection.cc
@@ -295,7 +295,8 @@
   auto released = std::exchange(ended->call.released, {});
   const bool interim = this->parser->get().result_int() < 200;
   const bool reusable = this->written && this->parser->get().keep_alive() && !interim &&
-                        identified && this->buffer.size() == 0 && !pool->AboveLimit();
+                        identified && !ended->call.close_after && this->buffer.size() == 0 &&
+                        !pool->AboveLimit();
   HttpResponse response = ToResponse(this->parser->release());
   if (this->impl->budget && response.body.capacity() > kReadBytes) {
     response.kept = this->kept ? std::move(this->kept)
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -183,6 +183,7 @@
                          codec.SetTimeLeft(deadline - SteadyNow(), request);
                        },
                    .idempotent = this->params.route->idempotent});
+    this->context.on_sent(now, *send.target);
   }
 
   void CancelAttempt(Time now, uint32_t number) {
--- a/io/route_request.h
+++ b/io/route_request.h
@@ -87,6 +87,9 @@
   bool overload_admission = false;  // `overload` decides on retries
   // Called after hedges or retries were sent.
   std::function<void(Time now)> on_extra_attempts = [](Time) {};
+  // Called after a request was sent to a target.
+  std::function<void(Time now, const TargetRecord& target)> on_sent = [](Time,
+                                                                         const TargetRecord&) {};
 };
 
 struct RouteRequestParams {
--- a/testing/platform_test.cc
+++ b/testing/platform_test.cc
@@ -272,6 +272,32 @@
   }
 }
 
+// Guards against a health response that is not read, and one of another process that is.
+TEST_CASE("health of targets", "[platform]") {
+  const RouteFormat format;
+  const HttpRequest request =
+      format.BuildHealthRequest("/health", {.target = "i-1"}, Millis(1'000));
+  CHECK(request.method == "GET");
+  CHECK(request.path == "/health");
+  CHECK(request.Header("Peridotgauge-Expect-Instance") == "i-1");
+  CHECK(request.Header("Peridotgauge-Deadline-Ms") == "1000");
+  const auto warmup = [&](int status, const std::string& text) {
+    return format.ParseHealthResponse(
+        {.status = status, .headers = {{"Peridotgauge-Warmup-Ms", text}}});
+  };
+  CHECK(warmup(200, "4000") == Millis(4'000));
+  CHECK(warmup(200, " 4000.7 ") == Millis(4'000));
+  CHECK(warmup(200, "0") == Duration(0));
+  CHECK(warmup(503, "4000") == Millis(4'000));  // it does not accept requests yet
+  CHECK(warmup(200, "99999999999999") == Seconds(3'600));
+  CHECK_FALSE(warmup(421, "4000"));
+  for (const char* text : {"", "-1", "soon", "99999999999999999999999"}) {
+    CAPTURE(text);
+    CHECK_FALSE(warmup(200, text));
+  }
+  CHECK_FALSE(format.ParseHealthResponse({.status = 200}));
+}
+
 TEST_CASE("a status promises that a request was not executed only if that is so", "[platform]") {
   const RouteFormat format;
   const auto status = [&](ErrorCode code, bool not_run) {
--- a/testing/warmup_limit_test.cc
+++ b/testing/warmup_limit_test.cc
@@ -5,6 +5,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <deque>
 #include <memory>
@@ -90,6 +91,80 @@
   }
 }
 
+// Guards against a router that ignores what a target says of itself, or believes an old value that
+// contradicts the target's record.
+TEST_CASE("a target that states in its health that it is cold", "[warmup_limit]") {
+  WarmupLimit limit({.overage = 1.5, .slack = 5}, "r1");
+  limit.SetServices({{"s", 10}});  // at most 20 in any second
+  limit.SetRouters(2);
+  limit.OnContact(kStart);
+  const Time now = kStart + kWarmupSettleTime;
+  const TargetRecord target = ColdTarget("t", Duration(0));
+  CHECK_FALSE(limit.OnRecord(now, target));
+  CHECK(SendAll(limit, now, target, 50) == 50);
+  REQUIRE(limit.OnHealth(now, target, Seconds(10)));
+  CHECK_FALSE(limit.OnHealth(now, target, Seconds(10)));  // known already
+  CHECK(limit.IsLimited(now, target));
+  CHECK(SendAll(limit, now, target) == 0);  // those sent before count
+  CHECK(limit.StatusOf(now, target)->left == Seconds(10));
+  const Time next = now + kWarmupWindow;
+  SECTION("gets a limited number of requests until it is warm") {
+    CHECK(SendAll(limit, next, target) == 5);
+    CHECK(SendAll(limit, now + Seconds(10), target, 50) == 50);
+  }
+  SECTION("stays cold if its record, which may be older, says that it is warm") {
+    CHECK_FALSE(limit.OnRecord(next, target));
+    CHECK(SendAll(limit, next, target) == 5);
+  }
+  SECTION("is warm when its health says so") {
+    CHECK_FALSE(limit.OnHealth(next, target, Duration(0)));
+    CHECK(SendAll(limit, next, target, 50) == 50);
+  }
+  SECTION("stays cold for as long as its record says") {
+    limit.OnRecord(next, ColdTarget("t", Seconds(30)));
+    limit.OnHealth(next, target, Duration(0));
+    CHECK(SendAll(limit, next, target) == 5);
+  }
+  SECTION("says nothing about its next start") {
+    TargetRecord successor = target;
+    successor.incarnation = 2;
+    CHECK(SendAll(limit, next, successor, 50) == 50);
+  }
+  SECTION("is not limited if its service has no rate") {
+    limit.SetServices({});
+    CHECK_FALSE(limit.OnHealth(next, target, Seconds(10)));
+    CHECK(SendAll(limit, next, target, 50) == 50);
+  }
+}
+
+// Guards against requests for health that are themselves more than a cold target survives, and
+// against those to targets that are not limited.
+TEST_CASE("targets are asked for their health seldom", "[warmup_limit]") {
+  WarmupLimit limit({.overage = 1.5, .slack = 5}, "r1");
+  const TargetRecord target = ColdTarget("t", Duration(0));
+  CHECK_FALSE(limit.ShouldAsk(kStart, target));  // no rate
+  limit.SetServices({{"s", 10}});                // at most 20 in any second, 5 of them for health
+  for (const size_t routers : {1, 2, 10, 300}) {
+    CAPTURE(routers);
+    limit.SetRouters(routers);
+    limit.Remove("t");
+    int asked = 0;
+    constexpr Duration kTime = Seconds(600);
+    for (Time now = kStart; now < kStart + kTime; now += Millis(20)) {
+      if (!limit.ShouldAsk(now, target)) continue;
+      limit.OnAsk(now, target);
+      ++asked;
+    }
+    CHECK(asked >= 10);
+    CHECK(asked <= kTime / kMinHealthInterval);
+    CHECK(static_cast<double>(asked * routers) <= kHealthShare * 20 * ToMillis(kTime) / 1'000 + 1);
+  }
+  const Time later = kStart + Seconds(1'000);
+  CHECK(limit.ShouldAsk(later, target));
+  limit.OnRecord(later, ColdTarget("t", Seconds(5)));
+  CHECK_FALSE(limit.ShouldAsk(later, target));  // its record says it
+}
+
 // Guards against a cold target that gets nothing, or too much, from routers whose parts are below
 // one request per second.
 TEST_CASE("in a large fleet some routers may send to a cold target", "[warmup_limit]") {
@@ -305,5 +380,61 @@
   CHECK(deployment.AwaitRoute("/p/warm"));
 }
 
+// Guards against routers that send as many requests as to a warm target until the next heartbeat,
+// although the target's health says that it is cold.
+TEST_CASE("routers learn from a target's health that it is cold", "[warmup_limit]") {
+  RouteDeployment deployment({.controllers = 1, .routers = 2});
+  constexpr int kRate = 4;
+  std::string text = ConfigText(1, {RouteText("r", "/p/", "safe", 2'000, "s")}, {"s"});
+  const std::string member = R"("maxConns":40)";
+  text.replace(text.find(member), member.size(),
+               member + R"(,"warmupPerS":)" + std::to_string(kRate));
+  REQUIRE(deployment.Apply(text));
+  std::atomic<bool> cold = false;
+  RouteTarget target(
+      deployment.NewAddress(), [](const HttpRequest&) { return Millis(1); },
+      [&](HttpResponse& response) {
+        if (cold && response.body == "/health") {
+          response.headers.push_back({"Peridotgauge-Warmup-Ms", "60000"});
+        }
+      });
+  // No heartbeat tells the controllers that the target is cold.
+  const auto registered =
+      deployment.Heartbeat(0, "i-1", HeartbeatText("s", target.address, "ready", 1));
+  REQUIRE(registered);
+  REQUIRE(registered->status == 200);
+  REQUIRE(deployment.AwaitRoute("/p/ready"));
+  std::this_thread::sleep_for(kWarmupSettleTime);
+  int sent = 0;
+  const auto refused_by = [&](size_t router) {
+    const auto answer =
+        Call(deployment.RouterAddress(router),
+             CallerRequest("c-" + std::to_string(++sent), "GET", "/p/x", Seconds(1)), Seconds(1));
+    return answer && answer->status == 503;
+  };
+  for (const Time end = SteadyNow() + Seconds(1); SteadyNow() < end;) {
+    CHECK_FALSE(refused_by(0));
+    CHECK_FALSE(refused_by(1));
+  }
+  cold = true;
+  for (const size_t router : {0, 1}) {
+    const Time end = SteadyNow() + kDeploymentTimeout / 2;
+    bool limited = false;
+    while (!limited && SteadyNow() < end) limited = refused_by(router);
+    REQUIRE(limited);
+  }
+  std::this_thread::sleep_for(kWarmupWindow);
+  const size_t before = target.Arrivals().size();
+  for (const Time end = SteadyNow() + Seconds(3); SteadyNow() < end;) refused_by(sent % 2);
+  const std::vector<Time> arrivals = target.ArrivalTimes();
+  CHECK(arrivals.size() > before);
+  for (size_t i = before; i < arrivals.size(); ++i) {
+    const auto in_window =
+        std::count_if(arrivals.begin() + static_cast<ptrdiff_t>(i), arrivals.end(),
+                      [&](Time time) { return time < arrivals[i] + kWarmupWindow; });
+    CHECK(static_cast<double>(in_window) <= kRate * 1.5 + 5);
+  }
+}
+
 }  // namespace
 }  // namespace peridotgauge
