Calls to two starts of a target no longer end each other

Callers could get 504 after their whole deadline, or an answer only from a hedge, although a target was about to answer: when a router sent a request that was planned before a target started again, every call that ran or waited at the next start ended without a result, and so did every call at the earlier start when the first request went to the next one.

Cause: TargetPool kept one client for each target. ClientFor() replaced it whenever the incarnation or address differed, also by an older one, and the destructor of HttpClient calls nothing back.

The pool now keeps a client for each incarnation and address until its calls have ended. Calls that wait at an earlier start fail as not run, so that they are placed anew, and its idle connections are closed. A request for an earlier start goes to the client of a later one at the same address, where it would arrive anyhow, so that one process does not get more connections than this router's share.

--- a/io/target_pool.h
+++ b/io/target_pool.h
@@ -6,10 +6,14 @@
 //   HttpClient& client = pool.ClientFor(record);
 //   pool.RemoveIdleExcept(targets);           // removes the idle clients of all other targets
 //
-// Contract: runs on the thread of the io_context. A new incarnation or address of a target gets a
-// new pool. Connections are opened when a request needs one and kept until the target closes them.
-// None is opened in advance: with many routers such connections would exhaust the limits of the
-// targets, and a target counts the connections of a router that lost power until its own timeout.
+// Contract: runs on the thread of the io_context. Each incarnation and address of a target has a
+// pool of its own, because requests that were planned before a target started again are still sent
+// or answered after it. The pool of an earlier incarnation is kept until its calls have ended;
+// those that wait in it fail, so that they are placed anew. It gets no further calls if a later
+// incarnation has the same address. Connections are opened when a request needs one and kept until
+// the target closes them. None is opened in advance: with many routers such connections would
+// exhaust the limits of the targets, and a target counts the connections of a router that lost
+// power until its own timeout.
 #ifndef PERIDOTGAUGE_IO_TARGET_POOL_H_
 #define PERIDOTGAUGE_IO_TARGET_POOL_H_
 
@@ -49,7 +53,8 @@
 
   // Sets the limit on connections to each target of the service.
   void SetConnectionLimit(const std::string& service, size_t connections);
-  // Returns the client of the target, which is created if necessary.
+  // Returns the client of this incarnation of the target, which is created if necessary. It is
+  // valid until the next call of a function that is not const.
   HttpClient& ClientFor(const TargetRecord& record);
   // Cancels a call that ClientFor(record).Send() has started.
   void Cancel(const TargetRecord& record, uint64_t call);
@@ -74,12 +79,20 @@
     std::unique_ptr<HttpClient> client;
   };
   HttpClientOptions OptionsOf(const std::string& service) const;
+  // Returns the client of this incarnation of the target or, if it has none, that of a later one at
+  // the same address, where a request would arrive at the same process. Returns null if there is
+  // neither.
+  const Entry* Find(const TargetRecord& record) const;
+  // Destroys the clients of earlier incarnations that have no running calls, and fails the calls
+  // that wait in the others.
+  static void Retire(std::vector<Entry>& entries, const TargetRecord& newest);
 
   boost::asio::io_context& io;
   TargetStrayCallback on_stray;
   std::shared_ptr<ByteBudget> budget;               // may be null
   std::map<std::string, size_t> connection_limits;  // by service
-  std::map<std::string, Entry> entries;             // by target
+  // By target, in the order in which they were created; usually one.
+  std::map<std::string, std::vector<Entry>> entries;
 };
 
 }  // namespace peridotgauge
