A removal that is read late does not remove the next start of a target

Callers got 503 from a service whose target had started again: a controller that had been frozen read a DELETE /instances/ID after the target had repeated it at another controller, had left and had registered its next start, and removed that one.

Cause: a removal names the target but not its start, so that the leader takes the last one that it knows.

Test: "a removal that is read late does not remove the next start".

--- a/testing/departure_test.cc
+++ b/testing/departure_test.cc
@@ -138,5 +138,39 @@
   CHECK(gets_requests());
 }
 
+// Guards against a removal that a controller reads late, after the target that sent it has given it
+// up and has started again, and that removes the new start.
+TEST_CASE("a removal that is read late does not remove the next start", "[departure]") {
+  RouteDeployment deployment({.controllers = 3});
+  REQUIRE(deployment.Apply(ConfigText(1, {RouteText("r", "/p/", "safe", 1'000, "s")}, {"s"})));
+  RouteTarget target(deployment.NewAddress(), [](const HttpRequest&) { return Millis(1); });
+  const std::optional<size_t> leader = deployment.Leader();
+  REQUIRE(leader);
+  const auto heartbeat = [&] {
+    const std::string body =
+        HeartbeatText("s", target.address, "ready", 1, static_cast<uint64_t>(UnixMillis()));
+    const auto answer = deployment.Heartbeat(*leader, "i-1", body);
+    return answer && answer->status == 200;
+  };
+  REQUIRE(heartbeat());
+  REQUIRE(deployment.AwaitRoute("/p/ready"));
+  const size_t frozen = (*leader + 1) % 3;
+  const Time end = SteadyNow() + Seconds(4);
+  deployment.FreezeController(frozen, Seconds(4));
+  std::this_thread::sleep_for(Millis(100));
+  const HttpRequest removal{.method = "DELETE", .path = "/instances/i-1"};
+  CHECK_FALSE(Call(deployment.ControllerAddress(frozen), removal, Seconds(1)));
+  const auto repeated = deployment.Deregister(*leader, "i-1");
+  REQUIRE(repeated);
+  REQUIRE(repeated->status == 200);
+  REQUIRE(heartbeat());
+  REQUIRE(deployment.AwaitRoute("/p/again"));
+  std::this_thread::sleep_until(end + Seconds(2));
+  const auto answer = Call(deployment.RouterAddress(0),
+                           CallerRequest("c", "GET", "/p/later", Seconds(1)), Seconds(1));
+  REQUIRE(answer);
+  CHECK(answer->status == 200);
+}
+
 }  // namespace
 }  // namespace peridotgauge
