--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -22,12 +22,14 @@
 #include "core/warmup_limit.h"
 #include "io/clock.h"
 #include "io/crash_guard.h"
+#include "io/evacuations.h"
 #include "io/explain_routes.h"
 #include "io/overload_guard.h"
 #include "io/quota_gate.h"
 #include "io/random_seed.h"
 #include "io/route_request.h"
 #include "io/target_event.h"
+#include "io/target_health.h"
 #include "state/push_pacing.h"
 
 namespace peridotgauge {
@@ -77,6 +79,7 @@
              .ejection = settings.ejection,
              .data_centre = settings.data_centre,
              .router = settings.id})),
+        evacuations({this->pool, this->signals, metrics, log}),
         random(RandomSeed()),
         extra_limit(settings.extra_requests, settings.shutdown_grace, SteadyNow()),
         serving_routers(settings.shutdown_grace),
@@ -99,7 +102,11 @@
                 this->warmup,
                 this->overload_guard.Admission(),
                 settings.overload_admission,
-                [this](Time now) { this->ReportGrownDebts(now); }} {}
+                [this](Time now) { this->ReportGrownDebts(now); },
+                [this](Time now, const TargetRecord& target) {
+                  this->target_health.OnSend(now, target);
+                }},
+        target_health({this->pool, codec, this->warmup, log}) {}
 
   void Start() {
     this->control.OnChange([weak = this->weak_from_this()](const ControlChange& change) {
@@ -406,7 +413,9 @@
                          .Add("revision", this->config->Revision())
                          .Add("directory", this->control.Directory().Version()));
     }
-    if (change.evacuations) this->OnEvacuations(now);
+    if (change.evacuations) {
+      this->evacuations.OnChange(now, this->control.Evacuated(), this->known_targets);
+    }
     if (change.config) this->OnConfig(now);
     if (change.directory) this->OnDirectory(now);
     this->crash_guard.OnControlChange(now, change);
@@ -497,6 +506,7 @@
     const size_t serving = this->serving_routers.Get(now);
     std::set<std::string, std::less<>> services;
     std::map<std::string, double> warmup_rates;
+    std::map<std::string, std::string> health_paths;
     size_t fewest_connections = std::numeric_limits<size_t>::max();
     const auto add_service = [&](const std::string& service) {
       const ServiceSpec* service_spec = this->config->Routes().FindService(service);
@@ -505,7 +515,9 @@
           static_cast<size_t>(service_spec->connections * kConnectionShare) / serving;
       fewest_connections = std::min(fewest_connections, own_connections);
       this->pool.SetConnectionLimit(service, own_connections);
-      if (service_spec->warmup_rate > 0) warmup_rates[service] = service_spec->warmup_rate;
+      if (service_spec->warmup_rate <= 0) return;
+      warmup_rates[service] = service_spec->warmup_rate;
+      if (!service_spec->health_path.empty()) health_paths[service] = service_spec->health_path;
     };
     for (const Route& route : this->config->Routes().Routes()) {
       for (const WeightedService& part : route.split) add_service(part.service);
@@ -515,24 +527,7 @@
     this->extra_limit.SetServices(now, services);
     this->warmup.SetRouters(serving);
     this->warmup.SetServices(warmup_rates);
-  }
-
-  // Requests that wait for a connection to a target in an evacuated data centre are placed anew.
-  void OnEvacuations(Time now) {
-    const std::vector<std::string>& evacuated = this->control.Evacuated();
-    this->signals.SetEvacuated(evacuated);
-    this->pool.FailWaitingIn(evacuated, "the data centre is evacuated");
-    // Earlier incarnations of these targets may have been in other data centres.
-    for (const auto& [name, record] : this->known_targets) {
-      if (!this->signals.Accepts(now, record)) {
-        this->pool.FailWaiting(record, "the data centre is evacuated");
-      }
-    }
-    this->context.metrics.GaugeOf("peridotgauge_evacuated_data_centres")
-        .Set(static_cast<double>(evacuated.size()));
-    std::string names;
-    for (const std::string& name : evacuated) names += (names.empty() ? "" : ",") + name;
-    this->Log(now, Event("evacuations").Add("data_centres", names));
+    this->target_health.SetPaths(std::move(health_paths));
   }
 
   void OnDirectory(Time now) {
@@ -567,7 +562,8 @@
       this->Log(now, Event("target_cold")
                          .Add("target", record.target)
                          .Add("incarnation", record.incarnation)
-                         .Add("warmup_ms", record.warmup));
+                         .Add("warmup_ms", record.warmup)
+                         .Add("source", "record"));
     }
   }
 
@@ -583,6 +579,7 @@
   TargetPool pool;
   std::unique_ptr<ReplicaChoice> replica_choice;
   TargetSignals signals;
+  Evacuations evacuations;
   std::map<std::string, RouteHedgeBudget> hedge_budgets;
   SplitCounter split;
   std::map<std::string, CallerWaitEstimator> caller_wait_estimators;  // by route name
@@ -598,6 +595,7 @@
   WarmupLimit warmup;
   OverloadGuard overload_guard;
   RouteContext context;
+  TargetHealth target_health;
   std::shared_ptr<const Config> config = std::make_shared<const Config>();
   std::map<std::string, TargetRecord> known_targets;  // the targets that the planner has
   RateMeter sub_request_rate;  // sub-requests that requests need, without hedges and retries
