Bound the memory and the time that decoding a frame of a peer takes

Seen: a frame of 80 KiB made a controller use 776 MiB (a router 266), one with 400,000 empty records 109 MiB, a raft message 521 MiB, and a frame of 1.6 MB kept a process from answering ordinary requests for more than 20 s.

Cause: offsets of a flatbuffers message may all refer to one string, list or table. UnPack() copies it for each of them, and an empty table of 4 bytes becomes an object of about 250. The verifier counts tables, but not the strings of a list that many tables share: 200,000 tables with one list of 200,000 strings are 4e10 checks.

"frames of lists that refer to one list of strings" is new in this commit.

--- a/io/peer.cc
+++ b/io/peer.cc
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "core/address.h"
+#include "core/decoded_size.h"
 #include "io/clock.h"
 #include "io/socket_options.h"
 
@@ -205,6 +206,10 @@
 }
 
 Result<std::unique_ptr<wire::FrameT>> DecodeFrame(const std::string& bytes) {
+  // Before the verifier, whose time is bounded only for frames that pass.
+  if (!DecodedSize(bytes, *wire::FrameTypeTable(), kMaxDecodedFrameBytes)) {
+    return Fail(ErrorCode::kBadRequest, "the frame is malformed or too large when decoded");
+  }
   const auto* data = reinterpret_cast<const uint8_t*>(bytes.data());
   flatbuffers::Verifier verifier(data, bytes.size());
   if (!wire::VerifyFrameBuffer(verifier)) {
--- a/io/peer.h
+++ b/io/peer.h
@@ -14,7 +14,7 @@
 // the request cannot have left this process, kConnectionLost if it may have, and kDeadlineExceeded
 // if no reply arrived in time. A client connects on the first call, keeps the connection open, and
 // reconnects after a failure; calls made while it connects are queued, and fail with kUnavailable
-// if connecting fails. A frame above kMaxFrameBytes or one that fails verification closes the
+// if connecting fails. A frame above kMaxFrameBytes or one that DecodeFrame() refuses closes the
 // connection. Both sides bound the bytes queued for writing: a client refuses calls with
 // kOverloaded, and a server closes a connection whose peer does not read its replies.
 //
@@ -37,6 +37,9 @@
 namespace peridotgauge {
 
 constexpr size_t kMaxFrameBytes = 4 << 20;
+// Limit on the memory of one decoded frame. The largest frames of this system, with a directory of
+// kMaxTargets targets, take less than half of it.
+constexpr size_t kMaxDecodedFrameBytes = 16 << 20;
 constexpr size_t kMaxUnwrittenBytes = 32 << 20;
 // Timeout of the first attempt to connect; it doubles with each failure up to the limit. A host
 // without power does not answer, and would delay the search for another one.
@@ -45,7 +48,8 @@
 
 // Encodes one frame, including its length prefix.
 std::string EncodeFrame(uint64_t call_id, bool reply, const wire::BodyUnion& body);
-// Decodes a frame without its length prefix; kBadRequest if it fails verification.
+// Decodes a frame without its length prefix; kBadRequest if it fails verification or would take
+// more than kMaxDecodedFrameBytes.
 Result<std::unique_ptr<wire::FrameT>> DecodeFrame(const std::string& bytes);
 
 // Wraps a message in the body union, for example ToBody(wire::CancelT{}).
--- a/state/raft_message.cc
+++ b/state/raft_message.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "core/decoded_size.h"
 #include "raft_generated.h"
 
 namespace peridotgauge {
@@ -121,6 +122,9 @@
 }
 
 Result<RaftMessage> DecodeMessage(std::string_view bytes) {
+  if (!DecodedSize(bytes, *raftwire::MessageTypeTable(), kMaxDecodedMessageBytes)) {
+    return Fail(ErrorCode::kCorrupt, "raft message: malformed, or too large when decoded");
+  }
   const auto wire = Decode<raftwire::Message>(bytes);
   if (wire == nullptr || wire->type >= kMessageTypeCount || !KindsAreKnown(wire->entries)) {
     return Fail(ErrorCode::kCorrupt, "raft message: malformed, or of unknown type or entry kind");
--- a/state/raft_message.h
+++ b/state/raft_message.h
@@ -83,6 +83,9 @@
 };
 
 constexpr int kMessageTypeCount = static_cast<int>(MessageType::kTimeoutNow) + 1;
+// Limit on the memory of one decoded message. Messages of controllers carry one entry of at most
+// kMaxCommandBytes, or kMaxAppendBytes of entries, or kSnapshotChunkBytes of a snapshot.
+constexpr size_t kMaxDecodedMessageBytes = 16 << 20;
 
 struct RaftMessage {
   MessageType type = MessageType::kAnnounce;
@@ -120,7 +123,8 @@
 // Encodes the record with `entries` in place of its own.
 std::string EncodeRecord(const WalRecord& record, const std::vector<LogEntry>& entries);
 std::string EncodeSnapshot(const RaftSnapshot& snapshot);
-// Return kCorrupt if the bytes fail verification.
+// Return kCorrupt if the bytes fail verification. DecodeMessage() also fails if the message would
+// take more than kMaxDecodedMessageBytes.
 Result<RaftMessage> DecodeMessage(std::string_view bytes);
 Result<WalRecord> DecodeRecord(std::string_view bytes);
 Result<RaftSnapshot> DecodeSnapshot(std::string_view bytes);
--- a/testing/hostile/peer_frames_test.cc
+++ b/testing/hostile/peer_frames_test.cc
@@ -28,6 +28,8 @@
 constexpr size_t kSharedBytes = 64 << 10;
 // Records of a few bytes. Decoded to 100 MiB and more.
 constexpr size_t kShortRecords = 400'000;
+// 4e10 strings to verify.
+constexpr size_t kSharedLists = 200'000;
 // Requests that get no reply, of one connection.
 constexpr size_t kUnansweredRequests = 50'000;
 
@@ -92,6 +94,27 @@
   return FrameOf(builder, wire::Body::RaftEnvelope, wire::CreateRaftEnvelope(builder, bytes));
 }
 
+// A list of tables that share a list of empty strings. The verifier checks each string for each
+// table; the frame fails only after that, so that it is not decoded.
+std::string FrameWithSharedLists() {
+  FlatBufferBuilder builder;
+  const std::string last = "last";
+  const auto invalid = builder.CreateString(last);
+  const size_t end_of_invalid = builder.GetSize() - sizeof(flatbuffers::uoffset_t) - last.size();
+  const auto text = builder.CreateString("");
+  const auto services = builder.CreateVector(std::vector(kSharedLists, text));
+  wire::QuarantineRecordBuilder record(builder);
+  record.add_services(services);
+  const auto list = builder.CreateVector(std::vector(kSharedLists, record.Finish()));
+  const auto controllers = builder.CreateVector(std::vector(1, invalid));
+  wire::SyncReplyBuilder reply(builder);
+  reply.add_quarantine(list);
+  reply.add_controllers(controllers);
+  std::string frame = FrameOf(builder, wire::Body::SyncReply, reply.Finish());
+  frame[frame.size() - end_of_invalid] = 'x';  // in place of the terminator
+  return frame;
+}
+
 // Lets peers send the frame for a while, and checks the processes while they are there and after.
 void AttackPeerPort(const std::string& process, HostilePlan plan) {
   CAPTURE(process);
@@ -115,6 +138,12 @@
   AttackPeerPort(process, {.repeat = FrameWithSharedTable()});
 }
 
+// Guards against a process that verifies one frame for minutes.
+TEST_CASE("frames of lists that refer to one list of strings", "[hostile_clients]") {
+  const std::string process = GENERATE("router", "controller");
+  AttackPeerPort(process, {.repeat = FrameWithSharedLists()});
+}
+
 TEST_CASE("frames of very many short records", "[hostile_clients]") {
   const std::string process = GENERATE("router", "controller");
   AttackPeerPort(process, {.repeat = FrameWithShortRecords()});
