--- a/io/control_client.cc
+++ b/io/control_client.cc
@@ -50,6 +50,9 @@
         OpenDirectoryPackage({package->packed.begin(), package->packed.end()});
     if (!targets) return tl::unexpected(targets.error());
     std::move(targets->begin(), targets->end(), std::back_inserter(delta.targets));
+    if (delta.targets.size() > 2 * kMaxTargets) {
+      return Fail(ErrorCode::kCorrupt, "directory: too many records in one reply");
+    }
   }
   for (const auto& record : reply.targets) {
     if (record) delta.targets.push_back(FromWire(*record));
--- a/io/directory_feed.cc
+++ b/io/directory_feed.cc
@@ -5,6 +5,7 @@
 
 #include <string_view>
 
+#include "core/decoded_size.h"
 #include "core/packed_text.h"
 #include "io/peer.h"
 #include "peer_generated.h"
@@ -94,6 +95,9 @@
 Result<std::vector<TargetRecord>> OpenDirectoryPackage(const std::string& packed) {
   const Result<std::string> bytes = UnpackText(packed, {}, kMaxFrameBytes);
   if (!bytes) return tl::unexpected(bytes.error());
+  if (!DecodedSize(*bytes, *wire::TargetListTypeTable(), kMaxDecodedFrameBytes)) {
+    return Fail(ErrorCode::kCorrupt, "directory package: malformed, or too large when decoded");
+  }
   const auto* data = reinterpret_cast<const uint8_t*>(bytes->data());
   flatbuffers::Verifier verifier(data, bytes->size());
   if (!verifier.VerifyBuffer<wire::TargetList>()) {
