Heartbeats that wait are not sent while a process ends

A daemon that was destroyed with waiting heartbeats crashed: the client sent them and asked for the leader of a log that was gone already. The channel now stops first, so that these heartbeats fail.

--- a/io/control_client.cc
+++ b/io/control_client.cc
@@ -94,8 +94,9 @@
   void Stop() {
     this->StopSync();
     this->on_change = nullptr;
-    this->heartbeats->Stop();
+    // In this order, so that heartbeats that wait are not sent any more.
     this->channel->Stop();
+    this->heartbeats->Stop();
   }
 
   void Register(TargetRecord record) {
--- a/io/heartbeat_sender.h
+++ b/io/heartbeat_sender.h
@@ -49,7 +49,7 @@
 
   // Sends the heartbeat of a target that does not leave.
   void Send(Time now, const TargetRecord& record, Callback callback);
-  // Sends the heartbeats that wait.
+  // Fails the heartbeats that wait. The channel must have been stopped.
   void Stop();
 
  private:
