Limit the base allowance of a router to its share of the limit

A router without contact counted the routers that it knew when it lost contact. Those that were added later counted all, so that all base allowances together were more than their part of the excess. The shares of the limit that the leader assigns sum to at most 1 also in this case, so a router now uses the smaller of its share and 1/n. A router without a share has no base allowance, and one that has lost its lease keeps it as long as the leader reserves its share (60 s).

"the base allowance of a router" lets the leader assign a share first, as an allowance needs one now; its figures are unchanged.

--- a/core/workspace_quota.cc
+++ b/core/workspace_quota.cc
@@ -10,6 +10,13 @@
 
 // Makes up for rounding errors of sums of shares.
 constexpr double kRounding = 1e-6;
+// Of a share that is too small to be used.
+constexpr size_t kMaxShareDivisor = 1'000'000;
+
+size_t ShareDivisor(double share) {
+  if (share * static_cast<double>(kMaxShareDivisor) <= 1) return kMaxShareDivisor;
+  return static_cast<size_t>(std::ceil(1 / share - kRounding));
+}
 
 double ToSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 Duration FromSeconds(double seconds) {
@@ -40,7 +47,7 @@
 // A router that callers still use from an old list, or that has not yet heard of a change, counts
 // the routers of the last two windows.
 WorkspaceQuota::WorkspaceQuota(QuotaTolerance tolerance)
-    : tolerance(tolerance), offered(2 * tolerance.window) {}
+    : tolerance(tolerance), offered(2 * tolerance.window), share_divisor(2 * tolerance.window) {}
 
 void WorkspaceQuota::SetRouters(Time now, size_t offered) {
   this->offered_now = std::max<size_t>(offered, 1);
@@ -51,8 +58,19 @@
   return static_cast<double>(std::max<size_t>(this->offered.Get(now), 1));
 }
 
+// Part of all base allowances that this router has. The shares of all routers sum to at most 1,
+// also if some have no contact and have not learned that others were added. A larger share counts
+// only after two windows, as the router that gave it up may have used its allowance.
+double WorkspaceQuota::BaseShare(Time now) const {
+  const double share = this->OwnShare(this->lost_at.value_or(now));
+  const bool ended = this->lost_at && now >= *this->lost_at + kOwnShareTime;
+  if (share <= 0 || ended) return 0;
+  const auto divisor = static_cast<double>(this->share_divisor.Get(now));
+  return 1 / std::max({this->Routers(now), divisor, 1.0});
+}
+
 double WorkspaceQuota::BaseAllowance(Time now, const State& state) const {
-  return kBaseShare * QuotaExcess(state.quota, this->tolerance) / this->Routers(now);
+  return kBaseShare * QuotaExcess(state.quota, this->tolerance) * this->BaseShare(now);
 }
 
 // Open requests that this router may admit between two reports.
@@ -258,6 +276,7 @@
   this->next_check = std::min(this->next_check, now + this->AskInterval(false));
   this->near_limit = grants.near_limit;
   this->own_share = grants.own_share;
+  this->share_divisor.Set(now, ShareDivisor(grants.own_share));
   this->open_slot = grants.open_slot;
   this->own_share_at = this->asked_at;
   const Time end = this->asked_at + std::min(grants.valid, kPermitLifetime);
--- a/core/workspace_quota.h
+++ b/core/workspace_quota.h
@@ -21,16 +21,18 @@
 //
 // Over all routers, the requests admitted in any window exceed rate x window + burst by at most
 // the excess E = overage x (rate x window + burst) + slack. Its parts, see the constants:
-// - Base allowances: each of n offered routers uses kBaseShare x E / n in any window. A router has
-//   none until it has served callers for two windows, so that the allowances of routers that it
-//   replaces, or of its own earlier incarnation, have left the window.
+// - Base allowances: each of n offered routers uses kBaseShare x E / n in any window, or less if
+//   its share of the limit is less than 1 / n, because a router without contact has a larger one.
+//   A router has none until it has served callers for two windows, so that the allowances of
+//   routers that it replaces, or of its own earlier incarnation, have left the window.
 // - Permits: the leader's bucket and all unspent permits together never exceed burst plus
 //   kBucketShare x E, and grow at the rate plus kFillShare x E per window, so that more cannot be
 //   spent in a window.
 // - A new leader starts with at most kTermShare x E.
 // - The rest covers the return of routers that had lost the lease, until they learn of it, and open
 //   requests: the leader takes each from its bucket once it is reported, and a workspace counts as
-//   near its limit before its bucket is empty.
+//   near its limit before its bucket is empty. With many routers, those of all together are limited
+//   by open slots.
 //
 // Load pattern of open requests: 86 workspaces, most with less than one request per second, at up
 // to 64 routers. No router can hold permits for them, and a wait of 10 to 20 ms for the leader with
@@ -258,6 +260,7 @@
     return now.time_since_epoch() / (this->tolerance.window / kSlots);
   }
   double Routers(Time now) const;
+  double BaseShare(Time now) const;
   double BaseAllowance(Time now, const State& state) const;
   double OpenRequests(Time now, const State& state) const;
   bool AdmitOpen(Time now, const std::string& workspace, State& state);
@@ -290,6 +293,7 @@
   std::optional<Time> lost_at;                    // end of the lost lease
   std::set<std::string, std::less<>> near_limit;  // as the leader said at `own_share_at`
   double own_share = 0;                           // as above
+  RecentMaximum share_divisor;                    // 1 / own_share, rounded up
   std::optional<uint32_t> open_slot;              // as above
   Time own_share_at;
   uint64_t granted = 0;
--- a/testing/quota_fleet_test.cc
+++ b/testing/quota_fleet_test.cc
@@ -182,6 +182,49 @@
   }
 }
 
+// Guards against base allowances of routers without contact beside those of routers that were added
+// later: a lost router that had been the only one kept the whole base allowance, and the new ones
+// had it again. A workspace was up to 4.3 above its limit. Shrunk from a drawn history.
+TEST_CASE("routers without contact while others are added", "[quota][quota_fleet]") {
+  for (uint64_t seed = 0; seed < 4; ++seed) {
+    for (const size_t routers : {1, 2, 4}) {
+      QuotaSimulation fleet({.routers = routers}, seed);
+      std::vector<Workspace> workspaces = {{.name = "large", .quota = {43, 43}},
+                                           {.name = "middle", .quota = {8, 0}},
+                                           {.name = "small", .quota = {0.5, 0.5}},
+                                           {.name = "wide", .quota = {90, 9}}};
+      fleet.SetWorkspaces(workspaces);
+      fleet.Run(Seconds(1));
+      const auto any = [&fleet] { return fleet.RandomRouter(); };
+      fleet.Load("large", 3 * 43, any);
+      fleet.Load("middle", 3 * 8, any);
+      fleet.Load("small", 0.5 * 0.5, any);
+      fleet.Load("wide", 0.5 * 90, any);
+      fleet.Run(Seconds(14));
+      for (Workspace& each : workspaces) each.quota = {each.quota.rate_per_s / 3, 0};
+      fleet.SetWorkspaces(workspaces);
+      fleet.Run(Seconds(7));
+      const Time since = fleet.Now();
+      for (size_t i = 0; i < routers; ++i) fleet.Disconnect(i);
+      fleet.Run(Seconds(6));
+      fleet.AddRouter();
+      fleet.Run(Seconds(12));
+      fleet.AddRouter();
+      fleet.Run(Millis(700));
+      fleet.AddRouter();
+      fleet.Run(Millis(700));
+      fleet.AddRouter();
+      fleet.Run(Seconds(80));  // longer than the leader remembers lost routers
+      for (size_t i = 0; i < routers; ++i) fleet.Reconnect(i);
+      fleet.Run(Seconds(20));
+      for (const Workspace& workspace : workspaces) {
+        INFO("seed " << seed << ", " << routers << " routers, " << workspace.name);
+        CHECK(fleet.Excess(workspace.name, workspace.quota, since) <= 0);
+      }
+    }
+  }
+}
+
 // Guards against open requests above the limit: a burst of a workspace with a small limit at all
 // routers at the same moment, while none of them knows that it is near its limit.
 void CheckBurstEverywhere(size_t routers) {
--- a/testing/workspace_quota_test.cc
+++ b/testing/workspace_quota_test.cc
@@ -161,6 +161,12 @@
   }
 }
 
+// Has the leader give the router a share of the limit.
+void GiveShare(WorkspaceQuota& quota, int64_t at, double share) {
+  REQUIRE(quota.NextAsk(TimeAt(at)));
+  quota.OnGrants(TimeAt(at), Permits(0, share));
+}
+
 TEST_CASE("the base allowance of a router", "[workspace_quota]") {
   WorkspaceQuota quota({});
   quota.SetRouters(TimeAt(0), 4);
@@ -171,6 +177,7 @@
   };
   // What an earlier process of this router has used is not known.
   CHECK(admitted(0, kLarge) == 0);
+  GiveShare(quota, 100, 0.25);
   CHECK(admitted(4'000, kLarge) == 0);
   CHECK(admitted(8'000, kLarge) == 0);
   CHECK(admitted(11'000, kLarge) == 4);  // 0.4 x 45.8 / 4
@@ -188,6 +195,39 @@
     CHECK(admitted(33'400, kLarge) == 4);
   }
   SECTION("begins again after a time without callers") { CHECK(admitted(30'000, kLarge) == 0); }
+  // Guards against allowances that are more than their part of the excess together, as a router
+  // without contact has a larger one than the present number of routers gives it.
+  SECTION("is not larger than its share of the limit") {
+    GiveShare(quota, 20'000, 0.12);
+    CHECK(admitted(20'000, kSmall) == 0);
+    CHECK(admitted(22'200, kLarge) == 2);  // 0.4 x 45.8 / 9
+    GiveShare(quota, 23'000, 0.25);
+    CHECK(admitted(27'000, kSmall) == 0);
+    CHECK(admitted(27'800, kLarge) == 2);
+    CHECK(admitted(32'000, kSmall) == 0);
+    CHECK(admitted(33'400, kLarge) == 4);  // a larger share counts after two windows
+  }
+  SECTION("ends with the share of a router without contact") {
+    quota.OnLost(TimeAt(17'000));
+    CHECK(admitted(17'500, kSmall) == 2);
+    for (int64_t at = 20'000; at < 77'000; at += 1'000) admitted(at, kSmall);
+    CHECK(admitted(76'900, kLarge) > 0);
+    for (int64_t at = 77'000; at < 100'000; at += 1'000) {
+      CHECK(admitted(at, kSmall) == 0);
+      CHECK(admitted(at, kLarge) == 0);
+    }
+  }
+}
+
+TEST_CASE("a router without a share of the limit has no base allowance", "[workspace_quota]") {
+  WorkspaceQuota quota({});
+  quota.SetRouters(TimeAt(0), 1);
+  quota.Admit(TimeAt(0), kLarge, Millis(0));
+  const bool replied = GENERATE(false, true);
+  for (int64_t at = 1'000; at <= 30'000; at += 1'000) {
+    CHECK(quota.Admit(TimeAt(at), kLarge, Millis(0)).result == QuotaResult::kRefused);
+    if (replied) GiveShare(quota, at + 100, 0);
+  }
 }
 
 TEST_CASE("a router that has lost its lease uses its share of the limit", "[workspace_quota]") {
