Forget shares that routers reported in an earlier term of the controller

A controller that had led kept the share that each router had reported to it. As a follower it did not note that another leader may have assigned a larger one. When it led again and the router had no contact, it counted the old share, and all shares together were 1.17.

The new section of "shares of routers without contact" fails without the correction.

--- a/io/quota_service.cc
+++ b/io/quota_service.cc
@@ -54,7 +54,10 @@
     this->earlier_leader_change = std::exchange(this->last_leader_change, now);
   }
   const uint64_t leading = this->context.log.Leading() ? current : 0;
-  if (leading == std::exchange(this->term, leading) || leading == 0) return;
+  const uint64_t before = std::exchange(this->term, leading);
+  if (leading == before) return;
+  if (before != 0) this->contacts.EndTerm();
+  if (leading == 0) return;
   const bool calm = this->earlier_leader_change &&
                     now - *this->earlier_leader_change >= this->context.tolerance.window;
   this->table.Reset(now, calm);
--- a/state/quota_table.cc
+++ b/state/quota_table.cc
@@ -174,6 +174,10 @@
   }
 }
 
+void RouterContacts::EndTerm() {
+  for (auto& [id, router] : this->routers) router.reported = false;
+}
+
 void RouterContacts::Observe(Time now, const std::set<std::string>& offered) {
   this->offered_count = offered.size();
   const double share = offered.empty() ? 0 : 1.0 / static_cast<double>(offered.size());
--- a/state/quota_table.h
+++ b/state/quota_table.h
@@ -155,6 +155,9 @@
 
   // Starts a term of leadership: forgets contacts with earlier leaders.
   void Reset(Time now);
+  // Ends a term of leadership: routers report their shares to another leader from here on, which
+  // may assign larger ones.
+  void EndTerm();
   // The ids of the routers that callers are told about.
   void Observe(Time now, const std::set<std::string>& offered);
   // Records a sync request of any router.
--- a/testing/quota_simulation.cc
+++ b/testing/quota_simulation.cc
@@ -209,6 +209,7 @@
 }
 
 void QuotaSimulation::ChangeLeader(Duration gap) {
+  if (this->leader) this->Leader().contacts.EndTerm();
   this->leader.reset();
   const uint64_t new_term = ++this->term;
   const size_t next = ++this->next_leader % this->controllers.size();
--- a/testing/quota_table_test.cc
+++ b/testing/quota_table_test.cc
@@ -159,6 +159,17 @@
   SECTION("a router that is not offered gets none") {
     CHECK(contacts.AssignShare(TimeAt(101'000), "r9", 0) == 0);
   }
+  // Guards against the share that a router reported in an earlier term of this controller, although
+  // another leader has assigned it a larger one since: all shares were 1.17 together.
+  SECTION("a controller that leads again counts lost routers with what others may have assigned") {
+    contacts.EndTerm();
+    contacts.Observe(TimeAt(102'500), {"r1", "r2"});  // r1 and r2 have half of the limit each
+    contacts.Observe(TimeAt(110'000), {"r2"});
+    contacts.Reset(TimeAt(110'000));
+    sync(110'000, {"r2"});
+    CHECK(contacts.ServedShare(TimeAt(110'000)) == 0);  // two have a quarter, and one a half
+    CHECK(contacts.AssignShare(TimeAt(110'000), "r2", 0) == Approx(0).margin(1e-9));
+  }
   SECTION("a controller that begins to lead counts lost routers with an equal share") {
     contacts.Observe(TimeAt(102'500), {"r1", "r2", "r3"});
     contacts.Reset(TimeAt(102'500));
