Bound what unanswered requests of peers keep

Seen: 20 peers that send 50,000 requests each that nobody answers (raft messages sent as calls) made a router and a controller of 64 MiB use 220 MiB each; the test "requests of peers that are never answered" fails in both sections, also with the limit on decoded frames.

Cause: the table of a connection's requests kept each request until its reply or the end of the connection, also if the handler had dropped it, and nothing counted requests that wait.

Change: the table refers to requests weakly, so that one that nobody can answer any more is removed at once; and the decoded size of each request counts in the budget of the peers until it is answered. Beyond the budget (an eighth of memory_mb) the connection that keeps the most is closed, as before for incomplete frames.

--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -69,8 +69,9 @@
 // Share of the memory for all that requests of callers make the process keep, counted as held: read
 // buffers, parsed headers, and bodies with the copies above.
 constexpr double kCallerMemoryShare = 1.0 / 4;
-// Share of the memory for incomplete frames of peers and replies that they have not read. The
-// smallest controllers, of 256 MiB, have room for eight of the longest frames.
+// Share of the memory for incomplete frames of peers, their unanswered requests, and replies that
+// they have not read. The smallest controllers, of 256 MiB, have room for eight of the longest
+// frames, or for requests that carry the largest directory five times.
 constexpr double kPeerMemoryShare = 1.0 / 8;
 // Share of the descriptors that connections of callers leave free, unless the settings name another
 // number, and the part of it that connections of peers may take.
--- a/io/peer.cc
+++ b/io/peer.cc
@@ -32,6 +32,8 @@
 constexpr size_t kLengthBytes = 4;
 constexpr size_t kReadBytes = 16 << 10;
 constexpr Duration kReconnectDelay = Millis(20);
+// Estimated memory of an unanswered request, beyond its message.
+constexpr size_t kRequestBytes = 256;
 // Capacity of buffers that a connection keeps between two frames.
 constexpr size_t kKeptBufferBytes = 64 << 10;
 
@@ -46,7 +48,7 @@
 // called once when the connection closes for any reason, including Close().
 class PeerConnection : public std::enable_shared_from_this<PeerConnection> {
  public:
-  std::function<void(wire::FrameT&)> on_frame;
+  std::function<void(DecodedFrame&)> on_frame;
   std::function<void()> on_close;
 
   // `budget` bounds what the connections of a server keep together; null: not counted.
@@ -78,6 +80,16 @@
     return true;
   }
 
+  // Counts a request that the process keeps until it is answered.
+  void BeginRequest(size_t bytes) {
+    this->unanswered_bytes += bytes;
+    this->Count();
+  }
+  void EndRequest(size_t bytes) {
+    this->unanswered_bytes -= bytes;
+    this->Count();
+  }
+
   void Close() {
     if (this->closed) return;
     this->closed = true;
@@ -97,8 +109,9 @@
     if (!self) return;
     asio::post(self->socket.get_executor(), [self] {
       if (self->closed) return;
-      LOG_EVERY_N(WARNING, 100) << "peer: closing a connection: the incomplete frames and unread "
-                                   "replies of all peers exceed the memory for them";
+      LOG_EVERY_N(WARNING, 100) << "peer: closing a connection: the incomplete frames, unanswered "
+                                   "requests and unread replies of all peers exceed the memory "
+                                   "for them";
       self->Close();
     });
   }
@@ -107,7 +120,7 @@
   void Count() {
     if (this->kept) {
       this->kept->Set(this->received.capacity() + this->incoming.capacity() +
-                      this->unwritten_bytes);
+                      this->unwritten_bytes + this->unanswered_bytes);
     }
   }
 
@@ -159,7 +172,7 @@
                    << frame.error().ToString();
       return this->Close();
     }
-    if (this->on_frame) this->on_frame(**frame);
+    if (this->on_frame) this->on_frame(*frame);
   }
 
   // Writes all queued frames in one system call.
@@ -185,6 +198,7 @@
   std::vector<std::string> writing;        // frames of the write in progress
   std::vector<asio::const_buffer> buffers;
   size_t unwritten_bytes = 0;  // of `queued_frames` and `writing`
+  size_t unanswered_bytes = 0;
   std::unique_ptr<ByteBudget::Account> kept;
   Time last_frame = SteadyNow();
   bool closed = false;
@@ -205,9 +219,10 @@
   return frame.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), size);
 }
 
-Result<std::unique_ptr<wire::FrameT>> DecodeFrame(const std::string& bytes) {
+Result<DecodedFrame> DecodeFrame(const std::string& bytes) {
   // Before the verifier, whose time is bounded only for frames that pass.
-  if (!DecodedSize(bytes, *wire::FrameTypeTable(), kMaxDecodedFrameBytes)) {
+  const auto size = DecodedSize(bytes, *wire::FrameTypeTable(), kMaxDecodedFrameBytes);
+  if (!size) {
     return Fail(ErrorCode::kBadRequest, "the frame is malformed or too large when decoded");
   }
   const auto* data = reinterpret_cast<const uint8_t*>(bytes.data());
@@ -215,7 +230,7 @@
   if (!wire::VerifyFrameBuffer(verifier)) {
     return Fail(ErrorCode::kBadRequest, "the frame failed flatbuffers verification");
   }
-  return wire::UnPackFrame(data);
+  return DecodedFrame{wire::UnPackFrame(data), *size};
 }
 
 // --- Client ---
@@ -348,8 +363,8 @@
     this->connecting.reset();
     this->connect_timeout = kPeerConnectTimeout;
     this->connection = std::make_shared<PeerConnection>(std::move(socket));
-    this->connection->on_frame = [self = this->weak_from_this()](wire::FrameT& frame) {
-      if (auto client = self.lock()) client->OnFrame(frame);
+    this->connection->on_frame = [self = this->weak_from_this()](DecodedFrame& decoded) {
+      if (auto client = self.lock()) client->OnFrame(*decoded.frame);
     };
     this->connection->on_close = [self = this->weak_from_this()] {
       if (auto client = self.lock()) client->OnClose();
@@ -480,6 +495,14 @@
   std::function<void()> on_cancel;
   std::function<void()> on_finished;  // removes the request from its connection's table
 
+  State() = default;
+  // Nobody can reply any more.
+  ~State() {
+    if (this->on_finished) this->on_finished();
+  }
+  State(const State&) = delete;
+  State& operator=(const State&) = delete;
+
   void Finish() {
     this->active = false;
     this->on_cancel = nullptr;
@@ -489,9 +512,7 @@
   void OnCancelledByPeer() {
     if (!this->active) return;
     auto callback = std::move(this->on_cancel);
-    this->active = false;
-    this->on_cancel = nullptr;
-    this->on_finished = nullptr;
+    this->Finish();
     if (callback) callback();
   }
 };
@@ -548,9 +569,18 @@
   size_t Connections() const { return this->sessions.size(); }
 
  private:
-  // The unanswered requests of one connection.
+  struct OpenRequest {
+    const PeerRequest::State* key;  // only compared
+    std::weak_ptr<PeerRequest::State> state;
+  };
+  // The unanswered requests of one connection. Does not keep those that nobody can answer any more.
   struct Session {
-    std::unordered_map<uint64_t, std::shared_ptr<PeerRequest::State>> requests;
+    std::unordered_map<uint64_t, OpenRequest> requests;
+
+    void Remove(uint64_t id, const PeerRequest::State* key) {
+      const auto found = this->requests.find(id);
+      if (found != this->requests.end() && found->second.key == key) this->requests.erase(found);
+    }
   };
   static constexpr Duration kAcceptRetryDelay = Millis(100);
 
@@ -578,8 +608,8 @@
     auto connection = std::make_shared<PeerConnection>(std::move(socket), this->limits.bytes);
     PeerConnection* key = connection.get();
     this->sessions.emplace(connection, std::make_shared<Session>());
-    connection->on_frame = [self = this->weak_from_this(), key](wire::FrameT& frame) {
-      if (auto server = self.lock()) server->OnFrame(key->shared_from_this(), frame);
+    connection->on_frame = [self = this->weak_from_this(), key](DecodedFrame& decoded) {
+      if (auto server = self.lock()) server->OnFrame(key->shared_from_this(), decoded);
     };
     connection->on_close = [self = this->weak_from_this(), key] {
       if (auto server = self.lock()) server->OnClose(key->shared_from_this());
@@ -601,7 +631,8 @@
     connection->Close();
   }
 
-  void OnFrame(const std::shared_ptr<PeerConnection>& connection, wire::FrameT& frame) {
+  void OnFrame(const std::shared_ptr<PeerConnection>& connection, DecodedFrame& decoded) {
+    wire::FrameT& frame = *decoded.frame;
     auto found = this->sessions.find(connection);
     if (found == this->sessions.end() || frame.reply) return;
     auto session = found->second;
@@ -611,9 +642,14 @@
     request.state->connection = connection;
     request.state->call_id = frame.call_id;
     if (frame.call_id != 0) {
-      session->requests[frame.call_id] = request.state;
-      request.state->on_finished = [weak = std::weak_ptr<Session>(session), id = frame.call_id] {
-        if (auto open = weak.lock()) open->requests.erase(id);
+      const PeerRequest::State* key = request.state.get();
+      const size_t bytes = decoded.bytes + kRequestBytes;
+      session->requests.insert_or_assign(frame.call_id, OpenRequest{key, request.state});
+      connection->BeginRequest(bytes);
+      request.state->on_finished = [weak = std::weak_ptr<Session>(session), id = frame.call_id, key,
+                                    sender = request.state->connection, bytes] {
+        if (auto open = weak.lock()) open->Remove(id, key);
+        if (auto open = sender.lock()) open->EndRequest(bytes);
       };
     }
     this->handler(std::move(frame.body), std::move(request));
@@ -622,9 +658,7 @@
   static void CancelRequest(Session& session, uint64_t id) {
     auto request = session.requests.find(id);
     if (request == session.requests.end()) return;
-    auto state = request->second;
-    session.requests.erase(request);
-    state->OnCancelledByPeer();
+    if (const auto state = request->second.state.lock()) state->OnCancelledByPeer();
   }
 
   void OnClose(const std::shared_ptr<PeerConnection>& connection) {
@@ -633,7 +667,9 @@
     auto session = found->second;
     this->sessions.erase(found);
     auto requests = std::exchange(session->requests, {});
-    for (auto& [id, state] : requests) state->OnCancelledByPeer();
+    for (const auto& [id, request] : requests) {
+      if (const auto state = request.state.lock()) state->OnCancelledByPeer();
+    }
   }
 
   Handler handler;
--- a/io/peer.h
+++ b/io/peer.h
@@ -18,9 +18,9 @@
 // connection. Both sides bound the bytes queued for writing: a client refuses calls with
 // kOverloaded, and a server closes a connection whose peer does not read its replies.
 //
-// A server also bounds, over all its connections, their number and the bytes of incomplete frames
-// and unread replies. Beyond the number it closes the connection whose last complete frame is the
-// oldest; beyond the bytes, the one that keeps the most.
+// A server also bounds, over all its connections, their number and the bytes of incomplete frames,
+// unanswered requests and unread replies. Beyond the number it closes the connection whose last
+// complete frame is the oldest; beyond the bytes, the one that keeps the most.
 #ifndef PERIDOTGAUGE_IO_PEER_H_
 #define PERIDOTGAUGE_IO_PEER_H_
 
@@ -48,9 +48,13 @@
 
 // Encodes one frame, including its length prefix.
 std::string EncodeFrame(uint64_t call_id, bool reply, const wire::BodyUnion& body);
+struct DecodedFrame {
+  std::unique_ptr<wire::FrameT> frame;
+  size_t bytes = 0;  // estimated memory of `frame`
+};
 // Decodes a frame without its length prefix; kBadRequest if it fails verification or would take
 // more than kMaxDecodedFrameBytes.
-Result<std::unique_ptr<wire::FrameT>> DecodeFrame(const std::string& bytes);
+Result<DecodedFrame> DecodeFrame(const std::string& bytes);
 
 // Wraps a message in the body union, for example ToBody(wire::CancelT{}).
 template <typename T>
@@ -86,7 +90,8 @@
   std::shared_ptr<Impl> impl;
 };
 
-// A received request. All copies refer to the same request; only the first reply is sent.
+// A received request. All copies refer to the same request; only the first reply is sent. It counts
+// as unanswered until the reply, or until the last copy is destroyed.
 class PeerRequest {
  public:
   // Sends the reply; does nothing for a one-way message or a closed connection.
--- a/testing/hostile/peer_frames_test.cc
+++ b/testing/hostile/peer_frames_test.cc
@@ -32,6 +32,9 @@
 constexpr size_t kSharedLists = 200'000;
 // Requests that get no reply, of one connection.
 constexpr size_t kUnansweredRequests = 50'000;
+// Polls of one connection, and the length of one.
+constexpr size_t kLongPolls = 500;
+constexpr size_t kPollBytes = 16 << 10;
 
 std::string WithLength(const FlatBufferBuilder& builder) {
   const size_t size = builder.GetSize();
@@ -153,6 +156,21 @@
   AttackPeerPort("controller", {.repeat = RaftFrameWithSharedEntry()});
 }
 
+// A long poll waits for a change. The leader must not keep what each of very many polls carries.
+TEST_CASE("long polls of peers that send very many", "[hostile_clients]") {
+  std::string frames;
+  for (size_t id = 1; id <= kLongPolls; ++id) {
+    wire::SyncRequestT request;
+    request.router = std::make_unique<wire::RouterRecordT>();
+    request.router->id = "127.0.0.1";
+    request.router->incarnation = 1;
+    request.router->data_centre = std::string(kPollBytes, 'x');
+    request.wait_ms = 60'000;
+    frames += EncodeFrame(id, false, ToBody(std::move(request)));
+  }
+  AttackPeerPort("controller", {.first = frames});
+}
+
 // A router answers no raft message, and a controller none that arrives as a call.
 TEST_CASE("requests of peers that are never answered", "[hostile_clients]") {
   const std::string process = GENERATE("router", "controller");
--- a/testing/peer_test.cc
+++ b/testing/peer_test.cc
@@ -103,6 +103,55 @@
   CHECK(bytes->Used() == 0);
 }
 
+// Guards against requests that wait for their replies, or never get one, and take the memory of the
+// process.
+TEST_CASE("a peer server bounds what unanswered requests keep", "[peer]") {
+  constexpr size_t kRequestTextBytes = 100'000;
+  asio::io_context io;
+  const auto bytes = std::make_shared<ByteBudget>(1 << 20);
+  std::vector<PeerRequest> held;
+  bool hold = true;
+  size_t received = 0;
+  PeerServer server(io, "127.0.0.1:0",
+                    [&](const wire::BodyUnion&, PeerRequest request) {
+                      ++received;
+                      if (hold) held.push_back(std::move(request));
+                    },
+                    {.max_connections = 4, .bytes = bytes});
+  const auto until = [&](const std::function<bool()>& condition) {
+    const Time limit = SteadyNow() + Seconds(10);
+    while (!condition() && SteadyNow() < limit) io.run_one_for(std::chrono::milliseconds(10));
+    return condition();
+  };
+  PeerClient client(io, "127.0.0.1:" + std::to_string(server.Port()));
+  size_t replies = 0;
+  size_t failures = 0;
+  const auto call = [&] {
+    client.Call(MakeRequest(std::string(kRequestTextBytes, 'x')), SteadyNow() + Seconds(60),
+                [&](const Result<wire::BodyUnion>& reply) { ++(reply ? replies : failures); });
+  };
+  // The buffers that a connection keeps between two frames.
+  constexpr size_t kBuffers = 128 << 10;
+  for (size_t i = 0; i < 5; ++i) call();
+  REQUIRE(until([&] { return received == 5; }));
+  CHECK(bytes->Used() >= 5 * kRequestTextBytes);
+  for (const PeerRequest& request : held) request.Reply(MakeReply("r"));
+  held.clear();
+  REQUIRE(until([&] { return replies == 5; }));
+  CHECK(until([&] { return bytes->Used() <= kBuffers; }));
+  hold = false;  // nobody can answer
+  for (size_t i = 0; i < 40; ++i) call();
+  REQUIRE(until([&] { return received == 45; }));
+  CHECK(until([&] { return bytes->Used() <= kBuffers; }));
+  CHECK(bytes->Cuts() == 0);
+  hold = true;
+  for (size_t i = 0; i < 15; ++i) call();
+  CHECK(until([&] { return failures == 55; }));
+  CHECK(bytes->Cuts() == 1);
+  CHECK(bytes->Used() <= kBuffers);
+  for (const PeerRequest& request : held) CHECK_FALSE(request.Active());
+}
+
 TEST_CASE("peer calls", "[peer]") {
   Fixture f;
   PeerClient client(f.io, f.address);
