--- a/testing/hostile/hostile_clients_main.cc
+++ b/testing/hostile/hostile_clients_main.cc
@@ -40,6 +40,8 @@
 const Place kPutConfig{"controller", kHttpPort, "PUT", "/config"};
 const Place kInstance{"controller", kHttpPort, "PUT", "/instances/i-crowd"};
 const Place kResolve{"controller", kDirectoryPort, "GET", "/resolve"};
+const Place kEvacuate{"controller", kHttpPort, "POST", "/evacuations/z-none"};
+const Place kExplain{"router", kMetricsPort, "POST", "/v1/explain"};
 
 std::string Head(const Place& place, const std::string& fields = "") {
   return place.method + " " + place.path +
@@ -253,6 +255,37 @@
   Attack(place, kCrowd, {.repeat = WithBody(place, "{" + fields + "}")});
 }
 
+// Each request that is executed writes an entry of the log.
+TEST_CASE("evacuations ahead without reading the answers", "[hostile_clients]") {
+  Attack(kEvacuate, kCrowd, {.repeat = Head(kEvacuate)});
+}
+
+TEST_CASE("heads of short fields at /evacuations", "[hostile_clients]") {
+  Attack(kEvacuate, kCrowd, {.repeat = HeadOfShortFields(kEvacuate)});
+}
+
+TEST_CASE("long queries of /resolve", "[hostile_clients]") {
+  Place place = kResolve;
+  place.path += "?" + Repeated("a=b&", kMaxHeaderBytes - Head(place).size() - 1);
+  Attack(place, kCrowd, {.repeat = Head(place)});
+}
+
+TEST_CASE("bodies at /v1/explain", "[hostile_clients]") {
+  constexpr size_t kExplainBytes = 128 << 10;  // kMaxExplainBodyBytes
+  std::string body;
+  SECTION("many short JSON fields") {
+    for (size_t i = 0; body.size() + 16 < kExplainBytes; ++i) {
+      body += (body.empty() ? "{\"" : ",\"") + std::to_string(i) + "\":1";
+    }
+    body += "}";
+  }
+  SECTION("a valid question with a long path") {
+    body =
+        R"({"method":"GET","host":"test.example","path":"/s/)" + std::string(16'000, 'x') + R"("})";
+  }
+  Attack(kExplain, kCrowd, {.repeat = WithBody(kExplain, body)});
+}
+
 TEST_CASE("bytes without end at the peer port", "[hostile_clients]") {
   const Place place =
       GENERATE(Place{"router", kPeerPort, "", ""}, Place{"controller", kPeerPort, "", ""});
