Routers without contact learn from targets that they turn cold

A router without contact with the controllers gets no records, and sent to a target that had turned cold as to a warm one until contact returned. Health requests close this, except for a target whose connections are all in use: a cold target may be slow, so that its connections are never free, and it was then never asked.

Cause: TargetHealth asked only targets with a free connection.

A target without a free connection is now asked once it has not been asked for two intervals. A router without contact that learns that a target is cold sends it nothing, so that the number of such routers does not matter for the limit.

Not covered: targets that do not state the time in their health responses, the requests of one interval, and callers that go on using a router for longer than its grace period after it is no longer offered: the parts of the limit count the offered routers, and a router does not know whether it is one of them.

--- a/core/warmup_limit.cc
+++ b/core/warmup_limit.cc
@@ -85,13 +85,14 @@
                   std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)));
 }
 
-bool WarmupLimit::ShouldAsk(Time now, const TargetRecord& target) const {
+bool WarmupLimit::ShouldAsk(Time now, const TargetRecord& target, bool connection_free) const {
   const Service* service = this->FindService(target);
   if (service == nullptr) return false;
   const Target* known = this->FindTarget(target);
   if (known == nullptr) return true;
+  const int intervals = connection_free ? 1 : kBusyHealthIntervals;
   return now >= ColdUntil(*known, target) &&
-         (!known->asked || now >= *known->asked + this->HealthInterval(*service));
+         (!known->asked || now >= *known->asked + intervals * this->HealthInterval(*service));
 }
 
 void WarmupLimit::OnAsk(Time now, const TargetRecord& target) {
--- a/core/warmup_limit.h
+++ b/core/warmup_limit.h
@@ -8,8 +8,8 @@
 //   limit.OnContact(now);                             // the controllers can be reached
 //   if (limit.OnRecord(now, record)) ...              // on every change of a target's record
 //   if (limit.HasRoom(now, record)) { limit.OnSend(now, record); ... }
-//   if (limit.ShouldAsk(now, record)) { limit.OnAsk(now, record); ... }   // for its health
-//   limit.OnHealth(now, record, Millis(4'000));       // what the target has answered
+//   if (limit.ShouldAsk(now, record, connection_free)) { limit.OnAsk(now, record); ... }   // for
+//   its health limit.OnHealth(now, record, Millis(4'000));       // what the target has answered
 //
 // Contract: a target of a service with a rate gets at most rate * overage + slack requests in any
 // second of the time in which it is cold, summed over all routers. In a steady fleet the routers
@@ -59,6 +59,9 @@
 constexpr double kHealthShare = 0.25;
 // Interval at which a router asks for the health of one target, if the share allows it.
 constexpr Duration kMinHealthInterval = Millis(500);
+// A target whose connections are all in use is asked after this many intervals. A cold target may
+// be slow, and its connections then are never free.
+constexpr int kBusyHealthIntervals = 2;
 // The length of a lease, within which every router in contact learns of one that has joined, and
 // one window for what was sent before.
 constexpr Duration kWarmupSettleTime = Seconds(3);
@@ -96,8 +99,9 @@
   // warm. Returns true if requests to the target are limited from now on and were not before.
   bool OnHealth(Time now, const TargetRecord& target, Duration warmup);
   // Returns true if the target should be asked for its health: its service has a rate, it is not
-  // known to be cold, and this router has not asked it for the interval of health requests.
-  bool ShouldAsk(Time now, const TargetRecord& target) const;
+  // known to be cold, and this router has not asked it for the interval of health requests, or for
+  // kBusyHealthIntervals of them without a free connection.
+  bool ShouldAsk(Time now, const TargetRecord& target, bool connection_free) const;
   void OnAsk(Time now, const TargetRecord& target);
   void Remove(const std::string& target) { this->targets.erase(target); }
 
--- a/io/target_health.cc
+++ b/io/target_health.cc
@@ -8,9 +8,10 @@
 
 void TargetHealth::OnSend(Time now, const TargetRecord& target) {
   const auto path = this->paths.find(target.service);
-  if (path == this->paths.end() || !this->context.warmup.ShouldAsk(now, target)) return;
-  // A request that waited for a connection would take it from the requests of callers.
-  if (!this->context.pool.HasFreeConnection(target)) return;
+  if (path == this->paths.end()) return;
+  // A health request that waits for a connection delays those of callers.
+  const bool connection_free = this->context.pool.HasFreeConnection(target);
+  if (!this->context.warmup.ShouldAsk(now, target, connection_free)) return;
   this->context.warmup.OnAsk(now, target);
   this->context.pool.ClientFor(target).Send(
       {.request = this->context.codec.BuildHealthRequest(path->second, target, kHealthTimeout),
--- a/io/target_health.h
+++ b/io/target_health.h
@@ -8,7 +8,7 @@
 //
 // Contract: runs on the thread of the io_context. Only targets that get requests of this router are
 // asked, and only those of services with a path and a warm-up rate; WarmupLimit decides when. The
-// exchange uses a free connection of the target's pool, which is closed afterwards. Failures are
+// exchange uses a connection of the target's pool, which is closed afterwards. Failures are
 // ignored. Requests that wait for a target that has turned cold are placed anew.
 #ifndef PERIDOTGAUGE_IO_TARGET_HEALTH_H_
 #define PERIDOTGAUGE_IO_TARGET_HEALTH_H_
