--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -10,6 +10,7 @@
 
 #include "io/clock.h"
 #include "raw_socket.h"
+#include "testing/loopback_network.h"
 
 namespace peridotgauge {
 namespace {
@@ -380,7 +381,7 @@
   Fixture fixture;
   Outcome outcome;
   SECTION("no: the connection is refused") {
-    const Address free = RawListener().AddressText();
+    const Address free = ClaimLoopbackNetwork() + "1:9";  // no process listens there
     fixture.client = std::make_unique<HttpClient>(
         fixture.io, free, HttpClientOptions{.max_connections = 4, .min_connections = 0});
     Outcome other;
--- a/testing/standin_test.cc
+++ b/testing/standin_test.cc
@@ -12,14 +12,17 @@
 #include "io/http_server.h"
 #include "io/target_client.h"
 #include "raw_socket.h"
+#include "testing/loopback_network.h"
 
 namespace peridotgauge {
 namespace {
 
 StandinOptions Options() {
+  // A target that restarts listens on the same port, which no other process may take meanwhile.
+  static const std::string network = ClaimLoopbackNetwork();
   StandinOptions options;
   options.record = {.target = "spoons/1",
-                    .address = "127.0.0.1:0",
+                    .address = network + "1:0",
                     .service = "spoons",
                     .data_centre = "tre-a",
                     .slots = 2,
