--- a/testing/control_cluster.h
+++ b/testing/control_cluster.h
@@ -116,19 +116,19 @@
 
   explicit Cluster(EventLog* events = nullptr, const ConfigParser& parse_config = &Config::Parse) {
     // No other test listens on the address of a controller that a test has closed.
-    static const std::string network = ClaimLoopbackNetwork();
+    static const std::string kNetwork = ClaimLoopbackNetwork();
     for (size_t i = 0; i < 3; ++i) {
       auto node = std::make_unique<Node>();
       node->log = std::make_unique<FakeLog>(this->io, this->group, i);
       this->group.states.push_back(&node->state);
       node->server = std::make_unique<PeerServer>(
-          this->io, network + "1:0",
+          this->io, kNetwork + "1:0",
           [this, raw = node.get()](wire::BodyUnion body, const PeerRequest& request) {
             if (this->intercept && this->intercept(body, request)) return;
             raw->controller->Handle(std::move(body), request);
           });
       this->controllers.push_back(
-          {"c" + std::to_string(i), network + "1:" + std::to_string(node->server->Port())});
+          {"c" + std::to_string(i), kNetwork + "1:" + std::to_string(node->server->Port())});
       this->nodes.push_back(std::move(node));
     }
     for (size_t i = 0; i < 3; ++i) {
--- a/testing/standin_test.cc
+++ b/testing/standin_test.cc
@@ -19,10 +19,10 @@
 
 StandinOptions Options() {
   // A target that restarts listens on the same port, which no other process may take meanwhile.
-  static const std::string network = ClaimLoopbackNetwork();
+  static const std::string kNetwork = ClaimLoopbackNetwork();
   StandinOptions options;
   options.record = {.target = "spoons/1",
-                    .address = network + "1:0",
+                    .address = kNetwork + "1:0",
                     .service = "spoons",
                     .data_centre = "tre-a",
                     .slots = 2,
