Overload: reject by lateness at the objective, not at the end

Load: a burst of several times the usual rate while targets are slow. The former decision counted late requests at their end, up to their deadline, needed half of a class to be late, and changed the rejected share in steps of a quarter, the less urgent class first.

core/lateness_shedding.* counts a request as late when it reaches its objective, and rejects a share that follows the recent elapsed times. It does nothing while accepted attempts take less than a quarter of the objective, since requests then wait for retries.

"late_share" of the log line and of explain is now "shed_share".

--- a/core/explain.cc
+++ b/core/explain.cc
@@ -151,7 +151,7 @@
   out["refused_share"] = verdict.refused_share;
   out["chance"] = verdict.chance;
   out["retries_left"] = verdict.retries_left;
-  out["late_share"] = verdict.late_share;
+  out["shed_share"] = verdict.shed_share;
   if (verdict.latency) out["latency_ms"] = ToMillis(*verdict.latency);
   return out;
 }
--- a/core/overload.cc
+++ b/core/overload.cc
@@ -19,8 +19,6 @@
 constexpr size_t kCheapRetries = 2;
 // A class competes with others for this time after its last request.
 constexpr Duration kCompetes = 2 * kServedTime;
-// A less urgent class that has sent nothing for this time has nothing to reject.
-constexpr Duration kRejectedFirst = Seconds(1);
 // A recent refusal share below half of the long-term one is a clear decrease. Smaller differences
 // are normal in the few attempts of half a second.
 constexpr double kClearDecrease = 2;
@@ -77,7 +75,11 @@
   return {.all = this->all * weight, .marked = this->marked * weight, .updated = now};
 }
 
-void OverloadAdmission::OnAttempt(Time now, std::string_view service, bool refused) {
+void OverloadAdmission::OnAttempt(Time now, std::string_view service, bool refused,
+                                  Duration elapsed) {
+  if (!refused) {
+    this->accepted.Add(now, kRecentTime, 1, std::chrono::duration<double>(elapsed).count());
+  }
   auto found = this->services.find(service);
   if (found == this->services.end()) {
     found = this->services.emplace(service, ServiceState{}).first;
@@ -90,9 +92,7 @@
   const auto found = this->classes.find(load_class);
   if (found == this->classes.end()) return;
   if (end.served) found->second.latency.Add(now, end.elapsed);
-  const Duration objective = found->second.objective;
-  const bool late = objective > Duration(0) && end.elapsed > objective;
-  found->second.ended.Add(now, kLateTime, 1, late ? 1 : 0);
+  found->second.lateness.OnEnded(now, end.elapsed, found->second.objective);
   found->second.served.Add(now, kServedTime, 0, end.served ? 1 : 0);
   this->served.Add(now, kServedTime, 0, end.served ? 1 : 0);
 }
@@ -133,7 +133,10 @@
   const AdmissionVerdict verdict = this->Decide(now, query, state);
   state.served.Add(now, kServedTime, 1, 0);
   this->served.Add(now, kServedTime, 1, 0);
-  if (verdict.Admitted()) state.last_admitted = now;
+  if (verdict.Admitted()) {
+    state.last_admitted = now;
+    state.lateness.OnStarted(now);
+  }
   return verdict;
 }
 
@@ -141,9 +144,11 @@
                                            LoadState& state) {
   AdmissionVerdict verdict;
   if (this->TooLate(now, query, state, verdict)) return verdict;
-  if (this->Shed(now, query, state, verdict)) return verdict;
   verdict.refused_share = this->RefusedShare(now, query.plan);
-  if (verdict.refused_share < kShortShare) return verdict;
+  const std::optional<Duration> attempt = this->MeanAttempt(now);
+  if (attempt && *attempt < kQueuedAttempt * query.objective) state.lateness.Clear();
+  this->Shed(now, query, state, verdict);
+  if (verdict.refused_share < kShortShare || !verdict.Admitted()) return verdict;
   std::vector<OpenShard> open;
   open.reserve(query.plan.shards.size());
   for (uint32_t i = 0; i < query.plan.shards.size(); ++i) {
@@ -154,23 +159,22 @@
   return verdict;
 }
 
-bool OverloadAdmission::Shed(Time now, const AdmissionQuery& query, LoadState& state,
+std::optional<Duration> OverloadAdmission::MeanAttempt(Time now) const {
+  const Counts counts = this->accepted.At(now, kRecentTime);
+  if (counts.all < 1) return std::nullopt;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(counts.marked / counts.all));
+}
+
+void OverloadAdmission::Shed(Time now, const AdmissionQuery& query, LoadState& state,
                              AdmissionVerdict& verdict) {
-  if (query.plan.shards.size() < 2) return false;
-  if (now - state.shed_updated >= kShedInterval) {
-    const double late_share = this->LateShare(now, query.load_class, state);
-    const double intervals = std::floor((now - state.shed_updated) / kShedInterval);
-    state.shed = late_share > 0 ? std::min(kMaxShed, state.shed + kShedIncrease)
-                                : std::max(0.0, state.shed - kShedDecrease * intervals);
-    state.shed_updated = now;
-  }
-  if (state.shed == 0) return false;
-  state.shed_credit += state.shed;
-  if (state.shed_credit < 1) return false;
+  if (query.plan.shards.size() < 2) return;
+  const double share = this->ShedShare(now, query.load_class, state);
+  state.shed_credit += share;
+  if (share == 0 || state.shed_credit < 1) return;
   state.shed_credit -= 1;
-  verdict.late_share = this->LateShare(now, query.load_class, state);
+  verdict.shed_share = share;
   verdict.reason = RejectReason::kLate;
-  return true;
 }
 
 bool OverloadAdmission::ShareService(const LoadState& a, const LoadState& b) {
@@ -178,25 +182,16 @@
                      [&](const std::string& service) { return b.services.contains(service); });
 }
 
-double OverloadAdmission::LateShare(Time now, const LoadClass& load_class,
-                                    const LoadState& state) const {
+double OverloadAdmission::ShedShare(Time now, const LoadClass& load_class, const LoadState& state) {
   double own_share = 0;  // of classes with the same priority
   double more_urgent_share = 0;
   bool most_urgent = true;
-  for (const auto& [other, other_state] : this->classes) {
-    const Duration unseen = now - other_state.last_seen;
-    const bool competes = unseen <= kCompetes && ShareService(state, other_state);
-    if (!competes) continue;
-    if (other.priority > load_class.priority) {
-      // Less urgent classes are rejected first.
-      if (unseen <= kRejectedFirst && other_state.shed < kMaxShed) return 0;
-      continue;
-    }
+  for (auto& [other, other_state] : this->classes) {
+    if (other.priority > load_class.priority || now - other_state.last_seen > kCompetes) continue;
+    if (!ShareService(state, other_state)) continue;
     if (other.priority < load_class.priority) most_urgent = false;
-    const Counts ended = other_state.ended.At(now, kLateTime);
-    if (ended.all < kLateLeastEnds || ended.marked < kLateShare * ended.all) continue;
     double& share = other.priority < load_class.priority ? more_urgent_share : own_share;
-    share = std::max(share, ended.marked / ended.all);
+    share = std::max(share, other_state.lateness.Share(now, other_state.objective));
   }
   return most_urgent ? own_share : more_urgent_share;
 }
--- a/core/overload.h
+++ b/core/overload.h
@@ -35,12 +35,12 @@
 //   Neither applies to a class that is served less than kLeastShare times as often as all.
 // - Recovery: the estimates follow the last second. One search of 36 shards shows that refusals
 //   have stopped.
-// - Late answers: if answers of a class end after its objective, because requests wait at targets,
-//   a growing share of the least urgent class that shares a service with it is rejected at arrival,
-//   then of the next one and at last of itself, but never more than kMaxShed of a class. Lateness
-//   of a class that has a more urgent one beside it rejects nothing: its objective may be too short
-//   for targets that are slow but not overloaded. Requests for one target are never rejected for
-//   this: they take room at one target only, and a late answer still has value.
+// - Late answers: while requests of a class become late, because requests wait at targets, a share
+//   of it is rejected at arrival, see core/lateness_shedding.h, and the same share of the less
+//   urgent classes that share a service with it. Lateness of a class that has a more urgent one
+//   beside it rejects nothing: its objective may be too short for targets that are slow but not
+//   overloaded. Requests for one target are never rejected for this: they take room at one target
+//   only, and a late answer still has value.
 // - Latency: if nine of ten recent answers of a class are later than its objective and than the
 //   time that a request has left, the request is rejected at arrival. One request in each
 //   kLatencyProbeInterval is admitted regardless.
@@ -60,6 +60,7 @@
 #include <vector>
 
 #include "core/hedge.h"
+#include "core/lateness_shedding.h"
 #include "core/plan.h"
 #include "core/quantile_window.h"
 #include "core/search_policy.h"
@@ -97,20 +98,13 @@
 // An attempt that has run for this time is not refused any more: a refusal takes the time of the
 // network in both directions, 6 ms in the users' deployments, and little more.
 constexpr Duration kSettleTime = Millis(10);
+// Requests are late because of queues only if accepted attempts take at least this share of the
+// objective on average. Otherwise they wait for retries, which rejecting others does not change.
+constexpr double kQueuedAttempt = 0.25;
 // Time constant of the decay of the served shares of classes.
 constexpr Duration kServedTime = Seconds(5);
 // A rejected caller is asked to return after half to one and a half times this time.
 constexpr Duration kRoomCheckInterval = Millis(100);
-// Answers are late if at least this share of a class ends after its objective. Half of a sparse
-// class may be late by chance.
-constexpr double kLateShare = 0.5;
-constexpr double kLateLeastEnds = 2.5;
-constexpr Duration kLateTime = Millis(700);
-// The share of rejected requests of a class changes in these steps, at most once per interval.
-constexpr Duration kShedInterval = Millis(250);
-constexpr double kShedIncrease = 0.25;
-constexpr double kShedDecrease = 0.25;
-constexpr double kMaxShed = 1 - kLeastShare;
 constexpr Duration kLatencyWindow = Seconds(1);
 constexpr uint64_t kLatencyMinSamples = 10;
 constexpr double kLatencyQuantile = 0.1;
@@ -142,7 +136,7 @@
   kChance,   // too few shards are likely to be covered
   kUrgency,  // the retries left are for more urgent requests
   kLatency,  // recent answers took longer than the time left
-  kLate,     // recent answers were late, and fewer requests make the others faster
+  kLate,     // requests become late, and fewer of them make the others faster
 };
 std::string_view NameOf(RejectReason reason);
 
@@ -152,7 +146,7 @@
   double refused_share = 0;         // of recent attempts at the services of the request
   double chance = 1;                // of covering the needed shards
   double retries_left = 0;          // mean of the services
-  double late_share = 0;            // of recent answers; only set for kLate
+  double shed_share = 0;            // of the arrivals that is rejected; only set for kLate
   std::optional<Duration> latency;  // nine of ten answers took longer; only set for kLatency
   // Returns when the caller may try again: after half to one and a half kRoomCheckInterval, at
   // random, so that rejected callers do not return at the same time.
@@ -177,7 +171,8 @@
   AdmissionVerdict Preview(Time now, const AdmissionQuery& query) const {
     return OverloadAdmission(*this).Admit(now, query);
   }
-  void OnAttempt(Time now, std::string_view service, bool refused);
+  // `elapsed` is the time from sending the attempt to its reply or cancellation.
+  void OnAttempt(Time now, std::string_view service, bool refused, Duration elapsed = Duration(0));
   // Must be called for admitted requests only.
   void OnEnded(Time now, const LoadClass& load_class, const RequestEnd& end);
 
@@ -216,16 +211,16 @@
     Counts served;
     QuantileWindow latency{kLatencyWindow, kLatencyMinSamples};
     std::optional<Time> last_admitted;
-    Counts ended;            // requests; the late ones are marked
-    double shed = 0;         // share of the requests that is rejected
+    LatenessShedding lateness;
     double shed_credit = 0;  // a rejection takes 1
-    Time shed_updated{};
   };
 
   AdmissionVerdict Decide(Time now, const AdmissionQuery& query, LoadState& state);
-  bool Shed(Time now, const AdmissionQuery& query, LoadState& state, AdmissionVerdict& verdict);
-  // Returns the share of late answers for which the class must reject more, or 0.
-  double LateShare(Time now, const LoadClass& load_class, const LoadState& state) const;
+  // Returns the mean time of the recent attempts that were not refused, or nothing without any.
+  std::optional<Duration> MeanAttempt(Time now) const;
+  void Shed(Time now, const AdmissionQuery& query, LoadState& state, AdmissionVerdict& verdict);
+  // Returns the share of the class to reject because it or a more urgent one becomes late.
+  double ShedShare(Time now, const LoadClass& load_class, const LoadState& state);
   bool TooLate(Time now, const AdmissionQuery& query, LoadState& state, AdmissionVerdict& verdict);
   // Returns the lowest served share of the more urgent classes that share a service with this one,
   // or nothing if there are none.
@@ -239,7 +234,8 @@
   const HedgeBudget& budget;
   std::map<std::string, ServiceState, std::less<>> services;
   std::map<LoadClass, LoadState> classes;
-  Counts served;  // of all classes
+  Counts served;    // of all classes
+  Counts accepted;  // attempts of all services; their seconds are marked
 };
 
 // Returns the probability that at least `needed` of independent events with these probabilities
--- a/io/overload_guard.cc
+++ b/io/overload_guard.cc
@@ -31,7 +31,7 @@
                       .Add("refused_share", verdict.refused_share)
                       .Add("chance", verdict.chance)
                       .Add("retries_left", verdict.retries_left)
-                      .Add("late_share", verdict.late_share)
+                      .Add("shed_share", verdict.shed_share)
                       .Add("latency_ms", verdict.latency.value_or(Duration(0)))
                       .Add("allowed_ms", params.deadline - now)
                       .Add("retry_after_ms", retry_after));
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -417,7 +417,7 @@
 
   void ObserveAttempt(Time now, const Attempt& attempt, bool refused) {
     if (!this->context.overload_admission) return;
-    this->context.overload.OnAttempt(now, *attempt.service, refused);
+    this->context.overload.OnAttempt(now, *attempt.service, refused, now - attempt.sent);
   }
 
   void ObserveEnd(Time now, uint32_t covered) {
