Take back the limit on open requests of all routers together

The limit of a workspace held in every burst, but with more than 12 routers most requests of workspaces waited for the leader.

--- a/core/workspace_quota.cc
+++ b/core/workspace_quota.cc
@@ -73,31 +73,16 @@
   return kBaseShare * QuotaExcess(state.quota, this->tolerance) * this->BaseShare(now);
 }
 
-// Open requests that this router may admit between two reports.
-double WorkspaceQuota::OpenRequests(Time now, const State& state) const {
-  const double excess = QuotaExcess(state.quota, this->tolerance);
-  const bool base_used = this->BaseAllowance(now, state) >= 1;
-  const double routers = this->Routers(now);
-  if (routers <= kAllOpenRouters) {
-    // A base allowance of one request at each router takes the part of the excess that another open
-    // request at each would need: 8 routers admitted 21 requests of 20.9 allowed.
-    return (base_used ? 0 : kOpenRequests) + std::floor(kOpenShare * excess / routers) +
-           std::floor(kOpenSeconds * state.quota.rate_per_s);
-  }
-  if (!this->open_slot || *this->open_slot >= routers) return 0;
-  // The part of the excess that belongs to routers without contact is used by these.
-  const double served =
-      std::min(static_cast<double>(this->offered_now) * this->OwnShare(now) + kRounding, 1.0);
-  const double all =
-      std::floor((base_used ? kOpenShare : kOpenShare + kBaseShare) * excess * served);
-  const double each = std::floor(all / routers);
-  return each + (*this->open_slot < all - each * routers ? 1 : 0);
-}
-
 bool WorkspaceQuota::AdmitOpen(Time now, const std::string& workspace, State& state) {
   const bool known = this->sequence > 0 && now - this->own_share_at < kOpenTime;
   if (this->lost_at || !known || this->near_limit.contains(workspace)) return false;
-  if (state.unreported >= this->OpenRequests(now, state)) return false;
+  const double share = kOpenShare * QuotaExcess(state.quota, this->tolerance) / this->Routers(now);
+  // A base allowance of one request at each router takes the part of the excess that another open
+  // request at each would need: 8 routers admitted 21 requests of 20.9 allowed.
+  const double one = this->BaseAllowance(now, state) < 1 ? kOpenRequests : 0;
+  const double allowed =
+      one + std::floor(share) + std::floor(kOpenSeconds * state.quota.rate_per_s);
+  if (state.unreported >= allowed) return false;
   ++state.unreported;
   return true;
 }
@@ -277,7 +262,6 @@
   this->near_limit = grants.near_limit;
   this->own_share = grants.own_share;
   this->share_divisor.Set(now, ShareDivisor(grants.own_share));
-  this->open_slot = grants.open_slot;
   this->own_share_at = this->asked_at;
   const Time end = this->asked_at + std::min(grants.valid, kPermitLifetime);
   for (auto& [name, state] : this->states) {
--- a/core/workspace_quota.h
+++ b/core/workspace_quota.h
@@ -84,21 +84,14 @@
 constexpr Duration kAskPace = Millis(5);
 constexpr Duration kMinAskInterval = Millis(50);
 constexpr Duration kMaxAskInterval = Millis(250);
-// Open requests of a workspace at one router between two reports, with up to kAllOpenRouters: one,
-// an equal part of this share of the excess, and those of this time at the rate of the limit, for
-// workspaces with all their callers at one router. With four in place of one, a burst of a small
-// workspace at all routers at the same moment exceeds the limit. The share is what base allowances,
-// bucket and filling leave: a burst of open requests at the end of a window adds to these parts.
-// With more routers, one at each is more than this share: a workspace with a limit below 1/s went
-// 10 requests above it with 30 routers and 63 with 83. All open requests together are then limited
-// to the share, and to the part of base allowances below one request, which are not used. They are
-// dealt out one by one to the slots that the leader gives to the routers that ask; the other
-// routers wait for the leader.
+// Open requests of a workspace at one router between two reports: one, an equal part of this share
+// of the excess, and those of this time at the rate of the limit, for workspaces with all their
+// callers at one router. With four in place of one, a burst of a small workspace at all routers at
+// the same moment exceeds the limit. The share is what base allowances, bucket and filling leave: a
+// burst of open requests at the end of a window adds to these parts.
 constexpr double kOpenRequests = 1;
 constexpr double kOpenShare = 0.2;
 constexpr double kOpenSeconds = 0.05;
-// The smallest excess, 20, has room for one open request at each of this many routers.
-constexpr size_t kAllOpenRouters = 12;
 // What the leader has said of the workspaces near their limit counts for this time after the ask.
 constexpr Duration kOpenTime = Millis(2'500);
 // Pause after an ask without a reply.
@@ -148,9 +141,6 @@
   double own_share = 0;
   // All workspaces that are near their limit.
   std::set<std::string, std::less<>> near_limit;
-  // Which part of the open requests the router may admit if more than kAllOpenRouters are offered.
-  // No other router has the same slot. Nothing: the router may admit none then.
-  std::optional<uint32_t> open_slot;
   bool operator==(const QuotaGrants&) const = default;
 };
 
@@ -262,7 +252,6 @@
   double Routers(Time now) const;
   double BaseShare(Time now) const;
   double BaseAllowance(Time now, const State& state) const;
-  double OpenRequests(Time now, const State& state) const;
   bool AdmitOpen(Time now, const std::string& workspace, State& state);
   bool AdmitFromBase(Time now, State& state);
   bool AdmitWithPermit(Time now, State& state);
@@ -294,7 +283,6 @@
   std::set<std::string, std::less<>> near_limit;  // as the leader said at `own_share_at`
   double own_share = 0;                           // as above
   RecentMaximum share_divisor;                    // 1 / own_share, rounded up
-  std::optional<uint32_t> open_slot;              // as above
   Time own_share_at;
   uint64_t granted = 0;
   uint64_t expired = 0;
--- a/io/control_client.cc
+++ b/io/control_client.cc
@@ -192,7 +192,6 @@
             if (grant) grants.permits[grant->workspace] = grant->permits;
           }
           grants.near_limit.insert(message->near_limit.begin(), message->near_limit.end());
-          if (message->open_slot >= 0) grants.open_slot = static_cast<uint32_t>(message->open_slot);
           callback(std::move(grants));
         });
   }
--- a/io/quota_service.cc
+++ b/io/quota_service.cc
@@ -38,7 +38,6 @@
     reply.grants.push_back(std::move(grant));
   }
   reply.near_limit.assign(grants.near_limit.begin(), grants.near_limit.end());
-  if (grants.open_slot) reply.open_slot = static_cast<int32_t>(*grants.open_slot);
   return ToBody(std::move(reply));
 }
 
@@ -61,7 +60,7 @@
   const bool calm = this->earlier_leader_change &&
                     now - *this->earlier_leader_change >= this->context.tolerance.window;
   this->table.Reset(now, calm);
-  this->contacts.Reset(now);
+  this->contacts.Reset();
   this->config_index.reset();
 }
 
@@ -152,7 +151,6 @@
     } else {
       QuotaGrants grants = this->table.Grant(entry.arrived, entry.router, entry.ask);
       grants.own_share = this->contacts.AssignShare(now, entry.router.id, entry.ask.own_share);
-      grants.open_slot = this->contacts.AssignOpenSlot(now, entry.router.id);
       entry.reply(ToReply(grants, this->context.id));
     }
   }
--- a/state/quota_table.cc
+++ b/state/quota_table.cc
@@ -165,9 +165,7 @@
   return entries;
 }
 
-void RouterContacts::Reset(Time now) {
-  this->open_slots.clear();
-  this->open_slots_from = now + kOpenSlotTime;
+void RouterContacts::Reset() {
   for (auto& [id, router] : this->routers) {
     router.known = false;
     router.reported = false;
@@ -207,32 +205,15 @@
   for (const auto& [other, record] : this->routers) {
     if (other != id && now < record.offered + kLostRouterMemory) others += record.share;
   }
+  const bool offered = this->offered_count > 0 && now < router.offered + kOfferedTime;
   const double assigned =
-      this->Offered(now, router)
-          ? std::clamp(1 - others, 0.0, 1.0 / static_cast<double>(this->offered_count))
-          : 0.0;
+      offered ? std::clamp(1 - others, 0.0, 1.0 / static_cast<double>(this->offered_count)) : 0.0;
   router.reported = true;
   router.lower_share = 0;
   router.share = std::max(reported, assigned);
   return assigned;
 }
 
-std::optional<uint32_t> RouterContacts::AssignOpenSlot(Time now, const std::string& id) {
-  const auto router = this->routers.find(id);
-  if (now < this->open_slots_from || router == this->routers.end() ||
-      !this->Offered(now, router->second)) {
-    return std::nullopt;
-  }
-  std::vector<OpenSlot>& slots = this->open_slots;
-  while (!slots.empty() && slots.back().until <= now) slots.pop_back();
-  // A router may move to a lower slot. Its higher one stays reserved, as the reply may be lost.
-  auto slot = std::ranges::find_if(
-      slots, [&](const OpenSlot& each) { return each.router == id || each.until <= now; });
-  if (slot == slots.end()) slot = slots.insert(slots.end(), OpenSlot{});
-  *slot = {.router = id, .until = now + kOpenSlotTime};
-  return static_cast<uint32_t>(slot - slots.begin());
-}
-
 void RouterContacts::RecordContact(Time now, const std::string& id) {
   Router& router = this->routers[id];
   router.known = true;
--- a/state/quota_table.h
+++ b/state/quota_table.h
@@ -34,7 +34,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -133,11 +132,6 @@
 // Observe() must be called by every controller, also by one that does not lead, so that a new
 // leader knows which routers were lost. It assumes for each an equal share of the last seconds in
 // which it was offered, until the router reports its own.
-//
-// The leader also gives each offered router that asks one of the open slots 0, 1, 2 and so on, the
-// lowest that no other router can hold. A router uses the one of the last reply for at most
-// kOpenTime after its ask, so that no two routers use the same slot at a time, also if replies are
-// lost. A new leader gives none until those of its predecessor have ended.
 class RouterContacts {
  public:
   // A router with an older sync request has no contact. Its lease ends not before, and it uses its
@@ -150,11 +144,8 @@
   static constexpr Duration kShareDelay = Seconds(5);
   static constexpr Duration kLostRouterMemory = kOwnShareTime + kSessionLength;
 
-  // A slot is given to another router this long after it was last given.
-  static constexpr Duration kOpenSlotTime = kOpenTime + kPermitMargin;
-
   // Starts a term of leadership: forgets contacts with earlier leaders.
-  void Reset(Time now);
+  void Reset();
   // Ends a term of leadership: routers report their shares to another leader from here on, which
   // may assign larger ones.
   void EndTerm();
@@ -167,9 +158,6 @@
   // Returns the share that the router may use without a lease. `reported`: the share that it would
   // use at present.
   double AssignShare(Time now, const std::string& id, double reported);
-  // Returns the slot of the open requests that the router may admit, or nothing if it may admit
-  // none.
-  std::optional<uint32_t> AssignOpenSlot(Time now, const std::string& id);
   double ServedShare(Time now) const;
   size_t Size() const { return this->routers.size(); }
 
@@ -183,18 +171,8 @@
     bool known = false;  // has had contact in this term
     Time contact;
   };
-  struct OpenSlot {
-    std::string router;
-    Time until;
-  };
-  bool Offered(Time now, const Router& router) const {
-    return this->offered_count > 0 && now < router.offered + kOfferedTime;
-  }
-
   std::map<std::string, Router> routers;
   size_t offered_count = 0;
-  std::vector<OpenSlot> open_slots;
-  Time open_slots_from;  // those of earlier leaders have ended
 };
 
 }  // namespace peridotgauge
--- a/testing/quota_simulation.cc
+++ b/testing/quota_simulation.cc
@@ -141,7 +141,6 @@
       this->UpdateTable(arrived, this->Leader());
       QuotaGrants grants = this->Leader().table.Grant(arrived, id, ask);
       grants.own_share = this->Leader().contacts.AssignShare(this->now, id.id, ask.own_share);
-      grants.open_slot = this->Leader().contacts.AssignOpenSlot(this->now, id.id);
       this->At(this->now + this->Delay(), [this, number, id, ask, grants] {
         if (this->routers[number]->connected) this->Reply(number, id, ask.sequence, grants);
       });
@@ -220,7 +219,7 @@
     controller.table.Reset(
         this->now, controller.seen_change &&
                        this->now - controller.last_change >= this->options.tolerance.window);
-    controller.contacts.Reset(this->now);
+    controller.contacts.Reset();
     controller.table_config = 0;
     for (Controller& each : this->controllers) {
       each.seen_change = true;
