Lint: heartbeat address and directory feed test

clang-tidy over the 60 changed .cc files found two findings: a temporary string and a vector without a reserved size. No behaviour changes; [heartbeat_sender] and [directory_feed] pass.

--- a/core/heartbeat_address.cc
+++ b/core/heartbeat_address.cc
@@ -32,7 +32,9 @@
   uint64_t highest = 0;
   for (const std::string& member : members) {
     if (member == leader) continue;
-    const uint64_t hash = HashOf(member + '/' + target);
+    std::string pair = member;
+    pair.append("/").append(target);
+    const uint64_t hash = HashOf(pair);
     if (chosen != &leader && hash <= highest) continue;
     chosen = &member;
     highest = hash;
--- a/testing/directory_feed_test.cc
+++ b/testing/directory_feed_test.cc
@@ -60,6 +60,7 @@
   directory.StartEpoch(now, 1);
   directory.SetOwnRegistrar(kRegistrar);
   std::vector<TargetRecord> records;
+  records.reserve(kTargets);
   for (int i = 0; i < kTargets; ++i) records.push_back(RecordOf(i, 1, 1));
   directory.Merge(now, kRegistrar, records, /*full=*/false);
   now += kCollectTime;
