Fleets with quotas begin with few routers

Until a load is known, callers are told about up to 64 routers. Each router that shares a quota has a smaller part of it, so that requests wait for permits. A fleet whose configuration limits a workspace now begins with the smallest number of routers (4 in each data centre); the load raises it as before.

The new test failed before: 6 of 6 routers were offered where 4 are expected.

--- a/core/router_offer.cc
+++ b/core/router_offer.cc
@@ -61,6 +61,10 @@
 
 }  // namespace
 
+size_t MinOfferedCount(size_t active, size_t data_centres) {
+  return std::min(active, kMinOfferedPerDataCentre * data_centres);
+}
+
 size_t OfferedCount(size_t count, size_t active) {
   return std::min(count == 0 ? kMaxListedRouters : count, active);
 }
@@ -100,9 +104,8 @@
   if (active == 0 || loads.empty() || processors <= 0) return std::nullopt;
   const double per_router = processors / static_cast<double>(loads.size()) *
                             kSubRequestsPerProcessor * kPlannedUtilization;
-  const size_t needed =
-      std::clamp(static_cast<size_t>(std::ceil(sub_requests / per_router)),
-                 std::min(active, kMinOfferedPerDataCentre * data_centres), active);
+  const size_t needed = std::clamp(static_cast<size_t>(std::ceil(sub_requests / per_router)),
+                                   MinOfferedCount(active, data_centres), active);
   const double change = std::abs(static_cast<double>(needed) - static_cast<double>(current));
   const bool worthwhile = change > kMinOfferChange * static_cast<double>(current);
   if (needed > current) return worthwhile ? std::optional(needed) : std::nullopt;
--- a/core/router_offer.h
+++ b/core/router_offer.h
@@ -45,6 +45,9 @@
 constexpr double kMinOfferChange = 0.2;
 constexpr double kSteadyLoadRatio = 1.1;  // of the load to the one an interval ago
 
+// Returns the smallest number of routers to offer, of `active` ones in `data_centres`.
+size_t MinOfferedCount(size_t active, size_t data_centres);
+
 // Returns how many of `active` routers are in use. If `count` is 0, no load is known yet; then as
 // many are as one list can hold.
 size_t OfferedCount(size_t count, size_t active);
--- a/io/controller.cc
+++ b/io/controller.cc
@@ -844,8 +844,13 @@
     for (const auto& [id, router] : this->state.Routers()) data_centres.insert(router.data_centre);
     const size_t active = this->state.ActiveRouters();
     const size_t current = OfferedCount(this->state.OfferedRouterCount(), active);
-    const auto count =
+    std::optional<size_t> count =
         this->offer_policy.NextCount(now, current, active, data_centres.size(), reported);
+    // Each router that shares a quota makes it more likely that a request waits for a permit, so
+    // that a fleet with quotas begins with few routers and adds those that its load needs.
+    if (this->state.OfferedRouterCount() == 0 && active > 0 && this->quotas->HasQuotas()) {
+      count = MinOfferedCount(active, data_centres.size());
+    }
     if (!count) return;
     this->offer_pending = true;
     this->events.RoutersOffered(*count, active);
--- a/io/quota_service.h
+++ b/io/quota_service.h
@@ -57,6 +57,8 @@
   void Handle(Time now, const wire::QuotaRequestT& request, Reply reply);
   void CheckLeadership(Time now);
   void OnTimer(Time now);
+  // Returns true if the configuration limits a workspace. Known while this controller leads.
+  bool HasQuotas() const { return this->table.Workspaces() > 0; }
   void RecordContact(Time now, const std::string& router);
   // The router has left cleanly and uses no share any more.
   void ForgetRouter(const std::string& router) { this->contacts.Forget(router); }
--- a/testing/quota_test.cc
+++ b/testing/quota_test.cc
@@ -1,12 +1,14 @@
 // Tests of request quotas with real controllers, routers and targets. They guard against requests
 // that run although they were refused, against costs for requests without a limit, and against
 // permits from a controller that does not lead.
+#include <boost/json.hpp>
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <optional>
 #include <string>
 #include <thread>
 
+#include "core/router_offer.h"
 #include "testing/control_cluster.h"
 #include "testing/route_deployment.h"
 
@@ -125,5 +127,38 @@
   CHECK(target.Arrivals().size() == arrived + 150);
 }
 
+// Guards against a wait for the leader at the start of a fleet, when callers are told about all of
+// its routers because no load is known yet, and each has too small a part of a quota.
+TEST_CASE("a fleet with quotas begins with few routers", "[quota][quota_deployment]") {
+  const bool limited = GENERATE(false, true);
+  RouteDeployment deployment({.controllers = 1, .routers = 6});
+  std::string text = ConfigText(1, {RouteText("r", "/p/", "safe", 2'000, "s")}, {"s"});
+  text.insert(text.rfind('}'),
+              limited ? R"(,"tenants":[{"name":"w","apiKeys":["kw"],"ratePerS":10,"burst":10}])"
+                      : R"(,"tenants":[{"name":"w","apiKeys":["kw"]}])");
+  const auto offered = [&] {
+    const auto answer = Call(deployment.ControllerDirectoryAddress(0),
+                             {.method = "GET", .path = "/resolve"}, Seconds(3));
+    return answer && answer->status == 200
+               ? boost::json::parse(answer->body).at("addrs").as_array().size()
+               : 0;
+  };
+  const auto await = [&](size_t count) {
+    for (const Time end = SteadyNow() + kDeploymentTimeout; SteadyNow() < end;) {
+      if (offered() == count) return true;
+      std::this_thread::sleep_for(Millis(20));
+    }
+    return false;
+  };
+  REQUIRE(await(6));
+  REQUIRE(deployment.Apply(text));
+  if (limited) {
+    CHECK(await(kMinOfferedPerDataCentre));
+  } else {
+    std::this_thread::sleep_for(Seconds(1));
+    CHECK(offered() == 6);
+  }
+}
+
 }  // namespace
 }  // namespace peridotgauge
--- a/testing/route_deployment.cc
+++ b/testing/route_deployment.cc
@@ -396,6 +396,9 @@
 Address RouteDeployment::ControllerMetricsAddress(size_t number) const {
   return this->IpOf("controller-" + std::to_string(number)) + ":" + std::to_string(kMetricsPort);
 }
+Address RouteDeployment::ControllerDirectoryAddress(size_t number) const {
+  return this->IpOf("controller-" + std::to_string(number)) + ":" + std::to_string(kDirectoryPort);
+}
 
 Address RouteDeployment::RouterAddress(size_t number) const {
   return this->IpOf("router-" + std::to_string(number)) + ":" + std::to_string(kHttpPort);
--- a/testing/route_deployment.h
+++ b/testing/route_deployment.h
@@ -157,6 +157,8 @@
 
   Address ControllerAddress(size_t number) const;
   Address ControllerMetricsAddress(size_t number) const;
+  // Where a controller tells callers which routers to use.
+  Address ControllerDirectoryAddress(size_t number) const;
   Address RouterAddress(size_t number) const;
   // The metrics address of a router, where operators ask it.
   Address MetricsAddress(size_t number) const;
