Bursts of asks for permits while requests wait

Callers waited longer for permits than the leader needed: a router asks at most once in 1 ms x routers while requests wait, so that with 83 routers a request waited up to 83 ms because a request of another workspace had just asked.

A router may now use three intervals of this pace in advance, with at least 10 ms between two asks. The mean pace of all routers together stays the same, also with asks that are sent while nothing waits, which count too.

Evidence: five of the six sections of "the pace of asks while requests wait" fail before.

--- a/core/workspace_quota.cc
+++ b/core/workspace_quota.cc
@@ -209,22 +209,31 @@
                 : std::clamp<Duration>(routers * kAskPace, kMinAskInterval, kMaxAskInterval);
 }
 
+// Every ask uses one interval of the urgent pace, and up to kUrgentAskBurst intervals may be used
+// in advance. So all routers together keep the pace on average, and a request that comes after a
+// quiet time does not wait for an interval that another workspace's ask began.
+Time WorkspaceQuota::AskDue(bool urgent) const {
+  const Duration interval = this->AskInterval(urgent);
+  const Time due = urgent ? std::max(this->asked_at + kMinUrgentAskInterval,
+                                     this->asks_paced_until - (kUrgentAskBurst - 1) * interval)
+                          : this->asked_at + interval;
+  return std::max(this->next_ask, due);
+}
+
 Time WorkspaceQuota::NextAction() const {
   Time next = this->next_check;
   if (this->waiting == 0) return next;
   for (const auto& [name, state] : this->states) {
     for (const Waiter& waiter : state.waiters) next = std::min(next, waiter.until);
   }
-  if (!this->in_flight) {
-    next = std::min(next, std::max(this->next_ask, this->asked_at + this->AskInterval(true)));
-  }
+  if (!this->in_flight) next = std::min(next, this->AskDue(true));
   return next;
 }
 
 std::optional<QuotaAsk> WorkspaceQuota::NextAsk(Time now) {
   if (now >= this->next_check) this->next_check = Time::max();
   if (this->in_flight) return std::nullopt;
-  const Time due = std::max(this->next_ask, this->asked_at + this->AskInterval(this->waiting > 0));
+  const Time due = this->AskDue(this->waiting > 0);
   if (now < due) {
     this->next_check = std::min(this->next_check, due);
     return std::nullopt;
@@ -256,6 +265,7 @@
   ask.own_share = this->OwnShare(now);
   this->in_flight = true;
   this->asked_at = now;
+  this->asks_paced_until = std::max(now, this->asks_paced_until) + this->AskInterval(true);
   ask.sequence = ++this->sequence;
   return ask;
 }
--- a/core/workspace_quota.h
+++ b/core/workspace_quota.h
@@ -81,6 +81,9 @@
 constexpr Duration kUrgentAskPace = Millis(1);
 constexpr Duration kMinUrgentAskInterval = Millis(10);
 constexpr Duration kMaxUrgentAskInterval = Millis(200);
+// Asks that a router may send at the minimum interval after a quiet time. Without this burst, a
+// request at one of 83 routers waited up to 83 ms because another workspace had just asked.
+constexpr int kUrgentAskBurst = 3;
 constexpr Duration kAskPace = Millis(5);
 constexpr Duration kMinAskInterval = Millis(50);
 constexpr Duration kMaxAskInterval = Millis(250);
@@ -272,6 +275,8 @@
   bool NeedsShare(Time now) const;
   double OwnShare(Time now) const;
   Duration AskInterval(bool urgent) const;
+  // Returns when the next ask may be sent. `urgent`: requests wait.
+  Time AskDue(bool urgent) const;
   void RefuseExpired(Time now, State& state, std::vector<QuotaDecision>& decisions);
 
   QuotaTolerance tolerance;
@@ -283,7 +288,9 @@
   bool in_flight = false;
   uint64_t sequence = 0;
   Time asked_at = TimeAt(-10'000);  // when the last ask was sent
-  Time next_ask;                    // not before, after an ask without a reply
+  // The asks sent so far use up the mean pace until this time.
+  Time asks_paced_until = TimeAt(-10'000);
+  Time next_ask;  // not before, after an ask without a reply
   Time next_check = Time::max();
   std::optional<Time> serving_since;  // start of the current time of service
   Time last_use;
--- a/testing/workspace_quota_test.cc
+++ b/testing/workspace_quota_test.cc
@@ -241,6 +241,74 @@
   CHECK(quota.PermitsExpired() == 0);
 }
 
+// Guards against a request that waits for an interval of the pace after a quiet time, because a
+// request of another workspace has just used the interval, and against a burst that raises the mean
+// pace of all routers together.
+TEST_CASE("the pace of asks while requests wait", "[workspace_quota]") {
+  WorkspaceQuota quota({});
+  quota.SetRouters(TimeAt(0), 83);
+  // A new workspace each time, as one that was just refused is refused again at once.
+  auto wait = [&quota, count = 0](Time now) mutable {
+    const Workspace workspace = {.name = std::to_string(++count), .quota = {0.5, 0.5}};
+    return quota.Admit(now, workspace, kMaxQuotaWait).result == QuotaResult::kWaiting;
+  };
+  // Returns when the next ask is sent, by timer, and has it answered.
+  const auto ask_time = [&quota](Time now) {
+    if (!quota.NextAsk(now)) {
+      now = quota.NextAction();
+      REQUIRE(quota.NextAsk(now));
+    }
+    quota.OnGrants(now, Permits(0));
+    return now;
+  };
+  REQUIRE(wait(TimeAt(0)));
+  CHECK(ask_time(TimeAt(0)) == TimeAt(0));
+
+  SECTION("two more asks after a quiet time are sent at once") {
+    REQUIRE(wait(TimeAt(15)));
+    CHECK(ask_time(TimeAt(15)) == TimeAt(15));
+    REQUIRE(wait(TimeAt(40)));
+    CHECK(ask_time(TimeAt(40)) == TimeAt(40));
+    SECTION("and the next one when the pace allows it") {
+      REQUIRE(wait(TimeAt(60)));
+      CHECK(ask_time(TimeAt(60)) == TimeAt(83));
+    }
+    SECTION("and after another quiet time again") {
+      for (const int64_t at : {400, 410, 420}) {
+        REQUIRE(wait(TimeAt(at)));
+        CHECK(ask_time(TimeAt(at)) == TimeAt(at));
+      }
+      REQUIRE(wait(TimeAt(430)));
+      CHECK(ask_time(TimeAt(430)) == TimeAt(483));
+    }
+  }
+  SECTION("two asks are never closer than the minimum interval") {
+    REQUIRE(wait(TimeAt(1)));
+    CHECK(ask_time(TimeAt(1)) == TimeAt(0) + kMinUrgentAskInterval);
+  }
+  SECTION("the mean pace of requests that always wait stays the same") {
+    int asks = 1;
+    Time last = TimeAt(0);
+    for (int64_t at = 1; at <= 8'300; ++at) {
+      wait(TimeAt(at));
+      if (!quota.NextAsk(TimeAt(at))) continue;
+      CHECK(TimeAt(at) - last >= kMinUrgentAskInterval);
+      last = TimeAt(at);
+      ++asks;
+      quota.OnGrants(TimeAt(at), Permits(0));
+    }
+    CHECK(asks <= 8'300 / 83 + kUrgentAskBurst);
+    CHECK(asks >= 8'300 / 83);
+  }
+  SECTION("an ask without a reply is followed by a pause") {
+    REQUIRE(wait(TimeAt(15)));
+    REQUIRE(quota.NextAsk(TimeAt(15)));
+    quota.OnNoReply(TimeAt(20));
+    CHECK_FALSE(quota.NextAsk(TimeAt(69)));
+    CHECK(quota.NextAsk(TimeAt(70)));
+  }
+}
+
 TEST_CASE("requests that wait are bounded", "[workspace_quota]") {
   WorkspaceQuota quota({});
   for (size_t i = 0; i < 2 * kMaxQuotaWaitingPerWorkspace; ++i) {
