Trials whose target is not reached end at once

Seen: "a router explains that a request has crashed targets", a request in a trial ended with 503 after 2,034 ms. Reproduced three times of three (trial): all targets of a service crash, the next request gets a trial, cannot connect (attempt_failed after 1 ms, sent 1, retries 0) and ends with 503 after 1,978 to 1,989 ms, 4 ms after the last record of the old targets expired.

Cause: the search scheduled a retry after a refusal (ScheduleRefusedRetry), but a suspect request gets no retries, so that it was scheduled again every 10 ms until the deadline or until no target was left. Meanwhile other trials of the request were refused, although other targets could have run it.

A shard of a suspect request now fails when its attempt was refused. As such trials end within a millisecond, a router waits 100 ms after one before it asks for the next: without that, a caller that resends got 70 to 172 trials in 500 ms, two log entries each.

Tests: the section of "one search" failed in 4 checks before; "trials that reach no target are limited" fails without the wait (5 trials where 1 is allowed).

--- a/core/search.cc
+++ b/core/search.cc
@@ -301,11 +301,11 @@
   return true;
 }
 
-// Schedules a retry. Non-idempotent requests are retried too, because a refused request did not
-// run.
+// Schedules a retry, which a suspect request does not get. Non-idempotent requests are retried too,
+// because a refused request did not run.
 void Search::ScheduleRefusedRetry(Time now, uint32_t index) {
   Shard& shard = this->shards[index];
-  if (this->ChooseTarget(now, index) == nullptr ||
+  if (this->suspect || this->ChooseTarget(now, index) == nullptr ||
       shard.uncharged_retries >= this->params.max_refusal_retries) {
     return this->MarkMissing(index, shard.cause);
   }
--- a/io/crash_guard.cc
+++ b/io/crash_guard.cc
@@ -32,7 +32,8 @@
 constexpr size_t kMaxLocalSuspects = 1'000;
 // A caller waits this long for a trial to be granted, which takes one round of the controllers.
 constexpr Duration kTrialGrantTimeout = Millis(300);
-// After a refusal, this router waits so long before it asks for a trial of the same request again.
+// After a refusal, or a trial that has reached no target, this router waits so long before it asks
+// for a trial of the same request again. Each trial is two entries in the log of the controllers.
 constexpr Duration kTrialRetryDelay = Millis(100);
 constexpr size_t kMaxTrialRequests = 1'000;
 // A trial is kept open this long after the deadline of its request, for the check of lost targets
@@ -128,6 +129,9 @@
 
   void EndTrial(uint64_t fingerprint, uint64_t trial, TrialRun run) {
     if (run.lost.empty()) {
+      if (run.answered.empty()) {
+        this->trial_requests[fingerprint] = SteadyNow() + kTrialRetryDelay;
+      }
       return this->SendEnd(fingerprint, trial, std::move(run.answered), run.crashes);
     }
     auto timer = std::make_shared<asio::steady_timer>(this->context.io, kCrashCheckDelay);
--- a/testing/crashing_fleet.cc
+++ b/testing/crashing_fleet.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
+#include <sstream>
 #include <utility>
 
 #include "io/clock.h"
@@ -100,7 +101,7 @@
   target.server->Close();
   // The server is destroyed later, as this may run inside one of its callbacks.
   asio::post(this->loop.io, [server = std::shared_ptr<HttpServer>(std::move(target.server))] {});
-  auto timer = std::make_shared<asio::steady_timer>(this->loop.io, kRestartDelay);
+  auto timer = std::make_shared<asio::steady_timer>(this->loop.io, this->options.restart_delay);
   timer->async_wait([this, timer, &target](boost::system::error_code error) {
     if (!error && !this->stopping) this->Listen(target);
   });
@@ -210,6 +211,17 @@
   return failed;
 }
 
+double CrashingFleet::Metric(size_t router, const std::string& sample) {
+  const auto answer = Call(this->deployment.MetricsAddress(router),
+                           {.method = "GET", .path = "/metrics"}, kTimeout);
+  REQUIRE(answer);
+  std::istringstream lines(answer->body);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with(sample + " ")) return std::stod(line.substr(sample.size() + 1));
+  }
+  return 0;
+}
+
 void CrashingFleet::KillAll() {
   for (size_t i = 0; i < this->options.controllers; ++i) this->deployment.KillController(i);
   for (size_t i = 0; i < this->options.routers; ++i) this->deployment.KillRouter(i);
--- a/testing/crashing_fleet.h
+++ b/testing/crashing_fleet.h
@@ -7,7 +7,7 @@
 //   CHECK(fleet.LateSends("/s/crash") <= 3);
 //
 // Contract: a target crashes when a request arrives whose path contains "crash": all its
-// connections are closed, nothing is deregistered, and after kRestartDelay the next incarnation
+// connections are closed, nothing is deregistered, and after the restart delay the next incarnation
 // registers at the same address under another id. All functions are called on the thread of the
 // test.
 #ifndef PERIDOTGAUGE_TESTING_CRASHING_FLEET_H_
@@ -37,6 +37,7 @@
   size_t controllers = 1;
   size_t routers = 3;
   size_t targets = 4;  // of each service
+  Duration restart_delay = kRestartDelay;
 };
 
 // The end of a request that no target crashes on.
@@ -75,8 +76,11 @@
   // Returns how many of these have crashed their targets.
   size_t LateCrashes(const std::string& path);
 
+  // Returns the sample of a metric of a router, or 0 if it has none.
+  double Metric(size_t router, const std::string& sample);
+
   // Ends targets of the service as a loss of power of their rack does, and starts them again after
-  // kRestartDelay.
+  // the restart delay.
   void CrashTargets(const std::string& service, size_t count);
   // Resets the connections of all targets that have a request in flight, which go on running.
   void ResetConnections();
--- a/testing/crashing_request_test.cc
+++ b/testing/crashing_request_test.cc
@@ -13,6 +13,8 @@
 
 constexpr Duration kLength = Millis(7'500);
 constexpr size_t kRouters = 3;
+// A router asks for trials of one request at most so often if they reach no target.
+constexpr Duration kTrialInterval = Millis(100);
 
 void Sleep(Duration time) { std::this_thread::sleep_for(time); }
 
@@ -146,6 +148,27 @@
   }
 }
 
+// Guards against callers that fill the log of the controllers with trials while a service has no
+// targets.
+TEST_CASE("trials that reach no target are limited", "[crashing_request]") {
+  CrashingFleet fleet({.routers = 1, .restart_delay = Seconds(60)});
+  const auto send_until = [&](const std::function<bool()>& condition) {
+    const Time end = SteadyNow() + kDeploymentTimeout;
+    while (!condition() && SteadyNow() < end) fleet.Send(0, "GET", "/s/crash");
+    CHECK(condition());
+  };
+  const auto granted = [&] {
+    return fleet.Metric(0, R"(peridotgauge_trials_total{result="granted"})");
+  };
+  send_until([&] { return fleet.Metric(0, "peridotgauge_suspect_requests") > 0; });
+  fleet.CrashTargets("s", 4);
+  const double before = granted();
+  const Time begin = SteadyNow();
+  send_until([&] { return granted() >= before + 5; });
+  const double count = granted() - before;
+  CHECK(count <= 1 + static_cast<double>((SteadyNow() - begin) / kTrialInterval));
+}
+
 // Guards against a fleet of one shard that is down for good, and an index that answers nothing for
 // it.
 TEST_CASE("a request that crashes the targets of one shard is answered from the others",
--- a/testing/search_test.cc
+++ b/testing/search_test.cc
@@ -546,6 +546,29 @@
     run.Reply(kStart, Failed(run.sends[0], ErrorCode::kUnavailable));
     CHECK(run.sends.size() == 3);
   }
+  // Guards against a trial that keeps its caller and other trials waiting for a retry that it never
+  // gets.
+  SECTION("of a suspect request fails at once if its target has not run it") {
+    const ErrorCode cause = GENERATE(ErrorCode::kShed, ErrorCode::kUnavailable);
+    SearchParams trial = Params(false, true);
+    trial.charge_refusals = true;
+    SECTION("with one shard") {
+      Run run(*MakePlanner(1, 3, "latency").PlanFor("x"), trial, chooser, budget);
+      run.Reply(kStart, Failed(run.sends[0], cause));
+      REQUIRE(run.outcome);
+      CHECK(run.outcome->missing[0].cause == cause);
+    }
+    SECTION("with several shards, which get their canaries in turn") {
+      Run run(*MakePlanner(2, 3, "latency").PlanFor("a"), trial, chooser, budget);
+      for (size_t i = 0; i < run.plan->shards.size(); ++i) {
+        REQUIRE(run.sends.size() == i + 1);
+        REQUIRE_FALSE(run.outcome);
+        run.Reply(kStart, Failed(run.sends[i], cause));
+      }
+      CHECK(run.outcome);
+    }
+    CHECK(budget.spent == 0);
+  }
   SECTION("cancels all attempts and emits no answer when aborted") {
     Run run = start(coverage, Params());
     CHECK(run.search.Abort().cancels.size() == 68);
