Crash tests: count only time in which the controllers commit promptly

Order of events in the three logs: targets lost, request suspect, new targets registered, then for 2.9 to 9.8 s every command of every router without a reply (trial_refused "no definite reply before the deadline", trial_end_failed), then the first trial is granted, answered, and the request is served. Until then routers refuse it with 503 (suspect), as they should: a trial must be committed, and a router waits 300 ms for that. The system had waited for its disk in 15 % of that minute (io pressure, some avg60).

The tests now let the controllers commit a command every 50 ms. With prompt commits the checks are the same as before.

--- a/testing/crashing_fleet.cc
+++ b/testing/crashing_fleet.cc
@@ -80,6 +80,7 @@
   this->StopHarmless(Time::max());
   this->stopping = true;
   this->heartbeats.join();
+  if (this->commit_watch.joinable()) this->commit_watch.join();
   this->loop.Run([this] { this->targets.clear(); });
 }
 
@@ -211,6 +212,37 @@
   return failed;
 }
 
+void CrashingFleet::WatchCommits() {
+  this->commit_watch = std::thread([this] {
+    // A data centre without targets is evacuated and opened again: each is one command.
+    for (size_t i = 0; !this->stopping; ++i) {
+      {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->commits.push_back({.begun = SteadyNow()});
+      }
+      const auto answer =
+          this->deployment.SetEvacuation(0, i % 2 == 0 ? "POST" : "DELETE", "z-empty");
+      {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->commits.back().ended = SteadyNow();
+        this->commits.back().committed = answer && answer->status == 200;
+      }
+      std::this_thread::sleep_for(kCommitInterval);
+    }
+  });
+}
+
+bool CrashingFleet::CommitsWerePrompt(Time since) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const Time now = SteadyNow();
+  return std::all_of(this->commits.begin(), this->commits.end(), [&](const Commit& commit) {
+    if (commit.ended < since) return true;
+    const bool running = commit.ended == Time::max();
+    return (running || commit.committed) &&
+           std::min(commit.ended, now) - commit.begun <= kPromptCommit;
+  });
+}
+
 double CrashingFleet::Metric(size_t router, const std::string& sample) {
   const auto answer = Call(this->deployment.MetricsAddress(router),
                            {.method = "GET", .path = "/metrics"}, kTimeout);
--- a/testing/crashing_fleet.h
+++ b/testing/crashing_fleet.h
@@ -40,6 +40,9 @@
   Duration restart_delay = kRestartDelay;
 };
 
+constexpr Duration kCommitInterval = Millis(50);
+constexpr Duration kPromptCommit = Millis(100);
+
 // The end of a request that no target crashes on.
 struct HarmlessEnd {
   Time sent;
@@ -76,6 +79,12 @@
   // Returns how many of these have crashed their targets.
   size_t LateCrashes(const std::string& path);
 
+  // Starts a thread that lets the controllers commit a command every kCommitInterval.
+  void WatchCommits();
+  // Returns true if all these commands since `since` were committed within kPromptCommit. A router
+  // waits 300 ms for the commit of a trial, and refuses the request if the disk of the controllers
+  // takes longer.
+  bool CommitsWerePrompt(Time since);
   // Returns the sample of a metric of a router, or 0 if it has none.
   double Metric(size_t router, const std::string& sample);
 
@@ -108,6 +117,12 @@
     bool crash = false;
   };
 
+  struct Commit {
+    Time begun;
+    Time ended = Time::max();  // while it runs
+    bool committed = false;
+  };
+
   void Listen(Target& target);
   void Crash(Target& target);
   void Handle(Target& target, const HttpRequest& request, const HttpResponder& responder);
@@ -124,12 +139,14 @@
   std::vector<std::unique_ptr<Target>> targets;  // used on `loop`
   std::vector<int> statuses;
   std::vector<HarmlessEnd> harmless_ends;  // guarded by `mutex`
+  std::vector<Commit> commits;             // guarded by `mutex`
   std::atomic<bool> harmless_stopping{false};
   std::vector<std::thread> harmless;
   std::mt19937_64 random{1};
   int next_request = 0;
   std::atomic<bool> stopping{false};
   std::thread heartbeats;
+  std::thread commit_watch;
   LoopThread loop;
 };
 
