Explain tests: a suspect request with and without targets

If they register later, no target accepts requests and the decision is rightly "refuse", which the check did not expect.

The test now makes both cases. With targets that restart, it waits until one accepts requests and expects "trial"; with targets that do not, it waits until none does and expects "refuse". All other checks are as before.

--- a/testing/explain_routes_test.cc
+++ b/testing/explain_routes_test.cc
@@ -292,7 +292,9 @@
 // Guards against a suspicion that the command cannot find, for example because of another
 // fingerprint, and against trials that explanations use up.
 TEST_CASE("a router explains that a request has crashed targets", "[explain][explain_routes]") {
-  CrashingFleet fleet({.routers = 1});
+  const bool restarts = GENERATE(true, false);
+  CAPTURE(restarts);
+  CrashingFleet fleet({.routers = 1, .restart_delay = restarts ? kRestartDelay : Seconds(60)});
   const auto explain = [&](const std::string& path) {
     const auto answer = Call(
         fleet.Deployment().MetricsAddress(0),
@@ -303,6 +305,9 @@
     REQUIRE(answer);
     return json::parse(answer->body);
   };
+  const auto accepts = [](const json::value& explanation) {
+    return Text(explanation, "/services/0/first_choice") != "null";
+  };
   CHECK(Text(explain("/s/crash"), "/suspicion/status") == "clear");
   const Time end = SteadyNow() + kDeploymentTimeout;
   json::value suspected = explain("/s/crash");
@@ -310,11 +315,19 @@
     fleet.Send(0, "GET", "/s/crash");
     suspected = explain("/s/crash");
   }
-  // It gets trials until it is blocked.
+  // The targets leave the directory when their registrations expire; those that restart join it.
+  if (!restarts) fleet.CrashTargets("s", 4);
+  while (accepts(suspected) != restarts && SteadyNow() < end) {
+    std::this_thread::sleep_for(Millis(20));
+    suspected = explain("/s/crash");
+  }
+  // It is sent in trials until it is blocked, and refused without a target.
   const std::string status = Text(suspected, "/suspicion/status");
   INFO(json::serialize(suspected));
   CHECK((status == "suspect" || status == "blocked"));
-  CHECK(Text(suspected, "/outcome/decision") == (status == "suspect" ? "trial" : "refuse"));
+  CHECK(accepts(suspected) == restarts);
+  CHECK(Text(suspected, "/outcome/decision") ==
+        (status == "suspect" && restarts ? "trial" : "refuse"));
   const size_t crashes = fleet.Crashes("/s/crash");
   for (int i = 0; i < kTimes; ++i) explain("/s/crash");
   CHECK(fleet.Crashes("/s/crash") == crashes);
