Workspaces and keys on the native interface

Callers of the native interface can be told apart: a configuration text may list workspaces with keys, priority, rate and burst, and a service may set requires_key. Searches and orders of such a service, or of one that depends on it, need a known key in the header x-workspace-key; others get 401 (unknown_key). Targets get the name in x-workspace.

The router that the caller asks looks the key up in the configuration in force there, in the table of the routes interface. Rate and burst are read but not yet enforced on this interface.

--- a/core/caller_api.cc
+++ b/core/caller_api.cc
@@ -2,6 +2,7 @@
 #include "core/caller_api.h"
 
 #include <algorithm>
+#include <boost/beast/core/string.hpp>
 #include <charconv>
 #include <limits>
 #include <utility>
@@ -76,12 +77,7 @@
   return Millis(static_cast<int64_t>(reader.Unsigned("deadline_ms", 1, kMaxMillis)));
 }
 
-// Ids are sent to targets in an HTTP header and must be returned unchanged, so only visible ASCII
-// characters are allowed.
-bool IsVisibleAscii(std::string_view text) {
-  return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
-}
-
+// Ids are sent to targets in an HTTP header and must be returned unchanged.
 std::string ReadName(JsonReader& reader, std::string_view name, size_t max_length) {
   std::string text = reader.String(name, 1, max_length);
   if (!IsVisibleAscii(text)) {
@@ -253,6 +249,16 @@
           .request_id = {}};
 }
 
+std::string_view WorkspaceKey(const HttpRequest& request) {
+  std::string_view key;
+  for (const HttpHeader& header : request.headers) {
+    if (!boost::beast::iequals(header.name, kKeyHeader)) continue;
+    if (!key.empty()) return {};
+    key = header.value;
+  }
+  return key;
+}
+
 // --- Router list ---
 
 std::string FormatRouterList(const RouterList& list) {
--- a/core/caller_api.h
+++ b/core/caller_api.h
@@ -29,6 +29,14 @@
 constexpr size_t kMaxNameLength = 200;
 constexpr Duration kMaxDeadline = Seconds(600);
 
+// Header of searches and orders with the key of the caller's workspace. It is not forwarded.
+constexpr std::string_view kKeyHeader = "x-workspace-key";
+// Header of requests to targets with the name of the caller's workspace.
+constexpr std::string_view kWorkspaceHeader = "x-workspace";
+
+// Returns the key that the caller sends; empty if there is none or more than one.
+std::string_view WorkspaceKey(const HttpRequest& request);
+
 // --- Errors ---
 
 // Returns the JSON body of an error. Its field "not_run" is true only if both `not_run` and the
@@ -73,6 +81,7 @@
   std::string query;                 // JSON text
   std::optional<Duration> deadline;  // absent: the service's deadline
   std::string request_id;            // empty: the router generates one
+  std::string workspace;             // set by the router from the caller's key; not in the text
   bool operator==(const SearchRequest&) const = default;
 };
 
@@ -132,6 +141,7 @@
   int64_t issued_at_ms = 0;  // Unix time, set once by the caller
   std::string body;          // JSON text
   std::optional<Duration> deadline;
+  std::string workspace;  // set by the router from the caller's key; not in the text
   bool operator==(const OrderRequest&) const = default;
 };
 
--- a/core/config.h
+++ b/core/config.h
@@ -7,12 +7,15 @@
 //
 // A Config is immutable and valid: all dependencies exist and form no cycle, and all numbers are in
 // range. Parse() does not throw. Errors name the path, the value and the allowed values, for
-// example "services.kassa-3.depends_on[1]: unknown service \"posty\"".
+// example "services.kassa-3.depends_on[1]: unknown service \"posty\"". Neither errors nor the lines
+// of DiffConfigs() contain a key of a workspace.
 #ifndef PERIDOTGAUGE_CORE_CONFIG_H_
 #define PERIDOTGAUGE_CORE_CONFIG_H_
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +23,7 @@
 #include "core/error.h"
 #include "core/routes.h"
 #include "core/types.h"
+#include "core/workspaces.h"
 
 namespace peridotgauge {
 
@@ -27,6 +31,7 @@
 constexpr size_t kMaxConfigBytes = 1 << 20;
 constexpr size_t kMaxServices = 10'000;
 constexpr uint32_t kMaxShards = 4'096;
+constexpr size_t kMaxWorkspaces = 10'000;
 
 // What a search prefers when some shards are late: to respond at the soft deadline without them, or
 // to wait for them until the deadline.
@@ -52,6 +57,7 @@
   Duration deadline = Millis(200);
   Duration soft_deadline = Millis(200);  // at most `deadline`; used with Preference::kLatency
   Preference prefer = Preference::kCoverage;
+  bool requires_key = false;  // callers must send the key of a workspace
   bool operator==(const Service&) const = default;
 };
 
@@ -81,6 +87,17 @@
   // Empty unless the configuration was made by FromRoutes().
   const RouteTable& Routes() const { return this->routes; }
 
+  // Returns nullptr if the configuration has no workspaces, of either format.
+  const WorkspaceTable* Workspaces() const {
+    return this->workspaces ? &*this->workspaces : this->routes.Workspaces();
+  }
+  // Returns true if the service, or one that it depends on, requires a key.
+  bool RequiresKey(std::string_view service) const { return this->keyed.contains(service); }
+  // Returns the workspace of a caller who uses the service and sends this key; nullptr if the
+  // service needs no key or is unknown. Returns kUnknownKey if the service needs a key and this is
+  // none.
+  Result<const Workspace*> FindCaller(std::string_view service, std::string_view key) const;
+
   // Returns the service, followed by its direct and indirect dependencies sorted by name. Empty if
   // the service is unknown.
   std::vector<const Service*> DependencyClosure(std::string_view service) const;
@@ -93,6 +110,8 @@
   std::string text;
   std::map<std::string, Fleet, std::less<>> fleets;
   std::map<std::string, Service, std::less<>> services;
+  std::optional<WorkspaceTable> workspaces;
+  std::set<std::string, std::less<>> keyed;  // the services of RequiresKey()
   RouteTable routes;
 };
 
--- a/core/http_message.cc
+++ b/core/http_message.cc
@@ -1,6 +1,7 @@
 // Header lookup and query parameters.
 #include "core/http_message.h"
 
+#include <algorithm>
 #include <boost/beast/core/string.hpp>
 #include <utility>
 
@@ -33,6 +34,10 @@
   return std::nullopt;
 }
 
+bool IsVisibleAscii(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
+}
+
 HttpResponse JsonResponse(int status, std::string body) {
   return ResponseWithType(status, "application/json", std::move(body));
 }
--- a/core/http_message.h
+++ b/core/http_message.h
@@ -58,6 +58,10 @@
   std::string_view Header(std::string_view name) const { return FindHeader(this->headers, name); }
 };
 
+// Returns true if the text has only visible ASCII characters, no spaces. It can be sent in a header
+// and arrives unchanged.
+bool IsVisibleAscii(std::string_view text);
+
 HttpResponse JsonResponse(int status, std::string body);
 HttpResponse TextResponse(int status, std::string body);
 
--- a/core/workspaces.h
+++ b/core/workspaces.h
@@ -23,6 +23,9 @@
 
 namespace peridotgauge {
 
+// Longest key of a workspace in a native configuration. Well below the limit on a request's header.
+constexpr size_t kMaxKeyLength = 512;
+
 // A limit on the requests of a workspace over all routers: a token bucket.
 struct RequestQuota {
   double rate_per_s = 0;  // 0: no limit
--- a/io/order_runner.cc
+++ b/io/order_runner.cc
@@ -132,6 +132,7 @@
     child_span->AddAttribute("target", sub_request.target);
     sub_request.traceparent = child_span->Traceparent();
     sub_request.body = this->request.body;
+    sub_request.workspace = this->request.workspace;
     const std::string& fleet = this->plan->FleetOf(this->shard).name;
     this->context.sender.Send(now, {dispatch.target, fleet, this->deadline}, std::move(sub_request),
                               [self = this->shared_from_this(), child_span,
--- a/io/router.cc
+++ b/io/router.cc
@@ -43,6 +43,7 @@
       : self(self),
         control(control),
         peers(peers),
+        metrics(metrics),
         replica_choice(ReplicaChoice::MustMake(
             settings.replica_choice, {.seed = RandomSeed(), .ejection = settings.ejection})),
         admission(settings.admission),
@@ -148,6 +149,23 @@
     return true;
   }
 
+  // Returns the workspace of a caller in the current configuration; null if the service needs no
+  // key.
+  Result<std::shared_ptr<const Workspace>> FindCaller(const HttpRequest& http,
+                                                      const std::string& service) {
+    const auto config = this->control.CurrentConfig();
+    const Result<const Workspace*> found = config->FindCaller(service, WorkspaceKey(http));
+    if (!found) {
+      this->metrics
+          .CounterOf("peridotgauge_callers_refused_total",
+                     {{"error", std::string(found.error().Name())}})
+          .Add();
+      return tl::unexpected(found.error());
+    }
+    if (*found == nullptr) return nullptr;
+    return std::shared_ptr<const Workspace>(config, *found);
+  }
+
   void ListRouters(const HttpRequest&, const HttpResponder& responder) {
     if (this->RefuseUnlessServing(SteadyNow(), responder, "")) return;
     RouterList list{.ttl = kRouterListTtl};
@@ -164,6 +182,9 @@
     const Time now = SteadyNow();
     if (this->RefuseUnlessServing(now, responder, request->request_id)) return;
     const std::string id = request->request_id;
+    const auto caller = this->FindCaller(http, request->service);
+    if (!caller) return responder.Send(ErrorResponse(caller.error(), id));
+    if (*caller) request->workspace = (*caller)->name;
     ++this->running_searches;
     // The destructor of the last copy of `running` decrements the counter, also if the search is
     // refused or aborted.
@@ -190,6 +211,10 @@
     const Time now = SteadyNow();
     const std::string id = request->request_id;
     if (this->RefuseUnlessServing(now, responder, id, false)) return;
+    const auto caller = this->FindCaller(http, request->service);
+    // An earlier request with the same id may have been executed with a key that was removed since.
+    if (!caller) return responder.Send(ErrorResponse(caller.error(), id, /*not_run=*/false));
+    if (*caller) request->workspace = (*caller)->name;
     StartOrder(this->context, this->orders, std::move(*request),
                ParseTraceparent(http.Header("traceparent")), now,
                [responder, id](OrderReply reply) {
@@ -292,6 +317,7 @@
   RouterRecord self;
   ControlClient& control;
   PeerPool& peers;
+  Metrics& metrics;
   Planner planner;
   std::unique_ptr<ReplicaChoice> replica_choice;
   HedgeBudget hedge_budget;
--- a/io/search_runner.cc
+++ b/io/search_runner.cc
@@ -86,6 +86,7 @@
     sub_request.snapshot = fleet.snapshot.value_or(0);
     sub_request.traceparent = attempt.span.Traceparent();
     sub_request.body = this->request.query;
+    sub_request.workspace = this->request.workspace;
     attempt.sub_request_id = this->context.sender.Send(
         now, {send.target, fleet.name, this->deadline}, std::move(sub_request),
         [self = this->shared_from_this(), number = send.attempt](wire::SubReplyT reply) {
--- a/io/target_client.cc
+++ b/io/target_client.cc
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <utility>
 
+#include "core/caller_api.h"
 #include "core/json_text.h"
 #include "io/clock.h"
 
@@ -80,6 +81,9 @@
                   {"x-snapshot", std::to_string(request.snapshot)},
                   {"x-deadline-ms", std::to_string(deadline_ms)}};
   if (!request.traceparent.empty()) http.headers.push_back({"traceparent", request.traceparent});
+  if (!request.workspace.empty()) {
+    http.headers.push_back({std::string(kWorkspaceHeader), request.workspace});
+  }
   http.body = request.body;
   return http;
 }
--- a/programs/peridotgauge.cc
+++ b/programs/peridotgauge.cc
@@ -36,7 +36,8 @@
 DEFINE_int64(issued_at_ms, 0, "order: issue time in Unix milliseconds; now by default");
 DEFINE_uint32(deadline_ms, 0,
               "order, search, explain: deadline; that of the service or route by default");
-DEFINE_string(key_file, "", "explain: file with the key of a workspace, which the caller sends");
+DEFINE_string(key_file, "",
+              "order, search, explain: file with the key of a workspace, which the caller sends");
 DEFINE_string(workspace, "", "explain: the caller's workspace, in place of a key");
 DEFINE_string(span_files, "", "trace: span files, separated by commas");
 DEFINE_string(author, "", "apply: name for the history; the login name by default");
@@ -228,15 +229,42 @@
   return Millis(FLAGS_deadline_ms);
 }
 
+// Reads a key without the line break at its end.
+Result<std::string> ReadKey(const std::string& path) {
+  Result<std::string> key = ReadFile(path);
+  if (!key) return key;
+  const size_t end = key->find_last_not_of(" \t\r\n");
+  key->resize(end == std::string::npos ? 0 : end + 1);
+  if (key->empty()) return Fail(ErrorCode::kBadRequest, path + ": the file has no key");
+  return key;
+}
+
+// Returns the headers of a search or order.
+Result<std::vector<HttpHeader>> CallerHeaders() {
+  if (FLAGS_key_file.empty()) return std::vector<HttpHeader>();
+  Result<std::string> key = ReadKey(FLAGS_key_file);
+  if (!key) return tl::unexpected(key.error());
+  if (!IsVisibleAscii(*key)) {
+    return Fail(ErrorCode::kBadRequest,
+                FLAGS_key_file + ": the key has characters that a header cannot have");
+  }
+  return std::vector<HttpHeader>{{std::string(kKeyHeader), std::move(*key)}};
+}
+
 int Search(const Arguments& arguments) {
+  const Result<std::vector<HttpHeader>> headers = CallerHeaders();
+  if (!headers) return Report(headers.error());
   Result<CliClient> client = MakeClient();
   if (!client) return Report(client.error());
   const SearchRequest request{.service = arguments[0],
                               .query = arguments[1],
                               .deadline = DeadlineFlag(),
                               .request_id = FLAGS_request_id};
-  const Result<HttpResponse> response = client->CallListedRouters(
-      {.method = "POST", .path = "/v1/search", .body = FormatSearchRequest(request)});
+  const Result<HttpResponse> response =
+      client->CallListedRouters({.method = "POST",
+                                 .path = "/v1/search",
+                                 .headers = *headers,
+                                 .body = FormatSearchRequest(request)});
   if (!response) return Report(response.error());
   if (response->status != 200) return ReportResponse(*response);
   const Result<SearchResponse> parsed = ParseSearchResponse(response->body);
@@ -245,16 +273,6 @@
   return kExitOk;
 }
 
-// Reads a key without the line break at its end.
-Result<std::string> ReadKey(const std::string& path) {
-  Result<std::string> key = ReadFile(path);
-  if (!key) return key;
-  const size_t end = key->find_last_not_of(" \t\r\n");
-  key->resize(end == std::string::npos ? 0 : end + 1);
-  if (key->empty()) return Fail(ErrorCode::kBadRequest, path + ": the file has no key");
-  return key;
-}
-
 int Explain(const Arguments& arguments) {
   ExplainRequest request{.method = arguments[0], .host = arguments[1], .path = arguments[2]};
   if (!FLAGS_workspace.empty()) request.workspace = FLAGS_workspace;
@@ -284,6 +302,8 @@
 int64_t IssueTime() { return FLAGS_issued_at_ms != 0 ? FLAGS_issued_at_ms : UnixMillis(); }
 
 int Order(const Arguments& arguments) {
+  const Result<std::vector<HttpHeader>> headers = CallerHeaders();
+  if (!headers) return Report(headers.error());
   Result<CliClient> client = MakeClient();
   if (!client) return Report(client.error());
   const OrderRequest request{
@@ -292,8 +312,11 @@
       .issued_at_ms = IssueTime(),
       .body = arguments[1],
       .deadline = DeadlineFlag()};
-  const Result<HttpResponse> response = client->CallListedRouters(
-      {.method = "POST", .path = "/v1/order", .body = FormatOrderRequest(request)});
+  const Result<HttpResponse> response =
+      client->CallListedRouters({.method = "POST",
+                                 .path = "/v1/order",
+                                 .headers = *headers,
+                                 .body = FormatOrderRequest(request)});
   const auto print_retry_hint = [&] {
     std::cerr << "to send the same order again: --request_id=" << request.request_id
               << " --issued_at_ms=" << request.issued_at_ms << "\n";
--- a/testing/caller_api_test.cc
+++ b/testing/caller_api_test.cc
@@ -64,6 +64,16 @@
   }
 }
 
+// Guards against a caller who sends several keys and is served with one of them.
+TEST_CASE("caller_api reads the key of a workspace", "[caller_api]") {
+  HttpRequest request{.headers = {{"host", "h"}}};
+  CHECK(WorkspaceKey(request).empty());
+  request.headers.push_back({"X-Workspace-Key", "k1"});
+  CHECK(WorkspaceKey(request) == "k1");
+  request.headers.push_back({"x-workspace-key", "k2"});
+  CHECK(WorkspaceKey(request).empty());
+}
+
 TEST_CASE("caller_api errors name the invalid field", "[caller_api]") {
   struct Case {
     std::string text;
--- a/testing/config_test.cc
+++ b/testing/config_test.cc
@@ -150,6 +150,94 @@
   CHECK(lines[5] == "services.verstas-1: removed");
 }
 
+// Guards against errors and differences that show a key, services that are open although a service
+// that they depend on requires a key, and a changed meaning of texts without workspaces.
+TEST_CASE("workspaces of a configuration", "[config][workspaces]") {
+  const auto with = [](const std::string& workspaces) {
+    std::string text = With(R"("idempotent": false)", R"("idempotent": true)");
+    text = text.replace(
+        text.find(R"({"fleet": "kirjasin"})"), 21,
+        R"({"fleet": "kirjasin", "requires_key": true}, "posti": {"fleet": "verstas"})");
+    return text.insert(text.rfind('}'), R"(, "workspaces": )" + workspaces);
+  };
+  const std::string both = R"({"tre": {"keys": ["secret-1", "secret-2"], "priority": 2,
+                                       "rate_per_s": 2.5, "burst": 10},
+                               "hel": {"keys": ["secret-3"]}})";
+  SECTION("a text without workspaces needs no keys and keeps its digest") {
+    const Result<Config> config = Config::Parse(kText);
+    REQUIRE(config);
+    CHECK(config->Workspaces() == nullptr);
+    CHECK_FALSE(config->RequiresKey("verstas-1"));
+    CHECK(*config->FindCaller("verstas-1", "secret-1") == nullptr);
+    CHECK(config->Digest() == 0x50f4f31fd884e2ed);
+  }
+  SECTION("the key names the workspace of a caller") {
+    const Result<Config> config = Config::Parse(with(both));
+    REQUIRE(config);
+    CHECK(*config->Workspaces()->Find("tre") ==
+          Workspace{"tre", {"secret-1", "secret-2"}, 2, {.rate_per_s = 2.5, .burst = 10}});
+    CHECK(*config->Workspaces()->Find("hel") == Workspace{.name = "hel", .keys = {"secret-3"}});
+    CHECK((*config->FindCaller("kirjasin", "secret-2"))->name == "tre");
+    // verstas-1 depends on kirjasin, posti does not.
+    CHECK((*config->FindCaller("verstas-1", "secret-3"))->name == "hel");
+    CHECK(*config->FindCaller("posti", "secret-3") == nullptr);
+    CHECK(*config->FindCaller("unknown", "") == nullptr);
+    for (const std::string key : {"", "secret-", "secret-11", "tre"}) {
+      const auto caller = config->FindCaller("verstas-1", key);
+      REQUIRE_FALSE(caller);
+      CHECK(caller.error().code == ErrorCode::kUnknownKey);
+      CHECK(caller.error().NotRun());
+      CHECK_THAT(caller.error().detail, !Catch::Matchers::Contains("secret"));
+    }
+  }
+  SECTION("an empty list of workspaces refuses all callers of services that require a key") {
+    const Result<Config> config = Config::Parse(with("{}"));
+    REQUIRE(config);
+    CHECK_FALSE(config->FindCaller("kirjasin", "secret-1"));
+  }
+  SECTION("errors name the place and not the key") {
+    const std::string long_key(kMaxKeyLength + 1, 's');
+    const std::vector<std::pair<std::string, std::string>> rows = {
+        {R"({"tre": {"keys": ["secret"]}, "hel": {"keys": ["a", "secret"]}})",
+         "workspace \"tre\": key 0 is also a key of workspace \"hel\""},
+        {R"({"tre": {"keys": "secret"}})", "workspaces.tre.keys: not a list"},
+        {R"({"tre": {"keys": ["a", {"secret": 1}]}})", "workspaces.tre.keys[1]: not a text"},
+        {R"({"tre": {"keys": ["secret key"]}})", "workspaces.tre.keys[0]: allowed are 1 to 512"},
+        {R"({"tre": {"keys": [""]}})", "workspaces.tre.keys[0]: allowed are 1 to 512"},
+        {R"({"tre": {"keys": [")" + long_key + R"("]}})", "workspaces.tre.keys[0]: allowed"},
+        {R"({"tre": "secret"})", "workspaces.tre: not an object"},
+        {R"(["secret"])", "workspaces: not an object"},
+        {R"({"tre": {}})", "workspaces.tre.keys: missing"},
+        {R"({"tre": {"keys": [], "rate_per_s": -1}})", "workspaces.tre.rate_per_s: -1; allowed"},
+        {R"({"tre": {"keys": [], "burst": "9"}})", "workspaces.tre.burst: \"9\"; allowed"},
+        {R"({"tre": {"keys": [], "priority": 0.5}})", "workspaces.tre.priority: 5E-1; allowed"},
+        {R"({"tre": {"keys": [], "rate": 1}})", "workspaces.tre.rate: unknown key"},
+        {R"({"a b": {"keys": []}})", "workspaces: name \"a b\"; allowed"},
+    };
+    for (const auto& [workspaces, message] : rows) {
+      INFO(workspaces);
+      const std::string detail = ErrorDetail(with(workspaces));
+      CHECK_THAT(detail, Catch::Matchers::Contains(message));
+      CHECK_THAT(detail, !Catch::Matchers::Contains("secret"));
+    }
+    CHECK_THAT(
+        ErrorDetail(With(R"("prefer": "latency")", R"("requires_key": true)")),
+        Catch::Matchers::Contains("services.verstas-1.requires_key: true; allowed is false"));
+  }
+  SECTION("differences count keys") {
+    const Config before = *Config::Parse(with(both));
+    const Config after = *Config::Parse(with(
+        R"({"tre": {"keys": ["secret-2", "secret-4"], "rate_per_s": 3, "burst": 10, "priority": 2},
+            "tku": {"keys": ["secret-5"]}})"));
+    const std::vector<std::string> lines = DiffConfigs(before, after);
+    REQUIRE(lines.size() == 4);
+    CHECK(lines[0] == "workspaces.hel: removed");
+    CHECK(lines[1] == "workspaces.tku: added {\"priority\":null,\"rate_per_s\":0E0,\"burst\":0E0}");
+    CHECK(lines[2] == "workspaces.tre.keys: 1 added, 1 removed");
+    CHECK_THAT(lines[3], Catch::Matchers::StartsWith("workspaces.tre.rate_per_s: 2.5E0 -> 3E0"));
+  }
+}
+
 // Guards against accepting dependency cycles, rejecting graphs without one, and wrong dependency
 // closures. The reference computes reachability with the Floyd-Warshall algorithm.
 TEST_CASE("random dependency graphs agree with a reachability matrix", "[config]") {
--- /dev/null
+++ b/testing/native_deployment.cc
@@ -0,0 +1,266 @@
+// Implements the deployment of native routers, controllers and targets in one process.
+#include "testing/native_deployment.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "core/caller_api.h"
+#include "core/settings.h"
+#include "io/clock.h"
+#include "testing/loopback_network.h"
+
+namespace peridotgauge {
+namespace {
+
+constexpr int kHttpPort = 18'301;
+constexpr int kPeerPort = 18'302;
+constexpr int kTargetPort = 18'303;
+constexpr Duration kControlTimeout = Seconds(5);
+constexpr Duration kPollInterval = Millis(50);
+// Well below the lease of a registration.
+constexpr Duration kRegistrationInterval = Millis(300);
+constexpr uint64_t kSnapshot = 1;
+
+bool Await(const std::function<bool()>& condition) {
+  const Time end = SteadyNow() + kDeploymentTimeout;
+  while (!condition()) {
+    if (SteadyNow() >= end) return false;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return true;
+}
+
+std::string Quoted(const std::string& text) { return "\"" + text + "\""; }
+
+std::vector<HttpHeader> CallerHeaders(const std::string& key) {
+  std::vector<HttpHeader> headers = {{"content-type", "application/json"}};
+  if (!key.empty()) headers.push_back({std::string(kKeyHeader), key});
+  return headers;
+}
+
+}  // namespace
+
+NativeDeployment::NativeDeployment(NativeDeploymentOptions options) : options(std::move(options)) {
+  this->network = ClaimLoopbackNetwork();
+  std::string pattern = (std::filesystem::temp_directory_path() / "native_test_XXXXXX").string();
+  this->folder = mkdtemp(pattern.data());
+  for (size_t i = 0; i < this->options.controllers; ++i) {
+    this->Start("controller-" + std::to_string(i));
+  }
+  for (size_t i = 0; i < this->options.routers; ++i) this->StartRouter(i);
+}
+
+NativeDeployment::~NativeDeployment() {
+  while (!this->processes.empty()) this->End(this->processes.begin()->first);
+  std::error_code ignored;
+  std::filesystem::remove_all(this->folder, ignored);
+}
+
+std::string NativeDeployment::IpOf(const std::string& name) const {
+  const int number = std::stoi(name.substr(name.find('-') + 1));
+  return this->network + std::to_string(1 + number + (name.starts_with("router") ? 20 : 0));
+}
+
+Address NativeDeployment::ControllerAddress(size_t number) const {
+  return this->IpOf("controller-" + std::to_string(number)) + ":" + std::to_string(kHttpPort);
+}
+
+Address NativeDeployment::RouterAddress(size_t number) const {
+  return this->IpOf("router-" + std::to_string(number)) + ":" + std::to_string(kHttpPort);
+}
+
+Address NativeDeployment::NewAddress() {
+  return this->network + std::to_string(this->next_host++) + ":" + std::to_string(kTargetPort);
+}
+
+std::string NativeDeployment::SettingsText(const std::string& name) const {
+  const auto at = [&](const std::string& process, int port) {
+    return Quoted(this->IpOf(process) + ":" + std::to_string(port));
+  };
+  std::string controllers;
+  for (size_t i = 0; i < this->options.controllers; ++i) {
+    const std::string controller = "controller-" + std::to_string(i);
+    controllers += (i == 0 ? "" : ",");
+    controllers +=
+        R"({"id":)" + Quoted(controller) + R"(,"peer_address":)" + at(controller, kPeerPort) + "}";
+  }
+  const bool controller = name.starts_with("controller");
+  const size_t number = std::stoul(name.substr(name.find('-') + 1));
+  const std::vector<std::string>& data_centres = this->options.data_centres;
+  return R"({"id":)" + Quoted(name) + R"(,"data_centre":)" +
+         Quoted(data_centres[number % data_centres.size()]) + R"(,"roles":[)" +
+         Quoted(controller ? "controller" : "router") + R"(],"http_address":)" +
+         at(name, kHttpPort) + R"(,"peer_address":)" + at(name, kPeerPort) + R"(,"span_file":)" +
+         Quoted(this->folder + "/" + name + ".spans") +
+         (controller ? R"(,"data_folder":)" + Quoted(this->folder + "/" + name) : "") +
+         R"(,"controllers":[)" + controllers + "]}";
+}
+
+void NativeDeployment::Start(const std::string& name) {
+  Process& process = this->processes[name];
+  process.loop = std::make_unique<LoopThread>();
+  const Result<Settings> settings = Settings::Parse(this->SettingsText(name), name);
+  const std::string invalid = settings ? "" : settings.error().ToString();
+  REQUIRE(invalid == "");
+  std::string failure;
+  process.loop->Run([&] {
+    auto daemon = Daemon::Start(process.loop->io, *settings);
+    if (daemon) {
+      process.daemon = std::move(*daemon);
+    } else {
+      failure = daemon.error().ToString();
+    }
+  });
+  INFO(name);
+  REQUIRE(failure == "");
+}
+
+// Destroys the process after its loop has ended, as its objects may only be used on the loop.
+void NativeDeployment::End(const std::string& name) {
+  const auto found = this->processes.find(name);
+  if (found == this->processes.end()) return;
+  found->second.loop->io.stop();
+  found->second.loop->Join();
+  found->second.daemon.reset();
+  this->processes.erase(found);
+}
+
+void NativeDeployment::FreezeRouter(size_t number, Duration duration) {
+  this->processes.at("router-" + std::to_string(number)).loop->Post([duration] {
+    std::this_thread::sleep_for(duration);
+  });
+}
+
+std::optional<HttpResponse> NativeDeployment::TryApply(const std::string& text) {
+  return Call(this->ControllerAddress(0), {.method = "POST", .path = "/v1/config", .body = text},
+              kControlTimeout);
+}
+
+bool NativeDeployment::Apply(const std::string& text) {
+  return Await([&] {
+    const auto answer = this->TryApply(text);
+    return answer && answer->status == 200;
+  });
+}
+
+std::optional<HttpResponse> NativeDeployment::Search(size_t router, const std::string& service,
+                                                     const std::string& key, Duration timeout) {
+  const SearchRequest request{.service = service, .query = "{}"};
+  return Call(this->RouterAddress(router),
+              {.method = "POST",
+               .path = "/v1/search",
+               .headers = CallerHeaders(key),
+               .body = FormatSearchRequest(request)},
+              timeout);
+}
+
+std::optional<HttpResponse> NativeDeployment::Order(size_t router, const std::string& service,
+                                                    const std::string& id, const std::string& key,
+                                                    Duration timeout) {
+  const OrderRequest request{
+      .service = service, .request_id = id, .issued_at_ms = UnixMillis(), .body = "{}"};
+  return Call(this->RouterAddress(router),
+              {.method = "POST",
+               .path = "/v1/order",
+               .headers = CallerHeaders(key),
+               .body = FormatOrderRequest(request)},
+              timeout);
+}
+
+bool NativeDeployment::AwaitSearch(const std::string& service, const std::string& key) {
+  for (size_t i = 0; i < this->options.routers; ++i) {
+    const bool complete = Await([&] {
+      const auto answer = this->Search(i, service, key);
+      if (!answer || answer->status != 200) return false;
+      const Result<SearchResponse> response = ParseSearchResponse(answer->body);
+      return response && response->missing.empty();
+    });
+    if (!complete) return false;
+  }
+  return true;
+}
+
+std::string NativeDeployment::Spans() const {
+  std::ostringstream spans;
+  for (const auto& entry : std::filesystem::directory_iterator(this->folder)) {
+    if (entry.path().extension() == ".spans") spans << std::ifstream(entry.path()).rdbuf();
+  }
+  return spans.str();
+}
+
+// --- NativeTarget ---
+
+NativeTarget::NativeTarget(NativeDeployment& deployment, NativeTargetOptions options)
+    : deployment(deployment), options(std::move(options)), address(deployment.NewAddress()) {
+  this->loop.Run([this] {
+    auto listening =
+        HttpServer::Listen(this->loop.io, this->address,
+                           [this](const HttpRequest& request, const HttpResponder& responder) {
+                             this->Handle(request, responder);
+                           });
+    if (listening) this->server = std::move(*listening);
+  });
+  REQUIRE(this->server);
+  this->registrar = std::thread([this] { this->Register(); });
+}
+
+NativeTarget::~NativeTarget() {
+  this->stopping = true;
+  this->registrar.join();
+  this->loop.Run([this] { this->server.reset(); });
+}
+
+void NativeTarget::Register() {
+  RegistrationRequest request;
+  request.record = {.target = this->options.name,
+                    .address = this->address,
+                    .service = this->options.service,
+                    .data_centre = this->options.data_centre,
+                    .incarnation = 1,
+                    .state = TargetState::kServing,
+                    .slots = this->options.slots,
+                    .connections = 2 * this->options.slots,
+                    .holds = {{kSnapshot, this->options.shard, this->options.shards}}};
+  while (!this->stopping) {
+    ++request.record.sequence;
+    const size_t router = request.record.sequence % this->deployment.RouterCount();
+    // A router that has just started may refuse; the next one is asked after the interval.
+    Call(this->deployment.RouterAddress(router),
+         {.method = "POST", .path = "/v1/targets", .body = FormatRegistrationRequest(request)},
+         Seconds(1));
+    std::this_thread::sleep_for(kRegistrationInterval);
+  }
+}
+
+void NativeTarget::Handle(const HttpRequest& request, const HttpResponder& responder) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->requests.push_back(request);
+  }
+  HttpResponse response = JsonResponse(200, "{}");
+  for (const char* name : {"x-request-id", "x-attempt", "x-service", "x-shard", "x-snapshot"}) {
+    response.headers.push_back({name, std::string(request.Header(name))});
+  }
+  auto timer =
+      std::make_shared<boost::asio::steady_timer>(this->loop.io, Duration(this->work_us.load()));
+  timer->async_wait([timer, responder, response](boost::system::error_code error) {
+    if (!error) responder.Send(response);
+  });
+}
+
+std::vector<HttpRequest> NativeTarget::Requests() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->requests;
+}
+
+void NativeTarget::Clear() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->requests.clear();
+}
+
+}  // namespace peridotgauge
--- a/testing/target_client_test.cc
+++ b/testing/target_client_test.cc
@@ -66,6 +66,14 @@
   CHECK(FormatSubRequest(request).path == "/order");
 }
 
+// Guards against a target that cannot tell whose request it runs.
+TEST_CASE("target_client names the workspace of the caller", "[target_client]") {
+  wire::SubRequestT request = Request();
+  CHECK(FormatSubRequest(request).Header("x-workspace").empty());
+  request.workspace = "tre";
+  CHECK(FormatSubRequest(request).Header("x-workspace") == "tre");
+}
+
 TEST_CASE("target_client checks a reply", "[target_client]") {
   HttpResponse response = Reply();
   SECTION("accepts the reply to the request") {
