Request quotas on the native interface

Searches and orders of a workspace with a rate and a burst count over all native routers. A request above the quota gets 429 (quota_exceeded) with not_run true and Retry-After, and reaches neither the ledger nor a target.

Routers use the QuotaGate of the routes interface before an order is claimed; after a wait for a permit the key is looked up again if the configuration changed, and the wait counts against the deadline. A drain waits for requests that wait for permits. Controllers grant permits for the workspaces of either format. They take all native routers that do not drain for those that share a quota, and no longer offer fewer because of quotas, which native routers do not follow.

not_run of a refused order speaks of this sending: an earlier one with the same id may have been executed (docs/design.md).

--- a/core/caller_api.cc
+++ b/core/caller_api.cc
@@ -2,8 +2,10 @@
 #include "core/caller_api.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
+#include <cstdio>
 #include <limits>
 #include <utility>
 
@@ -233,6 +235,15 @@
   return JsonResponse(InfoOf(error.code).http_status, FormatError(error, request_id, not_run));
 }
 
+HttpResponse RetryResponse(const Error& error, std::string_view request_id, Duration retry_after) {
+  HttpResponse response = ErrorResponse(error, request_id);
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f",
+                std::chrono::duration<double>(retry_after).count());
+  response.headers.push_back({"retry-after", text.data()});
+  return response;
+}
+
 ErrorBody ParseErrorBody(int status, std::string_view body) {
   JsonReader reader(body, "error");
   const std::optional<ErrorCode> code = ErrorCodeFromName(reader.String("error", 0, kMaxText));
--- a/io/controller.cc
+++ b/io/controller.cc
@@ -63,8 +63,9 @@
         heartbeat_handler(this->options.id, this->options.registration_lease, this->directory),
         rounds(std::make_shared<QuorumRounds>(io, log)),
         quotas(std::make_shared<QuotaService>(
-            io, QuotaServiceContext{this->options.id, this->options.quota,
-                                    this->options.parse_config, log, state, *this->rounds})),
+            io,
+            QuotaServiceContext{this->options.id, this->options.quota, this->options.parse_config,
+                                log, state, *this->rounds, this->options.callers_use_all_routers})),
         proposals(std::make_shared<Proposals>(io, log, state)),
         relay(io, this->options.id, this->options.controllers, this->options.peer_port),
         events(this->options.events) {}
@@ -848,7 +849,8 @@
         this->offer_policy.NextCount(now, current, active, data_centres.size(), reported);
     // Each router that shares a quota makes it more likely that a request waits for a permit, so
     // that a fleet with quotas begins with few routers and adds those that its load needs.
-    if (this->state.OfferedRouterCount() == 0 && active > 0 && this->quotas->HasQuotas()) {
+    if (!this->options.callers_use_all_routers && this->state.OfferedRouterCount() == 0 &&
+        active > 0 && this->quotas->HasQuotas()) {
       count = MinOfferedCount(active, data_centres.size());
     }
     if (!count) return;
--- a/io/controller.h
+++ b/io/controller.h
@@ -53,6 +53,8 @@
   ConfigParser parse_config = &Config::Parse;  // parses proposed configurations
   // Accepts any revision above the current one; otherwise only the next revision is accepted.
   bool highest_revision_wins = false;
+  // With the native interface routers list each other, whatever number is offered.
+  bool callers_use_all_routers = false;
   Duration registration_lease = kRegistrationLease;  // for targets that register with controllers
   QuotaTolerance quota;                              // of the request quotas of workspaces
   EventLog* events = nullptr;                        // may be null; must outlive the controller
--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -198,6 +198,7 @@
             .peer_port = this->PeerPort(),
             .parse_config = this->SelectConfigParser(),
             .highest_revision_wins = this->external != nullptr,
+            .callers_use_all_routers = this->external == nullptr,
             .registration_lease = kMaxMissedHeartbeats * this->settings.heartbeat_interval,
             .quota = this->settings.quota,
             .events = &this->log},
--- a/io/quota_service.cc
+++ b/io/quota_service.cc
@@ -72,8 +72,11 @@
 void QuotaService::OnTimer(Time now) {
   if (now < this->next_tick) return;
   this->next_tick = now + kQuotaTickInterval;
-  this->contacts.Observe(now, OfferedRouterIds(this->context.state.Routers(),
-                                               this->context.state.OfferedRouterCount()));
+  const RouterMap& routers = this->context.state.Routers();
+  this->contacts.Observe(now,
+                         OfferedRouterIds(routers, this->context.callers_use_all_routers
+                                                       ? routers.size()
+                                                       : this->context.state.OfferedRouterCount()));
   // Nothing may be filled in for a time after the arrival of a request whose round is not over: a
   // new leader may have begun.
   if (this->term == 0 || this->round_active) return;
@@ -98,7 +101,7 @@
                << config.error().ToString();
     return;
   }
-  this->table.SetWorkspaces(now, config->Routes().Workspaces());
+  this->table.SetWorkspaces(now, config->Workspaces());
 }
 
 void QuotaService::Handle(Time now, const wire::QuotaRequestT& request, Reply reply) {
--- a/io/quota_service.h
+++ b/io/quota_service.h
@@ -46,6 +46,8 @@
   ReplicatedLog& log;
   ControlState& state;
   QuorumRounds& rounds;
+  // Callers are told about all routers that are not draining, not only about the offered ones.
+  bool callers_use_all_routers = false;
 };
 
 class QuotaService : public std::enable_shared_from_this<QuotaService> {
--- a/io/router.cc
+++ b/io/router.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <random>
 #include <set>
@@ -13,9 +14,11 @@
 #include "core/plan.h"
 #include "core/quarantine.h"
 #include "core/replica_choice.h"
+#include "core/request_times.h"
 #include "io/clock.h"
 #include "io/order_runner.h"
 #include "io/owner.h"
+#include "io/quota_gate.h"
 #include "io/random_seed.h"
 #include "io/request_context.h"
 #include "io/search_runner.h"
@@ -52,6 +55,7 @@
         sender(self.id, this->owner, peers, *this->replica_choice, this->hedge_budget),
         registrations(self.id),
         crash_guard({io, control, metrics, log}),
+        quota_gate(std::make_shared<QuotaGate>(io, control, settings.quota, metrics, log)),
         context{io,
                 settings,
                 control,
@@ -149,17 +153,20 @@
     return true;
   }
 
+  void CountRefusal(const Error& error) {
+    this->metrics
+        .CounterOf("peridotgauge_callers_refused_total", {{"error", std::string(error.Name())}})
+        .Add();
+  }
+
   // Returns the workspace of a caller in the current configuration; null if the service needs no
   // key.
-  Result<std::shared_ptr<const Workspace>> FindCaller(const HttpRequest& http,
+  Result<std::shared_ptr<const Workspace>> FindCaller(const std::string& key,
                                                       const std::string& service) {
     const auto config = this->control.CurrentConfig();
-    const Result<const Workspace*> found = config->FindCaller(service, WorkspaceKey(http));
+    const Result<const Workspace*> found = config->FindCaller(service, key);
     if (!found) {
-      this->metrics
-          .CounterOf("peridotgauge_callers_refused_total",
-                     {{"error", std::string(found.error().Name())}})
-          .Add();
+      this->CountRefusal(found.error());
       return tl::unexpected(found.error());
     }
     if (*found == nullptr) return nullptr;
@@ -175,24 +182,106 @@
     responder.Send(JsonResponse(200, FormatRouterList(list)));
   }
 
+  // A search or order whose caller is known, until its quota is decided.
+  struct Arrival {
+    Time time;
+    std::string service;
+    std::string request_id;
+    std::string key;
+    std::optional<Duration> deadline;  // that the caller asks for
+    // Whether an error before the execution proves that the request was not executed.
+    bool not_run = true;
+  };
+
+  // An admitted request. `deadline` is that of the arrival, less the wait for a permit.
+  struct Admitted {
+    Time now;
+    std::string workspace;  // empty: none
+    std::optional<Duration> deadline;
+  };
+
+  // Looks up the caller and counts the request against the quota of the workspace. Then calls `run`
+  // or refuses the request.
+  void Admit(const Arrival& arrival, const HttpResponder& responder,
+             std::function<void(Admitted)> run) {
+    const auto config = this->control.CurrentConfig();
+    const auto caller = this->FindCaller(arrival.key, arrival.service);
+    if (!caller) {
+      return responder.Send(ErrorResponse(caller.error(), arrival.request_id, arrival.not_run));
+    }
+    const std::shared_ptr<const Workspace>& workspace = *caller;
+    const Service* service = config->FindService(arrival.service);
+    if (!workspace || !workspace->quota.Limited() || service == nullptr) {
+      return run({arrival.time, workspace ? workspace->name : "", arrival.deadline});
+    }
+    const Duration time_left = std::min(arrival.deadline.value_or(service->deadline), kMaxDeadline);
+    const Duration max_wait = MaxQuotaWait(arrival.time, time_left, this->refuse_at);
+    this->quota_gate->Admit(
+        arrival.time, *workspace, max_wait, responder,
+        [this, arrival, workspace, config, time_left, responder,
+         run = std::move(run)](std::optional<Duration> retry_after) {
+          if (retry_after) {
+            return this->RefuseForQuota(arrival, *workspace, *retry_after, responder);
+          }
+          const Time now = SteadyNow();
+          if (now == arrival.time) return run({now, workspace->name, arrival.deadline});
+          const std::optional<Duration> left =
+              std::max(time_left - (now - arrival.time), Duration(0));
+          if (config == this->control.CurrentConfig()) return run({now, workspace->name, left});
+          // The key may have been removed during the wait.
+          const auto again = this->FindCaller(arrival.key, arrival.service);
+          if (!again) {
+            return responder.Send(
+                ErrorResponse(again.error(), arrival.request_id, arrival.not_run));
+          }
+          run({now, *again ? (*again)->name : "", left});
+        });
+  }
+
+  // The refusal says that this sending of an order was not executed, also if an earlier one with
+  // the same id may have been.
+  void RefuseForQuota(const Arrival& arrival, const Workspace& workspace, Duration retry_after,
+                      const HttpResponder& responder) {
+    const Error error{ErrorCode::kQuotaExceeded,
+                      "workspace " + workspace.name + " has used up its request quota"};
+    this->CountRefusal(error);
+    responder.Send(RetryResponse(error, arrival.request_id, retry_after));
+  }
+
+  // The destructor of the last copy ends the request, also if it is refused, aborted or withdrawn.
+  std::shared_ptr<void> CountRunning() {
+    ++this->running_requests;
+    return {nullptr, [weak = this->weak_from_this()](void*) {
+              if (auto router = weak.lock()) --router->running_requests;
+            }};
+  }
+
   void Search(const HttpRequest& http, const HttpResponder& responder) {
     Result<SearchRequest> request = ParseSearchRequest(http.body);
     if (!request) return responder.Send(ErrorResponse(request.error(), ""));
     if (request->request_id.empty()) request->request_id = RandomRequestId(this->random);
     const Time now = SteadyNow();
     if (this->RefuseUnlessServing(now, responder, request->request_id)) return;
-    const std::string id = request->request_id;
-    const auto caller = this->FindCaller(http, request->service);
-    if (!caller) return responder.Send(ErrorResponse(caller.error(), id));
-    if (*caller) request->workspace = (*caller)->name;
-    ++this->running_searches;
-    // The destructor of the last copy of `running` decrements the counter, also if the search is
-    // refused or aborted.
-    std::shared_ptr<void> running(nullptr, [weak = this->weak_from_this()](void*) {
-      if (auto router = weak.lock()) --router->running_searches;
-    });
-    auto run = SearchRun::Start(this->context, std::move(*request),
-                                ParseTraceparent(http.Header("traceparent")), now,
+    const Arrival arrival{.time = now,
+                          .service = request->service,
+                          .request_id = request->request_id,
+                          .key = std::string(WorkspaceKey(http)),
+                          .deadline = request->deadline};
+    this->Admit(arrival, responder,
+                [this, request = std::move(*request), running = this->CountRunning(), responder,
+                 parent = ParseTraceparent(http.Header("traceparent"))](Admitted admitted) {
+                  SearchRequest search = request;
+                  search.workspace = std::move(admitted.workspace);
+                  search.deadline = admitted.deadline;
+                  this->RunSearch(admitted.now, std::move(search), parent, running, responder);
+                });
+  }
+
+  // `running` is kept until the search has ended.
+  void RunSearch(Time now, SearchRequest request, const std::optional<SpanContext>& parent,
+                 const std::shared_ptr<void>& running, const HttpResponder& responder) {
+    const std::string id = request.request_id;
+    auto run = SearchRun::Start(this->context, std::move(request), parent, now,
                                 [responder, id, running](Result<SearchResponse> answer) {
                                   if (!answer) {
                                     return responder.Send(ErrorResponse(answer.error(), id));
@@ -209,15 +298,31 @@
     Result<OrderRequest> request = ParseOrderRequest(http.body);
     if (!request) return responder.Send(ErrorResponse(request.error(), ""));
     const Time now = SteadyNow();
-    const std::string id = request->request_id;
-    if (this->RefuseUnlessServing(now, responder, id, false)) return;
-    const auto caller = this->FindCaller(http, request->service);
-    // An earlier request with the same id may have been executed with a key that was removed since.
-    if (!caller) return responder.Send(ErrorResponse(caller.error(), id, /*not_run=*/false));
-    if (*caller) request->workspace = (*caller)->name;
-    StartOrder(this->context, this->orders, std::move(*request),
-               ParseTraceparent(http.Header("traceparent")), now,
-               [responder, id](OrderReply reply) {
+    if (this->RefuseUnlessServing(now, responder, request->request_id, false)) return;
+    const Arrival arrival{.time = now,
+                          .service = request->service,
+                          .request_id = request->request_id,
+                          .key = std::string(WorkspaceKey(http)),
+                          .deadline = request->deadline,
+                          // An earlier request with the same id may have been executed with a key
+                          // that was removed since.
+                          .not_run = false};
+    this->Admit(arrival, responder,
+                [this, request = std::move(*request), running = this->CountRunning(), responder,
+                 parent = ParseTraceparent(http.Header("traceparent"))](Admitted admitted) {
+                  OrderRequest order = request;
+                  order.workspace = std::move(admitted.workspace);
+                  order.deadline = admitted.deadline;
+                  this->RunOrder(admitted.now, std::move(order), parent, running, responder);
+                });
+  }
+
+  // `running` is kept until the order is answered.
+  void RunOrder(Time now, OrderRequest request, const std::optional<SpanContext>& parent,
+                const std::shared_ptr<void>& running, const HttpResponder& responder) {
+    const std::string id = request.request_id;
+    StartOrder(this->context, this->orders, std::move(request), parent, now,
+               [responder, id, running](OrderReply reply) {
                  if (!reply.answer) {
                    return responder.Send(ErrorResponse(reply.answer.error(), id, reply.not_run));
                  }
@@ -252,6 +357,7 @@
     if (change.quarantine) this->quarantine.SetCommitted(this->control.QuarantineList());
     this->crash_guard.OnControlChange(now, change);
     if (change.routers) this->OnRouters();
+    this->quota_gate->OnControlChange(now, change);
     this->owner.OnControlChange(now, change);
   }
 
@@ -301,7 +407,7 @@
   // Leaves the router list once all running work has ended.
   void ContinueDrain(Time now) {
     if (!this->IsRefusing(now) || this->leaving) return;
-    if (this->running_searches > 0 || this->orders.running > 0 || !this->owner.Idle()) return;
+    if (this->running_requests > 0 || this->orders.running > 0 || !this->owner.Idle()) return;
     this->leaving = true;
     this->control.StopSync();
     this->control.Command(LeaveCommand(this->self.id, this->self.incarnation, /*clean=*/true),
@@ -327,12 +433,13 @@
   SubRequestSender sender;
   Registrations registrations;
   CrashGuard crash_guard;
+  std::shared_ptr<QuotaGate> quota_gate;
   RequestContext context;
   OrderContext orders;
   asio::steady_timer timer;
   std::mt19937_64 random;
   std::map<std::string, TargetRecord> known_targets;  // the targets that the planner has
-  uint32_t running_searches = 0;
+  uint32_t running_requests = 0;                      // searches and orders without an answer
   std::optional<Time> refuse_at;  // when to start refusing requests; set by Drain()
   bool leaving = false;
   std::function<void()> on_drained;
--- a/testing/caller_api_test.cc
+++ b/testing/caller_api_test.cc
@@ -74,6 +74,18 @@
   CHECK(WorkspaceKey(request).empty());
 }
 
+// Guards against a refusal that does not say when to send the request again.
+TEST_CASE("caller_api says when to send a request again", "[caller_api]") {
+  const HttpResponse response =
+      RetryResponse({ErrorCode::kQuotaExceeded, "w has used up its quota"}, "q-1", Millis(1'250));
+  CHECK(response.status == 429);
+  CHECK(response.Header("Retry-After") == "1.250");
+  const ErrorBody body = ParseErrorBody(response.status, response.body);
+  CHECK(body.error.code == ErrorCode::kQuotaExceeded);
+  CHECK(body.not_run);
+  CHECK(body.request_id == "q-1");
+}
+
 TEST_CASE("caller_api errors name the invalid field", "[caller_api]") {
   struct Case {
     std::string text;
