--- a/core/caller_api.cc
+++ b/core/caller_api.cc
@@ -2,7 +2,10 @@
 #include "core/caller_api.h"
 
 #include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
 #include <charconv>
+#include <cstdio>
 #include <limits>
 #include <utility>
 
@@ -76,12 +79,7 @@
   return Millis(static_cast<int64_t>(reader.Unsigned("deadline_ms", 1, kMaxMillis)));
 }
 
-// Ids are sent to targets in an HTTP header and must be returned unchanged, so only visible ASCII
-// characters are allowed.
-bool IsVisibleAscii(std::string_view text) {
-  return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
-}
-
+// Ids are sent to targets in an HTTP header and must be returned unchanged.
 std::string ReadName(JsonReader& reader, std::string_view name, size_t max_length) {
   std::string text = reader.String(name, 1, max_length);
   if (!IsVisibleAscii(text)) {
@@ -237,6 +235,15 @@
   return JsonResponse(InfoOf(error.code).http_status, FormatError(error, request_id, not_run));
 }
 
+HttpResponse RetryResponse(const Error& error, std::string_view request_id, Duration retry_after) {
+  HttpResponse response = ErrorResponse(error, request_id);
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f",
+                std::chrono::duration<double>(retry_after).count());
+  response.headers.push_back({"retry-after", text.data()});
+  return response;
+}
+
 ErrorBody ParseErrorBody(int status, std::string_view body) {
   JsonReader reader(body, "error");
   const std::optional<ErrorCode> code = ErrorCodeFromName(reader.String("error", 0, kMaxText));
@@ -253,6 +260,16 @@
           .request_id = {}};
 }
 
+std::string_view WorkspaceKey(const HttpRequest& request) {
+  std::string_view key;
+  for (const HttpHeader& header : request.headers) {
+    if (!boost::beast::iequals(header.name, kKeyHeader)) continue;
+    if (!key.empty()) return {};
+    key = header.value;
+  }
+  return key;
+}
+
 // --- Router list ---
 
 std::string FormatRouterList(const RouterList& list) {
--- a/testing/caller_api_test.cc
+++ b/testing/caller_api_test.cc
@@ -64,6 +64,28 @@
   }
 }
 
+// Guards against a caller who sends several keys and is served with one of them.
+TEST_CASE("caller_api reads the key of a workspace", "[caller_api]") {
+  HttpRequest request{.headers = {{"host", "h"}}};
+  CHECK(WorkspaceKey(request).empty());
+  request.headers.push_back({"X-Workspace-Key", "k1"});
+  CHECK(WorkspaceKey(request) == "k1");
+  request.headers.push_back({"x-workspace-key", "k2"});
+  CHECK(WorkspaceKey(request).empty());
+}
+
+// Guards against a refusal that does not say when to send the request again.
+TEST_CASE("caller_api says when to send a request again", "[caller_api]") {
+  const HttpResponse response =
+      RetryResponse({ErrorCode::kQuotaExceeded, "w has used up its quota"}, "q-1", Millis(1'250));
+  CHECK(response.status == 429);
+  CHECK(response.Header("Retry-After") == "1.250");
+  const ErrorBody body = ParseErrorBody(response.status, response.body);
+  CHECK(body.error.code == ErrorCode::kQuotaExceeded);
+  CHECK(body.not_run);
+  CHECK(body.request_id == "q-1");
+}
+
 TEST_CASE("caller_api errors name the invalid field", "[caller_api]") {
   struct Case {
     std::string text;
