Target signals test: the router knows both targets before one leaves

Order of events: i-0 registers, the router learns of it (directory 2), the route is ready; i-1 registers; the first request reaches i-0, which says that it leaves; 50 requests within 3 ms end with no_target, as the router has directory 2; it learns of i-1 40 ms later. A registration is answered before all routers have it, so nothing promises that the second target is used at once.

The other target now registers first and the test waits until it is used.

--- a/testing/target_signals_test.cc
+++ b/testing/target_signals_test.cc
@@ -259,16 +259,19 @@
   Fixture fixture;
   const auto at_once = [](const HttpRequest&) { return Duration(0); };
   RouteTarget leaving(fixture.deployment.NewAddress(), at_once, [&](HttpResponse& response) {
-    if (leaves) response.headers.push_back({"Server-Leaving", "1"});
+    if (!leaves) return;
+    response.headers.push_back({"Server-Leaving", "1"});
+    response.body = "leaving";
   });
-  // Until the first one has said that it leaves, the other target is slower, so that the router
-  // does not use that one alone.
+  // Until the first one has said that it leaves, the other target is slower than the first hedge,
+  // so that the router does not use that one alone.
   std::atomic<bool> other_slow = true;
   RouteTarget other(fixture.deployment.NewAddress(),
-                    [&](const HttpRequest&) { return other_slow ? Millis(20) : Duration(0); });
-  fixture.Register("i-0", leaving);
+                    [&](const HttpRequest&) { return other_slow ? Millis(100) : Duration(0); });
+  // The router must know the other target when the first one says that it leaves.
   fixture.Register("i-1", other);
   REQUIRE(fixture.deployment.AwaitRoute("/p/ready"));
+  fixture.Register("i-0", leaving);
   const auto send = [&](int count) {
     for (int i = 0; i < count; ++i) {
       const auto answer = fixture.Send();
@@ -277,10 +280,16 @@
     }
   };
   leaves = true;
-  const size_t before = leaving.Arrivals().size();
-  for (int i = 0; i < 200 && leaving.Arrivals().size() == before; ++i) send(1);
+  // An arrival alone does not show that the router has read the answer, as another may come first.
+  bool answered = false;
+  for (const Time end = SteadyNow() + kDeploymentTimeout; !answered && SteadyNow() < end;) {
+    const auto answer = fixture.Send();
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+    answered = answer->body == "leaving";
+  }
+  REQUIRE(answered);
   const size_t told = leaving.Arrivals().size();
-  REQUIRE(told > before);
   other_slow = false;
   send(50);
   CHECK(leaving.Arrivals().size() == told);
