Overload: reject searches that cannot complete without lost services

While all targets of two of 36 services could not be reached and the others were slow, merit lists, which may miss one shard, were sent to all other services and failed 40 ms later. Seat checks, which may miss five, became late behind them.

Cause: as long as the directory lists lost targets, each search finds out for itself that they cannot be reached, after it has sent its other sub-requests. (Without any listed target a search already ends before it sends anything.)

A search that cannot cover the shards that it needs without them is rejected at arrival (503, reason lost_services). A target that replies or starts again is not counted.

--- a/core/overload.cc
+++ b/core/overload.cc
@@ -32,6 +32,8 @@
       return "latency";
     case RejectReason::kLate:
       return "late_answers";
+    case RejectReason::kLost:
+      return "lost_services";
   }
   return "unknown";
 }
@@ -136,6 +138,11 @@
 AdmissionVerdict OverloadAdmission::Decide(Time now, const AdmissionQuery& query,
                                            LoadState& state) {
   AdmissionVerdict verdict;
+  if (query.plan.shards.size() >= 2 &&
+      !this->lost_services.CanCover(now, query.plan, query.needed)) {
+    verdict.reason = RejectReason::kLost;
+    return verdict;
+  }
   if (this->TooLate(now, query, state, verdict)) return verdict;
   verdict.refused_share = this->RefusedShare(now, query.plan);
   this->Shed(now, query, state, verdict);
--- a/core/overload.h
+++ b/core/overload.h
@@ -15,10 +15,10 @@
 // searches take what is left, each gets a part of the retries that it needs and nearly all fail.
 //
 // Contract: nothing is decided, and the budget grants as without this code, unless the services of
-// a request have refused at least kShortShare of the recent attempts, or answers of its class are
-// later than its objective. A request that is rejected at arrival has not been sent. All state is
-// local to one router and is based on its own observations; a restarted router knows nothing and
-// decides nothing.
+// a request have refused at least kShortShare of the recent attempts, all targets of a service are
+// unreachable, or answers of its class are later than its objective. A request that is rejected at
+// arrival has not been sent. All state is local to one router and is based on its own observations;
+// a restarted router knows nothing and decides nothing.
 //
 // Rules while services are short of room:
 // - Arrival: a request with a chance below kLeastChance is rejected. The chance is the probability
@@ -42,6 +42,8 @@
 //   overloaded. While targets report free slots, nothing is rejected, see core/slow_targets.h.
 //   Requests for one target are never rejected for this: they take room at one target only, and a
 //   late answer still has value.
+// - Lost services: a search that cannot complete while targets are unreachable is rejected at
+//   arrival, see core/lost_services.h. A request for one target is not: it takes no room elsewhere.
 // - Latency: if nine of ten recent answers of a class are later than its objective and than the
 //   time that a request has left, the request is rejected at arrival. One request in each
 //   kLatencyProbeInterval is admitted regardless.
@@ -62,6 +64,7 @@
 
 #include "core/hedge.h"
 #include "core/lateness_shedding.h"
+#include "core/lost_services.h"
 #include "core/plan.h"
 #include "core/quantile_window.h"
 #include "core/search_policy.h"
@@ -142,6 +145,7 @@
   kUrgency,  // the retries left are for more urgent requests
   kLatency,  // recent answers took longer than the time left
   kLate,     // requests become late, and fewer of them make the others faster
+  kLost,     // too many services have no target that can be reached
 };
 std::string_view NameOf(RejectReason reason);
 
@@ -182,6 +186,12 @@
   void OnReportedLoad(Time now, std::string_view service, double load) {
     this->slow_targets.OnReport(now, service, load);
   }
+  // An attempt failed before it reached the target.
+  void OnUnreachable(Time now, const TargetRecord& target) {
+    this->lost_services.OnUnreachable(now, target);
+  }
+  // The target has replied.
+  void OnReached(const TargetRecord& target) { this->lost_services.OnReached(target); }
   // Must be called for admitted requests only.
   void OnEnded(Time now, const LoadClass& load_class, const RequestEnd& end);
 
@@ -246,6 +256,7 @@
   Counts served;    // of all classes
   Counts accepted;  // attempts of all services; their seconds are marked
   SlowTargets slow_targets;
+  LostServices lost_services;
 };
 
 // Returns the probability that at least `needed` of independent events with these probabilities
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -239,6 +239,7 @@
     this->context.budget.OnReply(now, *attempt.service,
                                  {.refused = read.kind == TargetReplyKind::kNotRun});
     this->ObserveAttempt(now, attempt, read.kind == TargetReplyKind::kNotRun);
+    if (this->context.overload_admission) this->context.overload.OnReached(*attempt.target);
     if (answered) {
       this->budget.AddLatency(now, now - attempt.sent);
     } else {
@@ -310,7 +311,11 @@
                                          : ReplyKind::kFailed;
     this->context.replica_choice.OnReply(now, attempt.replica_send, {.kind = kind});
     this->context.budget.OnReply(now, *attempt.service, {});
-    if (failure.sent) this->ObserveAttempt(now, attempt, /*refused=*/false);
+    if (failure.sent) {
+      this->ObserveAttempt(now, attempt, /*refused=*/false);
+    } else if (this->context.overload_admission && failure.error.code == ErrorCode::kUnavailable) {
+      this->context.overload.OnUnreachable(now, *attempt.target);
+    }
     reply.error = failure.error;
     reply.crashed = failure.crashed;
     if (failure.crashed) this->OnTargetLost(now, attempt);
--- a/testing/overload_test.cc
+++ b/testing/overload_test.cc
@@ -86,6 +86,7 @@
   double burst = 1;             // multiple of the usual rate
   double refusing_share = 0.8;  // of the targets
   uint64_t seed = 0;            // of the routers, added to their numbers
+  int lost = 0;                 // services whose targets cannot be reached
 };
 
 // A sub-request at a target.
@@ -323,6 +324,11 @@
     }
     const bool refused =
         this->world.load.refusals && fault && std::bernoulli_distribution(0.6)(this->random);
+    if (PhaseOf(now) == kFault && std::stoi(service.substr(1)) < this->world.load.lost) {
+      return this->At(now + Millis(4), [this, run, attempt, &target = *send.target](Time at) {
+        this->OnUnreachable(at, run, attempt, target);
+      });
+    }
     const Duration usual = run->call.kind->work;
     Duration work(std::uniform_int_distribution<int64_t>(usual.count() / 2,
                                                          usual.count() * 3 / 2)(this->random));
@@ -330,7 +336,8 @@
       work = Duration(
           static_cast<int64_t>(static_cast<double>(work.count()) * this->world.load.slowness));
     }
-    const auto reply = [this, run, attempt, &service, &budget](Time at, bool refused, double load) {
+    const auto reply = [this, run, attempt, &service, &budget, &target = *send.target](
+                           Time at, bool refused, double load) {
       const auto open = run->open.find(attempt);
       if (open == run->open.end()) return;
       const auto [replica_send, sent] = open->second;
@@ -340,6 +347,7 @@
       this->limit.Budget().OnReply(at, service, {.refused = refused});
       this->admission.OnAttempt(at, service, refused, at - sent);
       this->admission.OnReportedLoad(at, service, load);
+      this->admission.OnReached(target);
       AttemptReply attempt_reply{
           .sent_attempt = attempt, .request_id = "r", .attempt = attempt, .body = "+"};
       if (refused) {
@@ -362,6 +370,21 @@
     });
   }
 
+  void OnUnreachable(Time now, const std::shared_ptr<Running>& run, uint32_t attempt,
+                     const TargetRecord& target) {
+    const auto open = run->open.find(attempt);
+    if (open == run->open.end()) return;
+    this->choice->OnReply(now, open->second.first, {.kind = ReplyKind::kUnreachable});
+    run->open.erase(open);
+    this->limit.Budget().OnReply(now, *run->services.at(attempt), {});
+    this->admission.OnUnreachable(now, target);
+    this->Apply(now, run,
+                run->search->OnReply(now, {.sent_attempt = attempt,
+                                           .error = Error{ErrorCode::kUnavailable, ""},
+                                           .request_id = "r",
+                                           .attempt = attempt}));
+  }
+
   void OnOutcome(Time now, Running& run, const SearchOutcome& outcome) {
     ++run.timer;
     const Call& call = run.call;
@@ -509,6 +532,30 @@
   }
 }
 
+// Variations of the load, for comparisons by hand: build/unit_tests "[lost_table]" -s.
+TEST_CASE("value while services have no targets", "[.lost_table]") {
+  for (const int lost : {1, 2, 4}) {
+    for (const double slowness : {1.0, 4.0, 6.0}) {
+      std::ostringstream out;
+      out << "lost " << lost << " slowness " << slowness << ":";
+      for (const uint64_t seed : {0, 1'000, 2'000}) {
+        const Load load{.slowness = slowness, .seed = seed, .lost = lost};
+        const Results with = RunReplay({}, load);
+        out << "  " << Value(with, kFault) << " of "
+            << Value(RunReplay(kNoDecisions, load), kFault);
+        for (const char* route : {"merit", "seat"}) {
+          const Counts& r = with.at(route)[kFault];
+          out << " (" << route << " " << r.calls << ": " << r.in_time << "/" << r.returned << "/"
+              << r.late << " rej " << r.rejections << ", after "
+              << with.at(route)[kRecovery].in_time << " of " << with.at(route)[kRecovery].calls
+              << ")";
+        }
+      }
+      std::cout << out.str() << std::endl;
+    }
+  }
+}
+
 // Variations of the load, for comparisons by hand: build/unit_tests "[overload_table]" -s.
 TEST_CASE("value of variations of a burst with slow targets", "[.overload_table]") {
   for (const double slowness : {3.0, 3.5, 4.0, 5.0, 5.5, 6.0}) {
@@ -533,6 +580,36 @@
   }
 }
 
+// Guards against searches that cannot complete and delay those that can, while the targets of some
+// services cannot be reached and the others are slow.
+TEST_CASE("services without targets while others are slow", "[overload]") {
+  const int lost = GENERATE(2, 4);
+  const Load load{.slowness = 4, .lost = lost};
+  const Results without = RunReplay(kNoDecisions, load);
+  const Results with = RunReplay({}, load);
+  INFO(Print("without", without) << Print("with", with));
+  CHECK(Value(with, kFault) > 1.15 * Value(without, kFault));
+  // Seat checks can do without five services, and are served nearly as if no merit lists came.
+  const Counts& seat = with.at("seat")[kFault];
+  CHECK(seat.rejections == 0);
+  CHECK(seat.in_time > 0.85 * seat.calls);
+  // Merit lists are admitted again within kRememberUnreachable.
+  const Counts& recovery = with.at("merit")[kRecovery];
+  CHECK(recovery.in_time > 0.9 * recovery.calls);
+  for (const auto& [route, phases] : with) {
+    CHECK(phases[kAfter].in_time + phases[kAfter].late > 0.99 * phases[kAfter].calls);
+  }
+}
+
+// Guards against rejections of searches that can still complete.
+TEST_CASE("one service without targets, which all searches can do without", "[overload]") {
+  const Load load{.slowness = GENERATE(1.0, 4.0), .lost = 1};
+  const Results with = RunReplay({}, load);
+  INFO(Print("with", with));
+  for (const auto& [route, phases] : with) CHECK(phases[kFault].rejections == 0);
+  CHECK(Value(with, kFault) > 0.97 * Value(RunReplay(kNoDecisions, load), kFault));
+}
+
 // Guards against rejections of requests that are late without queues, because targets are slow. At
 // most the share of the value that a deployment may lose by a change, 0.03, may be lost.
 TEST_CASE("slow targets without a burst", "[overload]") {
@@ -670,6 +747,48 @@
   }
 }
 
+// Guards against rejections because of targets that were lost earlier, or of only some targets.
+TEST_CASE("searches that cannot complete without lost services", "[overload]") {
+  std::vector<TargetRecord> targets;
+  for (const char* name : {"a-0", "a-1", "b-0", "c-0"}) targets.push_back({.target = name});
+  const std::vector<const TargetRecord*> a = {&targets[0], &targets[1]};
+  const std::vector<const TargetRecord*> b = {&targets[2]};
+  const std::vector<const TargetRecord*> c = {&targets[3]};
+  Plan plan;
+  for (const auto* candidates : {&a, &b, &c}) {
+    plan.shards.push_back({.service = 0, .candidates = *candidates});
+  }
+  LostServices lost;
+  CHECK(lost.CanCover(kStart, plan, 3));
+  lost.OnUnreachable(kStart, targets[0]);
+  CHECK(lost.CanCover(kStart, plan, 3));  // a-1 may answer
+  lost.OnUnreachable(kStart + Millis(10), targets[1]);
+  const Time now = kStart + Millis(20);
+  CHECK_FALSE(lost.CanCover(now, plan, 3));
+
+  SECTION("other searches can complete") {
+    CHECK(lost.CanCover(now, plan, 2));
+    lost.OnUnreachable(now, targets[2]);
+    CHECK_FALSE(lost.CanCover(now, plan, 2));
+  }
+  SECTION("a shard without targets counts") {
+    plan.shards[2].candidates = {};
+    CHECK_FALSE(lost.CanCover(now, plan, 2));
+  }
+  SECTION("a target is reached again") {
+    lost.OnReached(targets[1]);
+    CHECK(lost.CanCover(now, plan, 3));
+  }
+  SECTION("a target has started again") {
+    targets[1].incarnation = 1;
+    CHECK(lost.CanCover(now, plan, 3));
+  }
+  SECTION("a search is admitted after a while") {
+    CHECK_FALSE(lost.CanCover(kStart + kRememberUnreachable, plan, 3));
+    CHECK(lost.CanCover(kStart + kRememberUnreachable + Millis(1), plan, 3));
+  }
+}
+
 // Guards against less urgent requests that take the last retries, and against their starvation.
 TEST_CASE("retries are left for more urgent requests", "[overload]") {
   Small small;
