--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -231,11 +231,15 @@
     if (read.load && read.load->slots > 0) {
       report.load = static_cast<float>(read.load->running + read.load->waiting) /
                     static_cast<float>(read.load->slots);
+      if (this->context.overload_admission) {
+        this->context.overload.OnReportedLoad(now, *attempt.service, report.load);
+      }
     }
     this->context.replica_choice.OnReply(now, attempt.replica_send, report);
     this->context.budget.OnReply(now, *attempt.service,
                                  {.refused = read.kind == TargetReplyKind::kNotRun});
     this->ObserveAttempt(now, attempt, read.kind == TargetReplyKind::kNotRun);
+    if (this->context.overload_admission) this->context.overload.OnReached(*attempt.target);
     if (answered) {
       this->budget.AddLatency(now, now - attempt.sent);
     } else {
@@ -307,7 +311,11 @@
                                          : ReplyKind::kFailed;
     this->context.replica_choice.OnReply(now, attempt.replica_send, {.kind = kind});
     this->context.budget.OnReply(now, *attempt.service, {});
-    if (failure.sent) this->ObserveAttempt(now, attempt, /*refused=*/false);
+    if (failure.sent) {
+      this->ObserveAttempt(now, attempt, /*refused=*/false);
+    } else if (this->context.overload_admission && failure.error.code == ErrorCode::kUnavailable) {
+      this->context.overload.OnUnreachable(now, *attempt.target);
+    }
     reply.error = failure.error;
     reply.crashed = failure.crashed;
     if (failure.crashed) this->OnTargetLost(now, attempt);
