--- a/testing/hostile/hostile_deployment.cc
+++ b/testing/hostile/hostile_deployment.cc
@@ -109,6 +109,31 @@
       Call(this->At("controller", kHttpPort), {.method = "GET", .path = "/config"}, kCallTimeout);
   return answer && answer->status == 200;
 }
+Address HostileDeployment::TargetAddress(size_t number) const {
+  return this->network + std::to_string(101 + number) + ":" + std::to_string(kTargetPort);
+}
+bool HostileDeployment::AddRoute(const std::string& route, const std::string& path,
+                                 const std::map<std::string, std::vector<Address>>& services) {
+  std::vector<std::string> names{"s"};
+  for (const auto& [service, targets] : services) names.push_back(service);
+  const std::string text = ConfigText(2, {RouteText("s", "/s/", "safe", 4'000, "s"), route}, names);
+  if (!Await([&] { return this->Put("/config", text); })) return false;
+  for (const auto& [service, targets] : services) {
+    for (size_t i = 0; i < targets.size(); ++i) {
+      const Address& target = targets[i];
+      if (!this->Put("/instances/i-" + service + "-" + std::to_string(i),
+                     HeartbeatText(service, target, "ready", 1))) {
+        return false;
+      }
+    }
+  }
+  return Await([&] {
+    const std::string id = "ready-" + std::to_string(++this->requests);
+    const auto answer = Call(this->At("router", kHttpPort),
+                             CallerRequest(id, "GET", path, Millis(500)), Seconds(1));
+    return !answer || (answer->status != 404 && answer->status != 503);
+  });
+}
 void HostileDeployment::Check(const std::string& attacked) {
   for (const std::string name : {"controller", "router"}) {
     CAPTURE(name);
@@ -163,14 +188,15 @@
       limits);
   if (listening) this->target = std::move(*listening);
 }
+bool HostileDeployment::Put(const std::string& path, const std::string& body) const {
+  const auto answer = Call(this->At("controller", kHttpPort),
+                           {.method = "PUT", .path = path, .body = body}, kCallTimeout);
+  return answer && answer->status == 200;
+}
 bool HostileDeployment::Configure() const {
-  const auto put = [this](const std::string& path, const std::string& body) {
-    const auto answer = Call(this->At("controller", kHttpPort),
-                             {.method = "PUT", .path = path, .body = body}, kCallTimeout);
-    return answer && answer->status == 200;
-  };
-  return put("/config", ConfigText(1, {RouteText("s", "/s/", "safe", 4'000, "s")}, {"s"})) &&
-         put("/instances/i-1",
+  return this->Put("/config", ConfigText(1, {RouteText("s", "/s/", "safe", 4'000, "s")}, {"s"})) &&
+         this->Put(
+             "/instances/i-1",
              HeartbeatText("s", this->network + "100:" + std::to_string(kTargetPort), "ready", 1));
 }
 
--- a/testing/hostile/hostile_deployment.h
+++ b/testing/hostile/hostile_deployment.h
@@ -16,8 +16,10 @@
 #include <sys/types.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "testing/route_deployment.h"
 
@@ -82,6 +84,12 @@
   bool Answers();
   // Asks the controller for the configuration, as operators do.
   bool ControllerAnswers() const;
+  // Returns the address of a further target; `number` counts from 0.
+  Address TargetAddress(size_t number) const;
+  // Adds a route and its services, with the addresses of their targets, which must listen already.
+  // Waits until the router sends requests for `path` to a target. Call it once.
+  bool AddRoute(const std::string& route, const std::string& path,
+                const std::map<std::string, std::vector<Address>>& services);
   // Checks both processes after a crowd.
   void Check(const std::string& attacked);
 
@@ -90,6 +98,8 @@
   // Answers each request after a while, so that requests wait in the router. A path that ends with
   // "/large" gets kLargeAnswerBytes.
   void Listen();
+  // Sends a document to the controller. Returns true if it is accepted.
+  bool Put(const std::string& path, const std::string& body) const;
   bool Configure() const;
 
   const HostSize router_size;
