Bound the head of a target's response as a whole

Callers of all services would be lost with the process.

Cause: the parser consumes each field as soon as the next one begins, and limits only what it has not consumed. A head whose parts end after the first byte or two of a field is never limited.

Change: the client ends the exchange when an incomplete head has more than 64 KiB, or head and trailer have more than 4,096 fields, which are more than fit into 16,384 bytes. The exchange has failed like one whose connection broke.

--- a/io/http_client.h
+++ b/io/http_client.h
@@ -57,6 +57,10 @@
 // Maximum number of bytes of an incomplete element (a head, a chunk header, a trailer). The parser
 // reads these as a whole.
 constexpr size_t kMaxUnparsedBytes = 64 << 10;
+// Maximum number of bytes of a head. The parser limits only what it has not read yet.
+constexpr size_t kMaxHeadBytes = 64 << 10;
+// Maximum number of fields of a head and its trailer: more than fit into 16,384 bytes.
+constexpr size_t kMaxResponseFields = 4'096;
 // Responses to other requests that a call discards; it accepts the next response unchecked.
 constexpr int kMaxStrays = 4;
 
--- a/io/http_client_impl.h
+++ b/io/http_client_impl.h
@@ -149,6 +149,8 @@
   // Parses the received data. `error` is that of the read, for example the end of the stream.
   void Parse(boost::system::error_code error);
   void ResetParser();
+  // Counts the fields that the parser keeps, if there may be more since the last count.
+  void CountFields();
   // Counts the bytes of the incomplete response in the budget.
   void CountBytes();
   // Ends the running exchange because the budget is exceeded.
@@ -180,6 +182,10 @@
   std::string request;        // the serialized request of the running exchange
   std::array<char, kReadBytes> read_buffer;
   boost::beast::flat_buffer buffer;  // received and not parsed yet
+  size_t head_bytes = 0;       // of the response in `parser`, parsed before its head is complete
+  size_t uncounted_bytes = 0;  // parsed since its fields were counted
+  size_t fields = 0;           // of the response in `parser`
+  bool head_counted = false;   // `fields` contains the whole head
   std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
   std::shared_ptr<ByteBudget::Account> kept;  // of the response in `parser`; null if it is small
   Time idle_since{};
--- a/io/http_connection.cc
+++ b/io/http_connection.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <iterator>
 #include <string_view>
 
 #include "core/address.h"
@@ -26,6 +27,9 @@
 constexpr double kUncheckedIdleShare = 0.5;
 // Upper bound on the idle timeout taken from a peer, in seconds. Longer ones are not needed here.
 constexpr int64_t kMaxIdleTimeoutSeconds = 3'600;
+// Received bytes of an incomplete head after which its fields are counted again. Counting at each
+// read would take long for heads that arrive byte by byte.
+constexpr size_t kRecountBytes = 512;
 
 // Returns the peer's idle timeout from a header such as "Keep-Alive: timeout=5", or 0 if there is
 // none.
@@ -200,13 +204,22 @@
 void HttpClient::Connection::Parse(error_code error) {
   error_code failed;
   while (this->buffer.size() > 0 && !this->parser->is_done() && !failed) {
-    this->buffer.consume(this->parser->put(this->buffer.data(), failed));
+    const bool in_head = !this->parser->is_header_done();
+    const size_t parsed = this->parser->put(this->buffer.data(), failed);
+    this->buffer.consume(parsed);
+    if (in_head) this->head_bytes += parsed;
+    this->uncounted_bytes += parsed;
     if (!failed && this->parser->is_done() && this->DiscardStray()) continue;
   }
   if (failed == http::error::need_more) failed = {};
   if (!failed && !this->parser->is_done() && this->buffer.size() > kMaxUnparsedBytes) {
     failed = http::error::header_limit;
   }
+  this->CountFields();
+  if (!failed && (this->fields > kMaxResponseFields ||
+                  (!this->parser->is_header_done() && this->head_bytes > kMaxHeadBytes))) {
+    failed = http::error::header_limit;
+  }
   if (error == asio::error::eof && !failed && !this->parser->is_done()) {
     // A response without a length ends at the end of the stream.
     if (this->parser->got_some()) {
@@ -230,6 +243,21 @@
   this->parser.emplace();
   this->parser->body_limit(kMaxResponseBytes);
   this->parser->eager(true);
+  this->head_bytes = 0;
+  this->uncounted_bytes = 0;
+  this->fields = 0;
+  this->head_counted = false;
+}
+
+void HttpClient::Connection::CountFields() {
+  const bool head_done = this->parser->is_header_done();
+  const bool counted = head_done ? this->head_counted : this->uncounted_bytes < kRecountBytes;
+  // A trailer adds its fields when the response is complete.
+  if (counted && !this->parser->is_done()) return;
+  this->head_counted = head_done;
+  const auto& head = this->parser->get();
+  this->fields = static_cast<size_t>(std::distance(head.begin(), head.end()));
+  this->uncounted_bytes = 0;
 }
 
 void HttpClient::Connection::CountBytes() {
--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -269,6 +269,32 @@
   CHECK(fixture.client->Status().running == 0);
 }
 
+// Guards against a target whose head of many short fields goes on until memory is used up. Each
+// part ends after the first byte of a field, of which the parser keeps nothing back.
+TEST_CASE("http_client ends an exchange with header fields without end", "[http_client]") {
+  constexpr size_t kPartBytes = 4'000;
+  Fixture fixture;
+  Outcome outcome;
+  fixture.Send(outcome, Seconds(600));
+  RawSocket& socket = fixture.WaitForRequest(1);
+  const std::string field = GENERATE(as<std::string>{}, "a:\r\n", "x-longer: 0123456789\r\n");
+  std::string part;
+  while (part.size() < kPartBytes) part += field;
+  socket.Send("HTTP/1.1 200 OK\r\n" + field.substr(0, 1));
+  part = part.substr(1) + field.substr(0, 1);
+  size_t sent = 0;
+  while (!outcome.result && sent <= 2 * kMaxHeadBytes) {
+    // Lets the client read each part by itself.
+    const Time pause_end = SteadyNow() + Millis(5);
+    REQUIRE(fixture.Until([&] { return outcome.result || SteadyNow() >= pause_end; }));
+    sent += part.size();
+    socket.Send(part);
+  }
+  REQUIRE(outcome.result);
+  REQUIRE_FALSE(*outcome.result);
+  CHECK(outcome.result->error().sent);
+}
+
 // Guards against a response that ends early, in its head or its body, and is taken for a whole one.
 TEST_CASE("http_client takes no response that ends early for a whole one", "[http_client]") {
   const std::string head = "HTTP/1.1 200 OK\r\nX-Id: q1\r\nServer-Stamp: s\r\n";
