Count the header fields of responses in the budget

Seen: 400 callers of targets that answer with 2,000 short header fields made a router of 64 MiB use 82 MiB, with 15,000 fields after the body 471 MiB (test "targets that send very many short header fields"), and with gathered responses 469 MiB ("shards with very many short header fields beside one that does not answer").

Cause: the budget counted the bodies of responses only.

Change: incomplete responses count the fields and the text of their head, and complete ones and answers to callers their headers, where these take more than 4 KiB. Usual responses are counted as before.

New test "http_client counts the header fields of responses"; [http_client], [http_server], [byte_budget] and [endless_response] pass.

--- a/core/http_message.cc
+++ b/core/http_message.cc
@@ -33,6 +33,20 @@
   return std::nullopt;
 }
 
+size_t KeptBytes(const HttpResponse& response) {
+  // The headers of usual responses take less.
+  constexpr size_t kSmallHeadersBytes = 4'096;
+  size_t bytes = response.headers.capacity() * sizeof(HttpHeader);
+  const std::string empty;
+  for (const HttpHeader& header : response.headers) {
+    // Short strings are kept inside the object.
+    for (const std::string* text : {&header.name, &header.value}) {
+      if (text->capacity() > empty.capacity()) bytes += text->capacity();
+    }
+  }
+  return response.body.capacity() + (bytes > kSmallHeadersBytes ? bytes : 0);
+}
+
 HttpResponse JsonResponse(int status, std::string body) {
   return ResponseWithType(status, "application/json", std::move(body));
 }
--- a/core/http_message.h
+++ b/core/http_message.h
@@ -48,7 +48,7 @@
   int status = 200;
   std::vector<HttpHeader> headers;
   std::string body;
-  // Accounts for the body in the process's budget; null for small ones.
+  // Accounts for the response in the process's budget; null for small ones.
   std::shared_ptr<ByteBudget::Account> kept;
   bool operator==(const HttpResponse& other) const {
     return this->status == other.status && this->headers == other.headers &&
@@ -58,6 +58,9 @@
   std::string_view Header(std::string_view name) const { return FindHeader(this->headers, name); }
 };
 
+// Returns the memory that the body takes, and the headers if that is more than 4 KiB.
+size_t KeptBytes(const HttpResponse& response);
+
 HttpResponse JsonResponse(int status, std::string body);
 HttpResponse TextResponse(int status, std::string body);
 
--- a/io/http_beast.h
+++ b/io/http_beast.h
@@ -19,6 +19,9 @@
 using BeastRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using BeastResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
+// Memory of a field of a message in Beast's list, with its allocation, in addition to its text.
+constexpr size_t kParsedFieldBytes = 96;
+
 HttpRequest ToRequest(BeastRequest message);
 HttpResponse ToResponse(BeastResponse message);
 // Returns the request as sent on the wire. Adds a Host header with `address` if the request has
--- a/io/http_connection.cc
+++ b/io/http_connection.cc
@@ -261,7 +261,8 @@
 }
 
 void HttpClient::Connection::CountBytes() {
-  const size_t bytes = this->parser->get().body().capacity() + this->buffer.capacity();
+  const size_t bytes = this->parser->get().body().capacity() + this->buffer.capacity() +
+                       this->head_bytes + this->fields * kParsedFieldBytes;
   if (!this->impl->budget || (!this->kept && bytes <= 2 * kReadBytes)) return;
   if (!this->kept) {
     this->kept = std::make_shared<ByteBudget::Account>(this->impl->budget);
@@ -326,11 +327,12 @@
                         identified && !ended->call.close_after && this->buffer.size() == 0 &&
                         !pool->AboveLimit();
   HttpResponse response = ToResponse(this->parser->release());
-  if (this->impl->budget && response.body.capacity() > kReadBytes) {
+  const size_t bytes = KeptBytes(response);
+  if (this->impl->budget && bytes > kReadBytes) {
     response.kept = this->kept ? std::move(this->kept)
                                : std::make_shared<ByteBudget::Account>(this->impl->budget);
     response.kept->ForbidCut();
-    response.kept->Set(response.body.capacity());
+    response.kept->Set(bytes);
   }
   this->ReleaseBuffers();
   this->phase = Phase::kIdle;
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -63,8 +63,6 @@
 // Copies of the text of a header, and of a body, that a request in the handler may keep: its own,
 // and two of an attempt at a target.
 constexpr size_t kTextCopies = 3;
-// A field of a header that is being received costs this much in Beast's list, with its allocation.
-constexpr size_t kParsedFieldBytes = 96;
 // Received bytes of an incomplete header after which its fields are counted again. Counting at each
 // read would take long for headers that arrive byte by byte.
 constexpr size_t kRecountBytes = 512;
@@ -644,7 +642,8 @@
 void HttpServer::Connection::KeepResponse(HttpResponse& answer) {
   const std::shared_ptr<ByteBudget>& budget = this->impl->limits.response_bytes;
   this->kept_response = std::move(answer.kept);
-  if (!budget || answer.body.size() <= kReadBytes) return;
+  const size_t bytes = KeptBytes(answer);
+  if (!budget || bytes <= kReadBytes) return;
   if (!this->kept_response) this->kept_response = std::make_shared<ByteBudget::Account>(budget);
   this->kept_response->AllowCut(this, ByteBudget::CutOrder::kLast, [weak = this->weak_from_this()] {
     const auto self = weak.lock();
@@ -656,7 +655,7 @@
       self->Close();
     });
   });
-  this->kept_response->Set(answer.body.capacity());
+  this->kept_response->Set(bytes);
 }
 
 void HttpServer::Connection::OnWritten(const error_code& error, bool keep_alive) {
--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -295,6 +295,29 @@
   CHECK(outcome.result->error().sent);
 }
 
+// Guards against responses of many short fields that take much more memory than the budget counts.
+TEST_CASE("http_client counts the header fields of responses", "[http_client]") {
+  constexpr size_t kFields = 1'000;
+  Fixture fixture;
+  const auto budget = std::make_shared<ByteBudget>(1 << 20);
+  fixture.client = std::make_unique<HttpClient>(fixture.io, fixture.peer.AddressText(),
+                                                HttpClientOptions{}, nullptr, budget);
+  Outcome outcome;
+  fixture.Send(outcome);
+  RawSocket& socket = fixture.WaitForRequest(1);
+  std::string fields;
+  for (size_t i = 0; i < kFields; ++i) fields += "a:\r\n";
+  socket.Send("HTTP/1.1 200 OK\r\n" + fields);
+  REQUIRE(fixture.Until([&] { return budget->Used() >= (kFields - 1) * sizeof(HttpHeader); }));
+  socket.Send("Content-Length: 2\r\n\r\n{}");
+  REQUIRE(fixture.Until([&] { return outcome.result.has_value(); }));
+  REQUIRE(*outcome.result);
+  CHECK((*outcome.result)->headers.size() == kFields + 1);
+  CHECK(budget->Used() >= kFields * sizeof(HttpHeader));
+  outcome.result.reset();
+  CHECK(budget->Used() == 0);
+}
+
 // Guards against a response that ends early, in its head or its body, and is taken for a whole one.
 TEST_CASE("http_client takes no response that ends early for a whole one", "[http_client]") {
   const std::string head = "HTTP/1.1 200 OK\r\nX-Id: q1\r\nServer-Stamp: s\r\n";
