--- a/testing/hostile/hostile_targets_test.cc
+++ b/testing/hostile/hostile_targets_test.cc
@@ -155,18 +155,14 @@
 }
 
 // The router keeps the responses of the other shards until the last one has answered.
-TEST_CASE("shards with very many short header fields beside one that does not answer",
-          "[hostile_clients]") {
+void GatherBesideSilentShard(const std::string& response) {
   HostileDeployment deployment(kRouterSize);
   Targets targets;
   std::map<std::string, std::vector<Address>> services;
   std::string shards;
   for (size_t i = 0; i < kFaultyTargets; ++i) {
-    const std::string silent;
-    const std::string fields = kStatusLine + kSoundFields + Repeated("a:\r\n", kManyBytes) +
-                               LengthField(16) + "\r\n" + std::string(16, 'x');
     targets.push_back(std::make_unique<HostileTarget>(
-        deployment.TargetAddress(i), TargetPlan{.first = i == 0 ? silent : fields}));
+        deployment.TargetAddress(i), TargetPlan{.first = i == 0 ? std::string() : response}));
     const std::string service = "shard-" + std::to_string(i);
     services[service] = {targets.back()->address};
     shards += (shards.empty() ? "\"" : ",\"") + service + "\"";
@@ -180,5 +176,18 @@
   CallMany(deployment, "/gather/crowd", targets);
 }
 
+TEST_CASE("shards with very many short header fields beside one that does not answer",
+          "[hostile_clients]") {
+  GatherBesideSilentShard(kStatusLine + kSoundFields + Repeated("a:\r\n", kManyBytes) +
+                          LengthField(16) + "\r\n" + std::string(16, 'x'));
+}
+
+TEST_CASE("shards with many records beside one that does not answer", "[hostile_clients]") {
+  const size_t bytes = GENERATE(size_t{8'000}, size_t{1} << 20);
+  CAPTURE(bytes);
+  GatherBesideSilentShard(kStatusLine + kSoundFields + LengthField(bytes) + "\r\n" +
+                          std::string(bytes, 'x'));
+}
+
 }  // namespace
 }  // namespace peridotgauge
