Keep only the greatest records of a gathered part

Seen: with ten shards of which one does not answer, 400 callers made a router of 64 MiB grow by 46 MiB if the others send very many short header fields, and by 40 MiB with responses of 8,000 bytes; bound 25.6. It opened 1,607 descriptors of 1,640.

Cause: the router kept the complete response of each shard until the last one had answered. Complete parts count in the budget but are not cut, and small ones are not counted.

Change: a part is reduced at once to the records that can be among the greatest of all, topK of 16 bytes, and its headers are released. The answers are the same.

--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -247,9 +247,19 @@
     if (!refused && read.kind != TargetReplyKind::kUnrelated) {
       attempt.server_stamp = std::move(read.server_stamp);
       attempt.response = std::move(response);
+      if (this->params.route->Gathers()) this->KeepRecordsOnly(attempt.response);
     }
   }
 
+  // The part of a shard may wait long for those of the others. Its other records cannot be among
+  // the greatest of all, and its headers are not forwarded.
+  void KeepRecordsOnly(HttpResponse& part) const {
+    std::vector<HttpHeader>().swap(part.headers);  // an assignment would keep the memory
+    const uint32_t most = this->params.route->top_records;
+    if (part.body.size() / kRecordBytes > most) part.body = TopRecords({part.body}, most);
+    if (part.kept) part.kept->Set(KeptBytes(part));
+  }
+
   void OnSignals(Time now, const TargetRecord& target, const TargetReply& reply) {
     if (!reply.pause && !reply.malformed_pause && !reply.leaving) return;
     if (reply.pause > Duration(0)) {
