Release the memory of a response that is cut at once

Seen: targets that send header fields without end made a router of 64 MiB grow by 32 MiB, and ones whose body lacks its last byte after 2,000 short fields by 27 MiB, where 25.6 is the bound.

Cause: a response that the budget cuts kept its memory until the end of the exchange, which is only scheduled. Up to 128 other connections are read before that, and a read of 4 KiB of short fields takes about 80 KiB.

Change: the cut releases the parser and the buffer at once; what arrives until the exchange ends is discarded.

--- a/core/byte_budget.h
+++ b/core/byte_budget.h
@@ -13,7 +13,8 @@
 // accounts hold the most together. So a peer that sends without end loses its own exchanges first,
 // and a large response of another peer goes on. Each account is cut at most once, or once more
 // after it has forbidden that. One that does not allow it is never cut, but counts. The callback
-// only schedules the end of what it belongs to; it must not use the budget. Not thread-safe.
+// releases memory and schedules the end of what it belongs to; it must not use the budget. Not
+// thread-safe.
 #ifndef PERIDOTGAUGE_CORE_BYTE_BUDGET_H_
 #define PERIDOTGAUGE_CORE_BYTE_BUDGET_H_
 
--- a/io/http_client_impl.h
+++ b/io/http_client_impl.h
@@ -186,6 +186,7 @@
   size_t uncounted_bytes = 0;  // parsed since its fields were counted
   size_t fields = 0;           // of the response in `parser`
   bool head_counted = false;   // `fields` contains the whole head
+  // Empty after an exchange, and after the budget has cut the running one.
   std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
   std::shared_ptr<ByteBudget::Account> kept;  // of the response in `parser`; null if it is small
   Time idle_since{};
--- a/io/http_connection.cc
+++ b/io/http_connection.cc
@@ -192,6 +192,8 @@
     case Phase::kBusy:
       // The write fails too, and its handler reports that nothing was sent.
       if (error && !this->sent) return;
+      // The budget has cut the exchange, which ends after this.
+      if (!this->parser) return this->Read();
       this->buffer.commit(
           asio::buffer_copy(this->buffer.prepare(bytes), asio::buffer(this->read_buffer, bytes)));
       return this->Parse(error);
@@ -236,7 +238,7 @@
   if (failed) return this->OnExchangeFailed(failed, /*reading=*/false);
   if (!this->parser->is_done()) this->CountBytes();
   this->Read();
-  if (this->parser->is_done()) this->OnResponse();
+  if (this->parser && this->parser->is_done()) this->OnResponse();
 }
 
 void HttpClient::Connection::ResetParser() {
@@ -272,6 +274,10 @@
                          [weak = this->weak_from_this(), cut = std::weak_ptr(this->exchange)] {
                            const auto self = weak.lock();
                            if (!self) return;
+                           // The account counts until the exchange ends.
+                           self->parser.reset();
+                           self->buffer.clear();
+                           self->buffer.shrink_to_fit();
                            asio::post(self->impl->io, [self, cut] { self->Cut(cut.lock()); });
                          });
   }
