--- a/core/http_message.h
+++ b/core/http_message.h
@@ -48,7 +48,7 @@
   int status = 200;
   std::vector<HttpHeader> headers;
   std::string body;
-  // Accounts for the body in the process's budget; null for small ones.
+  // Accounts for the response in the process's budget; null for small ones.
   std::shared_ptr<ByteBudget::Account> kept;
   bool operator==(const HttpResponse& other) const {
     return this->status == other.status && this->headers == other.headers &&
@@ -62,6 +62,9 @@
 // and arrives unchanged.
 bool IsVisibleAscii(std::string_view text);
 
+// Returns the memory that the body takes, and the headers if that is more than 4 KiB.
+size_t KeptBytes(const HttpResponse& response);
+
 HttpResponse JsonResponse(int status, std::string body);
 HttpResponse TextResponse(int status, std::string body);
 
--- a/io/http_connection.cc
+++ b/io/http_connection.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <iterator>
 #include <string_view>
 
 #include "core/address.h"
@@ -26,6 +27,9 @@
 constexpr double kUncheckedIdleShare = 0.5;
 // Upper bound on the idle timeout taken from a peer, in seconds. Longer ones are not needed here.
 constexpr int64_t kMaxIdleTimeoutSeconds = 3'600;
+// Received bytes of an incomplete head after which its fields are counted again. Counting at each
+// read would take long for heads that arrive byte by byte.
+constexpr size_t kRecountBytes = 512;
 
 // Returns the peer's idle timeout from a header such as "Keep-Alive: timeout=5", or 0 if there is
 // none.
@@ -188,6 +192,8 @@
     case Phase::kBusy:
       // The write fails too, and its handler reports that nothing was sent.
       if (error && !this->sent) return;
+      // The budget has cut the exchange, which ends after this.
+      if (!this->parser) return this->Read();
       this->buffer.commit(
           asio::buffer_copy(this->buffer.prepare(bytes), asio::buffer(this->read_buffer, bytes)));
       return this->Parse(error);
@@ -200,13 +206,22 @@
 void HttpClient::Connection::Parse(error_code error) {
   error_code failed;
   while (this->buffer.size() > 0 && !this->parser->is_done() && !failed) {
-    this->buffer.consume(this->parser->put(this->buffer.data(), failed));
+    const bool in_head = !this->parser->is_header_done();
+    const size_t parsed = this->parser->put(this->buffer.data(), failed);
+    this->buffer.consume(parsed);
+    if (in_head) this->head_bytes += parsed;
+    this->uncounted_bytes += parsed;
     if (!failed && this->parser->is_done() && this->DiscardStray()) continue;
   }
   if (failed == http::error::need_more) failed = {};
   if (!failed && !this->parser->is_done() && this->buffer.size() > kMaxUnparsedBytes) {
     failed = http::error::header_limit;
   }
+  this->CountFields();
+  if (!failed && (this->fields > kMaxResponseFields ||
+                  (!this->parser->is_header_done() && this->head_bytes > kMaxHeadBytes))) {
+    failed = http::error::header_limit;
+  }
   if (error == asio::error::eof && !failed && !this->parser->is_done()) {
     // A response without a length ends at the end of the stream.
     if (this->parser->got_some()) {
@@ -223,17 +238,33 @@
   if (failed) return this->OnExchangeFailed(failed, /*reading=*/false);
   if (!this->parser->is_done()) this->CountBytes();
   this->Read();
-  if (this->parser->is_done()) this->OnResponse();
+  if (this->parser && this->parser->is_done()) this->OnResponse();
 }
 
 void HttpClient::Connection::ResetParser() {
   this->parser.emplace();
   this->parser->body_limit(kMaxResponseBytes);
   this->parser->eager(true);
+  this->head_bytes = 0;
+  this->uncounted_bytes = 0;
+  this->fields = 0;
+  this->head_counted = false;
+}
+
+void HttpClient::Connection::CountFields() {
+  const bool head_done = this->parser->is_header_done();
+  const bool counted = head_done ? this->head_counted : this->uncounted_bytes < kRecountBytes;
+  // A trailer adds its fields when the response is complete.
+  if (counted && !this->parser->is_done()) return;
+  this->head_counted = head_done;
+  const auto& head = this->parser->get();
+  this->fields = static_cast<size_t>(std::distance(head.begin(), head.end()));
+  this->uncounted_bytes = 0;
 }
 
 void HttpClient::Connection::CountBytes() {
-  const size_t bytes = this->parser->get().body().capacity() + this->buffer.capacity();
+  const size_t bytes = this->parser->get().body().capacity() + this->buffer.capacity() +
+                       this->head_bytes + this->fields * kParsedFieldBytes;
   if (!this->impl->budget || (!this->kept && bytes <= 2 * kReadBytes)) return;
   if (!this->kept) {
     this->kept = std::make_shared<ByteBudget::Account>(this->impl->budget);
@@ -243,6 +274,10 @@
                          [weak = this->weak_from_this(), cut = std::weak_ptr(this->exchange)] {
                            const auto self = weak.lock();
                            if (!self) return;
+                           // The account counts until the exchange ends.
+                           self->parser.reset();
+                           self->buffer.clear();
+                           self->buffer.shrink_to_fit();
                            asio::post(self->impl->io, [self, cut] { self->Cut(cut.lock()); });
                          });
   }
@@ -298,11 +333,12 @@
                         identified && !ended->call.close_after && this->buffer.size() == 0 &&
                         !pool->AboveLimit();
   HttpResponse response = ToResponse(this->parser->release());
-  if (this->impl->budget && response.body.capacity() > kReadBytes) {
+  const size_t bytes = KeptBytes(response);
+  if (this->impl->budget && bytes > kReadBytes) {
     response.kept = this->kept ? std::move(this->kept)
                                : std::make_shared<ByteBudget::Account>(this->impl->budget);
     response.kept->ForbidCut();
-    response.kept->Set(response.body.capacity());
+    response.kept->Set(bytes);
   }
   this->ReleaseBuffers();
   this->phase = Phase::kIdle;
