Evacuation of data centres on the native interface

POST and DELETE /v1/evacuations/NAME at any process stop requests to the targets of a data centre, or allow them again. Searches, hedges, retries and orders that have not been dispatched leave it; without targets elsewhere they fail as if there were none.

Routers plan no new requests on evacuated targets and leave them out of the choices of running searches with older plans. The owner of a target drops what waits for it and refuses what routers with an older list send, with kNoTarget, which proves that nothing was sent. A call that is read 900 ms or more after it was sent is not executed, as on the routes interface.

--- a/core/target_signals.cc
+++ b/core/target_signals.cc
@@ -97,4 +97,19 @@
   return this->chooser.Choose(now, this->accepting, excluded);
 }
 
+const TargetRecord* EvacuationChooser::Choose(Time now, Candidates candidates,
+                                              Candidates excluded) {
+  const auto evacuated = [&](const TargetRecord* target) {
+    return this->signals.IsEvacuated(*target);
+  };
+  if (std::none_of(candidates.begin(), candidates.end(), evacuated)) {
+    return this->chooser.Choose(now, candidates, excluded);
+  }
+  this->left.clear();
+  std::remove_copy_if(candidates.begin(), candidates.end(), std::back_inserter(this->left),
+                      evacuated);
+  if (this->left.empty()) return nullptr;
+  return this->chooser.Choose(now, this->left, excluded);
+}
+
 }  // namespace peridotgauge
--- a/core/target_signals.h
+++ b/core/target_signals.h
@@ -102,6 +102,21 @@
   std::vector<const TargetRecord*> accepting;  // scratch space of Choose()
 };
 
+// Leaves out the targets in evacuated data centres, whatever else targets have signalled.
+class EvacuationChooser : public ReplicaChooser {
+ public:
+  // Both outlive this object.
+  EvacuationChooser(ReplicaChooser& chooser, const TargetSignals& signals)
+      : chooser(chooser), signals(signals) {}
+
+  const TargetRecord* Choose(Time now, Candidates candidates, Candidates excluded) override;
+
+ private:
+  ReplicaChooser& chooser;
+  const TargetSignals& signals;
+  std::vector<const TargetRecord*> left;  // scratch space of Choose()
+};
+
 }  // namespace peridotgauge
 
 #endif  // PERIDOTGAUGE_CORE_TARGET_SIGNALS_H_
--- a/io/operator_http.cc
+++ b/io/operator_http.cc
@@ -11,9 +11,21 @@
 #include "core/config.h"
 #include "core/operator_api.h"
 #include "io/clock.h"
+#include "state/commands.h"
 
 namespace peridotgauge {
 
+namespace {
+
+constexpr std::string_view kEvacuationPrefix = "/v1/evacuations/";
+
+bool IsEvacuation(const HttpRequest& request) {
+  return (request.method == "POST" || request.method == "DELETE") &&
+         request.path.starts_with(kEvacuationPrefix);
+}
+
+}  // namespace
+
 struct OperatorHttp::Route {
   std::string_view method;
   std::string_view path;
@@ -36,10 +48,11 @@
 }
 
 bool OperatorHttp::Handles(const HttpRequest& request) const {
-  return FindRoute(request) != nullptr;
+  return IsEvacuation(request) || FindRoute(request) != nullptr;
 }
 
 void OperatorHttp::Handle(const HttpRequest& request, const HttpResponder& responder) {
+  if (IsEvacuation(request)) return this->SetEvacuation(request, responder);
   const Route* route = FindRoute(request);
   if (route == nullptr) {
     return responder.Send(ErrorResponse({ErrorCode::kNotFound, "no such path"}, ""));
@@ -48,6 +61,27 @@
   this->Read(*route, request, responder);
 }
 
+void OperatorHttp::SetEvacuation(const HttpRequest& request, const HttpResponder& responder) {
+  wire::SetEvacuationT command;
+  command.data_centre = request.path.substr(kEvacuationPrefix.size());
+  command.evacuated = request.method == "POST";
+  if (const auto checked = CheckDataCentreName(command.data_centre); !checked) {
+    return responder.Send(ErrorResponse(checked.error(), ""));
+  }
+  const Duration waited = responder.SinceReceived();
+  if (waited >= kEvacuationTimeout) {
+    return responder.Send(
+        ErrorResponse({ErrorCode::kUnavailable, "the call was read too late"}, ""));
+  }
+  this->control.Command(ToCommand(std::move(command)), SteadyNow() + kEvacuationTimeout - waited,
+                        [responder](const Result<wire::CommandReplyT>& reply) {
+                          if (!reply) return responder.Send(ErrorResponse(reply.error(), ""));
+                          if (reply->error < 0) return responder.Send(JsonResponse(200, "{}"));
+                          const Error error{static_cast<ErrorCode>(reply->error), reply->detail};
+                          responder.Send(ErrorResponse(error, ""));
+                        });
+}
+
 void OperatorHttp::Apply(const HttpRequest& request, const HttpResponder& responder) {
   const Result<Config> config = Config::Parse(request.body);
   if (!config) return responder.Send(ErrorResponse(config.error(), ""));
--- a/io/operator_http.h
+++ b/io/operator_http.h
@@ -22,6 +22,11 @@
 // Timeout of a command or read. An election takes about 1 s.
 constexpr Duration kOperatorTimeout = Seconds(5);
 
+// Timeout of a call that evacuates a data centre, from its arrival. A process that was frozen reads
+// calls late; by then the operator may have reverted the call at another process, so it must not be
+// executed any more.
+constexpr Duration kEvacuationTimeout = Millis(900);
+
 class OperatorHttp {
  public:
   // `control` must outlive this object.
@@ -33,6 +38,8 @@
  private:
   struct Route;
   static const Route* FindRoute(const HttpRequest& request);
+  // Evacuates a data centre or ends that.
+  void SetEvacuation(const HttpRequest& request, const HttpResponder& responder);
   void Apply(const HttpRequest& request, const HttpResponder& responder);
   void Read(const Route& route, const HttpRequest& request, const HttpResponder& responder);
 
--- a/io/order_runner.cc
+++ b/io/order_runner.cc
@@ -32,7 +32,7 @@
         params(params),
         deadline(params.deadline),
         tried(std::move(tried)),
-        order(std::move(params), context.replica_choice),
+        order(std::move(params), context.chooser),
         timer(context.io),
         span(std::move(span)),
         callback(std::move(callback)) {
--- a/io/owner.cc
+++ b/io/owner.cc
@@ -53,6 +53,11 @@
   uint64_t Run(Time now, wire::SubRequestT request, Time deadline, Callback done) {
     const uint64_t id = ++this->last_job;
     Channel* channel = this->FindChannel(request.target);
+    if (channel != nullptr && this->IsEvacuated(channel->record)) {
+      this->RefuseLater(request, {ErrorCode::kNoTarget, "the target's data centre is evacuated"},
+                        std::move(done));
+      return kNoJob;
+    }
     if (channel == nullptr || !this->MayDispatch(now, *channel)) {
       this->RefuseLater(request, {ErrorCode::kNoTarget, "this router does not own the target"},
                         std::move(done));
@@ -140,6 +145,18 @@
                                        channel.record.target);
   }
 
+  // Returns true if the data centre of the record, or of the target's newest one, is evacuated.
+  bool IsEvacuated(const TargetRecord& record) const {
+    const std::vector<std::string>& evacuated = this->context.control.Evacuated();
+    if (evacuated.empty()) return false;
+    const auto listed = [&](const std::string& data_centre) {
+      return std::find(evacuated.begin(), evacuated.end(), data_centre) != evacuated.end();
+    };
+    if (listed(record.data_centre)) return true;
+    const TargetRecord* newest = this->context.control.Directory().Find(record.target);
+    return newest != nullptr && listed(newest->data_centre);
+  }
+
   void RefuseLater(const wire::SubRequestT& request, const Error& error, Callback done) {
     this->refused.Add();
     asio::post(this->context.io, [reply = FailedSubReply(request, error),
@@ -241,7 +258,7 @@
     channel.queue.SetLimits(slots, connections);
     channel.client->SetOptions(
         {.max_connections = connections, .min_connections = channel.queue.WarmConnections()});
-    if (record.state == TargetState::kDraining) {
+    if (record.state == TargetState::kDraining || this->IsEvacuated(record)) {
       channel.queue.Drain();
     } else {
       channel.queue.Resume();
@@ -298,7 +315,8 @@
 
   // Dispatches the jobs that the queue admits, and answers those that it drops.
   void ProcessQueue(Time now, Channel& channel) {
-    if (channel.handover) channel.queue.Drain();
+    // Nothing that waits is dispatched after this router has learned of an evacuation.
+    if (channel.handover || this->IsEvacuated(channel.record)) channel.queue.Drain();
     channel.queue.SetPaused(!channel.handover && !this->MayDispatch(now, channel));
     QueueWork work = channel.queue.Poll(now);
     for (const QueueDrop& drop : work.drops) this->RefuseDropped(drop);
--- a/io/owner.h
+++ b/io/owner.h
@@ -9,7 +9,8 @@
 // Contract: runs on the thread of the io_context. The callback is called exactly once unless the
 // job was cancelled, and never from inside Run(). A sub-request is sent only while this router
 // owns the target, no earlier owner can still dispatch to it, and the configuration lease is valid.
-// Otherwise the reply is kNoTarget, which proves that nothing was sent. The requests in flight at a
+// Otherwise the reply is kNoTarget, which proves that nothing was sent. The same applies to targets
+// in data centres that are evacuated as far as this router knows. The requests in flight at a
 // target never exceed its slots, and the connections never exceed its connection limit.
 #ifndef PERIDOTGAUGE_IO_OWNER_H_
 #define PERIDOTGAUGE_IO_OWNER_H_
--- a/io/request_context.h
+++ b/io/request_context.h
@@ -9,7 +9,7 @@
 #include "core/metrics.h"
 #include "core/plan.h"
 #include "core/quarantine.h"
-#include "core/replica_choice.h"
+#include "core/search_policy.h"
 #include "core/settings.h"
 #include "io/control_client.h"
 #include "io/crash_guard.h"
@@ -23,7 +23,7 @@
   const Settings& settings;
   ControlClient& control;
   Planner& planner;
-  ReplicaChoice& replica_choice;
+  ReplicaChooser& chooser;  // leaves out what must get no requests
   HedgeBudget& hedge_budget;
   Admission& admission;
   Quarantine& quarantine;
--- a/io/router.cc
+++ b/io/router.cc
@@ -15,6 +15,7 @@
 #include "core/quarantine.h"
 #include "core/replica_choice.h"
 #include "core/request_times.h"
+#include "core/target_signals.h"
 #include "io/clock.h"
 #include "io/order_runner.h"
 #include "io/owner.h"
@@ -49,6 +50,7 @@
         metrics(metrics),
         replica_choice(ReplicaChoice::MustMake(
             settings.replica_choice, {.seed = RandomSeed(), .ejection = settings.ejection})),
+        chooser(*this->replica_choice, this->signals),
         admission(settings.admission),
         owner({io, settings, control, peers, tracer, metrics, std::move(response_bytes)},
               {self.id, self.incarnation}),
@@ -60,7 +62,7 @@
                 settings,
                 control,
                 this->planner,
-                *this->replica_choice,
+                this->chooser,
                 this->hedge_budget,
                 this->admission,
                 this->quarantine,
@@ -352,6 +354,7 @@
   void OnControlChange(const ControlChange& change) {
     const Time now = SteadyNow();
     if (change.lease_acquired) ++this->orders.lease_generation;
+    if (change.evacuations) this->OnEvacuations();
     if (change.config) this->OnConfig();
     if (change.directory) this->OnDirectory();
     if (change.quarantine) this->quarantine.SetCommitted(this->control.QuarantineList());
@@ -371,18 +374,41 @@
 
   // Applies the differences between the directory and the known targets.
   void OnDirectory() {
+    this->signals.Expire(SteadyNow());
     UpdateKnownTargets(
         this->control.Directory().Targets(), this->known_targets,
         [this](const TargetRecord& record) {
-          this->planner.Upsert(record);
+          this->signals.OnDirectory(SteadyNow(), record);
+          this->PlanTarget(record);
           this->registrations.RemoveSuperseded(record);
         },
         [this](const TargetRecord& record) {
+          TargetRecord gone = record;
+          gone.state = TargetState::kGone;
+          this->signals.OnDirectory(SteadyNow(), gone);
           this->planner.Remove(record.target);
           this->replica_choice->Remove(record.target);
         });
   }
 
+  // New plans leave out the targets in evacuated data centres, so that a snapshot that only they
+  // hold is not chosen. Running requests have older plans; see `chooser`.
+  void PlanTarget(const TargetRecord& record) {
+    if (this->signals.IsEvacuated(record)) return this->planner.Remove(record.target);
+    this->planner.Upsert(record);
+  }
+
+  void OnEvacuations() {
+    const std::vector<std::string>& data_centres = this->control.Evacuated();
+    this->signals.SetEvacuated(data_centres);
+    for (const auto& [name, record] : this->known_targets) this->PlanTarget(record);
+    this->metrics.GaugeOf("peridotgauge_evacuated_data_centres")
+        .Set(static_cast<double>(data_centres.size()));
+    std::string names;
+    for (const std::string& name : data_centres) names += " " + name;
+    LOG(INFO) << "router: evacuated data centres:" << (names.empty() ? " none" : names);
+  }
+
   void OnRouters() {
     std::set<Address> addresses;
     for (const auto& [id, router] : this->control.Routers()) addresses.insert(router.peer_address);
@@ -426,6 +452,8 @@
   Metrics& metrics;
   Planner planner;
   std::unique_ptr<ReplicaChoice> replica_choice;
+  TargetSignals signals;  // only of evacuated data centres
+  EvacuationChooser chooser;
   HedgeBudget hedge_budget;
   Admission admission;
   Quarantine quarantine;
--- a/io/search_runner.cc
+++ b/io/search_runner.cc
@@ -33,7 +33,7 @@
         trial(trial),
         deadline(params.deadline),
         trusted(params.trusted),
-        search(std::move(plan), std::move(params), {context.replica_choice, context.hedge_budget}),
+        search(std::move(plan), std::move(params), {context.chooser, context.hedge_budget}),
         timer(context.io),
         span(std::move(span)),
         callback(std::move(callback)) {}
--- a/testing/native_deployment.cc
+++ b/testing/native_deployment.cc
@@ -172,6 +172,25 @@
               timeout);
 }
 
+bool NativeDeployment::SetEvacuation(size_t router, const std::string& method,
+                                     const std::string& data_centre, size_t count) {
+  const bool accepted = Await([&] {
+    const auto answer =
+        Call(this->RouterAddress(router),
+             {.method = method, .path = "/v1/evacuations/" + data_centre}, kControlTimeout);
+    return answer && answer->status == 200;
+  });
+  const std::string gauge = "peridotgauge_evacuated_data_centres " + std::to_string(count) + "\n";
+  return accepted && Await([&] {
+           for (size_t i = 0; i < this->options.routers; ++i) {
+             const auto metrics = Call(this->RouterAddress(i),
+                                       {.method = "GET", .path = "/metrics"}, kControlTimeout);
+             if (!metrics || metrics->body.find(gauge) == std::string::npos) return false;
+           }
+           return true;
+         });
+}
+
 bool NativeDeployment::AwaitSearch(const std::string& service, const std::string& key) {
   for (size_t i = 0; i < this->options.routers; ++i) {
     const bool complete = Await([&] {
--- a/testing/native_deployment.h
+++ b/testing/native_deployment.h
@@ -56,6 +56,10 @@
   std::optional<HttpResponse> Order(size_t router, const std::string& service,
                                     const std::string& id, const std::string& key,
                                     Duration timeout = Seconds(5));
+  // Evacuates a data centre at a router with `method` POST, or ends that with DELETE, and waits
+  // until all routers know of `count` evacuated data centres.
+  bool SetEvacuation(size_t router, const std::string& method, const std::string& data_centre,
+                     size_t count);
   // Waits until every router answers a search completely.
   bool AwaitSearch(const std::string& service, const std::string& key);
 
--- a/testing/target_signals_test.cc
+++ b/testing/target_signals_test.cc
@@ -17,6 +17,7 @@
 #include "io/target_pool.h"
 #include "raw_socket.h"
 #include "route_deployment.h"
+#include "search_fakes.h"
 
 namespace peridotgauge {
 namespace {
@@ -330,5 +331,32 @@
   CHECK(refused > 0);
 }
 
+// Guards against a hedge or retry of an older plan that goes to an evacuated data centre, and
+// against other signals that change the choice of the native interface.
+TEST_CASE("a chooser leaves out evacuated targets alone", "[target_signals]") {
+  TargetRecord a = MakeTarget("a", "s", {});
+  a.data_centre = "dc-a";
+  TargetRecord b = MakeTarget("b", "s", {});
+  b.data_centre = "dc-b";
+  const std::vector<const TargetRecord*> both = {&a, &b};
+  const std::vector<const TargetRecord*> tried_b = {&b};
+  TargetSignals signals;
+  FakeChooser random;
+  EvacuationChooser chooser(random, signals);
+  const Time now = TimeAt(1'000);
+  signals.OnPause(now, a, Seconds(5));
+  CHECK(chooser.Choose(now, both, tried_b) == &a);
+  signals.SetEvacuated({"dc-a"});
+  for (int i = 0; i < 20; ++i) CHECK(chooser.Choose(now, both, {}) == &b);
+  CHECK(chooser.Choose(now, both, tried_b) == nullptr);
+  // The plan is older than the registration of b in the evacuated data centre.
+  TargetRecord moved = b;
+  moved.data_centre = "dc-a";
+  signals.OnDirectory(now, moved);
+  CHECK(chooser.Choose(now, both, {}) == nullptr);
+  signals.SetEvacuated({});
+  CHECK(chooser.Choose(now, both, tried_b) == &a);
+}
+
 }  // namespace
 }  // namespace peridotgauge
