--- a/testing/hostile/hostile_targets_test.cc
+++ b/testing/hostile/hostile_targets_test.cc
@@ -107,11 +107,14 @@
   }
 }
 
+TEST_CASE("targets whose complete responses have very many short header fields",
+          "[hostile_clients]") {
+  CallFaultyTargets({.first = kStatusLine + kSoundFields + Repeated("a:\r\n", kManyBytes) +
+                              LengthField(2) + "\r\nok"});
+}
+
 TEST_CASE("targets that send very many short header fields", "[hostile_clients]") {
   const std::string fields = Repeated("a:\r\n", kManyBytes);
-  SECTION("in a complete response") {
-    CallFaultyTargets({.first = kStatusLine + kSoundFields + fields + LengthField(2) + "\r\nok"});
-  }
   SECTION("and whose body lacks its last byte") {
     CallFaultyTargets({.first = kStatusLine + kSoundFields + fields + LengthField(2) + "\r\no"});
   }
