Native orders above the quota: the refusal says nothing about earlier sends

A 429 of an order said not_run true, also if an earlier request with the same id had been executed. not_run is now false for orders, as it is for a key that is not known.

--- a/core/caller_api.cc
+++ b/core/caller_api.cc
@@ -235,8 +235,9 @@
   return JsonResponse(InfoOf(error.code).http_status, FormatError(error, request_id, not_run));
 }
 
-HttpResponse RetryResponse(const Error& error, std::string_view request_id, Duration retry_after) {
-  HttpResponse response = ErrorResponse(error, request_id);
+HttpResponse RetryResponse(const Error& error, std::string_view request_id, Duration retry_after,
+                           bool not_run) {
+  HttpResponse response = ErrorResponse(error, request_id, not_run);
   std::array<char, 32> text{};
   std::snprintf(text.data(), text.size(), "%.3f",
                 std::chrono::duration<double>(retry_after).count());
--- a/core/caller_api.h
+++ b/core/caller_api.h
@@ -45,8 +45,9 @@
 // Returns a response with this body and the HTTP status of the error table.
 HttpResponse ErrorResponse(const Error& error, std::string_view request_id, bool not_run = true);
 
-// Returns a response for a request that was not executed and may be sent again after `retry_after`.
-HttpResponse RetryResponse(const Error& error, std::string_view request_id, Duration retry_after);
+// As ErrorResponse(), for a request that may be sent again after `retry_after`.
+HttpResponse RetryResponse(const Error& error, std::string_view request_id, Duration retry_after,
+                           bool not_run = true);
 
 // The body of an error response, as a caller receives it.
 struct ErrorBody {
--- a/io/router.cc
+++ b/io/router.cc
@@ -240,14 +240,12 @@
         });
   }
 
-  // The refusal says that this sending of an order was not executed, also if an earlier one with
-  // the same id may have been.
   void RefuseForQuota(const Arrival& arrival, const Workspace& workspace, Duration retry_after,
                       const HttpResponder& responder) {
     const Error error{ErrorCode::kQuotaExceeded,
                       "workspace " + workspace.name + " has used up its request quota"};
     this->CountRefusal(error);
-    responder.Send(RetryResponse(error, arrival.request_id, retry_after));
+    responder.Send(RetryResponse(error, arrival.request_id, retry_after, arrival.not_run));
   }
 
   // The destructor of the last copy ends the request, also if it is refused, aborted or withdrawn.
@@ -306,8 +304,8 @@
                           .request_id = request->request_id,
                           .key = std::string(WorkspaceKey(http)),
                           .deadline = request->deadline,
-                          // An earlier request with the same id may have been executed with a key
-                          // that was removed since.
+                          // An earlier request with the same id may have been executed, with a
+                          // key that was removed since or before the quota was used up.
                           .not_run = false};
     this->Admit(arrival, responder,
                 [this, request = std::move(*request), running = this->CountRunning(), responder,
