--- a/io/controller.cc
+++ b/io/controller.cc
@@ -22,14 +22,15 @@
 #include "io/proposals.h"
 #include "io/quorum_round.h"
 #include "io/quota_service.h"
-#include "io/target_registrar.h"
 #include "state/commands.h"
 #include "state/config_feed.h"
 #include "state/control_report.h"
 #include "state/debt_table.h"
 #include "state/directory.h"
+#include "state/directory_ack_tracker.h"
 #include "state/push_pacing.h"
 #include "state/session.h"
+#include "state/target_heartbeat_handler.h"
 
 namespace peridotgauge {
 namespace {
@@ -59,6 +60,7 @@
         log(log),
         state(state),
         timer(io),
+        heartbeat_handler(this->options.id, this->options.registration_lease, this->directory),
         rounds(std::make_shared<QuorumRounds>(io, log)),
         quotas(std::make_shared<QuotaService>(
             io,
@@ -66,18 +68,7 @@
                                 log, state, *this->rounds, this->options.callers_use_all_routers})),
         proposals(std::make_shared<Proposals>(io, log, state)),
         relay(io, this->options.id, this->options.controllers, this->options.peer_port),
-        events(this->options.events),
-        registrar(std::make_shared<TargetRegistrar>(
-            TargetRegistrar::Context{.controller = this->options.id,
-                                     .lease = this->options.registration_lease,
-                                     .log = log,
-                                     .state = state,
-                                     .directory = this->directory,
-                                     .sessions = this->sessions,
-                                     .proposals = this->proposals,
-                                     .events = this->events,
-                                     .directory_changed = [this] { this->ScheduleDueCheck(); },
-                                     .current_term = [this] { return this->CurrentTerm(); }})) {}
+        events(this->options.events) {}
 
   void Start() {
     this->directory.SetDepartures(&this->state.Departures());
@@ -92,7 +83,7 @@
     this->timer.cancel();
     this->state.SetObserver(nullptr);
     this->FailPolls(ErrorCode::kDraining, "the controller is shutting down");
-    this->registrar->Stop();
+    this->ack_tracker.FailWaiters(DirectoryAck::kStopping);
     this->relay.Stop();
     this->quotas->Stop();
   }
@@ -118,9 +109,7 @@
     }
     if (auto* sync = body.AsSyncRequest()) return this->OnSync(std::move(*sync), responder);
     if (auto* command = body.AsCommandRequest()) return this->OnCommand(*command, responder);
-    if (const auto* heartbeat = body.AsRegisterRequest()) {
-      return this->registrar->Handle(*heartbeat, responder.reply);
-    }
+    if (auto* heartbeat = body.AsRegisterRequest()) return this->OnRegister(*heartbeat, responder);
     if (const auto* quota = body.AsQuotaRequest()) {
       return this->quotas->Handle(SteadyNow(), *quota, responder.reply);
     }
@@ -134,7 +123,7 @@
     if (term == this->leader_term) return;
     this->leader_term = term;
     this->FailPolls(ErrorCode::kNotLeader, "leadership changed while the request was held");
-    this->registrar->EndTerm();
+    this->ack_tracker.FailWaiters(DirectoryAck::kLeadershipLost);
     this->pending_joins.clear();
     this->departed.clear();
     this->events.LeadershipChanged(leading, this->log.Term());
@@ -146,13 +135,15 @@
     this->last_directory_push.clear();
     this->last_quarantine_push.clear();
     this->last_evacuations_push.clear();
+    this->ack_tracker.Reset();
+    this->departures_since.clear();
     this->config_pacer.Reset();
     this->loads.clear();
     this->debts.Reset(now);
     this->offer_policy.Reset(now);
     this->offer_pending = false;
     this->PublishConfig(now);
-    this->registrar->StartTerm(now, term);
+    this->heartbeat_handler.StartTerm(now, term);
     this->directory_feed.Reset();
     this->directory_pacer.Reset();
   }
@@ -184,13 +175,6 @@
 
   bool Leading() const { return this->leader_term != 0; }
 
-  // Checks the leadership and returns the term in which this controller leads, or 0.
-  uint64_t CurrentTerm() {
-    if (this->stopped) return 0;
-    this->CheckLeadership();
-    return this->leader_term;
-  }
-
   static void Refuse(const wire::BodyUnion& body, const Error& error, const std::string& leader,
                      const Responder& responder) {
     if (const auto refusal = MakeErrorReply(body.type, error, leader)) responder.reply(*refusal);
@@ -200,10 +184,19 @@
   // is called.
   template <typename Function>
   auto IfTermUnchanged(Function function) {
-    return [weak = this->weak_from_this(), term = this->leader_term,
-            function = std::move(function)](auto&&... arguments) {
-      const auto self = weak.lock();
-      if (self && self->CurrentTerm() == term) function(*self, arguments...);
+    return this->IfTermUnchangedOr(std::move(function), [] {});
+  }
+
+  // As above, but calls `otherwise` in place of `function` if the term has changed.
+  template <typename Function, typename Otherwise>
+  auto IfTermUnchangedOr(Function function, Otherwise otherwise) {
+    return [weak = this->weak_from_this(), term = this->leader_term, function = std::move(function),
+            otherwise = std::move(otherwise)](auto&&... arguments) {
+      auto self = weak.lock();
+      if (!self || self->stopped) return otherwise();
+      self->CheckLeadership();
+      if (self->leader_term != term) return otherwise();
+      function(*self, arguments...);
     };
   }
 
@@ -255,8 +248,8 @@
                           .window = Millis(std::min(request.extra_window_ms, kMaxDebtWindowMs))});
     }
     const bool same_epoch = poll.directory_epoch == this->directory.Epoch();
-    this->registrar->RecordVersion(poll.router.id, same_epoch ? poll.directory_version : 0);
-    this->registrar->AcknowledgeDepartures(now);
+    this->ack_tracker.RecordVersion(poll.router.id, same_epoch ? poll.directory_version : 0);
+    this->AcknowledgeDepartures(now);
     const uint64_t id = ++this->last_poll_id;
     this->SupersedeOlderPolls(now, poll.router.id);
     this->polls_by_router[poll.router.id].insert(id);
@@ -306,7 +299,7 @@
         this->directory.Merge(now, poll.router.id, registrations, poll.full_registrations);
     poll.full_registrations = false;
     if (changed) this->ScheduleDueCheck();
-    this->registrar->RecordReportedDepartures(registrations);
+    this->RecordReportedDepartures(registrations);
     this->rounds->Confirm(this->IfTermUnchanged(
         [id](Impl& self, const Result<uint64_t>& confirmed) { self.OnConfirmed(id, confirmed); }));
   }
@@ -591,6 +584,158 @@
     });
   }
 
+  // --- Targets that register with controllers ---
+
+  Result<HeartbeatResult> HandleHeartbeat(Time now, const TargetRecord& record, bool remove) {
+    const bool unknown = remove && !this->directory.LastRecord(record.target);
+    if (unknown &&
+        this->state.Departures().UnknownCount(this->state.LogTime()) >= kMaxUnknownDepartures) {
+      return Fail(ErrorCode::kOverloaded, "too many removals of unknown targets");
+    }
+    return this->heartbeat_handler.Handle(now, record, remove);
+  }
+
+  // Handles a heartbeat and logs the outcome.
+  Result<HeartbeatResult> AcceptHeartbeat(Time now, const TargetRecord& record, bool remove) {
+    Result<HeartbeatResult> accepted = this->HandleHeartbeat(now, record, remove);
+    if (!accepted) {
+      this->events.HeartbeatRefused(record, accepted.error());
+      return accepted;
+    }
+    if (accepted->directory_changed) {
+      const uint64_t version = this->directory.Version();
+      remove ? this->events.TargetRemoved(record, version)
+             : this->events.TargetRegistered(record, version);
+      this->ScheduleDueCheck();
+    }
+    if (accepted->stale) this->events.HeartbeatStale(record);
+    if (!accepted->leaving && !accepted->stale) this->departures_since.erase(record.target);
+    return accepted;
+  }
+
+  // Handles one of several heartbeats in a message and returns its error, or -1. Departures are not
+  // accepted, as their acknowledgement takes longer.
+  int8_t OnHeartbeatOfBatch(Time now, const wire::TargetRecordT* target) {
+    if (target == nullptr) return static_cast<int8_t>(ErrorCode::kBadRequest);
+    const TargetRecord record = FromWire(*target);
+    if (record.state != TargetState::kServing) return static_cast<int8_t>(ErrorCode::kBadRequest);
+    const Result<HeartbeatResult> accepted = this->AcceptHeartbeat(now, record, /*remove=*/false);
+    return accepted ? int8_t{-1} : static_cast<int8_t>(accepted.error().code);
+  }
+
+  void OnRegister(const wire::RegisterRequestT& request, const Responder& responder) {
+    if (!request.target) return responder.reply(MakeCommandError({ErrorCode::kBadRequest, ""}, ""));
+    const Time now = SteadyNow();
+    if (!request.more.empty()) {
+      wire::CommandReplyT reply;
+      reply.error = this->OnHeartbeatOfBatch(now, request.target.get());
+      for (const auto& target : request.more) {
+        reply.more_errors.push_back(this->OnHeartbeatOfBatch(now, target.get()));
+      }
+      reply.registered_targets = static_cast<uint32_t>(this->heartbeat_handler.Targets());
+      return responder.reply(ToBody(std::move(reply)));
+    }
+    const TargetRecord record = FromWire(*request.target);
+    const Result<HeartbeatResult> accepted = this->AcceptHeartbeat(now, record, request.remove);
+    if (!accepted) return responder.reply(MakeCommandError(accepted.error(), ""));
+    if (!accepted->leaving) {
+      wire::CommandReplyT reply;
+      reply.registered_targets = static_cast<uint32_t>(this->heartbeat_handler.Targets());
+      return responder.reply(ToBody(std::move(reply)));
+    }
+    const Time since = this->departures_since.try_emplace(record.target, now).first->second;
+    const auto departure = this->directory.LastDeparture(record.target);
+    if (!departure || this->state.Departures().Covers(*departure)) {
+      return this->AwaitDeparture(now, since, record.target, responder);
+    }
+    this->RecordDepartures(
+        {*departure},
+        this->IfTermUnchangedOr(
+            [since, target = record.target, responder](Impl& self, const wire::BodyUnion& answer) {
+              if (answer.AsCommandReply()->error >= 0) return responder.reply(answer);
+              self.AwaitDeparture(SteadyNow(), since, target, responder);
+            },
+            [responder] {
+              responder.reply(MakeCommandError({ErrorCode::kNotLeader, ""}, ""));
+            }));
+  }
+
+  // Commits that targets leave, so that no later leader believes an older heartbeat of them.
+  void RecordDepartures(const std::vector<Departure>& departures, Proposals::Callback callback) {
+    wire::RecordDeparturesT command;
+    for (const Departure& departure : departures) {
+      auto entry = std::make_unique<wire::TargetDepartureT>();
+      entry->target = departure.target;
+      entry->incarnation = departure.incarnation;
+      entry->sequence = departure.sequence;
+      command.targets.push_back(std::move(entry));
+    }
+    this->proposals->Propose(ToCommand(std::move(command)), std::move(callback));
+  }
+
+  // Records the departures among the registrations of a router. The router sends them again until
+  // it gets a reply, so a lost command is repeated.
+  void RecordReportedDepartures(const std::vector<TargetRecord>& registrations) {
+    std::vector<Departure> departures;
+    for (const TargetRecord& record : registrations) {
+      if (record.state != TargetState::kDraining && record.state != TargetState::kGone) continue;
+      const Departure departure{record.target, record.incarnation, record.sequence};
+      if (!this->state.Departures().Covers(departure)) departures.push_back(departure);
+    }
+    if (departures.empty()) return;
+    this->RecordDepartures(departures, [](const wire::BodyUnion& answer) {
+      const auto* reply = answer.AsCommandReply();
+      LOG_IF(WARNING, reply->error >= 0)
+          << "controller: departures of targets were not recorded: " << reply->detail;
+    });
+  }
+
+  // Takes over departures that were committed in an earlier term and applied here only after this
+  // one began; an older heartbeat may have been accepted meanwhile.
+  void TakeOverDepartures(Time now) {
+    const uint64_t index = this->state.DeparturesIndex();
+    if (std::exchange(this->applied_departures, index) == index) return;
+    this->directory.ApplyDepartures(now);
+  }
+
+  // Acknowledges the departure of a target once all routers with a session know of it. `since`:
+  // when the departure was first reported.
+  void AwaitDeparture(Time now, Time since, const std::string& target, const Responder& responder) {
+    const auto answer = [this, responder, since, target](DirectoryAck ack) {
+      const bool left_out = ack == DirectoryAck::kTimedOut;
+      if (ack == DirectoryAck::kStopping) {
+        return responder.reply(MakeCommandError(
+            {ErrorCode::kDraining, "the controller is shutting down"}, this->log.Leader()));
+      }
+      if (ack == DirectoryAck::kLeadershipLost) {
+        return responder.reply(MakeCommandError({ErrorCode::kNotLeader, ""}, this->log.Leader()));
+      }
+      if (left_out && SteadyNow() < since + kDepartureAckLimit) {
+        return responder.reply(MakeCommandError(
+            {ErrorCode::kDeadlineExceeded, "a router has not received the departure yet"}, ""));
+      }
+      this->events.DepartureAcknowledged(target, this->directory.LastDeparture(target),
+                                         SteadyNow() - since);
+      responder.reply(ToBody(wire::CommandReplyT{}));
+    };
+    if (this->AcknowledgedVersion(now) >= this->directory.Version()) {
+      return answer(DirectoryAck::kAllRouters);
+    }
+    this->ack_tracker.AddWaiter(this->directory.Version(), now + kDepartureAckTimeout, answer);
+  }
+
+  // Returns the directory version that every router with a session has received.
+  uint64_t AcknowledgedVersion(Time now) const {
+    return this->ack_tracker.AcknowledgedVersion(now, this->directory.Version(),
+                                                 this->sessions.Sessions());
+  }
+
+  void AcknowledgeDepartures(Time now) {
+    if (this->ack_tracker.HasWaiters()) {
+      this->ack_tracker.Notify(now, this->AcknowledgedVersion(now));
+    }
+  }
+
   // --- Timers and deferred replies ---
 
   // Schedules one check of all polls for due replies; coalesces changes within one event loop turn.
@@ -606,7 +751,7 @@
 
   void EnqueueDuePolls(Time now) {
     this->PublishConfig(now);
-    this->registrar->ApplyEarlierDepartures(now);
+    this->TakeOverDepartures(now);
     this->PublishDirectory(now);
     for (auto& [id, poll] : this->polls) {
       if (this->IsDue(now, poll)) this->Enqueue(id, poll);
@@ -650,7 +795,7 @@
     this->quotas->OnTimer(now);
     if (this->Leading()) {
       if (now >= this->next_expiry_check) this->CheckExpiry(now);
-      this->registrar->AcknowledgeDepartures(now);
+      this->AcknowledgeDepartures(now);
       this->RemoveInactivePolls();
       this->EnqueueDuePolls(now);
     }
@@ -670,9 +815,14 @@
   }
 
   void CheckExpiry(Time now) {
+    std::erase_if(this->departures_since,
+                  [&](const auto& item) { return now >= item.second + kTombstoneTime; });
     this->next_expiry_check = now + kExpiryCheckInterval;
     this->sessions.Tick(now, this->state.Routers());
-    this->registrar->Expire(now);
+    for (const TargetRecord& gone : this->heartbeat_handler.Expire(now)) {
+      this->events.TargetExpired(gone, this->directory.Version());
+      this->ScheduleDueCheck();
+    }
     this->directory.Tick(now, this->state.Routers());
     this->debts.Expire(now);
     this->UpdateOffer(now);
@@ -748,6 +898,8 @@
   bool replies_scheduled = false;
   std::set<std::string> pending_joins;       // ids of routers with a proposed Join
   std::map<std::string, uint64_t> departed;  // by router id: last incarnation that left cleanly
+  TargetHeartbeatHandler heartbeat_handler;  // heartbeats of targets that register with controllers
+  DirectoryAckTracker ack_tracker;
   std::map<std::string, Time> last_directory_push;   // by router id
   std::map<std::string, Time> last_quarantine_push;  // by router id
   struct EvacuationsPush {
@@ -755,7 +907,9 @@
     Time sent;
   };
   std::map<std::string, EvacuationsPush> last_evacuations_push;  // by router id
-  std::map<std::string, RouterLoad> loads;                       // by id of the router
+  // By target: when its departure was first reported. Cleared when it registers again.
+  std::map<std::string, Time> departures_since;
+  std::map<std::string, RouterLoad> loads;  // by id of the router
   DebtTable debts;
   RouterOfferPolicy offer_policy;
   bool offer_pending = false;  // a command with a new number is on its way into the log
@@ -766,6 +920,7 @@
   // State version that a compact reply brings a router to; below the log index of a configuration
   // that is not published yet.
   uint64_t published_version = 0;
+  uint64_t applied_departures = 0;  // DeparturesIndex() up to which departures were applied
   Time next_expiry_check;
   bool due_check_scheduled = false;
 
@@ -774,7 +929,6 @@
   std::shared_ptr<Proposals> proposals;
   LeaderRelay relay;
   ControlEvents events;
-  std::shared_ptr<TargetRegistrar> registrar;
 };
 
 Controller::Controller(asio::io_context& io, ControllerOptions options, ReplicatedLog& log,
--- a/io/controller.h
+++ b/io/controller.h
@@ -38,6 +38,14 @@
 namespace peridotgauge {
 
 constexpr Duration kControllerTickInterval = Millis(20);
+// Maximum time for which the heartbeat of a leaving target waits until all routers have received
+// the departure. Well below the one second for which targets wait. After it the heartbeat fails,
+// and the target sends it again.
+constexpr Duration kDepartureAckTimeout = Millis(600);
+// A departure is acknowledged after this time even if a router has not received it. Longer than a
+// session, so that only routers that stay in contact without applying replies are left out.
+constexpr Duration kDepartureAckLimit = Seconds(3);
+
 struct ControllerOptions {
   std::string id;
   std::vector<ControllerAddress> controllers;  // peer addresses for relayed requests
