--- a/programs/peridotgauged.cc
+++ b/programs/peridotgauged.cc
@@ -5,7 +5,6 @@
 // settings are invalid.
 #include <gflags/gflags.h>
 #include <glog/logging.h>
-#include <malloc.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -160,13 +159,7 @@
 }  // namespace
 }  // namespace peridotgauge
 
-// Buffers of at least this size are returned to the system when they are released. Without it, the
-// allocator raises the size to that of the largest buffer that was released, and growing bodies of
-// responses leave holes that take several times the memory that is counted for them.
-constexpr int kMappedBufferBytes = 32 << 10;
-
 int main(int argc, char** argv) {
-  mallopt(M_MMAP_THRESHOLD, kMappedBufferBytes);
   gflags::SetUsageMessage(
       "--settings=FILE [--check_settings]\n"
       "The peridotgauge daemon. Exit status: 0 graceful shutdown, 1 failed, 2 invalid settings.");
