Target signals: one chooser for both conditions

EvacuationChooser was a copy of SignalChooser with another condition; it is now SignalChooser with TargetSignals::IsNotEvacuated. No behaviour changes. [target_signals], [native_evacuation] and [evacuation] pass (19 cases).

--- a/core/target_signals.cc
+++ b/core/target_signals.cc
@@ -91,25 +91,11 @@
 const TargetRecord* SignalChooser::Choose(Time now, Candidates candidates, Candidates excluded) {
   if (this->signals.Empty()) return this->chooser.Choose(now, candidates, excluded);
   this->accepting.clear();
-  std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(this->accepting),
-               [&](const TargetRecord* target) { return this->signals.Accepts(now, *target); });
+  std::copy_if(
+      candidates.begin(), candidates.end(), std::back_inserter(this->accepting),
+      [&](const TargetRecord* target) { return (this->signals.*this->condition)(now, *target); });
   if (this->accepting.empty()) return nullptr;
   return this->chooser.Choose(now, this->accepting, excluded);
 }
 
-const TargetRecord* EvacuationChooser::Choose(Time now, Candidates candidates,
-                                              Candidates excluded) {
-  const auto evacuated = [&](const TargetRecord* target) {
-    return this->signals.IsEvacuated(*target);
-  };
-  if (std::none_of(candidates.begin(), candidates.end(), evacuated)) {
-    return this->chooser.Choose(now, candidates, excluded);
-  }
-  this->left.clear();
-  std::remove_copy_if(candidates.begin(), candidates.end(), std::back_inserter(this->left),
-                      evacuated);
-  if (this->left.empty()) return nullptr;
-  return this->chooser.Choose(now, this->left, excluded);
-}
-
 }  // namespace peridotgauge
--- a/core/target_signals.h
+++ b/core/target_signals.h
@@ -62,6 +62,10 @@
   bool Accepts(Time now, const TargetRecord& target) const;
   // Returns true if the target's data centre is evacuated, whatever else the target has signalled.
   bool IsEvacuated(const TargetRecord& target) const;
+  // The opposite, as a condition of SignalChooser.
+  bool IsNotEvacuated(Time /*now*/, const TargetRecord& target) const {
+    return !this->IsEvacuated(target);
+  }
   SignalStatus StatusOf(Time now, const TargetRecord& target) const;
   // Returns when the first of the targets accepts requests again, or nothing if one does or none
   // will.
@@ -87,36 +91,24 @@
   std::unordered_map<std::string, std::string> data_centres;
 };
 
-// Leaves out the targets that do not accept requests.
+// Leaves out the targets that do not accept requests, or do not meet another condition.
 class SignalChooser : public ReplicaChooser {
  public:
+  using Condition = bool (TargetSignals::*)(Time, const TargetRecord&) const;
   // Both outlive this object.
-  SignalChooser(ReplicaChooser& chooser, const TargetSignals& signals)
-      : chooser(chooser), signals(signals) {}
+  SignalChooser(ReplicaChooser& chooser, const TargetSignals& signals,
+                Condition condition = &TargetSignals::Accepts)
+      : chooser(chooser), signals(signals), condition(condition) {}
 
   const TargetRecord* Choose(Time now, Candidates candidates, Candidates excluded) override;
 
  private:
   ReplicaChooser& chooser;
   const TargetSignals& signals;
+  Condition condition;
   std::vector<const TargetRecord*> accepting;  // scratch space of Choose()
 };
 
-// Leaves out the targets in evacuated data centres, whatever else targets have signalled.
-class EvacuationChooser : public ReplicaChooser {
- public:
-  // Both outlive this object.
-  EvacuationChooser(ReplicaChooser& chooser, const TargetSignals& signals)
-      : chooser(chooser), signals(signals) {}
-
-  const TargetRecord* Choose(Time now, Candidates candidates, Candidates excluded) override;
-
- private:
-  ReplicaChooser& chooser;
-  const TargetSignals& signals;
-  std::vector<const TargetRecord*> left;  // scratch space of Choose()
-};
-
 }  // namespace peridotgauge
 
 #endif  // PERIDOTGAUGE_CORE_TARGET_SIGNALS_H_
--- a/io/router.cc
+++ b/io/router.cc
@@ -50,7 +50,7 @@
         metrics(metrics),
         replica_choice(ReplicaChoice::MustMake(
             settings.replica_choice, {.seed = RandomSeed(), .ejection = settings.ejection})),
-        chooser(*this->replica_choice, this->signals),
+        chooser(*this->replica_choice, this->signals, &TargetSignals::IsNotEvacuated),
         admission(settings.admission),
         owner({io, settings, control, peers, tracer, metrics, std::move(response_bytes)},
               {self.id, self.incarnation}),
@@ -451,7 +451,7 @@
   Planner planner;
   std::unique_ptr<ReplicaChoice> replica_choice;
   TargetSignals signals;  // only of evacuated data centres
-  EvacuationChooser chooser;
+  SignalChooser chooser;  // of targets that are not evacuated
   HedgeBudget hedge_budget;
   Admission admission;
   Quarantine quarantine;
--- a/testing/target_signals_test.cc
+++ b/testing/target_signals_test.cc
@@ -351,7 +351,7 @@
   const std::vector<const TargetRecord*> tried_b = {&b};
   TargetSignals signals;
   FakeChooser random;
-  EvacuationChooser chooser(random, signals);
+  SignalChooser chooser(random, signals, &TargetSignals::IsNotEvacuated);
   const Time now = TimeAt(1'000);
   signals.OnPause(now, a, Seconds(5));
   CHECK(chooser.Choose(now, both, tried_b) == &a);
