Native router: do not copy each search and order once more

The callback of the quota check copied the whole request, also without quotas, to set its workspace and deadline. It is called once, so it changes and moves its own. The case of an admission in the same microsecond gave the same deadline and is gone. No behaviour changes. [native_quota], [native_workspaces] and [native_evacuation] pass.

--- a/io/router.cc
+++ b/io/router.cc
@@ -203,7 +203,7 @@
   };
 
   // Looks up the caller and counts the request against the quota of the workspace. Then calls `run`
-  // or refuses the request.
+  // once, or refuses the request.
   void Admit(const Arrival& arrival, const HttpResponder& responder,
              std::function<void(Admitted)> run) {
     const auto config = this->control.CurrentConfig();
@@ -226,9 +226,7 @@
             return this->RefuseForQuota(arrival, *workspace, *retry_after, responder);
           }
           const Time now = SteadyNow();
-          if (now == arrival.time) return run({now, workspace->name, arrival.deadline});
-          const std::optional<Duration> left =
-              std::max(time_left - (now - arrival.time), Duration(0));
+          const Duration left = std::max(time_left - (now - arrival.time), Duration(0));
           if (config == this->control.CurrentConfig()) return run({now, workspace->name, left});
           // The key may have been removed during the wait.
           const auto again = this->FindCaller(arrival.key, arrival.service);
@@ -269,11 +267,10 @@
                           .deadline = request->deadline};
     this->Admit(arrival, responder,
                 [this, request = std::move(*request), running = this->CountRunning(), responder,
-                 parent = ParseTraceparent(http.Header("traceparent"))](Admitted admitted) {
-                  SearchRequest search = request;
-                  search.workspace = std::move(admitted.workspace);
-                  search.deadline = admitted.deadline;
-                  this->RunSearch(admitted.now, std::move(search), parent, running, responder);
+                 parent = ParseTraceparent(http.Header("traceparent"))](Admitted admitted) mutable {
+                  request.workspace = std::move(admitted.workspace);
+                  request.deadline = admitted.deadline;
+                  this->RunSearch(admitted.now, std::move(request), parent, running, responder);
                 });
   }
 
@@ -309,11 +306,10 @@
                           .not_run = false};
     this->Admit(arrival, responder,
                 [this, request = std::move(*request), running = this->CountRunning(), responder,
-                 parent = ParseTraceparent(http.Header("traceparent"))](Admitted admitted) {
-                  OrderRequest order = request;
-                  order.workspace = std::move(admitted.workspace);
-                  order.deadline = admitted.deadline;
-                  this->RunOrder(admitted.now, std::move(order), parent, running, responder);
+                 parent = ParseTraceparent(http.Header("traceparent"))](Admitted admitted) mutable {
+                  request.workspace = std::move(admitted.workspace);
+                  request.deadline = admitted.deadline;
+                  this->RunOrder(admitted.now, std::move(request), parent, running, responder);
                 });
   }
 
