Lost services: old failures no longer cost admissions

Entries of unreachable targets that never come back stay in the map, so that each later search looked up a target of each shard, although the entries no longer counted. The time of the latest failure answers that at once.

--- a/core/lost_services.cc
+++ b/core/lost_services.cc
@@ -12,6 +12,7 @@
     if (this->unreachable.size() >= kMaxUnreachable) return;
   }
   this->unreachable[{target.target, target.incarnation}] = now;
+  this->last_unreachable = now;
 }
 
 void LostServices::OnReached(const TargetRecord& target) {
@@ -19,7 +20,7 @@
 }
 
 bool LostServices::CanCover(Time now, const Plan& plan, uint32_t needed) const {
-  if (this->unreachable.empty()) return true;
+  if (now - this->last_unreachable > kRememberUnreachable) return true;
   const auto lost = [&](const TargetRecord* target) {
     const auto found = this->unreachable.find({target->target, target->incarnation});
     return found != this->unreachable.end() && now - found->second <= kRememberUnreachable;
--- a/core/lost_services.h
+++ b/core/lost_services.h
@@ -47,6 +47,7 @@
  private:
   // When an attempt at the target last failed, by name and incarnation.
   std::map<std::pair<std::string, uint64_t>, Time> unreachable;
+  Time last_unreachable;  // the latest of them, so that older entries cost admissions nothing
 };
 
 }  // namespace peridotgauge
