Use the decay, the recount limit and the Retry-After text that exist

LatenessShedding computed DecayWeight() by itself, the HTTP client and the server each had a kRecountBytes, and the native interface formatted Retry-After as the routes do.

--- a/core/caller_api.cc
+++ b/core/caller_api.cc
@@ -2,10 +2,8 @@
 #include "core/caller_api.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
-#include <cstdio>
 #include <limits>
 #include <utility>
 
@@ -238,10 +236,7 @@
 HttpResponse RetryResponse(const Error& error, std::string_view request_id, Duration retry_after,
                            bool not_run) {
   HttpResponse response = ErrorResponse(error, request_id, not_run);
-  std::array<char, 32> text{};
-  std::snprintf(text.data(), text.size(), "%.3f",
-                std::chrono::duration<double>(retry_after).count());
-  response.headers.push_back({"retry-after", text.data()});
+  response.headers.push_back({"retry-after", RetryAfterValue(retry_after)});
   return response;
 }
 
--- a/core/http_message.cc
+++ b/core/http_message.cc
@@ -2,7 +2,9 @@
 #include "core/http_message.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/beast/core/string.hpp>
+#include <cstdio>
 #include <utility>
 
 namespace peridotgauge {
@@ -52,6 +54,13 @@
   return response.body.capacity() + (bytes > kSmallHeadersBytes ? bytes : 0);
 }
 
+std::string RetryAfterValue(Duration retry_after) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f",
+                std::chrono::duration<double>(retry_after).count());
+  return text.data();
+}
+
 HttpResponse JsonResponse(int status, std::string body) {
   return ResponseWithType(status, "application/json", std::move(body));
 }
--- a/core/http_message.h
+++ b/core/http_message.h
@@ -65,6 +65,9 @@
 // Returns the memory that the body takes, and the headers if that is more than 4 KiB.
 size_t KeptBytes(const HttpResponse& response);
 
+// Returns the value of a Retry-After header: seconds with three decimals.
+std::string RetryAfterValue(Duration retry_after);
+
 HttpResponse JsonResponse(int status, std::string body);
 HttpResponse TextResponse(int status, std::string body);
 
--- a/core/lateness_shedding.cc
+++ b/core/lateness_shedding.cc
@@ -2,7 +2,8 @@
 #include "core/lateness_shedding.h"
 
 #include <algorithm>
-#include <cmath>
+
+#include "core/decay.h"
 
 namespace peridotgauge {
 namespace {
@@ -30,8 +31,7 @@
   if (objective <= Duration(0)) return 0;
   this->CountLate(now, objective);
   if (this->late.size() >= kLateRunning) return kMaxShedShare;
-  const double faded =
-      this->usage * std::exp(-std::chrono::duration<double>(now - this->updated) / kUsageTime);
+  const double faded = this->usage * DecayWeight(now - this->updated, kUsageTime);
   return std::clamp((faded - kShedFromUsage) / (kShedAllUsage - kShedFromUsage), 0.0,
                     kMaxShedShare);
 }
--- a/io/http_beast.h
+++ b/io/http_beast.h
@@ -21,6 +21,9 @@
 
 // Memory of a field of a message in Beast's list, with its allocation, in addition to its text.
 constexpr size_t kParsedFieldBytes = 96;
+// Received bytes of an incomplete header after which its fields are counted again. Counting at each
+// read would take long for headers that arrive byte by byte.
+constexpr size_t kRecountBytes = 512;
 
 HttpRequest ToRequest(BeastRequest message);
 HttpResponse ToResponse(BeastResponse message);
--- a/io/http_connection.cc
+++ b/io/http_connection.cc
@@ -27,9 +27,6 @@
 constexpr double kUncheckedIdleShare = 0.5;
 // Upper bound on the idle timeout taken from a peer, in seconds. Longer ones are not needed here.
 constexpr int64_t kMaxIdleTimeoutSeconds = 3'600;
-// Received bytes of an incomplete head after which its fields are counted again. Counting at each
-// read would take long for heads that arrive byte by byte.
-constexpr size_t kRecountBytes = 512;
 
 // Returns the peer's idle timeout from a header such as "Keep-Alive: timeout=5", or 0 if there is
 // none.
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -63,9 +63,6 @@
 // Copies of the text of a header, and of a body, that a request in the handler may keep: its own,
 // and two of an attempt at a target.
 constexpr size_t kTextCopies = 3;
-// Received bytes of an incomplete header after which its fields are counted again. Counting at each
-// read would take long for headers that arrive byte by byte.
-constexpr size_t kRecountBytes = 512;
 // Time after which a request that was refused for want of room may come again, in seconds. Requests
 // in the handler take about as long.
 constexpr char kRetryAfter[] = "0.200";
