Operator interface: evacuations in the table of paths

Calls of evacuations were recognised beside the table, twice for each call. The table now has a handler for each path, and prefixes, as the platform's has. No behaviour changes. [native_evacuation] and [control_plane] pass, and configuration_test.sh (42 checks).

--- a/io/operator_http.cc
+++ b/io/operator_http.cc
@@ -19,49 +19,49 @@
 
 constexpr std::string_view kEvacuationPrefix = "/v1/evacuations/";
 
-bool IsEvacuation(const HttpRequest& request) {
-  return (request.method == "POST" || request.method == "DELETE") &&
-         request.path.starts_with(kEvacuationPrefix);
-}
-
 }  // namespace
 
 struct OperatorHttp::Route {
   std::string_view method;
   std::string_view path;
-  std::optional<wire::ReadKind> read;  // empty for the route that applies a configuration text
+  void (OperatorHttp::*handle)(const Route&, const HttpRequest&, const HttpResponder&);
+  wire::ReadKind read = wire::ReadKind::Config;  // of Read()
+  bool prefix = false;                           // the path is followed by a name
 };
 
 const OperatorHttp::Route* OperatorHttp::FindRoute(const HttpRequest& request) {
   static const Route kRoutes[] = {
-      {"POST", "/v1/config", std::nullopt},
-      {"GET", "/v1/config", wire::ReadKind::Config},
-      {"GET", "/v1/config/history", wire::ReadKind::History},
-      {"GET", "/v1/config/in_force", wire::ReadKind::InForce},
-      {"GET", "/v1/status", wire::ReadKind::Status},
-      {"GET", "/v1/targets", wire::ReadKind::Targets},
+      {"POST", "/v1/config", &OperatorHttp::Apply},
+      {"GET", "/v1/config", &OperatorHttp::Read, wire::ReadKind::Config},
+      {"GET", "/v1/config/history", &OperatorHttp::Read, wire::ReadKind::History},
+      {"GET", "/v1/config/in_force", &OperatorHttp::Read, wire::ReadKind::InForce},
+      {"GET", "/v1/status", &OperatorHttp::Read, wire::ReadKind::Status},
+      {"GET", "/v1/targets", &OperatorHttp::Read, wire::ReadKind::Targets},
+      {"POST", kEvacuationPrefix, &OperatorHttp::SetEvacuation, {}, /*prefix=*/true},
+      {"DELETE", kEvacuationPrefix, &OperatorHttp::SetEvacuation, {}, /*prefix=*/true},
   };
   for (const Route& route : kRoutes) {
-    if (route.path == request.path && route.method == request.method) return &route;
+    const bool matches =
+        route.prefix ? request.path.starts_with(route.path) : request.path == route.path;
+    if (matches && route.method == request.method) return &route;
   }
   return nullptr;
 }
 
 bool OperatorHttp::Handles(const HttpRequest& request) const {
-  return IsEvacuation(request) || FindRoute(request) != nullptr;
+  return FindRoute(request) != nullptr;
 }
 
 void OperatorHttp::Handle(const HttpRequest& request, const HttpResponder& responder) {
-  if (IsEvacuation(request)) return this->SetEvacuation(request, responder);
   const Route* route = FindRoute(request);
   if (route == nullptr) {
     return responder.Send(ErrorResponse({ErrorCode::kNotFound, "no such path"}, ""));
   }
-  if (!route->read) return this->Apply(request, responder);
-  this->Read(*route, request, responder);
+  (this->*route->handle)(*route, request, responder);
 }
 
-void OperatorHttp::SetEvacuation(const HttpRequest& request, const HttpResponder& responder) {
+void OperatorHttp::SetEvacuation(const Route& /*route*/, const HttpRequest& request,
+                                 const HttpResponder& responder) {
   wire::SetEvacuationT command;
   command.data_centre = request.path.substr(kEvacuationPrefix.size());
   command.evacuated = request.method == "POST";
@@ -82,7 +82,8 @@
                         });
 }
 
-void OperatorHttp::Apply(const HttpRequest& request, const HttpResponder& responder) {
+void OperatorHttp::Apply(const Route& /*route*/, const HttpRequest& request,
+                         const HttpResponder& responder) {
   const Result<Config> config = Config::Parse(request.body);
   if (!config) return responder.Send(ErrorResponse(config.error(), ""));
   wire::ApplyConfigT command;
@@ -109,7 +110,7 @@
                         const HttpResponder& responder) {
   const Result<std::optional<uint64_t>> revision = ParseRevision(request);
   if (!revision) return responder.Send(ErrorResponse(revision.error(), ""));
-  this->control.Read(*route.read, revision->value_or(0), SteadyNow() + kOperatorTimeout,
+  this->control.Read(route.read, revision->value_or(0), SteadyNow() + kOperatorTimeout,
                      [responder](Result<std::string> json) {
                        if (!json) return responder.Send(ErrorResponse(json.error(), ""));
                        responder.Send(JsonResponse(200, std::move(*json)));
--- a/io/operator_http.h
+++ b/io/operator_http.h
@@ -39,8 +39,9 @@
   struct Route;
   static const Route* FindRoute(const HttpRequest& request);
   // Evacuates a data centre or ends that.
-  void SetEvacuation(const HttpRequest& request, const HttpResponder& responder);
-  void Apply(const HttpRequest& request, const HttpResponder& responder);
+  void SetEvacuation(const Route& route, const HttpRequest& request,
+                     const HttpResponder& responder);
+  void Apply(const Route& route, const HttpRequest& request, const HttpResponder& responder);
   void Read(const Route& route, const HttpRequest& request, const HttpResponder& responder);
 
   ControlClient& control;
