--- a/testing/quota_fleet_test.cc
+++ b/testing/quota_fleet_test.cc
@@ -165,16 +165,25 @@
   }
 }
 
+// Workspaces with limits of different size.
+std::vector<Workspace> FourWorkspaces() {
+  return {{.name = "large", .quota = {43, 43}},
+          {.name = "middle", .quota = {8, 0}},
+          {.name = "small", .quota = {0.5, 0.5}},
+          {.name = "wide", .quota = {90, 9}}};
+}
+
+void LowerLimits(std::vector<Workspace>& workspaces) {
+  for (Workspace& each : workspaces) each.quota = {each.quota.rate_per_s / 3, 0};
+}
+
 // Guards against a new leader that counts a workspace above its limit as far from it, because its
 // bucket holds what a new term begins with: the router then admitted 14 requests at once without a
 // permit, in addition to its base allowance. Shrunk from a drawn history.
 TEST_CASE("a new leader of a workspace above its limit admits no open requests",
           "[quota][quota_fleet]") {
   QuotaSimulation fleet({.routers = 1}, 0);
-  std::vector<Workspace> workspaces = {{.name = "large", .quota = {43, 43}},
-                                       {.name = "middle", .quota = {8, 0}},
-                                       {.name = "small", .quota = {0.5, 0.5}},
-                                       {.name = "wide", .quota = {90, 9}}};
+  std::vector<Workspace> workspaces = FourWorkspaces();
   fleet.SetWorkspaces(workspaces);
   fleet.Run(Seconds(1));
   const auto any = [&fleet] { return fleet.RandomRouter(); };
@@ -191,7 +200,7 @@
   fleet.Run(Seconds(6));
   fleet.Disconnect(0);
   fleet.Run(Seconds(6));
-  for (Workspace& each : workspaces) each.quota = {each.quota.rate_per_s / 3, 0};
+  LowerLimits(workspaces);
   fleet.Reconnect(0);
   fleet.Run(Seconds(1));
   fleet.SetWorkspaces(workspaces);
@@ -218,10 +227,7 @@
   for (uint64_t seed = 0; seed < 4; ++seed) {
     for (const size_t routers : {1, 2, 4}) {
       QuotaSimulation fleet({.routers = routers}, seed);
-      std::vector<Workspace> workspaces = {{.name = "large", .quota = {43, 43}},
-                                           {.name = "middle", .quota = {8, 0}},
-                                           {.name = "small", .quota = {0.5, 0.5}},
-                                           {.name = "wide", .quota = {90, 9}}};
+      std::vector<Workspace> workspaces = FourWorkspaces();
       fleet.SetWorkspaces(workspaces);
       fleet.Run(Seconds(1));
       const auto any = [&fleet] { return fleet.RandomRouter(); };
@@ -230,7 +236,7 @@
       fleet.Load("small", 0.5 * 0.5, any);
       fleet.Load("wide", 0.5 * 90, any);
       fleet.Run(Seconds(14));
-      for (Workspace& each : workspaces) each.quota = {each.quota.rate_per_s / 3, 0};
+      LowerLimits(workspaces);
       fleet.SetWorkspaces(workspaces);
       fleet.Run(Seconds(7));
       const Time since = fleet.Now();
@@ -324,10 +330,7 @@
                            .max_delay = slow ? Millis(100) : Millis(5),
                            .slow_delay = Millis(slow ? 400 : 90)},
                           *rc::gen::arbitrary<uint64_t>());
-    std::vector<Workspace> workspaces = {{.name = "large", .quota = {43, 43}},
-                                         {.name = "middle", .quota = {8, 0}},
-                                         {.name = "small", .quota = {0.5, 0.5}},
-                                         {.name = "wide", .quota = {90, 9}}};
+    std::vector<Workspace> workspaces = FourWorkspaces();
     fleet.SetWorkspaces(workspaces);
     fleet.Run(Seconds(1));
     Time since = fleet.Now();  // the limits of `workspaces` are in force from here on
@@ -397,7 +400,7 @@
       if (!lowered && *rc::gen::inRange(0, 8) == 0) {
         check(since);
         lowered = true;
-        for (Workspace& each : workspaces) each.quota = {each.quota.rate_per_s / 3, 0};
+        LowerLimits(workspaces);
         for (size_t i = 0; i < fleet.Routers(); ++i) fleet.Reconnect(i);
         fleet.Run(Seconds(1));  // a leader, if one is being elected
         fleet.SetWorkspaces(workspaces);
