Tests: the daemons of both deployments in one place

NativeDeployment had its own copy of how RouteDeployment starts, ends and freezes daemons, gives them addresses and a folder, and waits. testing/daemon_processes.* does this for both now, and has the event loop with a thread.

--- a/testing/native_deployment.cc
+++ b/testing/native_deployment.cc
@@ -3,16 +3,13 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <utility>
 
 #include "core/caller_api.h"
-#include "core/settings.h"
 #include "io/clock.h"
-#include "testing/loopback_network.h"
 
 namespace peridotgauge {
 namespace {
@@ -21,20 +18,10 @@
 constexpr int kPeerPort = 18'302;
 constexpr int kTargetPort = 18'303;
 constexpr Duration kControlTimeout = Seconds(5);
-constexpr Duration kPollInterval = Millis(50);
 // Well below the lease of a registration.
 constexpr Duration kRegistrationInterval = Millis(300);
 constexpr uint64_t kSnapshot = 1;
 
-bool Await(const std::function<bool()>& condition) {
-  const Time end = SteadyNow() + kDeploymentTimeout;
-  while (!condition()) {
-    if (SteadyNow() >= end) return false;
-    std::this_thread::sleep_for(kPollInterval);
-  }
-  return true;
-}
-
 std::string Quoted(const std::string& text) { return "\"" + text + "\""; }
 
 std::vector<HttpHeader> CallerHeaders(const std::string& key) {
@@ -46,41 +33,28 @@
 }  // namespace
 
 NativeDeployment::NativeDeployment(NativeDeploymentOptions options) : options(std::move(options)) {
-  this->network = ClaimLoopbackNetwork();
-  std::string pattern = (std::filesystem::temp_directory_path() / "native_test_XXXXXX").string();
-  this->folder = mkdtemp(pattern.data());
   for (size_t i = 0; i < this->options.controllers; ++i) {
     this->Start("controller-" + std::to_string(i));
   }
   for (size_t i = 0; i < this->options.routers; ++i) this->StartRouter(i);
 }
 
-NativeDeployment::~NativeDeployment() {
-  while (!this->processes.empty()) this->End(this->processes.begin()->first);
-  std::error_code ignored;
-  std::filesystem::remove_all(this->folder, ignored);
-}
-
-std::string NativeDeployment::IpOf(const std::string& name) const {
-  const int number = std::stoi(name.substr(name.find('-') + 1));
-  return this->network + std::to_string(1 + number + (name.starts_with("router") ? 20 : 0));
-}
-
 Address NativeDeployment::ControllerAddress(size_t number) const {
-  return this->IpOf("controller-" + std::to_string(number)) + ":" + std::to_string(kHttpPort);
+  return this->processes.IpOf("controller-" + std::to_string(number)) + ":" +
+         std::to_string(kHttpPort);
 }
 
 Address NativeDeployment::RouterAddress(size_t number) const {
-  return this->IpOf("router-" + std::to_string(number)) + ":" + std::to_string(kHttpPort);
+  return this->processes.IpOf("router-" + std::to_string(number)) + ":" + std::to_string(kHttpPort);
 }
 
 Address NativeDeployment::NewAddress() {
-  return this->network + std::to_string(this->next_host++) + ":" + std::to_string(kTargetPort);
+  return this->processes.NewIp() + ":" + std::to_string(kTargetPort);
 }
 
 std::string NativeDeployment::SettingsText(const std::string& name) const {
   const auto at = [&](const std::string& process, int port) {
-    return Quoted(this->IpOf(process) + ":" + std::to_string(port));
+    return Quoted(this->processes.IpOf(process) + ":" + std::to_string(port));
   };
   std::string controllers;
   for (size_t i = 0; i < this->options.controllers; ++i) {
@@ -96,44 +70,13 @@
          Quoted(data_centres[number % data_centres.size()]) + R"(,"roles":[)" +
          Quoted(controller ? "controller" : "router") + R"(],"http_address":)" +
          at(name, kHttpPort) + R"(,"peer_address":)" + at(name, kPeerPort) + R"(,"span_file":)" +
-         Quoted(this->folder + "/" + name + ".spans") +
-         (controller ? R"(,"data_folder":)" + Quoted(this->folder + "/" + name) : "") +
+         Quoted(this->processes.Folder() + "/" + name + ".spans") +
+         (controller ? R"(,"data_folder":)" + Quoted(this->processes.Folder() + "/" + name) : "") +
          R"(,"controllers":[)" + controllers + "]}";
 }
 
-void NativeDeployment::Start(const std::string& name) {
-  Process& process = this->processes[name];
-  process.loop = std::make_unique<LoopThread>();
-  const Result<Settings> settings = Settings::Parse(this->SettingsText(name), name);
-  const std::string invalid = settings ? "" : settings.error().ToString();
-  REQUIRE(invalid == "");
-  std::string failure;
-  process.loop->Run([&] {
-    auto daemon = Daemon::Start(process.loop->io, *settings);
-    if (daemon) {
-      process.daemon = std::move(*daemon);
-    } else {
-      failure = daemon.error().ToString();
-    }
-  });
-  INFO(name);
-  REQUIRE(failure == "");
-}
-
-// Destroys the process after its loop has ended, as its objects may only be used on the loop.
-void NativeDeployment::End(const std::string& name) {
-  const auto found = this->processes.find(name);
-  if (found == this->processes.end()) return;
-  found->second.loop->io.stop();
-  found->second.loop->Join();
-  found->second.daemon.reset();
-  this->processes.erase(found);
-}
-
 void NativeDeployment::FreezeRouter(size_t number, Duration duration) {
-  this->processes.at("router-" + std::to_string(number)).loop->Post([duration] {
-    std::this_thread::sleep_for(duration);
-  });
+  this->processes.Freeze("router-" + std::to_string(number), duration);
 }
 
 std::optional<HttpResponse> NativeDeployment::TryApply(const std::string& text) {
@@ -142,7 +85,7 @@
 }
 
 bool NativeDeployment::Apply(const std::string& text) {
-  return Await([&] {
+  return AwaitDeployment([&] {
     const auto answer = this->TryApply(text);
     return answer && answer->status == 200;
   });
@@ -174,14 +117,14 @@
 
 bool NativeDeployment::SetEvacuation(size_t router, const std::string& method,
                                      const std::string& data_centre, size_t count) {
-  const bool accepted = Await([&] {
+  const bool accepted = AwaitDeployment([&] {
     const auto answer =
         Call(this->RouterAddress(router),
              {.method = method, .path = "/v1/evacuations/" + data_centre}, kControlTimeout);
     return answer && answer->status == 200;
   });
   const std::string gauge = "peridotgauge_evacuated_data_centres " + std::to_string(count) + "\n";
-  return accepted && Await([&] {
+  return accepted && AwaitDeployment([&] {
            for (size_t i = 0; i < this->options.routers; ++i) {
              const auto metrics = Call(this->RouterAddress(i),
                                        {.method = "GET", .path = "/metrics"}, kControlTimeout);
@@ -193,7 +136,7 @@
 
 bool NativeDeployment::AwaitSearch(const std::string& service, const std::string& key) {
   for (size_t i = 0; i < this->options.routers; ++i) {
-    const bool complete = Await([&] {
+    const bool complete = AwaitDeployment([&] {
       const auto answer = this->Search(i, service, key);
       if (!answer || answer->status != 200) return false;
       const Result<SearchResponse> response = ParseSearchResponse(answer->body);
@@ -206,7 +149,7 @@
 
 std::string NativeDeployment::Spans() const {
   std::ostringstream spans;
-  for (const auto& entry : std::filesystem::directory_iterator(this->folder)) {
+  for (const auto& entry : std::filesystem::directory_iterator(this->processes.Folder())) {
     if (entry.path().extension() == ".spans") spans << std::ifstream(entry.path()).rdbuf();
   }
   return spans.str();
--- a/testing/native_deployment.h
+++ b/testing/native_deployment.h
@@ -26,6 +26,7 @@
 #include "core/types.h"
 #include "io/daemon.h"
 #include "io/http_server.h"
+#include "testing/daemon_processes.h"
 #include "testing/route_deployment.h"
 
 namespace peridotgauge {
@@ -39,13 +40,12 @@
 class NativeDeployment {
  public:
   explicit NativeDeployment(NativeDeploymentOptions options);
-  ~NativeDeployment();
 
   // Sends a configuration until it is accepted.
   bool Apply(const std::string& text);
   // Sends a configuration once.
   std::optional<HttpResponse> TryApply(const std::string& text);
-  void KillRouter(size_t number) { this->End("router-" + std::to_string(number)); }
+  void KillRouter(size_t number) { this->processes.End("router-" + std::to_string(number)); }
   void StartRouter(size_t number) { this->Start("router-" + std::to_string(number)); }
   // Makes a router do nothing for `duration`, as a suspended process. Does not wait.
   void FreezeRouter(size_t number, Duration duration);
@@ -71,20 +71,11 @@
   std::string Spans() const;
 
  private:
-  struct Process {
-    std::unique_ptr<LoopThread> loop;
-    std::unique_ptr<Daemon> daemon;
-  };
-  std::string IpOf(const std::string& name) const;
-  void Start(const std::string& name);
-  void End(const std::string& name);
+  void Start(const std::string& name) { this->processes.Start(name, this->SettingsText(name)); }
   std::string SettingsText(const std::string& name) const;
 
   NativeDeploymentOptions options;
-  std::string network;  // the first three numbers of all addresses
-  std::string folder;
-  int next_host = 100;
-  std::map<std::string, Process> processes;
+  DaemonProcesses processes{"native_test"};
 };
 
 struct NativeTargetOptions {
--- a/testing/route_deployment.cc
+++ b/testing/route_deployment.cc
@@ -3,20 +3,14 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
-#include <cstdlib>
-#include <filesystem>
-#include <future>
 #include <utility>
 
 #include "core/address.h"
-#include "core/settings.h"
 #include "io/clock.h"
-#include "testing/loopback_network.h"
 
 namespace peridotgauge {
 namespace {
@@ -32,19 +26,8 @@
 constexpr int kPeerPort = 18'205;
 constexpr int kTargetPort = 18'210;
 constexpr Duration kControlTimeout = Seconds(5);
-constexpr Duration kPollInterval = Millis(50);
 constexpr char kHost[] = "test.example";
 
-// Calls `condition` until it returns true or kDeploymentTimeout has passed.
-bool Await(const std::function<bool()>& condition) {
-  const Time end = SteadyNow() + kDeploymentTimeout;
-  while (!condition()) {
-    if (SteadyNow() >= end) return false;
-    std::this_thread::sleep_for(kPollInterval);
-  }
-  return true;
-}
-
 std::string Quoted(const std::string& text) { return "\"" + text + "\""; }
 
 std::string Joined(const std::vector<std::string>& texts) {
@@ -141,34 +124,6 @@
          std::to_string(born) + "}";
 }
 
-// --- LoopThread ---
-
-LoopThread::LoopThread()
-    : work(asio::make_work_guard(this->io)), thread([this] {
-        this->io.run();
-        this->stopped = true;
-      }) {}
-
-LoopThread::~LoopThread() {
-  this->io.stop();
-  this->Join();
-}
-
-void LoopThread::Join() {
-  if (this->thread.joinable()) this->thread.join();
-}
-
-void LoopThread::Run(const std::function<void()>& function) {
-  std::promise<void> done;
-  asio::post(this->io, [&] {
-    function();
-    done.set_value();
-  });
-  done.get_future().wait();
-}
-
-void LoopThread::Post(std::function<void()> function) { asio::post(this->io, std::move(function)); }
-
 // --- RouteTarget ---
 
 RouteTarget::RouteTarget(Address address, WorkTime work_time, Edit edit)
@@ -228,28 +183,13 @@
 // --- RouteDeployment ---
 
 RouteDeployment::RouteDeployment(RouteDeploymentOptions options) : options(options) {
-  // Tests that run at the same time, and deployments of one test, do not share addresses.
-  this->network = ClaimLoopbackNetwork();
-  std::string pattern = (std::filesystem::temp_directory_path() / "routes_test_XXXXXX").string();
-  this->folder = mkdtemp(pattern.data());
   for (size_t i = 0; i < options.controllers; ++i) this->StartController(i);
   for (size_t i = 0; i < options.routers; ++i) this->Start("router-" + std::to_string(i));
-  REQUIRE(Await([this] { return this->Leader().has_value(); }));
-}
-
-RouteDeployment::~RouteDeployment() {
-  while (!this->processes.empty()) this->End(this->processes.begin()->first);
-  std::error_code ignored;
-  std::filesystem::remove_all(this->folder, ignored);
-}
-
-std::string RouteDeployment::IpOf(const std::string& name) const {
-  const int number = std::stoi(name.substr(name.find('-') + 1));
-  return this->network + std::to_string(1 + number + (name.starts_with("router") ? 20 : 0));
+  REQUIRE(AwaitDeployment([this] { return this->Leader().has_value(); }));
 }
 
 std::string RouteDeployment::SettingsText(const std::string& name) const {
-  const std::string ip = this->IpOf(name);
+  const std::string ip = this->processes.IpOf(name);
   const auto at = [&](int port) { return Quoted(ip + ":" + std::to_string(port)); };
   std::vector<std::string> seeds;
   for (size_t i = 0; i < this->options.controllers; ++i) {
@@ -260,7 +200,7 @@
          Quoted(controller ? "controller" : "router") + R"(],"http_address":)" + at(kHttpPort) +
          R"(,"metrics_address":)" + at(kMetricsPort) + R"(,"peer_address":)" + at(kPeerPort) +
          (controller ? R"(,"directory_address":)" + at(kDirectoryPort) + R"(,"data_folder":)" +
-                           Quoted(this->folder + "/" + name)
+                           Quoted(this->processes.Folder() + "/" + name)
                      : R"(,"health_address":)" + at(kHealthPort)) +
          R"(,"grace_ms":)" + std::to_string(WholeMillis(this->options.grace)) +
          R"(,"heartbeat_ms":)" + std::to_string(WholeMillis(this->options.heartbeat)) +
@@ -269,55 +209,24 @@
          Joined(seeds) + "]}";
 }
 
-void RouteDeployment::Start(const std::string& name) {
-  Process& process = this->processes[name];
-  process.loop = std::make_unique<LoopThread>();
-  const Result<Settings> settings = Settings::Parse(this->SettingsText(name), name);
-  REQUIRE(settings);
-  std::string failure;
-  process.loop->Run([&] {
-    auto daemon = Daemon::Start(process.loop->io, *settings, &this->platform);
-    if (daemon) {
-      process.daemon = std::move(*daemon);
-    } else {
-      failure = daemon.error().ToString();
-    }
-  });
-  INFO(name);
-  REQUIRE(failure == "");
-}
-
-// Destroys the process after its loop has ended, as its objects may only be used on the loop.
-void RouteDeployment::End(const std::string& name) {
-  const auto found = this->processes.find(name);
-  if (found == this->processes.end()) return;
-  found->second.loop->io.stop();
-  found->second.loop->Join();
-  found->second.daemon.reset();
-  this->processes.erase(found);
-}
-
 void RouteDeployment::StartController(size_t number) {
   this->Start("controller-" + std::to_string(number));
 }
 
 bool RouteDeployment::StopController(size_t number) {
   const std::string name = "controller-" + std::to_string(number);
-  Process& process = this->processes.at(name);
-  process.loop->Post([&process] { process.daemon->Shutdown(); });
-  const bool ended = Await([&process] { return process.loop->Stopped(); });
-  this->End(name);
+  this->processes.Shutdown(name);
+  const bool ended = AwaitDeployment([&] { return this->processes.Stopped(name); });
+  this->processes.End(name);
   return ended;
 }
 
 void RouteDeployment::KillController(size_t number) {
-  this->End("controller-" + std::to_string(number));
+  this->processes.End("controller-" + std::to_string(number));
 }
 
 void RouteDeployment::FreezeController(size_t number, Duration duration) {
-  this->processes.at("controller-" + std::to_string(number)).loop->Post([duration] {
-    std::this_thread::sleep_for(duration);
-  });
+  this->processes.Freeze("controller-" + std::to_string(number), duration);
 }
 
 std::optional<size_t> RouteDeployment::Leader() {
@@ -330,17 +239,16 @@
 }
 
 void RouteDeployment::BeginStopRouter(size_t number) {
-  Process& process = this->processes.at("router-" + std::to_string(number));
-  process.loop->Post([&process] { process.daemon->Shutdown(); });
+  this->processes.Shutdown("router-" + std::to_string(number));
 }
 
 bool RouteDeployment::RouterStopped(size_t number) {
-  return this->processes.at("router-" + std::to_string(number)).loop->Stopped();
+  return this->processes.Stopped("router-" + std::to_string(number));
 }
 
 bool RouteDeployment::Apply(const std::string& text) {
   size_t next = 0;
-  return Await([&] {
+  return AwaitDeployment([&] {
     const auto answer = Call(this->ControllerAddress(next++ % this->options.controllers),
                              {.method = "PUT", .path = "/config", .body = text}, kControlTimeout);
     return answer && answer->status == 200;
@@ -366,7 +274,7 @@
 }
 
 bool RouteDeployment::AwaitRouter(size_t number, const std::string& path) {
-  return Await([&] {
+  return AwaitDeployment([&] {
     const auto answer = Call(this->RouterAddress(number),
                              CallerRequest("ready-" + std::to_string(++this->next_request), "GET",
                                            path, kControlTimeout),
@@ -384,32 +292,36 @@
 
 bool RouteDeployment::RestartRouter(size_t number, const std::string& path) {
   const std::string name = "router-" + std::to_string(number);
-  this->End(name);
+  this->processes.End(name);
   this->Start(name);
   return this->AwaitRouter(number, path);
 }
 
 Address RouteDeployment::ControllerAddress(size_t number) const {
-  return this->IpOf("controller-" + std::to_string(number)) + ":" + std::to_string(kHttpPort);
+  return this->processes.IpOf("controller-" + std::to_string(number)) + ":" +
+         std::to_string(kHttpPort);
 }
 
 Address RouteDeployment::ControllerMetricsAddress(size_t number) const {
-  return this->IpOf("controller-" + std::to_string(number)) + ":" + std::to_string(kMetricsPort);
+  return this->processes.IpOf("controller-" + std::to_string(number)) + ":" +
+         std::to_string(kMetricsPort);
 }
 Address RouteDeployment::ControllerDirectoryAddress(size_t number) const {
-  return this->IpOf("controller-" + std::to_string(number)) + ":" + std::to_string(kDirectoryPort);
+  return this->processes.IpOf("controller-" + std::to_string(number)) + ":" +
+         std::to_string(kDirectoryPort);
 }
 
 Address RouteDeployment::RouterAddress(size_t number) const {
-  return this->IpOf("router-" + std::to_string(number)) + ":" + std::to_string(kHttpPort);
+  return this->processes.IpOf("router-" + std::to_string(number)) + ":" + std::to_string(kHttpPort);
 }
 
 Address RouteDeployment::MetricsAddress(size_t number) const {
-  return this->IpOf("router-" + std::to_string(number)) + ":" + std::to_string(kMetricsPort);
+  return this->processes.IpOf("router-" + std::to_string(number)) + ":" +
+         std::to_string(kMetricsPort);
 }
 
 Address RouteDeployment::NewAddress() {
-  return this->network + std::to_string(this->next_host++) + ":" + std::to_string(kTargetPort);
+  return this->processes.NewIp() + ":" + std::to_string(kTargetPort);
 }
 
 }  // namespace peridotgauge
--- a/testing/route_deployment.h
+++ b/testing/route_deployment.h
@@ -16,9 +16,6 @@
 #ifndef PERIDOTGAUGE_TESTING_ROUTE_DEPLOYMENT_H_
 #define PERIDOTGAUGE_TESTING_ROUTE_DEPLOYMENT_H_
 
-#include <atomic>
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
@@ -26,7 +23,6 @@
 #include <mutex>
 #include <optional>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "core/http_message.h"
@@ -34,11 +30,10 @@
 #include "io/daemon.h"
 #include "io/http_server.h"
 #include "platform/platform.h"
+#include "testing/daemon_processes.h"
 
 namespace peridotgauge {
 
-constexpr Duration kDeploymentTimeout = Seconds(20);
-
 // Sends a request on a new connection. Returns nothing if the connection cannot be opened, or ends
 // without a complete response within `timeout`.
 std::optional<HttpResponse> Call(const Address& address, const HttpRequest& request,
@@ -57,27 +52,6 @@
                           const std::string& state, uint64_t sequence, uint64_t born = 1'000,
                           const std::string& data_centre = "z-a");
 
-// An event loop with a thread.
-class LoopThread {
- public:
-  LoopThread();
-  // Stops the loop and waits for the thread.
-  ~LoopThread();
-  // Runs `function` on the loop and waits until it has returned.
-  void Run(const std::function<void()>& function);
-  // Runs `function` on the loop, without waiting.
-  void Post(std::function<void()> function);
-  bool Stopped() const { return this->stopped; }
-  void Join();
-
-  boost::asio::io_context io{1};
-
- private:
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
-  std::atomic<bool> stopped{false};
-  std::thread thread;  // declared last, because it uses all other members
-};
-
 constexpr size_t kLargeAnswerBytes = 3 << 20;
 
 // A target that answers every request after the time that a test chooses: with status 500 if the
@@ -125,7 +99,6 @@
 class RouteDeployment {
  public:
   explicit RouteDeployment(RouteDeploymentOptions options);
-  ~RouteDeployment();
 
   void StartController(size_t number);
   // Stops a controller as SIGTERM does, and waits until it has ended.
@@ -141,7 +114,7 @@
   // Starts a router again that was stopped or killed, and waits until it serves the path.
   bool RestartRouter(size_t number, const std::string& path);
   // Ends a router without a graceful shutdown.
-  void KillRouter(size_t number) { this->End("router-" + std::to_string(number)); }
+  void KillRouter(size_t number) { this->processes.End("router-" + std::to_string(number)); }
 
   // Sends a configuration until it is accepted.
   bool Apply(const std::string& text);
@@ -165,22 +138,13 @@
   Address NewAddress();
 
  private:
-  struct Process {
-    std::unique_ptr<LoopThread> loop;
-    std::unique_ptr<Daemon> daemon;
-  };
-  std::string IpOf(const std::string& name) const;
-  void Start(const std::string& name);
-  void End(const std::string& name);
+  void Start(const std::string& name) { this->processes.Start(name, this->SettingsText(name)); }
   std::string SettingsText(const std::string& name) const;
 
   RouteDeploymentOptions options;
-  std::string network;  // the first three numbers of all addresses
-  std::string folder;
-  int next_host = 100;
   int next_request = 0;
   platform::Platform platform;
-  std::map<std::string, Process> processes;
+  DaemonProcesses processes{"routes_test", &this->platform};
 };
 
 }  // namespace peridotgauge
