--- a/review/standins-2/case_7_main.cc
+++ b/review/standins-2/case_7_main.cc
@@ -63,7 +63,7 @@
   return last;
 }
 
-int Run(const std::string& folder, bool trouble) {
+int RunCase(const std::string& folder, bool trouble) {
   Record record(folder + "/record.txt");
   record.Write(trouble ? "with the disruption" : "without the disruption");
   Deployment deployment("case-7", record, {.controllers = kControllers, .routers = 1});
@@ -89,6 +89,8 @@
     SleepMs(kChangeAtMs);
     const bool acknowledged = Apply(deployment, record, text, 1'500);
     if (acknowledged) {
+      deployment.Signal(voters[0], SIGKILL);
+      deployment.Signal(voters[1], SIGKILL);
       deployment.Kill(voters[0], /*wipe=*/true);
       deployment.Kill(voters[1], /*wipe=*/true);
       SleepMs(kDownMs);
@@ -124,5 +126,5 @@
 int main(int argc, char** argv) {
   const char* trouble = std::getenv("TROUBLE");
   if (argc != 2) return peridotgauge::review::kCannotRun;
-  return peridotgauge::review::Run(argv[1], trouble == nullptr || std::string(trouble) != "0");
+  return peridotgauge::review::RunCase(argv[1], trouble == nullptr || std::string(trouble) != "0");
 }
--- a/review/standins-2/http.cc
+++ b/review/standins-2/http.cc
@@ -87,7 +87,8 @@
   if (!WaitFor(this->fd, POLLIN, deadline)) return false;
   char bytes[16384];
   const ssize_t count = recv(this->fd, bytes, sizeof(bytes), 0);
-  if (count <= 0) return false;
+  this->ended = count <= 0;
+  if (this->ended) return false;
   this->buffer.append(bytes, static_cast<size_t>(count));
   return true;
 }
--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -50,6 +50,8 @@
   // end of the stream, on an error or after the timeout.
   bool ReadMessage(std::string& start_line, Headers& headers, std::string& body,
                    int64_t timeout_ms);
+  // Returns true if the last read met the end of the stream or an error, not a timeout.
+  bool Ended() const { return this->ended; }
   // Closes with a reset.
   void Reset();
 
@@ -57,6 +59,7 @@
   bool ReadMore(int64_t deadline);
 
   int fd;
+  bool ended = false;
   std::string buffer;  // bytes received and not yet returned
 };
 
