--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -115,8 +115,9 @@
            Quoted(this->folder + "/data-" + name) + "}";
   }
   return common + R"(,"roles":["router"],"http_address":)" + at(kFrontPort) +
-         R"(,"health_address":)" + at(kReadyPort) +
-         R"(,"processor_share":0.25,"memory_mb":260,"overload_admission":true,"extra_ratio":0.2)" +
+         R"(,"health_address":)" + at(kReadyPort) + R"(,"processor_share":0.12,"memory_mb":)" +
+         std::to_string(this->options.router_memory_mb) +
+         R"(,"overload_admission":true,"extra_ratio":0.2)" +
          R"(,"extra_slack":206,"extra_window_s":10})";
 }
 
@@ -159,6 +160,17 @@
   return found != this->processes.end() && waitpid(found->second, nullptr, WNOHANG) == 0;
 }
 
+double Deployment::MemoryMb(const std::string& name) const {
+  std::ifstream status("/proc/" + std::to_string(this->processes.at(name)) + "/status");
+  for (std::string word; status >> word;) {
+    if (word != "VmRSS:") continue;
+    double kilobytes = 0;
+    status >> kilobytes;
+    return kilobytes / 1'024;
+  }
+  return 0;
+}
+
 bool Deployment::StartAll() {
   if (this->network.empty() || this->folder.empty()) return false;
   for (const std::string& name : this->Controllers()) this->Start(name);
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -36,6 +36,7 @@
   int controllers = 3;
   int routers = 1;
   int zones = 3;
+  int router_memory_mb = 160;
 };
 
 class Deployment {
@@ -53,6 +54,8 @@
   void Kill(const std::string& name, bool wipe);
   // Returns true if the process has not ended.
   bool Running(const std::string& name);
+  // Returns the memory that the process uses, 0 if it is not known.
+  double MemoryMb(const std::string& name) const;
 
   std::vector<std::string> Controllers() const;
   std::vector<std::string> Routers() const;
--- a/review/standins-2/http.cc
+++ b/review/standins-2/http.cc
@@ -53,24 +53,24 @@
   if (this->fd >= 0) close(this->fd);
 }
 
-Connection Connection::To(const std::string& address, int64_t timeout_ms) {
+int Connect(const std::string& address, int64_t timeout_ms) {
   sockaddr_in remote{};
-  if (!ParseAddress(address, remote)) return Connection(-1);
+  if (!ParseAddress(address, remote)) return -1;
   const int64_t deadline = NowMs() + timeout_ms;
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-  if (fd < 0) return Connection(-1);
+  if (fd < 0) return -1;
   int error = 0;
   socklen_t size = sizeof(error);
-  if (connect(fd, reinterpret_cast<const sockaddr*>(&remote), sizeof(remote)) != 0 &&
+  if (::connect(fd, reinterpret_cast<const sockaddr*>(&remote), sizeof(remote)) != 0 &&
       (errno != EINPROGRESS || !WaitFor(fd, POLLOUT, deadline) ||
        getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0)) {
     close(fd);
-    return Connection(-1);
+    return -1;
   }
   fcntl(fd, F_SETFL, 0);
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  return Connection(fd);
+  return fd;
 }
 
 bool Connection::Send(const std::string& bytes) {
@@ -150,7 +150,7 @@
 Answer Call(const std::string& address, const Request& request, int64_t timeout_ms) {
   const int64_t deadline = NowMs() + timeout_ms;
   Answer answer;
-  Connection connection = Connection::To(address, timeout_ms);
+  Connection connection(Connect(address, timeout_ms));
   if (!connection.Valid()) {
     answer.error = "no connection";
     return answer;
--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -40,8 +40,6 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  // Connects to "IP:PORT". Valid() is false if that fails.
-  static Connection To(const std::string& address, int64_t timeout_ms);
   bool Valid() const { return this->fd >= 0; }
   int Fd() const { return this->fd; }
   // Sends all bytes. Returns false on an error.
@@ -63,6 +61,9 @@
   std::string buffer;  // bytes received and not yet returned
 };
 
+// Connects to "IP:PORT". Returns -1 if that fails.
+int Connect(const std::string& address, int64_t timeout_ms);
+
 std::string RequestText(const Request& request, const std::string& host);
 std::string AnswerText(const Answer& answer);
 
--- a/review/standins-2/server.cc
+++ b/review/standins-2/server.cc
@@ -85,13 +85,13 @@
     }
     return {.status = 400, .headers = {{"Peridotgauge-Not-Executed", "1"}}};
   }
-  this->record.Write(this->options.id + " of " + this->options.service + " runs " + id + " " +
-                     method + " " + path);
-  {
+  if (this->options.recorded) {
+    this->record.Write(this->options.id + " of " + this->options.service + " runs " + id + " " +
+                       method + " " + path);
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->runs.push_back({.request_id = id, .path = path});
   }
-  SleepMs(this->options.work_ms);
+  if (this->options.work_ms > 0) SleepMs(this->options.work_ms);
   Answer answer{.status = 200,
                 .headers = {{"Peridotgauge-Request-Id", id},
                             {"Peridotgauge-Server-Stamp",
--- a/review/standins-2/server.h
+++ b/review/standins-2/server.h
@@ -30,6 +30,7 @@
   std::string address;
   std::string zone = "perth-a";
   int64_t work_ms = 5;
+  bool recorded = true;  // each run is written to the record
 };
 
 // One request that the server has run.
