--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -172,7 +172,7 @@
 }
 
 bool Deployment::StartAll() {
-  if (this->network.empty() || this->folder.empty()) return false;
+  if (!this->Usable()) return false;
   for (const std::string& name : this->Controllers()) this->Start(name);
   for (const std::string& name : this->Routers()) this->Start(name);
   return Await(20'000, [this] {
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -46,6 +46,8 @@
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
 
+  // Returns false if there is no free network or no temporary folder.
+  bool Usable() const { return !this->network.empty() && !this->folder.empty(); }
   // Starts all processes. Returns false if the operator gets no answer from a controller in time.
   bool StartAll();
   void Start(const std::string& name);
