--- a/review/standins-2/case_9_main.cc
+++ b/review/standins-2/case_9_main.cc
@@ -35,11 +35,11 @@
   std::string routes;
   for (int i = 0; i < kRoutes; ++i) {
     const std::string route = std::to_string(i);
-    routes += (i == 0 ? "" : ",") + std::string(R"({"name":"r-)") +
-              (new_names ? number + "-" : "") + route +
-              R"(","host":"offers.example","pathPrefix":"/v)" + number + "/" + route +
-              R"(/","kind":"safe","timeoutMs":4000,"targetLatencyMs":800,"priority":2,)" +
-              R"("service":"ledger","maxAttempts":2})";
+    routes.append(i == 0 ? "" : ",").append(R"({"name":"r-)");
+    if (new_names) routes.append(number).append("-");
+    routes.append(route).append(R"(","host":"offers.example","pathPrefix":"/v)").append(number);
+    routes.append("/").append(route).append(R"(/","kind":"safe","timeoutMs":4000,)");
+    routes.append(R"("targetLatencyMs":800,"priority":2,"service":"ledger","maxAttempts":2})");
   }
   return R"({"version":)" + number + R"(,"routes":[)" + routes +
          R"(],"services":[{"name":"ledger","healthPath":"/health","maxConns":560,)" +
@@ -84,12 +84,13 @@
 int AskAll(Client& client, const std::string& router, int version) {
   int served = 0;
   for (int i = 0; i < kRoutes; ++i) {
-    const std::string number = std::to_string(version) + "-" + std::to_string(i);
+    std::string id = router;
+    id.append("-").append(std::to_string(version)).append("-").append(std::to_string(i));
     const std::string path = "/v" + std::to_string(version) + "/" + std::to_string(i) + "/x";
     int status = 0;
     for (int attempt = 0; attempt < 40 && status != 200; ++attempt) {
       if (attempt > 0) SleepMs(25);
-      status = client.Ask(router + "-" + number + "-" + std::to_string(attempt), path);
+      status = client.Ask(id + "-" + std::to_string(attempt), path);
     }
     if (status == 200) ++served;
   }
--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -35,9 +35,8 @@
 std::string FreeNetwork() {
   int number = static_cast<int>(getpid());
   for (int i = 0; i < 1'000; ++i, ++number) {
-    const std::string network = "127." +
-                                std::to_string(kFirstSecondNumber + number % kSecondNumbers) + "." +
-                                std::to_string(1 + number / kSecondNumbers % kThirdNumbers) + ".";
+    std::string network = "127." + std::to_string(kFirstSecondNumber + number % kSecondNumbers) +
+                          "." + std::to_string(1 + number / kSecondNumbers % kThirdNumbers) + ".";
     const int fd =
         Listen(network + std::to_string(kFirstController) + ":" + std::to_string(kInternalPort));
     if (fd < 0) continue;
--- a/review/standins-2/http.cc
+++ b/review/standins-2/http.cc
@@ -40,6 +40,12 @@
   return inet_pton(AF_INET, address.substr(0, colon).c_str(), &out.sin_addr) == 1;
 }
 
+void AppendHeaders(const Headers& headers, std::string& text) {
+  for (const auto& [name, value] : headers) {
+    text.append(name).append(": ").append(value).append("\r\n");
+  }
+}
+
 }  // namespace
 
 std::string FindHeader(const Headers& headers, const std::string& name) {
@@ -134,7 +140,7 @@
 std::string RequestText(const Request& request, const std::string& host) {
   std::string text = request.method + " " + request.path + " HTTP/1.1\r\n";
   if (FindHeader(request.headers, "host").empty()) text += "Host: " + host + "\r\n";
-  for (const auto& [name, value] : request.headers) text += name + ": " + value + "\r\n";
+  AppendHeaders(request.headers, text);
   if (!request.body.empty() || request.method != "GET") {
     text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
   }
@@ -143,7 +149,7 @@
 
 std::string AnswerText(const Answer& answer) {
   std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " Status\r\n";
-  for (const auto& [name, value] : answer.headers) text += name + ": " + value + "\r\n";
+  AppendHeaders(answer.headers, text);
   return text + "Content-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n" + answer.body;
 }
 
