--- a/review/standins-2/server.cc
+++ b/review/standins-2/server.cc
@@ -113,7 +113,7 @@
   const int64_t born = UnixMs();
   const std::vector<std::string> controllers = deployment.Controllers();
   size_t next = 0;
-  for (int sequence = 1; !this->stopping; ++sequence) {
+  for (int sequence = 1; !this->stopping && this->pinging; ++sequence) {
     const std::string body =
         R"({"service":")" + this->options.service + R"(","address":")" + this->options.address +
         R"(","zone":")" + this->options.zone +
@@ -123,7 +123,11 @@
         Call(deployment.At(controllers[next % controllers.size()], kControlPort),
              {.method = "PUT", .path = "/instances/" + this->options.id, .body = body}, 1'000);
     const bool confirmed = answer.status >= 200 && answer.status < 300;
-    if (!confirmed) ++next;
+    if (confirmed) {
+      ++this->confirmed_pings;
+    } else {
+      ++next;
+    }
     for (int64_t waited = 0; !this->stopping && waited < (confirmed ? kPingIntervalMs : 100);
          waited += 50) {
       SleepMs(50);
--- a/review/standins-2/server.h
+++ b/review/standins-2/server.h
@@ -48,6 +48,10 @@
 
   // Sends pings to the controllers until one confirms, then every second.
   void Register(Deployment& deployment);
+  // Ends the pings, as a server does that leaves.
+  void StopPings() { this->pinging = false; }
+  // Returns how many pings were confirmed.
+  int ConfirmedPings() const { return this->confirmed_pings; }
   std::vector<Run> Runs();
   const ServerOptions& Options() const { return this->options; }
 
@@ -61,6 +65,8 @@
   Record& record;
   int listener = -1;
   std::atomic<bool> stopping = false;
+  std::atomic<bool> pinging = true;
+  std::atomic<int> confirmed_pings = 0;
   std::mutex mutex;
   std::vector<Run> runs;
   std::list<std::thread> threads;
