--- a/review/standins-2/late_removal_main.cc
+++ b/review/standins-2/late_removal_main.cc
@@ -58,6 +58,7 @@
     return server;
   };
   std::vector<std::unique_ptr<Server>> servers;
+  servers.reserve(6);
   for (int i = 0; i < 3; ++i) servers.push_back(start(i, "first"));
   for (int i = 3; i < 6; ++i) servers.push_back(start(i, "later"));
   const auto apply = [&](int version, const std::vector<std::string>& services) {
@@ -82,6 +83,7 @@
   if (!Await(10'000, [&] { return ask("first") && ask("later"); })) return kCannotRun;
 
   std::vector<std::thread> held_up;
+  held_up.reserve(3);
   for (int i = 3; i < 6; ++i) {
     const Request removal{.method = "DELETE", .path = "/instances/i-" + std::to_string(i)};
     servers[static_cast<size_t>(i)]->StopPings();
--- a/review/standins-2/server.cc
+++ b/review/standins-2/server.cc
@@ -67,6 +67,11 @@
     const size_t first = start_line.find(' ');
     const size_t second = start_line.find(' ', first + 1);
     if (first == std::string::npos || second == std::string::npos) return;
+    if (!this->options.faulty_begin.empty()) {
+      bool sent = connection.Send(this->options.faulty_begin);
+      while (sent && !this->stopping) sent = connection.Send(this->options.faulty_repeat);
+      return;
+    }
     const Answer answer = this->Handle(start_line.substr(0, first),
                                        start_line.substr(first + 1, second - first - 1), headers);
     if (!connection.Send(AnswerText(answer))) return;
--- a/review/standins-2/server.h
+++ b/review/standins-2/server.h
@@ -31,6 +31,10 @@
   std::string zone = "perth-a";
   int64_t work_ms = 5;
   bool recorded = true;  // each run is written to the record
+  // If not empty: sent in place of an answer, with the second text again and again until the
+  // connection ends.
+  std::string faulty_begin = {};
+  std::string faulty_repeat = {};
 };
 
 // One request that the server has run.
