Refuse responses whose status is not that of a final response

What callers saw: a target sent a response with status 000, a stamp and a body. With the statement that the request was not run, the same response made the router send a request that must not be repeated to the target again, three times in all.

Cause: the HTTP client takes every status of three digits for that of an answer, as its parser does. The platform's translation then treats what is not 2xx as the target's own failure, which is forwarded. The same path passed on responses with 1xx, which announce another response, and with 600 and above, which HTTP does not have. Health responses with such a status set the warm-up time of their target.

Change: HttpClient, which reads every HTTP response of the product (routes, parts of gathered requests, sub-requests of the native interface, health requests, the command-line tool), ends the exchange as soon as the status line has been read with a status outside 200 to 599. It fails like an exchange whose connection broke: nothing is known about the request, the connection is closed, and the caller gets 502 or the answer of another target. The check stands before everything that reads the response, so that no reader can miss it.

Ruled out: parts of gathered requests and the native interface accepted no such response before; their tests pass without the change and are kept. Messages between our own processes are not HTTP and carry no target's status.

--- a/io/http_connection.cc
+++ b/io/http_connection.cc
@@ -62,6 +62,14 @@
          });
 }
 
+// Returns true for the status of an answer. A response with a status below 200 announces another
+// response; HTTP has no statuses above 599.
+bool IsFinalStatus(unsigned status) {
+  constexpr unsigned kMinFinalStatus = 200;
+  constexpr unsigned kMaxFinalStatus = 599;
+  return status >= kMinFinalStatus && status <= kMaxFinalStatus;
+}
+
 bool IsCloseByPeer(const error_code& error) {
   return error == http::error::end_of_stream || error == http::error::partial_message ||
          error == asio::error::eof || error == asio::error::connection_reset ||
@@ -208,6 +216,7 @@
     this->buffer.consume(parsed);
     if (in_head) this->head_bytes += parsed;
     this->uncounted_bytes += parsed;
+    if (!IsFinalStatus(this->parser->get().result_int())) failed = http::error::bad_status;
     if (!failed && this->parser->is_done() && this->DiscardStray()) continue;
   }
   if (failed == http::error::need_more) failed = {};
@@ -325,10 +334,8 @@
   const bool identified = this->IdentifiesRequest();
   const ExchangePtr ended = std::exchange(this->exchange, nullptr);
   auto released = std::exchange(ended->call.released, {});
-  const bool interim = this->parser->get().result_int() < 200;
-  const bool reusable = this->written && this->parser->get().keep_alive() && !interim &&
-                        identified && !ended->call.close_after && this->buffer.size() == 0 &&
-                        !pool->AboveLimit();
+  const bool reusable = this->written && this->parser->get().keep_alive() && identified &&
+                        !ended->call.close_after && this->buffer.size() == 0 && !pool->AboveLimit();
   HttpResponse response = ToResponse(this->parser->release());
   const size_t bytes = KeptBytes(response);
   if (this->impl->budget && bytes > kReadBytes) {
--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -231,6 +231,44 @@
   CHECK_FALSE(first.result);
 }
 
+// Guards against a response whose status is not that of a final response, for example 000, and that
+// is taken for the answer to the request.
+TEST_CASE("http_client takes only final statuses for an answer", "[http_client]") {
+  Fixture fixture;
+  const std::string fields = GENERATE(as<std::string>{}, "Content-Length: 0\r\n\r\n",
+                                      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  for (int status = 0; status < 1'000; ++status) {
+    const std::string digits = std::to_string(1'000 + status).substr(1);
+    CAPTURE(digits, fields);
+    Outcome outcome;
+    fixture.Send(outcome);
+    fixture.WaitForRequest(fixture.peer.sockets.size() + 1)
+        .Send("HTTP/1.1 " + digits + " Status\r\nConnection: close\r\n" + fields);
+    REQUIRE(fixture.Until([&] { return outcome.result.has_value(); }));
+    fixture.peer.sockets.back().Close();
+    REQUIRE(fixture.Until([&] { return outcome.released == 1; }));
+    const bool final = status >= 200 && status <= 599;
+    REQUIRE(outcome.result->has_value() == final);
+    if (final) {
+      CHECK((*outcome.result)->status == status);
+    } else {
+      CHECK(outcome.result->error().error.code == ErrorCode::kConnectionLost);
+      CHECK(outcome.result->error().sent);
+      CHECK_FALSE(outcome.result->error().crashed);
+    }
+  }
+}
+
+// Guards against a caller that waits for a body although the head is already known to be broken.
+TEST_CASE("http_client ends an exchange at a broken status line", "[http_client]") {
+  Fixture fixture;
+  Outcome outcome;
+  fixture.Send(outcome, Seconds(600));
+  fixture.WaitForRequest(1).Send("HTTP/1.1 000 None\r\nContent-Length: 9\r\n");
+  REQUIRE(fixture.Until([&] { return outcome.result.has_value(); }));
+  CHECK_FALSE(*outcome.result);
+}
+
 // Guards against a target in trouble that sends bytes until the client closes: the buffer must not
 // grow, and the call must not wait for its deadline.
 TEST_CASE("http_client ends an exchange with bytes without end", "[http_client]") {
--- a/testing/native_deployment.cc
+++ b/testing/native_deployment.cc
@@ -158,16 +158,19 @@
 // --- NativeTarget ---
 
 NativeTarget::NativeTarget(NativeDeployment& deployment, NativeTargetOptions options)
-    : deployment(deployment), options(std::move(options)), address(deployment.NewAddress()) {
-  this->loop.Run([this] {
-    auto listening =
-        HttpServer::Listen(this->loop.io, this->address,
-                           [this](const HttpRequest& request, const HttpResponder& responder) {
-                             this->Handle(request, responder);
-                           });
-    if (listening) this->server = std::move(*listening);
-  });
-  REQUIRE(this->server);
+    : deployment(deployment), options(std::move(options)) {
+  if (this->options.address.empty()) {
+    this->options.address = deployment.NewAddress();
+    this->loop.Run([this] {
+      auto listening =
+          HttpServer::Listen(this->loop.io, this->options.address,
+                             [this](const HttpRequest& request, const HttpResponder& responder) {
+                               this->Handle(request, responder);
+                             });
+      if (listening) this->server = std::move(*listening);
+    });
+    REQUIRE(this->server);
+  }
   this->registrar = std::thread([this] { this->Register(); });
 }
 
@@ -180,7 +183,7 @@
 void NativeTarget::Register() {
   RegistrationRequest request;
   request.record = {.target = this->options.name,
-                    .address = this->address,
+                    .address = this->options.address,
                     .service = this->options.service,
                     .data_centre = this->options.data_centre,
                     .incarnation = 1,
--- a/testing/native_deployment.h
+++ b/testing/native_deployment.h
@@ -85,6 +85,8 @@
   uint32_t slots = 8;
   uint32_t shard = 0;
   uint32_t shards = 1;
+  // Where another target listens, which this one only registers; empty: this one listens.
+  Address address = {};
 };
 
 // A target that registers with all routers in turn and records the requests that it gets.
@@ -107,7 +109,6 @@
 
   NativeDeployment& deployment;
   NativeTargetOptions options;
-  Address address;
   std::atomic<int64_t> work_us = 1'000;
   std::atomic<bool> stopping = false;
   std::mutex mutex;
