Refuse responses with a line in the head that begins with a blank

What callers saw: a target sent a field whose name begins with a blank, such as " Content-Length: 3" or "\tX-Broken: 1".

Cause: the parser implements the obsolete folding of header fields and joins such a line to the one before. A target that does not mean that has sent a broken field. HTTP/1.1 lets a gateway refuse folded lines in responses.

Change: HttpClient looks at the bytes of the head that the parser has read, and ends the exchange if a line begins with a blank or a tab, as for a status that ends no request. The parser takes a field only when it has seen the first byte of the next line, so that such a line and the one before are always read together.

Ruled out: names with a blank, a control character or another invalid byte elsewhere, and empty names.

Not covered: lines of the trailer of a chunked body, where the parser checks names in the same way and still joins folded lines.

--- a/io/http_client.h
+++ b/io/http_client.h
@@ -23,8 +23,9 @@
 // that does not identify its request the connection is closed, since a copy of it could not be told
 // from a later response.
 //
-// A response is an answer only with a final status, 200 to 599. Any other one ends its exchange
-// like a failed connection: nothing that it says is believed, and the outcome is unknown.
+// A response is an answer only with a final status, 200 to 599, and if each line of its head is a
+// field of its own with a valid name. Any other one ends its exchange like a failed connection:
+// nothing that it says is believed, and the outcome is unknown.
 //
 // The bytes of responses count against a budget that all clients of the process share. If that is
 // exceeded, exchanges are ended like those whose connection failed: first those of the peer whose
--- a/io/http_connection.cc
+++ b/io/http_connection.cc
@@ -70,6 +70,18 @@
   return status >= kMinFinalStatus && status <= kMaxFinalStatus;
 }
 
+// Returns true if a line of the head begins with a blank. The parser joins it to the line before. A
+// target that does not mean to continue that line has sent a field whose name begins with a blank.
+// `parsed`: lines of a head from the beginning of a line, and what follows the head if it ends.
+bool HasFoldedLine(std::string_view parsed) {
+  constexpr std::string_view kLineEnd = "\r\n";
+  constexpr std::string_view kHeadEnd = "\r\n\r\n";
+  if (parsed.starts_with(kLineEnd)) return false;
+  const std::string_view head = parsed.substr(0, parsed.find(kHeadEnd));
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
 bool IsCloseByPeer(const error_code& error) {
   return error == http::error::end_of_stream || error == http::error::partial_message ||
          error == asio::error::eof || error == asio::error::connection_reset ||
@@ -212,9 +224,15 @@
   error_code failed;
   while (this->buffer.size() > 0 && !this->parser->is_done() && !failed) {
     const bool in_head = !this->parser->is_header_done();
-    const size_t parsed = this->parser->put(this->buffer.data(), failed);
+    const auto unparsed = this->buffer.data();
+    const size_t parsed = this->parser->put(unparsed, failed);
+    if (in_head) {
+      this->head_bytes += parsed;
+      // The parser takes a field only when it has seen that the next line is not part of it.
+      const std::string_view lines(static_cast<const char*>(unparsed.data()), parsed);
+      if (HasFoldedLine(lines)) failed = http::error::bad_field;
+    }
     this->buffer.consume(parsed);
-    if (in_head) this->head_bytes += parsed;
     this->uncounted_bytes += parsed;
     if (!IsFinalStatus(this->parser->get().result_int())) failed = http::error::bad_status;
     if (!failed && this->parser->is_done() && this->DiscardStray()) continue;
--- a/testing/broken_head_test.cc
+++ b/testing/broken_head_test.cc
@@ -1,5 +1,5 @@
 // Tests targets whose responses have a head that no sound target sends: a status that ends no
-// request. They guard against such a
+// request, or a field whose name holds a blank or a control character. They guard against such a
 // response that reaches a caller, counts as the part of a shard, or states that a request did not
 // run.
 #include <atomic>
@@ -35,6 +35,17 @@
   for (const char* status : {"000", "001", "099", "100", "102", "103", "199", "600", "999"}) {
     heads.push_back({"status "s + status, "HTTP/1.1 "s + status + " Status", ""});
   }
+  const std::vector<std::string> lines = {
+      "X Broken: 1",          "X-Broken : 1",        " X-Broken: 1",          "\tX-Broken: 1",
+      "X\x01-Broken: 1",      "X-Broken\x7f: 1",     "X\0Broken: 1"s,         "X\nBroken: 1",
+      "X\rBroken: 1",         "\rX-Broken: 1",       "Content Length: 3",     "Content-Length : 3",
+      " Content-Length: 3",   "Content-Length\t: 3", "Content\x1f-Length: 3", "\tContent-Length: 3",
+      "Transfer Encoding: x", " Content-Encoding: x"};
+  for (const std::string& line : lines) {
+    std::string name = "field ";
+    for (const char c : line) name += c < ' ' || c == '\x7f' ? '?' : c;
+    heads.push_back({name, "HTTP/1.1 200 OK", line + "\r\n"});
+  }
   return heads;
 }
 
--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
+#include <cctype>
 #include <optional>
 #include <string>
 #include <vector>
@@ -269,6 +270,68 @@
   CHECK_FALSE(*outcome.result);
 }
 
+// Guards against a line of a broken head that is passed on, or that changes where the body ends.
+TEST_CASE("http_client takes no response with a broken field name", "[http_client]") {
+  Fixture fixture;
+  const bool in_pieces = GENERATE(false, true);
+  // Sends a response with these lines in its head and returns what the call got.
+  const auto receive = [&](const std::string& lines, const std::string& body) {
+    Outcome outcome;
+    fixture.Send(outcome);
+    RawSocket& socket = fixture.WaitForRequest(fixture.peer.sockets.size() + 1);
+    const std::string response = "HTTP/1.1 200 OK\r\nConnection: close\r\n" + lines +
+                                 "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                                 body;
+    const size_t piece = in_pieces ? 1 : response.size();
+    for (size_t sent = 0; sent < response.size() && !outcome.result; sent += piece) {
+      socket.Send(response.substr(sent, piece));
+      if (!in_pieces) continue;
+      fixture.io.restart();
+      fixture.io.run_for(std::chrono::microseconds(200));
+    }
+    REQUIRE(fixture.Until([&] { return outcome.result.has_value(); }));
+    socket.Close();
+    REQUIRE(fixture.Until([&] { return outcome.released == 1; }));
+    return *outcome.result;
+  };
+
+  SECTION("with a blank, a control character or another byte that names do not have") {
+    const std::string allowed = "!#$%&'*+-.^_`|~";
+    const std::vector<std::string> names = {"X-Name", "Content-Length"};
+    for (const std::string& name : names) {
+      for (int byte = 0; byte < 256; ++byte) {
+        const char c = static_cast<char>(byte);
+        if (std::isalnum(byte) != 0 || c == ':' || allowed.find(c) != std::string::npos) continue;
+        // In pieces, bytes of one kind make no difference, and each response takes many reads.
+        if (in_pieces && c != ' ' && c != '\t' && c != '\x01') continue;
+        for (const size_t place : {size_t{0}, name.find('-'), name.size()}) {
+          CAPTURE(name, byte, place);
+          const std::string broken = std::string(name).insert(place, 1, c);
+          CHECK_FALSE(receive(broken + ": 1\r\n", "r1"));
+          CHECK_FALSE(receive("X-First: 1\r\n" + broken + ": 1\r\n", "r1"));
+        }
+      }
+    }
+  }
+  SECTION("that is empty") { CHECK_FALSE(receive("X-First: 1\r\n: 1\r\n", "r1")); }
+  SECTION("that begins with a blank and would continue the line before it") {
+    for (const char* line :
+         {" Content-Length: 1", "\tContent-Length: 1", "  X-Name: 1", " x", " "}) {
+      for (const char* first : {"X-First: 1", "X-First:", "X-First: \t"}) {
+        CAPTURE(line, first);
+        CHECK_FALSE(receive(std::string(first) + "\r\n" + line + "\r\n", "r1"));
+      }
+    }
+  }
+  SECTION("but any bytes in a value and in the body") {
+    const std::string body = "\r\n x\r\n\ty: 1\r\n\r\n z";
+    const HttpResult result = receive("X-Name: a\tb \x80 : c\r\n", body);
+    REQUIRE(result);
+    CHECK(result->Header("x-name") == "a\tb \x80 : c");
+    CHECK(result->body == body);
+  }
+}
+
 // Guards against a target in trouble that sends bytes until the client closes: the buffer must not
 // grow, and the call must not wait for its deadline.
 TEST_CASE("http_client ends an exchange with bytes without end", "[http_client]") {
--- a/testing/target_health_test.cc
+++ b/testing/target_health_test.cc
@@ -120,6 +120,10 @@
     answer(GENERATE("000", "100", "600"), "");
     CHECK_FALSE(fixture.IsLimited());
   }
+  SECTION("because of the name of a field") {
+    answer("200", GENERATE("X Name: 1\r\n", "X\x01Name: 1\r\n", "X-Name: 1\r\n X-Name: 1\r\n"));
+    CHECK_FALSE(fixture.IsLimited());
+  }
 }
 
 }  // namespace
