Do not shrink the group of controllers below what the tolerated losses need

Cause: the leader removed silent members while more than three were left, whatever number of lost disks was to be borne. Of the four that were left, two lost their disks; the other two are no majority of the last list. Evidence: logs of the case (five to four members 3 s into the freeze, then 'not elected; votes: 2 of 4' for as long as it ran, both missing members lost), and the same in virtual time. Ruled out: refused votes among the survivors, a leader that is not reached.

The group keeps 2 x tolerated losses + 1 members, three at least, once it has them. A silent member stays in the list, or a waiting controller takes its place, so the disks that stay are always a majority.

--- a/core/settings.cc
+++ b/core/settings.cc
@@ -156,6 +156,11 @@
   }
 }
 
+void ReadToleratedHosts(JsonErrorCollector& errors, StrictJsonObject& root, Settings& settings) {
+  constexpr size_t kMost = 20;
+  ReadCount(errors, root, "tolerated_hosts", {0, kMost}, false, settings.tolerated_hosts);
+}
+
 void ReadInterface(JsonErrorCollector& errors, StrictJsonObject& root, Settings& settings) {
   size_t interface = static_cast<size_t>(settings.interface);
   root.ReadChoice("interface", interface, {"native", "routes"});
@@ -275,6 +280,7 @@
   ReadControllers(errors, root, settings);
   ReadInterface(errors, root, settings);
   root.Read("data_folder", settings.data_folder);
+  ReadToleratedHosts(errors, root, settings);
   root.Read("span_file", settings.span_file);
   size_t routing = static_cast<size_t>(settings.routing);
   root.ReadChoice("routing", routing, {"owner", "direct"});
--- a/core/settings.h
+++ b/core/settings.h
@@ -94,7 +94,10 @@
   Duration shutdown_grace = Seconds(30);       // from SIGTERM to SIGKILL
   std::vector<ControllerAddress> controllers;  // all controllers: 1, 3, 5 or 7
   std::string data_folder;                     // controllers only
-  std::string span_file;                       // OTLP-style JSON lines; empty: no spans are written
+  // Controllers that may lose their disks at the same time. Among controllers found from seeds, the
+  // group that votes keeps 2 x this + 1 members, 3 at least, once it has grown to that size.
+  size_t tolerated_hosts = 2;
+  std::string span_file;  // OTLP-style JSON lines; empty: no spans are written
   Routing routing = Routing::kOwner;
   // Name of the replica choice strategy, which ReplicaChoice::Make() checks. Empty: the default.
   std::string replica_choice;
--- a/io/daemon.cc
+++ b/io/daemon.cc
@@ -54,8 +54,9 @@
 constexpr Duration kDrainReserve = Millis(1'500);
 constexpr Duration kAnswerReserve = Millis(700);
 constexpr Duration kExitReserve = Millis(400);
-// Maximum number of voting controllers if controllers are discovered from seeds.
-constexpr size_t kMaxVotingControllers = 5;
+// Maximum number of voting controllers if controllers are discovered from seeds, unless the
+// tolerated losses need more.
+constexpr size_t kVotingControllers = 5;
 // A target's registration expires after this many missed heartbeats. Heartbeats may be late by more
 // than one interval.
 constexpr int kMaxMissedHeartbeats = 4;
@@ -181,7 +182,8 @@
                            .address = this->settings.peer_address,
                            .data_folder = this->settings.data_folder};
     if (!this->settings.seeds.empty()) {
-      options.max_members = kMaxVotingControllers;
+      options.tolerated_losses = this->settings.tolerated_hosts;
+      options.max_members = std::max(kVotingControllers, 2 * this->settings.tolerated_hosts + 1);
       options.heartbeat = kDiscoveryRaftHeartbeat;
       options.election_timeout = kDiscoveryElectionTimeout;
     }
--- a/io/replica.cc
+++ b/io/replica.cc
@@ -43,6 +43,7 @@
   core.address = options.address;
   if (const RaftMember* self = FindMember(core.initial, options.id)) core.address = self->address;
   core.max_members = options.max_members;
+  core.tolerated_losses = options.tolerated_losses;
   core.heartbeat = options.heartbeat;
   core.election_timeout = options.election_timeout;
   core.retained_entries = options.snapshot_interval / kRetainedLogDivisor;
--- a/io/replica.h
+++ b/io/replica.h
@@ -37,8 +37,9 @@
 struct ReplicaOptions {
   std::string id;
   std::vector<ControllerAddress> controllers;  // the initial members
-  Address address;         // of this replica; may be empty if it is one of `controllers`
-  size_t max_members = 0;  // see RaftOptions; 0: members change only by ChangeMember()
+  Address address;              // of this replica; may be empty if it is one of `controllers`
+  size_t max_members = 0;       // see RaftOptions; 0: members change only by ChangeMember()
+  size_t tolerated_losses = 1;  // see RaftOptions
   std::string data_folder;
   Duration heartbeat = Millis(50);
   Duration election_timeout = Millis(300);  // plus a random addition of up to the same length
--- a/state/raft.h
+++ b/state/raft.h
@@ -38,6 +38,10 @@
 // new incarnation. Until a membership entry is known to be committed, elections, commits and reads
 // need a majority of both the list before it and the list in it. Without this, the old
 // incarnation's last vote and the new incarnation's first vote could elect two leaders in one term.
+//
+// Unresponsive members. A learner takes the place of a member that has been silent, or the member
+// is removed, but never so that fewer than MinGroupSize() members are left: disks that are lost
+// later must not be a majority.
 #ifndef PERIDOTGAUGE_STATE_RAFT_H_
 #define PERIDOTGAUGE_STATE_RAFT_H_
 
@@ -79,7 +83,8 @@
 // which a second controller may fail after a replacement has started (4 s on the smallest
 // deployments), longer than a few lost heartbeats.
 constexpr Duration kMemberTimeout = Seconds(3);
-// Unresponsive members are not removed from a group of this size or smaller.
+// The size below which a group that admits and removes members by itself never shrinks, also if
+// fewer losses need to be tolerated.
 constexpr size_t kMinGroupSize = 3;
 // Appends without progress for this many heartbeat intervals are considered lost. A round trip and
 // a disk sync take less.
@@ -99,8 +104,11 @@
   // 0: the member list changes only by ChangeMember(). Otherwise the leader admits a learner with
   // an unknown id, either in place of a member that has not answered for kMemberTimeout or as an
   // additional member while there are fewer than `max_members`, and removes unresponsive members
-  // while more than kMinGroupSize are left.
+  // while more than MinGroupSize() are left.
   size_t max_members = 0;
+  // Number of members that may lose their disks at the same time. An unresponsive member still has
+  // its disk, so the group must not become so small that the others are no majority without it.
+  size_t tolerated_losses = 1;
   // Retained below a snapshot for lagging followers, up to either limit. A follower that lags
   // further gets the snapshot.
   uint64_t retained_entries = 500;
@@ -314,6 +322,9 @@
   // Admits a learner whose id is not in the member list, if `max_members` allows it.
   void MaybeAddNew(Time now, const RaftMember& learner);
   void MaybeRemoveUnresponsive(Time now);
+  // Returns the number of members that a group needs so that a majority of them is left after the
+  // tolerated losses. A group that has grown to this size does not shrink below it.
+  size_t MinGroupSize() const;
   // Returns a member that has not answered for kMemberTimeout, or nullptr.
   const RaftMember* UnresponsiveMember(Time now) const;
   // Returns true if the newest membership entry and an entry of this term are committed.
--- a/state/raft_request.cc
+++ b/state/raft_request.cc
@@ -88,6 +88,10 @@
   return nullptr;
 }
 
+size_t Raft::MinGroupSize() const {
+  return std::max(kMinGroupSize, 2 * this->options.tolerated_losses + 1);
+}
+
 void Raft::MaybeAddNew(Time now, const RaftMember& learner) {
   if (this->options.max_members == 0) return;
   RaftMembers members = this->Members();
@@ -104,9 +108,10 @@
 }
 
 // An unresponsive member raises the size of a majority but cannot contribute to it. When it
-// returns, it is admitted again as a learner.
+// returns, it is admitted again as a learner. Until then its disk does not count, so the group
+// keeps it if the disks of the others may be lost.
 void Raft::MaybeRemoveUnresponsive(Time now) {
-  if (this->options.max_members == 0 || this->Members().size() <= kMinGroupSize) return;
+  if (this->options.max_members == 0 || this->Members().size() <= this->MinGroupSize()) return;
   if (!this->NoMembershipChangePending() || !this->transfer_target.empty()) return;
   const RaftMember* unresponsive = this->UnresponsiveMember(now);
   if (unresponsive == nullptr) return;
--- a/testing/raft_cluster.cc
+++ b/testing/raft_cluster.cc
@@ -36,8 +36,11 @@
 }  // namespace
 
 RaftCluster::RaftCluster(size_t size, uint64_t seed, uint64_t snapshot_interval,
-                         size_t initial_size, size_t max_members)
-    : max_members(max_members), snapshot_interval(snapshot_interval), random(seed) {
+                         size_t initial_size, size_t max_members, size_t tolerated_losses)
+    : max_members(max_members),
+      tolerated_losses(tolerated_losses),
+      snapshot_interval(snapshot_interval),
+      random(seed) {
   for (size_t i = 0; i < size; ++i) {
     const std::string id(1, static_cast<char>('a' + i));
     if (initial_size == 0 || i < initial_size) {
@@ -59,6 +62,7 @@
   if (node.disk.snapshot.index > 0) this->Restore(node, node.disk.snapshot);
   RaftOptions options{.id = node.id, .address = "address-" + node.id, .initial = this->initial};
   options.max_members = this->max_members;
+  options.tolerated_losses = this->tolerated_losses;
   options.retained_entries = this->snapshot_interval / 4;
   options.random_seed = this->random();
   node.raft = std::make_unique<Raft>(options, node.disk, this->now);
--- a/testing/raft_cluster.h
+++ b/testing/raft_cluster.h
@@ -49,7 +49,7 @@
  public:
   // The first `initial_size` replicas (0: all) are the initial members.
   RaftCluster(size_t size, uint64_t seed, uint64_t snapshot_interval = 50, size_t initial_size = 0,
-              size_t max_members = 0);
+              size_t max_members = 0, size_t tolerated_losses = 1);
 
   ClusterNode& Node(size_t i) { return this->nodes[i]; }
   size_t Size() const { return this->nodes.size(); }
@@ -107,6 +107,7 @@
   std::vector<ClusterNode> nodes;
   RaftMembers initial;
   size_t max_members;
+  size_t tolerated_losses;
   uint64_t snapshot_interval;
   std::mt19937_64 random;
   Time now = TimeAt(0);
--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -47,6 +47,20 @@
                               .hedging = false});
 }
 
+// Guards against a group of controllers that takes fewer losses for tolerated than it was told.
+TEST_CASE("the number of tolerated losses", "[settings]") {
+  CHECK(Settings::Parse(With("", ""), "c1.json")->tolerated_hosts == 2);
+  for (const size_t count : {0, 1, 3}) {
+    const std::string text = "\"tolerated_hosts\": " + std::to_string(count);
+    CHECK(Settings::Parse(With("\"hedging\": false", text), "c1.json")->tolerated_hosts == count);
+  }
+  const auto refused =
+      Settings::Parse(With("\"hedging\": false", "\"tolerated_hosts\": -1"), "c1.json");
+  REQUIRE_FALSE(refused);
+  CHECK(refused.error().detail.find("tolerated_hosts: -1; allowed is 0 to 20") !=
+        std::string::npos);
+}
+
 TEST_CASE("the share of a processor", "[settings]") {
   CHECK(Settings::Parse(With("", ""), "c1.json")->processor_share == 1);
   CHECK(Settings::Parse(With("\"hedging\": false", "\"processor_share\": 0.12"), "c1.json")
