Let a controller that is not elected ask for the leader

A controller whose place in the group was taken while it was frozen stayed without a leader for ever, and answered 503 to reads, after two of the members that it knew had lost their disks.

Cause: a member that the newest list no longer names asks only the members of its own list for votes, and only a leader takes that as a wish to join. Evidence: in virtual time 'd is not elected; votes: 1 of 5; missing: a, b, c (refused), i (refused)'; a and b have new incarnations, c and i follow a leader that d's list does not name.

Change: a replica whose election fails announces itself to all controllers that it knows, as one with an empty folder does; members pass this on to the leader. The announcement of a current member is not passed on and is no contact.

--- a/state/raft.cc
+++ b/state/raft.cc
@@ -88,7 +88,7 @@
     this->LeaderTick(now);
   } else if (now >= this->election_deadline) {
     this->leader.clear();
-    if (this->role == RaftRole::kCandidate) this->ReportFailedElection(now);
+    if (this->role == RaftRole::kCandidate) this->OnElectionFailed(now);
     if (this->CanCampaign()) {
       this->Campaign(now, true, false);
     } else {
--- a/state/raft.h
+++ b/state/raft.h
@@ -41,7 +41,8 @@
 //
 // Unresponsive members. A learner takes the place of a member that has been silent, or the member
 // is removed, but never so that fewer than MinGroupSize() members are left: disks that are lost
-// later must not be a majority.
+// later must not be a majority. A replica that cannot be elected asks for the leader, as a learner
+// does, because it may have been replaced while it was out of touch.
 #ifndef PERIDOTGAUGE_STATE_RAFT_H_
 #define PERIDOTGAUGE_STATE_RAFT_H_
 
@@ -285,6 +286,7 @@
   void HandlePreVoteReply(Time now, const RaftMessage& message);
   void HandleVoteReply(Time now, const RaftMessage& message);
   void CountVotes(Time now);
+  void OnElectionFailed(Time now);
   // Logs which members have not granted the vote of the election that has just failed.
   void ReportFailedElection(Time now);
   bool LogIsUpToDate(const RaftMessage& message) const;
--- a/state/raft_election.cc
+++ b/state/raft_election.cc
@@ -28,9 +28,12 @@
 }
 
 void Raft::HandleAnnounce(Time now, const RaftMessage& message) {
+  // A member may announce itself because it cannot be elected. That another member passes this on
+  // does not mean that the leader is in contact with it.
+  const bool member = ContainsMember(this->Members(), message.from, message.from_incarnation);
   if (this->Leading()) {
-    this->FindOrAddLearner(now, message);
-  } else if (!this->leader.empty() && this->leader != message.from) {
+    if (!member) this->FindOrAddLearner(now, message);
+  } else if (!member && !this->leader.empty() && this->leader != message.from) {
     // The sender may know only controllers that do not lead.
     RaftMessage forwarded = message;
     forwarded.to = this->leader;
@@ -203,6 +206,13 @@
   }
 }
 
+// Other members may have replaced this one while it was out of touch, and those that it knows may
+// all have lost their disks or not lead. As a replica without a group it asks them for the leader.
+void Raft::OnElectionFailed(Time now) {
+  this->ReportFailedElection(now);
+  if (this->options.max_members > 0) this->SendAnnouncements(now);
+}
+
 void Raft::ReportFailedElection(Time now) {
   if (now < this->next_election_report) return;
   this->next_election_report = now + kElectionReportInterval;
--- a/testing/raft_losses_test.cc
+++ b/testing/raft_losses_test.cc
@@ -71,6 +71,17 @@
     for (size_t i = 0; i < kControllers; ++i) this->cluster.Start(i);
   }
 
+  // Returns true if all controllers hold `commands` and everything that was committed after them.
+  bool AllHold(const std::vector<std::string>& commands) {
+    if (!this->cluster.CommitOne()) return false;
+    for (size_t i = 0; i < kControllers; ++i) {
+      const std::vector<std::string>& state = this->cluster.Node(i).state;
+      if (state.size() < commands.size()) return false;
+      if (!std::equal(commands.begin(), commands.end(), state.begin())) return false;
+    }
+    return true;
+  }
+
   size_t size;
   RaftCluster cluster;
   std::mt19937_64 random;
@@ -115,6 +126,9 @@
     REQUIRE(group.Commit(kRecovery));
     CHECK(std::equal(committed.begin(), committed.end(), group.cluster.reference_log.begin()));
 
+    // Guards against a member that was replaced while it was out of touch and asks for votes for
+    // ever, because none of the members that it knows leads.
+    CHECK(group.AllHold(committed));
     CHECK(group.cluster.violations.empty());
   }
 }
