Keep what belongs to a route under its host and prefix, not under its name

Cause: host and prefix select a route and are unique; the name is a label that need not be. Plans, the counters of splits, the latencies for hedges, the estimates of the callers' wait and the classes of load were kept by name, so that the route that was asked first after a change gave its plan to the other. Evidence: the two plans, asked for one after the other, name the same services. Ruled out: a wrong choice of the route; RouteTable::Match() does not look at the name.

Change: RouteId (host, prefix) is the key of all five. The name stays in logs and metrics.

Looked at each map keyed by text in core/ and io/: the others are keyed by service, target, workspace, router or controller, whose names or ids are their identity on the wire. Two workspaces of one name are refused; of two services of one name the first is used.

--- a/bench/route_cost_main.cc
+++ b/bench/route_cost_main.cc
@@ -168,7 +168,7 @@
   const BenchCodec codec;
   const auto replicas = ReplicaChoice::MustMake("least", {.seed = 1});
   HedgeBudget budget{{.burst = 20, .max_debt = 0, .retry_in_overload = true}};
-  std::map<std::string, RouteHedgeBudget> hedge_budgets;
+  std::map<RouteId, RouteHedgeBudget> hedge_budgets;
   Metrics metrics;
   EventLog log(-1);
   std::mt19937_64 random(1);
--- a/core/overload.h
+++ b/core/overload.h
@@ -67,6 +67,7 @@
 #include "core/lost_services.h"
 #include "core/plan.h"
 #include "core/quantile_window.h"
+#include "core/routes.h"
 #include "core/search_policy.h"
 #include "core/slow_targets.h"
 #include "core/types.h"
@@ -122,7 +123,7 @@
 
 // Requests that are alike for the decision.
 struct LoadClass {
-  std::string route;
+  RouteId route;
   uint32_t priority = 0;  // 0 is the most urgent
   bool operator==(const LoadClass&) const = default;
   bool operator<(const LoadClass& other) const {
--- a/core/route_plan.cc
+++ b/core/route_plan.cc
@@ -6,14 +6,14 @@
 namespace peridotgauge {
 
 std::shared_ptr<const Plan> RoutePlanner::ForShards(uint64_t revision, const Route& route) {
-  auto& plan = this->plans[{route.name, ""}];
+  auto& plan = this->plans[{route.Id(), ""}];
   if (!plan) plan = this->Build(revision, route, route.shards);
   return plan;
 }
 
 std::shared_ptr<const Plan> RoutePlanner::ForService(uint64_t revision, const Route& route,
                                                      const std::string& service) {
-  auto& plan = this->plans[{route.name, service}];
+  auto& plan = this->plans[{route.Id(), service}];
   if (!plan) plan = this->Build(revision, route, {service});
   return plan;
 }
--- a/core/route_plan.h
+++ b/core/route_plan.h
@@ -47,8 +47,8 @@
                                     const std::vector<std::string>& services);
 
   Planner& planner;
-  // By route name and, for a split, service name.
-  std::map<std::pair<std::string, std::string>, std::shared_ptr<const Plan>> plans;
+  // By route and, for a split, service name.
+  std::map<std::pair<RouteId, std::string>, std::shared_ptr<const Plan>> plans;
 };
 
 }  // namespace peridotgauge
--- a/core/routes.cc
+++ b/core/routes.cc
@@ -104,7 +104,7 @@
 
 const std::string& SplitCounter::Next(const Route& route) {
   if (route.split.size() == 1) return route.split.front().service;
-  std::vector<double>& credit = this->credits[route.name];
+  std::vector<double>& credit = this->credits[route.Id()];
   credit.resize(route.split.size());
   const double total =
       std::accumulate(route.split.begin(), route.split.end(), 0.0,
--- a/core/routes.h
+++ b/core/routes.h
@@ -32,8 +32,15 @@
   auto operator<=>(const WeightedService&) const = default;
 };
 
+// What selects a route: no two routes of a table have the same.
+struct RouteId {
+  std::string host;
+  std::string prefix;
+  auto operator<=>(const RouteId&) const = default;
+};
+
 struct Route {
-  std::string name;
+  std::string name;  // for logs and metrics; several routes may have the same
   std::string host;
   std::string prefix;         // begins and ends with '/'
   bool idempotent = true;     // false: a request is executed by at most one target
@@ -49,6 +56,7 @@
   double min_coverage = 0;   // minimum share of the shards in an answer, 0 to 1
   bool needs_key = true;     // if the configuration has workspaces, callers must send a key
 
+  RouteId Id() const { return {this->host, this->prefix}; }
   bool Gathers() const { return !this->shards.empty(); }
   // Returns the minimum number of shards in an answer, at least 1. For routes that gather.
   uint32_t MinShards() const;
@@ -120,7 +128,7 @@
   const std::string& Next(const Route& route);
 
  private:
-  std::map<std::string, std::vector<double>, std::less<>> credits;  // by route name
+  std::map<RouteId, std::vector<double>> credits;
 };
 
 }  // namespace peridotgauge
--- a/io/explain_routes.cc
+++ b/io/explain_routes.cc
@@ -168,7 +168,7 @@
 
   // Returns a copy, because reading the quantiles changes a budget.
   std::optional<RouteHedgeBudget> BudgetOf(const Route& route) const {
-    const auto found = this->context.hedge_budgets.find(route.name);
+    const auto found = this->context.hedge_budgets.find(route.Id());
     if (found == this->context.hedge_budgets.end()) return std::nullopt;
     return found->second;
   }
@@ -324,7 +324,7 @@
     const uint32_t priority =
         workspace != nullptr ? workspace->priority.value_or(route.priority) : route.priority;
     this->explanation.overload =
-        this->context.overload.Preview(this->now, {.load_class = {route.name, priority},
+        this->context.overload.Preview(this->now, {.load_class = {route.Id(), priority},
                                                    .plan = *this->plan,
                                                    .needed = route.NeededShards(),
                                                    .time_left = deadline - this->now,
--- a/io/explain_routes.h
+++ b/io/explain_routes.h
@@ -54,7 +54,7 @@
   bool overload_admission = false;  // `overload` is asked
   const CrashGuard& crash_guard;
   const ExtraAttemptLimit& extra_limit;
-  const std::map<std::string, RouteHedgeBudget>& hedge_budgets;  // by route name
+  const std::map<RouteId, RouteHedgeBudget>& hedge_budgets;
   const SplitCounter& split;
   std::optional<Time> answer_by;  // set while the router drains
 };
--- a/io/gateway.cc
+++ b/io/gateway.cc
@@ -253,7 +253,7 @@
     const Route* route = arrival.route.get();
     const Workspace* workspace = arrival.workspace.get();
     const Duration caller_wait = request_info->timeout
-                                     ? this->caller_wait_estimators[route->name].Elapsed(
+                                     ? this->caller_wait_estimators[route->Id()].Elapsed(
                                            arrival.time, *request_info->timeout)
                                      : Duration(0);
     RequestTimes times{
@@ -387,7 +387,7 @@
 
   // Returns nothing if no latencies of the route are known.
   std::optional<Duration> SlowLatency(Time now, const Route& route) {
-    const auto found = this->hedge_budgets.find(route.name);
+    const auto found = this->hedge_budgets.find(route.Id());
     return found == this->hedge_budgets.end() ? std::nullopt : found->second.SlowLatency(now);
   }
 
@@ -437,7 +437,7 @@
     const std::vector<Route>& routes = this->config->Routes().Routes();
     std::erase_if(this->caller_wait_estimators, [&](const auto& item) {
       return std::none_of(routes.begin(), routes.end(),
-                          [&](const Route& route) { return route.name == item.first; });
+                          [&](const Route& route) { return route.Id() == item.first; });
     });
     this->Log(now, Event("config_in_force")
                        .Add("revision", this->config->Revision())
@@ -580,9 +580,9 @@
   std::unique_ptr<ReplicaChoice> replica_choice;
   TargetSignals signals;
   Evacuations evacuations;
-  std::map<std::string, RouteHedgeBudget> hedge_budgets;
+  std::map<RouteId, RouteHedgeBudget> hedge_budgets;
   SplitCounter split;
-  std::map<std::string, CallerWaitEstimator> caller_wait_estimators;  // by route name
+  std::map<RouteId, CallerWaitEstimator> caller_wait_estimators;
   std::mt19937_64 random;
   ExtraAttemptLimit extra_limit;
   RecentMaximum serving_routers;             // number of routers that may hold connections
--- a/io/route_request.cc
+++ b/io/route_request.cc
@@ -71,7 +71,7 @@
   RouteRequestImpl(RouteContext& context, RouteRequestParams params, Callback done)
       : context(context),
         params(std::move(params)),
-        budget(context.hedge_budgets.try_emplace(this->params.route->name, context.budget)
+        budget(context.hedge_budgets.try_emplace(this->params.route->Id(), context.budget)
                    .first->second),
         cold_chooser(context.replica_choice, context.warmup, context.pool),
         chooser(this->cold_chooser, context.signals),
@@ -496,7 +496,7 @@
 }  // namespace
 
 AdmissionQuery QueryOf(const RouteRequestParams& params) {
-  return {.load_class = {params.route->name, params.priority},
+  return {.load_class = {params.route->Id(), params.priority},
           .plan = *params.plan,
           .needed = params.route->NeededShards(),
           .time_left = params.deadline - params.arrived,
--- a/io/route_request.h
+++ b/io/route_request.h
@@ -77,7 +77,7 @@
   ReplicaChoice& replica_choice;
   TargetSignals& signals;
   HedgeBudget& budget;
-  std::map<std::string, RouteHedgeBudget>& hedge_budgets;  // by route name
+  std::map<RouteId, RouteHedgeBudget>& hedge_budgets;
   Metrics& metrics;
   EventLog& log;
   std::mt19937_64& random;
--- a/testing/explain_test.cc
+++ b/testing/explain_test.cc
@@ -362,7 +362,7 @@
   HedgeBudget budget;
   OverloadAdmission explained(budget);
   OverloadAdmission plain(budget);
-  const LoadClass load_class{"browse", 1};
+  const LoadClass load_class{{"shop.example", "/browse/"}, 1};
   const AdmissionQuery query{.load_class = load_class,
                              .plan = plan,
                              .needed = 3,
--- a/testing/overload_test.cc
+++ b/testing/overload_test.cc
@@ -44,8 +44,8 @@
 };
 
 const std::vector<Traffic> kEnrolment = {
-    {{"merit", 1}, 0.95, 79.1, Millis(20), Millis(200), Millis(800), 2},
-    {{"seat", 2}, 0.85, 26.4, Duration(6'700), Millis(60), Millis(400), 1}};
+    {{{"merit", "/"}, 1}, 0.95, 79.1, Millis(20), Millis(200), Millis(800), 2},
+    {{{"seat", "/"}, 2}, 0.85, 26.4, Duration(6'700), Millis(60), Millis(400), 1}};
 
 struct Counts {
   int calls = 0;
@@ -176,15 +176,15 @@
     this->limit.SetServices(kStart, services);
     this->limit.SetRouters(kStart, kRouters, kRouters);
     for (const Traffic& kind : traffic) {
-      Route& route = this->routes[kind.kind.route];
-      route = {.name = kind.kind.route,
+      Route& route = this->routes[kind.kind.route.host];
+      route = {.name = kind.kind.route.host,
                .timeout = kind.deadline,
                .objective = kind.objective,
                .max_attempts = 3,
                .min_coverage = kind.min_coverage};
       for (const std::string& service : services) route.shards.push_back(service);
-      this->plans[kind.kind.route] = RoutePlanner(this->planner).ForShards(1, route);
-      this->hedge_budgets.try_emplace(kind.kind.route, this->limit.Budget());
+      this->plans[kind.kind.route.host] = RoutePlanner(this->planner).ForShards(1, route);
+      this->hedge_budgets.try_emplace(kind.kind.route.host, this->limit.Budget());
     }
   }
 
@@ -224,7 +224,7 @@
     return refusing_targets > 0 && refusing_targets < 3;
   }
   Counts& ResultOf(const Call& call) {
-    return this->results[call.kind->kind.route][PhaseOf(call.called)];
+    return this->results[call.kind->kind.route.host][PhaseOf(call.called)];
   }
 
   void ScheduleCall(Time now, const Traffic& kind) {
@@ -242,7 +242,7 @@
 
   void Try(Time now, Call call) {
     ++call.tries;
-    const Route& route = this->routes.at(call.kind->kind.route);
+    const Route& route = this->routes.at(call.kind->kind.route.host);
     const auto& plan = this->plans.at(route.name);
     const Time deadline = call.called + call.kind->deadline;
     if (this->decisions.admission) {
@@ -285,7 +285,7 @@
   }
 
   void Apply(Time now, const std::shared_ptr<Running>& run, SearchEffects effects) {
-    RouteHedgeBudget& budget = this->hedge_budgets.at(run->call.kind->kind.route);
+    RouteHedgeBudget& budget = this->hedge_budgets.at(run->call.kind->kind.route.host);
     for (const uint32_t attempt : effects.cancels) {
       if (const auto job = run->jobs[attempt].lock()) job->cancelled = true;
       const auto [send, sent] = run->open.at(attempt);
@@ -311,7 +311,7 @@
     if (send.kind != AttemptKind::kFirst) ++this->ResultOf(run->call).retries;
     const uint32_t attempt = send.attempt;
     const std::string& service =
-        this->plans.at(run->call.kind->kind.route)->FleetOf(send.shard).name;
+        this->plans.at(run->call.kind->kind.route.host)->FleetOf(send.shard).name;
     run->services[attempt] = &service;
     run->open[attempt] = {
         this->choice->OnSend(now, *send.target,
@@ -389,7 +389,7 @@
     ++run.timer;
     const Call& call = run.call;
     const bool served =
-        outcome.covered.size() >= this->routes.at(call.kind->kind.route).MinShards();
+        outcome.covered.size() >= this->routes.at(call.kind->kind.route.host).MinShards();
     if (this->decisions.budget) {
       this->admission.OnEnded(now, call.kind->kind,
                               {.served = served, .elapsed = now - run.started});
@@ -443,7 +443,7 @@
              const std::vector<Traffic>& traffic = kEnrolment) {
   double value = 0;
   for (const Traffic& kind : traffic) {
-    const Counts& result = results.at(kind.kind.route)[phase];
+    const Counts& result = results.at(kind.kind.route.host)[phase];
     value += kind.value * (result.in_time + 0.5 * result.returned) + 0.1 * result.late;
   }
   return value;
@@ -650,7 +650,7 @@
     }
   }
   AdmissionVerdict Admit(Time now, Duration time_left = Seconds(1), uint32_t priority = 0) {
-    return this->admission.Admit(now, {.load_class = {"r", priority},
+    return this->admission.Admit(now, {.load_class = {{"r", "/"}, priority},
                                        .plan = this->plan,
                                        .needed = 3,
                                        .time_left = time_left,
@@ -694,11 +694,12 @@
   Small small;
   small.Admit(kStart);
   for (int i = 0; i < 20; ++i) {
-    small.admission.OnEnded(kStart, {"r", 0}, {.served = true, .elapsed = Millis(90)});
+    small.admission.OnEnded(kStart, {{"r", "/"}, 0}, {.served = true, .elapsed = Millis(90)});
   }
   CHECK(small.Admit(kStart + Millis(1), Millis(50)).Admitted());  // in time for the objective
   for (int i = 0; i < 2'000; ++i) {
-    small.admission.OnEnded(kStart + Millis(2), {"r", 0}, {.served = true, .elapsed = Millis(400)});
+    small.admission.OnEnded(kStart + Millis(2), {{"r", "/"}, 0},
+                            {.served = true, .elapsed = Millis(400)});
   }
   const AdmissionVerdict verdict = small.Admit(kStart + Millis(3), Millis(300));
   CHECK(verdict.reason == RejectReason::kLatency);
@@ -792,8 +793,8 @@
 // Guards against less urgent requests that take the last retries, and against their starvation.
 TEST_CASE("retries are left for more urgent requests", "[overload]") {
   Small small;
-  const LoadClass urgent{"r", 0};
-  const LoadClass other{"r", 1};
+  const LoadClass urgent{{"r", "/"}, 0};
+  const LoadClass other{{"r", "/"}, 1};
   small.Admit(kStart, Seconds(1), 1);
   CHECK(small.admission.Reserve(kStart, other) == 0);  // nobody is more urgent
   small.Admit(kStart, Seconds(1), 0);
--- a/testing/route_request_test.cc
+++ b/testing/route_request_test.cc
@@ -108,7 +108,7 @@
   platform::RouteFormat codec;
   std::unique_ptr<ReplicaChoice> replicas = *ReplicaChoice::Make("least", {.seed = 1});
   HedgeBudget budget{{.burst = 20, .max_debt = 0, .retry_in_overload = true}};
-  std::map<std::string, RouteHedgeBudget> hedge_budgets;
+  std::map<RouteId, RouteHedgeBudget> hedge_budgets;
   Metrics metrics;
   EventLog log{-1};
   std::mt19937_64 random{1};
