--- a/core/routes.h
+++ b/core/routes.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "core/error.h"
@@ -36,7 +37,10 @@
 struct RouteId {
   std::string host;
   std::string prefix;
-  auto operator<=>(const RouteId&) const = default;
+  bool operator==(const RouteId&) const = default;
+  bool operator<(const RouteId& other) const {
+    return std::tie(this->host, this->prefix) < std::tie(other.host, other.prefix);
+  }
 };
 
 struct Route {
